--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# Every target sets up its own virtual environment from pinned packages.
+VENV := .venv
+PY := $(VENV)/bin/python
+STAMP := $(VENV)/.ready
+MODEL ?=
+DEMO_MIB ?= 64
+
+.PHONY: demo test check proto fuzz bench plots test-processes clean
+
+$(STAMP): pyproject.toml
+	test -x $(PY) || python3 -m venv $(VENV)
+	$(PY) -m pip install -q -e '.[dev]'
+	touch $(STAMP)
+
+proto: $(STAMP)
+	$(PY) tools/generate.py
+
+check: $(STAMP)
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+	$(VENV)/bin/mypy damaskcroft tools
+	$(PY) tools/generate.py --check
+
+test: check
+	$(PY) -m pytest
+
+test-processes: $(STAMP)
+	$(PY) -m pytest damaskcroft/standins/tests
+
+demo: $(STAMP)
+	$(PY) tools/demo.py --size-mib $(DEMO_MIB) $(if $(MODEL),--model $(MODEL))
+
+fuzz: $(STAMP)
+	DAMASK_FUZZ=long $(PY) -m pytest damaskcroft -k fuzz
+
+bench: $(STAMP)
+	$(PY) tools/bench.py
+
+plots: $(STAMP)
+	$(PY) tools/plots.py
+
+clean:
+	rm -rf build $(VENV)
--- /dev/null
+++ b/damaskcroft/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The program damask-agent: the process beside each target."""
--- /dev/null
+++ b/damaskcroft/agent/_activation.py
@@ -0,0 +1,240 @@
+"""Carries assignments out at the target: the only giver of its orders."""
+
+import asyncio
+
+from transitions import Machine
+
+from damaskcroft._generated import control_pb2
+from damaskcroft.agent._gate import Gate
+from damaskcroft.agent._staging import Stager
+from damaskcroft.engines import (
+    Engine,
+    EngineState,
+    LoadOrder,
+    OrderAccepted,
+    OrderRefused,
+)
+from damaskcroft.membership import LeaseClient
+from damaskcroft.observe import log_event, log_warning
+from damaskcroft.weights import ChunkStore
+
+_POLL_S = 0.05
+_RETRY_S = 0.5
+
+
+class Activator:
+    """Brings the target to what the newest assignment says.
+
+    Args:
+        own_id: this agent.
+        client: lease and roster.
+        gate: shut while the target changes versions.
+        engine: the target.
+        stager: gets the files.
+        store: where they are.
+    """
+
+    # Set by the lifecycle machine below.
+    state: str
+
+    def __init__(
+        self,
+        own_id: str,
+        client: LeaseClient,
+        gate: Gate,
+        engine: Engine,
+        stager: Stager,
+        store: ChunkStore,
+    ):
+        """See the class."""
+        self._own_id = own_id
+        self._client = client
+        self._gate = gate
+        self._engine = engine
+        self._stager = stager
+        self._store = store
+        self.failure = ""
+        self._done_fencing = 0
+        self._machine = Machine(
+            model=self,
+            states=["idle", "activating", "serving", "failed"],
+            initial="idle",
+            auto_transitions=False,
+            transitions=[
+                ["begin", "*", "activating"],
+                ["succeed", "activating", "serving"],
+                ["fail", "activating", "failed"],
+                ["clear", "activating", "idle"],
+            ],
+        )
+
+    def phase(self) -> control_pb2.Phase:
+        """What the report says of this target."""
+        if self.state == "activating":
+            return control_pb2.PHASE_ACTIVATING
+        if self.state == "serving":
+            return control_pb2.PHASE_SERVING
+        if self.state == "failed":
+            return control_pb2.PHASE_FAILED
+        if not self._stager.wanted_manifest:
+            return control_pb2.PHASE_IDLE
+        if self._stager.staged_manifest == self._stager.wanted_manifest:
+            return control_pb2.PHASE_STAGED
+        return control_pb2.PHASE_FETCHING
+
+    async def run(self) -> None:
+        """Follows the assignments until cancelled."""
+        while True:
+            assignment = await self._next_assignment()
+            self.begin()  # type: ignore[attr-defined]
+            self._client.report_soon()
+            done = await self._carry_out(assignment)
+            if done:
+                self._done_fencing = assignment.fencing
+            self._client.report_soon()
+
+    async def _next_assignment(self) -> control_pb2.Assignment:
+        while True:
+            assignment = self._client.roster.assignments_by_target.get(
+                self._own_id
+            )
+            if (
+                assignment is not None
+                and assignment.fencing > self._done_fencing
+                and self._client.lease.is_held
+            ):
+                return assignment
+            await asyncio.sleep(_POLL_S)
+
+    async def _carry_out(self, assignment: control_pb2.Assignment) -> bool:
+        """Returns whether the assignment is settled, for good or ill."""
+        state = await self._engine.state()
+        if not isinstance(state, EngineState):
+            await asyncio.sleep(_RETRY_S)
+            return False
+        if not assignment.manifest:
+            return await self._withdraw(assignment)
+        if state.active == assignment.manifest:
+            # Read back after a restart: the order was carried out before.
+            self._open(assignment)
+            return True
+        if not await self._wait_staged(assignment):
+            return False
+        order = self._order(assignment)
+        before = (
+            self._gate.model,
+            self._gate.version,
+            self._gate.manifest,
+            self._gate.fencing,
+        )
+        if not assignment.old_and_new_fit:
+            await self._shut_and_drain()
+        if not await self._load(order, state):
+            if state.active and state.active == before[2]:
+                # The old version is still there: better than nothing.
+                self._gate.open(*before)
+            return self.state == "failed"
+        await self._shut_and_drain()
+        return await self._activate(order)
+
+    async def _withdraw(self, assignment: control_pb2.Assignment) -> bool:
+        await self._shut_and_drain()
+        outcome = await self._engine.unload(assignment)
+        if not isinstance(outcome, OrderAccepted):
+            await asyncio.sleep(_RETRY_S)
+            return False
+        self.clear()  # type: ignore[attr-defined]
+        log_event("withdrawn", fencing=assignment.fencing)
+        return True
+
+    async def _wait_staged(self, assignment: control_pb2.Assignment) -> bool:
+        while True:
+            version = self._store.versions_by_digest.get(assignment.manifest)
+            if version is not None and version.verified:
+                return True
+            if self._is_superseded(assignment):
+                return False
+            await asyncio.sleep(_POLL_S)
+
+    async def _shut_and_drain(self) -> None:
+        """Nothing new comes in, and all that is running ends first."""
+        self._gate.shut()
+        self._client.report_soon()
+        await self._gate.wait_idle()
+
+    async def _load(self, order: LoadOrder, state: EngineState) -> bool:
+        manifest = order.assignment.manifest
+        if manifest in state.loaded:
+            return True
+        outcome = await self._engine.load(order)
+        if isinstance(outcome, OrderRefused):
+            return self._fail_with(order, outcome.reason)
+        if not isinstance(outcome, OrderAccepted):
+            log_event("order_failed", order="load", reason=outcome.reason)
+            await asyncio.sleep(_RETRY_S)
+            return False
+        while True:
+            now = await self._engine.state()
+            if not isinstance(now, EngineState):
+                await asyncio.sleep(_RETRY_S)
+                return False
+            if manifest in now.loaded:
+                return True
+            if manifest in now.failed:
+                return self._fail_with(order, now.failed[manifest])
+            await asyncio.sleep(_POLL_S)
+
+    async def _activate(self, order: LoadOrder) -> bool:
+        outcome = await self._engine.activate(order)
+        if isinstance(outcome, OrderRefused):
+            self._fail_with(order, outcome.reason)
+            return True
+        # Whatever the answer was: only what is read back counts.
+        state = await self._engine.state()
+        if not isinstance(state, EngineState):
+            await asyncio.sleep(_RETRY_S)
+            return False
+        if state.active != order.assignment.manifest:
+            await asyncio.sleep(_RETRY_S)
+            return False
+        self._open(order.assignment)
+        return True
+
+    def _open(self, assignment: control_pb2.Assignment) -> None:
+        self.failure = ""
+        self._gate.open(
+            _served_name(assignment),
+            assignment.version,
+            assignment.manifest,
+            assignment.fencing,
+        )
+        self.succeed()  # type: ignore[attr-defined]
+        log_event(
+            "serving", version=assignment.version, fencing=assignment.fencing
+        )
+
+    def _fail_with(self, order: LoadOrder, reason: str) -> bool:
+        self.failure = reason
+        self.fail()  # type: ignore[attr-defined]
+        log_warning(
+            "activation_failed",
+            version=order.assignment.version,
+            fencing=order.assignment.fencing,
+            reason=reason,
+        )
+        return False
+
+    def _is_superseded(self, assignment: control_pb2.Assignment) -> bool:
+        newest = self._client.roster.assignments_by_target[self._own_id]
+        return newest.fencing > assignment.fencing
+
+    def _order(self, assignment: control_pb2.Assignment) -> LoadOrder:
+        version = self._store.versions_by_digest[assignment.manifest]
+        return LoadOrder(assignment, str(version.files_folder))
+
+
+def _served_name(assignment: control_pb2.Assignment) -> str:
+    """What callers name: the model, or the model and its adapter."""
+    if not assignment.adapter:
+        return assignment.model
+    return f"{assignment.model}:{assignment.adapter}"
--- /dev/null
+++ b/damaskcroft/agent/_chunks.py
@@ -0,0 +1,80 @@
+"""Gives chunks to other agents, at the pace of this machine's link."""
+
+import asyncio
+from typing import Any
+
+from damaskcroft._generated import agent_pb2
+from damaskcroft.observe import metrics
+from damaskcroft.weights import BurstCounts, ChunkStore, Pacer
+
+_PART_BYTES = 128 * 1024
+_MAX_WAIT_S = 10.0
+
+
+class ChunkServer:
+    """Answers chunk requests from the store.
+
+    Args:
+        store: where chunks are.
+        pacer: paces what goes out.
+        parallel_uploads: chunks sent at once; further ones wait.
+        counts: where bytes are counted.
+    """
+
+    def __init__(
+        self,
+        store: ChunkStore,
+        pacer: Pacer,
+        parallel_uploads: int,
+        counts: BurstCounts,
+    ):
+        """See the class."""
+        self._store = store
+        self._pacer = pacer
+        self._slots = asyncio.Semaphore(parallel_uploads)
+        self._counts = counts
+
+    async def send_chunk(
+        self, request: agent_pb2.ChunkRequest, stream: Any
+    ) -> None:
+        """Sends a chunk in parts, or says why not."""
+        version = self._store.versions_by_digest.get(request.manifest)
+        if version is None:
+            await self._refuse(stream, agent_pb2.CHUNK_UNKNOWN_MANIFEST)
+            return
+        index = version.index_by_digest.get(request.digest)
+        if index is None:
+            await self._refuse(stream, agent_pb2.CHUNK_UNKNOWN_MANIFEST)
+            return
+        wait_s = min(request.wait_ms / 1000, _MAX_WAIT_S)
+        if not await version.wait_for_chunk(index, wait_s):
+            await self._refuse(stream, agent_pb2.CHUNK_NOT_HELD)
+            return
+        async with self._slots:
+            # Checked when it was written; the receiver checks it again.
+            await self._send(stream, version.read_chunk(index))
+
+    def manifest(self, digest: str) -> bytes:
+        """A held version's manifest, or nothing."""
+        version = self._store.versions_by_digest.get(digest)
+        return version.content if version is not None else b""
+
+    def holdings(self, digest: str) -> bytes:
+        """A version's bitmap of held chunks, or nothing."""
+        version = self._store.versions_by_digest.get(digest)
+        return version.bitmap() if version is not None else b""
+
+    async def _send(self, stream: Any, data: bytes) -> None:
+        for start in range(0, len(data), _PART_BYTES):
+            part = data[start : start + _PART_BYTES]
+            await self._pacer.pass_bytes(len(part))
+            await stream.send_message(
+                agent_pb2.ChunkPart(outcome=agent_pb2.CHUNK_DATA, data=part)
+            )
+            self._counts.sent_bytes += len(part)
+            metrics.BURST_BYTES.labels("sent").inc(len(part))
+
+    async def _refuse(
+        self, stream: Any, outcome: agent_pb2.ChunkOutcome
+    ) -> None:
+        await stream.send_message(agent_pb2.ChunkPart(outcome=outcome))
--- /dev/null
+++ b/damaskcroft/agent/_runs.py
@@ -0,0 +1,244 @@
+"""Runs admitted requests at the target and passes the answers on."""
+
+import asyncio
+import time
+from collections.abc import AsyncGenerator, Callable
+
+from damaskcroft._generated import agent_pb2, control_pb2
+from damaskcroft.agent._gate import Admitted, Gate, Refused
+from damaskcroft.agent._settler import Settler
+from damaskcroft.engines import (
+    CallFailed,
+    CallNotSent,
+    CallStarted,
+    Engine,
+    TargetCall,
+)
+from damaskcroft.observe import log_event, metrics
+
+_RETRY_UNREACHABLE_MS = 500
+# A claimed run goes on for this long after its caller has left.
+_MAX_CLAIMED_RUN_S = 600.0
+_MAX_KEPT_BODY_BYTES = 256 * 1024
+_QUEUE_EVENTS = 1024
+
+
+class Runner:
+    """Sends requests to one target.
+
+    Args:
+        gate: admits each request.
+        engine: the target.
+        settler: records the outcomes of claimed runs.
+        first_piece_seen: told each request's time to its first body piece,
+            in seconds.
+    """
+
+    def __init__(
+        self,
+        gate: Gate,
+        engine: Engine,
+        settler: Settler,
+        first_piece_seen: Callable[[float], None],
+    ):
+        """See the class."""
+        self._gate = gate
+        self._engine = engine
+        self._settler = settler
+        self._first_piece_seen = first_piece_seen
+        self._claimed_runs: set[asyncio.Task] = set()
+
+    async def run(
+        self, request: agent_pb2.RunRequest
+    ) -> AsyncGenerator[agent_pb2.RunEvent, None]:
+        """Gives the events of one request.
+
+        An idempotent run ends with its reader; a claimed one goes on, so that
+        its outcome is kept for the caller's next attempt.
+        """
+        admitted = self._gate.admit(request)
+        if isinstance(admitted, Refused):
+            yield self._refused(admitted)
+            return
+        if not request.HasField("claim"):
+            async for event in self._run_repeatable(request, admitted):
+                yield event
+            return
+        events: asyncio.Queue[agent_pb2.RunEvent | None] = asyncio.Queue()
+        task = asyncio.create_task(self._run_claimed(request, admitted, events))
+        self._claimed_runs.add(task)
+        task.add_done_callback(self._claimed_runs.discard)
+        while (queued := await events.get()) is not None:
+            yield queued
+
+    async def finish(self) -> None:
+        """Waits for claimed runs whose callers have left."""
+        while self._claimed_runs:
+            await asyncio.wait(self._claimed_runs)
+
+    async def _run_repeatable(
+        self, request: agent_pb2.RunRequest, admitted: Admitted
+    ) -> AsyncGenerator[agent_pb2.RunEvent, None]:
+        with self._gate.running():
+            try:
+                async with asyncio.timeout(request.deadline_ms / 1000):
+                    async for event in self._call(request, admitted):
+                        yield event
+            except TimeoutError:
+                yield self._failed(agent_pb2.FAILED_DEADLINE)
+
+    async def _run_claimed(
+        self,
+        request: agent_pb2.RunRequest,
+        admitted: Admitted,
+        events: asyncio.Queue[agent_pb2.RunEvent | None],
+    ) -> None:
+        outcome = _ClaimedOutcome()
+        with self._gate.running():
+            try:
+                async with asyncio.timeout(_MAX_CLAIMED_RUN_S):
+                    async for event in self._call(request, admitted):
+                        outcome.take(event)
+                        events.put_nowait(event)
+            except TimeoutError:
+                events.put_nowait(self._failed(agent_pb2.FAILED_DEADLINE))
+            finally:
+                events.put_nowait(None)
+            if outcome.refused:
+                # The entry decides whether to move the claim or to end it.
+                self._gate.mark_not_run(request.claim.run_number)
+                return
+            settlement = outcome.settlement(request, admitted)
+            log_event(
+                "claimed_run_ended",
+                request_id=request.request_id,
+                run_number=request.claim.run_number,
+                result=control_pb2.RunResult.Name(settlement.result),
+            )
+            await self._settler.settle(settlement)
+
+    async def _call(
+        self, request: agent_pb2.RunRequest, admitted: Admitted
+    ) -> AsyncGenerator[agent_pb2.RunEvent, None]:
+        call = TargetCall(
+            request.request_id,
+            request.method,
+            request.path,
+            request.content_type,
+            request.body,
+            request.priority,
+            admitted.manifest,
+        )
+        claimed = request.HasField("claim")
+        started_at = time.monotonic()
+        async with self._engine.call(call, fresh_connection=claimed) as begun:
+            match begun:
+                case CallNotSent():
+                    yield self._refused(
+                        Refused(
+                            agent_pb2.REFUSED_TARGET_UNREACHABLE,
+                            _RETRY_UNREACHABLE_MS,
+                        )
+                    )
+                case CallFailed():
+                    yield self._failed(agent_pb2.FAILED_TARGET_LOST)
+                case CallStarted() if begun.request_id not in (
+                    "",
+                    request.request_id,
+                ):
+                    # Another request's answer must never reach this caller.
+                    metrics.LATE_DROPPED.labels("crossed_at_target").inc()
+                    yield self._failed(agent_pb2.FAILED_TARGET_LOST)
+                case CallStarted():
+                    async for event in self._pass_on(
+                        request, admitted, begun, started_at
+                    ):
+                        yield event
+
+    async def _pass_on(
+        self,
+        request: agent_pb2.RunRequest,
+        admitted: Admitted,
+        begun: CallStarted,
+        started_at: float,
+    ) -> AsyncGenerator[agent_pb2.RunEvent, None]:
+        yield self._event(
+            head=agent_pb2.RunHead(
+                status=begun.status,
+                content_type=begun.content_type,
+                version=admitted.version,
+                fencing=admitted.fencing,
+                request_id=request.request_id,
+            )
+        )
+        first = True
+        try:
+            async for piece in begun.body:
+                if first:
+                    first = False
+                    self._first_piece_seen(time.monotonic() - started_at)
+                yield self._event(body=piece)
+        except ConnectionError:
+            yield self._failed(agent_pb2.FAILED_TARGET_LOST)
+            return
+        yield self._event(end=True)
+
+    def _refused(self, refused: Refused) -> agent_pb2.RunEvent:
+        return self._event(
+            refused=agent_pb2.RunRefused(
+                reason=refused.reason, retry_after_ms=refused.retry_after_ms
+            )
+        )
+
+    def _failed(self, reason: agent_pb2.FailureReason) -> agent_pb2.RunEvent:
+        return self._event(failed=agent_pb2.RunFailed(reason=reason))
+
+    def _event(self, **kind) -> agent_pb2.RunEvent:
+        return agent_pb2.RunEvent(outstanding=self._gate.outstanding, **kind)
+
+
+class _ClaimedOutcome:
+    """Gathers what a claimed run gave, for its settlement."""
+
+    __slots__ = ("_answer", "_body", "_ended", "_size_bytes", "refused")
+
+    def __init__(self) -> None:
+        self.refused = False
+        self._ended = False
+        self._answer = control_pb2.KeptAnswer()
+        self._body: list[bytes] = []
+        self._size_bytes = 0
+
+    def take(self, event: agent_pb2.RunEvent) -> None:
+        match event.WhichOneof("kind"):
+            case "refused":
+                self.refused = True
+            case "head":
+                self._answer.status = event.head.status
+                self._answer.content_type = event.head.content_type
+                self._answer.version = event.head.version
+            case "body":
+                self._size_bytes += len(event.body)
+                if self._size_bytes <= _MAX_KEPT_BODY_BYTES:
+                    self._body.append(event.body)
+            case "end":
+                self._ended = True
+
+    def settlement(
+        self, request: agent_pb2.RunRequest, admitted: Admitted
+    ) -> control_pb2.SettleRequest:
+        settlement = control_pb2.SettleRequest(
+            customer=request.claim.customer,
+            key=request.claim.key,
+            run_number=request.claim.run_number,
+            result=control_pb2.RESULT_UNKNOWN,
+        )
+        if not self._ended:
+            return settlement
+        settlement.result = control_pb2.RESULT_DONE
+        if self._size_bytes > _MAX_KEPT_BODY_BYTES:
+            self._answer.dropped = True
+        else:
+            self._answer.body = b"".join(self._body)
+        settlement.answer.CopyFrom(self._answer)
+        return settlement
--- /dev/null
+++ b/damaskcroft/agent/_service.py
@@ -0,0 +1,49 @@
+"""The gRPC face of an agent towards entries and other agents."""
+
+import contextlib
+from typing import Any
+
+from damaskcroft._generated import agent_grpc, agent_pb2
+from damaskcroft.agent._chunks import ChunkServer
+from damaskcroft.agent._gate import Gate
+from damaskcroft.agent._runs import Runner
+
+
+class AgentService(agent_grpc.AgentBase):
+    """Answers entries and other agents."""
+
+    def __init__(self, runner: Runner, gate: Gate, chunks: ChunkServer):
+        """Serves one target's runner, gate and chunks."""
+        self._runner = runner
+        self._gate = gate
+        self._chunks = chunks
+
+    async def Run(self, stream: Any) -> None:  # noqa: N802
+        """Runs one request; a reader that leaves cancels what may repeat."""
+        request = await stream.recv_message()
+        async with contextlib.aclosing(self._runner.run(request)) as events:
+            async for event in events:
+                await stream.send_message(event)
+
+    async def Inquire(self, stream: Any) -> None:  # noqa: N802
+        """Tells whether a claimed run was seen, and forbids it if not."""
+        request = await stream.recv_message()
+        outcome = self._gate.forbid(request)
+        await stream.send_message(agent_pb2.InquireReply(outcome=outcome))
+
+    async def GetChunk(self, stream: Any) -> None:  # noqa: N802
+        """Sends a chunk."""
+        request = await stream.recv_message()
+        await self._chunks.send_chunk(request, stream)
+
+    async def GetManifest(self, stream: Any) -> None:  # noqa: N802
+        """Sends a manifest."""
+        request = await stream.recv_message()
+        content = self._chunks.manifest(request.manifest)
+        await stream.send_message(agent_pb2.ManifestReply(content=content))
+
+    async def Holdings(self, stream: Any) -> None:  # noqa: N802
+        """Sends which chunks are held."""
+        request = await stream.recv_message()
+        bitmap = self._chunks.holdings(request.manifest)
+        await stream.send_message(agent_pb2.HoldingsReply(bitmap=bitmap))
--- /dev/null
+++ b/damaskcroft/consensus/__init__.py
@@ -0,0 +1,54 @@
+"""The replicated log: durable on each replica, agreed by a majority.
+
+Follows "In Search of an Understandable Consensus Algorithm (Extended
+Version)" (Ongaro and Ousterhout, 2014) and, for pre-vote, leader leases and
+one-at-a-time member changes, Ongaro's dissertation (2014), sections 4, 6.4
+and 9.6.
+"""
+
+from damaskcroft.consensus._disk import Disk, FolderDisk
+from damaskcroft.consensus._errors import (
+    ConsensusError,
+    LogDamagedError,
+    NotFormattedError,
+)
+from damaskcroft.consensus._log import DurableLog
+from damaskcroft.consensus._outcomes import (
+    Committed,
+    NotLeader,
+    Outcome,
+    Undecided,
+)
+from damaskcroft.consensus._replica import (
+    Replica,
+    ReplicaOptions,
+    StateMachine,
+    format_disk,
+)
+from damaskcroft.consensus._transport import (
+    GrpcTransport,
+    PeerUnreachableError,
+    ReplicaService,
+    Transport,
+)
+
+__all__ = [
+    "Committed",
+    "ConsensusError",
+    "Disk",
+    "DurableLog",
+    "FolderDisk",
+    "GrpcTransport",
+    "LogDamagedError",
+    "NotFormattedError",
+    "NotLeader",
+    "Outcome",
+    "PeerUnreachableError",
+    "Replica",
+    "ReplicaOptions",
+    "ReplicaService",
+    "StateMachine",
+    "Transport",
+    "Undecided",
+    "format_disk",
+]
--- /dev/null
+++ b/damaskcroft/consensus/_frames.py
@@ -0,0 +1,42 @@
+"""Frames on disk: length, CRC-32, payload.
+
+The checksum is zlib's CRC-32 (ISO 3309), over the payload.
+"""
+
+import struct
+import zlib
+from collections.abc import Iterator
+
+_HEADER = struct.Struct("<II")
+HEADER_BYTES = _HEADER.size
+MAX_PAYLOAD_BYTES = 256 * 1024 * 1024
+
+
+def framed(payload: bytes) -> bytes:
+    """The payload with its header."""
+    return _HEADER.pack(len(payload), zlib.crc32(payload)) + payload
+
+
+def frame_at(content: bytes, offset_bytes: int) -> bytes | None:
+    """The valid payload at an offset, or None."""
+    start = offset_bytes + HEADER_BYTES
+    if start > len(content):
+        return None
+    size, checksum = _HEADER.unpack_from(content, offset_bytes)
+    if not 0 < size <= MAX_PAYLOAD_BYTES or start + size > len(content):
+        return None
+    payload = content[start : start + size]
+    if zlib.crc32(payload) != checksum:
+        return None
+    return payload
+
+
+def frames_after(content: bytes, offset_bytes: int) -> Iterator[bytes]:
+    """Every valid payload that starts anywhere after an offset.
+
+    Slow: only for judging a file that is already known to be faulty.
+    """
+    for offset in range(offset_bytes + 1, len(content) - HEADER_BYTES):
+        payload = frame_at(content, offset)
+        if payload is not None:
+            yield payload
--- /dev/null
+++ b/damaskcroft/consensus/_log.py
@@ -0,0 +1,213 @@
+"""The log of one replica on its disk.
+
+Entries are framed with a checksum and synced in groups. Each entry notes how
+far the log was synced when it was written: that tells a torn tail (never
+promised to anyone, so it is cut) from damage in the middle (an error).
+"""
+
+from google.protobuf.message import DecodeError
+
+from damaskcroft._generated import consensus_pb2
+from damaskcroft.consensus import _frames
+from damaskcroft.consensus._disk import Disk
+from damaskcroft.consensus._errors import LogDamagedError
+
+LOG_NAME = "log"
+SNAPSHOT_NAME = "snapshot"
+
+
+class DurableLog:
+    """Entries after the last snapshot, in memory and on disk."""
+
+    __slots__ = (
+        "_disk",
+        "_entries",
+        "_offsets",
+        "_size_bytes",
+        "snapshot",
+        "synced_index",
+    )
+
+    def __init__(self, disk: Disk):
+        """Reads what the disk holds.
+
+        Raises:
+            LogDamagedError: synced content is unreadable.
+        """
+        self._disk = disk
+        self._entries: list[consensus_pb2.LogEntry] = []
+        self._offsets: list[int] = []
+        self._size_bytes = 0
+        self.snapshot = _read_snapshot(disk)
+        self._read_entries()
+        self.synced_index = self.last_index
+
+    @property
+    def first_index(self) -> int:
+        """Index of the oldest entry held, or the next one to come."""
+        if self._entries:
+            return self._entries[0].index
+        return self.snapshot.index + 1
+
+    @property
+    def last_index(self) -> int:
+        """Index of the newest entry, or of the snapshot."""
+        if self._entries:
+            return self._entries[-1].index
+        return self.snapshot.index
+
+    @property
+    def last_term(self) -> int:
+        """Term of the newest entry, or of the snapshot."""
+        if self._entries:
+            return self._entries[-1].term
+        return self.snapshot.term
+
+    def term_at(self, index: int) -> int | None:
+        """The term of an entry; None when it isn't held."""
+        if index == self.snapshot.index:
+            return self.snapshot.term
+        position = index - self.first_index
+        if not 0 <= position < len(self._entries):
+            return None
+        return self._entries[position].term
+
+    def entry(self, index: int) -> consensus_pb2.LogEntry:
+        """One held entry."""
+        return self._entries[index - self.first_index]
+
+    def entries_from(
+        self, index: int, max_bytes: int
+    ) -> list[consensus_pb2.LogEntry]:
+        """Entries from an index on: at least one if any, then up to a size."""
+        batch: list[consensus_pb2.LogEntry] = []
+        size_bytes = 0
+        for entry in self._entries[index - self.first_index :]:
+            size_bytes += len(entry.command)
+            if batch and size_bytes > max_bytes:
+                break
+            batch.append(entry)
+        return batch
+
+    def config(self) -> consensus_pb2.ClusterConfig:
+        """The newest member list, committed or not."""
+        return self.config_entry()[1]
+
+    def config_entry(self) -> tuple[int, consensus_pb2.ClusterConfig]:
+        """The newest member list and the index that holds it."""
+        for entry in reversed(self._entries):
+            if entry.HasField("config"):
+                return entry.index, entry.config
+        return self.snapshot.index, self.snapshot.config
+
+    def append(self, entries: list[consensus_pb2.LogEntry]) -> None:
+        """Adds entries; they last only after `sync`."""
+        for entry in entries:
+            entry.synced_index = self.synced_index
+            frame = _frames.framed(entry.SerializeToString())
+            self._disk.append(LOG_NAME, frame)
+            self._entries.append(entry)
+            self._offsets.append(self._size_bytes)
+            self._size_bytes += len(frame)
+
+    async def sync(self) -> None:
+        """Makes every entry appended before this call last."""
+        index, term = self.last_index, self.last_term
+        if index <= self.synced_index:
+            return
+        await self._disk.sync(LOG_NAME)
+        # The tail may have been cut and rewritten while the disk worked.
+        if self.term_at(index) == term and index > self.synced_index:
+            self.synced_index = index
+
+    def truncate_from(self, index: int) -> None:
+        """Removes an entry and all after it, lastingly."""
+        position = index - self.first_index
+        size_bytes = self._offsets[position]
+        self._disk.truncate(LOG_NAME, size_bytes)
+        del self._entries[position:]
+        del self._offsets[position:]
+        self._size_bytes = size_bytes
+        self.synced_index = min(self.synced_index, self.last_index)
+
+    def compact(self, snapshot: consensus_pb2.Snapshot, keep: int) -> None:
+        """Stores a snapshot and drops entries that it covers.
+
+        Args:
+            snapshot: the state up to a held, applied entry.
+            keep: how many covered entries stay, for followers just behind.
+        """
+        self._store_snapshot(snapshot)
+        first = snapshot.index + 1 - keep
+        self._rewrite([e for e in self._entries if e.index >= first])
+
+    def reset_to(self, snapshot: consensus_pb2.Snapshot) -> None:
+        """Replaces everything by a leader's snapshot."""
+        self._store_snapshot(snapshot)
+        if self.term_at(snapshot.index) == snapshot.term:
+            tail = [e for e in self._entries if e.index > snapshot.index]
+        else:
+            tail = []
+        self._rewrite(tail)
+
+    def _store_snapshot(self, snapshot: consensus_pb2.Snapshot) -> None:
+        content = _frames.framed(snapshot.SerializeToString())
+        self._disk.replace(SNAPSHOT_NAME, content)
+        self.snapshot = snapshot
+
+    def _rewrite(self, entries: list[consensus_pb2.LogEntry]) -> None:
+        frames = [_frames.framed(e.SerializeToString()) for e in entries]
+        self._disk.replace(LOG_NAME, b"".join(frames))
+        self._entries = entries
+        self._offsets = []
+        self._size_bytes = 0
+        for frame in frames:
+            self._offsets.append(self._size_bytes)
+            self._size_bytes += len(frame)
+        self.synced_index = self.last_index
+
+    def _read_entries(self) -> None:
+        content = self._disk.read(LOG_NAME) or b""
+        while self._size_bytes < len(content):
+            payload = _frames.frame_at(content, self._size_bytes)
+            entry = _parsed_entry(payload)
+            if entry is None or not self._follows(entry):
+                self._cut_torn_tail(content)
+                return
+            self._entries.append(entry)
+            self._offsets.append(self._size_bytes)
+            self._size_bytes += _frames.HEADER_BYTES + len(payload or b"")
+
+    def _follows(self, entry: consensus_pb2.LogEntry) -> bool:
+        if not self._entries:
+            # Compaction may keep entries that the snapshot covers.
+            return entry.index <= self.snapshot.index + 1
+        return entry.index == self._entries[-1].index + 1
+
+    def _cut_torn_tail(self, content: bytes) -> None:
+        """Cuts what was never synced; refuses to lose what was."""
+        lost_index = self.last_index + 1
+        for payload in _frames.frames_after(content, self._size_bytes):
+            later = _parsed_entry(payload)
+            if later is not None and later.synced_index >= lost_index:
+                raise LogDamagedError(LOG_NAME, self._size_bytes)
+        self._disk.truncate(LOG_NAME, self._size_bytes)
+
+
+def _parsed_entry(payload: bytes | None) -> consensus_pb2.LogEntry | None:
+    if payload is None:
+        return None
+    try:
+        return consensus_pb2.LogEntry.FromString(payload)
+    except DecodeError:
+        return None
+
+
+def _read_snapshot(disk: Disk) -> consensus_pb2.Snapshot:
+    content = disk.read(SNAPSHOT_NAME)
+    if content is None:
+        return consensus_pb2.Snapshot()
+    payload = _frames.frame_at(content, 0)
+    if payload is None:
+        raise LogDamagedError(SNAPSHOT_NAME, 0)
+    return consensus_pb2.Snapshot.FromString(payload)
--- /dev/null
+++ b/damaskcroft/consensus/_replica.py
@@ -0,0 +1,806 @@
+"""One replica of the log: election, replication, commitment, repair.
+
+Straight-line tasks: one waits for elections, one for each peer replicates,
+one syncs the leader's own log, one applies what is committed.
+"""
+
+import abc
+import asyncio
+import contextlib
+import dataclasses
+import random
+import secrets
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from transitions import Machine
+
+from damaskcroft._generated import consensus_pb2
+from damaskcroft.consensus import _frames
+from damaskcroft.consensus._disk import Disk
+from damaskcroft.consensus._errors import LogDamagedError, NotFormattedError
+from damaskcroft.consensus._log import DurableLog
+from damaskcroft.consensus._members import (
+    find_member,
+    is_voter,
+    majority_value,
+    voters,
+    with_member,
+)
+from damaskcroft.consensus._outcomes import (
+    Committed,
+    NotLeader,
+    Outcome,
+    Undecided,
+)
+from damaskcroft.consensus._transport import PeerUnreachableError, Transport
+from damaskcroft.observe import log_event, metrics
+
+_HARD_STATE_NAME = "vote"
+_BATCH_BYTES = 1024 * 1024
+# The first replicas of a cluster share this incarnation; a replica that lost
+# its disk draws a new one and so can't be taken for its former self.
+_FIRST_INCARNATION = "first"
+_FOLLOWER, _CANDIDATE, _LEADER = "following", "standing", "leading"
+
+
+class StateMachine(abc.ABC):
+    """What the log drives: the same commands give the same state."""
+
+    @abc.abstractmethod
+    def apply(self, index: int, command: bytes) -> Any:
+        """Applies one committed command and gives its result."""
+
+    @abc.abstractmethod
+    def snapshot(self) -> bytes:
+        """The whole state."""
+
+    @abc.abstractmethod
+    def restore(self, state: bytes) -> None:
+        """Replaces the whole state."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReplicaOptions:
+    """Settings of one replica.
+
+    Attributes:
+        id: this replica's id.
+        address: its gRPC address.
+        first_members: member ids and addresses, to find peers by after a
+            lost disk.
+        election_timeout_s: silence after which a follower may stand; the
+            actual wait is drawn between once and twice this.
+        heartbeat_s: longest time between a leader's messages.
+        snapshot_entries: log entries between snapshots.
+    """
+
+    id: str
+    address: str
+    first_members: dict[str, str]
+    election_timeout_s: float = 0.6
+    heartbeat_s: float = 0.1
+    snapshot_entries: int = 20_000
+
+
+def format_disk(disk: Disk, members: dict[str, str]) -> None:
+    """Prepares an empty disk for the very first start of a cluster.
+
+    Done once by the operator on each disk, never after a disk was lost.
+
+    Args:
+        disk: an empty disk.
+        members: addresses by id of all first members.
+
+    Raises:
+        NotFormattedError: the disk already holds a replica.
+    """
+    if disk.read(_HARD_STATE_NAME) is not None:
+        raise NotFormattedError("the data folder already holds a replica")
+    config = consensus_pb2.ClusterConfig()
+    for member_id, address in members.items():
+        config.members.add(
+            id=member_id, address=address, incarnation=_FIRST_INCARNATION
+        )
+    DurableLog(disk).reset_to(consensus_pb2.Snapshot(config=config))
+    state = consensus_pb2.HardState(incarnation=_FIRST_INCARNATION)
+    disk.replace(_HARD_STATE_NAME, _frames.framed(state.SerializeToString()))
+
+
+class _Peer:
+    """What a leader knows of one member."""
+
+    __slots__ = ("confirmed_at", "incarnation", "match_index", "next_index")
+
+    def __init__(self, next_index: int):
+        self.next_index = next_index
+        self.match_index = 0
+        self.incarnation = ""
+        # Send time of the newest message that the member acknowledged.
+        self.confirmed_at = float("-inf")
+
+
+class Replica:
+    """One member of the replicated log."""
+
+    # Set by the lifecycle machine below.
+    state: str
+    stand: Callable[[], bool]
+    win: Callable[[], bool]
+    follow: Callable[[], bool]
+
+    def __init__(
+        self,
+        options: ReplicaOptions,
+        disk: Disk,
+        transport: Transport,
+        state_machine: StateMachine,
+        rng: random.Random | None = None,
+    ):
+        """Reads the disk; `start` begins to take part.
+
+        Raises:
+            LogDamagedError: the disk's synced content is unreadable.
+        """
+        self._options = options
+        self._disk = disk
+        self._transport = transport
+        self._state_machine = state_machine
+        self._rng = rng or random.Random()
+        self.log = DurableLog(disk)
+        self._hard = self._read_hard_state()
+        self.commit_index = self.log.snapshot.index
+        self.applied_index = self.log.snapshot.index
+        if self.log.snapshot.state:
+            state_machine.restore(self.log.snapshot.state)
+        self.leader_id = ""
+        self._peers_by_id: dict[str, _Peer] = {}
+        self._waiters_by_index: dict[int, tuple[int, asyncio.Future]] = {}
+        self._lock = asyncio.Lock()
+        self._changed = asyncio.Condition()
+        self._replicate = asyncio.Event()
+        self._append_local = asyncio.Event()
+        self._commit_moved = asyncio.Event()
+        self._tasks: set[asyncio.Task] = set()
+        self._leader_tasks: set[asyncio.Task] = set()
+        self._heard_at = 0.0
+        self._started_at = 0.0
+        self._term_start_index = 0
+        self._machine = Machine(
+            model=self,
+            states=[_FOLLOWER, _CANDIDATE, _LEADER],
+            initial=_FOLLOWER,
+            auto_transitions=False,
+            transitions=[
+                ["stand", [_FOLLOWER, _CANDIDATE], _CANDIDATE],
+                ["win", _CANDIDATE, _LEADER],
+                ["follow", "*", _FOLLOWER],
+            ],
+        )
+
+    # --- What the rest of the process sees -------------------------------
+
+    @property
+    def term(self) -> int:
+        """The current term."""
+        return self._hard.term
+
+    @property
+    def incarnation(self) -> str:
+        """This disk's incarnation."""
+        return self._hard.incarnation
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this replica leads its term."""
+        return self.state == _LEADER
+
+    @property
+    def leader_address(self) -> str:
+        """Where the leader is, or empty while unknown."""
+        member = find_member(self.log.config(), self.leader_id)
+        return member.address if member else ""
+
+    @property
+    def is_confirmed_leader(self) -> bool:
+        """Whether a majority has followed within an election timeout.
+
+        While true, no other leader can have been elected (dissertation,
+        6.4.1): followers give no vote within that time of hearing us.
+        """
+        if not self.is_leader or self.commit_index < self._term_start_index:
+            return False
+        age_s = _now() - self._majority_confirmed_at()
+        return age_s < self._options.election_timeout_s
+
+    async def start(self) -> None:
+        """Begins to take part."""
+        # A restarted voter may have heard a leader just before it stopped.
+        self._heard_at = _now()
+        self._started_at = _now()
+        self._spawn(self._elect_forever())
+        self._spawn(self._apply_forever())
+        if not self._is_member():
+            self._spawn(self._join_until_member())
+
+    async def stop(self) -> None:
+        """Ends all tasks; nothing more is sent or written."""
+        tasks = self._tasks | self._leader_tasks
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._fail_waiters()
+
+    async def propose(self, command: bytes) -> Outcome:
+        """Appends a command and waits until it is committed and applied."""
+        if not self.is_leader:
+            return NotLeader(self.leader_address)
+        return await self._append_and_wait(
+            consensus_pb2.LogEntry(command=command)
+        )
+
+    async def confirm_leader(self, timeout_s: float) -> bool:
+        """Waits until a majority confirms the leader after this call.
+
+        Returns:
+            Whether reads of the applied state are now linearizable.
+        """
+        asked_at = _now()
+        self._replicate.set()
+        try:
+            async with asyncio.timeout(timeout_s), self._changed:
+                await self._changed.wait_for(
+                    lambda: not self.is_leader or self._confirms(asked_at)
+                )
+        except TimeoutError:
+            return False
+        return self.is_leader
+
+    # --- Requests of other replicas --------------------------------------
+
+    async def handle_vote(
+        self, request: consensus_pb2.VoteRequest
+    ) -> consensus_pb2.VoteReply:
+        """Gives or refuses a vote; a given vote is synced first."""
+        async with self._lock:
+            granted = self._may_vote(request)
+            if granted and not request.pre_vote:
+                self._save_hard_state(request.term, request.candidate)
+                self._become_follower("")
+                self._heard_at = _now()
+            return consensus_pb2.VoteReply(
+                term=self.term,
+                granted=granted,
+                voter=self._options.id,
+                incarnation=self.incarnation,
+            )
+
+    async def handle_append(
+        self, request: consensus_pb2.AppendRequest
+    ) -> consensus_pb2.AppendReply:
+        """Takes a leader's entries; synced before the answer."""
+        async with self._lock:
+            if request.term < self.term:
+                return self._append_reply(False, 0)
+            self._hear_leader(request.term, request.leader)
+            if not self._holds_previous(request):
+                return self._append_reply(False, self._probe_index(request))
+            self._take_entries(request)
+            await self.log.sync()
+            match = request.previous_index + len(request.entries)
+            self._commit_up_to(min(request.commit_index, match))
+            return self._append_reply(True, match)
+
+    async def handle_install(
+        self, request: consensus_pb2.InstallRequest
+    ) -> consensus_pb2.AppendReply:
+        """Takes a leader's snapshot in place of missing entries."""
+        async with self._lock:
+            if request.term < self.term:
+                return self._append_reply(False, 0)
+            self._hear_leader(request.term, request.leader)
+            snapshot = request.snapshot
+            if snapshot.index > self.commit_index:
+                self.log.reset_to(snapshot)
+                self._state_machine.restore(snapshot.state)
+                self.commit_index = snapshot.index
+                self.applied_index = snapshot.index
+                log_event("snapshot_installed", index=snapshot.index)
+            return self._append_reply(True, snapshot.index)
+
+    async def handle_join(
+        self, request: consensus_pb2.JoinRequest
+    ) -> consensus_pb2.JoinReply:
+        """Takes back a replica that lost its disk, as a learner."""
+        if not self.is_confirmed_leader or self._config_change_pending():
+            return consensus_pb2.JoinReply(leader=self.leader_address)
+        member = consensus_pb2.Voter()
+        member.CopyFrom(request.member)
+        member.learner = True
+        known = find_member(self.log.config(), member.id)
+        if known and known.incarnation == member.incarnation:
+            return consensus_pb2.JoinReply(accepted=True)
+        log_event("learner_joins", id=member.id, incarnation=member.incarnation)
+        outcome = await self._change_member(member)
+        accepted = isinstance(outcome, Committed)
+        return consensus_pb2.JoinReply(accepted=accepted)
+
+    # --- Elections ---------------------------------------------------------
+
+    async def _elect_forever(self) -> None:
+        while True:
+            timeout_s = self._options.election_timeout_s
+            wait_s = timeout_s * (1 + self._rng.random())
+            await asyncio.sleep(wait_s)
+            if self.is_leader:
+                await self._step_down_if_cut_off()
+                continue
+            if _now() - self._heard_at < wait_s or not self._is_voter():
+                continue
+            await self._stand_for_election()
+
+    async def _step_down_if_cut_off(self) -> None:
+        age_s = _now() - self._majority_confirmed_at()
+        if age_s < self._options.election_timeout_s:
+            return
+        async with self._lock:
+            log_event("leader_cut_off", term=self.term, silent_s=age_s)
+            metrics.ELECTIONS.labels("stepped_down").inc()
+            self._become_follower("")
+
+    async def _stand_for_election(self) -> None:
+        if not await self._poll(pre_vote=True):
+            metrics.ELECTIONS.labels("no_pre_vote").inc()
+            return
+        async with self._lock:
+            if self.is_leader or not self._is_voter():
+                return
+            self._save_hard_state(self.term + 1, self._options.id)
+            self.leader_id = ""
+            self.stand()
+            term = self.term
+        won = await self._poll(pre_vote=False)
+        async with self._lock:
+            if self.term != term or self.state != _CANDIDATE:
+                return
+            if not won:
+                metrics.ELECTIONS.labels("lost").inc()
+                self._become_follower("")
+                return
+            self._become_leader()
+
+    async def _poll(self, *, pre_vote: bool) -> bool:
+        """Asks all voters at once; whether a majority agrees."""
+        request = consensus_pb2.VoteRequest(
+            term=self.term + 1 if pre_vote else self.term,
+            candidate=self._options.id,
+            incarnation=self.incarnation,
+            last_index=self.log.last_index,
+            last_term=self.log.last_term,
+            pre_vote=pre_vote,
+        )
+        electorate = voters(self.log.config())
+        others = [v for v in electorate if v.id != self._options.id]
+        replies = await asyncio.gather(
+            *(self._ask_vote(voter, request) for voter in others)
+        )
+        return 1 + sum(replies) > len(electorate) // 2
+
+    async def _ask_vote(
+        self, voter: consensus_pb2.Voter, request: consensus_pb2.VoteRequest
+    ) -> bool:
+        try:
+            reply = await self._transport.vote(voter.address, request)
+        except PeerUnreachableError:
+            return False
+        if reply.term > self.term and not request.pre_vote:
+            async with self._lock:
+                self._meet_term(reply.term)
+            return False
+        return reply.granted and reply.incarnation == voter.incarnation
+
+    def _may_vote(self, request: consensus_pb2.VoteRequest) -> bool:
+        if not self._is_voter() or self.state == _LEADER:
+            return False
+        # Keep to a living leader, whoever else stands (dissertation, 4.2.3).
+        silence_s = _now() - self._heard_at
+        timeout_s = self._options.election_timeout_s
+        if self.leader_id and silence_s < timeout_s:
+            return False
+        # Before a restart we may have told a leader that we follow it.
+        if _now() - self._started_at < timeout_s:
+            return False
+        candidate = find_member(self.log.config(), request.candidate)
+        if candidate and candidate.incarnation != request.incarnation:
+            return False
+        ours = (self.log.last_term, self.log.last_index)
+        if (request.last_term, request.last_index) < ours:
+            return False
+        if request.pre_vote:
+            return request.term > self.term
+        if request.term == self.term:
+            return self._hard.voted_for in ("", request.candidate)
+        return request.term > self.term
+
+    def _become_leader(self) -> None:
+        self.win()
+        self.leader_id = self._options.id
+        metrics.ELECTIONS.labels("won").inc()
+        log_event("leader_elected", term=self.term, last=self.log.last_index)
+        self._peers_by_id = {}
+        self._term_start_index = self.log.last_index + 1
+        self._append(consensus_pb2.LogEntry())
+        self._spawn_leader(self._sync_forever())
+        self._start_peers()
+
+    def _become_follower(self, leader_id: str) -> None:
+        was_leader = self.is_leader
+        self.leader_id = leader_id
+        self.follow()
+        if not was_leader:
+            return
+        for task in self._leader_tasks:
+            task.cancel()
+        self._leader_tasks.clear()
+        self._fail_waiters()
+
+    def _hear_leader(self, term: int, leader_id: str) -> None:
+        if term > self.term:
+            self._save_hard_state(term, "")
+        if self.state != _FOLLOWER or self.leader_id != leader_id:
+            self._become_follower(leader_id)
+        self._heard_at = _now()
+
+    def _meet_term(self, term: int) -> None:
+        if term <= self.term:
+            return
+        self._save_hard_state(term, "")
+        self._become_follower("")
+
+    # --- Following ---------------------------------------------------------
+
+    def _holds_previous(self, request: consensus_pb2.AppendRequest) -> bool:
+        if request.previous_index < self.log.snapshot.index:
+            # Covered by the snapshot, and so committed and equal.
+            return True
+        term = self.log.term_at(request.previous_index)
+        return term == request.previous_term
+
+    def _probe_index(self, request: consensus_pb2.AppendRequest) -> int:
+        """Where the leader should look for the common prefix next."""
+        before = request.previous_index - 1
+        return max(self.commit_index, min(self.log.last_index, before))
+
+    def _take_entries(self, request: consensus_pb2.AppendRequest) -> None:
+        for position, entry in enumerate(request.entries):
+            if entry.index <= self.log.snapshot.index:
+                continue
+            held_term = self.log.term_at(entry.index)
+            if held_term == entry.term:
+                continue
+            if held_term is not None:
+                self.log.truncate_from(entry.index)
+            self.log.append(list(request.entries[position:]))
+            return
+
+    def _append_reply(
+        self, accepted: bool, match_index: int
+    ) -> consensus_pb2.AppendReply:
+        return consensus_pb2.AppendReply(
+            term=self.term,
+            accepted=accepted,
+            match_index=match_index,
+            incarnation=self.incarnation,
+        )
+
+    # --- Leading -----------------------------------------------------------
+
+    def _append(self, entry: consensus_pb2.LogEntry) -> int:
+        entry.index = self.log.last_index + 1
+        entry.term = self.term
+        self.log.append([entry])
+        self._append_local.set()
+        self._replicate.set()
+        return entry.index
+
+    async def _append_and_wait(self, entry: consensus_pb2.LogEntry) -> Outcome:
+        index = self._append(entry)
+        done = asyncio.get_running_loop().create_future()
+        self._waiters_by_index[index] = (self.term, done)
+        try:
+            return await done
+        finally:
+            self._waiters_by_index.pop(index, None)
+
+    async def _sync_forever(self) -> None:
+        """Group commit: one sync covers all that came in the meantime."""
+        while True:
+            await self._append_local.wait()
+            self._append_local.clear()
+            await self.log.sync()
+            await self._advance_commit()
+
+    def _start_peers(self) -> None:
+        for member in self.log.config().members:
+            if member.id == self._options.id or member.id in self._peers_by_id:
+                continue
+            peer = _Peer(self.log.last_index + 1)
+            self._peers_by_id[member.id] = peer
+            self._spawn_leader(self._replicate_forever(member.id, peer))
+
+    async def _replicate_forever(self, member_id: str, peer: _Peer) -> None:
+        while True:
+            member = find_member(self.log.config(), member_id)
+            if member is None:
+                return
+            sent_up_to = self.log.last_index
+            try:
+                await self._replicate_once(member, peer)
+            except PeerUnreachableError:
+                await asyncio.sleep(self._options.heartbeat_s)
+                continue
+            if peer.next_index <= self.log.last_index:
+                continue
+            if sent_up_to < self.log.last_index:
+                continue
+            await self._wait_for_work()
+
+    async def _wait_for_work(self) -> None:
+        self._replicate.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._options.heartbeat_s):
+                await self._replicate.wait()
+
+    async def _replicate_once(
+        self, member: consensus_pb2.Voter, peer: _Peer
+    ) -> None:
+        sent_at = _now()
+        term = self.term
+        previous_index = peer.next_index - 1
+        previous_term = self.log.term_at(previous_index)
+        if previous_term is None or peer.next_index < self.log.first_index:
+            request = consensus_pb2.InstallRequest(
+                term=term,
+                leader=self._options.id,
+                snapshot=self.log.snapshot,
+            )
+            reply = await self._transport.install(member.address, request)
+        else:
+            append = consensus_pb2.AppendRequest(
+                term=term,
+                leader=self._options.id,
+                previous_index=previous_index,
+                previous_term=previous_term,
+                entries=self.log.entries_from(peer.next_index, _BATCH_BYTES),
+                commit_index=self.commit_index,
+            )
+            reply = await self._transport.append(member.address, append)
+        await self._take_append_reply(peer, reply, term, sent_at)
+
+    async def _take_append_reply(
+        self,
+        peer: _Peer,
+        reply: consensus_pb2.AppendReply,
+        term: int,
+        sent_at: float,
+    ) -> None:
+        if reply.term > self.term:
+            async with self._lock:
+                self._meet_term(reply.term)
+            return
+        if not self.is_leader or self.term != term:
+            return
+        if peer.incarnation != reply.incarnation:
+            # Another disk under the same id: it holds nothing until it says.
+            peer.incarnation = reply.incarnation
+            peer.match_index = 0
+        peer.confirmed_at = max(peer.confirmed_at, sent_at)
+        if reply.accepted:
+            peer.match_index = max(peer.match_index, reply.match_index)
+            peer.next_index = max(peer.match_index, reply.match_index) + 1
+            await self._advance_commit()
+        else:
+            peer.next_index = reply.match_index + 1
+        async with self._changed:
+            self._changed.notify_all()
+
+    async def _advance_commit(self) -> None:
+        if not self.is_leader:
+            return
+        index = majority_value(
+            self.log.config(),
+            self._options.id,
+            self.log.synced_index,
+            lambda member: self._counted_match(member),
+        )
+        # Only entries of the own term are counted (Raft, 5.4.2).
+        if self.log.term_at(int(index)) != self.term:
+            return
+        self._commit_up_to(int(index))
+        self._promote_learners()
+
+    def _counted_match(self, member: consensus_pb2.Voter) -> float:
+        peer = self._peers_by_id.get(member.id)
+        if peer is None or peer.incarnation != member.incarnation:
+            return 0
+        return peer.match_index
+
+    def _majority_confirmed_at(self) -> float:
+        return majority_value(
+            self.log.config(),
+            self._options.id,
+            _now(),
+            lambda member: self._counted_confirmation(member),
+        )
+
+    def _counted_confirmation(self, member: consensus_pb2.Voter) -> float:
+        peer = self._peers_by_id.get(member.id)
+        if peer is None or peer.incarnation != member.incarnation:
+            return float("-inf")
+        return peer.confirmed_at
+
+    def _confirms(self, asked_at: float) -> bool:
+        if self.commit_index < self._term_start_index:
+            return False
+        if self.applied_index < self.commit_index:
+            return False
+        return self._majority_confirmed_at() >= asked_at
+
+    # --- Members -----------------------------------------------------------
+
+    def _is_voter(self) -> bool:
+        return is_voter(
+            self.log.config(), self._options.id, self._hard.incarnation
+        )
+
+    def _is_member(self) -> bool:
+        member = find_member(self.log.config(), self._options.id)
+        return (
+            member is not None and member.incarnation == self._hard.incarnation
+        )
+
+    def _config_change_pending(self) -> bool:
+        return self.log.config_entry()[0] > self.commit_index
+
+    async def _change_member(self, member: consensus_pb2.Voter) -> Outcome:
+        config = with_member(self.log.config(), member)
+        waiting = asyncio.ensure_future(
+            self._append_and_wait(consensus_pb2.LogEntry(config=config))
+        )
+        await asyncio.sleep(0)
+        self._start_peers()
+        return await waiting
+
+    def _promote_learners(self) -> None:
+        """Makes a learner a voter once it holds all that is committed."""
+        if self._config_change_pending():
+            return
+        for member in self.log.config().members:
+            if not member.learner:
+                continue
+            if self._counted_match(member) < self.commit_index:
+                continue
+            promoted = consensus_pb2.Voter()
+            promoted.CopyFrom(member)
+            promoted.learner = False
+            log_event("learner_promoted", id=member.id, index=self.commit_index)
+            self._append(
+                consensus_pb2.LogEntry(
+                    config=with_member(self.log.config(), promoted)
+                )
+            )
+            return
+
+    async def _join_until_member(self) -> None:
+        """Asks the others to take this empty replica back as a learner."""
+        member = consensus_pb2.Voter(
+            id=self._options.id,
+            address=self._options.address,
+            incarnation=self.incarnation,
+        )
+        request = consensus_pb2.JoinRequest(member=member)
+        while not self._is_member():
+            for member_id, address in self._options.first_members.items():
+                if member_id == self._options.id:
+                    continue
+                with contextlib.suppress(PeerUnreachableError):
+                    await self._transport.join(address, request)
+            await asyncio.sleep(self._options.election_timeout_s)
+
+    # --- Committing and applying -------------------------------------------
+
+    def _commit_up_to(self, index: int) -> None:
+        if index <= self.commit_index:
+            return
+        self.commit_index = index
+        metrics.COMMIT_INDEX.set(index)
+        self._commit_moved.set()
+
+    async def _apply_forever(self) -> None:
+        while True:
+            await self._commit_moved.wait()
+            self._commit_moved.clear()
+            while self.applied_index < self.commit_index:
+                self._apply_next()
+            self._replicate.set()
+            async with self._changed:
+                self._changed.notify_all()
+            self._compact_if_due()
+
+    def _apply_next(self) -> None:
+        entry = self.log.entry(self.applied_index + 1)
+        result = None
+        if entry.command:
+            result = self._state_machine.apply(entry.index, entry.command)
+        self.applied_index = entry.index
+        waiter = self._waiters_by_index.get(entry.index)
+        if waiter is None:
+            return
+        term, done = waiter
+        if done.done():
+            return
+        if term == entry.term:
+            done.set_result(Committed(entry.index, result))
+        else:
+            done.set_result(Undecided())
+
+    def _compact_if_due(self) -> None:
+        due = self.applied_index - self.log.snapshot.index
+        if due < self._options.snapshot_entries:
+            return
+        index = self.applied_index
+        config = self.log.snapshot.config
+        for position in range(self.log.first_index, index + 1):
+            entry = self.log.entry(position)
+            if entry.HasField("config"):
+                config = entry.config
+        snapshot = consensus_pb2.Snapshot(
+            index=index,
+            term=self.log.term_at(index) or 0,
+            config=config,
+            state=self._state_machine.snapshot(),
+        )
+        self.log.compact(snapshot, self._options.snapshot_entries // 2)
+        log_event("snapshot_taken", index=index, bytes=len(snapshot.state))
+
+    def _fail_waiters(self) -> None:
+        for _, done in self._waiters_by_index.values():
+            if not done.done():
+                done.set_result(Undecided())
+
+    # --- Disk and tasks ------------------------------------------------------
+
+    def _read_hard_state(self) -> consensus_pb2.HardState:
+        content = self._disk.read(_HARD_STATE_NAME)
+        if content is None:
+            return self._new_incarnation()
+        payload = _frames.frame_at(content, 0)
+        if payload is None:
+            raise LogDamagedError(_HARD_STATE_NAME, 0)
+        return consensus_pb2.HardState.FromString(payload)
+
+    def _new_incarnation(self) -> consensus_pb2.HardState:
+        """An empty disk: whatever it promised before is lost."""
+        if self.log.last_index or self.log.config().members:
+            raise LogDamagedError(_HARD_STATE_NAME, 0)
+        state = consensus_pb2.HardState(incarnation=secrets.token_hex(8))
+        content = _frames.framed(state.SerializeToString())
+        self._disk.replace(_HARD_STATE_NAME, content)
+        return state
+
+    def _save_hard_state(self, term: int, voted_for: str) -> None:
+        self._hard.term = term
+        self._hard.voted_for = voted_for
+        content = _frames.framed(self._hard.SerializeToString())
+        self._disk.replace(_HARD_STATE_NAME, content)
+
+    def _spawn(self, work: Coroutine) -> None:
+        self._tasks.add(asyncio.create_task(work))
+
+    def _spawn_leader(self, work: Coroutine) -> None:
+        self._leader_tasks.add(asyncio.create_task(work))
+
+
+def _now() -> float:
+    """The monotonic clock, in seconds."""
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/damaskcroft/control/__init__.py
@@ -0,0 +1,1 @@
+"""The program damask-control: the replicated state and its services."""
--- /dev/null
+++ b/damaskcroft/control/_reconciler.py
@@ -0,0 +1,208 @@
+"""Carries records out: the leader decides which target serves what, when.
+
+Idempotent and resumable: each round looks only at the replicated state and at
+what agents report now, so the next leader goes on where this one stopped.
+"""
+
+import asyncio
+import collections
+import contextlib
+import time
+from collections.abc import Iterator
+
+from damaskcroft._generated import control_pb2, records_pb2
+from damaskcroft.consensus import Committed
+from damaskcroft.control._proposer import Proposer
+from damaskcroft.control._rollout import next_wave
+from damaskcroft.membership import LeaseLedger
+from damaskcroft.observe import log_event, metrics
+from damaskcroft.records import UnsupportedSchema, deployment_for
+
+_ROUND_S = 0.25
+_COMMIT_TIMEOUT_S = 5.0
+_EVENTS_KEPT = 100
+_IN_FORCE_POLL_S = 0.02
+_IN_FORCE_WATCH_S = 60.0
+
+
+class Reconciler:
+    """The leader's loop over all records."""
+
+    def __init__(self, proposer: Proposer, ledger: LeaseLedger):
+        """Works on the state that `proposer` changes."""
+        self._proposer = proposer
+        self._state = proposer.state
+        self._replica = proposer.replica
+        self._ledger = ledger
+        self.recent_events: collections.deque[str] = collections.deque(
+            maxlen=_EVENTS_KEPT
+        )
+        self._watchers: set[asyncio.Task] = set()
+        self._stopped_reasons_by_deployment: dict[str, str] = {}
+
+    async def run(self) -> None:
+        """Runs rounds for as long as this replica leads, until cancelled."""
+        led_term = -1
+        while True:
+            await self._wait_for_round()
+            if not self._replica.is_confirmed_leader:
+                continue
+            if led_term != self._replica.term:
+                led_term = self._replica.term
+                self._ledger.start_leading()
+                self._note("leads", term=led_term)
+            await self._mark_lapsed()
+            await self._assign_next()
+
+    def holder_statuses(self) -> Iterator[control_pb2.HolderStatus]:
+        """Every known holder with its lease and newest report."""
+        now = time.monotonic()
+        for holder in self._state.holders.holders_by_id.values():
+            status = control_pb2.HolderStatus(announcement=holder)
+            entry = self._ledger.entries_by_id.get(holder.id)
+            if entry is not None:
+                status.lease_held = self._ledger.is_held(holder.id)
+                status.applied_revision = entry.applied_revision
+                status.silent_s = now - entry.heard_at
+                status.report.CopyFrom(entry.report)
+            yield status
+
+    def watch_in_force(self, revision: int) -> None:
+        """Measures how long a revision takes to be applied everywhere."""
+        task = asyncio.create_task(self._measure_in_force(revision))
+        self._watchers.add(task)
+        task.add_done_callback(self._watchers.discard)
+
+    async def _measure_in_force(self, revision: int) -> None:
+        started_at = time.monotonic()
+        while time.monotonic() - started_at < _IN_FORCE_WATCH_S:
+            if not self._behind(revision):
+                took_s = time.monotonic() - started_at
+                metrics.IN_FORCE_S.observe(took_s)
+                log_event("in_force", revision=revision, took_s=took_s)
+                return
+            await asyncio.sleep(_IN_FORCE_POLL_S)
+        behind = ",".join(self._behind(revision))
+        log_event("not_in_force", revision=revision, behind=behind)
+
+    def _behind(self, revision: int) -> list[str]:
+        """Holders with a lease that have not applied a revision."""
+        return [
+            holder_id
+            for holder_id, entry in self._ledger.entries_by_id.items()
+            if self._ledger.is_held(holder_id)
+            and entry.applied_revision < revision
+        ]
+
+    async def _wait_for_round(self) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_ROUND_S), self._ledger.changed:
+                await self._ledger.changed.wait()
+
+    async def _mark_lapsed(self) -> None:
+        known_ids = list(self._state.holders.holders_by_id)
+        lapsed = self._ledger.newly_lapsed(known_ids)
+        metrics.HOLDERS_LAPSED.set(len(self._ledger.lapsed_ids))
+        for holder_id in lapsed:
+            self._note("lease_lapsed", id=holder_id)
+        if lapsed:
+            await self._ledger.notify()
+
+    async def _assign_next(self) -> None:
+        batch = control_pb2.AssignBatch()
+        targets_by_deployment = self._targets_by_deployment()
+        for deployment, targets in targets_by_deployment.values():
+            wave = next_wave(
+                deployment,
+                targets,
+                self._state.assignments_by_target,
+                self._reports_by_id(),
+            )
+            self._note_stop(deployment.name, wave.stopped_by)
+            for target in wave.targets:
+                batch.assignments.append(self._assignment(target, deployment))
+        batch.assignments.extend(self._withdrawals())
+        if not batch.assignments:
+            return
+        command = control_pb2.Command(assign=batch)
+        outcome = await self._proposer.propose(command, _COMMIT_TIMEOUT_S)
+        if not isinstance(outcome, Committed):
+            return
+        for assignment in batch.assignments:
+            self._note(
+                "assigned",
+                target=assignment.target,
+                version=assignment.version or "none",
+                fencing=outcome.index,
+            )
+        await self._ledger.notify()
+
+    def _targets_by_deployment(
+        self,
+    ) -> dict[
+        str, tuple[records_pb2.Deployment, list[control_pb2.Announcement]]
+    ]:
+        records = self._state.records.records_by_key.values()
+        grouped: dict[
+            str, tuple[records_pb2.Deployment, list[control_pb2.Announcement]]
+        ] = {}
+        for target in self._agents():
+            wanted = deployment_for(target, records)
+            if wanted is None or isinstance(wanted, UnsupportedSchema):
+                continue
+            grouped.setdefault(wanted.name, (wanted, []))[1].append(target)
+        return grouped
+
+    def _withdrawals(self) -> Iterator[control_pb2.Assignment]:
+        """Targets that serve what no record asks for any more."""
+        records = self._state.records.records_by_key.values()
+        for target in self._agents():
+            assigned = self._state.assignments_by_target.get(target.id)
+            if assigned is None or not assigned.manifest:
+                continue
+            if deployment_for(target, records) is None:
+                yield control_pb2.Assignment(target=target.id)
+
+    def _agents(self) -> list[control_pb2.Announcement]:
+        return [
+            holder
+            for holder in self._state.holders.holders_by_id.values()
+            if holder.kind == control_pb2.HOLDER_AGENT
+            and self._ledger.is_held(holder.id)
+        ]
+
+    def _reports_by_id(self) -> dict[str, control_pb2.TargetReport]:
+        return {
+            holder_id: entry.report
+            for holder_id, entry in self._ledger.entries_by_id.items()
+        }
+
+    def _assignment(
+        self,
+        target: control_pb2.Announcement,
+        deployment: records_pb2.Deployment,
+    ) -> control_pb2.Assignment:
+        record = self._state.records.records_by_key[
+            ("deployment", deployment.name)
+        ]
+        return control_pb2.Assignment(
+            target=target.id,
+            deployment=deployment.name,
+            model=deployment.model,
+            adapter=deployment.adapter,
+            version=deployment.version,
+            manifest=deployment.manifest,
+            record_revision=record.revision,
+            old_and_new_fit=deployment.old_and_new_fit,
+        )
+
+    def _note_stop(self, deployment: str, reason: str) -> None:
+        before = self._stopped_reasons_by_deployment.get(deployment, "")
+        self._stopped_reasons_by_deployment[deployment] = reason
+        if reason and reason != before:
+            self._note("rollout_stopped", deployment=deployment, reason=reason)
+
+    def _note(self, event: str, **fields: object) -> None:
+        log_event(event, **fields)
+        details = " ".join(f"{key}={value}" for key, value in fields.items())
+        self.recent_events.append(f"{event} {details}")
--- /dev/null
+++ b/damaskcroft/control/_service.py
@@ -0,0 +1,274 @@
+"""The gRPC face of control towards holders and operators."""
+
+import asyncio
+import contextlib
+from typing import Any
+
+from damaskcroft._generated import control_grpc, control_pb2
+from damaskcroft.consensus import Committed, NotLeader
+from damaskcroft.control._proposer import Proposer
+from damaskcroft.control._reconciler import Reconciler
+from damaskcroft.membership import LeaseLedger
+from damaskcroft.observe import log_event, metrics
+
+_COMMIT_TIMEOUT_S = 5.0
+_CONFIRM_TIMEOUT_S = 2.0
+# Deltas to one holder are at least this far apart.
+_PUSH_GAP_S = 0.02
+# A delta is sent at least this often, so that lost wake-ups can't stall one.
+_PUSH_IDLE_S = 1.0
+
+
+class ControlService(control_grpc.ControlBase):
+    """Answers holders and operators; only the leader acts."""
+
+    def __init__(
+        self, proposer: Proposer, ledger: LeaseLedger, reconciler: Reconciler
+    ):
+        """Serves the state that `proposer` changes."""
+        self._proposer = proposer
+        self._replica = proposer.replica
+        self._state = proposer.state
+        self._ledger = ledger
+        self._reconciler = reconciler
+        self._settled = asyncio.Condition()
+
+    # --- Holders -----------------------------------------------------------
+
+    async def Hold(self, stream: Any) -> None:  # noqa: N802
+        """Keeps one holder's lease and roster for as long as it stays."""
+        first = await stream.recv_message()
+        if first is None or first.WhichOneof("kind") != "announce":
+            return
+        announcement = first.announce
+        if not await self._announce(announcement):
+            await self._send_not_leader(stream)
+            return
+        await self._wait_for_predecessor(announcement)
+        pushing = asyncio.create_task(self._push_deltas(stream, announcement))
+        try:
+            await self._take_renewals(stream, announcement)
+        finally:
+            pushing.cancel()
+            await asyncio.gather(pushing, return_exceptions=True)
+
+    async def _announce(self, announcement: control_pb2.Announcement) -> bool:
+        if not self._replica.is_confirmed_leader:
+            return False
+        known = self._state.holders.holders_by_id.get(announcement.id)
+        if known is not None:
+            announcement.revision = known.revision
+            if known == announcement:
+                return True
+        announcement.revision = 0
+        command = control_pb2.Command(announce=announcement)
+        outcome = await self._proposer.propose(command, _COMMIT_TIMEOUT_S)
+        if not isinstance(outcome, Committed):
+            return False
+        log_event(
+            "holder_announced",
+            id=announcement.id,
+            incarnation=announcement.incarnation,
+            revision=outcome.index,
+        )
+        await self._ledger.notify()
+        return True
+
+    async def _wait_for_predecessor(
+        self, announcement: control_pb2.Announcement
+    ) -> None:
+        if announcement.kind != control_pb2.HOLDER_AGENT:
+            # Entries order nothing: two of them under one id do no harm.
+            return
+        wait_s = self._ledger.wait_for_predecessor_s(
+            announcement.id, announcement.incarnation
+        )
+        if wait_s > 0:
+            log_event("waits_out_lease", id=announcement.id, wait_s=wait_s)
+            await asyncio.sleep(wait_s)
+
+    async def _take_renewals(
+        self, stream: Any, announcement: control_pb2.Announcement
+    ) -> None:
+        holder_id = announcement.id
+        while True:
+            message = await stream.recv_message()
+            if message is None:
+                return
+            known = self._state.holders.holders_by_id.get(holder_id)
+            superseded = (
+                known is None or known.incarnation != announcement.incarnation
+            )
+            if superseded or not self._replica.is_confirmed_leader:
+                await self._send_not_leader(stream)
+                return
+            before = self._ledger.sequence
+            self._ledger.renew(
+                holder_id, announcement.incarnation, message.renew
+            )
+            grant = control_pb2.LeaseGrant(
+                sequence=message.renew.sequence,
+                duration_ms=int(self._ledger.lease_s * 1000),
+            )
+            await stream.send_message(control_pb2.ControlMessage(lease=grant))
+            if self._ledger.sequence != before:
+                await self._ledger.notify()
+
+    async def _push_deltas(
+        self, stream: Any, announcement: control_pb2.Announcement
+    ) -> None:
+        revision, sequence = 0, -1
+        lapsed: set[str] = set()
+        wants_reports = announcement.kind == control_pb2.HOLDER_ENTRY
+        while True:
+            delta = self._state.delta_since(revision)
+            now_lapsed = set(self._ledger.lapsed_ids)
+            delta.lapsed.extend(now_lapsed - lapsed)
+            delta.present.extend(lapsed - now_lapsed)
+            if wants_reports:
+                delta.reports.extend(self._ledger.reports_since(sequence))
+            if _says_something(delta):
+                revision = delta.to_revision
+                lapsed = now_lapsed
+                sequence = self._ledger.sequence
+                await stream.send_message(
+                    control_pb2.ControlMessage(delta=delta)
+                )
+            await asyncio.sleep(_PUSH_GAP_S)
+            await self._wait_for_change(revision, sequence)
+
+    async def _wait_for_change(self, revision: int, sequence: int) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_PUSH_IDLE_S), self._ledger.changed:
+                await self._ledger.changed.wait_for(
+                    lambda: (
+                        self._state.config_revision > revision
+                        or self._ledger.sequence > sequence
+                    )
+                )
+
+    async def _send_not_leader(self, stream: Any) -> None:
+        hint = control_pb2.NotLeader(leader=self._replica.leader_address)
+        await stream.send_message(control_pb2.ControlMessage(not_leader=hint))
+
+    # --- Operators -----------------------------------------------------------
+
+    async def Write(self, stream: Any) -> None:  # noqa: N802
+        """Commits an operator's change."""
+        request = await stream.recv_message()
+        command = control_pb2.Command(write=request)
+        outcome = await self._proposer.propose(command, _COMMIT_TIMEOUT_S)
+        await stream.send_message(self._write_reply(request, outcome))
+        await self._ledger.notify()
+
+    def _write_reply(
+        self, request: control_pb2.WriteRequest, outcome: Any
+    ) -> control_pb2.WriteReply:
+        if isinstance(outcome, NotLeader):
+            return control_pb2.WriteReply(
+                outcome=control_pb2.WRITE_NOT_LEADER,
+                leader=outcome.leader_address,
+            )
+        if not isinstance(outcome, Committed):
+            return control_pb2.WriteReply(outcome=control_pb2.WRITE_UNKNOWN)
+        reply = outcome.result
+        log_event(
+            "record_written",
+            kind=request.kind,
+            name=request.name,
+            operator=request.operator,
+            request_id=request.request_id,
+            outcome=control_pb2.WriteOutcome.Name(reply.outcome),
+            revision=reply.record.revision,
+        )
+        if reply.outcome == control_pb2.WRITE_ACCEPTED:
+            self._reconciler.watch_in_force(reply.record.revision)
+        return reply
+
+    async def Read(self, stream: Any) -> None:  # noqa: N802
+        """Gives the whole configuration, confirmed by a majority."""
+        await stream.recv_message()
+        confirmed = await self._replica.confirm_leader(_CONFIRM_TIMEOUT_S)
+        reply = control_pb2.ReadReply(
+            confirmed=confirmed,
+            leader=self._replica.leader_address,
+            revision=self._state.config_revision,
+            term=self._replica.term,
+        )
+        if confirmed:
+            reply.records.extend(self._state.records.records_by_key.values())
+            reply.assignments.extend(self._state.assignments_by_target.values())
+            reply.holders.extend(self._reconciler.holder_statuses())
+            reply.events.extend(self._reconciler.recent_events)
+        await stream.send_message(reply)
+
+    # --- Claims ------------------------------------------------------------
+
+    async def Claim(self, stream: Any) -> None:  # noqa: N802
+        """Grants a claim, or tells what became of the earlier one."""
+        request = await stream.recv_message()
+        reply = await self._claim(request)
+        if reply.outcome == control_pb2.CLAIM_IN_PROGRESS and request.wait_ms:
+            reply = await self._wait_for_settlement(request, reply)
+        outcome = control_pb2.ClaimOutcome.Name(reply.outcome)
+        metrics.CLAIMS.labels(outcome).inc()
+        await stream.send_message(reply)
+
+    async def Settle(self, stream: Any) -> None:  # noqa: N802
+        """Records the outcome of a run."""
+        request = await stream.recv_message()
+        command = control_pb2.Command(settle=request)
+        outcome = await self._proposer.propose(command, _COMMIT_TIMEOUT_S)
+        committed = isinstance(outcome, Committed)
+        await stream.send_message(
+            control_pb2.SettleReply(
+                committed=committed, leader=self._replica.leader_address
+            )
+        )
+        if committed:
+            async with self._settled:
+                self._settled.notify_all()
+
+    async def _claim(
+        self, request: control_pb2.ClaimRequest
+    ) -> control_pb2.ClaimReply:
+        if self._replica.is_leader and not self._replica.is_confirmed_leader:
+            # Cut off, or just elected: appending now could only leave doubt.
+            return control_pb2.ClaimReply(outcome=control_pb2.CLAIM_NO_QUORUM)
+        command = control_pb2.Command(claim=request)
+        outcome = await self._proposer.propose(command, _COMMIT_TIMEOUT_S)
+        if isinstance(outcome, Committed):
+            return outcome.result
+        if isinstance(outcome, NotLeader):
+            return control_pb2.ClaimReply(
+                outcome=control_pb2.CLAIM_NO_QUORUM,
+                leader=outcome.leader_address,
+            )
+        return control_pb2.ClaimReply(outcome=control_pb2.CLAIM_UNDECIDED)
+
+    async def _wait_for_settlement(
+        self,
+        request: control_pb2.ClaimRequest,
+        reply: control_pb2.ClaimReply,
+    ) -> control_pb2.ClaimReply:
+        def settled() -> bool:
+            held = self._state.claims.find(request.customer, request.key)
+            return held is None or held.settled
+
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(request.wait_ms / 1000):
+                async with self._settled:
+                    await self._settled.wait_for(settled)
+        held = self._state.claims.find(request.customer, request.key)
+        if held is None:
+            return reply
+        return self._state.claims.answer(held)
+
+
+def _says_something(delta: control_pb2.RosterDelta) -> bool:
+    return bool(
+        delta.to_revision > delta.from_revision
+        or delta.reports
+        or delta.lapsed
+        or delta.present
+    )
--- /dev/null
+++ b/damaskcroft/control/_state.py
@@ -0,0 +1,102 @@
+"""The replicated state: records, holders, assignments and claims."""
+
+from typing import Any
+
+from damaskcroft._generated import control_pb2
+from damaskcroft.claims import ClaimTable
+from damaskcroft.consensus import StateMachine
+from damaskcroft.membership import HolderTable
+from damaskcroft.records import RecordBook
+
+
+class ControlState(StateMachine):
+    """What the log's commands build; equal on every replica.
+
+    Args:
+        claim_kept_ms: how long settled claims are kept, in log time.
+        claims_per_customer: most claims of one customer.
+    """
+
+    def __init__(self, claim_kept_ms: int, claims_per_customer: int):
+        """Creates the empty state."""
+        self.records = RecordBook()
+        self.holders = HolderTable()
+        self.claims = ClaimTable(claim_kept_ms, claims_per_customer)
+        self.assignments_by_target: dict[str, control_pb2.Assignment] = {}
+        self.time_ms = 0
+        self._assigned_revision = 0
+
+    @property
+    def config_revision(self) -> int:
+        """Log index of the last change of the configuration.
+
+        Claims move the log but not this.
+        """
+        return max(
+            self.records.revision,
+            self.holders.revision,
+            self._assigned_revision,
+        )
+
+    def apply(self, index: int, command: bytes) -> Any:
+        """See StateMachine; gives the reply that fits the command."""
+        parsed = control_pb2.Command.FromString(command)
+        self.time_ms = max(self.time_ms, parsed.time_ms)
+        match parsed.WhichOneof("kind"):
+            case "write":
+                return self.records.apply(index, self.time_ms, parsed.write)
+            case "announce":
+                return self.holders.apply(index, parsed.announce)
+            case "assign":
+                return self._assign(index, parsed.assign)
+            case "claim":
+                return self.claims.claim(index, self.time_ms, parsed.claim)
+            case "settle":
+                return self.claims.settle(self.time_ms, parsed.settle)
+        return None
+
+    def snapshot(self) -> bytes:
+        """See StateMachine."""
+        image = control_pb2.StateImage(
+            revision=self._assigned_revision,
+            time_ms=self.time_ms,
+            records=self.records.records_by_key.values(),
+            holders=self.holders.holders_by_id.values(),
+            assignments=self.assignments_by_target.values(),
+            claims=self.claims.image(),
+            writes=self.records.kept_writes(),
+        )
+        return image.SerializeToString(deterministic=True)
+
+    def restore(self, state: bytes) -> None:
+        """See StateMachine."""
+        image = control_pb2.StateImage.FromString(state)
+        self.time_ms = image.time_ms
+        self._assigned_revision = image.revision
+        self.records.restore(image.records, image.writes)
+        self.holders.restore(image.holders)
+        self.claims.restore(image.claims)
+        self.assignments_by_target = {a.target: a for a in image.assignments}
+
+    def delta_since(self, revision: int) -> control_pb2.RosterDelta:
+        """Everything in the configuration changed after a revision."""
+        return control_pb2.RosterDelta(
+            from_revision=revision,
+            to_revision=self.config_revision,
+            snapshot=revision == 0,
+            records=self.records.changed_since(revision),
+            holders=self.holders.changed_since(revision),
+            assignments=[
+                assignment
+                for assignment in self.assignments_by_target.values()
+                if assignment.fencing > revision
+            ],
+        )
+
+    def _assign(self, index: int, batch: control_pb2.AssignBatch) -> None:
+        for assignment in batch.assignments:
+            stored = control_pb2.Assignment()
+            stored.CopyFrom(assignment)
+            stored.fencing = index
+            self.assignments_by_target[stored.target] = stored
+        self._assigned_revision = index
--- /dev/null
+++ b/damaskcroft/control/main.py
@@ -0,0 +1,147 @@
+"""damask-control: one replica of the log, on an instance with a disk."""
+
+import asyncio
+import contextlib
+import pathlib
+import signal
+import sys
+from typing import Annotated
+
+import typer
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from damaskcroft._generated import settings_pb2
+from damaskcroft.config import settings_or_exit
+from damaskcroft.consensus import (
+    ConsensusError,
+    FolderDisk,
+    GrpcTransport,
+    Replica,
+    ReplicaOptions,
+    ReplicaService,
+    format_disk,
+)
+from damaskcroft.control._proposer import Proposer
+from damaskcroft.control._reconciler import Reconciler
+from damaskcroft.control._service import ControlService
+from damaskcroft.control._state import ControlState
+from damaskcroft.membership import LeaseLedger
+from damaskcroft.observe import log_event, start_logs
+from damaskcroft.rpc import (
+    ChannelPool,
+    Keys,
+    KeysError,
+    grpc_served,
+    http_served,
+    load_keys,
+)
+
+_EXIT_CANNOT_START = 3
+_INSTALL_TIMEOUT_S = 60.0
+
+app = typer.Typer(pretty_exceptions_enable=False, add_completion=False)
+
+
+def _members(settings: settings_pb2.ControlSettings) -> dict[str, str]:
+    pairs = (member.split("=", 1) for member in settings.replica.members)
+    return {pair[0].strip(): pair[-1].strip() for pair in pairs}
+
+
+def _disk(settings: settings_pb2.ControlSettings) -> FolderDisk:
+    return FolderDisk(pathlib.Path(settings.process.data_folder) / "log")
+
+
+async def serve(settings: settings_pb2.ControlSettings, keys: Keys) -> None:
+    """Runs one replica until SIGTERM or SIGINT.
+
+    Raises:
+        ConsensusError: the data folder can't be used.
+        OSError: an address can't be bound.
+    """
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    pool = ChannelPool(keys)
+    rules = settings.replica
+    state = ControlState(
+        int(rules.claim_kept_s * 1000), rules.claims_per_customer
+    )
+    transport = GrpcTransport(
+        pool, rules.election_timeout_s, _INSTALL_TIMEOUT_S
+    )
+    options = ReplicaOptions(
+        id=rules.id,
+        address=settings.process.listen,
+        first_members=_members(settings),
+        election_timeout_s=rules.election_timeout_s,
+        heartbeat_s=rules.heartbeat_s,
+        snapshot_entries=rules.snapshot_entries,
+    )
+    replica = Replica(options, _disk(settings), transport, state)
+    proposer = Proposer(replica, state)
+    ledger = LeaseLedger(rules.lease_s)
+    reconciler = Reconciler(proposer, ledger)
+    services = [
+        ReplicaService(replica),
+        ControlService(proposer, ledger, reconciler),
+    ]
+
+    async def ready(_: Request) -> Response:
+        body = {"leader": replica.leader_address, "term": replica.term}
+        return JSONResponse(body, 200 if replica.leader_id else 503)
+
+    async with (
+        grpc_served(settings.process.listen, services, keys),
+        http_served(settings.process.http_listen, [Route("/readyz", ready)]),
+    ):
+        await replica.start()
+        log_event("started", id=rules.id, incarnation=replica.incarnation)
+        working = asyncio.create_task(reconciler.run())
+        await stop.wait()
+        log_event("stopping", id=rules.id)
+        working.cancel()
+        await asyncio.gather(working, return_exceptions=True)
+        await replica.stop()
+    pool.close()
+
+
+@app.command()
+def run(
+    settings_file: Annotated[pathlib.Path | None, typer.Argument()] = None,
+    check: Annotated[bool, typer.Option(help="only check settings")] = False,
+    reference: Annotated[
+        bool, typer.Option(help="print every setting")
+    ] = False,
+    format_data_folder: Annotated[
+        bool,
+        typer.Option(
+            "--format", help="prepare the empty folder of a new cluster; once"
+        ),
+    ] = False,
+) -> None:
+    """Runs one control replica."""
+    settings = settings_or_exit(
+        settings_file,
+        settings_pb2.ControlSettings,
+        check=check,
+        reference=reference,
+    )
+    start_logs(settings.process.name)
+    try:
+        if format_data_folder:
+            format_disk(_disk(settings), _members(settings))
+            return
+        keys = load_keys(settings.keys)
+        with contextlib.suppress(KeyboardInterrupt):
+            asyncio.run(serve(settings, keys))
+    except (ConsensusError, KeysError, OSError) as error:
+        print(error, file=sys.stderr)
+        raise SystemExit(_EXIT_CANNOT_START) from error
+
+
+def main() -> None:
+    """Entry point of the program."""
+    app()
--- /dev/null
+++ b/damaskcroft/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The program damaskctl: the operator's shell."""
--- /dev/null
+++ b/damaskcroft/ctl/_views.py
@@ -0,0 +1,165 @@
+"""How answers look: tables for people, JSON for scripts."""
+
+import json
+from collections.abc import Sequence
+
+from google.protobuf import json_format
+
+from damaskcroft._generated import control_pb2, records_pb2
+from damaskcroft.records import InvalidRecord, deployment_for, parse_deployment
+
+
+def table(headings: Sequence[str], rows: Sequence[Sequence[str]]) -> str:
+    """Columns as wide as their content."""
+    lines = [list(headings), *[list(row) for row in rows]]
+    widths = [max(len(line[i]) for line in lines) for i in range(len(headings))]
+    return "\n".join(
+        "  ".join(
+            cell.ljust(w) for cell, w in zip(line, widths, strict=True)
+        ).rstrip()
+        for line in lines
+    )
+
+
+def record_json(record: records_pb2.Record) -> str:
+    """A record as it was written, with its revision."""
+    document = json.loads(record.body)
+    document["revision"] = record.revision
+    document["withdrawn"] = record.withdrawn
+    return json.dumps(document, indent=2)
+
+
+def reply_json(reply: control_pb2.ReadReply) -> str:
+    """The whole answer for scripts."""
+    return json_format.MessageToJson(reply, preserving_proto_field_name=True)
+
+
+def records_table(reply: control_pb2.ReadReply) -> str:
+    """All records, one a line."""
+    rows = [
+        [
+            record.kind,
+            record.name,
+            str(record.schema_version),
+            str(record.revision),
+            "withdrawn" if record.withdrawn else "",
+            record.operator,
+        ]
+        for record in reply.records
+    ]
+    headings = ["KIND", "NAME", "SCHEMA", "REVISION", "STATE", "OPERATOR"]
+    return table(headings, sorted(rows))
+
+
+def status_text(reply: control_pb2.ReadReply) -> str:
+    """Leader, what is in force, and every holder."""
+    behind = [
+        holder
+        for holder in reply.holders
+        if holder.applied_revision < reply.revision
+    ]
+    lapsed = [holder for holder in behind if not holder.lease_held]
+    acknowledged = len(reply.holders) - len(behind)
+    first = (
+        f"leader {reply.leader} term {reply.term} revision {reply.revision}: "
+        f"{acknowledged} acknowledged, {len(behind) - len(lapsed)} behind, "
+        f"{len(lapsed)} lapsed"
+    )
+    rows = [_holder_row(holder) for holder in reply.holders]
+    headings = [
+        "HOLDER", "ROLE", "DOMAIN", "LEASE", "PHASE", "SERVES", "CHUNKS",
+        "ORIGIN", "STORE", "PEERS", "SENT",
+    ]  # fmt: skip
+    return first + "\n" + table(headings, sorted(rows))
+
+
+def explain_target(reply: control_pb2.ReadReply, target_id: str) -> list[str]:
+    """Why a target serves what it serves, from what was recorded."""
+    holders_by_id = {h.announcement.id: h for h in reply.holders}
+    holder = holders_by_id.get(target_id)
+    if holder is None:
+        return [f"{target_id} has never announced itself"]
+    report = holder.report
+    lines = [f"serves {report.version or 'nothing'}"]
+    if not holder.lease_held:
+        lines.append(
+            f"its lease has lapsed: silent since {holder.silent_s:.1f} s"
+        )
+    if report.draining:
+        lines.append("it is draining: it takes no new work")
+    wanted = deployment_for(holder.announcement, reply.records)
+    if not isinstance(wanted, records_pb2.Deployment):
+        lines.append("no record that this program can read asks for it")
+        return lines
+    lines.append(f"record {wanted.name} asks for {wanted.version}")
+    if report.manifest == wanted.manifest:
+        lines.append("it serves what the record asks for")
+        return lines
+    lines += _explain_missing(reply, holder, wanted)
+    lines += [f"event: {e}" for e in reply.events if target_id in e][-5:]
+    return lines
+
+
+def describe_fault(fault: InvalidRecord) -> str:
+    """A record's fault with its field."""
+    return f"{fault.field or 'record'}: {fault.reason}"
+
+
+def deployment_of(
+    record: records_pb2.Record,
+) -> records_pb2.Deployment | None:
+    """A record's deployment, if it is one that can be read."""
+    if record.kind != "deployment":
+        return None
+    parsed = parse_deployment(record)
+    return parsed if isinstance(parsed, records_pb2.Deployment) else None
+
+
+def _holder_row(holder: control_pb2.HolderStatus) -> list[str]:
+    report, burst = holder.report, holder.report.burst
+    announcement = holder.announcement
+    is_agent = announcement.kind == control_pb2.HOLDER_AGENT
+    phase = control_pb2.Phase.Name(report.phase).removeprefix("PHASE_")
+    return [
+        announcement.id,
+        announcement.role or "entry",
+        announcement.failure_domain,
+        "held" if holder.lease_held else f"lapsed {holder.silent_s:.0f}s",
+        phase.lower() if is_agent else "",
+        report.version,
+        f"{burst.chunks_held}/{burst.chunks_total}" if is_agent else "",
+        _mib(burst.origin_bytes),
+        _mib(burst.store_bytes),
+        _mib(burst.peer_bytes),
+        _mib(burst.sent_bytes),
+    ]
+
+
+def _mib(size_bytes: int) -> str:
+    return f"{size_bytes / 2**20:.1f}M" if size_bytes else ""
+
+
+def _explain_missing(
+    reply: control_pb2.ReadReply,
+    holder: control_pb2.HolderStatus,
+    wanted: records_pb2.Deployment,
+) -> list[str]:
+    report, burst = holder.report, holder.report.burst
+    lines = []
+    if report.failure:
+        lines.append(f"the target refused or failed: {report.failure}")
+    if report.staged_manifest != wanted.manifest:
+        lines.append(
+            f"weights are on their way: {burst.chunks_held} of "
+            f"{burst.chunks_total} chunks"
+        )
+        return lines
+    assigned = {a.target: a for a in reply.assignments}.get(report.id)
+    if assigned is None or assigned.manifest != wanted.manifest:
+        lines.append("weights are here; its turn in the rollout has not come")
+    else:
+        lines.append(
+            f"ordered with fencing number {assigned.fencing}; loading, or "
+            f"waiting for {report.outstanding} running requests"
+        )
+    return lines
--- /dev/null
+++ b/damaskcroft/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The program damask-entry: callers' HTTP, admission and dispatch."""
--- /dev/null
+++ b/damaskcroft/entry/_dispatch.py
@@ -0,0 +1,484 @@
+"""Sends a call to a target and gives the caller the whole answer, once."""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import time
+from collections.abc import (
+    AsyncGenerator,
+    AsyncIterator,
+    Awaitable,
+    Callable,
+)
+from typing import Any
+
+from starlette.responses import Response, StreamingResponse
+
+from damaskcroft._generated import agent_grpc, agent_pb2, control_pb2
+from damaskcroft.entry._calls import Call
+from damaskcroft.entry._claims import ClaimAnswered, Claimant
+from damaskcroft.entry._refusals import (
+    Ran,
+    Refusal,
+    note_refusal,
+    refusal_body,
+    refusal_response,
+)
+from damaskcroft.membership import LeaseClient
+from damaskcroft.observe import log_event, metrics
+from damaskcroft.routing import (
+    Admission,
+    NotGranted,
+    Outliers,
+    PoolTable,
+    RetryBudget,
+    Target,
+    TargetChooser,
+    Ticket,
+)
+from damaskcroft.rpc import CALL_ERRORS, ChannelPool
+
+_EVENT_STREAM = "text/event-stream"
+_MAX_ATTEMPTS = 4
+_RETRY_S = 1.0
+_RETRY_PAUSE_S = 0.02
+_LAPSE_POLL_S = 0.25
+# Refusals that send the entry back to the claim: another entry has taken the
+# run over.
+_RUN_TAKEN_OVER = (
+    agent_pb2.REFUSED_FENCED_RUN,
+    agent_pb2.REFUSED_DUPLICATE_RUN,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answering:
+    """The target has begun its answer.
+
+    Attributes:
+        head: status and content type.
+        events: what follows; must be closed.
+    """
+
+    head: agent_pb2.RunHead
+    events: AsyncGenerator[agent_pb2.RunEvent, None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Whole:
+    """The target's whole answer; nothing of it was passed on before."""
+
+    head: agent_pb2.RunHead
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Final:
+    """What the caller gets.
+
+    Attributes:
+        response: to be sent.
+        close: gives back what the response holds; called when it is over,
+            sent or not.
+    """
+
+    response: Response
+    close: Callable[[], Awaitable[None]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptRefused:
+    """The agent certifies that nothing was run."""
+
+    reason: agent_pb2.RefusalReason
+    retry_after_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptLost:
+    """No telling whether the target ran it."""
+
+    reason: str
+
+
+class Dispatcher:
+    """Carries calls out at one entry."""
+
+    def __init__(
+        self,
+        client: LeaseClient,
+        pools: PoolTable,
+        admission: Admission,
+        claimant: Claimant,
+        channels: ChannelPool,
+        retry_fraction: float,
+    ):
+        """Uses the entry's parts; see their classes."""
+        self._client = client
+        self._pools = pools
+        self._admission = admission
+        self._claimant = claimant
+        self._channels = channels
+        self._outliers = Outliers()
+        self._chooser = TargetChooser(self._outliers)
+        self._budget = RetryBudget(retry_fraction)
+        self.outstanding = 0
+
+    async def answer(self, call: Call) -> Final:
+        """Gives a call's final answer."""
+        arrived_at = time.monotonic()
+        deadline_at = arrived_at + call.deadline_s
+        if not self._pools.is_known(call.pool):
+            refusal = Refusal(
+                "unknown_model", 404, Ran.NOT_RUN, detail=call.pool
+            )
+            return _final(refusal_response(refusal, call.request_id))
+        self._budget.earn()
+        ticket = Ticket(call.pool, call.customer, call.priority, deadline_at)
+        granted = await self._admission.acquire(ticket)
+        if isinstance(granted, NotGranted):
+            refusal = Refusal(
+                granted.reason, 503, Ran.NOT_RUN, granted.retry_after_s
+            )
+            return _final(refusal_response(refusal, call.request_id))
+        metrics.QUEUE_WAIT_S.labels(call.priority).observe(
+            time.monotonic() - arrived_at
+        )
+        slot = _Slot(self._admission, ticket)
+        try:
+            outcome = await self._run(call, deadline_at)
+        except BaseException:
+            slot.release()
+            raise
+        if isinstance(outcome, Answering):
+            return self._streamed(call, outcome, slot, arrived_at)
+        slot.release()
+        return _final(_whole_response(call, outcome, arrived_at))
+
+    # --- Attempts ------------------------------------------------------------
+
+    async def _run(
+        self, call: Call, deadline_at: float
+    ) -> Answering | Whole | ClaimAnswered | Refusal:
+        tried: set[str] = set()
+        run_number = 0
+        last: AttemptRefused | None = None
+        for attempt in range(_MAX_ATTEMPTS):
+            target = self._chooser.choose(
+                self._pools.pool(call.pool),
+                region=call.district,
+                prefix=call.prefix,
+                excluded=tried,
+            )
+            if target is None:
+                break
+            if attempt and not self._budget.spend():
+                metrics.RETRIES.labels("no_budget").inc()
+                break
+            if call.key:
+                claimed = await self._claimant.claim(
+                    call, target, deadline_at, run_number
+                )
+                if isinstance(claimed, ClaimAnswered | Refusal):
+                    return claimed
+                run_number = claimed.run_number
+            outcome = await self._attempt(call, target, run_number, deadline_at)
+            match outcome:
+                case Answering() | Whole():
+                    self._outliers.succeeded(target.id)
+                    return outcome
+                case AttemptLost(reason=reason):
+                    self._outliers.failed(target.id)
+                    metrics.RETRIES.labels(reason).inc()
+                    if call.key or time.monotonic() >= deadline_at:
+                        return _lost(reason)
+                case AttemptRefused(reason=reason):
+                    last = outcome
+                    self._note_refused(target, reason)
+                    if reason in _RUN_TAKEN_OVER:
+                        run_number = 0
+                        continue
+            if time.monotonic() >= deadline_at:
+                break
+            tried.add(target.id)
+            await asyncio.sleep(_RETRY_PAUSE_S)
+        return await self._give_up(call, run_number, last)
+
+    async def _give_up(
+        self, call: Call, run_number: int, last: AttemptRefused | None
+    ) -> Refusal:
+        if run_number:
+            await self._claimant.settle_not_run(call, run_number)
+        ran = Ran.NOT_RUN
+        if last is None:
+            return Refusal("no_target", 503, ran, _RETRY_S)
+        reason = agent_pb2.RefusalReason.Name(last.reason).lower()
+        return Refusal(reason, 503, ran, last.retry_after_s)
+
+    def _note_refused(
+        self, target: Target, reason: agent_pb2.RefusalReason
+    ) -> None:
+        metrics.RETRIES.labels(agent_pb2.RefusalReason.Name(reason)).inc()
+        if reason == agent_pb2.REFUSED_TARGET_UNREACHABLE:
+            self._outliers.failed(target.id)
+
+    async def _attempt(
+        self, call: Call, target: Target, run_number: int, deadline_at: float
+    ) -> Answering | Whole | AttemptRefused | AttemptLost:
+        remaining_ms = int((deadline_at - time.monotonic()) * 1000)
+        if remaining_ms <= 0:
+            return AttemptRefused(agent_pb2.REFUSED_DEADLINE, _RETRY_S)
+        request = _run_request(call, target, run_number, remaining_ms)
+        events = self._events(request, target, deadline_at)
+        try:
+            first = await anext(events)
+        except BaseException:
+            await events.aclose()
+            raise
+        kind = first.WhichOneof("kind")
+        if kind == "head" and first.head.request_id == call.request_id:
+            if first.head.content_type.startswith(_EVENT_STREAM):
+                return Answering(first.head, events)
+            return await _whole(first.head, events)
+        await events.aclose()
+        if kind == "refused":
+            return AttemptRefused(
+                first.refused.reason, first.refused.retry_after_ms / 1000
+            )
+        if kind == "head":
+            metrics.LATE_DROPPED.labels("crossed_at_entry").inc()
+        return AttemptLost(_failure_word(first))
+
+    async def _events(
+        self,
+        request: agent_pb2.RunRequest,
+        target: Target,
+        deadline_at: float,
+    ) -> AsyncGenerator[agent_pb2.RunEvent, None]:
+        """The agent's events; a failure of ours comes as a failed event."""
+        stub = agent_grpc.AgentStub(self._channels.channel(target.address))
+        self._chooser.started(target.id)
+        sent = False
+        try:
+            async with stub.Run.open() as stream:
+                await stream.send_request()
+                sent = True
+                await stream.send_message(request, end=True)
+                while True:
+                    event = await self._next_event(stream, target, deadline_at)
+                    if event is None:
+                        return
+                    self._chooser.told(target.id, event.outstanding)
+                    yield event
+        except TimeoutError:
+            yield _failed(agent_pb2.FAILED_DEADLINE)
+        except CALL_ERRORS:
+            if sent:
+                yield _failed(agent_pb2.FAILED_TARGET_LOST)
+            else:
+                # No connection was made: certainly not run.
+                yield agent_pb2.RunEvent(
+                    refused=agent_pb2.RunRefused(
+                        reason=agent_pb2.REFUSED_TARGET_UNREACHABLE
+                    )
+                )
+        finally:
+            self._chooser.ended(target.id)
+
+    async def _next_event(
+        self, stream: Any, target: Target, deadline_at: float
+    ) -> agent_pb2.RunEvent | None:
+        """The next event; an agent whose lease lapsed counts as lost.
+
+        Raises:
+            TimeoutError: the deadline has passed.
+            ConnectionError: the agent's lease lapsed while it was silent.
+        """
+        receiving = asyncio.ensure_future(stream.recv_message())
+        try:
+            while not receiving.done():
+                remaining_s = deadline_at - time.monotonic()
+                if remaining_s <= 0:
+                    raise TimeoutError
+                await asyncio.wait(
+                    [receiving], timeout=min(remaining_s, _LAPSE_POLL_S)
+                )
+                lapsed = target.id in self._client.roster.lapsed_ids
+                if lapsed and not receiving.done():
+                    raise ConnectionError("the agent's lease lapsed")
+            return receiving.result()
+        finally:
+            if not receiving.done():
+                receiving.cancel()
+                with contextlib.suppress(asyncio.CancelledError):
+                    await receiving
+
+    # --- Answers -----------------------------------------------------------
+
+    def _streamed(
+        self, call: Call, outcome: Answering, slot: "_Slot", arrived_at: float
+    ) -> Final:
+        async def close() -> None:
+            await outcome.events.aclose()
+            slot.release()
+
+        response = StreamingResponse(
+            self._stream(call, outcome, arrived_at),
+            status_code=outcome.head.status,
+            media_type=_EVENT_STREAM,
+            headers=_answer_headers(call, outcome.head.version),
+        )
+        return Final(response, close)
+
+    async def _stream(
+        self, call: Call, outcome: Answering, arrived_at: float
+    ) -> AsyncIterator[bytes]:
+        """Passes a stream on; it ends with a typed error if it breaks."""
+        last_at = 0.0
+        async for event in outcome.events:
+            match event.WhichOneof("kind"):
+                case "body":
+                    now = time.monotonic()
+                    if last_at:
+                        metrics.TOKEN_GAP_S.observe(now - last_at)
+                    else:
+                        _observe_first_token(call, arrived_at)
+                    last_at = now
+                    yield event.body
+                case "end":
+                    metrics.ANSWERS.labels("stream").inc()
+                    return
+                case "failed":
+                    yield _error_event(call, _failure_word(event))
+                    return
+        yield _error_event(call, "target_lost")
+
+
+class _Slot:
+    """An admission slot, released once."""
+
+    __slots__ = ("_admission", "_released", "_started_at", "_ticket")
+
+    def __init__(self, admission: Admission, ticket: Ticket):
+        self._admission = admission
+        self._ticket = ticket
+        self._started_at = time.monotonic()
+        self._released = False
+
+    def release(self) -> None:
+        if self._released:
+            return
+        self._released = True
+        ran_s = time.monotonic() - self._started_at
+        self._admission.release(self._ticket, ran_s)
+
+
+async def _whole(
+    head: agent_pb2.RunHead, events: AsyncGenerator[agent_pb2.RunEvent, None]
+) -> Whole | AttemptLost:
+    """The whole answer; nothing is passed on unless it is complete."""
+    pieces: list[bytes] = []
+    async with contextlib.aclosing(events):
+        async for event in events:
+            match event.WhichOneof("kind"):
+                case "body":
+                    pieces.append(event.body)
+                case "end":
+                    return Whole(head, b"".join(pieces))
+                case "failed":
+                    return AttemptLost(_failure_word(event))
+    return AttemptLost("target_lost")
+
+
+def _whole_response(
+    call: Call, outcome: Whole | ClaimAnswered | Refusal, arrived_at: float
+) -> Response:
+    if isinstance(outcome, Refusal):
+        return refusal_response(outcome, call.request_id)
+    if isinstance(outcome, ClaimAnswered):
+        return _kept_response(call, outcome.answer)
+    _observe_first_token(call, arrived_at)
+    metrics.ANSWERS.labels("whole").inc()
+    return Response(
+        outcome.body,
+        status_code=outcome.head.status,
+        media_type=outcome.head.content_type or None,
+        headers=_answer_headers(call, outcome.head.version),
+    )
+
+
+def _answer_headers(call: Call, version: str) -> dict[str, str]:
+    return {"X-Request-Id": call.request_id, "Damask-Version": version}
+
+
+def _final(response: Response) -> Final:
+    async def close() -> None:
+        return None
+
+    return Final(response, close)
+
+
+def _lost(reason: str) -> Refusal:
+    status = 504 if reason == "deadline" else 502
+    return Refusal(reason, status, Ran.UNKNOWN, _RETRY_S)
+
+
+def _run_request(
+    call: Call, target: Target, run_number: int, remaining_ms: int
+) -> agent_pb2.RunRequest:
+    request = agent_pb2.RunRequest(
+        request_id=call.request_id,
+        method=call.method,
+        path=call.path,
+        content_type=call.content_type,
+        body=call.body,
+        customer=call.customer,
+        priority=call.priority,
+        deadline_ms=remaining_ms,
+        manifest=target.manifest,
+    )
+    if run_number:
+        request.claim.customer = call.customer
+        request.claim.key = call.key
+        request.claim.run_number = run_number
+        request.claim.agent_incarnation = target.incarnation
+    return request
+
+
+def _failed(reason: agent_pb2.FailureReason) -> agent_pb2.RunEvent:
+    return agent_pb2.RunEvent(failed=agent_pb2.RunFailed(reason=reason))
+
+
+def _failure_word(event: agent_pb2.RunEvent) -> str:
+    name = agent_pb2.FailureReason.Name(event.failed.reason)
+    return name.removeprefix("FAILED_").lower()
+
+
+def _kept_response(call: Call, answer: control_pb2.KeptAnswer) -> Response:
+    if answer.dropped:
+        refusal = Refusal("answer_not_kept", 409, Ran.RAN)
+        return refusal_response(refusal, call.request_id)
+    metrics.ANSWERS.labels("kept").inc()
+    log_event("answered_again", request_id=call.request_id)
+    return Response(
+        answer.body,
+        status_code=answer.status,
+        media_type=answer.content_type or None,
+        headers={
+            **_answer_headers(call, answer.version),
+            "Damask-Replayed": "yes",
+        },
+    )
+
+
+def _error_event(call: Call, reason: str) -> bytes:
+    refusal = Refusal(reason, 200, Ran.UNKNOWN, _RETRY_S)
+    note_refusal(refusal, call.request_id)
+    document = json.dumps(refusal_body(refusal, call.request_id))
+    return f"event: error\ndata: {document}\n\n".encode()
+
+
+def _observe_first_token(call: Call, arrived_at: float) -> None:
+    took_s = time.monotonic() - arrived_at
+    metrics.FIRST_TOKEN_S.labels(call.priority).observe(took_s)
--- /dev/null
+++ b/damaskcroft/entry/main.py
@@ -0,0 +1,217 @@
+"""damask-entry: takes callers' requests, behind the platform's balancer."""
+
+import asyncio
+import contextlib
+import pathlib
+import secrets
+import signal
+import sys
+from collections.abc import Callable
+from typing import Annotated
+
+import typer
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from damaskcroft._generated import control_pb2, settings_pb2
+from damaskcroft.config import settings_or_exit
+from damaskcroft.entry._calls import Call, CallReader
+from damaskcroft.entry._claims import Claimant
+from damaskcroft.entry._dispatch import Dispatcher, Final
+from damaskcroft.entry._refusals import Ran, Refusal, refusal_response
+from damaskcroft.membership import LeaseClient
+from damaskcroft.observe import log_event, metrics, start_logs
+from damaskcroft.routing import Admission, PoolTable
+from damaskcroft.rpc import ChannelPool, Keys, KeysError, http_served, load_keys
+
+_EXIT_CANNOT_START = 3
+_STOP_RETRY_S = 1.0
+_STOP_POLL_S = 0.05
+# Between saying "not ready" and the last accepted connection, so that the
+# balancer has seen it.
+_BALANCER_NOTICE_S = 0.5
+_ALL_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
+
+app = typer.Typer(pretty_exceptions_enable=False, add_completion=False)
+
+
+class EntryProcess:
+    """Everything one entry owns, wired together."""
+
+    def __init__(self, settings: settings_pb2.EntrySettings, keys: Keys):
+        """Builds the parts; `serve` runs them."""
+        self._settings = settings
+        process, rules = settings.process, settings.admission
+        self._channels = ChannelPool(keys)
+        announcement = control_pb2.Announcement(
+            id=process.name,
+            kind=control_pb2.HOLDER_ENTRY,
+            incarnation=secrets.token_hex(8),
+            address=process.listen,
+            region=process.region,
+            failure_domain=process.failure_domain,
+        )
+        self._client = LeaseClient(
+            announcement,
+            list(settings.control.addresses),
+            self._channels,
+            settings.control.renew_every_s,
+            lambda: control_pb2.TargetReport(),
+        )
+        self._pools = PoolTable(self._client.roster)
+        self._admission = Admission(
+            lambda name: self._pools.pool(name).slots,
+            rules.reserved_share,
+            rules.max_queued,
+        )
+        self._dispatcher = Dispatcher(
+            self._client,
+            self._pools,
+            self._admission,
+            Claimant(process.name, self._client, self._channels),
+            self._channels,
+            rules.retry_fraction,
+        )
+        self._reader = CallReader(
+            process.region, rules.default_deadline_s, rules.max_body_bytes
+        )
+        self._stopping = False
+        self._running = 0
+
+    async def serve(self) -> None:
+        """Runs until SIGTERM or SIGINT, then ends gracefully.
+
+        Raises:
+            OSError: the address can't be bound.
+        """
+        stop = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stop.set)
+        tasks = [
+            asyncio.create_task(work)
+            for work in (
+                self._client.run(),
+                self._client.watch_lapses(),
+                self._pools.run(),
+                self._admission.run(),
+            )
+        ]
+        async with http_served(
+            self._settings.process.http_listen, self._routes()
+        ):
+            log_event("started", id=self._settings.process.name)
+            await stop.wait()
+            self._stopping = True
+            log_event("stopping", running=self._running)
+            await asyncio.sleep(_BALANCER_NOTICE_S)
+            while self._running:
+                await asyncio.sleep(_STOP_POLL_S)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._channels.close()
+
+    def _routes(self) -> list[Route]:
+        return [
+            Route("/v1/completions", self._complete, methods=["POST"]),
+            Route("/v1/chat/completions", self._complete, methods=["POST"]),
+            Route(
+                "/services/{service}/{path:path}",
+                self._service,
+                methods=_ALL_METHODS,
+            ),
+            Route("/healthz", self._healthy),
+            Route("/readyz", self._ready),
+        ]
+
+    async def _complete(self, request: Request) -> Response:
+        return await self._answer(await self._reader.read_completion(request))
+
+    async def _service(self, request: Request) -> Response:
+        return await self._answer(await self._reader.read_service(request))
+
+    async def _answer(self, call: Call | Refusal) -> Response:
+        if isinstance(call, Refusal):
+            return refusal_response(call, "")
+        if self._stopping:
+            refusal = Refusal("stopping", 503, Ran.NOT_RUN, _STOP_RETRY_S)
+            return refusal_response(refusal, call.request_id)
+        self._begin()
+        try:
+            final = await self._dispatcher.answer(call)
+        except BaseException:
+            self._end()
+            raise
+        return _Tracked(final, self._end)
+
+    def _begin(self) -> None:
+        self._running += 1
+        metrics.ADMISSION_OUTSTANDING.set(self._running)
+
+    def _end(self) -> None:
+        self._running -= 1
+        metrics.ADMISSION_OUTSTANDING.set(self._running)
+
+    async def _healthy(self, _: Request) -> Response:
+        return JSONResponse({"healthy": True})
+
+    async def _ready(self, _: Request) -> Response:
+        ready = self._client.roster.revision > 0 and not self._stopping
+        body = {
+            "ready": ready,
+            "revision": self._client.roster.revision,
+            "lease_held": self._client.lease.is_held,
+        }
+        return JSONResponse(body, 200 if ready else 503)
+
+
+class _Tracked(Response):
+    """Cleans up when the last byte is out, or will never be."""
+
+    def __init__(self, final: Final, ended: Callable[[], None]):
+        super().__init__()
+        self._final = final
+        self._ended = ended
+
+    async def __call__(self, scope, receive, send) -> None:
+        try:
+            await self._final.response(scope, receive, send)
+        finally:
+            await self._final.close()
+            self._ended()
+
+
+@app.command()
+def run(
+    settings_file: Annotated[pathlib.Path | None, typer.Argument()] = None,
+    check: Annotated[bool, typer.Option(help="only check settings")] = False,
+    reference: Annotated[
+        bool, typer.Option(help="print every setting")
+    ] = False,
+) -> None:
+    """Runs one entry."""
+    settings = settings_or_exit(
+        settings_file,
+        settings_pb2.EntrySettings,
+        check=check,
+        reference=reference,
+    )
+    start_logs(settings.process.name)
+    try:
+        keys = load_keys(settings.keys)
+        with contextlib.suppress(KeyboardInterrupt):
+            asyncio.run(_serve(settings, keys))
+    except (KeysError, OSError) as error:
+        print(error, file=sys.stderr)
+        raise SystemExit(_EXIT_CANNOT_START) from error
+
+
+async def _serve(settings: settings_pb2.EntrySettings, keys: Keys) -> None:
+    await EntryProcess(settings, keys).serve()
+
+
+def main() -> None:
+    """Entry point of the program."""
+    app()
--- /dev/null
+++ b/damaskcroft/membership/_roster.py
@@ -0,0 +1,79 @@
+"""A holder's copy of the configuration, kept current by deltas.
+
+The applied revision never goes down: a delta that ends before it is dropped,
+whoever sent it.
+"""
+
+import asyncio
+
+from damaskcroft._generated import control_pb2, records_pb2
+
+
+class Roster:
+    """Records, assignments, holders and reports as last told by control."""
+
+    def __init__(self) -> None:
+        """Creates an empty roster at revision 0."""
+        self.revision = 0
+        self.records_by_key: dict[tuple[str, str], records_pb2.Record] = {}
+        self.assignments_by_target: dict[str, control_pb2.Assignment] = {}
+        self.holders_by_id: dict[str, control_pb2.Announcement] = {}
+        self.reports_by_id: dict[str, control_pb2.TargetReport] = {}
+        self.lapsed_ids: set[str] = set()
+        self.changed = asyncio.Condition()
+
+    def apply(self, delta: control_pb2.RosterDelta) -> bool:
+        """Applies a delta.
+
+        Returns:
+            Whether it was applied; False for one from the past.
+        """
+        if delta.to_revision < self.revision:
+            return False
+        if delta.snapshot:
+            self.records_by_key.clear()
+            self.assignments_by_target.clear()
+            self.holders_by_id.clear()
+            self.lapsed_ids.clear()
+        for record in delta.records:
+            self.records_by_key[(record.kind, record.name)] = record
+        for assignment in delta.assignments:
+            self._assign(assignment)
+        for holder in delta.holders:
+            self.holders_by_id[holder.id] = holder
+        for report in delta.reports:
+            self.reports_by_id[report.id] = report
+        self.lapsed_ids.update(delta.lapsed)
+        self.lapsed_ids.difference_update(delta.present)
+        self.revision = delta.to_revision
+        return True
+
+    async def notify(self) -> None:
+        """Wakes all who wait on `changed`."""
+        async with self.changed:
+            self.changed.notify_all()
+
+    def live_agents(self) -> list[control_pb2.Announcement]:
+        """Agents that hold a lease as far as control has told."""
+        return [
+            holder
+            for holder in self.holders_by_id.values()
+            if holder.kind == control_pb2.HOLDER_AGENT
+            and holder.id not in self.lapsed_ids
+        ]
+
+    def live_entries(self) -> int:
+        """How many entries hold a lease; at least 1."""
+        entries = [
+            holder
+            for holder in self.holders_by_id.values()
+            if holder.kind == control_pb2.HOLDER_ENTRY
+            and holder.id not in self.lapsed_ids
+        ]
+        return max(1, len(entries))
+
+    def _assign(self, assignment: control_pb2.Assignment) -> None:
+        held = self.assignments_by_target.get(assignment.target)
+        if held is not None and held.fencing > assignment.fencing:
+            return
+        self.assignments_by_target[assignment.target] = assignment
--- /dev/null
+++ b/damaskcroft/observe/__init__.py
@@ -0,0 +1,6 @@
+"""Logs and metrics: what operators watch."""
+
+from damaskcroft.observe import metrics
+from damaskcroft.observe._logs import log_event, log_warning, start_logs
+
+__all__ = ["log_event", "log_warning", "metrics", "start_logs"]
--- /dev/null
+++ b/damaskcroft/observe/metrics.py
@@ -0,0 +1,86 @@
+"""Every metric of the system, declared in one place with its meaning."""
+
+from prometheus_client import Counter, Gauge, Histogram
+
+__all__ = [
+    "ADMISSION_OUTSTANDING",
+    "ADMISSION_QUEUED",
+    "ANSWERS",
+    "BURST_BYTES",
+    "BURST_CHUNKS_CORRUPT",
+    "BURST_SOURCE_FAILURES",
+    "BURST_YIELDS",
+    "CLAIMS",
+    "COMMIT_INDEX",
+    "ELECTIONS",
+    "FIRST_TOKEN_S",
+    "GATE_REFUSALS",
+    "HOLDERS_LAPSED",
+    "IN_FORCE_S",
+    "LATE_DROPPED",
+    "LEASE_LAPSES",
+    "ORDERS",
+    "QUEUE_WAIT_S",
+    "REFUSALS",
+    "RETRIES",
+    "TOKEN_GAP_S",
+]
+
+_SECONDS = (
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10,
+)  # fmt: skip
+
+REFUSALS = Counter(
+    "damask_refusals", "Requests refused to callers", ["reason", "ran"]
+)
+RETRIES = Counter(
+    "damask_retries", "Attempts on another target, by the first's refusal",
+    ["reason"],
+)  # fmt: skip
+ANSWERS = Counter("damask_answers", "Whole answers given", ["kind"])
+LATE_DROPPED = Counter(
+    "damask_answers_dropped", "Late or crossed answers dropped", ["reason"]
+)
+QUEUE_WAIT_S = Histogram(
+    "damask_queue_wait_seconds", "Wait for a slot", ["priority"],
+    buckets=_SECONDS,
+)  # fmt: skip
+FIRST_TOKEN_S = Histogram(
+    "damask_first_token_seconds", "Arrival to first body byte", ["priority"],
+    buckets=_SECONDS,
+)  # fmt: skip
+TOKEN_GAP_S = Histogram(
+    "damask_token_gap_seconds", "Time between body pieces", buckets=_SECONDS
+)
+ADMISSION_QUEUED = Gauge("damask_queued", "Requests waiting", ["pool"])
+ADMISSION_OUTSTANDING = Gauge("damask_outstanding", "Requests running")
+GATE_REFUSALS = Counter(
+    "damask_gate_refusals", "Requests certified not run by an agent",
+    ["reason"],
+)  # fmt: skip
+ORDERS = Counter(
+    "damask_orders", "Orders given to the target", ["order", "outcome"]
+)
+LEASE_LAPSES = Counter(
+    "damask_lease_lapses", "Times this process's lease ran out"
+)
+CLAIMS = Counter("damask_claims", "Claims answered", ["outcome"])
+ELECTIONS = Counter("damask_elections", "Elections, by outcome", ["outcome"])
+COMMIT_INDEX = Gauge("damask_commit_index", "Last committed log index")
+HOLDERS_LAPSED = Gauge("damask_holders_lapsed", "Known holders without a lease")
+IN_FORCE_S = Histogram(
+    "damask_in_force_seconds", "Accepted until every live holder applied it",
+    buckets=_SECONDS,
+)  # fmt: skip
+BURST_BYTES = Counter(
+    "damask_burst_bytes", "Weight bytes by source; 'sent' to peers", ["source"]
+)
+BURST_CHUNKS_CORRUPT = Counter(
+    "damask_burst_corrupt_chunks", "Chunks that failed their digest", ["source"]
+)
+BURST_SOURCE_FAILURES = Counter(
+    "damask_burst_source_failures", "Chunk attempts that failed", ["reason"]
+)
+BURST_YIELDS = Counter(
+    "damask_burst_yields", "Times weight traffic slowed for live requests"
+)
--- /dev/null
+++ b/damaskcroft/rpc/_channels.py
@@ -0,0 +1,69 @@
+"""One gRPC channel for each address, opened when first used."""
+
+import grpclib
+import grpclib.exceptions
+from grpclib.client import Channel
+from grpclib.config import Configuration
+
+from damaskcroft.rpc._keys import Keys
+
+# What a gRPC call raises when its peer is away, slow, or refuses it.
+CALL_ERRORS = (
+    OSError,  # Covers TimeoutError and refused connections.
+    grpclib.GRPCError,
+    grpclib.exceptions.StreamTerminatedError,
+    grpclib.exceptions.ProtocolError,
+)
+# A peer that answers no ping for this long is taken as gone.
+_KEEPALIVE_S = 5.0
+_CONNECTION_WINDOW_BYTES = 8 * 1024 * 1024
+_STREAM_WINDOW_BYTES = 4 * 1024 * 1024
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Splits `IP:port`; an IPv6 number stands in square brackets."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+class ChannelPool:
+    """Channels by address. Owned by one process; closed at its end."""
+
+    __slots__ = ("_channels_by_address", "_keys")
+
+    def __init__(self, keys: Keys):
+        """Creates an empty pool that dials with `keys`."""
+        self._keys = keys
+        self._channels_by_address: dict[str, Channel] = {}
+
+    def channel(self, address: str) -> Channel:
+        """The channel to `address`; connects only when a call is made."""
+        channel = self._channels_by_address.get(address)
+        if channel is None:
+            channel = self._open(address)
+            self._channels_by_address[address] = channel
+        return channel
+
+    def drop(self, address: str) -> None:
+        """Closes the channel to an address that is known to be gone."""
+        channel = self._channels_by_address.pop(address, None)
+        if channel is not None:
+            channel.close()
+
+    def close(self) -> None:
+        """Closes every channel."""
+        for channel in self._channels_by_address.values():
+            channel.close()
+        self._channels_by_address.clear()
+
+    def _open(self, address: str) -> Channel:
+        host, port = split_address(address)
+        config = Configuration(
+            _keepalive_time=_KEEPALIVE_S,
+            _keepalive_timeout=_KEEPALIVE_S,
+            _keepalive_permit_without_calls=True,
+            _http2_max_pings_without_data=0,
+            http2_connection_window_size=_CONNECTION_WINDOW_BYTES,
+            http2_stream_window_size=_STREAM_WINDOW_BYTES,
+        )
+        return Channel(host, port, ssl=self._keys.client, config=config)
--- /dev/null
+++ b/damaskcroft/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for what surrounds the system; for development only."""
--- /dev/null
+++ b/damaskcroft/weights/__init__.py
@@ -0,0 +1,66 @@
+"""Weights on their way: manifests, chunks, who fetches from whom."""
+
+from damaskcroft.weights._burst import (
+    Burst,
+    BurstCounts,
+    BurstOptions,
+    outside_readers,
+)
+from damaskcroft.weights._errors import (
+    ManifestError,
+    StoreFullError,
+    WeightsError,
+)
+from damaskcroft.weights._manifest import (
+    build_manifest,
+    load_manifest,
+    manifest_digest,
+    weights_path,
+)
+from damaskcroft.weights._outside import (
+    OutsideData,
+    OutsideFailed,
+    OutsideSource,
+)
+from damaskcroft.weights._pacer import Pacer
+from damaskcroft.weights._peers import (
+    GrpcPeerSource,
+    PeerData,
+    PeerFailed,
+    PeerNotYet,
+    PeerSource,
+)
+from damaskcroft.weights._planner import (
+    Participant,
+    Planner,
+    make_planner,
+)
+from damaskcroft.weights._store import ChunkStore, StagedVersion
+
+__all__ = [
+    "Burst",
+    "BurstCounts",
+    "BurstOptions",
+    "ChunkStore",
+    "GrpcPeerSource",
+    "ManifestError",
+    "OutsideData",
+    "OutsideFailed",
+    "OutsideSource",
+    "Pacer",
+    "Participant",
+    "PeerData",
+    "PeerFailed",
+    "PeerNotYet",
+    "PeerSource",
+    "Planner",
+    "StagedVersion",
+    "StoreFullError",
+    "WeightsError",
+    "build_manifest",
+    "load_manifest",
+    "make_planner",
+    "manifest_digest",
+    "outside_readers",
+    "weights_path",
+]
--- /dev/null
+++ b/damaskcroft/weights/_burst.py
@@ -0,0 +1,350 @@
+"""One agent's part in a burst: getting every chunk of one version.
+
+Chunks that this agent must read from outside go first and on their own; all
+others are asked of their parents, in the same order by every agent, a bounded
+number at once. A parent that holds a chunk not yet keeps the question open,
+so a chunk moves on as soon as it has arrived and been checked.
+"""
+
+import asyncio
+import dataclasses
+import random
+import time
+from collections.abc import Iterable, Iterator
+
+from damaskcroft._generated import agent_pb2, records_pb2
+from damaskcroft.observe import log_event, metrics
+from damaskcroft.weights._errors import ManifestError
+from damaskcroft.weights._manifest import load_manifest
+from damaskcroft.weights._outside import OutsideData, OutsideSource
+from damaskcroft.weights._pacer import Pacer
+from damaskcroft.weights._peers import (
+    PeerData,
+    PeerFailed,
+    PeerNotYet,
+    PeerSource,
+)
+from damaskcroft.weights._planner import Participant, Planner
+from damaskcroft.weights._rarest import HolderSearch
+from damaskcroft.weights._store import ChunkStore, StagedVersion
+
+_SUSPECT_S = 10.0
+_CORRUPT_SUSPECT_S = 300.0
+_MIN_PAUSE_S = 0.02
+_MAX_PAUSE_S = 1.0
+_MANIFEST_PAUSE_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BurstOptions:
+    """Bounds of one agent's part in a burst.
+
+    Attributes:
+        parallel_fetches: chunks asked of peers at once.
+        parallel_outside: chunks read from outside at once.
+        wait_s: how long a peer may keep a question open.
+        prefer_store: read from the weight store first, the origin second.
+    """
+
+    parallel_fetches: int = 16
+    parallel_outside: int = 2
+    wait_s: float = 2.0
+    prefer_store: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class BurstCounts:
+    """Bytes by source and faults met, for reports."""
+
+    origin_bytes: int = 0
+    store_bytes: int = 0
+    peer_bytes: int = 0
+    local_bytes: int = 0
+    sent_bytes: int = 0
+    corrupt_chunks: int = 0
+
+
+class Suspects:
+    """Agents to be left alone for a while, after silence or wrong bytes."""
+
+    __slots__ = ("_until_by_id",)
+
+    def __init__(self) -> None:
+        """Creates an empty list."""
+        self._until_by_id: dict[str, float] = {}
+
+    def add(self, agent_id: str, for_s: float) -> None:
+        """Suspects an agent for `for_s` seconds."""
+        self._until_by_id[agent_id] = time.monotonic() + for_s
+
+    def now(self) -> frozenset[str]:
+        """The ids suspected at this instant."""
+        now = time.monotonic()
+        return frozenset(
+            agent_id
+            for agent_id, until in self._until_by_id.items()
+            if until > now
+        )
+
+
+class Burst:
+    """Gets one version onto this instance.
+
+    Args:
+        own_id: this agent.
+        path: where outside sources keep the version.
+        store: where chunks are kept.
+        sources: outside sources; the first is preferred.
+        peers: how other agents are asked.
+        pacer: paces what comes in from outside.
+        options: bounds.
+        counts: where bytes are counted.
+    """
+
+    def __init__(
+        self,
+        own_id: str,
+        path: str,
+        store: ChunkStore,
+        sources: list[OutsideSource],
+        peers: PeerSource,
+        pacer: Pacer,
+        options: BurstOptions,
+        counts: BurstCounts,
+    ):
+        """Creates a burst that has not begun."""
+        self._own_id = own_id
+        self._path = path
+        self._store = store
+        self._sources = sources
+        self._peers = peers
+        self._pacer = pacer
+        self._options = options
+        self._counts = counts
+        self._planner: Planner | None = None
+        self._suspects = Suspects()
+        self._outside_slots = asyncio.Semaphore(options.parallel_outside)
+        self._rng = random.Random(own_id)
+
+    def plan_with(self, planner: Planner) -> None:
+        """Takes a new planner, when participants come or go."""
+        self._planner = planner
+
+    async def fetch_manifest(self, digest: str) -> bytes:
+        """Gets the manifest that a record names, from a peer if it can.
+
+        Raises:
+            ManifestError: the outside source holds another one.
+        """
+        while True:
+            parent = self._parent(0)
+            if parent is None:
+                content = await self._manifest_from_outside()
+                if content is not None:
+                    load_manifest(content, digest)
+                    return content
+            else:
+                content = await self._manifest_from_peer(parent, digest)
+                if content is not None:
+                    return content
+            await asyncio.sleep(_MANIFEST_PAUSE_S)
+
+    async def run(self, version: StagedVersion) -> None:
+        """Gets every missing chunk; returns when all are held."""
+        self._copy_local(version)
+        missing = [i for i, held in enumerate(version.held) if not held]
+        own = [i for i in missing if self._parent(i) is None]
+        others = [i for i in missing if self._parent(i) is not None]
+        search = self._holder_search(version)
+        if search is not None:
+            await self._run_with_search(version, own, others, search)
+            return
+        async with asyncio.TaskGroup() as group:
+            for chosen, workers in (
+                (iter(own), self._options.parallel_outside),
+                (iter(others), self._options.parallel_fetches),
+            ):
+                for _ in range(workers):
+                    group.create_task(self._work(version, chosen))
+
+    def _parent(self, index: int) -> Participant | None:
+        if self._planner is None:
+            return None
+        return self._planner.parent(index, self._suspects.now())
+
+    def _copy_local(self, version: StagedVersion) -> None:
+        """Takes chunks that an older version already holds."""
+        for index, held in enumerate(version.held):
+            if held:
+                continue
+            data = self._store.local_copy(version.manifest.chunks[index].digest)
+            if data is not None and version.write_chunk(index, data):
+                self._counts.local_bytes += len(data)
+                metrics.BURST_BYTES.labels("local").inc(len(data))
+
+    async def _work(
+        self, version: StagedVersion, indexes: Iterator[int]
+    ) -> None:
+        for index in indexes:
+            while not version.held[index]:
+                await self._try(version, index)
+
+    async def _try(self, version: StagedVersion, index: int) -> None:
+        parent = self._parent(index)
+        if parent is None:
+            async with self._outside_slots:
+                if not version.held[index]:
+                    await self._from_outside(version, index)
+            return
+        await self._from_peer(version, index, parent)
+
+    async def _from_peer(
+        self, version: StagedVersion, index: int, peer: Participant
+    ) -> None:
+        request = agent_pb2.ChunkRequest(
+            manifest=version.digest,
+            digest=version.manifest.chunks[index].digest,
+            wait_ms=int(self._options.wait_s * 1000),
+            requester=self._own_id,
+        )
+        outcome = await self._peers.fetch_chunk(peer.address, request)
+        match outcome:
+            case PeerData(data=data):
+                self._take(version, index, data, "peer", peer.id)
+            case PeerNotYet():
+                await asyncio.sleep(_MIN_PAUSE_S)
+            case PeerFailed(reason=reason):
+                metrics.BURST_SOURCE_FAILURES.labels(reason).inc()
+                log_event("peer_suspected", peer=peer.id, reason=reason)
+                self._suspects.add(peer.id, _SUSPECT_S)
+
+    async def _from_outside(self, version: StagedVersion, index: int) -> None:
+        for source in self._open_sources():
+            outcome = await source.fetch_chunk(
+                self._path, version.manifest, index
+            )
+            if isinstance(outcome, OutsideData):
+                await self._pacer.pass_bytes(len(outcome.data))
+                self._take(version, index, outcome.data, source.name, "")
+                return
+            metrics.BURST_SOURCE_FAILURES.labels(
+                f"{source.name}_{outcome.reason}"
+            ).inc()
+        await asyncio.sleep(self._pause_s())
+
+    def _open_sources(self) -> list[OutsideSource]:
+        ordered = self._sources
+        if self._options.prefer_store:
+            ordered = list(reversed(self._sources))
+        return [source for source in ordered if source.closed_for_s <= 0]
+
+    def _pause_s(self) -> float:
+        """Until the first outside source is open again, spread a little."""
+        wait_s = min(source.closed_for_s for source in self._sources)
+        wait_s = min(max(wait_s, _MIN_PAUSE_S), _MAX_PAUSE_S)
+        return wait_s * (1 + self._rng.random())
+
+    def _take(
+        self,
+        version: StagedVersion,
+        index: int,
+        data: bytes,
+        source: str,
+        peer_id: str,
+    ) -> None:
+        metrics.BURST_BYTES.labels(source).inc(len(data))
+        field = f"{source}_bytes"
+        setattr(self._counts, field, getattr(self._counts, field) + len(data))
+        if version.write_chunk(index, data):
+            return
+        self._counts.corrupt_chunks += 1
+        metrics.BURST_CHUNKS_CORRUPT.labels(source).inc()
+        log_event(
+            "chunk_corrupt", index=index, source=source, peer=peer_id or "none"
+        )
+        if peer_id:
+            self._suspects.add(peer_id, _CORRUPT_SUSPECT_S)
+
+    async def _manifest_from_outside(self) -> bytes | None:
+        for source in self._open_sources():
+            outcome = await source.fetch_manifest(self._path)
+            if isinstance(outcome, OutsideData):
+                return outcome.data
+            metrics.BURST_SOURCE_FAILURES.labels(
+                f"{source.name}_{outcome.reason}"
+            ).inc()
+        return None
+
+    async def _manifest_from_peer(
+        self, parent: Participant, digest: str
+    ) -> bytes | None:
+        outcome = await self._peers.fetch_manifest(parent.address, digest)
+        if isinstance(outcome, PeerFailed):
+            self._suspects.add(parent.id, _SUSPECT_S)
+            return None
+        if isinstance(outcome, PeerNotYet):
+            return None
+        try:
+            load_manifest(outcome.data, digest)
+        except ManifestError:
+            self._suspects.add(parent.id, _CORRUPT_SUSPECT_S)
+            return None
+        return outcome.data
+
+    # --- Looking round for holders (the strategy "rarest") ---------------
+
+    def _holder_search(self, version: StagedVersion) -> HolderSearch | None:
+        if self._planner is None or not self._planner.spare_sources(0):
+            return None
+        return HolderSearch(
+            version,
+            self._planner.spare_sources(0),
+            self._peers,
+            self._suspects.now,
+            self._rng,
+        )
+
+    async def _run_with_search(
+        self,
+        version: StagedVersion,
+        own: Iterable[int],
+        others: list[int],
+        search: HolderSearch,
+    ) -> None:
+        looking = asyncio.create_task(search.run())
+        waiting = set(others)
+        try:
+            async with asyncio.TaskGroup() as group:
+                indexes = iter(own)
+                for _ in range(self._options.parallel_outside):
+                    group.create_task(self._work(version, indexes))
+                for _ in range(self._options.parallel_fetches):
+                    group.create_task(
+                        self._work_rarest(version, waiting, search)
+                    )
+        finally:
+            looking.cancel()
+            await asyncio.gather(looking, return_exceptions=True)
+
+    async def _work_rarest(
+        self, version: StagedVersion, waiting: set[int], search: HolderSearch
+    ) -> None:
+        while waiting:
+            found = search.rarest(waiting)
+            if found is None:
+                await asyncio.sleep(_MIN_PAUSE_S)
+                continue
+            index, peer = found
+            waiting.discard(index)
+            await self._from_peer(version, index, peer)
+            if not version.held[index]:
+                waiting.add(index)
+
+
+def outside_readers(
+    policy: records_pb2.BurstPolicy, copies_cap: float, domains: int
+) -> int:
+    """How many failure domains may read from outside for themselves."""
+    if policy == records_pb2.FEWEST_ORIGIN_BYTES:
+        return 1
+    return max(1, min(int(copies_cap), domains))
--- /dev/null
+++ b/damaskcroft/weights/_outside.py
@@ -0,0 +1,148 @@
+"""Reading chunks from outside: the origin and the weight store, over HTTP.
+
+Byte ranges as in RFC 9110, section 14; refusals as in its section 15 and RFC
+6585, section 4, with their Retry-After honoured.
+"""
+
+import asyncio
+import dataclasses
+import time
+
+import aiosonic
+from aiosonic import exceptions
+from aiosonic.connectors import TCPConnector
+from aiosonic.pools import PoolConfig
+from aiosonic.timeout import Timeouts
+
+from damaskcroft._generated import records_pb2
+from damaskcroft.weights._manifest import MANIFEST_NAME
+
+_OK, _PARTIAL = 200, 206
+_THROTTLED = (429, 503)
+_DEFAULT_RETRY_AFTER_S = 1.0
+_MAX_RETRY_AFTER_S = 60.0
+_CONNECTIONS = 8
+_CALL_ERRORS = (
+    OSError,
+    EOFError,
+    ValueError,
+    exceptions.AiosonicError,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OutsideData:
+    """Bytes as they came; not checked yet."""
+
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OutsideFailed:
+    """No usable bytes.
+
+    Attributes:
+        reason: throttled, status, short, unreachable or stalled.
+        retry_after_s: how long to leave the source alone.
+    """
+
+    reason: str
+    retry_after_s: float
+
+
+class OutsideSource:
+    """One outside source, named for counters.
+
+    After a refusal the source is left alone for as long as it asked, by all
+    fetches of this process, so that refusals can't grow into a storm.
+
+    Args:
+        name: "origin" or "store".
+        address: IP number and port.
+        stall_s: longest wait for one chunk.
+    """
+
+    def __init__(self, name: str, address: str, stall_s: float):
+        """Creates a client; nothing is connected yet."""
+        self.name = name
+        self._base_url = f"http://{address}"
+        self._stall_s = stall_s
+        self._closed_until = 0.0
+        timeouts = Timeouts(
+            sock_connect=stall_s, sock_read=stall_s, request_timeout=None
+        )
+        pool = {":default": PoolConfig(size=_CONNECTIONS)}
+        self._client = aiosonic.HTTPClient(
+            TCPConnector(pool_configs=pool, timeouts=timeouts)
+        )
+
+    @property
+    def closed_for_s(self) -> float:
+        """How much longer the source is to be left alone, in seconds."""
+        return max(0.0, self._closed_until - time.monotonic())
+
+    async def fetch_manifest(self, path: str) -> OutsideData | OutsideFailed:
+        """Reads the manifest of the version at `path`."""
+        return await self._get(f"{path}/{MANIFEST_NAME}", {}, _OK)
+
+    async def fetch_chunk(
+        self, path: str, manifest: records_pb2.Manifest, index: int
+    ) -> OutsideData | OutsideFailed:
+        """Reads one chunk by its byte range."""
+        chunk = manifest.chunks[index]
+        last_byte = chunk.offset_bytes + chunk.size_bytes - 1
+        headers = {"Range": f"bytes={chunk.offset_bytes}-{last_byte}"}
+        file_path = f"{path}/{manifest.files[chunk.file].path}"
+        outcome = await self._get(file_path, headers, _PARTIAL)
+        if isinstance(outcome, OutsideFailed):
+            return outcome
+        if len(outcome.data) != chunk.size_bytes:
+            return self._failed("short", 0.0)
+        return outcome
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._client.aclose()
+
+    async def _get(
+        self, path: str, headers: dict[str, str], expected: int
+    ) -> OutsideData | OutsideFailed:
+        if self.closed_for_s > 0:
+            return OutsideFailed("throttled", self.closed_for_s)
+        url = f"{self._base_url}/{path}"
+        try:
+            async with self._client.stream(
+                "GET", url, headers=headers
+            ) as response:
+                if response.status_code in _THROTTLED:
+                    return self._throttled(response.headers)
+                if response.status_code != expected:
+                    return self._failed("status", _DEFAULT_RETRY_AFTER_S)
+                return OutsideData(await self._read(response))
+        except (TimeoutError, exceptions.ReadTimeout):
+            return self._failed("stalled", 0.0)
+        except _CALL_ERRORS:
+            return self._failed("unreachable", 0.0)
+
+    async def _read(self, response: aiosonic.HttpResponse) -> bytes:
+        """Reads the body; a source that gives nothing for long is stalled."""
+        pieces: list[bytes] = []
+        chunks = response.read_chunks()
+        while True:
+            try:
+                async with asyncio.timeout(self._stall_s):
+                    pieces.append(await anext(chunks))
+            except StopAsyncIteration:
+                return b"".join(pieces)
+
+    def _throttled(self, headers) -> OutsideFailed:
+        try:
+            wait_s = float(headers.get("Retry-After", _DEFAULT_RETRY_AFTER_S))
+        except ValueError:
+            wait_s = _DEFAULT_RETRY_AFTER_S
+        wait_s = min(max(wait_s, 0.0), _MAX_RETRY_AFTER_S)
+        self._closed_until = time.monotonic() + wait_s
+        return self._failed("throttled", wait_s)
+
+    def _failed(self, reason: str, retry_after_s: float) -> OutsideFailed:
+        return OutsideFailed(reason, retry_after_s)
--- /dev/null
+++ b/damaskcroft/weights/_peers.py
@@ -0,0 +1,113 @@
+"""Reading chunks from other agents."""
+
+import abc
+import asyncio
+import dataclasses
+
+from damaskcroft._generated import agent_grpc, agent_pb2
+from damaskcroft.rpc import CALL_ERRORS, ChannelPool
+from damaskcroft.weights._pacer import Pacer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerData:
+    """A chunk's bytes as they came; not checked yet."""
+
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerNotYet:
+    """The peer answers, but does not hold the chunk yet."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerFailed:
+    """The peer gave nothing: unreachable, or stalled."""
+
+    reason: str
+
+
+class PeerSource(abc.ABC):
+    """How an agent asks other agents."""
+
+    @abc.abstractmethod
+    async def fetch_chunk(
+        self, address: str, request: agent_pb2.ChunkRequest
+    ) -> PeerData | PeerNotYet | PeerFailed:
+        """Asks for a chunk, waiting for it as long as the request says."""
+
+    @abc.abstractmethod
+    async def fetch_manifest(
+        self, address: str, digest: str
+    ) -> PeerData | PeerNotYet | PeerFailed:
+        """Asks for a manifest."""
+
+    @abc.abstractmethod
+    async def fetch_holdings(self, address: str, digest: str) -> bytes:
+        """Asks for the bitmap of held chunks; empty when there is none."""
+
+
+class GrpcPeerSource(PeerSource):
+    """Agents reached by grpclib, at the pace of this machine's link.
+
+    Args:
+        pool: channels to agents.
+        pacer: paces what comes in.
+        stall_s: silence after which a peer is given up.
+    """
+
+    def __init__(self, pool: ChannelPool, pacer: Pacer, stall_s: float):
+        """Uses channels of `pool`."""
+        self._pool = pool
+        self._pacer = pacer
+        self._stall_s = stall_s
+
+    async def fetch_chunk(
+        self, address: str, request: agent_pb2.ChunkRequest
+    ) -> PeerData | PeerNotYet | PeerFailed:
+        """See PeerSource."""
+        stub = agent_grpc.AgentStub(self._pool.channel(address))
+        patience_s = request.wait_ms / 1000 + self._stall_s
+        pieces: list[bytes] = []
+        try:
+            async with stub.GetChunk.open() as stream:
+                await stream.send_message(request, end=True)
+                while True:
+                    async with asyncio.timeout(patience_s):
+                        part = await stream.recv_message()
+                    if part is None:
+                        return PeerData(b"".join(pieces))
+                    if part.outcome != agent_pb2.CHUNK_DATA:
+                        return PeerNotYet()
+                    await self._pacer.pass_bytes(len(part.data))
+                    pieces.append(part.data)
+                    patience_s = self._stall_s
+        except TimeoutError:
+            return PeerFailed("stalled")
+        except CALL_ERRORS:
+            return PeerFailed("unreachable")
+
+    async def fetch_manifest(
+        self, address: str, digest: str
+    ) -> PeerData | PeerNotYet | PeerFailed:
+        """See PeerSource."""
+        stub = agent_grpc.AgentStub(self._pool.channel(address))
+        request = agent_pb2.ManifestRequest(manifest=digest)
+        try:
+            reply = await stub.GetManifest(request, timeout=self._stall_s)
+        except TimeoutError:
+            return PeerFailed("stalled")
+        except CALL_ERRORS:
+            return PeerFailed("unreachable")
+        return PeerData(reply.content) if reply.content else PeerNotYet()
+
+    async def fetch_holdings(self, address: str, digest: str) -> bytes:
+        """See PeerSource."""
+        stub = agent_grpc.AgentStub(self._pool.channel(address))
+        request = agent_pb2.HoldingsRequest(manifest=digest)
+        try:
+            reply = await stub.Holdings(request, timeout=self._stall_s)
+        except CALL_ERRORS:
+            return b""
+        return reply.bitmap
--- /dev/null
+++ b/damaskcroft/weights/_planner.py
@@ -0,0 +1,254 @@
+"""Who fetches which chunk from whom.
+
+Every agent computes the same total order of agents for each chunk, from the
+roster alone, and no messages are needed to agree. In each chunk's tree an
+agent's parent always stands before it in that order, so whatever two agents
+believe of a third, no circle of waiting can form. The first living agent of
+an order reads the chunk from outside.
+
+The candidates were measured against each other: docs/design/002-burst.md.
+"""
+
+import abc
+import dataclasses
+import functools
+import hashlib
+from collections.abc import Sequence
+
+_BRANCHES = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Participant:
+    """An agent that takes part in a burst."""
+
+    id: str
+    address: str
+    failure_domain: str
+
+
+class Planner(abc.ABC):
+    """Chooses each chunk's source.
+
+    Args:
+        own_id: the agent that asks.
+        participants: all agents of the burst, the asking one included.
+        outside_readers: how many failure domains read from outside for
+            themselves; at least 1.
+    """
+
+    def __init__(
+        self,
+        own_id: str,
+        participants: Sequence[Participant],
+        outside_readers: int = 1,
+    ):
+        """Sorts the participants, so that all agents agree on them."""
+        self.own_id = own_id
+        self.outside_readers = max(1, outside_readers)
+        self.participants = sorted(participants, key=lambda p: p.id)
+
+    @abc.abstractmethod
+    def parent(
+        self, chunk_index: int, suspects: frozenset[str]
+    ) -> Participant | None:
+        """Whom to ask for a chunk, or None to read it from outside.
+
+        Args:
+            chunk_index: the chunk's place in the manifest.
+            suspects: agents that do not answer now.
+        """
+
+    def spare_sources(self, chunk_index: int) -> list[Participant]:
+        """Other agents that may hold the chunk, when asked to look round."""
+        del chunk_index
+        return []
+
+
+class OriginPlanner(Planner):
+    """Everyone reads everything from outside: the baseline."""
+
+    def parent(
+        self, chunk_index: int, suspects: frozenset[str]
+    ) -> Participant | None:
+        """See Planner."""
+        return None
+
+
+class ChainPlanner(Planner):
+    """One chain through all agents, the same for every chunk."""
+
+    def parent(
+        self, chunk_index: int, suspects: frozenset[str]
+    ) -> Participant | None:
+        """See Planner."""
+        before: Participant | None = None
+        for participant in self.participants:
+            if participant.id == self.own_id:
+                return before
+            if participant.id not in suspects:
+                before = participant
+        return before
+
+
+class TreePlanner(Planner):
+    """A binary tree for each chunk: over failure domains, then inside each.
+
+    One agent of a domain takes the chunk across the link between sites; the
+    others take it from inside. Subclasses say in which order agents stand.
+    """
+
+    def __init__(
+        self,
+        own_id: str,
+        participants: Sequence[Participant],
+        outside_readers: int = 1,
+    ):
+        """See Planner."""
+        super().__init__(own_id, participants, outside_readers)
+        self._members_by_domain: dict[str, list[Participant]] = {}
+        for participant in self.participants:
+            members = self._members_by_domain.setdefault(
+                participant.failure_domain, []
+            )
+            members.append(participant)
+        self._domains = sorted(self._members_by_domain)
+        self._own_domain = next(
+            p.failure_domain for p in self.participants if p.id == own_id
+        )
+
+    @abc.abstractmethod
+    def order(self, chunk_index: int, names: Sequence[str]) -> Sequence[int]:
+        """In which order `names` stand for a chunk, as places in `names`."""
+
+    def parent(
+        self, chunk_index: int, suspects: frozenset[str]
+    ) -> Participant | None:
+        """See Planner."""
+        members = self._living(chunk_index, self._own_domain, suspects)
+        place = next(
+            i for i, member in enumerate(members) if member.id == self.own_id
+        )
+        if place > 0:
+            return members[(place - 1) // _BRANCHES]
+        return self._parent_outside_domain(chunk_index, suspects)
+
+    def _parent_outside_domain(
+        self, chunk_index: int, suspects: frozenset[str]
+    ) -> Participant | None:
+        heads: list[Participant] = []
+        for position in self.order(chunk_index, self._domains):
+            domain = self._domains[position]
+            members = self._living(chunk_index, domain, suspects)
+            if domain == self._own_domain:
+                break
+            if members:
+                heads.append(members[0])
+        if len(heads) < self.outside_readers:
+            return None
+        return heads[(len(heads) - 1) // _BRANCHES]
+
+    def _living(
+        self, chunk_index: int, domain: str, suspects: frozenset[str]
+    ) -> list[Participant]:
+        members = self._members_by_domain[domain]
+        # Domains rotate with every chunk; members with every round of them,
+        # or the two rotations would fall into step.
+        round_index = chunk_index // len(self._domains)
+        names = [member.id for member in members]
+        return [
+            members[place]
+            for place in self.order(round_index, names)
+            if members[place].id == self.own_id
+            or members[place].id not in suspects
+        ]
+
+
+class RendezvousPlanner(TreePlanner):
+    """Orders by hash of chunk and name.
+
+    Source: Thaler and Ravishankar, "Using Name-Based Mappings to Increase Hit
+    Rates", IEEE/ACM Transactions on Networking 6(1), 1998.
+    """
+
+    def order(self, chunk_index: int, names: Sequence[str]) -> Sequence[int]:
+        """See TreePlanner."""
+
+        def weight(place: int) -> bytes:
+            text = f"{chunk_index}/{names[place]}".encode()
+            return hashlib.blake2b(text, digest_size=8).digest()
+
+        return sorted(range(len(names)), key=weight)
+
+
+class LatinPlanner(TreePlanner):
+    """Orders by rows of mutually orthogonal Latin squares.
+
+    Over any q consecutive chunks (q the least prime not below the number of
+    agents) each agent stands at each place equally often, so that uploads are
+    even; from square to square its neighbours change, so that a dead agent's
+    work falls on all others. After "RAID+: Deterministic and Balanced Data
+    Distribution for Large Disk Enclosures" (FAST 2018), section 3.
+    """
+
+    def order(self, chunk_index: int, names: Sequence[str]) -> Sequence[int]:
+        """See TreePlanner."""
+        return _latin_row(chunk_index, len(names))
+
+
+@functools.lru_cache(maxsize=65536)
+def _latin_row(index: int, size: int) -> tuple[int, ...]:
+    """Row `index` of the family of squares L_m(i, j) = m * j + i mod q."""
+    if size <= 1:
+        return tuple(range(size))
+    prime = _prime_from(size)
+    square, row = divmod(index, prime)
+    multiplier = 1 + square % (prime - 1)
+    places = ((multiplier * column + row) % prime for column in range(prime))
+    return tuple(place for place in places if place < size)
+
+
+def _prime_from(number: int) -> int:
+    """The least prime not below a number above 1."""
+    candidate = number
+    while any(
+        candidate % factor == 0 for factor in range(2, int(candidate**0.5) + 1)
+    ):
+        candidate += 1
+    return candidate
+
+
+class RarestPlanner(LatinPlanner):
+    """Outside reads as in LatinPlanner; all else from whoever holds it.
+
+    The transfer looks round for holders and takes the rarest chunk first,
+    after Cohen, "Incentives Build Robustness in BitTorrent" (2003).
+    """
+
+    def spare_sources(self, chunk_index: int) -> list[Participant]:
+        """See Planner."""
+        return [p for p in self.participants if p.id != self.own_id]
+
+
+_PLANNERS_BY_NAME: dict[str, type[Planner]] = {
+    "origin": OriginPlanner,
+    "chain": ChainPlanner,
+    "rendezvous": RendezvousPlanner,
+    "latin": LatinPlanner,
+    "rarest": RarestPlanner,
+}
+PLANNER_NAMES = tuple(_PLANNERS_BY_NAME)
+
+
+def make_planner(
+    name: str,
+    own_id: str,
+    participants: Sequence[Participant],
+    outside_readers: int,
+) -> Planner:
+    """Creates the planner that settings name.
+
+    Raises:
+        KeyError: there is no planner of that name.
+    """
+    return _PLANNERS_BY_NAME[name](own_id, participants, outside_readers)
