A new leader sooner: wait from the last word heard, not from the last look

Cause: a follower slept a whole drawn timeout, then looked; silence that began during the sleep cost up to two timeouts. A candidate also waited for the dead peer's call to time out before it counted its votes.

--- a/damaskcroft/consensus/_replica.py
+++ b/damaskcroft/consensus/_replica.py
@@ -41,6 +41,8 @@
 # The first replicas of a cluster share this incarnation; a replica that lost
 # its disk draws a new one and so can't be taken for its former self.
 _FIRST_INCARNATION = "first"
+# How often a leader checks that a majority follows, in an election timeout.
+_LOOKS_A_TIMEOUT = 4
 _FOLLOWER, _CANDIDATE, _LEADER = "following", "standing", "leading"
 
 
@@ -328,16 +330,25 @@
     # --- Elections ---------------------------------------------------------
 
     async def _elect_forever(self) -> None:
+        timeout_s = self._options.election_timeout_s
         while True:
-            timeout_s = self._options.election_timeout_s
-            wait_s = timeout_s * (1 + self._rng.random())
-            await asyncio.sleep(wait_s)
             if self.is_leader:
+                await asyncio.sleep(timeout_s / _LOOKS_A_TIMEOUT)
                 await self._step_down_if_cut_off()
                 continue
-            if _now() - self._heard_at < wait_s or not self._is_voter():
-                continue
-            await self._stand_for_election()
+            await self._wait_for_silence(timeout_s * (1 + self._rng.random()))
+            if not self.is_leader and self._is_voter():
+                await self._stand_for_election()
+
+    async def _wait_for_silence(self, silence_s: float) -> None:
+        """Returns once no leader has been heard for `silence_s`."""
+        started_at = _now()
+        while True:
+            quiet_since = max(self._heard_at, started_at)
+            remaining_s = quiet_since + silence_s - _now()
+            if remaining_s <= 0:
+                return
+            await asyncio.sleep(remaining_s)
 
     async def _step_down_if_cut_off(self) -> None:
         age_s = _now() - self._majority_confirmed_at()
@@ -381,10 +392,15 @@
         )
         electorate = voters(self.log.config())
         others = [v for v in electorate if v.id != self._options.id]
-        replies = await asyncio.gather(
-            *(self._ask_vote(voter, request) for voter in others)
-        )
-        return 1 + sum(replies) > len(electorate) // 2
+        asked = [
+            asyncio.create_task(self._ask_vote(voter, request))
+            for voter in others
+        ]
+        try:
+            return await _majority_agrees(asked, len(electorate))
+        finally:
+            for task in asked:
+                task.cancel()
 
     async def _ask_vote(
         self, voter: consensus_pb2.Voter, request: consensus_pb2.VoteRequest
@@ -801,6 +817,20 @@
         self._leader_tasks.add(asyncio.create_task(work))
 
 
+async def _majority_agrees(
+    asked: list[asyncio.Task[bool]], electorate: int
+) -> bool:
+    """Waits no longer than a majority takes; one's own vote counts."""
+    granted = 1
+    waiting = set(asked)
+    while waiting and granted <= electorate // 2:
+        answered, waiting = await asyncio.wait(
+            waiting, return_when=asyncio.FIRST_COMPLETED
+        )
+        granted += sum(task.result() for task in answered)
+    return granted > electorate // 2
+
+
 def _now() -> float:
     """The monotonic clock, in seconds."""
     return asyncio.get_running_loop().time()
--- /dev/null
+++ b/damaskcroft/consensus/tests/fakes.py
@@ -0,0 +1,245 @@
+"""Small fakes at the disk and the network, for virtual time."""
+
+import asyncio
+import random
+
+from damaskcroft.consensus import (
+    Disk,
+    PeerUnreachableError,
+    Replica,
+    ReplicaOptions,
+    StateMachine,
+    Transport,
+    format_disk,
+)
+
+MAX_SYNC_S = 0.03
+LATENCY_S = 0.001
+TIMEOUT_S = 0.3
+MEMBERS = {"a": "addr-a", "b": "addr-b", "c": "addr-c"}
+
+
+class FakeDisk(Disk):
+    """Keeps what is synced; a crash keeps only a part of the rest."""
+
+    def __init__(self, rng, synced=None):
+        self.rng = rng
+        self.synced = dict(synced or {})
+        self.pending = {}
+        self.dead = False
+
+    def read(self, name):
+        if name not in self.synced and name not in self.pending:
+            return None
+        return self.synced.get(name, b"") + self.pending.get(name, b"")
+
+    def append(self, name, content):
+        self._check()
+        self.pending[name] = self.pending.get(name, b"") + content
+
+    async def sync(self, name):
+        size = len(self.pending.get(name, b""))
+        before = self.synced.get(name, b"")
+        await asyncio.sleep(MAX_SYNC_S * self.rng.random())
+        self._check()
+        if self.synced.get(name, b"") != before:
+            return  # Replaced or truncated meanwhile, and so synced.
+        pending = self.pending.get(name, b"")
+        self.synced[name] = before + pending[:size]
+        self.pending[name] = pending[size:]
+
+    def truncate(self, name, size_bytes):
+        self._check()
+        self.synced[name] = self.read(name)[:size_bytes]
+        self.pending.pop(name, None)
+
+    def replace(self, name, content):
+        self._check()
+        self.synced[name] = content
+        self.pending.pop(name, None)
+
+    def crash(self, kept_share):
+        """The disk as the next process finds it; this one is dead."""
+        self.dead = True
+        survivor = FakeDisk(self.rng, self.synced)
+        for name, content in self.pending.items():
+            kept = content[: int(len(content) * kept_share)]
+            survivor.synced[name] = survivor.synced.get(name, b"") + kept
+        return survivor
+
+    def _check(self):
+        if self.dead:
+            raise OSError("the process is gone")
+
+
+class ListMachine(StateMachine):
+    """Remembers every command with its index."""
+
+    def __init__(self):
+        self.applied = []
+
+    def apply(self, index, command):
+        self.applied.append((index, command.decode()))
+        return index
+
+    def snapshot(self):
+        return repr(self.applied).encode()
+
+    def restore(self, state):
+        self.applied = list(eval(state.decode(), {}))  # noqa: S307
+
+
+class FakeNetwork:
+    """Replicas by address, and the directions that are cut."""
+
+    def __init__(self, rng):
+        self.rng = rng
+        self.replicas_by_address = {}
+        self.cuts = set()
+        self.lost_share = 0.0
+
+    async def carry(self, sender, receiver):
+        await asyncio.sleep(LATENCY_S * (0.5 + self.rng.random()))
+        lost = self.rng.random() < self.lost_share
+        if (sender, receiver) in self.cuts or lost:
+            await asyncio.sleep(TIMEOUT_S)
+            raise PeerUnreachableError(receiver)
+
+
+class FakeTransport(Transport):
+    def __init__(self, network, sender):
+        self.network = network
+        self.sender = sender
+
+    async def vote(self, address, request):
+        return await self.call(address, "handle_vote", request)
+
+    async def append(self, address, request):
+        return await self.call(address, "handle_append", request)
+
+    async def install(self, address, request):
+        return await self.call(address, "handle_install", request)
+
+    async def join(self, address, request):
+        return await self.call(address, "handle_join", request)
+
+    async def call(self, address, method, request):
+        copy = type(request).FromString(request.SerializeToString())
+        try:
+            async with asyncio.timeout(TIMEOUT_S):
+                await self.network.carry(self.sender, address)
+                replica = self.network.replicas_by_address.get(address)
+                if replica is None:
+                    raise PeerUnreachableError(address)
+                reply = await getattr(replica, method)(copy)
+                await self.network.carry(address, self.sender)
+        except (OSError, TimeoutError) as error:
+            raise PeerUnreachableError(address) from error
+        return type(reply).FromString(reply.SerializeToString())
+
+
+class Cluster:
+    """Three replicas on fake disks and a fake network, in virtual time."""
+
+    def __init__(self, loop, seed=0, snapshot_entries=15):
+        self.loop = loop
+        self.rng = random.Random(seed)
+        self.network = FakeNetwork(self.rng)
+        self.snapshot_entries = snapshot_entries
+        self.disks = {}
+        self.replicas = {}
+        self.machines = {}
+        for member in MEMBERS:
+            self.disks[member] = FakeDisk(self.rng)
+            format_disk(self.disks[member], MEMBERS)
+            self.start(member)
+
+    def start(self, member):
+        machine = ListMachine()
+        options = ReplicaOptions(
+            id=member,
+            address=MEMBERS[member],
+            first_members=MEMBERS,
+            election_timeout_s=0.6,
+            heartbeat_s=0.1,
+            snapshot_entries=self.snapshot_entries,
+        )
+        replica = Replica(
+            options,
+            self.disks[member],
+            FakeTransport(self.network, MEMBERS[member]),
+            machine,
+            random.Random(self.rng.random()),
+        )
+        self.machines[member] = machine
+        self.replicas[member] = replica
+        self.network.replicas_by_address[MEMBERS[member]] = replica
+        self.loop.run(replica.start())
+
+    def crash(self, member, kept_share=0.0):
+        replica = self.replicas.pop(member)
+        del self.network.replicas_by_address[MEMBERS[member]]
+        self.disks[member] = self.disks[member].crash(kept_share)
+        self.loop.run(replica.stop())
+
+    def lose_disk(self, member):
+        if member in self.replicas:
+            self.crash(member)
+        self.disks[member] = FakeDisk(self.rng)
+
+    def leaders(self):
+        return [r for r in self.replicas.values() if r.is_leader]
+
+    def leader(self):
+        """The leader with the newest term."""
+        return max(self.leaders(), key=lambda r: r.term, default=None)
+
+    def is_voting(self, member):
+        """Whether the newest leader counts the member's present disk."""
+        leader, replica = self.leader(), self.replicas.get(member)
+        if leader is None or replica is None:
+            return False
+        if leader.log.config_entry()[0] > leader.commit_index:
+            return False
+        return any(
+            voter.id == member
+            and not voter.learner
+            and voter.incarnation == replica.incarnation
+            for voter in leader.log.config().members
+        )
+
+    def write(self, value, timeout_s=1.0):
+        """Proposes at the newest leader; gives the outcome or None."""
+        leader = self.leader()
+        if leader is None:
+            return None
+
+        async def propose():
+            try:
+                async with asyncio.timeout(timeout_s):
+                    return await leader.propose(value.encode())
+            except TimeoutError:
+                return None
+
+        return self.loop.run(propose())
+
+    async def propose_briefly(self, leader, value):
+        """Proposes and looks away before the outcome is known."""
+        proposing = asyncio.create_task(leader.propose(value.encode()))
+        await asyncio.sleep(self.rng.random() * 0.02)
+        proposing.cancel()
+
+    async def confirmed_leaders(self):
+        return [r for r in self.replicas.values() if r.is_confirmed_leader]
+
+    def heal(self):
+        self.network.cuts.clear()
+        self.network.lost_share = 0.0
+        for member in MEMBERS:
+            if member not in self.replicas:
+                self.start(member)
+
+    def stop(self):
+        for replica in self.replicas.values():
+            self.loop.run(replica.stop())
+        self.loop.close()
--- /dev/null
+++ b/damaskcroft/consensus/tests/test_log.py
@@ -0,0 +1,122 @@
+import asyncio
+
+import pytest
+
+from damaskcroft._generated import consensus_pb2
+from damaskcroft.consensus import (
+    DurableLog,
+    FolderDisk,
+    LogDamagedError,
+    NotFormattedError,
+    format_disk,
+)
+from damaskcroft.consensus.tests.fakes import MEMBERS, Cluster
+from damaskcroft.standins.virtual_time import VirtualTimeLoop
+
+
+def entry(index, term=1):
+    return consensus_pb2.LogEntry(
+        index=index, term=term, command=f"command {index}".encode()
+    )
+
+
+@pytest.fixture
+def folder(tmp_path):
+    """A folder with five synced entries and one that never was."""
+    log = DurableLog(FolderDisk(tmp_path))
+
+    async def fill():
+        for index in range(1, 6):
+            log.append([entry(index)])
+            await log.sync()
+        log.append([entry(6)])
+
+    asyncio.run(fill())
+    return tmp_path
+
+
+def damage(path, offset):
+    content = bytearray(path.read_bytes())
+    content[offset] ^= 0xFF
+    path.write_bytes(content)
+
+
+def test_entries_come_back_after_a_restart(folder):
+    log = DurableLog(FolderDisk(folder))
+    assert [log.entry(i).command for i in range(1, 7)] == [
+        f"command {i}".encode() for i in range(1, 7)
+    ]
+
+
+@pytest.mark.parametrize("missing_bytes", [1, 7, 20])
+def test_torn_tail_is_cut(folder, missing_bytes):
+    path = folder / "log"
+    path.write_bytes(path.read_bytes()[:-missing_bytes])
+    assert DurableLog(FolderDisk(folder)).last_index == 5
+    assert DurableLog(FolderDisk(folder)).last_index == 5
+
+
+def test_torn_tail_is_cut_when_its_last_part_reached_the_disk(folder):
+    log = DurableLog(FolderDisk(folder))
+    log.synced_index = 5
+    log.append([entry(7)])
+    path = folder / "log"
+    damage(path, len(path.read_bytes()) * 6 // 7 - 10)
+    assert DurableLog(FolderDisk(folder)).last_index == 5
+
+
+def test_damage_of_synced_entries_is_an_error(folder):
+    damage(folder / "log", 60)
+    with pytest.raises(LogDamagedError) as raised:
+        DurableLog(FolderDisk(folder))
+    assert raised.value.name == "log"
+
+
+def test_damaged_snapshot_is_an_error(folder):
+    log = DurableLog(FolderDisk(folder))
+    log.compact(consensus_pb2.Snapshot(index=4, term=1, state=b"x"), keep=1)
+    reopened = DurableLog(FolderDisk(folder))
+    assert (reopened.first_index, reopened.last_index) == (4, 6)
+    damage(folder / "snapshot", 9)
+    with pytest.raises(LogDamagedError):
+        DurableLog(FolderDisk(folder))
+
+
+def test_a_folder_is_formatted_only_once(tmp_path):
+    format_disk(FolderDisk(tmp_path), MEMBERS)
+    with pytest.raises(NotFormattedError):
+        format_disk(FolderDisk(tmp_path), MEMBERS)
+
+
+def test_new_leader_soon_after_the_old_one_is_cut_off():
+    """Within two election timeouts and a vote, in virtual time."""
+    loop = VirtualTimeLoop()
+    asyncio.set_event_loop(loop)
+    cluster = Cluster(loop, seed=3)
+    loop.pass_time(3.0)
+    old = cluster.leader()
+    for member, address in MEMBERS.items():
+        if member != old.leader_id:
+            own = MEMBERS[old.leader_id]
+            cluster.network.cuts |= {(own, address), (address, own)}
+    loop.pass_time(1.6)
+    assert cluster.leader().term > old.term
+    assert not old.is_leader
+    cluster.stop()
+
+
+def test_replica_down_for_hundreds_of_changes_catches_up():
+    loop = VirtualTimeLoop()
+    asyncio.set_event_loop(loop)
+    cluster = Cluster(loop, seed=4, snapshot_entries=50)
+    loop.pass_time(3.0)
+    down = next(m for m in MEMBERS if not cluster.replicas[m].is_leader)
+    cluster.crash(down)
+    for number in range(400):
+        cluster.write(f"v{number}")
+    cluster.start(down)
+    loop.pass_time(3.0)
+    lists = [machine.applied for machine in cluster.machines.values()]
+    assert lists[0] == lists[1] == lists[2]
+    assert len(lists[0]) == 400
+    cluster.stop()
