--- a/damaskcroft/agent/_runs.py
+++ b/damaskcroft/agent/_runs.py
@@ -1,12 +1,12 @@
 """Runs admitted requests at the target and passes the answers on."""
 
 import asyncio
-import time
 from collections.abc import AsyncGenerator, Callable
 
 from damaskcroft._generated import agent_pb2, control_pb2
 from damaskcroft.agent._gate import Admitted, Gate, Refused
 from damaskcroft.agent._settler import Settler
+from damaskcroft.clock import now_s
 from damaskcroft.engines import (
     CallFailed,
     CallNotSent,
@@ -130,7 +130,7 @@
             admitted.manifest,
         )
         claimed = request.HasField("claim")
-        started_at = time.monotonic()
+        started_at = now_s()
         async with self._engine.call(call, fresh_connection=claimed) as begun:
             match begun:
                 case CallNotSent():
@@ -176,7 +176,7 @@
             async for piece in begun.body:
                 if first:
                     first = False
-                    self._first_piece_seen(time.monotonic() - started_at)
+                    self._first_piece_seen(now_s() - started_at)
                 yield self._event(body=piece)
         except ConnectionError:
             yield self._failed(agent_pb2.FAILED_TARGET_LOST)
--- a/damaskcroft/consensus/_replica.py
+++ b/damaskcroft/consensus/_replica.py
@@ -16,6 +16,7 @@
 from transitions import Machine
 
 from damaskcroft._generated import consensus_pb2
+from damaskcroft.clock import now_s
 from damaskcroft.consensus import _frames
 from damaskcroft.consensus._disk import Disk
 from damaskcroft.consensus._errors import LogDamagedError, NotFormattedError
@@ -212,14 +213,14 @@
         """
         if not self.is_leader or self.commit_index < self._term_start_index:
             return False
-        age_s = _now() - self._majority_confirmed_at()
+        age_s = now_s() - self._majority_confirmed_at()
         return age_s < self._options.election_timeout_s
 
     async def start(self) -> None:
         """Begins to take part."""
         # A restarted voter may have heard a leader just before it stopped.
-        self._heard_at = _now()
-        self._started_at = _now()
+        self._heard_at = now_s()
+        self._started_at = now_s()
         self._spawn(self._elect_forever())
         self._spawn(self._apply_forever())
         if not self._is_member():
@@ -247,7 +248,7 @@
         Returns:
             Whether reads of the applied state are now linearizable.
         """
-        asked_at = _now()
+        asked_at = now_s()
         self._replicate.set()
         try:
             async with asyncio.timeout(timeout_s), self._changed:
@@ -269,7 +270,7 @@
             if granted and not request.pre_vote:
                 self._save_hard_state(request.term, request.candidate)
                 self._become_follower("")
-                self._heard_at = _now()
+                self._heard_at = now_s()
             return consensus_pb2.VoteReply(
                 term=self.term,
                 granted=granted,
@@ -342,16 +343,16 @@
 
     async def _wait_for_silence(self, silence_s: float) -> None:
         """Returns once no leader has been heard for `silence_s`."""
-        started_at = _now()
+        started_at = now_s()
         while True:
             quiet_since = max(self._heard_at, started_at)
-            remaining_s = quiet_since + silence_s - _now()
+            remaining_s = quiet_since + silence_s - now_s()
             if remaining_s <= 0:
                 return
             await asyncio.sleep(remaining_s)
 
     async def _step_down_if_cut_off(self) -> None:
-        age_s = _now() - self._majority_confirmed_at()
+        age_s = now_s() - self._majority_confirmed_at()
         if age_s < self._options.election_timeout_s:
             return
         async with self._lock:
@@ -419,12 +420,12 @@
         if not self._is_voter() or self.state == _LEADER:
             return False
         # Keep to a living leader, whoever else stands (dissertation, 4.2.3).
-        silence_s = _now() - self._heard_at
+        silence_s = now_s() - self._heard_at
         timeout_s = self._options.election_timeout_s
         if self.leader_id and silence_s < timeout_s:
             return False
         # Before a restart we may have told a leader that we follow it.
-        if _now() - self._started_at < timeout_s:
+        if now_s() - self._started_at < timeout_s:
             return False
         candidate = find_member(self.log.config(), request.candidate)
         if candidate and candidate.incarnation != request.incarnation:
@@ -465,7 +466,7 @@
             self._save_hard_state(term, "")
         if self.state != _FOLLOWER or self.leader_id != leader_id:
             self._become_follower(leader_id)
-        self._heard_at = _now()
+        self._heard_at = now_s()
 
     def _meet_term(self, term: int) -> None:
         if term <= self.term:
@@ -570,7 +571,7 @@
     async def _replicate_once(
         self, member: consensus_pb2.Voter, peer: _Peer
     ) -> None:
-        sent_at = _now()
+        sent_at = now_s()
         term = self.term
         previous_index = peer.next_index - 1
         previous_term = self.log.term_at(previous_index)
@@ -645,7 +646,7 @@
         return majority_value(
             self.log.config(),
             self._options.id,
-            _now(),
+            now_s(),
             lambda member: self._counted_confirmation(member),
         )
 
@@ -829,8 +830,3 @@
         )
         granted += sum(task.result() for task in answered)
     return granted > electorate // 2
-
-
-def _now() -> float:
-    """The monotonic clock, in seconds."""
-    return asyncio.get_running_loop().time()
--- a/damaskcroft/control/_proposer.py
+++ b/damaskcroft/control/_proposer.py
@@ -1,9 +1,9 @@
 """Turns commands into log entries stamped with log time."""
 
 import asyncio
-import time
 
 from damaskcroft._generated import control_pb2
+from damaskcroft.clock import now_s
 from damaskcroft.consensus import Outcome, Replica, Undecided
 from damaskcroft.control._state import ControlState
 
@@ -38,6 +38,6 @@
         if self._term != self.replica.term:
             self._term = self.replica.term
             self._base_ms = self.state.time_ms
-            self._base_at = time.monotonic()
-        passed_ms = int((time.monotonic() - self._base_at) * 1000)
+            self._base_at = now_s()
+        passed_ms = int((now_s() - self._base_at) * 1000)
         return max(self.state.time_ms, self._base_ms + passed_ms)
--- a/damaskcroft/control/_reconciler.py
+++ b/damaskcroft/control/_reconciler.py
@@ -7,10 +7,10 @@
 import asyncio
 import collections
 import contextlib
-import time
 from collections.abc import Iterator
 
 from damaskcroft._generated import control_pb2, records_pb2
+from damaskcroft.clock import now_s
 from damaskcroft.consensus import Committed
 from damaskcroft.control._proposer import Proposer
 from damaskcroft.control._rollout import next_wave
@@ -56,7 +56,7 @@
 
     def holder_statuses(self) -> Iterator[control_pb2.HolderStatus]:
         """Every known holder with its lease and newest report."""
-        now = time.monotonic()
+        now = now_s()
         for holder in self._state.holders.holders_by_id.values():
             status = control_pb2.HolderStatus(announcement=holder)
             entry = self._ledger.entries_by_id.get(holder.id)
@@ -74,10 +74,10 @@
         task.add_done_callback(self._watchers.discard)
 
     async def _measure_in_force(self, revision: int) -> None:
-        started_at = time.monotonic()
-        while time.monotonic() - started_at < _IN_FORCE_WATCH_S:
+        started_at = now_s()
+        while now_s() - started_at < _IN_FORCE_WATCH_S:
             if not self._behind(revision):
-                took_s = time.monotonic() - started_at
+                took_s = now_s() - started_at
                 metrics.IN_FORCE_S.observe(took_s)
                 log_event("in_force", revision=revision, took_s=took_s)
                 return
--- a/damaskcroft/entry/_claims.py
+++ b/damaskcroft/entry/_claims.py
@@ -3,7 +3,6 @@
 import asyncio
 import dataclasses
 import hashlib
-import time
 
 from damaskcroft._generated import (
     agent_grpc,
@@ -11,6 +10,7 @@
     control_grpc,
     control_pb2,
 )
+from damaskcroft.clock import now_s
 from damaskcroft.entry._calls import Call
 from damaskcroft.entry._refusals import Ran, Refusal
 from damaskcroft.membership import LeaseClient
@@ -80,7 +80,7 @@
             replaces_run=replaces_run,
         )
         while True:
-            remaining_s = deadline_at - time.monotonic()
+            remaining_s = deadline_at - now_s()
             if remaining_s <= 0:
                 return Refusal("in_progress", 409, Ran.UNKNOWN, _RETRY_S)
             request.wait_ms = int(min(_JOIN_WAIT_S, remaining_s / 2) * 1000)
--- a/damaskcroft/entry/_dispatch.py
+++ b/damaskcroft/entry/_dispatch.py
@@ -4,7 +4,6 @@
 import contextlib
 import dataclasses
 import json
-import time
 from collections.abc import (
     AsyncGenerator,
     AsyncIterator,
@@ -16,6 +15,7 @@
 from starlette.responses import Response, StreamingResponse
 
 from damaskcroft._generated import agent_grpc, agent_pb2, control_pb2
+from damaskcroft.clock import now_s
 from damaskcroft.entry._calls import Call
 from damaskcroft.entry._claims import ClaimAnswered, Claimant
 from damaskcroft.entry._refusals import (
@@ -127,7 +127,7 @@
 
     async def answer(self, call: Call) -> Final:
         """Gives a call's final answer."""
-        arrived_at = time.monotonic()
+        arrived_at = now_s()
         deadline_at = arrived_at + call.deadline_s
         if not self._pools.is_known(call.pool):
             refusal = Refusal(
@@ -142,9 +142,7 @@
                 granted.reason, 503, Ran.NOT_RUN, granted.retry_after_s
             )
             return _final(refusal_response(refusal, call.request_id))
-        metrics.QUEUE_WAIT_S.labels(call.priority).observe(
-            time.monotonic() - arrived_at
-        )
+        metrics.QUEUE_WAIT_S.labels(call.priority).observe(now_s() - arrived_at)
         slot = _Slot(self._admission, ticket)
         try:
             outcome = await self._run(call, deadline_at)
@@ -191,7 +189,7 @@
                 case AttemptLost(reason=reason):
                     self._outliers.failed(target.id)
                     metrics.RETRIES.labels(reason).inc()
-                    if call.key or time.monotonic() >= deadline_at:
+                    if call.key or now_s() >= deadline_at:
                         return _lost(reason)
                 case AttemptRefused(reason=reason):
                     last = outcome
@@ -199,7 +197,7 @@
                     if reason in _RUN_TAKEN_OVER:
                         run_number = 0
                         continue
-            if time.monotonic() >= deadline_at:
+            if now_s() >= deadline_at:
                 break
             tried.add(target.id)
             await asyncio.sleep(_RETRY_PAUSE_S)
@@ -226,7 +224,7 @@
     async def _attempt(
         self, call: Call, target: Target, run_number: int, deadline_at: float
     ) -> Answering | Whole | AttemptRefused | AttemptLost:
-        remaining_ms = int((deadline_at - time.monotonic()) * 1000)
+        remaining_ms = int((deadline_at - now_s()) * 1000)
         if remaining_ms <= 0:
             return AttemptRefused(agent_pb2.REFUSED_DEADLINE, _RETRY_S)
         request = _run_request(call, target, run_number, remaining_ms)
@@ -298,7 +296,7 @@
         receiving = asyncio.ensure_future(stream.recv_message())
         try:
             while not receiving.done():
-                remaining_s = deadline_at - time.monotonic()
+                remaining_s = deadline_at - now_s()
                 if remaining_s <= 0:
                     raise TimeoutError
                 await asyncio.wait(
@@ -339,7 +337,7 @@
         async for event in outcome.events:
             match event.WhichOneof("kind"):
                 case "body":
-                    now = time.monotonic()
+                    now = now_s()
                     if last_at:
                         metrics.TOKEN_GAP_S.observe(now - last_at)
                     else:
@@ -363,14 +361,14 @@
     def __init__(self, admission: Admission, ticket: Ticket):
         self._admission = admission
         self._ticket = ticket
-        self._started_at = time.monotonic()
+        self._started_at = now_s()
         self._released = False
 
     def release(self) -> None:
         if self._released:
             return
         self._released = True
-        ran_s = time.monotonic() - self._started_at
+        ran_s = now_s() - self._started_at
         self._admission.release(self._ticket, ran_s)
 
 
@@ -480,5 +478,5 @@
 
 
 def _observe_first_token(call: Call, arrived_at: float) -> None:
-    took_s = time.monotonic() - arrived_at
+    took_s = now_s() - arrived_at
     metrics.FIRST_TOKEN_S.labels(call.priority).observe(took_s)
--- a/damaskcroft/membership/_client.py
+++ b/damaskcroft/membership/_client.py
@@ -1,10 +1,10 @@
 """A holder's side of the lease: one connection to the leader at a time."""
 
 import asyncio
-import time
 from collections.abc import Callable
 
 from damaskcroft._generated import control_grpc, control_pb2
+from damaskcroft.clock import now_s
 from damaskcroft.membership._lease import Lease
 from damaskcroft.membership._roster import Roster
 from damaskcroft.observe import log_event, metrics
@@ -95,7 +95,7 @@
         while True:
             self._report_now.clear()
             self._sequence += 1
-            self._sent_at_by_sequence[self._sequence] = time.monotonic()
+            self._sent_at_by_sequence[self._sequence] = now_s()
             while len(self._sent_at_by_sequence) > _MAX_SENT_KEPT:
                 self._sent_at_by_sequence.pop(
                     next(iter(self._sent_at_by_sequence))
--- a/damaskcroft/membership/_lease.py
+++ b/damaskcroft/membership/_lease.py
@@ -1,8 +1,9 @@
 """A holder's own view of its lease."""
 
-import time
 from collections.abc import Callable
 
+from damaskcroft.clock import now_s
+
 # A holder gives up this share of its lease early, for clocks that drift.
 _MARGIN_SHARE = 0.1
 
@@ -16,7 +17,7 @@
 
     __slots__ = ("_clock_s", "_expires_at")
 
-    def __init__(self, clock_s: Callable[[], float] = time.monotonic):
+    def __init__(self, clock_s: Callable[[], float] = now_s):
         """Creates a lease that is not held yet."""
         self._clock_s = clock_s
         self._expires_at = float("-inf")
--- a/damaskcroft/membership/_ledger.py
+++ b/damaskcroft/membership/_ledger.py
@@ -6,10 +6,10 @@
 """
 
 import asyncio
-import time
 from collections.abc import Callable
 
 from damaskcroft._generated import control_pb2
+from damaskcroft.clock import now_s
 
 
 class HolderEntry:
@@ -40,7 +40,7 @@
     def __init__(
         self,
         lease_s: float,
-        clock_s: Callable[[], float] = time.monotonic,
+        clock_s: Callable[[], float] = now_s,
     ):
         """Creates an empty ledger."""
         self.lease_s = lease_s
--- a/damaskcroft/routing/_admission.py
+++ b/damaskcroft/routing/_admission.py
@@ -10,9 +10,9 @@
 import collections
 import contextlib
 import dataclasses
-import time
 from collections.abc import Callable, Iterator
 
+from damaskcroft.clock import now_s
 from damaskcroft.observe import metrics
 
 ALERT, PING, DRAFT = 0, 1, 2
@@ -142,7 +142,7 @@
         slots_of: Callable[[str], int],
         reserved_share: float,
         max_queued: int,
-        clock_s: Callable[[], float] = time.monotonic,
+        clock_s: Callable[[], float] = now_s,
     ):
         """See the class."""
         self._slots_of = slots_of
--- a/damaskcroft/routing/_outliers.py
+++ b/damaskcroft/routing/_outliers.py
@@ -1,8 +1,8 @@
 """Targets that failed several times in a row are put aside for a while."""
 
-import time
 from collections.abc import Callable
 
+from damaskcroft.clock import now_s
 from damaskcroft.observe import log_event
 
 _FAILURES_TO_EJECT = 3
@@ -29,7 +29,7 @@
         clock_s: a monotonic clock in seconds.
     """
 
-    def __init__(self, clock_s: Callable[[], float] = time.monotonic):
+    def __init__(self, clock_s: Callable[[], float] = now_s):
         """See the class."""
         self._clock_s = clock_s
         self._records_by_id: dict[str, _Record] = {}
--- a/damaskcroft/standins/fleet.py
+++ b/damaskcroft/standins/fleet.py
@@ -67,6 +67,8 @@
         lease_s: length of leases.
         stall_s: silence after which a chunk's source is replaced.
         parallel_fetches: chunks asked of peers at once.
+        start_targets: start a stand-in for each target; without it agents
+            only move weights.
     """
 
     targets: list[TargetPlan]
@@ -83,6 +85,7 @@
     lease_s: float = 3.0
     stall_s: float = 3.0
     parallel_fetches: int = 16
+    start_targets: bool = True
 
 
 class Fleet:
@@ -110,7 +113,8 @@
         for number in range(self.plan.controls):
             self.start_control(number)
         for target in self.plan.targets:
-            self.start_target(target)
+            if self.plan.start_targets:
+                self.start_target(target)
             self.start_agent(target)
         for number in range(self.plan.entries):
             self.start_entry(number)
--- a/damaskcroft/weights/_burst.py
+++ b/damaskcroft/weights/_burst.py
@@ -9,10 +9,10 @@
 import asyncio
 import dataclasses
 import random
-import time
 from collections.abc import Iterable, Iterator
 
 from damaskcroft._generated import agent_pb2, records_pb2
+from damaskcroft.clock import now_s
 from damaskcroft.observe import log_event, metrics
 from damaskcroft.weights._errors import ManifestError
 from damaskcroft.weights._manifest import load_manifest
@@ -75,11 +75,11 @@
 
     def add(self, agent_id: str, for_s: float) -> None:
         """Suspects an agent for `for_s` seconds."""
-        self._until_by_id[agent_id] = time.monotonic() + for_s
+        self._until_by_id[agent_id] = now_s() + for_s
 
     def now(self) -> frozenset[str]:
         """The ids suspected at this instant."""
-        now = time.monotonic()
+        now = now_s()
         return frozenset(
             agent_id
             for agent_id, until in self._until_by_id.items()
--- a/damaskcroft/weights/_outside.py
+++ b/damaskcroft/weights/_outside.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import dataclasses
-import time
 
 import aiosonic
 from aiosonic import exceptions
@@ -15,6 +14,7 @@
 from aiosonic.timeout import Timeouts
 
 from damaskcroft._generated import records_pb2
+from damaskcroft.clock import now_s
 from damaskcroft.weights._manifest import MANIFEST_NAME
 
 _OK, _PARTIAL = 200, 206
@@ -79,7 +79,7 @@
     @property
     def closed_for_s(self) -> float:
         """How much longer the source is to be left alone, in seconds."""
-        return max(0.0, self._closed_until - time.monotonic())
+        return max(0.0, self._closed_until - now_s())
 
     async def fetch_manifest(self, path: str) -> OutsideData | OutsideFailed:
         """Reads the manifest of the version at `path`."""
@@ -141,7 +141,7 @@
         except ValueError:
             wait_s = _DEFAULT_RETRY_AFTER_S
         wait_s = min(max(wait_s, 0.0), _MAX_RETRY_AFTER_S)
-        self._closed_until = time.monotonic() + wait_s
+        self._closed_until = now_s() + wait_s
         return self._failed("throttled", wait_s)
 
     def _failed(self, reason: str, retry_after_s: float) -> OutsideFailed:
