--- a/damaskcroft/_generated/agent_grpc.py
+++ b/damaskcroft/_generated/agent_grpc.py
@@ -30,10 +30,6 @@
     async def GetManifest(self, stream: 'grpclib.server.Stream[damaskcroft._generated.agent_pb2.ManifestRequest, damaskcroft._generated.agent_pb2.ManifestReply]') -> None:
         pass
 
-    @abc.abstractmethod
-    async def Holdings(self, stream: 'grpclib.server.Stream[damaskcroft._generated.agent_pb2.HoldingsRequest, damaskcroft._generated.agent_pb2.HoldingsReply]') -> None:
-        pass
-
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/damaskcroft.Agent/Run': grpclib.const.Handler(
@@ -60,12 +56,6 @@
                 damaskcroft._generated.agent_pb2.ManifestRequest,
                 damaskcroft._generated.agent_pb2.ManifestReply,
             ),
-            '/damaskcroft.Agent/Holdings': grpclib.const.Handler(
-                self.Holdings,
-                grpclib.const.Cardinality.UNARY_UNARY,
-                damaskcroft._generated.agent_pb2.HoldingsRequest,
-                damaskcroft._generated.agent_pb2.HoldingsReply,
-            ),
         }
 
 
@@ -96,9 +86,3 @@
             damaskcroft._generated.agent_pb2.ManifestRequest,
             damaskcroft._generated.agent_pb2.ManifestReply,
         )
-        self.Holdings = grpclib.client.UnaryUnaryMethod(
-            channel,
-            '/damaskcroft.Agent/Holdings',
-            damaskcroft._generated.agent_pb2.HoldingsRequest,
-            damaskcroft._generated.agent_pb2.HoldingsReply,
-        )
--- a/damaskcroft/agent/_chunks.py
+++ b/damaskcroft/agent/_chunks.py
@@ -9,6 +9,7 @@
 
 _PART_BYTES = 128 * 1024
 _MAX_WAIT_S = 10.0
+_REASSURE_S = 0.5
 
 
 class ChunkServer:
@@ -40,41 +41,50 @@
         """Sends a chunk in parts, or says why not."""
         version = self._store.versions_by_digest.get(request.manifest)
         if version is None:
-            await self._refuse(stream, agent_pb2.CHUNK_UNKNOWN_MANIFEST)
+            await self._tell(stream, agent_pb2.CHUNK_UNKNOWN_MANIFEST)
             return
         index = version.index_by_digest.get(request.digest)
         if index is None:
-            await self._refuse(stream, agent_pb2.CHUNK_UNKNOWN_MANIFEST)
+            await self._tell(stream, agent_pb2.CHUNK_UNKNOWN_MANIFEST)
             return
         wait_s = min(request.wait_ms / 1000, _MAX_WAIT_S)
         if not await version.wait_for_chunk(index, wait_s):
-            await self._refuse(stream, agent_pb2.CHUNK_NOT_HELD)
+            await self._tell(stream, agent_pb2.CHUNK_NOT_HELD)
             return
-        async with self._slots:
+        await self._wait_for_slot(stream)
+        try:
             # Checked when it was written; the receiver checks it again.
             await self._send(stream, version.read_chunk(index))
+        finally:
+            self._slots.release()
 
     def manifest(self, digest: str) -> bytes:
         """A held version's manifest, or nothing."""
         version = self._store.versions_by_digest.get(digest)
         return version.content if version is not None else b""
 
-    def holdings(self, digest: str) -> bytes:
-        """A version's bitmap of held chunks, or nothing."""
-        version = self._store.versions_by_digest.get(digest)
-        return version.bitmap() if version is not None else b""
+    async def _wait_for_slot(self, stream: Any) -> None:
+        """Takes a slot; tells the waiting receiver that it isn't forgotten."""
+        taking = asyncio.ensure_future(self._slots.acquire())
+        try:
+            while not (await asyncio.wait([taking], timeout=_REASSURE_S))[0]:
+                await self._tell(stream, agent_pb2.CHUNK_BUSY)
+        except BaseException:
+            if not taking.cancel():
+                self._slots.release()
+            raise
 
     async def _send(self, stream: Any, data: bytes) -> None:
         for start in range(0, len(data), _PART_BYTES):
             part = data[start : start + _PART_BYTES]
             await self._pacer.pass_bytes(len(part))
-            await stream.send_message(
-                agent_pb2.ChunkPart(outcome=agent_pb2.CHUNK_DATA, data=part)
-            )
+            # A receiver that takes nothing must not hold the slot for long.
+            async with asyncio.timeout(_MAX_WAIT_S):
+                await stream.send_message(
+                    agent_pb2.ChunkPart(outcome=agent_pb2.CHUNK_DATA, data=part)
+                )
             self._counts.sent_bytes += len(part)
             metrics.BURST_BYTES.labels("sent").inc(len(part))
 
-    async def _refuse(
-        self, stream: Any, outcome: agent_pb2.ChunkOutcome
-    ) -> None:
+    async def _tell(self, stream: Any, outcome: agent_pb2.ChunkOutcome) -> None:
         await stream.send_message(agent_pb2.ChunkPart(outcome=outcome))
--- a/damaskcroft/agent/_service.py
+++ b/damaskcroft/agent/_service.py
@@ -41,9 +41,3 @@
         request = await stream.recv_message()
         content = self._chunks.manifest(request.manifest)
         await stream.send_message(agent_pb2.ManifestReply(content=content))
-
-    async def Holdings(self, stream: Any) -> None:  # noqa: N802
-        """Sends which chunks are held."""
-        request = await stream.recv_message()
-        bitmap = self._chunks.holdings(request.manifest)
-        await stream.send_message(agent_pb2.HoldingsReply(bitmap=bitmap))
--- a/damaskcroft/agent/_staging.py
+++ b/damaskcroft/agent/_staging.py
@@ -21,8 +21,8 @@
     Participant,
     PeerSource,
     WeightsError,
+    help_share,
     make_planner,
-    outside_readers,
     weights_path,
 )
 
@@ -174,12 +174,9 @@
                 self._own.id, self._own.address, self._own.failure_domain
             )
         )
-        domains = len({member.failure_domain for member in members})
-        readers = outside_readers(
-            wanted.policy, wanted.origin_copies_cap, domains
-        )
         burst.plan_with(
-            make_planner(self._strategy, self._own.id, members, readers)
+            make_planner(self._strategy, self._own.id, members),
+            help_share(wanted.policy, wanted.origin_copies_cap, len(members)),
         )
 
 
--- a/damaskcroft/entry/_dispatch.py
+++ b/damaskcroft/entry/_dispatch.py
@@ -133,7 +133,7 @@
             refusal = Refusal(
                 "unknown_model", 404, Ran.NOT_RUN, detail=call.pool
             )
-            return _final(refusal_response(refusal, call.request_id))
+            return final_of(refusal_response(refusal, call.request_id))
         self._budget.earn()
         ticket = Ticket(call.pool, call.customer, call.priority, deadline_at)
         granted = await self._admission.acquire(ticket)
@@ -141,7 +141,7 @@
             refusal = Refusal(
                 granted.reason, 503, Ran.NOT_RUN, granted.retry_after_s
             )
-            return _final(refusal_response(refusal, call.request_id))
+            return final_of(refusal_response(refusal, call.request_id))
         metrics.QUEUE_WAIT_S.labels(call.priority).observe(now_s() - arrived_at)
         slot = _Slot(self._admission, ticket)
         try:
@@ -152,7 +152,7 @@
         if isinstance(outcome, Answering):
             return self._streamed(call, outcome, slot, arrived_at)
         slot.release()
-        return _final(_whole_response(call, outcome, arrived_at))
+        return final_of(_whole_response(call, outcome, arrived_at))
 
     # --- Attempts ------------------------------------------------------------
 
@@ -410,7 +410,9 @@
     return {"X-Request-Id": call.request_id, "Damask-Version": version}
 
 
-def _final(response: Response) -> Final:
+def final_of(response: Response) -> Final:
+    """A response that holds nothing to be given back."""
+
     async def close() -> None:
         return None
 
--- a/damaskcroft/entry/main.py
+++ b/damaskcroft/entry/main.py
@@ -18,7 +18,7 @@
 from damaskcroft.config import settings_or_exit
 from damaskcroft.entry._calls import Call, CallReader
 from damaskcroft.entry._claims import Claimant
-from damaskcroft.entry._dispatch import Dispatcher, Final
+from damaskcroft.entry._dispatch import Dispatcher, Final, final_of
 from damaskcroft.entry._refusals import Ran, Refusal, refusal_response
 from damaskcroft.membership import LeaseClient
 from damaskcroft.observe import log_event, metrics, start_logs
@@ -134,17 +134,23 @@
 
     async def _answer(self, call: Call | Refusal) -> Response:
         if isinstance(call, Refusal):
-            return refusal_response(call, "")
+            return self._tracked(final_of(refusal_response(call, "")))
         if self._stopping:
             refusal = Refusal("stopping", 503, Ran.NOT_RUN, _STOP_RETRY_S)
-            return refusal_response(refusal, call.request_id)
+            response = refusal_response(refusal, call.request_id)
+            return self._tracked(final_of(response))
         self._begin()
         try:
             final = await self._dispatcher.answer(call)
         except BaseException:
             self._end()
             raise
-        return _Tracked(final, self._end)
+        return self._tracked(final, self._end)
+
+    def _tracked(
+        self, final: Final, ended: Callable[[], None] = lambda: None
+    ) -> Response:
+        return _Tracked(final, lambda: self._stopping, ended)
 
     def _begin(self) -> None:
         self._running += 1
@@ -168,16 +174,33 @@
 
 
 class _Tracked(Response):
-    """Cleans up when the last byte is out, or will never be."""
-
-    def __init__(self, final: Final, ended: Callable[[], None]):
+    """Cleans up when the last byte is out, or will never be.
+
+    While the entry is stopping, each answer also ends its connection (RFC
+    9112, section 9.6), so that no caller sends its next request into a
+    connection that is about to close.
+    """
+
+    def __init__(
+        self,
+        final: Final,
+        is_stopping: Callable[[], bool],
+        ended: Callable[[], None],
+    ):
         super().__init__()
         self._final = final
+        self._is_stopping = is_stopping
         self._ended = ended
 
     async def __call__(self, scope, receive, send) -> None:
+        async def send_marked(message) -> None:
+            starts = message["type"] == "http.response.start"
+            if starts and self._is_stopping():
+                message["headers"].append((b"connection", b"close"))
+            await send(message)
+
         try:
-            await self._final.response(scope, receive, send)
+            await self._final.response(scope, receive, send_marked)
         finally:
             await self._final.close()
             self._ended()
--- a/damaskcroft/standins/main.py
+++ b/damaskcroft/standins/main.py
@@ -13,6 +13,7 @@
 from damaskcroft.rpc import http_served
 from damaskcroft.standins._engine import StandInEngine
 from damaskcroft.standins._journal import Journal
+from damaskcroft.standins._passthrough import PassThrough
 from damaskcroft.standins._service import StandInService
 from damaskcroft.standins._weights import WeightServer
 
@@ -59,6 +60,12 @@
     _serve(listen, StandInService(Journal(journal), work_s).routes())
 
 
+@app.command()
+def passthrough(listen: Listen, target: str) -> None:
+    """Passes completions straight to one target: the bench's baseline."""
+    _serve(listen, PassThrough(target).routes())
+
+
 def main() -> None:
     """Entry point of the program."""
     app()
--- a/damaskcroft/weights/__init__.py
+++ b/damaskcroft/weights/__init__.py
@@ -4,7 +4,7 @@
     Burst,
     BurstCounts,
     BurstOptions,
-    outside_readers,
+    help_share,
 )
 from damaskcroft.weights._errors import (
     ManifestError,
@@ -61,6 +61,6 @@
     "load_manifest",
     "make_planner",
     "manifest_digest",
-    "outside_readers",
+    "help_share",
     "weights_path",
 ]
--- a/damaskcroft/weights/_burst.py
+++ b/damaskcroft/weights/_burst.py
@@ -9,7 +9,7 @@
 import asyncio
 import dataclasses
 import random
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 
 from damaskcroft._generated import agent_pb2, records_pb2
 from damaskcroft.clock import now_s
@@ -25,7 +25,6 @@
     PeerSource,
 )
 from damaskcroft.weights._planner import Participant, Planner
-from damaskcroft.weights._rarest import HolderSearch
 from damaskcroft.weights._store import ChunkStore, StagedVersion
 
 _SUSPECT_S = 10.0
@@ -33,6 +32,13 @@
 _MIN_PAUSE_S = 0.02
 _MAX_PAUSE_S = 1.0
 _MANIFEST_PAUSE_S = 0.1
+# How many chunks may be on their way between the outside link and the leaves
+# of the trees: some for each hop.
+_READ_AHEAD_PER_HOP = 4
+_MIN_READ_AHEAD = 8
+# More than this from outside takes longer than it saves, where the origin's
+# link is twice a machine's: docs/design/002-burst.md.
+_MAX_HELP_COPIES = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,7 +52,7 @@
         prefer_store: read from the weight store first, the origin second.
     """
 
-    parallel_fetches: int = 16
+    parallel_fetches: int = 64
     parallel_outside: int = 2
     wait_s: float = 2.0
     prefer_store: bool = False
@@ -122,13 +128,25 @@
         self._options = options
         self._counts = counts
         self._planner: Planner | None = None
+        self._help_share = 0.0
+        self._read_ahead = _MIN_READ_AHEAD
+        self._taken: set[int] = set()
         self._suspects = Suspects()
         self._outside_slots = asyncio.Semaphore(options.parallel_outside)
         self._rng = random.Random(own_id)
 
-    def plan_with(self, planner: Planner) -> None:
-        """Takes a new planner, when participants come or go."""
+    def plan_with(self, planner: Planner, help_share: float = 0.0) -> None:
+        """Takes a new planner, when participants come or go.
+
+        Args:
+            planner: chooses each chunk's source.
+            help_share: share of the version that this agent may read from
+                outside beyond what the planner gives it.
+        """
         self._planner = planner
+        self._help_share = help_share
+        hops = len(planner.participants).bit_length()
+        self._read_ahead = max(_MIN_READ_AHEAD, _READ_AHEAD_PER_HOP * hops)
 
     async def fetch_manifest(self, digest: str) -> bytes:
         """Gets the manifest that a record names, from a peer if it can.
@@ -155,17 +173,12 @@
         missing = [i for i, held in enumerate(version.held) if not held]
         own = [i for i in missing if self._parent(i) is None]
         others = [i for i in missing if self._parent(i) is not None]
-        search = self._holder_search(version)
-        if search is not None:
-            await self._run_with_search(version, own, others, search)
-            return
+        self._taken = set()
         async with asyncio.TaskGroup() as group:
-            for chosen, workers in (
-                (iter(own), self._options.parallel_outside),
-                (iter(others), self._options.parallel_fetches),
-            ):
-                for _ in range(workers):
-                    group.create_task(self._work(version, chosen))
+            group.create_task(self._read_outside(version, own, others))
+            indexes = iter(others)
+            for _ in range(self._options.parallel_fetches):
+                group.create_task(self._work(version, indexes))
 
     def _parent(self, index: int) -> Participant | None:
         if self._planner is None:
@@ -182,10 +195,48 @@
                 self._counts.local_bytes += len(data)
                 metrics.BURST_BYTES.labels("local").inc(len(data))
 
+    async def _read_outside(
+        self, version: StagedVersion, own: list[int], others: list[int]
+    ) -> None:
+        """Reads this agent's chunks, then helps with those far off yet."""
+        indexes = iter(own)
+        async with asyncio.TaskGroup() as group:
+            for _ in range(self._options.parallel_outside):
+                group.create_task(self._read_own(version, indexes))
+        budget_bytes = self._help_share * version.size_bytes
+        for index in reversed(others):
+            budget_bytes -= version.manifest.chunks[index].size_bytes
+            if budget_bytes < 0:
+                return
+            if index in self._taken:
+                continue
+            self._taken.add(index)
+            while not version.held[index]:
+                await self._from_outside(version, index)
+
+    async def _read_own(
+        self, version: StagedVersion, indexes: Iterator[int]
+    ) -> None:
+        """Reads in step with the whole fleet.
+
+        If all agents read at once, the outside link's rate would be shared
+        by all chunks, and all would arrive late and together. So a chunk is
+        read when one some way before it has come round by the tree.
+        """
+        for index in indexes:
+            before = index - self._read_ahead
+            if before >= 0:
+                await version.wait_for_chunk(before, self._options.wait_s)
+            while not version.held[index]:
+                await self._try(version, index)
+
     async def _work(
         self, version: StagedVersion, indexes: Iterator[int]
     ) -> None:
         for index in indexes:
+            if index in self._taken:
+                continue
+            self._taken.add(index)
             while not version.held[index]:
                 await self._try(version, index)
 
@@ -291,60 +342,15 @@
             return None
         return outcome.data
 
-    # --- Looking round for holders (the strategy "rarest") ---------------
 
-    def _holder_search(self, version: StagedVersion) -> HolderSearch | None:
-        if self._planner is None or not self._planner.spare_sources(0):
-            return None
-        return HolderSearch(
-            version,
-            self._planner.spare_sources(0),
-            self._peers,
-            self._suspects.now,
-            self._rng,
-        )
+def help_share(
+    policy: records_pb2.BurstPolicy, copies_cap: float, agents: int
+) -> float:
+    """Share of a version that each agent may read beyond the first copy.
 
-    async def _run_with_search(
-        self,
-        version: StagedVersion,
-        own: Iterable[int],
-        others: list[int],
-        search: HolderSearch,
-    ) -> None:
-        looking = asyncio.create_task(search.run())
-        waiting = set(others)
-        try:
-            async with asyncio.TaskGroup() as group:
-                indexes = iter(own)
-                for _ in range(self._options.parallel_outside):
-                    group.create_task(self._work(version, indexes))
-                for _ in range(self._options.parallel_fetches):
-                    group.create_task(
-                        self._work_rarest(version, waiting, search)
-                    )
-        finally:
-            looking.cancel()
-            await asyncio.gather(looking, return_exceptions=True)
-
-    async def _work_rarest(
-        self, version: StagedVersion, waiting: set[int], search: HolderSearch
-    ) -> None:
-        while waiting:
-            found = search.rarest(waiting)
-            if found is None:
-                await asyncio.sleep(_MIN_PAUSE_S)
-                continue
-            index, peer = found
-            waiting.discard(index)
-            await self._from_peer(version, index, peer)
-            if not version.held[index]:
-                waiting.add(index)
-
-
-def outside_readers(
-    policy: records_pb2.BurstPolicy, copies_cap: float, domains: int
-) -> int:
-    """How many failure domains may read from outside for themselves."""
+    The first copy passes through every policy's trees; more reads from
+    outside only help with the chunks that are furthest from arriving.
+    """
     if policy == records_pb2.FEWEST_ORIGIN_BYTES:
-        return 1
-    return max(1, min(int(copies_cap), domains))
+        return 0.0
+    return min(copies_cap - 1, _MAX_HELP_COPIES) / agents
--- a/damaskcroft/weights/_peers.py
+++ b/damaskcroft/weights/_peers.py
@@ -43,10 +43,6 @@
     ) -> PeerData | PeerNotYet | PeerFailed:
         """Asks for a manifest."""
 
-    @abc.abstractmethod
-    async def fetch_holdings(self, address: str, digest: str) -> bytes:
-        """Asks for the bitmap of held chunks; empty when there is none."""
-
 
 class GrpcPeerSource(PeerSource):
     """Agents reached by grpclib, at the pace of this machine's link.
@@ -78,6 +74,10 @@
                         part = await stream.recv_message()
                     if part is None:
                         return PeerData(b"".join(pieces))
+                    if part.outcome == agent_pb2.CHUNK_BUSY:
+                        # Held, and waiting for its turn at the peer's link.
+                        patience_s = self._stall_s
+                        continue
                     if part.outcome != agent_pb2.CHUNK_DATA:
                         return PeerNotYet()
                     await self._pacer.pass_bytes(len(part.data))
@@ -101,13 +101,3 @@
         except CALL_ERRORS:
             return PeerFailed("unreachable")
         return PeerData(reply.content) if reply.content else PeerNotYet()
-
-    async def fetch_holdings(self, address: str, digest: str) -> bytes:
-        """See PeerSource."""
-        stub = agent_grpc.AgentStub(self._pool.channel(address))
-        request = agent_pb2.HoldingsRequest(manifest=digest)
-        try:
-            reply = await stub.Holdings(request, timeout=self._stall_s)
-        except CALL_ERRORS:
-            return b""
-        return reply.bitmap
--- a/damaskcroft/weights/_planner.py
+++ b/damaskcroft/weights/_planner.py
@@ -33,19 +33,11 @@
     Args:
         own_id: the agent that asks.
         participants: all agents of the burst, the asking one included.
-        outside_readers: how many failure domains read from outside for
-            themselves; at least 1.
     """
 
-    def __init__(
-        self,
-        own_id: str,
-        participants: Sequence[Participant],
-        outside_readers: int = 1,
-    ):
+    def __init__(self, own_id: str, participants: Sequence[Participant]):
         """Sorts the participants, so that all agents agree on them."""
         self.own_id = own_id
-        self.outside_readers = max(1, outside_readers)
         self.participants = sorted(participants, key=lambda p: p.id)
 
     @abc.abstractmethod
@@ -59,11 +51,6 @@
             suspects: agents that do not answer now.
         """
 
-    def spare_sources(self, chunk_index: int) -> list[Participant]:
-        """Other agents that may hold the chunk, when asked to look round."""
-        del chunk_index
-        return []
-
 
 class OriginPlanner(Planner):
     """Everyone reads everything from outside: the baseline."""
@@ -98,14 +85,9 @@
     others take it from inside. Subclasses say in which order agents stand.
     """
 
-    def __init__(
-        self,
-        own_id: str,
-        participants: Sequence[Participant],
-        outside_readers: int = 1,
-    ):
+    def __init__(self, own_id: str, participants: Sequence[Participant]):
         """See Planner."""
-        super().__init__(own_id, participants, outside_readers)
+        super().__init__(own_id, participants)
         self._members_by_domain: dict[str, list[Participant]] = {}
         for participant in self.participants:
             members = self._members_by_domain.setdefault(
@@ -144,7 +126,7 @@
                 break
             if members:
                 heads.append(members[0])
-        if len(heads) < self.outside_readers:
+        if not heads:
             return None
         return heads[(len(heads) - 1) // _BRANCHES]
 
@@ -218,24 +200,11 @@
     return candidate
 
 
-class RarestPlanner(LatinPlanner):
-    """Outside reads as in LatinPlanner; all else from whoever holds it.
-
-    The transfer looks round for holders and takes the rarest chunk first,
-    after Cohen, "Incentives Build Robustness in BitTorrent" (2003).
-    """
-
-    def spare_sources(self, chunk_index: int) -> list[Participant]:
-        """See Planner."""
-        return [p for p in self.participants if p.id != self.own_id]
-
-
 _PLANNERS_BY_NAME: dict[str, type[Planner]] = {
     "origin": OriginPlanner,
     "chain": ChainPlanner,
     "rendezvous": RendezvousPlanner,
     "latin": LatinPlanner,
-    "rarest": RarestPlanner,
 }
 PLANNER_NAMES = tuple(_PLANNERS_BY_NAME)
 
@@ -244,11 +213,10 @@
     name: str,
     own_id: str,
     participants: Sequence[Participant],
-    outside_readers: int,
 ) -> Planner:
     """Creates the planner that settings name.
 
     Raises:
         KeyError: there is no planner of that name.
     """
-    return _PLANNERS_BY_NAME[name](own_id, participants, outside_readers)
+    return _PLANNERS_BY_NAME[name](own_id, participants)
--- a/damaskcroft/weights/_store.py
+++ b/damaskcroft/weights/_store.py
@@ -55,14 +55,6 @@
         """Whether every chunk is held."""
         return self.held_count == len(self.held)
 
-    def bitmap(self) -> bytes:
-        """One bit a chunk, lowest bit first."""
-        bits = bytearray((len(self.held) + 7) // 8)
-        for index, held in enumerate(self.held):
-            if held:
-                bits[index // 8] |= 1 << (index % 8)
-        return bytes(bits)
-
     def read_chunk(self, index: int) -> bytes:
         """Reads a held chunk.
 
