The burst at 30 and 100 agents: even uploads, fewer questions, patience

Cause, four of them, each measured with 16 MiB in 256 KiB chunks: 1. Outside reads that waited their turn gave up after 3 s and all read at once; at 0.5 MiB/s a link no part then came within the stall time, every read was begun again, and 100 agents had nothing after 150 s. 2. A receiver in a sender's queue took the silence for a stall and asked others: 2.6 copies over one link. 3. 64 open questions an agent cost more processor than the bytes did. 4. The first rows of a Latin square give an agent neighbouring places, so over few chunks some agents sent 1.5 copies and others hardly any.

--- a/damaskcroft/weights/_burst.py
+++ b/damaskcroft/weights/_burst.py
@@ -177,9 +177,14 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self._read_outside(version, own, others))
             indexes = iter(others)
-            for _ in range(self._options.parallel_fetches):
+            for _ in range(self._questions()):
                 group.create_task(self._work(version, indexes))
 
+    def _questions(self) -> int:
+        """Chunks to ask for at once: no more than can be on their way."""
+        on_their_way = self._read_ahead + _MIN_READ_AHEAD
+        return min(self._options.parallel_fetches, on_their_way)
+
     def _parent(self, index: int) -> Participant | None:
         if self._planner is None:
             return None
@@ -224,12 +229,20 @@
         read when one some way before it has come round by the tree.
         """
         for index in indexes:
-            before = index - self._read_ahead
-            if before >= 0:
-                await version.wait_for_chunk(before, self._options.wait_s)
+            await self._wait_in_step(version, index - self._read_ahead)
             while not version.held[index]:
                 await self._try(version, index)
 
+    async def _wait_in_step(self, version: StagedVersion, index: int) -> None:
+        """Waits for a chunk for as long as others keep arriving."""
+        if index < 0:
+            return
+        held_count = -1
+        while held_count < version.held_count:
+            held_count = version.held_count
+            if await version.wait_for_chunk(index, self._options.wait_s):
+                return
+
     async def _work(
         self, version: StagedVersion, indexes: Iterator[int]
     ) -> None:
--- a/damaskcroft/weights/_outside.py
+++ b/damaskcroft/weights/_outside.py
@@ -21,6 +21,7 @@
 _THROTTLED = (429, 503)
 _DEFAULT_RETRY_AFTER_S = 1.0
 _MAX_RETRY_AFTER_S = 60.0
+_MAX_PATIENCE_S = 60.0
 _CONNECTIONS = 8
 _CALL_ERRORS = (
     OSError,
@@ -67,9 +68,12 @@
         self.name = name
         self._base_url = f"http://{address}"
         self._stall_s = stall_s
+        self._patience_s = stall_s
         self._closed_until = 0.0
         timeouts = Timeouts(
-            sock_connect=stall_s, sock_read=stall_s, request_timeout=None
+            sock_connect=stall_s,
+            sock_read=_MAX_PATIENCE_S,
+            request_timeout=None,
         )
         pool = {":default": PoolConfig(size=_CONNECTIONS)}
         self._client = aiosonic.HTTPClient(
@@ -120,6 +124,9 @@
                     return self._failed("status", _DEFAULT_RETRY_AFTER_S)
                 return OutsideData(await self._read(response))
         except (TimeoutError, exceptions.ReadTimeout):
+            # Perhaps only busy: asking again as impatiently would waste what
+            # was sent, again and again.
+            self._patience_s = min(self._patience_s * 2, _MAX_PATIENCE_S)
             return self._failed("stalled", 0.0)
         except _CALL_ERRORS:
             return self._failed("unreachable", 0.0)
@@ -130,9 +137,10 @@
         chunks = response.read_chunks()
         while True:
             try:
-                async with asyncio.timeout(self._stall_s):
+                async with asyncio.timeout(self._patience_s):
                     pieces.append(await anext(chunks))
             except StopAsyncIteration:
+                self._patience_s = self._stall_s
                 return b"".join(pieces)
 
     def _throttled(self, headers) -> OutsideFailed:
--- a/damaskcroft/weights/_planner.py
+++ b/damaskcroft/weights/_planner.py
@@ -16,6 +16,7 @@
 from collections.abc import Sequence
 
 _BRANCHES = 2
+_GOLDEN_SECTION = 0.618034
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -180,12 +181,18 @@
 
 @functools.lru_cache(maxsize=65536)
 def _latin_row(index: int, size: int) -> tuple[int, ...]:
-    """Row `index` of the family of squares L_m(i, j) = m * j + i mod q."""
+    """Row `index` of a family of squares, L_m(i, j) = m * j + i mod q.
+
+    From row to row an agent's place moves by m's inverse. Near the golden
+    section of q, its places are spread evenly over any run of rows, also a
+    run much shorter than a square (three-distance theorem, Sos 1958).
+    """
     if size <= 1:
         return tuple(range(size))
     prime = _prime_from(size)
     square, row = divmod(index, prime)
-    multiplier = 1 + square % (prime - 1)
+    step = 1 + (round(_GOLDEN_SECTION * prime) - 1 + square) % (prime - 1)
+    multiplier = pow(step, -1, prime)
     places = ((multiplier * column + row) % prime for column in range(prime))
     return tuple(place for place in places if place < size)
 
