--- a/damaskcroft/standins/hammer.py
+++ b/damaskcroft/standins/hammer.py
@@ -6,11 +6,13 @@
 import time
 
 import aiosonic
+from aiosonic import exceptions
 from aiosonic.connectors import TCPConnector
 from aiosonic.pools import PoolConfig
 from aiosonic.timeout import Timeouts
 
 _OK = 200
+_HTTP_ERRORS = (OSError, EOFError, ValueError, exceptions.AiosonicError)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -77,7 +79,10 @@
         while time.monotonic() - started_at < plan.seconds:
             serial += 1
             name = f"{started_at}-{number}-{serial}"
-            await _ask(client, plan, name, result, counts)
+            try:
+                await _ask(client, plan, name, result, counts)
+            except _HTTP_ERRORS:
+                counts["failures"] += 1
 
     await asyncio.gather(*(work(n) for n in range(plan.workers)))
     took_s = time.monotonic() - started_at
