--- a/damaskcroft/entry/tests/test_claims.py
+++ b/damaskcroft/entry/tests/test_claims.py
@@ -1,25 +1,6 @@
 import asyncio
 
-import pytest
-
-from damaskcroft.entry.tests.fakes import World, ran_word
-from damaskcroft.standins.virtual_time import VirtualTimeLoop
-
-
-@pytest.fixture
-def loop():
-    loop = VirtualTimeLoop()
-    asyncio.set_event_loop(loop)
-    yield loop
-    loop.close()
-
-
-@pytest.fixture
-def world(loop):
-    world = World(seed=1)
-    loop.run(world.start())
-    yield world
-    loop.run(world.stop())
+from damaskcroft.entry.tests.fakes import ran_word
 
 
 async def ask(world, entry, key, **options):
