A whole answer goes from agent to entry in one message

Cause: an answer of one piece took three messages (head, body, end), each a frame to encode, encrypt and await; sampled, an entry spent most of its time in the HTTP/2 and TLS code for each of them.

Ruled out: dropping TLS between processes (a promise to operators).

--- a/damaskcroft/agent/_runs.py
+++ b/damaskcroft/agent/_runs.py
@@ -1,7 +1,7 @@
 """Runs admitted requests at the target and passes the answers on."""
 
 import asyncio
-from collections.abc import AsyncGenerator, Callable
+from collections.abc import AsyncGenerator, AsyncIterator, Callable
 
 from damaskcroft._generated import agent_pb2, control_pb2
 from damaskcroft.agent._gate import Admitted, Gate, Refused
@@ -20,7 +20,9 @@
 # A claimed run goes on for this long after its caller has left.
 _MAX_CLAIMED_RUN_S = 600.0
 _MAX_KEPT_BODY_BYTES = 256 * 1024
-_QUEUE_EVENTS = 1024
+# Answers up to this size go to the entry in one message.
+_MAX_WHOLE_BYTES = 256 * 1024
+_EVENT_STREAM = "text/event-stream"
 
 
 class Runner:
@@ -162,27 +164,43 @@
         begun: CallStarted,
         started_at: float,
     ) -> AsyncGenerator[agent_pb2.RunEvent, None]:
-        yield self._event(
-            head=agent_pb2.RunHead(
-                status=begun.status,
-                content_type=begun.content_type,
-                version=admitted.version,
-                fencing=admitted.fencing,
-                request_id=request.request_id,
-            )
+        head = agent_pb2.RunHead(
+            status=begun.status,
+            content_type=begun.content_type,
+            version=admitted.version,
+            fencing=admitted.fencing,
+            request_id=request.request_id,
         )
-        first = True
+        pieces = self._timed(begun.body, started_at)
         try:
-            async for piece in begun.body:
-                if first:
-                    first = False
-                    self._first_piece_seen(now_s() - started_at)
+            if begun.content_type.startswith(_EVENT_STREAM):
+                yield self._event(head=head)
+            else:
+                gathered, is_whole = await _gather(pieces)
+                if is_whole:
+                    whole = agent_pb2.RunWhole(head=head, body=gathered)
+                    yield self._event(whole=whole)
+                    return
+                yield self._event(head=head)
+                yield self._event(body=gathered)
+            async for piece in pieces:
                 yield self._event(body=piece)
         except ConnectionError:
             yield self._failed(agent_pb2.FAILED_TARGET_LOST)
             return
         yield self._event(end=True)
 
+    async def _timed(
+        self, body: AsyncIterator[bytes], started_at: float
+    ) -> AsyncGenerator[bytes, None]:
+        """Passes pieces on and notes when the first came."""
+        first = True
+        async for piece in body:
+            if first:
+                first = False
+                self._first_piece_seen(now_s() - started_at)
+            yield piece
+
     def _refused(self, refused: Refused) -> agent_pb2.RunEvent:
         return self._event(
             refused=agent_pb2.RunRefused(
@@ -197,6 +215,18 @@
         return agent_pb2.RunEvent(outstanding=self._gate.outstanding, **kind)
 
 
+async def _gather(pieces: AsyncIterator[bytes]) -> tuple[bytes, bool]:
+    """The body up to a size, and whether that is all of it."""
+    gathered: list[bytes] = []
+    size_bytes = 0
+    async for piece in pieces:
+        gathered.append(piece)
+        size_bytes += len(piece)
+        if size_bytes > _MAX_WHOLE_BYTES:
+            return b"".join(gathered), False
+    return b"".join(gathered), True
+
+
 class _ClaimedOutcome:
     """Gathers what a claimed run gave, for its settlement."""
 
@@ -214,16 +244,26 @@
             case "refused":
                 self.refused = True
             case "head":
-                self._answer.status = event.head.status
-                self._answer.content_type = event.head.content_type
-                self._answer.version = event.head.version
+                self._take_head(event.head)
             case "body":
-                self._size_bytes += len(event.body)
-                if self._size_bytes <= _MAX_KEPT_BODY_BYTES:
-                    self._body.append(event.body)
+                self._take_body(event.body)
+            case "whole":
+                self._take_head(event.whole.head)
+                self._take_body(event.whole.body)
+                self._ended = True
             case "end":
                 self._ended = True
 
+    def _take_head(self, head: agent_pb2.RunHead) -> None:
+        self._answer.status = head.status
+        self._answer.content_type = head.content_type
+        self._answer.version = head.version
+
+    def _take_body(self, piece: bytes) -> None:
+        self._size_bytes += len(piece)
+        if self._size_bytes <= _MAX_KEPT_BODY_BYTES:
+            self._body.append(piece)
+
     def settlement(
         self, request: agent_pb2.RunRequest, admitted: Admitted
     ) -> control_pb2.SettleRequest:
--- a/damaskcroft/entry/_dispatch.py
+++ b/damaskcroft/entry/_dispatch.py
@@ -245,11 +245,13 @@
                 return Answering(first.head, events)
             return await _whole(first.head, events)
         await events.aclose()
+        if kind == "whole" and first.whole.head.request_id == call.request_id:
+            return Whole(first.whole.head, first.whole.body)
         if kind == "refused":
             return AttemptRefused(
                 first.refused.reason, first.refused.retry_after_ms / 1000
             )
-        if kind == "head":
+        if kind in ("head", "whole"):
             metrics.LATE_DROPPED.labels("crossed_at_entry").inc()
         return AttemptLost(_failure_word(first))
 
