--- a/damaskcroft/agent/main.py
+++ b/damaskcroft/agent/main.py
@@ -1,11 +1,8 @@
 """damask-agent: announces, feeds, orders and guards one target."""
 
 import asyncio
-import contextlib
 import pathlib
 import secrets
-import signal
-import sys
 from typing import Annotated
 
 import typer
@@ -22,7 +19,6 @@
 from damaskcroft.agent._settler import Settler
 from damaskcroft.agent._staging import Stager
 from damaskcroft.agent._yielding import LiveGuard
-from damaskcroft.config import settings_or_exit
 from damaskcroft.engines import (
     Engine,
     FencingEngine,
@@ -30,14 +26,14 @@
     UnfencedEngine,
 )
 from damaskcroft.membership import Lease, LeaseClient
-from damaskcroft.observe import log_event, start_logs
+from damaskcroft.observe import log_event
 from damaskcroft.rpc import (
     ChannelPool,
     Keys,
-    KeysError,
     grpc_served,
     http_served,
-    load_keys,
+    run_daemon,
+    stop_event,
 )
 from damaskcroft.weights import (
     BurstCounts,
@@ -48,7 +44,6 @@
     Pacer,
 )
 
-_EXIT_CANNOT_START = 3
 _SETTLE_AT_STOP_S = 10.0
 # Entries learn of a drain within this time; then nothing new comes.
 _DRAIN_NOTICE_S = 0.5
@@ -117,10 +112,7 @@
         Raises:
             OSError: an address can't be bound.
         """
-        stop = asyncio.Event()
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, stop.set)
+        stop = stop_event()
         await asyncio.to_thread(self._store.open_existing)
         process = self._settings.process
         service = AgentService(self._runner, self._gate, self._chunks)
@@ -286,20 +278,13 @@
     ] = False,
 ) -> None:
     """Runs the agent of one target."""
-    settings = settings_or_exit(
+    run_daemon(
         settings_file,
         settings_pb2.AgentSettings,
+        _serve,
         check=check,
         reference=reference,
     )
-    start_logs(settings.process.name)
-    try:
-        keys = load_keys(settings.keys)
-        with contextlib.suppress(KeyboardInterrupt):
-            asyncio.run(_serve(settings, keys))
-    except (KeysError, OSError) as error:
-        print(error, file=sys.stderr)
-        raise SystemExit(_EXIT_CANNOT_START) from error
 
 
 async def _serve(settings: settings_pb2.AgentSettings, keys: Keys) -> None:
--- a/damaskcroft/consensus/__init__.py
+++ b/damaskcroft/consensus/__init__.py
@@ -19,8 +19,8 @@
     Outcome,
     Undecided,
 )
-from damaskcroft.consensus._replica import (
-    Replica,
+from damaskcroft.consensus._replica import Replica
+from damaskcroft.consensus._setup import (
     ReplicaOptions,
     StateMachine,
     format_disk,
--- a/damaskcroft/consensus/_replica.py
+++ b/damaskcroft/consensus/_replica.py
@@ -4,14 +4,11 @@
 one syncs the leader's own log, one applies what is committed.
 """
 
-import abc
 import asyncio
 import contextlib
-import dataclasses
 import random
 import secrets
 from collections.abc import Callable, Coroutine
-from typing import Any
 
 from transitions import Machine
 
@@ -19,7 +16,7 @@
 from damaskcroft.clock import now_s
 from damaskcroft.consensus import _frames
 from damaskcroft.consensus._disk import Disk
-from damaskcroft.consensus._errors import LogDamagedError, NotFormattedError
+from damaskcroft.consensus._errors import LogDamagedError
 from damaskcroft.consensus._log import DurableLog
 from damaskcroft.consensus._members import (
     find_member,
@@ -34,82 +31,20 @@
     Outcome,
     Undecided,
 )
+from damaskcroft.consensus._setup import (
+    HARD_STATE_NAME,
+    ReplicaOptions,
+    StateMachine,
+)
 from damaskcroft.consensus._transport import PeerUnreachableError, Transport
 from damaskcroft.observe import log_event, metrics
 
-_HARD_STATE_NAME = "vote"
 _BATCH_BYTES = 1024 * 1024
-# The first replicas of a cluster share this incarnation; a replica that lost
-# its disk draws a new one and so can't be taken for its former self.
-_FIRST_INCARNATION = "first"
 # How often a leader checks that a majority follows, in an election timeout.
 _LOOKS_A_TIMEOUT = 4
 _FOLLOWER, _CANDIDATE, _LEADER = "following", "standing", "leading"
 
 
-class StateMachine(abc.ABC):
-    """What the log drives: the same commands give the same state."""
-
-    @abc.abstractmethod
-    def apply(self, index: int, command: bytes) -> Any:
-        """Applies one committed command and gives its result."""
-
-    @abc.abstractmethod
-    def snapshot(self) -> bytes:
-        """The whole state."""
-
-    @abc.abstractmethod
-    def restore(self, state: bytes) -> None:
-        """Replaces the whole state."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReplicaOptions:
-    """Settings of one replica.
-
-    Attributes:
-        id: this replica's id.
-        address: its gRPC address.
-        first_members: member ids and addresses, to find peers by after a
-            lost disk.
-        election_timeout_s: silence after which a follower may stand; the
-            actual wait is drawn between once and twice this.
-        heartbeat_s: longest time between a leader's messages.
-        snapshot_entries: log entries between snapshots.
-    """
-
-    id: str
-    address: str
-    first_members: dict[str, str]
-    election_timeout_s: float = 0.6
-    heartbeat_s: float = 0.1
-    snapshot_entries: int = 20_000
-
-
-def format_disk(disk: Disk, members: dict[str, str]) -> None:
-    """Prepares an empty disk for the very first start of a cluster.
-
-    Done once by the operator on each disk, never after a disk was lost.
-
-    Args:
-        disk: an empty disk.
-        members: addresses by id of all first members.
-
-    Raises:
-        NotFormattedError: the disk already holds a replica.
-    """
-    if disk.read(_HARD_STATE_NAME) is not None:
-        raise NotFormattedError("the data folder already holds a replica")
-    config = consensus_pb2.ClusterConfig()
-    for member_id, address in members.items():
-        config.members.add(
-            id=member_id, address=address, incarnation=_FIRST_INCARNATION
-        )
-    DurableLog(disk).reset_to(consensus_pb2.Snapshot(config=config))
-    state = consensus_pb2.HardState(incarnation=_FIRST_INCARNATION)
-    disk.replace(_HARD_STATE_NAME, _frames.framed(state.SerializeToString()))
-
-
 class _Peer:
     """What a leader knows of one member."""
 
@@ -788,28 +723,28 @@
     # --- Disk and tasks ------------------------------------------------------
 
     def _read_hard_state(self) -> consensus_pb2.HardState:
-        content = self._disk.read(_HARD_STATE_NAME)
+        content = self._disk.read(HARD_STATE_NAME)
         if content is None:
             return self._new_incarnation()
         payload = _frames.frame_at(content, 0)
         if payload is None:
-            raise LogDamagedError(_HARD_STATE_NAME, 0)
+            raise LogDamagedError(HARD_STATE_NAME, 0)
         return consensus_pb2.HardState.FromString(payload)
 
     def _new_incarnation(self) -> consensus_pb2.HardState:
         """An empty disk: whatever it promised before is lost."""
         if self.log.last_index or self.log.config().members:
-            raise LogDamagedError(_HARD_STATE_NAME, 0)
+            raise LogDamagedError(HARD_STATE_NAME, 0)
         state = consensus_pb2.HardState(incarnation=secrets.token_hex(8))
         content = _frames.framed(state.SerializeToString())
-        self._disk.replace(_HARD_STATE_NAME, content)
+        self._disk.replace(HARD_STATE_NAME, content)
         return state
 
     def _save_hard_state(self, term: int, voted_for: str) -> None:
         self._hard.term = term
         self._hard.voted_for = voted_for
         content = _frames.framed(self._hard.SerializeToString())
-        self._disk.replace(_HARD_STATE_NAME, content)
+        self._disk.replace(HARD_STATE_NAME, content)
 
     def _spawn(self, work: Coroutine) -> None:
         self._tasks.add(asyncio.create_task(work))
--- a/damaskcroft/control/main.py
+++ b/damaskcroft/control/main.py
@@ -1,9 +1,7 @@
 """damask-control: one replica of the log, on an instance with a disk."""
 
 import asyncio
-import contextlib
 import pathlib
-import signal
 import sys
 from typing import Annotated
 
@@ -28,17 +26,17 @@
 from damaskcroft.control._service import ControlService
 from damaskcroft.control._state import ControlState
 from damaskcroft.membership import LeaseLedger
-from damaskcroft.observe import log_event, start_logs
+from damaskcroft.observe import log_event
 from damaskcroft.rpc import (
     ChannelPool,
     Keys,
-    KeysError,
     grpc_served,
     http_served,
-    load_keys,
+    run_daemon,
+    stop_event,
 )
 
-_EXIT_CANNOT_START = 3
+_EXIT_CANNOT_FORMAT = 3
 _INSTALL_TIMEOUT_S = 60.0
 
 app = typer.Typer(pretty_exceptions_enable=False, add_completion=False)
@@ -60,10 +58,7 @@
         ConsensusError: the data folder can't be used.
         OSError: an address can't be bound.
     """
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
+    stop = stop_event()
     pool = ChannelPool(keys)
     rules = settings.replica
     state = ControlState(
@@ -123,23 +118,31 @@
     ] = False,
 ) -> None:
     """Runs one control replica."""
-    settings = settings_or_exit(
+    if format_data_folder:
+        _format(settings_file)
+        return
+    run_daemon(
         settings_file,
         settings_pb2.ControlSettings,
+        serve,
         check=check,
         reference=reference,
+        errors=(ConsensusError,),
+    )
+
+
+def _format(settings_file: pathlib.Path | None) -> None:
+    settings = settings_or_exit(
+        settings_file,
+        settings_pb2.ControlSettings,
+        check=False,
+        reference=False,
     )
-    start_logs(settings.process.name)
     try:
-        if format_data_folder:
-            format_disk(_disk(settings), _members(settings))
-            return
-        keys = load_keys(settings.keys)
-        with contextlib.suppress(KeyboardInterrupt):
-            asyncio.run(serve(settings, keys))
-    except (ConsensusError, KeysError, OSError) as error:
+        format_disk(_disk(settings), _members(settings))
+    except (ConsensusError, OSError) as error:
         print(error, file=sys.stderr)
-        raise SystemExit(_EXIT_CANNOT_START) from error
+        raise SystemExit(_EXIT_CANNOT_FORMAT) from error
 
 
 def main() -> None:
--- a/damaskcroft/entry/_dispatch.py
+++ b/damaskcroft/entry/_dispatch.py
@@ -3,31 +3,37 @@
 import asyncio
 import contextlib
 import dataclasses
-import json
 from collections.abc import (
     AsyncGenerator,
     AsyncIterator,
-    Awaitable,
-    Callable,
 )
 from typing import Any
 
-from starlette.responses import Response, StreamingResponse
+from starlette.responses import StreamingResponse
 
-from damaskcroft._generated import agent_grpc, agent_pb2, control_pb2
+from damaskcroft._generated import agent_grpc, agent_pb2
 from damaskcroft.clock import now_s
+from damaskcroft.entry._answers import (
+    Final,
+    Whole,
+    answer_headers,
+    error_event,
+    failure_word,
+    final_of,
+    lost_refusal,
+    observe_first_token,
+    whole_response,
+)
 from damaskcroft.entry._calls import Call
 from damaskcroft.entry._claims import ClaimAnswered, Claimant
 from damaskcroft.entry._lapses import LapseWatch
 from damaskcroft.entry._refusals import (
     Ran,
     Refusal,
-    note_refusal,
-    refusal_body,
     refusal_response,
 )
 from damaskcroft.membership import LeaseClient
-from damaskcroft.observe import log_event, metrics
+from damaskcroft.observe import metrics
 from damaskcroft.routing import (
     Admission,
     NotGranted,
@@ -65,28 +71,6 @@
     events: AsyncGenerator[agent_pb2.RunEvent, None]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Whole:
-    """The target's whole answer; nothing of it was passed on before."""
-
-    head: agent_pb2.RunHead
-    body: bytes
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Final:
-    """What the caller gets.
-
-    Attributes:
-        response: to be sent.
-        close: gives back what the response holds; called when it is over,
-            sent or not.
-    """
-
-    response: Response
-    close: Callable[[], Awaitable[None]]
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptRefused:
     """The agent certifies that nothing was run."""
@@ -157,7 +141,7 @@
         if isinstance(outcome, Answering):
             return self._streamed(call, outcome, slot, arrived_at)
         slot.release()
-        return final_of(_whole_response(call, outcome, arrived_at))
+        return final_of(whole_response(call, outcome, arrived_at))
 
     # --- Attempts ------------------------------------------------------------
 
@@ -195,7 +179,7 @@
                     self._outliers.failed(target.id)
                     metrics.RETRIES.labels(reason).inc()
                     if call.key or now_s() >= deadline_at:
-                        return _lost(reason)
+                        return lost_refusal(reason)
                 case AttemptRefused(reason=reason):
                     last = outcome
                     self._note_refused(target, reason)
@@ -253,7 +237,7 @@
             )
         if kind in ("head", "whole"):
             metrics.LATE_DROPPED.labels("crossed_at_entry").inc()
-        return AttemptLost(_failure_word(first))
+        return AttemptLost(failure_word(first))
 
     async def _events(
         self,
@@ -319,7 +303,7 @@
             self._stream(call, outcome, arrived_at),
             status_code=outcome.head.status,
             media_type=_EVENT_STREAM,
-            headers=_answer_headers(call, outcome.head.version),
+            headers=answer_headers(call, outcome.head.version),
         )
         return Final(response, close)
 
@@ -335,16 +319,16 @@
                     if last_at:
                         metrics.TOKEN_GAP_S.observe(now - last_at)
                     else:
-                        _observe_first_token(call, arrived_at)
+                        observe_first_token(call, arrived_at)
                     last_at = now
                     yield event.body
                 case "end":
                     metrics.ANSWERS.labels("stream").inc()
                     return
                 case "failed":
-                    yield _error_event(call, _failure_word(event))
+                    yield error_event(call, failure_word(event))
                     return
-        yield _error_event(call, "target_lost")
+        yield error_event(call, "target_lost")
 
 
 class _Slot:
@@ -379,45 +363,10 @@
                 case "end":
                     return Whole(head, b"".join(pieces))
                 case "failed":
-                    return AttemptLost(_failure_word(event))
+                    return AttemptLost(failure_word(event))
     return AttemptLost("target_lost")
 
 
-def _whole_response(
-    call: Call, outcome: Whole | ClaimAnswered | Refusal, arrived_at: float
-) -> Response:
-    if isinstance(outcome, Refusal):
-        return refusal_response(outcome, call.request_id)
-    if isinstance(outcome, ClaimAnswered):
-        return _kept_response(call, outcome.answer)
-    _observe_first_token(call, arrived_at)
-    metrics.ANSWERS.labels("whole").inc()
-    return Response(
-        outcome.body,
-        status_code=outcome.head.status,
-        media_type=outcome.head.content_type or None,
-        headers=_answer_headers(call, outcome.head.version),
-    )
-
-
-def _answer_headers(call: Call, version: str) -> dict[str, str]:
-    return {"X-Request-Id": call.request_id, "Damask-Version": version}
-
-
-def final_of(response: Response) -> Final:
-    """A response that holds nothing to be given back."""
-
-    async def close() -> None:
-        return None
-
-    return Final(response, close)
-
-
-def _lost(reason: str) -> Refusal:
-    status = 504 if reason == "deadline" else 502
-    return Refusal(reason, status, Ran.UNKNOWN, _RETRY_S)
-
-
 def _run_request(
     call: Call, target: Target, run_number: int, remaining_ms: int
 ) -> agent_pb2.RunRequest:
@@ -442,37 +391,3 @@
 
 def _failed(reason: agent_pb2.FailureReason) -> agent_pb2.RunEvent:
     return agent_pb2.RunEvent(failed=agent_pb2.RunFailed(reason=reason))
-
-
-def _failure_word(event: agent_pb2.RunEvent) -> str:
-    name = agent_pb2.FailureReason.Name(event.failed.reason)
-    return name.removeprefix("FAILED_").lower()
-
-
-def _kept_response(call: Call, answer: control_pb2.KeptAnswer) -> Response:
-    if answer.dropped:
-        refusal = Refusal("answer_not_kept", 409, Ran.RAN)
-        return refusal_response(refusal, call.request_id)
-    metrics.ANSWERS.labels("kept").inc()
-    log_event("answered_again", request_id=call.request_id)
-    return Response(
-        answer.body,
-        status_code=answer.status,
-        media_type=answer.content_type or None,
-        headers={
-            **_answer_headers(call, answer.version),
-            "Damask-Replayed": "yes",
-        },
-    )
-
-
-def _error_event(call: Call, reason: str) -> bytes:
-    refusal = Refusal(reason, 200, Ran.UNKNOWN, _RETRY_S)
-    note_refusal(refusal, call.request_id)
-    document = json.dumps(refusal_body(refusal, call.request_id))
-    return f"event: error\ndata: {document}\n\n".encode()
-
-
-def _observe_first_token(call: Call, arrived_at: float) -> None:
-    took_s = now_s() - arrived_at
-    metrics.FIRST_TOKEN_S.labels(call.priority).observe(took_s)
--- a/damaskcroft/entry/main.py
+++ b/damaskcroft/entry/main.py
@@ -1,11 +1,8 @@
 """damask-entry: takes callers' requests, behind the platform's balancer."""
 
 import asyncio
-import contextlib
 import pathlib
 import secrets
-import signal
-import sys
 from collections.abc import Callable
 from typing import Annotated
 
@@ -15,25 +12,24 @@
 from starlette.routing import Route
 
 from damaskcroft._generated import control_pb2, settings_pb2
-from damaskcroft.config import settings_or_exit
+from damaskcroft.entry._answers import Final, final_of
 from damaskcroft.entry._calls import Call, CallReader
 from damaskcroft.entry._claims import Claimant
-from damaskcroft.entry._dispatch import Dispatcher, Final, final_of
+from damaskcroft.entry._dispatch import Dispatcher
 from damaskcroft.entry._refusals import Ran, Refusal, refusal_response
 from damaskcroft.membership import LeaseClient
-from damaskcroft.observe import log_event, metrics, start_logs
+from damaskcroft.observe import log_event, metrics
 from damaskcroft.routing import Admission, PoolTable
 from damaskcroft.rpc import (
     CallerLeft,
     ChannelPool,
     Keys,
-    KeysError,
     http_served,
-    load_keys,
+    run_daemon,
+    stop_event,
     unless_caller_leaves,
 )
 
-_EXIT_CANNOT_START = 3
 _STOP_RETRY_S = 1.0
 _STOP_POLL_S = 0.05
 # Between saying "not ready" and the last accepted connection, so that the
@@ -95,10 +91,7 @@
         Raises:
             OSError: the address can't be bound.
         """
-        stop = asyncio.Event()
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, stop.set)
+        stop = stop_event()
         tasks = [
             asyncio.create_task(work)
             for work in (
@@ -242,20 +235,13 @@
     ] = False,
 ) -> None:
     """Runs one entry."""
-    settings = settings_or_exit(
+    run_daemon(
         settings_file,
         settings_pb2.EntrySettings,
+        _serve,
         check=check,
         reference=reference,
     )
-    start_logs(settings.process.name)
-    try:
-        keys = load_keys(settings.keys)
-        with contextlib.suppress(KeyboardInterrupt):
-            asyncio.run(_serve(settings, keys))
-    except (KeysError, OSError) as error:
-        print(error, file=sys.stderr)
-        raise SystemExit(_EXIT_CANNOT_START) from error
 
 
 async def _serve(settings: settings_pb2.EntrySettings, keys: Keys) -> None:
--- /dev/null
+++ b/damaskcroft/rpc/_daemon.py
@@ -0,0 +1,70 @@
+"""What every daemon does around its own work: settings, logs, keys, end."""
+
+import asyncio
+import contextlib
+import pathlib
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+from google.protobuf.message import Message
+
+from damaskcroft.config import settings_or_exit
+from damaskcroft.observe import start_logs
+from damaskcroft.rpc._keys import Keys, KeysError, load_keys
+
+_EXIT_CANNOT_START = 3
+_SettingsT = TypeVar("_SettingsT", bound=Message)
+
+
+def stop_event() -> asyncio.Event:
+    """An event that SIGTERM and SIGINT set, in the running loop."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    return stop
+
+
+def run_daemon(
+    settings_file: pathlib.Path | None,
+    kind: type[_SettingsT],
+    serve: Callable[[_SettingsT, Keys], Awaitable[None]],
+    *,
+    check: bool,
+    reference: bool,
+    errors: tuple[type[Exception], ...] = (),
+) -> None:
+    """Runs a daemon from its settings file to its end.
+
+    Args:
+        settings_file: the INI file.
+        kind: the daemon's settings message.
+        serve: its work; returns when it has ended gracefully.
+        check: only check the settings.
+        reference: only print all settings.
+        errors: what `serve` may raise, beside OSError, when it can't start.
+
+    Raises:
+        SystemExit: 2 for faults in the settings, 3 when it can't start.
+    """
+    settings: Any = settings_or_exit(
+        settings_file,
+        kind,
+        check=check,
+        reference=reference,
+    )
+    cannot_start: tuple[type[Exception], ...] = (KeysError, OSError, *errors)
+    start_logs(settings.process.name)
+    try:
+        keys = load_keys(settings.keys)
+        with contextlib.suppress(KeyboardInterrupt):
+            asyncio.run(_awaited(serve(settings, keys)))
+    except cannot_start as error:
+        print(error, file=sys.stderr)
+        raise SystemExit(_EXIT_CANNOT_START) from error
+
+
+async def _awaited(work: Awaitable[None]) -> None:
+    await work
--- a/damaskcroft/standins/main.py
+++ b/damaskcroft/standins/main.py
@@ -3,14 +3,13 @@
 import asyncio
 import contextlib
 import pathlib
-import signal
 from typing import Annotated
 
 import typer
 from starlette.routing import Route
 
 from damaskcroft.observe import start_logs
-from damaskcroft.rpc import http_served
+from damaskcroft.rpc import http_served, stop_event
 from damaskcroft.standins._engine import StandInEngine
 from damaskcroft.standins._journal import Journal
 from damaskcroft.standins._passthrough import PassThrough
@@ -75,10 +74,7 @@
     start_logs(f"standin-{listen}")
 
     async def run() -> None:
-        stop = asyncio.Event()
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, stop.set)
+        stop = stop_event()
         async with http_served(listen, routes):
             await stop.wait()
 
