--- a/damaskcroft/observe/_logs.py
+++ b/damaskcroft/observe/_logs.py
@@ -3,13 +3,15 @@
 import json
 import logging as standard_logging
 
-from absl import logging
+from absl import flags, logging
 
 _NEEDS_QUOTES = frozenset(' "=\n\t')
 
 
 def start_logs(process: str) -> None:
     """Sends events to standard error, each with the process's name."""
+    # Settings come from INI files; the library waits for flags otherwise.
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
     logging.set_stderrthreshold(logging.INFO)
