--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 .PHONY: demo test check proto fuzz bench plots test-processes clean
 
-$(STAMP): pyproject.toml
+$(STAMP): pyproject.toml requirements.txt
 	test -x $(PY) || python3 -m venv $(VENV)
 	$(PY) -m pip install -q -e '.[dev]'
 	touch $(STAMP)
--- a/damaskcroft/consensus/_replica.py
+++ b/damaskcroft/consensus/_replica.py
@@ -139,6 +139,15 @@
         member = find_member(self.log.config(), self.leader_id)
         return member.address if member else ""
 
+    @property
+    def address(self) -> str:
+        """Where this replica serves the others."""
+        return self._options.address
+
+    def member_addresses(self) -> list[str]:
+        """Addresses of all voting members."""
+        return [member.address for member in voters(self.log.config())]
+
     @property
     def is_confirmed_leader(self) -> bool:
         """Whether a majority has followed within an election timeout.
--- a/damaskcroft/control/__init__.py
+++ b/damaskcroft/control/__init__.py
@@ -1,1 +1,19 @@
-"""The program damask-control: the replicated state and its services."""
+"""Control: the replicated log's users, and who may ask what of them."""
+
+from damaskcroft.control._fleet_control import (
+    Accepted,
+    FleetControl,
+    Invalid,
+    Unavailable,
+)
+from damaskcroft.control._fleet_service import FleetService
+from damaskcroft.control._fleet_state import FleetState
+
+__all__ = [
+    "Accepted",
+    "FleetControl",
+    "FleetService",
+    "FleetState",
+    "Invalid",
+    "Unavailable",
+]
--- /dev/null
+++ b/damaskcroft/control/_fleet_control.py
@@ -0,0 +1,236 @@
+"""What operators and targets may ask of a control node of a fleet."""
+
+import asyncio
+import dataclasses
+from collections.abc import Awaitable
+
+from damaskcroft._generated import fleet_grpc, fleet_pb2
+from damaskcroft.clock import now_s
+from damaskcroft.consensus import Committed, NotLeader, Replica
+from damaskcroft.control._fleet_state import FleetState
+from damaskcroft.fleet import FleetView, configuration_faults
+from damaskcroft.observe import log_event
+from damaskcroft.rpc import CALL_ERRORS, ChannelPool
+
+__all__ = ["Accepted", "FleetControl", "Invalid", "Unavailable"]
+
+# Operators turn to another node after a second without an answer.
+_COMMIT_TIMEOUT_S = 0.9
+_READ_TIMEOUT_S = 0.8
+# A target's call is answered within a second, and a second node may be asked.
+_RELAY_TIMEOUT_S = 0.4
+_APPLY_POLL_S = 0.005
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Accepted:
+    """It holds, durably, on a majority.
+
+    Attributes:
+        version: the version in place, which may be a higher one.
+    """
+
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Invalid:
+    """It makes no sense and changed nothing."""
+
+    fault: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unavailable:
+    """This node can't say now; another one, or a later try, may."""
+
+    reason: str
+
+
+class FleetControl:
+    """One control node's operations."""
+
+    def __init__(
+        self,
+        replica: Replica,
+        state: FleetState,
+        view: FleetView,
+        channels: ChannelPool,
+    ):
+        """Works on a replica, the state that it drives, and the targets."""
+        self._replica = replica
+        self._state = state
+        self._view = view
+        self._channels = channels
+
+    # --- Operators -----------------------------------------------------------
+
+    async def configure(
+        self, configuration: fleet_pb2.Configuration
+    ) -> Accepted | Invalid | Unavailable:
+        """Puts a configuration in force unless a higher one is."""
+        fault = next(configuration_faults(configuration), None)
+        if fault is not None:
+            log_event(
+                "configuration_invalid",
+                version=configuration.version,
+                fault=fault,
+            )
+            return Invalid(fault)
+        if configuration.version <= self._state.version:
+            return Accepted(self._state.version)
+        command = fleet_pb2.FleetCommand(configure=configuration)
+        outcome = await self.commit(command)
+        log_event(
+            "configuration_put",
+            version=configuration.version,
+            routes=len(configuration.routes),
+            outcome=type(outcome).__name__,
+            in_place=self._state.version,
+        )
+        return outcome
+
+    async def name_weights(
+        self, goal: fleet_pb2.WeightGoal
+    ) -> Accepted | Invalid | Unavailable:
+        """Names the version of weights that a model should serve."""
+        if goal.version < 1 or not goal.model:
+            return Invalid("no model, or a version below 1")
+        if goal.version <= self._state.weights_version(goal.model):
+            return Accepted(self._state.weights_version(goal.model))
+        command = fleet_pb2.FleetCommand(name_weights=goal)
+        outcome = await self.commit(command)
+        log_event(
+            "weights_put",
+            model=goal.model,
+            version=goal.version,
+            outcome=type(outcome).__name__,
+        )
+        return outcome
+
+    async def read(self) -> fleet_pb2.Configuration | Unavailable:
+        """The newest acknowledged configuration."""
+        try:
+            async with asyncio.timeout(_READ_TIMEOUT_S):
+                index = await self._read_index()
+                if index is None:
+                    return Unavailable("no majority confirms the leader")
+                while self._replica.applied_index < index:
+                    await asyncio.sleep(_APPLY_POLL_S)
+        except TimeoutError:
+            return Unavailable("not caught up in time")
+        configuration = self._state.configuration
+        if configuration is None:
+            return Unavailable("no configuration yet")
+        return configuration
+
+    # --- Targets -------------------------------------------------------------
+
+    async def announce(self, state: fleet_pb2.TargetState) -> bool:
+        """Takes a target's word; whether it may count as taken.
+
+        That a target is leaving counts once a majority of control nodes
+        knows, so that every entry in touch hears of it.
+        """
+        if state.phase == fleet_pb2.TARGET_READY:
+            self._view.take([state])
+            return True
+        known = await self._tell_majority(state)
+        log_event(
+            "target_leaving",
+            id=state.id,
+            phase=fleet_pb2.TargetPhase.Name(state.phase),
+            majority_knows=known,
+        )
+        return known
+
+    def leaving(self, target_id: str) -> fleet_pb2.TargetState:
+        """The state of a target that has ended."""
+        return fleet_pb2.TargetState(id=target_id, phase=fleet_pb2.TARGET_GONE)
+
+    async def _tell_majority(self, state: fleet_pb2.TargetState) -> bool:
+        self._view.take([state])
+        members = self._replica.member_addresses()
+        others = [a for a in members if a != self._replica.address]
+        told = await _count_true([self._relay(a, state) for a in others])
+        counted = told + (self._replica.address in members)
+        return counted > len(members) // 2
+
+    async def _relay(self, address: str, state: fleet_pb2.TargetState) -> bool:
+        stub = fleet_grpc.FleetStub(self._channels.channel(address))
+        request = fleet_pb2.RelayRequest(targets=[state])
+        try:
+            await stub.Relay(request, timeout=_RELAY_TIMEOUT_S)
+        except CALL_ERRORS as error:
+            log_event("relay_failed", address=address, reason=error)
+            return False
+        return True
+
+    # --- The log ------------------------------------------------------------
+
+    async def commit(
+        self, command: fleet_pb2.FleetCommand
+    ) -> Accepted | Unavailable:
+        """Commits a command here or at the leader."""
+        try:
+            async with asyncio.timeout(_COMMIT_TIMEOUT_S):
+                if self._replica.is_leader:
+                    return await self.commit_here(command)
+                return await self._commit_at_leader(command)
+        except TimeoutError:
+            return Unavailable("not committed in time")
+
+    async def commit_here(
+        self, command: fleet_pb2.FleetCommand
+    ) -> Accepted | Unavailable:
+        """Commits a command as the leader."""
+        command.time_ms = max(self._state.time_ms, int(now_s() * 1000))
+        outcome = await self._replica.propose(command.SerializeToString())
+        match outcome:
+            case Committed(result=result):
+                return Accepted(result.version)
+            case NotLeader():
+                return Unavailable("not the leader")
+        return Unavailable("not known to be committed")
+
+    async def _commit_at_leader(
+        self, command: fleet_pb2.FleetCommand
+    ) -> Accepted | Unavailable:
+        address = self._replica.leader_address
+        if not address:
+            return Unavailable("no leader known")
+        stub = fleet_grpc.FleetStub(self._channels.channel(address))
+        request = fleet_pb2.ForwardRequest(command=command)
+        try:
+            reply = await stub.Forward(request, timeout=_COMMIT_TIMEOUT_S)
+        except CALL_ERRORS as error:
+            return Unavailable(f"leader {address}: {error}")
+        if not reply.committed:
+            return Unavailable("not known to be committed")
+        return Accepted(reply.version)
+
+    async def confirmed_index(self) -> int | None:
+        """As the leader: an index that reads must have applied."""
+        if not await self._replica.confirm_leader(_READ_TIMEOUT_S):
+            return None
+        return self._replica.commit_index
+
+    async def _read_index(self) -> int | None:
+        if self._replica.is_leader:
+            return await self.confirmed_index()
+        address = self._replica.leader_address
+        if not address:
+            return None
+        stub = fleet_grpc.FleetStub(self._channels.channel(address))
+        try:
+            reply = await stub.ReadIndex(
+                fleet_pb2.ReadIndexRequest(), timeout=_READ_TIMEOUT_S
+            )
+        except CALL_ERRORS as error:
+            log_event("read_index_failed", leader=address, reason=error)
+            return None
+        return reply.index if reply.confirmed else None
+
+
+async def _count_true(calls: list[Awaitable[bool]]) -> int:
+    return sum(await asyncio.gather(*calls))
--- /dev/null
+++ b/damaskcroft/control/_fleet_service.py
@@ -0,0 +1,160 @@
+"""The gRPC face of a fleet's control node: watchers and other nodes."""
+
+import asyncio
+import contextlib
+from typing import Any
+
+from damaskcroft._generated import fleet_grpc, fleet_pb2
+from damaskcroft.consensus import Replica
+from damaskcroft.control._fleet_control import Accepted, FleetControl
+from damaskcroft.control._fleet_state import FleetState
+from damaskcroft.fleet import UPDATE_EVERY_S, FleetView
+from damaskcroft.observe import log_event
+
+__all__ = ["FleetService"]
+
+# Changes that come together go out together.
+_GATHER_S = 0.005
+# Ended targets that a new watcher is told of, so that another node's late
+# word can't revive them for it.
+_MAX_ENDED_TOLD = 512
+
+
+class _Watcher:
+    """What one watcher has not been told yet."""
+
+    __slots__ = ("agents_by_address", "is_entry", "targets_by_id", "wake")
+
+    def __init__(self, is_entry: bool):
+        self.is_entry = is_entry
+        self.targets_by_id: dict[str, fleet_pb2.TargetState] = {}
+        self.agents_by_address: dict[str, fleet_pb2.AgentState] = {}
+        self.wake = asyncio.Event()
+
+    def add(self, update: fleet_pb2.FleetUpdate) -> None:
+        for state in update.targets:
+            self.targets_by_id[state.id] = state
+        for agent in update.agents:
+            self.agents_by_address[agent.address] = agent
+        self.wake.set()
+
+    def take(self, update: fleet_pb2.FleetUpdate) -> None:
+        """Moves all that is new into an update."""
+        update.targets.extend(self.targets_by_id.values())
+        update.agents.extend(self.agents_by_address.values())
+        self.targets_by_id.clear()
+        self.agents_by_address.clear()
+        self.wake.clear()
+
+
+class FleetService(fleet_grpc.FleetBase):
+    """Tells entries, agents and other control nodes what changes."""
+
+    def __init__(
+        self,
+        replica: Replica,
+        state: FleetState,
+        view: FleetView,
+        control: FleetControl,
+    ):
+        """Serves what `state` and `view` hold."""
+        self._replica = replica
+        self._state = state
+        self._view = view
+        self._control = control
+        self._watchers: set[_Watcher] = set()
+        view.listen(self._spread)
+
+    def state_changed(self) -> None:
+        """Wakes every watcher after the replicated state moved."""
+        for watcher in self._watchers:
+            watcher.wake.set()
+
+    async def Watch(self, stream: Any) -> None:  # noqa: N802
+        """Sends all that is known, then each change."""
+        request = await stream.recv_message()
+        if request is None:
+            return
+        is_agent = request.HasField("agent")
+        watcher = _Watcher(is_entry=request.is_entry)
+        self._watchers.add(watcher)
+        log_event("watcher_joined", name=request.name)
+        try:
+            if is_agent:
+                self._view.take([], [request.agent])
+            await self._push(stream, watcher)
+        finally:
+            self._watchers.discard(watcher)
+            log_event("watcher_left", name=request.name)
+
+    async def _push(self, stream: Any, watcher: _Watcher) -> None:
+        watcher.add(self._everything())
+        told_goals: dict[str, int] = {}
+        while True:
+            update = fleet_pb2.FleetUpdate(
+                configuration_version=self._state.version,
+                control_addresses=self._replica.member_addresses(),
+                entries=sum(w.is_entry for w in self._watchers),
+            )
+            watcher.take(update)
+            for goal in self._state.goal_by_model.values():
+                if told_goals.get(goal.model) != goal.version:
+                    told_goals[goal.model] = goal.version
+                    update.goals.append(goal)
+            await stream.send_message(update)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(UPDATE_EVERY_S):
+                    await watcher.wake.wait()
+                    await asyncio.sleep(_GATHER_S)
+
+    def _everything(self) -> fleet_pb2.FleetUpdate:
+        ended = list(self._view.book.ended_ids())[-_MAX_ENDED_TOLD:]
+        return fleet_pb2.FleetUpdate(
+            targets=[
+                *self._view.book.targets_by_id.values(),
+                *(self._control.leaving(target_id) for target_id in ended),
+            ],
+            agents=self._view.agents_by_address.values(),
+        )
+
+    def _spread(self, update: fleet_pb2.FleetUpdate) -> None:
+        for watcher in self._watchers:
+            watcher.add(update)
+
+    async def GetConfiguration(self, stream: Any) -> None:  # noqa: N802
+        """Gives the configuration if it is newer than the caller's."""
+        request = await stream.recv_message()
+        reply = fleet_pb2.ConfigurationReply()
+        configuration = self._state.configuration
+        if configuration and configuration.version > request.above_version:
+            reply.configuration.CopyFrom(configuration)
+            reply.configuration.source = b""
+            if request.without_routes:
+                del reply.configuration.routes[:]
+                del reply.configuration.customers[:]
+        await stream.send_message(reply)
+
+    async def Relay(self, stream: Any) -> None:  # noqa: N802
+        """Takes announcements that another control node got."""
+        request = await stream.recv_message()
+        self._view.take(request.targets, request.agents)
+        await stream.send_message(fleet_pb2.RelayReply())
+
+    async def Forward(self, stream: Any) -> None:  # noqa: N802
+        """Commits a command for a node that isn't the leader."""
+        request = await stream.recv_message()
+        outcome = await self._control.commit_here(request.command)
+        reply = fleet_pb2.ForwardReply()
+        if isinstance(outcome, Accepted):
+            reply.committed = True
+            reply.version = outcome.version
+        await stream.send_message(reply)
+
+    async def ReadIndex(self, stream: Any) -> None:  # noqa: N802
+        """Confirms the leader and tells how far a reader must be."""
+        await stream.recv_message()
+        index = await self._control.confirmed_index()
+        reply = fleet_pb2.ReadIndexReply(
+            confirmed=index is not None, index=index or 0
+        )
+        await stream.send_message(reply)
--- /dev/null
+++ b/damaskcroft/fleet/__init__.py
@@ -0,0 +1,19 @@
+"""A fleet whose targets announce themselves and whose routes are configured."""
+
+from damaskcroft.fleet._routes import RouteTable
+from damaskcroft.fleet._settings import Bounds, NodeSettings
+from damaskcroft.fleet._targets import TargetBook
+from damaskcroft.fleet._validation import configuration_faults
+from damaskcroft.fleet._view import FleetView
+from damaskcroft.fleet._watch import UPDATE_EVERY_S, Watcher
+
+__all__ = [
+    "UPDATE_EVERY_S",
+    "Bounds",
+    "FleetView",
+    "NodeSettings",
+    "RouteTable",
+    "TargetBook",
+    "Watcher",
+    "configuration_faults",
+]
--- /dev/null
+++ b/damaskcroft/fleet/_routes.py
@@ -0,0 +1,60 @@
+"""From a host, a path and a key to a route and a customer."""
+
+from damaskcroft._generated import fleet_pb2
+
+__all__ = ["RouteTable"]
+
+
+class RouteTable:
+    """One configuration, indexed for looking requests up.
+
+    A new table is made for each configuration and never changed, so that a
+    request sees one version from start to end.
+    """
+
+    __slots__ = (
+        "_customers_by_key",
+        "_routes_by_host",
+        "keys_required",
+        "limits",
+        "services_by_name",
+        "version",
+    )
+
+    def __init__(self, configuration: fleet_pb2.Configuration):
+        """Indexes a valid configuration."""
+        self.version = configuration.version
+        self.limits = configuration.limits
+        self.keys_required = configuration.keys_required
+        self.services_by_name = {s.name: s for s in configuration.services}
+        self._customers_by_key = {
+            key: customer
+            for customer in configuration.customers
+            for key in customer.keys
+        }
+        # Longest prefix first, so that the first match is the answer.
+        self._routes_by_host: dict[str, list[fleet_pb2.Route]] = {}
+        for route in configuration.routes:
+            self._routes_by_host.setdefault(route.host, []).append(route)
+        for routes in self._routes_by_host.values():
+            routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
+
+    def route(self, host: str, path: str) -> fleet_pb2.Route | None:
+        """The route with the longest prefix that begins the path.
+
+        Args:
+            host: as the caller sent it, perhaps with a port.
+            path: without its query.
+        """
+        name = host.lower()
+        routes = self._routes_by_host.get(name)
+        if routes is None:
+            routes = self._routes_by_host.get(name.rpartition(":")[0], [])
+        for route in routes:
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+    def customer(self, key: str) -> fleet_pb2.Customer | None:
+        """The customer that holds a key."""
+        return self._customers_by_key.get(key)
--- /dev/null
+++ b/damaskcroft/fleet/_view.py
@@ -0,0 +1,115 @@
+"""What one entry or agent believes of the fleet."""
+
+from collections.abc import Callable, Iterable
+
+from damaskcroft._generated import fleet_pb2
+from damaskcroft.fleet._routes import RouteTable
+from damaskcroft.fleet._targets import TargetBook
+from damaskcroft.observe import log_event
+
+__all__ = ["FleetView"]
+
+
+class FleetView:
+    """Merges what all control nodes say; each part only moves forward.
+
+    Attributes:
+        configuration: the newest applied, or None after a fresh start.
+        table: its routes and keys, or None.
+        book: announcements of targets.
+        goal_by_model: version of weights that should serve.
+        agents_by_address: where agents give pieces of weights.
+        entries: how many entries the fleet has, as far as known.
+    """
+
+    def __init__(self) -> None:
+        """Creates a view that knows nothing."""
+        self.configuration: fleet_pb2.Configuration | None = None
+        self.table: RouteTable | None = None
+        self.book = TargetBook()
+        self.goal_by_model: dict[str, fleet_pb2.WeightGoal] = {}
+        self.agents_by_address: dict[str, fleet_pb2.AgentState] = {}
+        self.entries = 1
+        self._listeners: list[Callable[[fleet_pb2.FleetUpdate], None]] = []
+
+    @property
+    def version(self) -> int:
+        """Version of the applied configuration; 0 for none."""
+        return self.configuration.version if self.configuration else 0
+
+    def apply_configuration(
+        self, configuration: fleet_pb2.Configuration
+    ) -> None:
+        """Applies a configuration unless a newer one is in place."""
+        if configuration.version <= self.version:
+            return
+        log_event(
+            "configuration_applied",
+            version=configuration.version,
+            before=self.version,
+            routes=len(configuration.routes),
+        )
+        self.configuration = configuration
+        self.table = RouteTable(configuration)
+
+    def listen(self, listener: Callable[[fleet_pb2.FleetUpdate], None]) -> None:
+        """Calls `listener` with each change of targets or agents."""
+        self._listeners.append(listener)
+
+    def apply_update(self, update: fleet_pb2.FleetUpdate) -> None:
+        """Takes goals, targets and agents from a control node's update."""
+        for goal in update.goals:
+            self._take_goal(goal)
+        self.take(update.targets, update.agents)
+        if update.entries:
+            self.entries = update.entries
+
+    def take(
+        self,
+        targets: Iterable[fleet_pb2.TargetState],
+        agents: Iterable[fleet_pb2.AgentState] = (),
+    ) -> None:
+        """Takes announcements, in any order."""
+        changed = fleet_pb2.FleetUpdate(
+            targets=[state for state in targets if self._take_target(state)],
+            agents=[agent for agent in agents if self._take_agent(agent)],
+        )
+        if not changed.targets and not changed.agents:
+            return
+        for listener in self._listeners:
+            listener(changed)
+
+    def _take_target(self, state: fleet_pb2.TargetState) -> bool:
+        if not self.book.take(state):
+            return False
+        log_event(
+            "target_changed",
+            id=state.id,
+            service=state.service,
+            address=state.address,
+            phase=fleet_pb2.TargetPhase.Name(state.phase),
+            sequence=state.sequence,
+        )
+        return True
+
+    def _take_agent(self, agent: fleet_pb2.AgentState) -> bool:
+        known = self.agents_by_address.get(agent.address)
+        if known is not None and not _is_newer_agent(agent, known):
+            return False
+        self.agents_by_address[agent.address] = agent
+        return True
+
+    def _take_goal(self, goal: fleet_pb2.WeightGoal) -> None:
+        known = self.goal_by_model.get(goal.model)
+        if known is not None and known.version >= goal.version:
+            return
+        self.goal_by_model[goal.model] = goal
+        log_event("weights_named", model=goal.model, version=goal.version)
+
+
+def _is_newer_agent(
+    agent: fleet_pb2.AgentState, known: fleet_pb2.AgentState
+) -> bool:
+    if agent.incarnation != known.incarnation:
+        return True
+    return agent.sequence > known.sequence
--- /dev/null
+++ b/damaskcroft/fleet/_watch.py
@@ -0,0 +1,133 @@
+"""Follows every control node, so that no single one can hide a change."""
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Callable, Iterable
+
+from damaskcroft._generated import fleet_grpc, fleet_pb2
+from damaskcroft.fleet._view import FleetView
+from damaskcroft.observe import log_event
+from damaskcroft.rpc import CALL_ERRORS, ChannelPool
+
+__all__ = ["UPDATE_EVERY_S", "Watcher"]
+
+# Control sends something at least this often, so that silence means loss.
+UPDATE_EVERY_S = 0.5
+# Silence after which a control node's stream is opened anew: four updates,
+# within the two seconds that deployments allow for a change.
+_SILENCE_S = 4 * UPDATE_EVERY_S
+_RECONNECT_S = 0.2
+_FETCH_TIMEOUT_S = 2.0
+
+
+class Watcher:
+    """Keeps a view current from all control nodes at once."""
+
+    def __init__(
+        self,
+        view: FleetView,
+        channels: ChannelPool,
+        seeds: Iterable[str],
+        request: Callable[[], fleet_pb2.WatchRequest],
+        *,
+        own_address: str = "",
+        without_routes: bool = False,
+        without_configuration: bool = False,
+    ):
+        """Follows nothing yet.
+
+        Args:
+            view: what to keep current.
+            channels: to the control nodes.
+            seeds: addresses of control nodes' calls to begin with.
+            request: says who watches, anew for each stream.
+            own_address: not followed.
+            without_routes: ask for services only.
+            without_configuration: follow targets and agents only.
+        """
+        self._view = view
+        self._channels = channels
+        self._request = request
+        self._without_routes = without_routes
+        self._without_configuration = without_configuration
+        self._seeds = list(dict.fromkeys(seeds))
+        self._own_address = own_address
+        self._tasks_by_address: dict[str, asyncio.Task] = {}
+        self._fetching = asyncio.Lock()
+
+    async def run(self) -> None:
+        """Watches until cancelled."""
+        self._follow(self._seeds)
+        try:
+            await asyncio.Event().wait()
+        finally:
+            tasks = list(self._tasks_by_address.values())
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _follow(self, addresses: Iterable[str]) -> None:
+        for address in addresses:
+            if address == self._own_address:
+                continue
+            if address not in self._tasks_by_address:
+                self._tasks_by_address[address] = asyncio.create_task(
+                    self._watch_forever(address)
+                )
+
+    async def _watch_forever(self, address: str) -> None:
+        in_touch = False
+        while True:
+            try:
+                async for _ in self._updates(address):
+                    if not in_touch:
+                        log_event("control_in_touch", address=address)
+                    in_touch = True
+            except CALL_ERRORS as error:
+                if in_touch:
+                    log_event("control_lost", address=address, reason=error)
+                in_touch = False
+                self._channels.drop(address)
+            # Spread, so that a returning control node isn't met by all.
+            await asyncio.sleep(_RECONNECT_S * (0.5 + random.random()))
+
+    async def _updates(self, address: str):
+        """Takes updates of one stream; yields after each."""
+        stub = fleet_grpc.FleetStub(self._channels.channel(address))
+        async with contextlib.AsyncExitStack() as stack:
+            async with asyncio.timeout(_SILENCE_S):
+                stream = await stack.enter_async_context(stub.Watch.open())
+                await stream.send_message(self._request(), end=True)
+            while True:
+                async with asyncio.timeout(_SILENCE_S):
+                    update = await stream.recv_message()
+                if update is None:
+                    return
+                await self._take(update, stub)
+                yield
+
+    async def _take(
+        self, update: fleet_pb2.FleetUpdate, stub: fleet_grpc.FleetStub
+    ) -> None:
+        self._view.apply_update(update)
+        self._follow(update.control_addresses)
+        if self._without_configuration:
+            return
+        if update.configuration_version > self._view.version:
+            await self._fetch(update.configuration_version, stub)
+
+    async def _fetch(self, version: int, stub: fleet_grpc.FleetStub) -> None:
+        """Gets a newer configuration once, whoever told of it first."""
+        async with self._fetching:
+            if version <= self._view.version:
+                return
+            reply = await stub.GetConfiguration(
+                fleet_pb2.ConfigurationRequest(
+                    above_version=self._view.version,
+                    without_routes=self._without_routes,
+                ),
+                timeout=_FETCH_TIMEOUT_S,
+            )
+            if reply.HasField("configuration"):
+                self._view.apply_configuration(reply.configuration)
--- /dev/null
+++ b/damaskcroft/forwarding/__init__.py
@@ -0,0 +1,35 @@
+"""Carrying callers' requests to targets and the answers back."""
+
+from damaskcroft.forwarding._call import (
+    AnswerFacts,
+    Call,
+    Passing,
+    TargetLoad,
+    Wire,
+)
+from damaskcroft.forwarding._forwarder import (
+    BrokenOff,
+    Forwarder,
+    Gave,
+    Job,
+    Ran,
+    Refused,
+)
+from damaskcroft.forwarding._gate import EntryGate
+from damaskcroft.forwarding._services import Services
+
+__all__ = [
+    "AnswerFacts",
+    "BrokenOff",
+    "Call",
+    "EntryGate",
+    "Forwarder",
+    "Gave",
+    "Job",
+    "Passing",
+    "Ran",
+    "Refused",
+    "Services",
+    "TargetLoad",
+    "Wire",
+]
--- /dev/null
+++ b/damaskcroft/forwarding/_attempt.py
@@ -0,0 +1,170 @@
+"""One request at one target, and what can be said of it afterwards."""
+
+import asyncio
+import contextlib
+import dataclasses
+from collections.abc import AsyncIterator
+
+from damaskcroft.forwarding._call import AnswerFacts, Call, Passing, Wire
+from damaskcroft.http1 import (
+    ConnectionPool,
+    CutShortError,
+    Head,
+    NoAnswerError,
+    Place,
+    TargetConnection,
+)
+
+__all__ = ["Answered", "Attempt", "Lost", "NotRun", "NotSent", "attempt"]
+
+_CONNECT_TIMEOUT_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotSent:
+    """No byte of the request has left; it can't have run."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotRun:
+    """The target certifies that the request has not run and never will."""
+
+    status: int
+    facts: AnswerFacts
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lost:
+    """Sent, with no usable answer: it may have run."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answered:
+    """The target has begun its answer to this request."""
+
+    head: Head
+    facts: AnswerFacts
+
+
+class Attempt:
+    """A request that is being sent to one target."""
+
+    __slots__ = ("_call", "_connection", "_passing", "_place", "_pool",
+                 "_wire", "finished")  # fmt: skip
+
+    def __init__(
+        self,
+        wire: Wire,
+        pool: ConnectionPool,
+        place: Place,
+        call: Call,
+        passing: Passing,
+    ):
+        """Prepares an attempt; `begin` sends it."""
+        self._wire = wire
+        self._pool = pool
+        self._place = place
+        self._call = call
+        self._passing = passing
+        self._connection: TargetConnection | None = None
+        # Whether the answer came whole, so that the connection may be kept.
+        self.finished = False
+
+    async def begin(self) -> NotSent | NotRun | Lost | Answered:
+        """Sends the request and reads the head of its answer."""
+        connection = self._pool.idle(self._place)
+        if connection is None:
+            try:
+                connection = await self._pool.opened(
+                    self._place, _CONNECT_TIMEOUT_S
+                )
+            except OSError as error:
+                return NotSent(_connect_reason(error))
+        self._connection = connection
+        headers = self._wire.target_headers(self._call, self._passing)
+        try:
+            await connection.send(
+                self._call.method, self._call.target, headers, self._call.body
+            )
+            head = await connection.read_head(self._is_ours)
+        except NoAnswerError as error:
+            return Lost(_lost_reason(error, connection))
+        facts = self._wire.facts(head)
+        if not facts.not_run:
+            return Answered(head, facts)
+        with contextlib.suppress(CutShortError):
+            await self.read_whole(_MAX_REFUSAL_BYTES)
+        return NotRun(head.status, facts)
+
+    async def read_part(self) -> bytes:
+        """The next bytes of the answer's body; empty at its end.
+
+        Raises:
+            CutShortError: the body ended before its end.
+        """
+        assert self._connection is not None, "begin comes first"
+        part = await self._connection.read_part()
+        self.finished = not part
+        return part
+
+    async def read_whole(self, max_bytes: int) -> tuple[bytes, bool]:
+        """Reads the body up to a size.
+
+        Returns:
+            What was read, and whether that is all.
+
+        Raises:
+            CutShortError: the body ended before its end.
+        """
+        body = bytearray()
+        while len(body) <= max_bytes:
+            part = await self.read_part()
+            if not part:
+                return bytes(body), True
+            body += part
+        return bytes(body), False
+
+    def close(self) -> None:
+        """Keeps the connection if the answer came whole, else ends it."""
+        connection, self._connection = self._connection, None
+        if connection is None:
+            return
+        if self.finished:
+            self._pool.give_back(self._place, connection)
+        else:
+            connection.close()
+
+    def _is_ours(self, head: Head) -> bool:
+        answered_id = self._wire.facts(head).request_id
+        return answered_id in ("", self._call.request_id)
+
+
+# A refusal's body explains itself; more than this isn't worth a connection.
+_MAX_REFUSAL_BYTES = 64 * 1024
+
+
+@contextlib.asynccontextmanager
+async def attempt(
+    wire: Wire, pool: ConnectionPool, place: Place, call: Call, passing: Passing
+) -> AsyncIterator[Attempt]:
+    """One attempt; whatever ends the block also ends the target's work."""
+    made = Attempt(wire, pool, place, call, passing)
+    try:
+        yield made
+    finally:
+        made.close()
+
+
+def _connect_reason(error: OSError) -> str:
+    if isinstance(error, TimeoutError | asyncio.TimeoutError):
+        return "connect_timeout"
+    return "connect_refused"
+
+
+def _lost_reason(error: NoAnswerError, connection: TargetConnection) -> str:
+    kept = "kept" if connection.answered else "new"
+    return f"no_answer_on_{kept}_connection: {error}"
--- /dev/null
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -0,0 +1,395 @@
+"""Carries a caller's request to a target and the answer back, once."""
+
+import asyncio
+import dataclasses
+import enum
+
+from damaskcroft._generated import fleet_pb2
+from damaskcroft.forwarding._attempt import (
+    Answered,
+    Attempt,
+    Lost,
+    NotRun,
+    NotSent,
+    attempt,
+)
+from damaskcroft.forwarding._call import AnswerFacts, Call, Passing, Wire
+from damaskcroft.forwarding._events import EventSplitter
+from damaskcroft.forwarding._services import Services
+from damaskcroft.http1 import (
+    Answer,
+    ConnectionPool,
+    CutShortError,
+    Head,
+    Place,
+)
+from damaskcroft.observe import log_event, metrics
+from damaskcroft.routing import Candidate, Outliers, Placer, RetryWindow
+
+__all__ = ["Ending", "Forwarder", "Gave", "Job", "Refused"]
+
+# Answers up to this size are read whole before the caller gets any of it, so
+# that one that is cut short can still be asked for elsewhere.
+_WHOLE_BYTES = 256 * 1024
+# Targets that could not even be connected to, before a request is given up.
+_MAX_UNSENT = 4
+# Least time that is worth sending a request for.
+_MIN_LEFT_S = 0.03
+_SERVER_ERROR = 500
+
+
+class Ran(enum.Enum):
+    """Whether a request that got no answer may have run."""
+
+    NO = "no"
+    MAYBE = "maybe"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """The request ends with an answer of our own.
+
+    Attributes:
+        reason: a fixed word, also a counter's label.
+        ran: whether it may have run at a target.
+        detail: what decided it, for the log.
+    """
+
+    reason: str
+    ran: Ran
+    detail: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Gave:
+    """A target's answer went to the caller, whole."""
+
+    status: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BrokenOff:
+    """A target's answer had begun and could not be finished."""
+
+    reason: str
+
+
+Ending = Gave | Refused | BrokenOff
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Job:
+    """A call with all that was decided before it is sent.
+
+    Attributes:
+        call: the caller's request.
+        route: its route.
+        service: which of the route's services takes it.
+        customer: whose it is; empty on public routes.
+        priority: 0 is the most urgent.
+        deadline_at: loop time at which it gets its final answer.
+    """
+
+    call: Call
+    route: fleet_pb2.Route
+    service: str
+    customer: str
+    priority: int
+    deadline_at: float
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether it may run more than once."""
+        return self.route.idempotent or self.route.resumable
+
+
+class _Progress:
+    """What became of a job so far.
+
+    Attributes:
+        sent: targets that it was sent to.
+        unsent: targets that could not be connected to.
+        excluded: ids of targets that it shall not be sent to again.
+        last: how the last attempt failed.
+        may_have_run: whether any target may have run it.
+        begun: whether the caller has got the head of an answer.
+        last_event_id: the last event that the caller has.
+    """
+
+    __slots__ = (
+        "begun",
+        "excluded",
+        "last",
+        "last_event_id",
+        "may_have_run",
+        "sent",
+        "unsent",
+    )
+
+    def __init__(self, call: Call):
+        self.sent = 0
+        self.unsent = 0
+        self.excluded: set[str] = set()
+        self.last: NotSent | NotRun | Lost | None = None
+        self.may_have_run = False
+        self.begun = False
+        self.last_event_id = call.last_event_id
+
+
+class Forwarder:
+    """Sends jobs to targets."""
+
+    def __init__(
+        self,
+        wire: Wire,
+        services: Services,
+        placer: Placer,
+        outliers: Outliers,
+        connections: ConnectionPool,
+        retry_window: RetryWindow,
+    ):
+        """Uses the entry's parts; see their classes."""
+        self._wire = wire
+        self._services = services
+        self._placer = placer
+        self._outliers = outliers
+        self._connections = connections
+        self._retry_window = retry_window
+
+    async def forward(self, job: Job, answer: Answer) -> Ending:
+        """Gives a target's answer to the caller, or says why there is none.
+
+        Raises:
+            ChannelLostError: the caller has gone.
+        """
+        self._retry_window.earn()
+        progress = _Progress(job.call)
+        try:
+            async with asyncio.timeout_at(job.deadline_at):
+                return await self._try_targets(job, answer, progress)
+        except TimeoutError:
+            return _given_up("deadline", progress)
+
+    async def _try_targets(
+        self, job: Job, answer: Answer, progress: _Progress
+    ) -> Ending:
+        while True:
+            ending = self._why_stop(job, progress)
+            if ending is not None:
+                return ending
+            placed = self._placer.choose(
+                self._services.candidates(job.service, job.call.model),
+                progress.excluded,
+            )
+            if placed is None:
+                return _given_up("no_target", progress)
+            if progress.sent and not self._retry_window.spend():
+                metrics.RETRIES.labels("no_budget").inc()
+                return _given_up("no_retry_budget", progress)
+            ended = await self._try_one(job, answer, progress, placed.candidate)
+            if ended is not None:
+                return ended
+
+    def _why_stop(self, job: Job, progress: _Progress) -> Ending | None:
+        if progress.unsent >= _MAX_UNSENT:
+            return _given_up("unreachable", progress)
+        if progress.sent >= max(1, job.route.max_attempts):
+            return _given_up("attempts_used", progress)
+        if self._left_s(job) < _MIN_LEFT_S:
+            return _given_up("deadline", progress)
+        return None
+
+    async def _try_one(
+        self,
+        job: Job,
+        answer: Answer,
+        progress: _Progress,
+        target: Candidate,
+    ) -> Ending | None:
+        """One attempt; None if another target may be tried."""
+        progress.excluded.add(target.id)
+        passing = Passing(
+            target_id=target.id,
+            customer=job.customer,
+            deadline_s=self._left_s(job),
+            priority=None,
+            last_event_id=progress.last_event_id,
+            weights_version=0,
+        )
+        place = Place(target.id, target.address)
+        ran_before = progress.may_have_run
+        progress.may_have_run = True
+        progress.sent += 1
+        self._placer.sent(target.id)
+        try:
+            async with attempt(
+                self._wire, self._connections, place, job.call, passing
+            ) as made:
+                outcome = await self._run(job, answer, progress, made, target)
+        finally:
+            self._placer.ended(target.id)
+        if isinstance(outcome, NotSent | NotRun):
+            progress.may_have_run = ran_before
+        return self._judge(job, progress, target, outcome)
+
+    async def _run(
+        self,
+        job: Job,
+        answer: Answer,
+        progress: _Progress,
+        made: Attempt,
+        target: Candidate,
+    ) -> "NotSent | NotRun | Lost | Ending":
+        begun = await made.begin()
+        if not isinstance(begun, Answered):
+            return begun
+        return await self._take_answer(
+            job, answer, progress, made, begun, target
+        )
+
+    def _judge(
+        self,
+        job: Job,
+        progress: _Progress,
+        target: Candidate,
+        outcome: "NotSent | NotRun | Lost | Ending",
+    ) -> Ending | None:
+        match outcome:
+            case NotSent(reason=reason):
+                progress.sent -= 1
+                progress.unsent += 1
+                progress.last = outcome
+                self._outliers.failed(target.id)
+            case NotRun(status=status, facts=facts):
+                progress.last = outcome
+                reason = f"not_run_{status}"
+                self._note_load(target, facts)
+            case Lost(reason=reason):
+                progress.last = outcome
+                self._outliers.failed(target.id)
+            case _:
+                self._outliers.succeeded(target.id)
+                return outcome
+        log_event(
+            "attempt_failed",
+            request=job.call.request_id,
+            target=target.id,
+            address=target.address,
+            reason=reason,
+            left_s=self._left_s(job),
+            fullness=self._placer.fullness(target),
+        )
+        metrics.RETRIES.labels(reason.partition(":")[0]).inc()
+        if isinstance(outcome, Lost) and not job.is_repeatable:
+            return _given_up("lost", progress)
+        return None
+
+    # --- Answers -----------------------------------------------------------
+
+    async def _take_answer(
+        self,
+        job: Job,
+        answer: Answer,
+        progress: _Progress,
+        made: Attempt,
+        answered: Answered,
+        target: Candidate,
+    ) -> "Lost | Ending":
+        head, facts = answered.head, answered.facts
+        self._note_load(target, facts)
+        success = 200 <= head.status < 300
+        if success and not facts.sealed:
+            return Lost("unsealed")
+        if success and job.route.streaming:
+            return await self._relay_events(answer, progress, made, head)
+        if progress.begun:
+            # The caller has another target's head already.
+            return Lost(f"status_{head.status}")
+        return await self._give_whole(job, answer, progress, made, head)
+
+    async def _give_whole(
+        self,
+        job: Job,
+        answer: Answer,
+        progress: _Progress,
+        made: Attempt,
+        head: Head,
+    ) -> "Lost | Ending":
+        try:
+            body, complete = await made.read_whole(_WHOLE_BYTES)
+        except CutShortError as error:
+            return Lost(f"cut_short: {error}")
+        if head.status >= _SERVER_ERROR and self._may_repeat(job, progress):
+            return Lost(f"status_{head.status}")
+        headers = self._wire.answer_headers(head)
+        if complete:
+            await answer.give(head.status, headers, body)
+            return Gave(head.status)
+        progress.begun = True
+        await answer.begin(head.status, headers)
+        await answer.part(body)
+        try:
+            while part := await made.read_part():
+                await answer.part(part)
+        except CutShortError as error:
+            return BrokenOff(f"cut_short: {error}")
+        await answer.end()
+        return Gave(head.status)
+
+    async def _relay_events(
+        self,
+        answer: Answer,
+        progress: _Progress,
+        made: Attempt,
+        head: Head,
+    ) -> "Lost | Gave":
+        """Gives whole events on as they come."""
+        splitter = EventSplitter()
+        try:
+            while part := await made.read_part():
+                for event in splitter.feed(part):
+                    if self._is_old(event.id, progress):
+                        continue
+                    if not progress.begun:
+                        progress.begun = True
+                        headers = self._wire.answer_headers(head)
+                        await answer.begin(head.status, headers)
+                    await answer.part(event.data)
+                    if event.id is not None:
+                        progress.last_event_id = event.id
+        except (CutShortError, ValueError) as error:
+            return Lost(f"stream_cut: {error}")
+        if splitter.rest:
+            return Lost("stream_cut: ended within an event")
+        if not progress.begun:
+            await answer.begin(head.status, self._wire.answer_headers(head))
+        await answer.end()
+        return Gave(head.status)
+
+    def _is_old(self, event_id: int | None, progress: _Progress) -> bool:
+        if event_id is None or progress.last_event_id is None:
+            return False
+        return event_id <= progress.last_event_id
+
+    # --- Small questions -----------------------------------------------------
+
+    def _may_repeat(self, job: Job, progress: _Progress) -> bool:
+        """Whether a failure may still be tried elsewhere."""
+        if not job.is_repeatable:
+            return False
+        return progress.sent < job.route.max_attempts
+
+    def _note_load(self, target: Candidate, facts: AnswerFacts) -> None:
+        if facts.load is not None:
+            requests = facts.load.running + facts.load.waiting
+            self._placer.told(target.id, requests)
+
+    def _left_s(self, job: Job) -> float:
+        return job.deadline_at - asyncio.get_running_loop().time()
+
+
+def _given_up(reason: str, progress: _Progress) -> Ending:
+    if progress.begun:
+        return BrokenOff(reason)
+    ran = Ran.MAYBE if progress.may_have_run else Ran.NO
+    return Refused(reason, ran, str(progress.last))
--- /dev/null
+++ b/damaskcroft/forwarding/_gate.py
@@ -0,0 +1,202 @@
+"""From a caller's request to a job, or to a refusal at once."""
+
+import asyncio
+import random
+
+from damaskcroft._generated import fleet_pb2
+from damaskcroft.fleet import FleetView
+from damaskcroft.forwarding._call import Call, Wire
+from damaskcroft.forwarding._forwarder import (
+    BrokenOff,
+    Forwarder,
+    Gave,
+    Job,
+    Ran,
+    Refused,
+)
+from damaskcroft.http1 import (
+    Answer,
+    CallerHandler,
+    CallerLimits,
+    CallerRequest,
+    Headers,
+)
+from damaskcroft.observe import log_event, metrics
+
+__all__ = ["EntryGate"]
+
+# A caller that names no deadline gets the route's timeout.
+_MS = 1000
+# How soon a refused caller may come back: long enough that a request under
+# way (about a second) has ended, spread so that callers don't return at once.
+_RETRY_AFTER_S = 0.3
+_RETRY_SPREAD_S = 0.7
+_STATUS_BY_REASON = {
+    "malformed": 400,
+    "no_configuration": 503,
+    "unknown_key": 401,
+    "unknown_route": 404,
+}
+_NOT_RUN_STATUS = 503
+_LOST_STATUS = 502
+_LATE_STATUS = 504
+
+
+class EntryGate(CallerHandler):
+    """Answers callers at one entry."""
+
+    def __init__(
+        self,
+        wire: Wire,
+        view: FleetView,
+        forwarder: Forwarder,
+        rng: random.Random | None = None,
+    ):
+        """Looks requests up in `view` and hands them to `forwarder`."""
+        self._wire = wire
+        self._view = view
+        self._forwarder = forwarder
+        self._rng = rng or random.Random()
+        self._limits = CallerLimits()
+        self._limits_version = 0
+        self.stopping = False
+
+    def is_stopping(self) -> bool:
+        """See CallerHandler."""
+        return self.stopping
+
+    def limits(self) -> CallerLimits:
+        """See CallerHandler."""
+        table = self._view.table
+        if table is not None and self._limits_version != table.version:
+            self._limits = _limits_of(table.limits)
+            self._limits_version = table.version
+        return self._limits
+
+    def refused(self, status: int, reason: str) -> Headers:
+        """See CallerHandler."""
+        metrics.REFUSALS.labels(reason, Ran.NO.value).inc()
+        log_event("refused_unread", status=status, reason=reason)
+        return []
+
+    async def handle(self, request: CallerRequest, answer: Answer) -> None:
+        """See CallerHandler."""
+        call = self._wire.call(request)
+        if call is None:
+            await self._refuse("", Refused("malformed", Ran.NO), answer)
+            return
+        made = self._job(call)
+        if isinstance(made, Refused):
+            await self._refuse(call.request_id, made, answer)
+            return
+        try:
+            ending = await self._forwarder.forward(made, answer)
+        except asyncio.CancelledError:
+            metrics.REFUSALS.labels("caller_left", Ran.MAYBE.value).inc()
+            log_event(
+                "caller_left",
+                request=call.request_id,
+                after_s=_now_s() - call.arrived_at,
+            )
+            raise
+        match ending:
+            case Gave():
+                metrics.ANSWERS.labels(made.service).inc()
+            case BrokenOff(reason=reason):
+                metrics.REFUSALS.labels(reason, Ran.MAYBE.value).inc()
+                log_event(
+                    "answer_broken_off", request=call.request_id, reason=reason
+                )
+            case Refused():
+                await self._refuse(call.request_id, ending, answer, made)
+
+    def _job(self, call: Call) -> Job | Refused:
+        table = self._view.table
+        if table is None:
+            return Refused("no_configuration", Ran.NO)
+        route = table.route(call.host, call.path)
+        if route is None:
+            detail = f"version {table.version}"
+            return Refused("unknown_route", Ran.NO, detail)
+        customer = None
+        if table.keys_required and not route.public:
+            customer = table.customer(call.key)
+            if customer is None:
+                detail = f"version {table.version}"
+                return Refused("unknown_key", Ran.NO, detail)
+        timeout_s = route.timeout_ms / _MS
+        if call.deadline_s is not None:
+            timeout_s = min(timeout_s, call.deadline_s)
+        return Job(
+            call=call,
+            route=route,
+            service=self._pick_service(route),
+            customer=customer.name if customer else "",
+            priority=_priority(route, customer),
+            deadline_at=call.arrived_at + timeout_s,
+        )
+
+    def _pick_service(self, route: fleet_pb2.Route) -> str:
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        names = [share.service for share in route.shares]
+        weights = [share.weight for share in route.shares]
+        return self._rng.choices(names, weights)[0]
+
+    async def _refuse(
+        self,
+        request_id: str,
+        refused: Refused,
+        answer: Answer,
+        job: Job | None = None,
+    ) -> None:
+        status = _status(refused)
+        wait_s = None
+        if status == _NOT_RUN_STATUS:
+            wait_s = _RETRY_AFTER_S + _RETRY_SPREAD_S * self._rng.random()
+        metrics.REFUSALS.labels(refused.reason, refused.ran.value).inc()
+        log_event(
+            "refused",
+            request=request_id,
+            status=status,
+            reason=refused.reason,
+            ran=refused.ran.value,
+            detail=refused.detail,
+            route=job.route.name if job else "",
+            service=job.service if job else "",
+            configuration=self._view.version,
+            retry_after_s=wait_s,
+        )
+        headers = self._wire.refusal_headers(request_id, wait_s)
+        await answer.give(status, headers, b"")
+
+
+def _status(refused: Refused) -> int:
+    fixed = _STATUS_BY_REASON.get(refused.reason)
+    if fixed is not None:
+        return fixed
+    if refused.ran is Ran.NO:
+        return _NOT_RUN_STATUS
+    return _LATE_STATUS if refused.reason == "deadline" else _LOST_STATUS
+
+
+def _priority(
+    route: fleet_pb2.Route, customer: fleet_pb2.Customer | None
+) -> int:
+    if customer is not None and customer.HasField("priority"):
+        return customer.priority
+    return route.priority
+
+
+def _limits_of(limits: fleet_pb2.CallerLimits) -> CallerLimits:
+    usual = CallerLimits()
+    return CallerLimits(
+        head_bytes=limits.max_header_bytes or usual.head_bytes,
+        body_bytes=limits.max_body_bytes or usual.body_bytes,
+        head_timeout_s=limits.header_timeout_ms / _MS or usual.head_timeout_s,
+        idle_timeout_s=limits.idle_timeout_ms / _MS or usual.idle_timeout_s,
+    )
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/damaskcroft/hosted/__init__.py
@@ -0,0 +1,1 @@
+"""The programs as a platform runs them: assembly, no policy of their own."""
--- /dev/null
+++ b/damaskcroft/hosted/control.py
@@ -0,0 +1,90 @@
+"""damask-control on a machine with a disk."""
+
+import contextlib
+
+from damaskcroft._generated import fleet_pb2
+from damaskcroft.consensus import (
+    FolderDisk,
+    GrpcTransport,
+    NotFormattedError,
+    Replica,
+    ReplicaOptions,
+    ReplicaService,
+    format_disk,
+)
+from damaskcroft.control import FleetControl, FleetService, FleetState
+from damaskcroft.fleet import FleetView, NodeSettings, Watcher
+from damaskcroft.hosted.process import background
+from damaskcroft.observe import log_event
+from damaskcroft.platform.control_face import control_routes
+from damaskcroft.rpc import (
+    ChannelPool,
+    Keys,
+    grpc_served,
+    http_served,
+    stop_event,
+)
+
+__all__ = ["serve"]
+
+# A follower that hears nothing for this long may stand: four lost heartbeats.
+_ELECTION_TIMEOUT_S = 0.5
+_HEARTBEAT_S = 0.1
+_INSTALL_TIMEOUT_S = 5.0
+# Configurations of hundreds of kilobytes, on a disk of about a hundred
+# megabytes, half of which a snapshot's rewriting may take.
+_SNAPSHOT_ENTRIES = 40
+
+
+async def serve(settings: NodeSettings) -> None:
+    """Runs one control node until SIGTERM.
+
+    Raises:
+        OSError: an address can't be bound, or the disk can't be used.
+    """
+    if settings.data_folder is None:
+        raise OSError("control needs a data folder")
+    stop = stop_event()
+    seeds = [settings.rpc_address_at(seed) for seed in settings.seeds]
+    disk = FolderDisk(settings.data_folder / "log")
+    if settings.first_start and settings.rpc_address in seeds:
+        with contextlib.suppress(NotFormattedError):
+            format_disk(disk, {address: address for address in seeds})
+    channels = ChannelPool(Keys(None, None))
+    view = FleetView()
+    state = FleetState(lambda: service.state_changed())
+    options = ReplicaOptions(
+        id=settings.rpc_address,
+        address=settings.rpc_address,
+        first_members={address: address for address in seeds},
+        election_timeout_s=_ELECTION_TIMEOUT_S,
+        heartbeat_s=_HEARTBEAT_S,
+        snapshot_entries=_SNAPSHOT_ENTRIES,
+    )
+    transport = GrpcTransport(channels, _ELECTION_TIMEOUT_S, _INSTALL_TIMEOUT_S)
+    replica = Replica(options, disk, transport, state)
+    control = FleetControl(replica, state, view, channels)
+    service = FleetService(replica, state, view, control)
+    watcher = Watcher(
+        view,
+        channels,
+        [seed for seed in seeds if seed != settings.rpc_address],
+        lambda: fleet_pb2.WatchRequest(name=settings.name),
+        own_address=settings.rpc_address,
+        without_configuration=True,
+    )
+    async with (
+        grpc_served(
+            settings.rpc_address,
+            [ReplicaService(replica), service],
+            Keys(None, None),
+        ),
+        http_served(settings.control_address, control_routes(control)),
+        background(watcher.run()),
+    ):
+        await replica.start()
+        log_event("started", role="control", incarnation=replica.incarnation)
+        await stop.wait()
+        log_event("stopping", role="control", leader=replica.is_leader)
+        await replica.stop()
+    channels.close()
--- /dev/null
+++ b/damaskcroft/hosted/entry.py
@@ -0,0 +1,93 @@
+"""damask-entry on a machine that callers reach."""
+
+import asyncio
+
+from damaskcroft._generated import fleet_pb2
+from damaskcroft.fleet import FleetView, NodeSettings, Watcher
+from damaskcroft.forwarding import EntryGate, Forwarder, Services
+from damaskcroft.hosted.process import background
+from damaskcroft.http1 import (
+    CallerConnections,
+    ConnectionPool,
+    callers_served,
+)
+from damaskcroft.observe import log_event
+from damaskcroft.platform.ready_face import ready_routes
+from damaskcroft.platform.wire import PlatformWire
+from damaskcroft.routing import Outliers, Placer, RetryWindow
+from damaskcroft.rpc import ChannelPool, Keys, http_served, stop_event
+
+__all__ = ["serve"]
+
+_CLEAN_EVERY_S = 0.5
+_POLL_S = 0.05
+# While a stopping entry says it isn't ready, callers' idle connections stay
+# open for as long as the balancer may take to notice: two of its questions, a
+# second apart, and one for good measure.
+_NOTICE_S = 3.5
+# Kept back from the time that the platform gives, to end before its SIGKILL.
+_SPARE_S = 0.4
+
+
+async def serve(settings: NodeSettings) -> None:
+    """Runs one entry until SIGTERM, then ends gracefully.
+
+    Raises:
+        OSError: an address can't be bound.
+    """
+    stop = stop_event()
+    channels = ChannelPool(Keys(None, None))
+    view = FleetView()
+    watcher = Watcher(
+        view,
+        channels,
+        [settings.rpc_address_at(seed) for seed in settings.seeds],
+        lambda: fleet_pb2.WatchRequest(name=settings.name, is_entry=True),
+    )
+    outliers = Outliers()
+    placer = Placer(settings.failure_domain, settings.region, outliers)
+    services = Services(view, settings.region_by_domain)
+    connections = ConnectionPool()
+    bounds = settings.bounds
+    retry_window = RetryWindow(
+        bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_s
+    )
+    wire = PlatformWire()
+    forwarder = Forwarder(
+        wire, services, placer, outliers, connections, retry_window
+    )
+    gate = EntryGate(wire, view, forwarder)
+
+    def is_ready() -> bool:
+        return view.table is not None and not gate.stopping
+
+    async def keep_clean() -> None:
+        while True:
+            await asyncio.sleep(_CLEAN_EVERY_S)
+            connections.close_old()
+            placer.forget_all_but(view.book.targets_by_id)
+            retry_window.entries = view.entries
+
+    async with (
+        http_served(settings.ready_address, ready_routes(is_ready)),
+        callers_served(settings.caller_address, gate) as callers,
+        background(watcher.run(), keep_clean()),
+    ):
+        log_event("started", role="entry", address=settings.caller_address)
+        await stop.wait()
+        gate.stopping = True
+        log_event("stopping", role="entry", answering=callers.answering)
+        await _drain(callers, bounds.grace_s - _SPARE_S)
+        log_event("drained", answering=callers.answering)
+    connections.close()
+    channels.close()
+
+
+async def _drain(callers: CallerConnections, within_s: float) -> None:
+    """Answers what has begun; ends when nothing is left, or in time."""
+    loop = asyncio.get_running_loop()
+    began_at = loop.time()
+    while callers.open_count and loop.time() - began_at < within_s:
+        if loop.time() - began_at > min(_NOTICE_S, within_s / 2):
+            callers.close_idle()
+        await asyncio.sleep(_POLL_S)
--- /dev/null
+++ b/damaskcroft/hosted/process.py
@@ -0,0 +1,75 @@
+"""What every hosted program does around its own work."""
+
+import asyncio
+import contextlib
+import sys
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
+from typing import Any
+
+from damaskcroft.fleet import NodeSettings
+from damaskcroft.observe import log_event, start_logs
+from damaskcroft.platform.settings import SettingsFileError, load_node_settings
+
+__all__ = ["background", "run_hosted"]
+
+_EXIT_BAD_SETTINGS = 2
+_EXIT_CANNOT_START = 3
+
+
+def run_hosted(
+    role: str, serve: Callable[[NodeSettings], Awaitable[None]]
+) -> None:
+    """Runs a program from the platform's settings to its end.
+
+    Args:
+        role: the program's name.
+        serve: its work; returns when it has ended gracefully.
+
+    Raises:
+        SystemExit: 2 for faults in the settings, 3 when it can't start.
+    """
+    try:
+        settings = load_node_settings()
+    except SettingsFileError as error:
+        print(error, file=sys.stderr)
+        raise SystemExit(_EXIT_BAD_SETTINGS) from error
+    start_logs(settings.name)
+    log_event(
+        "starting",
+        role=role,
+        ip=settings.ip,
+        failure_domain=settings.failure_domain,
+        first_start=settings.first_start,
+        seeds=",".join(settings.seeds),
+    )
+    try:
+        with contextlib.suppress(KeyboardInterrupt):
+            asyncio.run(_awaited(serve(settings)))
+    except OSError as error:
+        log_event("cannot_start", reason=error)
+        raise SystemExit(_EXIT_CANNOT_START) from error
+    log_event("stopped", role=role)
+
+
+async def _awaited(work: Awaitable[None]) -> None:
+    await work
+
+
+@contextlib.asynccontextmanager
+async def background(*works: Coroutine[Any, Any, None]) -> AsyncIterator[None]:
+    """Runs work beside the block and ends it with the block."""
+    tasks = [asyncio.create_task(work) for work in works]
+    for task in tasks:
+        task.add_done_callback(_tell_failure)
+    try:
+        yield
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def _tell_failure(task: asyncio.Task) -> None:
+    if task.cancelled() or task.exception() is None:
+        return
+    log_event("task_failed", task=task.get_coro(), reason=task.exception())
--- /dev/null
+++ b/damaskcroft/http1/__init__.py
@@ -0,0 +1,44 @@
+"""HTTP/1.1 towards callers and targets, over the h11 parser.
+
+A high-level client or server hides facts that decide what may be repeated:
+which kept connection answered, whether any byte was sent or read, whether a
+body was whole, when the caller left. So both faces drive h11 over asyncio
+(RFC 9110, RFC 9112).
+"""
+
+from damaskcroft.http1._channel import Channel, ChannelLostError, connect
+from damaskcroft.http1._client import (
+    CutShortError,
+    Head,
+    Headers,
+    NoAnswerError,
+    TargetConnection,
+)
+from damaskcroft.http1._pool import ConnectionPool, Place
+from damaskcroft.http1._server import (
+    Answer,
+    CallerConnections,
+    CallerHandler,
+    CallerLimits,
+    CallerRequest,
+    callers_served,
+)
+
+__all__ = [
+    "Answer",
+    "CallerConnections",
+    "CallerHandler",
+    "CallerLimits",
+    "CallerRequest",
+    "Channel",
+    "ChannelLostError",
+    "ConnectionPool",
+    "CutShortError",
+    "Head",
+    "Headers",
+    "NoAnswerError",
+    "Place",
+    "TargetConnection",
+    "callers_served",
+    "connect",
+]
--- a/damaskcroft/routing/__init__.py
+++ b/damaskcroft/routing/__init__.py
@@ -8,17 +8,23 @@
 )
 from damaskcroft.routing._choice import TargetChooser
 from damaskcroft.routing._outliers import Outliers
+from damaskcroft.routing._placement import Candidate, Placement, Placer
 from damaskcroft.routing._pools import Pool, PoolTable, Target
 from damaskcroft.routing._retries import RetryBudget
+from damaskcroft.routing._retry_window import RetryWindow
 
 __all__ = [
     "Admission",
+    "Candidate",
     "Granted",
     "NotGranted",
     "Outliers",
+    "Placement",
+    "Placer",
     "Pool",
     "PoolTable",
     "RetryBudget",
+    "RetryWindow",
     "Target",
     "TargetChooser",
     "Ticket",
