--- a/damaskcroft/_generated/agent_grpc.py
+++ b/damaskcroft/_generated/agent_grpc.py
@@ -22,14 +22,6 @@
     async def Inquire(self, stream: 'grpclib.server.Stream[damaskcroft._generated.agent_pb2.InquireRequest, damaskcroft._generated.agent_pb2.InquireReply]') -> None:
         pass
 
-    @abc.abstractmethod
-    async def GetChunk(self, stream: 'grpclib.server.Stream[damaskcroft._generated.agent_pb2.ChunkRequest, damaskcroft._generated.agent_pb2.ChunkPart]') -> None:
-        pass
-
-    @abc.abstractmethod
-    async def GetManifest(self, stream: 'grpclib.server.Stream[damaskcroft._generated.agent_pb2.ManifestRequest, damaskcroft._generated.agent_pb2.ManifestReply]') -> None:
-        pass
-
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/damaskcroft.Agent/Run': grpclib.const.Handler(
@@ -44,18 +36,6 @@
                 damaskcroft._generated.agent_pb2.InquireRequest,
                 damaskcroft._generated.agent_pb2.InquireReply,
             ),
-            '/damaskcroft.Agent/GetChunk': grpclib.const.Handler(
-                self.GetChunk,
-                grpclib.const.Cardinality.UNARY_STREAM,
-                damaskcroft._generated.agent_pb2.ChunkRequest,
-                damaskcroft._generated.agent_pb2.ChunkPart,
-            ),
-            '/damaskcroft.Agent/GetManifest': grpclib.const.Handler(
-                self.GetManifest,
-                grpclib.const.Cardinality.UNARY_UNARY,
-                damaskcroft._generated.agent_pb2.ManifestRequest,
-                damaskcroft._generated.agent_pb2.ManifestReply,
-            ),
         }
 
 
@@ -74,15 +54,47 @@
             damaskcroft._generated.agent_pb2.InquireRequest,
             damaskcroft._generated.agent_pb2.InquireReply,
         )
+
+
+class ChunksBase(abc.ABC):
+
+    @abc.abstractmethod
+    async def GetChunk(self, stream: 'grpclib.server.Stream[damaskcroft._generated.agent_pb2.ChunkRequest, damaskcroft._generated.agent_pb2.ChunkPart]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def GetManifest(self, stream: 'grpclib.server.Stream[damaskcroft._generated.agent_pb2.ManifestRequest, damaskcroft._generated.agent_pb2.ManifestReply]') -> None:
+        pass
+
+    def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
+        return {
+            '/damaskcroft.Chunks/GetChunk': grpclib.const.Handler(
+                self.GetChunk,
+                grpclib.const.Cardinality.UNARY_STREAM,
+                damaskcroft._generated.agent_pb2.ChunkRequest,
+                damaskcroft._generated.agent_pb2.ChunkPart,
+            ),
+            '/damaskcroft.Chunks/GetManifest': grpclib.const.Handler(
+                self.GetManifest,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                damaskcroft._generated.agent_pb2.ManifestRequest,
+                damaskcroft._generated.agent_pb2.ManifestReply,
+            ),
+        }
+
+
+class ChunksStub:
+
+    def __init__(self, channel: grpclib.client.Channel) -> None:
         self.GetChunk = grpclib.client.UnaryStreamMethod(
             channel,
-            '/damaskcroft.Agent/GetChunk',
+            '/damaskcroft.Chunks/GetChunk',
             damaskcroft._generated.agent_pb2.ChunkRequest,
             damaskcroft._generated.agent_pb2.ChunkPart,
         )
         self.GetManifest = grpclib.client.UnaryUnaryMethod(
             channel,
-            '/damaskcroft.Agent/GetManifest',
+            '/damaskcroft.Chunks/GetManifest',
             damaskcroft._generated.agent_pb2.ManifestRequest,
             damaskcroft._generated.agent_pb2.ManifestReply,
         )
--- a/damaskcroft/agent/__init__.py
+++ b/damaskcroft/agent/__init__.py
@@ -1,1 +1,15 @@
-"""The program damask-agent: the process beside each target."""
+"""The process beside each target: its gate, its orders, its weights."""
+
+from damaskcroft.agent._chunks import ChunkServer
+from damaskcroft.agent._fleet_agent import FleetAgent
+from damaskcroft.agent._fleet_stager import FleetStager
+from damaskcroft.agent._fleet_switcher import FleetSwitcher
+from damaskcroft.agent._service import ChunkService
+
+__all__ = [
+    "ChunkServer",
+    "ChunkService",
+    "FleetAgent",
+    "FleetStager",
+    "FleetSwitcher",
+]
--- a/damaskcroft/agent/_chunks.py
+++ b/damaskcroft/agent/_chunks.py
@@ -58,9 +58,17 @@
         finally:
             self._slots.release()
 
-    def manifest(self, digest: str) -> bytes:
-        """A held version's manifest, or nothing."""
+    def manifest(self, digest: str, path: str = "") -> bytes:
+        """A held version's manifest, or nothing.
+
+        Args:
+            digest: its name, or empty.
+            path: where outside sources keep the version, if that is all
+                that the asking agent knows of it.
+        """
         version = self._store.versions_by_digest.get(digest)
+        if version is None and path:
+            version = self._store.version_at(path)
         return version.content if version is not None else b""
 
     async def _wait_for_slot(self, stream: Any) -> None:
--- /dev/null
+++ b/damaskcroft/agent/_fleet_agent.py
@@ -0,0 +1,99 @@
+"""What an agent of a fleet tells the others about itself and its target."""
+
+import asyncio
+import contextlib
+import secrets
+from collections.abc import Iterable
+
+from damaskcroft._generated import fleet_grpc, fleet_pb2
+from damaskcroft.fleet import FleetView, NodeSettings
+from damaskcroft.observe import log_event
+from damaskcroft.rpc import CALL_ERRORS, ChannelPool
+
+__all__ = ["FleetAgent"]
+
+_TELL_TIMEOUT_S = 0.5
+
+
+class FleetAgent:
+    """This agent's state, told to every control node when it changes.
+
+    Args:
+        settings: where this agent stands.
+        view: what it knows of the fleet.
+        channels: to control nodes.
+    """
+
+    def __init__(
+        self, settings: NodeSettings, view: FleetView, channels: ChannelPool
+    ):
+        """See the class."""
+        self._view = view
+        self._channels = channels
+        self.state = fleet_pb2.AgentState(
+            address=settings.rpc_address,
+            target_address=settings.target_address,
+            failure_domain=settings.failure_domain,
+            region=settings.region,
+            incarnation=secrets.token_hex(8),
+            service=settings.target_service,
+        )
+
+    async def tell(
+        self,
+        phase: fleet_pb2.AgentPhase,
+        held: Iterable[fleet_pb2.HeldLayers],
+        staged: fleet_pb2.HeldLayers | None,
+    ) -> None:
+        """Tells what has changed; returns when control nodes have it."""
+        told = fleet_pb2.AgentState(phase=phase, held=held, staged=staged)
+        before = fleet_pb2.AgentState(
+            phase=self.state.phase,
+            held=self.state.held,
+            staged=self.state.staged if self.state.HasField("staged") else None,
+        )
+        if told == before:
+            return
+        state = fleet_pb2.AgentState()
+        state.CopyFrom(self.state)
+        state.sequence += 1
+        state.phase = phase
+        del state.held[:]
+        state.held.extend(told.held)
+        state.ClearField("staged")
+        if staged is not None:
+            state.staged.CopyFrom(staged)
+        self.state = state
+        log_event(
+            "agent_state",
+            phase=fleet_pb2.AgentPhase.Name(phase),
+            held=_versions(state.held),
+            staged=state.staged.version,
+            sequence=state.sequence,
+        )
+        self._view.take([], [state])
+        await asyncio.gather(
+            *(self._tell(address) for address in self._view.control_addresses)
+        )
+
+    async def _tell(self, address: str) -> None:
+        stub = fleet_grpc.FleetStub(self._channels.channel(address))
+        request = fleet_pb2.RelayRequest(agents=[self.state])
+        # Its stream of updates notices that a control node is away.
+        with contextlib.suppress(*CALL_ERRORS):
+            await stub.Relay(request, timeout=_TELL_TIMEOUT_S)
+
+    def peers(self) -> list[fleet_pb2.AgentState]:
+        """Agents beside targets of the same service, this one left out."""
+        return [
+            agent
+            for agent in self._view.agents_by_address.values()
+            if agent.service == self.state.service
+            and agent.address != self.state.address
+        ]
+
+
+def _versions(held: Iterable[fleet_pb2.HeldLayers]) -> str:
+    return ",".join(
+        f"{part.version}[{part.first_layer}:{part.end_layer}]" for part in held
+    )
--- /dev/null
+++ b/damaskcroft/agent/_fleet_stager.py
@@ -0,0 +1,315 @@
+"""Gets the wanted version's chunks and stages them beside the target."""
+
+import asyncio
+import contextlib
+import dataclasses
+import hashlib
+import random
+from collections.abc import Callable
+
+from damaskcroft.agent._fleet_agent import FleetAgent
+from damaskcroft.engines import StagedEngine
+from damaskcroft.fleet import FleetView
+from damaskcroft.observe import log_event
+from damaskcroft.weights import (
+    Burst,
+    BurstCounts,
+    BurstOptions,
+    ChunkStore,
+    ManifestError,
+    OutsideData,
+    OutsideSource,
+    Pacer,
+    Participant,
+    PeerData,
+    PeerSource,
+    StagedVersion,
+    load_manifest,
+    make_planner,
+    manifest_digest,
+    weights_path,
+)
+
+__all__ = ["FleetStager", "Wanted"]
+
+_LOOK_EVERY_S = 0.1
+_RETRY_S = 0.2
+_PLANNER = "latin"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wanted:
+    """A version that the target should hold."""
+
+    model: str
+    version: int
+
+    @property
+    def path(self) -> str:
+        """Where outside sources keep it."""
+        return weights_path(self.model, "", str(self.version))
+
+
+class FleetStager:
+    """Follows the goals and keeps the wanted version whole beside the target.
+
+    Args:
+        own: this agent.
+        view: goals, and what other targets hold.
+        engine: the target.
+        store: where this agent keeps chunks.
+        source: makes the outside source at an address.
+        peers: how other agents are asked.
+        pacer: paces what comes in.
+        options: bounds of a burst.
+    """
+
+    def __init__(
+        self,
+        own: FleetAgent,
+        view: FleetView,
+        engine: StagedEngine,
+        store: ChunkStore,
+        source: Callable[[str], OutsideSource],
+        peers: PeerSource,
+        pacer: Pacer,
+        options: BurstOptions,
+    ):
+        """See the class."""
+        self._own = own
+        self._view = view
+        self._engine = engine
+        self._store = store
+        self._make_source = source
+        self._peers = peers
+        self._pacer = pacer
+        self._options = options
+        self._rng = random.Random(own.state.address)
+        self._put: set[int] = set()
+        self.counts = BurstCounts()
+        # What is whole and checked in the store and put at the target.
+        self.staged: Wanted | None = None
+        self.staged_version: StagedVersion | None = None
+
+    def wanted(self) -> Wanted | None:
+        """The version to hold: the goal, or what the other targets hold."""
+        table = self._view.table
+        if table is None:
+            return None
+        service = table.services_by_name.get(self._own.state.service)
+        if service is None:
+            return None
+        for model in service.engine.models:
+            goal = self._view.goal_by_model.get(model.name)
+            version = goal.version if goal else self._held_by_others(model.name)
+            if version:
+                return Wanted(model.name, version)
+        return None
+
+    async def run(self) -> None:
+        """Stages whatever is wanted, until cancelled."""
+        work: asyncio.Task | None = None
+        wanted: Wanted | None = None
+        try:
+            while True:
+                found = self.wanted()
+                if found != wanted:
+                    wanted = found
+                    # A version no longer wanted stops its traffic at once.
+                    await _cancelled(work)
+                    work = None
+                    if wanted is not None:
+                        work = asyncio.create_task(self._stage(wanted))
+                await asyncio.sleep(_LOOK_EVERY_S)
+        finally:
+            await _cancelled(work)
+
+    async def restage(self) -> bool:
+        """Reads all staged pieces back and puts spoilt ones again.
+
+        Returns:
+            Whether every piece is right at the target now.
+        """
+        version = self.staged_version
+        if version is None:
+            return False
+        for index in range(len(version.held)):
+            digest = version.manifest.chunks[index].digest
+            data = await self._engine.get_piece(version.manifest.model, index)
+            if data is not None and hashlib.sha256(data).digest() == digest:
+                continue
+            log_event("staged_piece_spoilt", index=index, lost=data is None)
+            if not await self._put_piece(version, index):
+                return False
+        return True
+
+    def _held_by_others(self, model: str) -> int:
+        """The newest version that any target of the service serves."""
+        versions = [
+            held.version
+            for state in self._view.book.believed()
+            if state.service == self._own.state.service
+            for held in state.held
+            if held.model == model
+        ]
+        return max(versions, default=0)
+
+    # --- Staging -------------------------------------------------------------
+
+    async def _stage(self, wanted: Wanted) -> None:
+        while True:
+            try:
+                await self._stage_once(wanted)
+                return
+            except (ManifestError, OSError) as error:
+                log_event("staging_failed", path=wanted.path, reason=error)
+                await asyncio.sleep(_RETRY_S)
+
+    async def _stage_once(self, wanted: Wanted) -> None:
+        source = self._source()
+        content = await self._manifest(wanted, source)
+        keep = {self.staged_version.digest} if self.staged_version else set()
+        version = self._store.open_version(content, keep)
+        self._put = set()
+        await self._take_from_target(version)
+        log_event(
+            "staging",
+            path=wanted.path,
+            chunks=len(version.held),
+            held=version.held_count,
+            digest=version.digest[:12],
+        )
+        burst = Burst(
+            self._own.state.address,
+            wanted.path,
+            self._store,
+            [source],
+            self._peers,
+            self._pacer,
+            self._options,
+            self.counts,
+        )
+        putting = asyncio.create_task(self._put_as_they_come(version))
+        planning = asyncio.create_task(self._plan_forever(burst))
+        try:
+            while not version.verify_whole():
+                await burst.run(version)
+            await putting
+        finally:
+            planning.cancel()
+            putting.cancel()
+            await asyncio.gather(planning, putting, return_exceptions=True)
+        self.staged = wanted
+        self.staged_version = version
+        log_event(
+            "staged",
+            path=wanted.path,
+            origin_bytes=self.counts.origin_bytes,
+            peer_bytes=self.counts.peer_bytes,
+            corrupt=self.counts.corrupt_chunks,
+        )
+
+    def _source(self) -> OutsideSource:
+        """The outside source that the configuration names.
+
+        Raises:
+            OSError: it names none.
+        """
+        table = self._view.table
+        services = table.services_by_name.values() if table else ()
+        for service in services:
+            if service.origin:
+                return self._make_source(service.origin)
+        raise OSError("the configuration names no origin of weights")
+
+    async def _manifest(self, wanted: Wanted, source: OutsideSource) -> bytes:
+        """The manifest that two readings agree on.
+
+        Nothing vouches for a manifest, and the origin may spoil what it
+        sends; two equal readings, or one and a peer's, are taken as right.
+        """
+        seen: set[str] = set()
+        while True:
+            for content in (
+                await self._manifest_from_peer(wanted),
+                await self._manifest_from_outside(wanted, source),
+            ):
+                if content is None:
+                    continue
+                digest = manifest_digest(content)
+                if digest in seen:
+                    load_manifest(content, digest)
+                    return content
+                seen.add(digest)
+            await asyncio.sleep(_RETRY_S * self._rng.random())
+
+    async def _manifest_from_peer(self, wanted: Wanted) -> bytes | None:
+        peers = self._own.peers()
+        if not peers:
+            return None
+        peer = self._rng.choice(peers)
+        outcome = await self._peers.fetch_manifest(
+            peer.address, "", wanted.path
+        )
+        return outcome.data if isinstance(outcome, PeerData) else None
+
+    async def _manifest_from_outside(
+        self, wanted: Wanted, source: OutsideSource
+    ) -> bytes | None:
+        outcome = await source.fetch_manifest(wanted.path)
+        if isinstance(outcome, OutsideData):
+            return outcome.data
+        log_event("manifest_failed", path=wanted.path, reason=outcome.reason)
+        return None
+
+    async def _take_from_target(self, version: StagedVersion) -> None:
+        """Takes what already lies at the target, checked by digest."""
+        for index, held in enumerate(version.held):
+            if held:
+                continue
+            data = await self._engine.get_piece(version.manifest.model, index)
+            if data is None:
+                return
+            if version.write_chunk(index, data):
+                self._put.add(index)
+                self.counts.local_bytes += len(data)
+
+    async def _put_as_they_come(self, version: StagedVersion) -> None:
+        for index in range(len(version.held)):
+            while not await version.wait_for_chunk(index, _RETRY_S):
+                pass
+            while index not in self._put:
+                if await self._put_piece(version, index):
+                    self._put.add(index)
+                else:
+                    await asyncio.sleep(_RETRY_S)
+
+    async def _put_piece(self, version: StagedVersion, index: int) -> bool:
+        data = version.read_chunk(index)
+        return await self._engine.put_piece(version.manifest.model, index, data)
+
+    async def _plan_forever(self, burst: Burst) -> None:
+        """Plans anew when agents come or go."""
+        planned: list[str] = []
+        while True:
+            peers = self._own.peers()
+            addresses = sorted(peer.address for peer in peers)
+            if addresses != planned or not planned:
+                planned = addresses
+                own = self._own.state
+                participants = [
+                    Participant(agent.address, agent.address, agent.region)
+                    for agent in [*peers, own]
+                ]
+                burst.plan_with(
+                    make_planner(_PLANNER, own.address, participants)
+                )
+            await asyncio.sleep(_LOOK_EVERY_S)
+
+
+async def _cancelled(task: asyncio.Task | None) -> None:
+    if task is None:
+        return
+    task.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await task
--- /dev/null
+++ b/damaskcroft/agent/_fleet_switcher.py
@@ -0,0 +1,177 @@
+"""Brings the target to the staged version, in turn with the others."""
+
+import asyncio
+import math
+
+from damaskcroft._generated import fleet_pb2
+from damaskcroft.agent._fleet_agent import FleetAgent
+from damaskcroft.agent._fleet_stager import FleetStager, Wanted
+from damaskcroft.clock import now_s
+from damaskcroft.engines import (
+    EngineReport,
+    EngineUnreachable,
+    OrderAccepted,
+    StagedEngine,
+)
+from damaskcroft.fleet import FleetView
+from damaskcroft.observe import log_event, metrics
+
+__all__ = ["FleetSwitcher"]
+
+_POLL_S = 0.1
+_IDLE_POLL_S = 0.3
+# Share of a service's targets that may be out at once while versions change.
+# Two waves: a third one would not fit between the last chunk's arrival and
+# the time by which all must serve the new version.
+_MAX_OUT_SHARE = 0.5
+# Entries hear of a change within some milliseconds; requests already on their
+# way to the target arrive within a few more.
+_NOTICE_S = 0.05
+# Kept before the deadline, for running requests to end and the load.
+_LAST_CALL_S = 1.5
+# An order that shows no effect for this long is given again.
+_ORDER_PATIENCE_S = 10.0
+
+
+class FleetSwitcher:
+    """The only giver of orders to its target.
+
+    Args:
+        own: this agent, which tells the others.
+        view: goals, and the other agents.
+        engine: the target.
+        stager: what is staged.
+        weights_s: from a named version until all must serve it.
+    """
+
+    def __init__(
+        self,
+        own: FleetAgent,
+        view: FleetView,
+        engine: StagedEngine,
+        stager: FleetStager,
+        weights_s: float,
+    ):
+        """See the class."""
+        self._own = own
+        self._view = view
+        self._engine = engine
+        self._stager = stager
+        self._weights_s = weights_s
+
+    async def run(self) -> None:
+        """Switches whenever something newer is staged, until cancelled."""
+        while True:
+            report = await self._engine.report()
+            if isinstance(report, EngineUnreachable):
+                await asyncio.sleep(_IDLE_POLL_S)
+                continue
+            staged = self._stager.staged
+            await self._tell(fleet_pb2.AGENT_SERVING, report)
+            if staged is None or report.busy or self._serves(report, staged):
+                await asyncio.sleep(_IDLE_POLL_S)
+                continue
+            if not self._is_our_turn(report):
+                await asyncio.sleep(_POLL_S)
+                continue
+            await self._switch(report, staged)
+
+    async def _switch(self, report: EngineReport, staged: Wanted) -> None:
+        log_event(
+            "switching",
+            path=staged.path,
+            running=report.running,
+            out=len(self._others_out()),
+            left_s=self._left_s(staged.model),
+        )
+        await self._tell(fleet_pb2.AGENT_SWITCHING, report)
+        await asyncio.sleep(_NOTICE_S)
+        if not await self._stager.restage():
+            return
+        order = await self._engine.start(
+            staged.model, staged.version, report.sequence, cut_running=False
+        )
+        metrics.ORDERS.labels("start", type(order).__name__).inc()
+        log_event("ordered", path=staged.path, outcome=order)
+        if isinstance(order, OrderAccepted):
+            await self._wait_until_loaded(staged)
+
+    async def _wait_until_loaded(self, staged: Wanted) -> None:
+        ordered_at = now_s()
+        while now_s() - ordered_at < _ORDER_PATIENCE_S:
+            report = await self._engine.report()
+            if isinstance(report, EngineReport):
+                if self._serves(report, staged):
+                    log_event(
+                        "loaded",
+                        path=staged.path,
+                        after_s=now_s() - ordered_at,
+                    )
+                    await self._tell(fleet_pb2.AGENT_SERVING, report)
+                    return
+                if not report.busy:
+                    log_event("order_had_no_effect", path=staged.path)
+                    return
+            await asyncio.sleep(_POLL_S)
+
+    # --- Turns -------------------------------------------------------------
+
+    def _is_our_turn(self, report: EngineReport) -> bool:
+        """Whether enough other targets serve while this one is out."""
+        if not report.held:
+            return True
+        staged = self._stager.staged
+        if staged is None or self._left_s(staged.model) < _LAST_CALL_S:
+            return True
+        targets = len(self._own.peers()) + 1
+        most_out = max(1, math.floor(targets * _MAX_OUT_SHARE))
+        free = most_out - len(self._others_out())
+        return self._place_in_line(staged) < free
+
+    def _others_out(self) -> list[fleet_pb2.AgentState]:
+        return [
+            agent
+            for agent in self._own.peers()
+            if agent.phase == fleet_pb2.AGENT_SWITCHING
+        ]
+
+    def _place_in_line(self, staged: Wanted) -> int:
+        """How many others have staged the version and wait before us.
+
+        Addresses order them, so that two that are ready at one moment don't
+        both take the last place.
+        """
+        return sum(
+            agent.address < self._own.state.address
+            for agent in self._own.peers()
+            if agent.phase == fleet_pb2.AGENT_SERVING
+            and agent.staged.version == staged.version
+            and not _holds(agent.held, staged)
+        )
+
+    def _left_s(self, model: str) -> float:
+        since = self._view.goal_since_by_model.get(model)
+        if since is None:
+            return math.inf
+        return since + self._weights_s - now_s()
+
+    def _serves(self, report: EngineReport, staged: Wanted) -> bool:
+        return _holds(report.held, staged)
+
+    async def _tell(
+        self, phase: fleet_pb2.AgentPhase, report: EngineReport
+    ) -> None:
+        staged = self._stager.staged
+        told = None
+        if staged is not None:
+            told = fleet_pb2.HeldLayers(
+                model=staged.model, version=staged.version
+            )
+        await self._own.tell(phase, report.held, told)
+
+
+def _holds(held, staged: Wanted) -> bool:
+    return any(
+        part.model == staged.model and part.version == staged.version
+        for part in held
+    )
--- a/damaskcroft/agent/_service.py
+++ b/damaskcroft/agent/_service.py
@@ -1,4 +1,4 @@
-"""The gRPC face of an agent towards entries and other agents."""
+"""The gRPC faces of an agent: towards entries, and towards other agents."""
 
 import contextlib
 from typing import Any
@@ -10,13 +10,12 @@
 
 
 class AgentService(agent_grpc.AgentBase):
-    """Answers entries and other agents."""
+    """Answers entries."""
 
-    def __init__(self, runner: Runner, gate: Gate, chunks: ChunkServer):
-        """Serves one target's runner, gate and chunks."""
+    def __init__(self, runner: Runner, gate: Gate):
+        """Serves one target's runner and gate."""
         self._runner = runner
         self._gate = gate
-        self._chunks = chunks
 
     async def Run(self, stream: Any) -> None:  # noqa: N802
         """Runs one request; a reader that leaves cancels what may repeat."""
@@ -31,6 +30,14 @@
         outcome = self._gate.forbid(request)
         await stream.send_message(agent_pb2.InquireReply(outcome=outcome))
 
+
+class ChunkService(agent_grpc.ChunksBase):
+    """Answers other agents."""
+
+    def __init__(self, chunks: ChunkServer):
+        """Serves the chunks that this agent holds."""
+        self._chunks = chunks
+
     async def GetChunk(self, stream: Any) -> None:  # noqa: N802
         """Sends a chunk."""
         request = await stream.recv_message()
@@ -39,5 +46,5 @@
     async def GetManifest(self, stream: Any) -> None:  # noqa: N802
         """Sends a manifest."""
         request = await stream.recv_message()
-        content = self._chunks.manifest(request.manifest)
+        content = self._chunks.manifest(request.manifest, request.path)
         await stream.send_message(agent_pb2.ManifestReply(content=content))
--- a/damaskcroft/agent/main.py
+++ b/damaskcroft/agent/main.py
@@ -15,7 +15,7 @@
 from damaskcroft.agent._chunks import ChunkServer
 from damaskcroft.agent._gate import Gate
 from damaskcroft.agent._runs import Runner
-from damaskcroft.agent._service import AgentService
+from damaskcroft.agent._service import AgentService, ChunkService
 from damaskcroft.agent._settler import Settler
 from damaskcroft.agent._staging import Stager
 from damaskcroft.agent._yielding import LiveGuard
@@ -42,6 +42,7 @@
     GrpcPeerSource,
     OutsideSource,
     Pacer,
+    RangeSource,
 )
 
 _SETTLE_AT_STOP_S = 10.0
@@ -115,9 +116,12 @@
         stop = stop_event()
         await asyncio.to_thread(self._store.open_existing)
         process = self._settings.process
-        service = AgentService(self._runner, self._gate, self._chunks)
+        services = [
+            AgentService(self._runner, self._gate),
+            ChunkService(self._chunks),
+        ]
         async with (
-            grpc_served(process.listen, [service], self._keys),
+            grpc_served(process.listen, services, self._keys),
             http_served(process.http_listen, [Route("/readyz", self._ready)]),
         ):
             log_event(
@@ -263,9 +267,11 @@
 
 
 def _make_sources(burst: settings_pb2.BurstSection) -> list[OutsideSource]:
-    sources = [OutsideSource("origin", burst.origin, burst.stall_s)]
+    sources: list[OutsideSource] = [
+        RangeSource("origin", burst.origin, burst.stall_s)
+    ]
     if burst.store:
-        sources.append(OutsideSource("store", burst.store, burst.stall_s))
+        sources.append(RangeSource("store", burst.store, burst.stall_s))
     return sources
 
 
--- a/damaskcroft/control/_fleet_service.py
+++ b/damaskcroft/control/_fleet_service.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from damaskcroft._generated import fleet_grpc, fleet_pb2
+from damaskcroft.clock import now_s
 from damaskcroft.consensus import Replica
 from damaskcroft.control._fleet_control import Accepted, FleetControl
 from damaskcroft.control._fleet_state import FleetState
@@ -18,6 +19,8 @@
 # Ended targets that a new watcher is told of, so that another node's late
 # word can't revive them for it.
 _MAX_ENDED_TOLD = 512
+# For this long after a start, what is applied may have been accepted long ago.
+_REPLAY_S = 3.0
 
 
 class _Watcher:
@@ -63,6 +66,7 @@
         self._view = view
         self._control = control
         self._watchers: set[_Watcher] = set()
+        self._started_at = now_s()
         view.listen(self._spread)
 
     def state_changed(self) -> None:
@@ -100,13 +104,21 @@
             for goal in self._state.goal_by_model.values():
                 if told_goals.get(goal.model) != goal.version:
                     told_goals[goal.model] = goal.version
-                    update.goals.append(goal)
+                    update.goals.append(self._aged(goal))
             await stream.send_message(update)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(UPDATE_EVERY_S):
                     await watcher.wake.wait()
                     await asyncio.sleep(_GATHER_S)
 
+    def _aged(self, goal: fleet_pb2.WeightGoal) -> fleet_pb2.WeightGoal:
+        """A goal with its age, unless it may have been replayed."""
+        aged = fleet_pb2.WeightGoal(model=goal.model, version=goal.version)
+        applied_at = self._state.applied_at_by_model.get(goal.model)
+        if applied_at is not None and applied_at - self._started_at > _REPLAY_S:
+            aged.age_ms = int((now_s() - applied_at) * 1000)
+        return aged
+
     def _everything(self) -> fleet_pb2.FleetUpdate:
         ended = list(self._view.book.ended_ids())[-_MAX_ENDED_TOLD:]
         return fleet_pb2.FleetUpdate(
--- a/damaskcroft/control/_fleet_state.py
+++ b/damaskcroft/control/_fleet_state.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from damaskcroft._generated import fleet_pb2
+from damaskcroft.clock import now_s
 from damaskcroft.consensus import StateMachine
 
 __all__ = ["Applied", "FleetState"]
@@ -34,6 +35,8 @@
         self._changed = changed
         self.configuration: fleet_pb2.Configuration | None = None
         self.goal_by_model: dict[str, fleet_pb2.WeightGoal] = {}
+        # On this process's clock; kept beside the replicated state.
+        self.applied_at_by_model: dict[str, float] = {}
         self.time_ms = 0
 
     @property
@@ -87,7 +90,7 @@
     def _name_weights(self, goal: fleet_pb2.WeightGoal) -> Applied:
         changed = goal.version > self.weights_version(goal.model)
         if changed:
-            goal.accepted_ms = self.time_ms
             self.goal_by_model[goal.model] = goal
+            self.applied_at_by_model[goal.model] = now_s()
             self._changed()
         return Applied(changed, self.weights_version(goal.model))
--- a/damaskcroft/engines/__init__.py
+++ b/damaskcroft/engines/__init__.py
@@ -10,6 +10,7 @@
     LoadOrder,
     OrderAccepted,
     OrderFailed,
+    OrderOutcome,
     OrderRefused,
     TargetCall,
 )
@@ -18,20 +19,24 @@
     PlainService,
     UnfencedEngine,
 )
+from damaskcroft.engines._staged import EngineReport, StagedEngine
 
 __all__ = [
     "CallFailed",
     "CallNotSent",
     "CallStarted",
     "Engine",
+    "EngineReport",
     "EngineState",
     "EngineUnreachable",
     "FencingEngine",
     "LoadOrder",
     "OrderAccepted",
     "OrderFailed",
+    "OrderOutcome",
     "OrderRefused",
     "PlainService",
+    "StagedEngine",
     "TargetCall",
     "UnfencedEngine",
 ]
--- /dev/null
+++ b/damaskcroft/engines/_staged.py
@@ -0,0 +1,59 @@
+"""Targets that load weights from pieces staged beside them."""
+
+import abc
+import dataclasses
+
+from damaskcroft._generated import fleet_pb2
+from damaskcroft.engines._base import EngineUnreachable, OrderOutcome
+
+__all__ = ["EngineReport", "StagedEngine"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineReport:
+    """What a target says of itself to the process beside it.
+
+    Attributes:
+        held: layers in its memory.
+        busy: whether it is carrying out an order.
+        sequence: how many orders it has begun since its start.
+        running: requests that it works on.
+    """
+
+    held: tuple[fleet_pb2.HeldLayers, ...]
+    busy: bool
+    sequence: int
+    running: int
+
+
+class StagedEngine(abc.ABC):
+    """A target beside this process; staging is not checked by the target."""
+
+    @abc.abstractmethod
+    async def report(self) -> EngineReport | EngineUnreachable:
+        """Reads the target's state."""
+
+    @abc.abstractmethod
+    async def put_piece(self, model: str, index: int, data: bytes) -> bool:
+        """Stages one piece; whether the target took it."""
+
+    @abc.abstractmethod
+    async def get_piece(self, model: str, index: int) -> bytes | None:
+        """Reads a staged piece back; None if there is none."""
+
+    @abc.abstractmethod
+    async def start(
+        self, model: str, version: int, sequence: int, *, cut_running: bool
+    ) -> OrderOutcome:
+        """Orders that the staged pieces be loaded as a version.
+
+        Args:
+            model: its name.
+            version: what the pieces are.
+            sequence: obey only if this many orders have begun so far.
+            cut_running: end running requests instead of waiting for them.
+        """
+
+    @abc.abstractmethod
+    async def close(self) -> None:
+        """Closes all connections."""
--- a/damaskcroft/entry/tests/fakes.py
+++ b/damaskcroft/entry/tests/fakes.py
@@ -9,7 +9,6 @@
 from grpclib.testing import ChannelFor
 
 from damaskcroft._generated import control_grpc, control_pb2
-from damaskcroft.agent._chunks import ChunkServer
 from damaskcroft.agent._gate import Gate
 from damaskcroft.agent._runs import Runner
 from damaskcroft.agent._service import AgentService
@@ -82,8 +81,8 @@
 
 
 class FreezableService(AgentService):
-    def __init__(self, agent, chunks):
-        super().__init__(agent.runner, agent.gate, chunks)
+    def __init__(self, agent):
+        super().__init__(agent.runner, agent.gate)
         self.agent = agent
 
     async def Run(self, stream):  # noqa: N802
@@ -109,7 +108,7 @@
         self.runner = Runner(
             self.gate, engine, Settler(pool, [CONTROL]), lambda _: None
         )
-        self.service = FreezableService(self, ChunkServer(None, None, 1, None))
+        self.service = FreezableService(self)
 
     async def die(self):
         for task in list(self.runner._claimed_runs):
--- a/damaskcroft/fleet/_settings.py
+++ b/damaskcroft/fleet/_settings.py
@@ -49,6 +49,7 @@
         ready_address: where the balancer asks; empty on other roles.
         control_address: where targets and operators call; or empty.
         target_address: the target beside this process; or empty.
+        target_service: the service of that target; or empty.
         announce_every_s: time between a target's announcements.
         link_mbps: rate of the machine's own link.
         max_files: descriptors this process may hold.
@@ -68,6 +69,7 @@
     ready_address: str
     control_address: str
     target_address: str
+    target_service: str
     announce_every_s: float
     link_mbps: float
     max_files: int
--- a/damaskcroft/fleet/_targets.py
+++ b/damaskcroft/fleet/_targets.py
@@ -24,14 +24,11 @@
         "_births",
         "_born_by_id",
         "_ended",
-        "changes",
         "targets_by_id",
     )
 
     def __init__(self) -> None:
         """Creates an empty book."""
-        # Counts what readers of the book may want to look at again for.
-        self.changes = 0
         self.targets_by_id: dict[str, fleet_pb2.TargetState] = {}
         self._ended: dict[str, None] = {}
         self._births = 0
@@ -47,21 +44,17 @@
             return False
         if state.phase == fleet_pb2.TARGET_GONE:
             self._end(state.id)
-            self.changes += 1
             return True
         known = self.targets_by_id.get(state.id)
         if known is None:
             self._births += 1
             self._born_by_id[state.id] = self._births
             self.targets_by_id[state.id] = state
-            self.changes += 1
             return True
         if state.sequence <= known.sequence:
             return False
         self.targets_by_id[state.id] = state
-        changed = not _equal_but_sequence(state, known)
-        self.changes += changed
-        return changed
+        return not _equal_but_sequence(state, known)
 
     def believed(self) -> list[fleet_pb2.TargetState]:
         """Targets that hold their address, by the order of first word.
@@ -85,7 +78,6 @@
 
     def forget(self, target_id: str) -> None:
         """Drops a target that has been silent for long, without ending it."""
-        self.changes += 1
         self.targets_by_id.pop(target_id, None)
         self._born_by_id.pop(target_id, None)
 
--- a/damaskcroft/fleet/_view.py
+++ b/damaskcroft/fleet/_view.py
@@ -1,8 +1,10 @@
 """What one entry or agent believes of the fleet."""
 
+import math
 from collections.abc import Callable, Iterable
 
 from damaskcroft._generated import fleet_pb2
+from damaskcroft.clock import now_s
 from damaskcroft.fleet._routes import RouteTable
 from damaskcroft.fleet._targets import TargetBook
 from damaskcroft.observe import log_event
@@ -18,7 +20,10 @@
         table: its routes and keys, or None.
         book: announcements of targets.
         goal_by_model: version of weights that should serve.
+        goal_since_by_model: when it was accepted, on this process's clock;
+            long ago where no control node knows.
         agents_by_address: where agents give pieces of weights.
+        control_addresses: members of control, as last told.
         entries: how many entries the fleet has, as far as known.
     """
 
@@ -28,7 +33,11 @@
         self.table: RouteTable | None = None
         self.book = TargetBook()
         self.goal_by_model: dict[str, fleet_pb2.WeightGoal] = {}
+        self.goal_since_by_model: dict[str, float] = {}
         self.agents_by_address: dict[str, fleet_pb2.AgentState] = {}
+        # Counts what readers may want to look at targets and agents for.
+        self.changes = 0
+        self.control_addresses: tuple[str, ...] = ()
         self.entries = 1
         self._listeners: list[Callable[[fleet_pb2.FleetUpdate], None]] = []
 
@@ -61,6 +70,8 @@
         for goal in update.goals:
             self._take_goal(goal)
         self.take(update.targets, update.agents)
+        if update.control_addresses:
+            self.control_addresses = tuple(update.control_addresses)
         if update.entries:
             self.entries = update.entries
 
@@ -76,6 +87,7 @@
         )
         if not changed.targets and not changed.agents:
             return
+        self.changes += 1
         for listener in self._listeners:
             listener(changed)
 
@@ -102,10 +114,24 @@
     def _take_goal(self, goal: fleet_pb2.WeightGoal) -> None:
         known = self.goal_by_model.get(goal.model)
         if known is not None and known.version >= goal.version:
+            self._take_age(known, goal)
             return
         self.goal_by_model[goal.model] = goal
+        age_s = goal.age_ms / 1000 if goal.HasField("age_ms") else math.inf
+        self.goal_since_by_model[goal.model] = now_s() - age_s
         log_event("weights_named", model=goal.model, version=goal.version)
 
+    def _take_age(
+        self, known: fleet_pb2.WeightGoal, told: fleet_pb2.WeightGoal
+    ) -> None:
+        """Another control node may know when the same goal was accepted."""
+        if known.version != told.version or not told.HasField("age_ms"):
+            return
+        since = now_s() - told.age_ms / 1000
+        known_since = self.goal_since_by_model[told.model]
+        if math.isinf(known_since):
+            self.goal_since_by_model[told.model] = since
+
 
 def _is_newer_agent(
     agent: fleet_pb2.AgentState, known: fleet_pb2.AgentState
--- a/damaskcroft/forwarding/_services.py
+++ b/damaskcroft/forwarding/_services.py
@@ -1,11 +1,16 @@
 """Targets by service, as this entry believes them to be now."""
 
 from damaskcroft._generated import fleet_pb2
+from damaskcroft.clock import now_s
 from damaskcroft.fleet import FleetView
 from damaskcroft.routing import Candidate
 
 __all__ = ["Services"]
 
+# Before the time by which every request must begin on a new version, requests
+# stop going to targets with an older one: they may wait there a little before
+# they begin.
+_VERSION_MARGIN_S = 0.8
 # Slots of a target that doesn't say.
 _USUAL_SLOTS = 8
 
@@ -13,11 +18,25 @@
 class Services:
     """Answers which targets could run a request."""
 
-    def __init__(self, view: FleetView, region_by_domain: dict[str, str]):
-        """Reads `view`."""
+    def __init__(
+        self,
+        view: FleetView,
+        region_by_domain: dict[str, str],
+        weights_s: float,
+    ):
+        """Reads `view`.
+
+        Args:
+            view: what the entry believes.
+            region_by_domain: region of each failure domain.
+            weights_s: from a named version of weights until no request may
+                begin on an older one; 0 for no bound.
+        """
         self._view = view
+        self._weights_s = weights_s
         self._region_by_domain = region_by_domain
         self._states_by_service: dict[str, list[fleet_pb2.TargetState]] = {}
+        self._agents_by_target: dict[str, fleet_pb2.AgentState] = {}
         self._seen_changes = -1
 
     def candidates(self, service: str, model: str) -> list[Candidate]:
@@ -29,31 +48,57 @@
         """
         self._refresh()
         states = self._states_by_service.get(service, [])
-        return [
-            self._candidate(state)
-            for state in states
-            if not model or self._holds(state, model)
-        ]
+        if not model:
+            return [self._candidate(state) for state in states]
+        least = self.least_version(model)
+        serving = [s for s in states if self._serves(s, model, least)]
+        staying = [s for s in serving if not self._is_switching(s)]
+        return [self._candidate(state) for state in staying or serving]
+
+    def least_version(self, model: str) -> int:
+        """The oldest version that a request may begin on now."""
+        goal = self._view.goal_by_model.get(model)
+        if goal is None or not self._weights_s:
+            return 0
+        due_at = self._view.goal_since_by_model[model] + self._weights_s
+        if now_s() < due_at - _VERSION_MARGIN_S:
+            return 0
+        return goal.version
 
     def _refresh(self) -> None:
-        if self._seen_changes == self._view.book.changes:
+        if self._seen_changes == self._view.changes:
             return
-        self._seen_changes = self._view.book.changes
+        self._seen_changes = self._view.changes
+        self._agents_by_target = {
+            agent.target_address: agent
+            for agent in self._view.agents_by_address.values()
+        }
         self._states_by_service = {}
         for state in self._view.book.believed():
             if state.phase == fleet_pb2.TARGET_READY:
                 states = self._states_by_service.setdefault(state.service, [])
                 states.append(state)
 
-    def _holds(self, state: fleet_pb2.TargetState, model: str) -> bool:
+    def _serves(
+        self, state: fleet_pb2.TargetState, model: str, least: int
+    ) -> bool:
         layers = self._layers(state.service)
+        agent = self._agents_by_target.get(state.address)
+        told = agent.held if agent is not None else state.held
         return any(
             held.model == model
+            and held.version >= least
             and held.first_layer == 0
             and (held.end_layer == 0 or held.end_layer >= layers)
-            for held in state.held
+            for held in told
         )
 
+    def _is_switching(self, state: fleet_pb2.TargetState) -> bool:
+        agent = self._agents_by_target.get(state.address)
+        if agent is None:
+            return False
+        return agent.phase == fleet_pb2.AGENT_SWITCHING
+
     def _layers(self, service: str) -> int:
         table = self._view.table
         known = table.services_by_name.get(service) if table else None
--- a/damaskcroft/hosted/agent.py
+++ b/damaskcroft/hosted/agent.py
@@ -1,15 +1,96 @@
 """damask-agent on a machine beside a target."""
 
-from damaskcroft.fleet import NodeSettings
+import pathlib
+import tempfile
+
+from damaskcroft._generated import fleet_pb2
+from damaskcroft.agent import (
+    ChunkServer,
+    ChunkService,
+    FleetAgent,
+    FleetStager,
+    FleetSwitcher,
+)
+from damaskcroft.fleet import FleetView, NodeSettings, Watcher
+from damaskcroft.hosted.process import background
 from damaskcroft.observe import log_event
-from damaskcroft.rpc import stop_event
+from damaskcroft.platform.engine import PlatformEngine
+from damaskcroft.platform.origin import PlatformOrigin
+from damaskcroft.rpc import ChannelPool, Keys, grpc_served, stop_event
+from damaskcroft.weights import (
+    BurstOptions,
+    ChunkStore,
+    GrpcPeerSource,
+    OutsideSource,
+    Pacer,
+)
 
 __all__ = ["serve"]
 
+# Share of the link that weights may take; the rest is for live answers.
+_LINK_SHARE = 0.95
+# Two versions of the largest model that a folder in memory should hold.
+_STORE_BYTES = 24 * 1024 * 1024
+_STALL_S = 1.0
+_PARALLEL_FETCHES = 24
+_PARALLEL_UPLOADS = 1
+_BITS = 8
+_MEGA = 1_000_000
+
 
 async def serve(settings: NodeSettings) -> None:
-    """Runs one agent until SIGTERM."""
+    """Runs one agent until SIGTERM.
+
+    Raises:
+        OSError: an address can't be bound.
+    """
     stop = stop_event()
-    log_event("started", role="agent", target=settings.target_address)
-    await stop.wait()
-    log_event("stopping", role="agent")
+    channels = ChannelPool(Keys(None, None))
+    view = FleetView()
+    own = FleetAgent(settings, view, channels)
+    watcher = Watcher(
+        view,
+        channels,
+        [settings.rpc_address_at(seed) for seed in settings.seeds],
+        lambda: fleet_pb2.WatchRequest(name=settings.name, agent=own.state),
+        without_routes=True,
+    )
+    rate_bytes_s = settings.link_mbps * _MEGA / _BITS * _LINK_SHARE
+    download, upload = Pacer(rate_bytes_s), Pacer(rate_bytes_s)
+    engine = PlatformEngine(settings.target_address)
+
+    def origin(address: str) -> OutsideSource:
+        return PlatformOrigin("origin", address, _STALL_S)
+
+    with tempfile.TemporaryDirectory() as folder:
+        store = ChunkStore(pathlib.Path(folder), _STORE_BYTES)
+        stager = FleetStager(
+            own,
+            view,
+            engine,
+            store,
+            origin,
+            GrpcPeerSource(channels, download, _STALL_S),
+            download,
+            BurstOptions(
+                parallel_fetches=_PARALLEL_FETCHES,
+                parallel_outside=1,
+                wait_s=_STALL_S,
+                in_step=False,
+            ),
+        )
+        switcher = FleetSwitcher(
+            own, view, engine, stager, settings.bounds.weights_s
+        )
+        chunks = ChunkServer(store, upload, _PARALLEL_UPLOADS, stager.counts)
+        async with (
+            grpc_served(
+                settings.rpc_address, [ChunkService(chunks)], Keys(None, None)
+            ),
+            background(watcher.run(), stager.run(), switcher.run()),
+        ):
+            log_event("started", role="agent", target=settings.target_address)
+            await stop.wait()
+            log_event("stopping", role="agent")
+    await engine.close()
+    channels.close()
--- a/damaskcroft/hosted/entry.py
+++ b/damaskcroft/hosted/entry.py
@@ -46,7 +46,9 @@
     )
     outliers = Outliers()
     placer = Placer(settings.failure_domain, settings.region, outliers)
-    services = Services(view, settings.region_by_domain)
+    services = Services(
+        view, settings.region_by_domain, settings.bounds.weights_s
+    )
     connections = ConnectionPool()
     bounds = settings.bounds
     retry_window = RetryWindow(
--- /dev/null
+++ b/damaskcroft/platform/engine.py
@@ -0,0 +1,117 @@
+"""The platform's model server beside an agent."""
+
+import json
+from typing import Any
+
+from damaskcroft.engines import (
+    EngineReport,
+    EngineUnreachable,
+    OrderAccepted,
+    OrderFailed,
+    OrderOutcome,
+    OrderRefused,
+    StagedEngine,
+)
+from damaskcroft.observe import log_event
+from damaskcroft.platform.messages import decode_held
+from damaskcroft.rpc import HTTP_ERRORS, make_http_client
+
+__all__ = ["PlatformEngine"]
+
+_OK, _ACCEPTED, _NOT_FOUND = 200, 202, 404
+_CONNECTIONS = 4
+_CONNECT_TIMEOUT_S = 0.5
+_READ_TIMEOUT_S = 1.5
+
+
+class PlatformEngine(StagedEngine):
+    """See StagedEngine."""
+
+    __slots__ = ("_base_url", "_client")
+
+    def __init__(self, address: str):
+        """Names the server's address; nothing is connected yet."""
+        self._base_url = f"http://{address}/api"
+        self._client = make_http_client(
+            connections=_CONNECTIONS,
+            connect_timeout_s=_CONNECT_TIMEOUT_S,
+            read_timeout_s=_READ_TIMEOUT_S,
+        )
+
+    async def report(self) -> EngineReport | EngineUnreachable:
+        """See StagedEngine."""
+        outcome = await self._call("GET", "report")
+        if outcome is None or outcome[0] != _OK:
+            return EngineUnreachable()
+        try:
+            values = json.loads(outcome[1])
+            return EngineReport(
+                held=tuple(decode_held(values)),
+                busy=bool(values["busy"]),
+                sequence=int(values["sequence"]),
+                running=int(values["active"]) + int(values["queued"]),
+            )
+        except (ValueError, KeyError, TypeError) as error:
+            log_event("report_unreadable", reason=error)
+            return EngineUnreachable()
+
+    async def put_piece(self, model: str, index: int, data: bytes) -> bool:
+        """See StagedEngine."""
+        # On the wire a piece's number is called a sample size.
+        outcome = await self._call(
+            "PUT", f"stage-put/{model}?sample_size={index}", data
+        )
+        return outcome is not None and 200 <= outcome[0] < 300
+
+    async def get_piece(self, model: str, index: int) -> bytes | None:
+        """See StagedEngine."""
+        outcome = await self._call(
+            "GET", f"stage-get/{model}?sample_size={index}"
+        )
+        if outcome is None or outcome[0] != _OK:
+            return None
+        return outcome[1]
+
+    async def start(
+        self, model: str, version: int, sequence: int, *, cut_running: bool
+    ) -> OrderOutcome:
+        """See StagedEngine."""
+        order = {
+            "operation": "start",
+            "model": model,
+            "version": version,
+            "switch_mode": "abort" if cut_running else "wait",
+            "precondition": sequence,
+        }
+        outcome = await self._call(
+            "POST", "order", json.dumps(order).encode(), "application/json"
+        )
+        if outcome is None:
+            return OrderFailed("no_answer")
+        status, body = outcome
+        if status in (_OK, _ACCEPTED):
+            return OrderAccepted()
+        return OrderRefused(f"{status} {body[:200].decode('latin-1')}")
+
+    async def close(self) -> None:
+        """See StagedEngine."""
+        await self._client.aclose()
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        content_type: str = "application/octet-stream",
+    ) -> tuple[int, bytes] | None:
+        headers: dict[str, Any] = {}
+        if body is not None:
+            headers["Content-Type"] = content_type
+        try:
+            async with self._client.stream(
+                method, f"{self._base_url}/{path}", headers=headers, data=body
+            ) as response:
+                return response.status_code, await response.content()
+        except HTTP_ERRORS as error:
+            log_event("target_unreachable", path=path, reason=repr(error))
+            return None
--- a/damaskcroft/platform/messages.py
+++ b/damaskcroft/platform/messages.py
@@ -195,23 +195,23 @@
 def decode_held(values: dict[str, Any]) -> list[fleet_pb2.HeldLayers]:
     """The layers that a target says it holds, by model.
 
-    A model without a range of layers is held whole; its end is 0 then.
+    The wire tells the range once for all models; a target that holds nothing
+    tells none.
     """
-    held = []
-    for model in values.get("models") or ():
-        name = model["name"]
-        ranges = model.get("layers", values.get("layers"))
-        if ranges is None:
-            held.append(
-                fleet_pb2.HeldLayers(model=name, version=model["version"])
-            )
-            continue
-        held += [_held_range(name, model, part) for part in _listed(ranges)]
-    return held
-
-
-def _listed(ranges: Any) -> list[dict[str, Any]]:
-    return ranges if isinstance(ranges, list) else [ranges]
+    models = values.get("models") or ()
+    if "layers" not in values:
+        return [
+            fleet_pb2.HeldLayers(model=model["name"], version=model["version"])
+            for model in models
+        ]
+    ranges = values["layers"] or ()
+    if isinstance(ranges, dict):
+        ranges = (ranges,)
+    return [
+        _held_range(model["name"], model, part)
+        for model in models
+        for part in ranges
+    ]
 
 
 def _held_range(
--- /dev/null
+++ b/damaskcroft/platform/origin.py
@@ -0,0 +1,74 @@
+"""The platform's origin of weights."""
+
+import json
+
+from damaskcroft._generated import records_pb2
+from damaskcroft.weights import OutsideData, OutsideFailed, OutsideSource
+
+__all__ = ["PlatformOrigin"]
+
+_DIGEST_HEX = 64
+# The origin keeps one blob a version; the product's manifests name files.
+_FILE_NAME = "weights"
+
+
+class PlatformOrigin(OutsideSource):
+    """Reads manifests and pieces; see OutsideSource.
+
+    Paths are those of `weights_path`: MODEL/VERSION.
+    """
+
+    async def fetch_manifest(self, path: str) -> OutsideData | OutsideFailed:
+        """See OutsideSource."""
+        model, _, version = path.rpartition("/")
+        outcome = await self.get(f"api/manifest/{model}?version={version}", {})
+        if isinstance(outcome, OutsideFailed):
+            return outcome
+        try:
+            manifest = _manifest(outcome.data, model, version)
+        except (ValueError, KeyError, TypeError) as error:
+            return self.failed(f"malformed: {error}", 0.0)
+        return OutsideData(manifest.SerializeToString(deterministic=True))
+
+    async def fetch_chunk(
+        self, path: str, manifest: records_pb2.Manifest, index: int
+    ) -> OutsideData | OutsideFailed:
+        """See OutsideSource."""
+        model, _, version = path.rpartition("/")
+        # On the wire a piece's number is called a sample size.
+        query = f"sample_size={index}&version={version}"
+        outcome = await self.get(f"api/piece/{model}?{query}", {})
+        if isinstance(outcome, OutsideFailed):
+            return outcome
+        if len(outcome.data) != manifest.chunks[index].size_bytes:
+            return self.failed("short", 0.0)
+        return outcome
+
+
+def _manifest(body: bytes, model: str, version: str) -> records_pb2.Manifest:
+    values = json.loads(body)
+    if values["model"] != model or str(values["version"]) != version:
+        raise ValueError("another version")
+    size_bytes = int(values["chunk_bytes"])
+    digests = [bytes.fromhex(text) for text in values["digests"]]
+    if any(len(digest) * 2 != _DIGEST_HEX for digest in digests):
+        raise ValueError("a digest of another length")
+    return records_pb2.Manifest(
+        model=model,
+        version=version,
+        chunk_size_bytes=size_bytes,
+        files=[
+            records_pb2.WeightFile(
+                path=_FILE_NAME, size_bytes=size_bytes * len(digests)
+            )
+        ],
+        chunks=[
+            records_pb2.Chunk(
+                digest=digest,
+                file=0,
+                offset_bytes=index * size_bytes,
+                size_bytes=size_bytes,
+            )
+            for index, digest in enumerate(digests)
+        ],
+    )
--- a/damaskcroft/platform/settings.py
+++ b/damaskcroft/platform/settings.py
@@ -96,6 +96,7 @@
         ready_address=listen.text("ready_address", ""),
         control_address=listen.text("control", ""),
         target_address=top.text("app", ""),
+        target_service=top.text("service", ""),
         announce_every_s=top.number("heartbeat_ms") / 1000,
         link_mbps=limits.number("link_mbps"),
         max_files=int(limits.number("max_fds")),
--- a/damaskcroft/weights/__init__.py
+++ b/damaskcroft/weights/__init__.py
@@ -21,6 +21,7 @@
     OutsideData,
     OutsideFailed,
     OutsideSource,
+    RangeSource,
 )
 from damaskcroft.weights._pacer import Pacer
 from damaskcroft.weights._peers import (
@@ -53,6 +54,7 @@
     "PeerFailed",
     "PeerNotYet",
     "PeerSource",
+    "RangeSource",
     "Planner",
     "StagedVersion",
     "StoreFullError",
--- a/damaskcroft/weights/_burst.py
+++ b/damaskcroft/weights/_burst.py
@@ -49,11 +49,15 @@
         parallel_fetches: chunks asked of peers at once.
         parallel_outside: chunks read from outside at once.
         wait_s: how long a peer may keep a question open.
+        in_step: whether outside reads keep in step with the trees. Not where
+            the outside link has the rate of a few agents' links and may be
+            lost at any moment: then what is read early is safe.
     """
 
     parallel_fetches: int = 64
     parallel_outside: int = 2
     wait_s: float = 2.0
+    in_step: bool = True
 
 
 @dataclasses.dataclass(slots=True)
@@ -227,7 +231,8 @@
         read when one some way before it has come round by the tree.
         """
         for index in indexes:
-            await self._wait_in_step(version, index - self._read_ahead)
+            if self._options.in_step:
+                await self._wait_in_step(version, index - self._read_ahead)
             while not version.held[index]:
                 await self._try(version, index)
 
--- a/damaskcroft/weights/_outside.py
+++ b/damaskcroft/weights/_outside.py
@@ -4,6 +4,7 @@
 6585, section 4, with their Retry-After honoured.
 """
 
+import abc
 import asyncio
 import dataclasses
 
@@ -43,7 +44,7 @@
     retry_after_s: float
 
 
-class OutsideSource:
+class OutsideSource(abc.ABC):
     """One outside source, named for counters.
 
     After a refusal the source is left alone for as long as it asked, by all
@@ -73,32 +74,30 @@
         """How much longer the source is to be left alone, in seconds."""
         return max(0.0, self._closed_until - now_s())
 
+    @abc.abstractmethod
     async def fetch_manifest(self, path: str) -> OutsideData | OutsideFailed:
-        """Reads the manifest of the version at `path`."""
-        return await self._get(f"{path}/{MANIFEST_NAME}", {}, _OK)
+        """Reads the manifest of the version at `path`, as it is stored."""
 
+    @abc.abstractmethod
     async def fetch_chunk(
         self, path: str, manifest: records_pb2.Manifest, index: int
     ) -> OutsideData | OutsideFailed:
-        """Reads one chunk by its byte range."""
-        chunk = manifest.chunks[index]
-        last_byte = chunk.offset_bytes + chunk.size_bytes - 1
-        headers = {"Range": f"bytes={chunk.offset_bytes}-{last_byte}"}
-        file_path = f"{path}/{manifest.files[chunk.file].path}"
-        outcome = await self._get(file_path, headers, _PARTIAL)
-        if isinstance(outcome, OutsideFailed):
-            return outcome
-        if len(outcome.data) != chunk.size_bytes:
-            return self._failed("short", 0.0)
-        return outcome
+        """Reads one chunk of the version at `path`."""
 
     async def close(self) -> None:
         """Closes all connections."""
         await self._client.aclose()
 
-    async def _get(
-        self, path: str, headers: dict[str, str], expected: int
+    async def get(
+        self, path: str, headers: dict[str, str], expected: int = _OK
     ) -> OutsideData | OutsideFailed:
+        """Reads one resource.
+
+        Args:
+            path: below the source's address.
+            headers: of the request.
+            expected: the only status that brings usable bytes.
+        """
         if self.closed_for_s > 0:
             return OutsideFailed("throttled", self.closed_for_s)
         url = f"{self._base_url}/{path}"
@@ -109,15 +108,15 @@
                 if response.status_code in _THROTTLED:
                     return self._throttled(response.headers)
                 if response.status_code != expected:
-                    return self._failed("status", _DEFAULT_RETRY_AFTER_S)
+                    return self.failed("status", _DEFAULT_RETRY_AFTER_S)
                 return OutsideData(await self._read(response))
         except (TimeoutError, exceptions.ReadTimeout):
             # Perhaps only busy: asking again as impatiently would waste what
             # was sent, again and again.
             self._patience_s = min(self._patience_s * 2, _MAX_PATIENCE_S)
-            return self._failed("stalled", 0.0)
+            return self.failed("stalled", 0.0)
         except HTTP_ERRORS:
-            return self._failed("unreachable", 0.0)
+            return self.failed("unreachable", 0.0)
 
     async def _read(self, response: aiosonic.HttpResponse) -> bytes:
         """Reads the body; a source that gives nothing for long is stalled."""
@@ -138,7 +137,31 @@
             wait_s = _DEFAULT_RETRY_AFTER_S
         wait_s = min(max(wait_s, 0.0), _MAX_RETRY_AFTER_S)
         self._closed_until = now_s() + wait_s
-        return self._failed("throttled", wait_s)
+        return self.failed("throttled", wait_s)
 
-    def _failed(self, reason: str, retry_after_s: float) -> OutsideFailed:
+    def failed(self, reason: str, retry_after_s: float) -> OutsideFailed:
+        """What to say of bytes that can't be used."""
         return OutsideFailed(reason, retry_after_s)
+
+
+class RangeSource(OutsideSource):
+    """A source that keeps a version's files and its manifest beside them."""
+
+    async def fetch_manifest(self, path: str) -> OutsideData | OutsideFailed:
+        """See OutsideSource."""
+        return await self.get(f"{path}/{MANIFEST_NAME}", {})
+
+    async def fetch_chunk(
+        self, path: str, manifest: records_pb2.Manifest, index: int
+    ) -> OutsideData | OutsideFailed:
+        """See OutsideSource; reads a byte range."""
+        chunk = manifest.chunks[index]
+        last_byte = chunk.offset_bytes + chunk.size_bytes - 1
+        headers = {"Range": f"bytes={chunk.offset_bytes}-{last_byte}"}
+        file_path = f"{path}/{manifest.files[chunk.file].path}"
+        outcome = await self.get(file_path, headers, _PARTIAL)
+        if isinstance(outcome, OutsideFailed):
+            return outcome
+        if len(outcome.data) != chunk.size_bytes:
+            return self.failed("short", 0.0)
+        return outcome
--- a/damaskcroft/weights/_peers.py
+++ b/damaskcroft/weights/_peers.py
@@ -39,9 +39,9 @@
 
     @abc.abstractmethod
     async def fetch_manifest(
-        self, address: str, digest: str
+        self, address: str, digest: str, path: str = ""
     ) -> PeerData | PeerNotYet | PeerFailed:
-        """Asks for a manifest."""
+        """Asks for a manifest, by its name or by the version's path."""
 
 
 class GrpcPeerSource(PeerSource):
@@ -63,7 +63,7 @@
         self, address: str, request: agent_pb2.ChunkRequest
     ) -> PeerData | PeerNotYet | PeerFailed:
         """See PeerSource."""
-        stub = agent_grpc.AgentStub(self._pool.channel(address))
+        stub = agent_grpc.ChunksStub(self._pool.channel(address))
         patience_s = request.wait_ms / 1000 + self._stall_s
         pieces: list[bytes] = []
         try:
@@ -89,11 +89,11 @@
             return PeerFailed("unreachable")
 
     async def fetch_manifest(
-        self, address: str, digest: str
+        self, address: str, digest: str, path: str = ""
     ) -> PeerData | PeerNotYet | PeerFailed:
         """See PeerSource."""
-        stub = agent_grpc.AgentStub(self._pool.channel(address))
-        request = agent_pb2.ManifestRequest(manifest=digest)
+        stub = agent_grpc.ChunksStub(self._pool.channel(address))
+        request = agent_pb2.ManifestRequest(manifest=digest, path=path)
         try:
             reply = await stub.GetManifest(request, timeout=self._stall_s)
         except TimeoutError:
--- a/damaskcroft/weights/_store.py
+++ b/damaskcroft/weights/_store.py
@@ -17,6 +17,7 @@
     MANIFEST_NAME,
     load_manifest,
     manifest_digest,
+    weights_path,
 )
 
 _FILES_NAME = "files"
@@ -197,6 +198,16 @@
         self.versions_by_digest[digest] = version
         return version
 
+    def version_at(self, path: str) -> StagedVersion | None:
+        """The version that outside sources keep at `path`, if it is held."""
+        for version in self.versions_by_digest.values():
+            manifest = version.manifest
+            if path == weights_path(
+                manifest.model, manifest.adapter, manifest.version
+            ):
+                return version
+        return None
+
     def local_copy(self, digest: bytes) -> bytes | None:
         """A chunk's bytes from any version held, or None."""
         for version in self.versions_by_digest.values():
