--- a/damaskcroft/agent/_activation.py
+++ b/damaskcroft/agent/_activation.py
@@ -230,7 +230,7 @@
 
     def _order(self, assignment: control_pb2.Assignment) -> LoadOrder:
         version = self._store.versions_by_digest[assignment.manifest]
-        return LoadOrder(assignment, str(version.files_folder))
+        return LoadOrder(assignment, version.location)
 
 
 def _served_name(assignment: control_pb2.Assignment) -> str:
--- a/damaskcroft/agent/_chunks.py
+++ b/damaskcroft/agent/_chunks.py
@@ -9,7 +9,7 @@
 
 _PART_BYTES = 128 * 1024
 _MAX_WAIT_S = 10.0
-_REASSURE_S = 1.0
+_REASSURE_S = 0.5
 
 
 class ChunkServer:
--- a/damaskcroft/agent/_fleet_stager.py
+++ b/damaskcroft/agent/_fleet_stager.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from damaskcroft.agent._fleet_agent import FleetAgent
-from damaskcroft.engines import StagedEngine
+from damaskcroft.engines import EngineUnreachable, StagedEngine
 from damaskcroft.fleet import FleetView
 from damaskcroft.observe import log_event
 from damaskcroft.weights import (
@@ -166,6 +166,9 @@
                 await asyncio.sleep(_RETRY_S)
 
     async def _stage_once(self, wanted: Wanted) -> None:
+        # What lies at the target is worth waiting for: it costs no traffic.
+        while isinstance(await self._engine.report(), EngineUnreachable):
+            await asyncio.sleep(_RETRY_S)
         source = self._source()
         content = await self._manifest(wanted, source)
         keep = {self.staged_version.digest} if self.staged_version else set()
@@ -189,6 +192,7 @@
             self._options,
             self.counts,
         )
+        self._plan(burst)
         putting = asyncio.create_task(self._put_as_they_come(version))
         planning = asyncio.create_task(self._plan_forever(burst))
         try:
@@ -290,21 +294,21 @@
 
     async def _plan_forever(self, burst: Burst) -> None:
         """Plans anew when agents come or go."""
-        planned: list[str] = []
+        planned = self._own.peer_addresses()
         while True:
-            peers = self._own.peers()
-            addresses = sorted(peer.address for peer in peers)
-            if addresses != planned or not planned:
-                planned = addresses
-                own = self._own.state
-                participants = [
-                    Participant(agent.address, agent.address, agent.region)
-                    for agent in [*peers, own]
-                ]
-                burst.plan_with(
-                    make_planner(_PLANNER, own.address, participants)
-                )
             await asyncio.sleep(_LOOK_EVERY_S)
+            addresses = self._own.peer_addresses()
+            if addresses != planned:
+                planned = addresses
+                self._plan(burst)
+
+    def _plan(self, burst: Burst) -> None:
+        own = self._own.state
+        participants = [
+            Participant(agent.address, agent.address, agent.region)
+            for agent in [*self._own.peers(), own]
+        ]
+        burst.plan_with(make_planner(_PLANNER, own.address, participants))
 
 
 async def _cancelled(task: asyncio.Task | None) -> None:
--- a/damaskcroft/agent/main.py
+++ b/damaskcroft/agent/main.py
@@ -38,7 +38,7 @@
 from damaskcroft.weights import (
     BurstCounts,
     BurstOptions,
-    ChunkStore,
+    FolderStore,
     GrpcPeerSource,
     OutsideSource,
     Pacer,
@@ -92,7 +92,7 @@
             self._guard.first_piece_seen,
         )
         folder = pathlib.Path(settings.process.data_folder) / "weights"
-        self._store = ChunkStore(folder, burst.store_budget_bytes)
+        self._store = FolderStore(folder, burst.store_budget_bytes)
         self._sources = _make_sources(burst)
         self._stager = self._make_stager()
         self._activator = Activator(
--- a/damaskcroft/agent/tests/test_fuzz_orders.py
+++ b/damaskcroft/agent/tests/test_fuzz_orders.py
@@ -99,7 +99,7 @@
 
 class FakeVersion:
     verified = True
-    files_folder = "files"
+    location = "files"
 
 
 class AnyVersion(dict):
--- a/damaskcroft/hosted/agent.py
+++ b/damaskcroft/hosted/agent.py
@@ -1,7 +1,6 @@
 """damask-agent on a machine beside a target."""
 
-import pathlib
-import tempfile
+import functools
 
 from damaskcroft._generated import fleet_pb2
 from damaskcroft.agent import (
@@ -19,8 +18,8 @@
 from damaskcroft.rpc import ChannelPool, Keys, grpc_served, stop_event
 from damaskcroft.weights import (
     BurstOptions,
-    ChunkStore,
     GrpcPeerSource,
+    MemoryStore,
     OutsideSource,
     Pacer,
 )
@@ -29,9 +28,11 @@
 
 # Share of the link that weights may take; the rest is for live answers.
 _LINK_SHARE = 0.95
-# Two versions of the largest model that a folder in memory should hold.
+# Machines beside targets have no disk; a sixth of their memory at most.
 _STORE_BYTES = 24 * 1024 * 1024
-_STALL_S = 1.0
+# Longer than a peer takes to say that a chunk waits for its turn there
+# (twice a second), and than a link at a quarter of its rate takes for one.
+_STALL_S = 1.5
 _PARALLEL_FETCHES = 24
 _PARALLEL_UPLOADS = 1
 _BITS = 8
@@ -59,38 +60,38 @@
     download, upload = Pacer(rate_bytes_s), Pacer(rate_bytes_s)
     engine = PlatformEngine(settings.target_address)
 
+    @functools.cache
     def origin(address: str) -> OutsideSource:
         return PlatformOrigin("origin", address, _STALL_S)
 
-    with tempfile.TemporaryDirectory() as folder:
-        store = ChunkStore(pathlib.Path(folder), _STORE_BYTES)
-        stager = FleetStager(
-            own,
-            view,
-            engine,
-            store,
-            origin,
-            GrpcPeerSource(channels, download, _STALL_S),
-            download,
-            BurstOptions(
-                parallel_fetches=_PARALLEL_FETCHES,
-                parallel_outside=1,
-                wait_s=_STALL_S,
-                in_step=False,
-            ),
-        )
-        switcher = FleetSwitcher(
-            own, view, engine, stager, settings.bounds.weights_s
-        )
-        chunks = ChunkServer(store, upload, _PARALLEL_UPLOADS, stager.counts)
-        async with (
-            grpc_served(
-                settings.rpc_address, [ChunkService(chunks)], Keys(None, None)
-            ),
-            background(watcher.run(), stager.run(), switcher.run()),
-        ):
-            log_event("started", role="agent", target=settings.target_address)
-            await stop.wait()
-            log_event("stopping", role="agent")
+    store = MemoryStore(_STORE_BYTES)
+    stager = FleetStager(
+        own,
+        view,
+        engine,
+        store,
+        origin,
+        GrpcPeerSource(channels, download, _STALL_S),
+        download,
+        BurstOptions(
+            parallel_fetches=_PARALLEL_FETCHES,
+            parallel_outside=1,
+            wait_s=_STALL_S,
+            in_step=False,
+        ),
+    )
+    switcher = FleetSwitcher(
+        own, view, engine, stager, settings.bounds.weights_s
+    )
+    chunks = ChunkServer(store, upload, _PARALLEL_UPLOADS, stager.counts)
+    async with (
+        grpc_served(
+            settings.rpc_address, [ChunkService(chunks)], Keys(None, None)
+        ),
+        background(watcher.run(), stager.run(), switcher.run()),
+    ):
+        log_event("started", role="agent", target=settings.target_address)
+        await stop.wait()
+        log_event("stopping", role="agent")
     await engine.close()
     channels.close()
--- a/damaskcroft/platform/engine.py
+++ b/damaskcroft/platform/engine.py
@@ -27,11 +27,12 @@
 class PlatformEngine(StagedEngine):
     """See StagedEngine."""
 
-    __slots__ = ("_base_url", "_client")
+    __slots__ = ("_base_url", "_client", "_reachable")
 
     def __init__(self, address: str):
         """Names the server's address; nothing is connected yet."""
         self._base_url = f"http://{address}/api"
+        self._reachable = True
         self._client = make_http_client(
             connections=_CONNECTIONS,
             connect_timeout_s=_CONNECT_TIMEOUT_S,
@@ -111,7 +112,13 @@
             async with self._client.stream(
                 method, f"{self._base_url}/{path}", headers=headers, data=body
             ) as response:
-                return response.status_code, await response.content()
+                content = await response.content()
         except HTTP_ERRORS as error:
-            log_event("target_unreachable", path=path, reason=repr(error))
+            if self._reachable:
+                log_event("target_lost", path=path, reason=repr(error))
+            self._reachable = False
             return None
+        if not self._reachable:
+            log_event("target_regained", path=path)
+        self._reachable = True
+        return response.status_code, content
--- a/damaskcroft/weights/__init__.py
+++ b/damaskcroft/weights/__init__.py
@@ -36,15 +36,22 @@
     Planner,
     make_planner,
 )
-from damaskcroft.weights._store import ChunkStore, StagedVersion
+from damaskcroft.weights._store import (
+    ChunkStore,
+    FolderStore,
+    MemoryStore,
+    StagedVersion,
+)
 
 __all__ = [
     "Burst",
     "BurstCounts",
     "BurstOptions",
     "ChunkStore",
+    "FolderStore",
     "GrpcPeerSource",
     "ManifestError",
+    "MemoryStore",
     "OutsideData",
     "OutsideFailed",
     "OutsideSource",
--- a/damaskcroft/weights/_store.py
+++ b/damaskcroft/weights/_store.py
@@ -1,9 +1,10 @@
-"""Chunks on disk, laid out as the files they will be.
+"""Chunks of versions, in memory or on disk as the files they will be.
 
 A chunk is checked before it is written, and everything is checked again when
 a process starts: what is on disk after a restart is trusted only by digest.
 """
 
+import abc
 import asyncio
 import contextlib
 import hashlib
@@ -23,11 +24,11 @@
 _FILES_NAME = "files"
 
 
-class StagedVersion:
-    """One version's files, complete or on their way."""
+class StagedVersion(abc.ABC):
+    """One version's chunks, complete or on their way."""
 
-    def __init__(self, digest: str, content: bytes, folder: pathlib.Path):
-        """Opens the version in `folder`, which is made if missing.
+    def __init__(self, digest: str, content: bytes):
+        """Holds nothing yet.
 
         Raises:
             ManifestError: `content` isn't the manifest `digest`.
@@ -35,8 +36,6 @@
         self.digest = digest
         self.content = content
         self.manifest = load_manifest(content, digest)
-        self.folder = folder
-        self.files_folder = folder / _FILES_NAME
         self.held = bytearray(len(self.manifest.chunks))
         self.held_count = 0
         self.verified = False
@@ -44,7 +43,6 @@
         for index, chunk in enumerate(self.manifest.chunks):
             self.index_by_digest.setdefault(chunk.digest, index)
         self._arrivals: dict[int, asyncio.Event] = {}
-        self._create_files()
 
     @property
     def size_bytes(self) -> int:
@@ -56,15 +54,30 @@
         """Whether every chunk is held."""
         return self.held_count == len(self.held)
 
+    @abc.abstractmethod
     def read_chunk(self, index: int) -> bytes:
         """Reads a held chunk.
 
         Raises:
             OSError: the disk fails.
         """
-        chunk = self.manifest.chunks[index]
-        with self._path(chunk.file).open("rb") as file:
-            return os.pread(file.fileno(), chunk.size_bytes, chunk.offset_bytes)
+
+    @property
+    def location(self) -> str:
+        """Folder from which a target can load it; empty if there is none."""
+        return ""
+
+    @abc.abstractmethod
+    def drop(self) -> None:
+        """Frees what the version takes."""
+
+    @abc.abstractmethod
+    def _keep(self, index: int, data: bytes) -> None:
+        """Stores a chunk whose bytes are right."""
+
+    @abc.abstractmethod
+    def _sync(self) -> None:
+        """Makes what is stored last as long as it can."""
 
     def write_chunk(self, index: int, data: bytes) -> bool:
         """Stores a chunk if its bytes are right.
@@ -76,8 +89,7 @@
         if hashlib.sha256(data).digest() != chunk.digest:
             return False
         if not self.held[index]:
-            with self._path(chunk.file).open("r+b") as file:
-                os.pwrite(file.fileno(), data, chunk.offset_bytes)
+            self._keep(index, data)
             self._mark(index)
         return True
 
@@ -103,7 +115,7 @@
         """Reads everything back; forgets chunks that are wrong.
 
         Returns:
-            Whether the version is whole, and synced to disk.
+            Whether the version is whole, and as lasting as it can be.
         """
         for index, chunk in enumerate(self.manifest.chunks):
             data = self.read_chunk(index)
@@ -128,6 +140,41 @@
         self.held_count -= self.held[index]
         self.held[index] = 0
 
+
+class FolderVersion(StagedVersion):
+    """A version in the files that it will be served from."""
+
+    def __init__(self, digest: str, content: bytes, folder: pathlib.Path):
+        """Opens the version in `folder`, which is made if missing.
+
+        Raises:
+            ManifestError: `content` isn't the manifest `digest`.
+        """
+        super().__init__(digest, content)
+        self.folder = folder
+        self.files_folder = folder / _FILES_NAME
+        self._create_files()
+
+    @property
+    def location(self) -> str:
+        """See StagedVersion."""
+        return str(self.files_folder)
+
+    def read_chunk(self, index: int) -> bytes:
+        """See StagedVersion."""
+        chunk = self.manifest.chunks[index]
+        with self._path(chunk.file).open("rb") as file:
+            return os.pread(file.fileno(), chunk.size_bytes, chunk.offset_bytes)
+
+    def drop(self) -> None:
+        """See StagedVersion."""
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    def _keep(self, index: int, data: bytes) -> None:
+        chunk = self.manifest.chunks[index]
+        with self._path(chunk.file).open("r+b") as file:
+            os.pwrite(file.fileno(), data, chunk.offset_bytes)
+
     def _path(self, file_index: int) -> pathlib.Path:
         return self.files_folder / self.manifest.files[file_index].path
 
@@ -148,31 +195,44 @@
                 os.fsync(file.fileno())
 
 
-class ChunkStore:
-    """All versions under one folder, within a byte budget."""
+class MemoryVersion(StagedVersion):
+    """A version in memory, for machines without a disk."""
 
-    def __init__(self, folder: pathlib.Path, budget_bytes: int):
-        """Uses `folder`; `open_existing` finds what is in it."""
-        self._folder = folder
+    def __init__(self, digest: str, content: bytes):
+        """Holds nothing yet.
+
+        Raises:
+            ManifestError: `content` isn't the manifest `digest`.
+        """
+        super().__init__(digest, content)
+        self._chunks_by_index: dict[int, bytes] = {}
+
+    def read_chunk(self, index: int) -> bytes:
+        """See StagedVersion."""
+        return self._chunks_by_index.get(index, b"")
+
+    def drop(self) -> None:
+        """See StagedVersion."""
+        self._chunks_by_index.clear()
+
+    def _keep(self, index: int, data: bytes) -> None:
+        self._chunks_by_index[index] = data
+
+    def _sync(self) -> None:
+        """Memory lasts as long as the process, whatever is done."""
+
+
+class ChunkStore(abc.ABC):
+    """All versions held, within a byte budget."""
+
+    def __init__(self, budget_bytes: int):
+        """Holds nothing yet."""
         self._budget_bytes = budget_bytes
         self.versions_by_digest: dict[str, StagedVersion] = {}
-        folder.mkdir(parents=True, exist_ok=True)
 
-    def open_existing(self) -> None:
-        """Takes up versions left by an earlier process, checked by digest."""
-        for folder in sorted(self._folder.iterdir()):
-            manifest_file = folder / MANIFEST_NAME
-            if not manifest_file.is_file():
-                shutil.rmtree(folder, ignore_errors=True)
-                continue
-            content = manifest_file.read_bytes()
-            try:
-                version = StagedVersion(folder.name, content, folder)
-            except ManifestError:
-                shutil.rmtree(folder, ignore_errors=True)
-                continue
-            version.scan()
-            self.versions_by_digest[version.digest] = version
+    @abc.abstractmethod
+    def _new_version(self, digest: str, content: bytes) -> StagedVersion:
+        """Makes room for one version's chunks."""
 
     def open_version(
         self, content: bytes, keep_digests: set[str]
@@ -194,7 +254,7 @@
         manifest = load_manifest(content, digest)
         needed_bytes = sum(file.size_bytes for file in manifest.files)
         self._make_room(needed_bytes, keep_digests)
-        version = StagedVersion(digest, content, self._folder / digest)
+        version = self._new_version(digest, content)
         self.versions_by_digest[digest] = version
         return version
 
@@ -220,7 +280,7 @@
         """Removes a version and its files."""
         version = self.versions_by_digest.pop(digest, None)
         if version is not None:
-            shutil.rmtree(version.folder, ignore_errors=True)
+            version.drop()
 
     def _make_room(self, needed_bytes: int, keep_digests: set[str]) -> None:
         held_bytes = sum(
@@ -240,3 +300,39 @@
         for digest in list(self.versions_by_digest):
             if digest not in keep_digests:
                 yield digest
+
+
+class FolderStore(ChunkStore):
+    """Versions under one folder."""
+
+    def __init__(self, folder: pathlib.Path, budget_bytes: int):
+        """Uses `folder`; `open_existing` finds what is in it."""
+        super().__init__(budget_bytes)
+        self._folder = folder
+        folder.mkdir(parents=True, exist_ok=True)
+
+    def open_existing(self) -> None:
+        """Takes up versions left by an earlier process, checked by digest."""
+        for folder in sorted(self._folder.iterdir()):
+            manifest_file = folder / MANIFEST_NAME
+            if not manifest_file.is_file():
+                shutil.rmtree(folder, ignore_errors=True)
+                continue
+            content = manifest_file.read_bytes()
+            try:
+                version = FolderVersion(folder.name, content, folder)
+            except ManifestError:
+                shutil.rmtree(folder, ignore_errors=True)
+                continue
+            version.scan()
+            self.versions_by_digest[version.digest] = version
+
+    def _new_version(self, digest: str, content: bytes) -> StagedVersion:
+        return FolderVersion(digest, content, self._folder / digest)
+
+
+class MemoryStore(ChunkStore):
+    """Versions in memory."""
+
+    def _new_version(self, digest: str, content: bytes) -> StagedVersion:
+        return MemoryVersion(digest, content)
--- a/damaskcroft/weights/tests/test_burst.py
+++ b/damaskcroft/weights/tests/test_burst.py
@@ -10,7 +10,7 @@
     Burst,
     BurstCounts,
     BurstOptions,
-    ChunkStore,
+    FolderStore,
     ManifestError,
     OutsideData,
     OutsideFailed,
@@ -122,7 +122,7 @@
         self.peers = FakePeers()
         self.counts = {agent_id: BurstCounts() for agent_id in IDS}
         self.stores = {
-            agent_id: ChunkStore(folder / agent_id, 10**9) for agent_id in IDS
+            agent_id: FolderStore(folder / agent_id, 10**9) for agent_id in IDS
         }
 
     def burst(self, agent_id, members=IDS):
@@ -210,7 +210,7 @@
     content = bytearray(path.read_bytes())
     content[1500] ^= 1
     path.write_bytes(content)
-    reopened = ChunkStore(site.folder / "agent-0", 10**9)
+    reopened = FolderStore(site.folder / "agent-0", 10**9)
     reopened.open_existing()
     site.stores["agent-0"] = reopened
     again = reopened.versions_by_digest[digest]
@@ -239,7 +239,7 @@
 def test_old_versions_make_room_but_never_one_that_serves(site):
     store = site.stores["agent-0"]
     first = store.open_version(site.content, set())
-    small = ChunkStore(site.folder / "agent-0", first.size_bytes + 500)
+    small = FolderStore(site.folder / "agent-0", first.size_bytes + 500)
     small.open_existing()
     other = write_files(site.folder / "other", "2")
     with pytest.raises(StoreFullError):
