Only senders of chunks are paced; three chunks at once

Cause: the burst took 7.4 to 8.1 s, since a receiver's pacer held back the question for the next part, so that a part's round trip included it.

--- a/damaskcroft/agent/main.py
+++ b/damaskcroft/agent/main.py
@@ -242,7 +242,7 @@
 
     def _make_stager(self) -> Stager:
         burst = self._settings.burst
-        peers = GrpcPeerSource(self._pool, self._download, burst.stall_s)
+        peers = GrpcPeerSource(self._pool, burst.stall_s)
         options = BurstOptions(
             parallel_fetches=burst.parallel_fetches, wait_s=burst.stall_s
         )
--- a/damaskcroft/hosted/agent.py
+++ b/damaskcroft/hosted/agent.py
@@ -34,7 +34,7 @@
 # (twice a second), and than a link at a quarter of its rate takes for one.
 _STALL_S = 1.5
 _PARALLEL_FETCHES = 24
-_PARALLEL_UPLOADS = 2
+_PARALLEL_UPLOADS = 3
 _BITS = 8
 _MEGA = 1_000_000
 
@@ -71,7 +71,7 @@
         engine,
         store,
         origin,
-        GrpcPeerSource(channels, download, _STALL_S),
+        GrpcPeerSource(channels, _STALL_S),
         download,
         BurstOptions(
             parallel_fetches=_PARALLEL_FETCHES,
--- a/damaskcroft/weights/_peers.py
+++ b/damaskcroft/weights/_peers.py
@@ -6,7 +6,6 @@
 
 from damaskcroft._generated import agent_grpc, agent_pb2
 from damaskcroft.rpc import CALL_ERRORS, ChannelPool
-from damaskcroft.weights._pacer import Pacer
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,18 +44,16 @@
 
 
 class GrpcPeerSource(PeerSource):
-    """Agents reached by grpclib, at the pace of this machine's link.
+    """Agents reached by grpclib.
 
     Args:
         pool: channels to agents.
-        pacer: paces what comes in.
         stall_s: silence after which a peer is given up.
     """
 
-    def __init__(self, pool: ChannelPool, pacer: Pacer, stall_s: float):
+    def __init__(self, pool: ChannelPool, stall_s: float):
         """Uses channels of `pool`."""
         self._pool = pool
-        self._pacer = pacer
         self._stall_s = stall_s
 
     async def fetch_chunk(
@@ -86,7 +83,6 @@
                     if part.last:
                         await stream.cancel()
                         return PeerData(b"".join(pieces))
-                    await self._pacer.pass_bytes(len(part.data))
                     await stream.send_message(agent_pb2.ChunkAsk(next=True))
                     patience_s = self._stall_s
         except TimeoutError:
