Members replaced and dropped, full disks, resets that drop what was sent, SIGHUP

Change: SIGHUP reloads; leaving a target resets the connection; an even number of voters drops a silent one, and whoever was left out asks to be taken in; an append that fails leaves no torn frame, and the leader gives way.

--- a/damaskcroft/consensus/__init__.py
+++ b/damaskcroft/consensus/__init__.py
@@ -15,6 +15,7 @@
 from damaskcroft.consensus._log import DurableLog
 from damaskcroft.consensus._outcomes import (
     Committed,
+    DiskFailed,
     NotLeader,
     Outcome,
     Undecided,
@@ -36,6 +37,7 @@
     "Committed",
     "ConsensusError",
     "Disk",
+    "DiskFailed",
     "DurableLog",
     "FolderDisk",
     "GrpcTransport",
--- a/damaskcroft/consensus/_log.py
+++ b/damaskcroft/consensus/_log.py
@@ -23,6 +23,7 @@
         "_configs",
         "_disk",
         "_entries",
+        "_has_torn_tail",
         "_offsets",
         "_size_bytes",
         "snapshot",
@@ -41,6 +42,7 @@
         # Asked for at every claim, so not to be looked for each time.
         self._configs: list[tuple[int, consensus_pb2.ClusterConfig]] = []
         self._size_bytes = 0
+        self._has_torn_tail = False
         self.snapshot = _read_snapshot(disk)
         self._read_entries()
         self.synced_index = self.last_index
@@ -66,6 +68,11 @@
             return self._entries[-1].term
         return self.snapshot.term
 
+    @property
+    def size_bytes(self) -> int:
+        """Size of all entries held."""
+        return self._size_bytes
+
     def term_at(self, index: int) -> int | None:
         """The term of an entry; None when it isn't held."""
         if index == self.snapshot.index:
@@ -111,13 +118,28 @@
         return found
 
     def append(self, entries: list[consensus_pb2.LogEntry]) -> None:
-        """Adds entries; they last only after `sync`."""
+        """Adds entries; they last only after `sync`.
+
+        Raises:
+            OSError: the disk took only the entries that are held now.
+        """
         for entry in entries:
             entry.synced_index = self.synced_index
             frame = _frames.framed(entry.SerializeToString())
-            self._disk.append(LOG_NAME, frame)
+            self._append_frame(frame)
             self._keep(entry, len(frame))
 
+    def _append_frame(self, frame: bytes) -> None:
+        """Writes a frame whole, or leaves nothing of it behind.
+
+        A torn frame before later, synced ones would read as damage.
+        """
+        if self._has_torn_tail:
+            self._disk.truncate(LOG_NAME, self._size_bytes)
+        self._has_torn_tail = True
+        self._disk.append(LOG_NAME, frame)
+        self._has_torn_tail = False
+
     async def sync(self) -> None:
         """Makes every entry appended before this call last."""
         index, term = self.last_index, self.last_term
--- a/damaskcroft/consensus/_members.py
+++ b/damaskcroft/consensus/_members.py
@@ -40,6 +40,15 @@
     return changed
 
 
+def without_member(
+    config: consensus_pb2.ClusterConfig, member_id: str
+) -> consensus_pb2.ClusterConfig:
+    """The list with one member removed."""
+    changed = consensus_pb2.ClusterConfig()
+    changed.members.extend(m for m in config.members if m.id != member_id)
+    return changed
+
+
 def majority_value(
     config: consensus_pb2.ClusterConfig,
     own_id: str,
--- a/damaskcroft/consensus/_outcomes.py
+++ b/damaskcroft/consensus/_outcomes.py
@@ -33,4 +33,11 @@
     """Appended, but not known to be committed; it may still become so."""
 
 
-Outcome = Committed | NotLeader | Undecided
+@dataclasses.dataclass(frozen=True, slots=True)
+class DiskFailed:
+    """Nothing was appended, since this replica's disk takes nothing now."""
+
+    reason: str
+
+
+Outcome = Committed | NotLeader | Undecided | DiskFailed
--- a/damaskcroft/consensus/_replica.py
+++ b/damaskcroft/consensus/_replica.py
@@ -24,9 +24,11 @@
     majority_value,
     voters,
     with_member,
+    without_member,
 )
 from damaskcroft.consensus._outcomes import (
     Committed,
+    DiskFailed,
     NotLeader,
     Outcome,
     Undecided,
@@ -42,6 +44,11 @@
 _BATCH_BYTES = 1024 * 1024
 # How often a leader checks that a majority follows, in an election timeout.
 _LOOKS_A_TIMEOUT = 4
+# A member that has not answered for this many election timeouts is silent.
+_SILENT_TIMEOUTS = 4
+# After its disk failed, a replica stands for no election for this many
+# election timeouts, so that one with a sound disk is elected first.
+_DISK_PAUSE_TIMEOUTS = 4
 _FOLLOWER, _CANDIDATE, _LEADER = "following", "standing", "leading"
 
 
@@ -104,6 +111,8 @@
         self._heard_at = 0.0
         self._started_at = 0.0
         self._term_start_index = 0
+        self._led_since = 0.0
+        self._disk_failed_at = float("-inf")
         self._machine = Machine(
             model=self,
             states=[_FOLLOWER, _CANDIDATE, _LEADER],
@@ -167,8 +176,7 @@
         self._started_at = now_s()
         self._spawn(self._elect_forever())
         self._spawn(self._apply_forever())
-        if not self._is_member():
-            self._spawn(self._join_until_member())
+        self._spawn(self._join_whenever_left_out())
 
     async def stop(self) -> None:
         """Ends all tasks; nothing more is sent or written."""
@@ -182,9 +190,13 @@
         """Appends a command and waits until it is committed and applied."""
         if not self.is_leader:
             return NotLeader(self.leader_address)
-        return await self._append_and_wait(
-            consensus_pb2.LogEntry(command=command)
-        )
+        try:
+            return await self._append_and_wait(
+                consensus_pb2.LogEntry(command=command)
+            )
+        except OSError as error:
+            self._note_disk_failure(error)
+            return DiskFailed(str(error))
 
     async def confirm_leader(self, timeout_s: float) -> bool:
         """Waits until a majority confirms the leader after this call.
@@ -280,10 +292,15 @@
             if self.is_leader:
                 await asyncio.sleep(timeout_s / _LOOKS_A_TIMEOUT)
                 await self._step_down_if_cut_off()
+                self._drop_silent_member()
                 continue
             await self._wait_for_silence(timeout_s * (1 + self._rng.random()))
-            if not self.is_leader and self._is_voter():
+            if self.is_leader or not self._is_voter() or self._disk_fails():
+                continue
+            try:
                 await self._stand_for_election()
+            except OSError as error:
+                self._note_disk_failure(error)
 
     async def _wait_for_silence(self, silence_s: float) -> None:
         """Returns once no leader has been heard for `silence_s`."""
@@ -390,6 +407,7 @@
         log_event("leader_elected", term=self.term, last=self.log.last_index)
         self._peers_by_id = {}
         self._term_start_index = self.log.last_index + 1
+        self._led_since = now_s()
         self._append(consensus_pb2.LogEntry())
         self._spawn_leader(self._sync_forever())
         self._start_peers()
@@ -478,7 +496,11 @@
         while True:
             await self._append_local.wait()
             self._append_local.clear()
-            await self.log.sync()
+            try:
+                await self.log.sync()
+            except OSError as error:
+                self._note_disk_failure(error)
+                return
             await self._advance_commit()
 
     def _start_peers(self) -> None:
@@ -630,7 +652,11 @@
         )
         await asyncio.sleep(0)
         self._start_peers()
-        return await waiting
+        try:
+            return await waiting
+        except OSError as error:
+            self._note_disk_failure(error)
+            return DiskFailed(str(error))
 
     def _promote_learners(self) -> None:
         """Makes a learner a voter once it holds all that is committed."""
@@ -645,28 +671,77 @@
             promoted.CopyFrom(member)
             promoted.learner = False
             log_event("learner_promoted", id=member.id, index=self.commit_index)
-            self._append(
-                consensus_pb2.LogEntry(
-                    config=with_member(self.log.config(), promoted)
-                )
-            )
+            self._append_config(with_member(self.log.config(), promoted))
+            return
+
+    def _drop_silent_member(self) -> None:
+        """Removes a member that was replaced by another.
+
+        An even number of voters bears no more losses than one fewer would.
+        So when one of them is silent, it is dropped; it asks to be taken
+        back should it return. An odd number is kept: with fewer disks an
+        accepted write would be on fewer of them.
+        """
+        if not self.is_confirmed_leader or self._config_change_pending():
+            return
+        silent_s = _SILENT_TIMEOUTS * self._options.election_timeout_s
+        if now_s() - self._led_since < silent_s:
+            return
+        config = self.log.config()
+        even = len(voters(config)) % 2 == 0
+        for member in config.members:
+            if member.id == self._options.id:
+                continue
+            if not member.learner and not even:
+                continue
+            if now_s() - self._confirmed_at(member) < silent_s:
+                continue
+            log_event("member_dropped", id=member.id, learner=member.learner)
+            self._peers_by_id.pop(member.id, None)
+            self._append_config(without_member(config, member.id))
             return
 
-    async def _join_until_member(self) -> None:
-        """Asks the others to take this empty replica back as a learner."""
+    def _confirmed_at(self, member: consensus_pb2.Voter) -> float:
+        """When a member last answered, or the start of this leadership."""
+        peer = self._peers_by_id.get(member.id)
+        if peer is None:
+            return self._led_since
+        return max(self._led_since, peer.confirmed_at)
+
+    def _append_config(self, config: consensus_pb2.ClusterConfig) -> None:
+        try:
+            self._append(consensus_pb2.LogEntry(config=config))
+        except OSError as error:
+            self._note_disk_failure(error)
+
+    async def _join_whenever_left_out(self) -> None:
+        """Asks to be taken in while no leader counts this replica.
+
+        That is so with an empty disk, on a new machine, and after the others
+        have dropped it.
+        """
+        timeout_s = self._options.election_timeout_s
         member = consensus_pb2.Voter(
             id=self._options.id,
             address=self._options.address,
             incarnation=self.incarnation,
         )
         request = consensus_pb2.JoinRequest(member=member)
-        while not self._is_member():
-            for member_id, address in self._options.first_members.items():
-                if member_id == self._options.id:
-                    continue
-                with contextlib.suppress(PeerUnreachableError):
-                    await self._transport.join(address, request)
-            await asyncio.sleep(self._options.election_timeout_s)
+        while True:
+            silence_s = now_s() - max(self._heard_at, self._started_at)
+            left_out = not self._is_member() or silence_s > 2 * timeout_s
+            if left_out and not self.is_leader:
+                await self._ask_to_join(request)
+            await asyncio.sleep(timeout_s)
+
+    async def _ask_to_join(self, request: consensus_pb2.JoinRequest) -> None:
+        known = {m.address for m in self.log.config().members}
+        known.update(self._options.first_members.values())
+        known.discard(self._options.address)
+        await asyncio.gather(
+            *(self._transport.join(address, request) for address in known),
+            return_exceptions=True,
+        )
 
     # --- Committing and applying -------------------------------------------
 
@@ -686,7 +761,11 @@
             self._replicate.set()
             async with self._changed:
                 self._changed.notify_all()
-            self._compact_if_due()
+            try:
+                self._compact_if_due()
+            except OSError as error:
+                # The log stays as it is and is compacted another time.
+                log_event("snapshot_failed", reason=error)
 
     def _apply_next(self) -> None:
         entry = self.log.entry(self.applied_index + 1)
@@ -707,7 +786,8 @@
 
     def _compact_if_due(self) -> None:
         due = self.applied_index - self.log.snapshot.index
-        if due < self._options.snapshot_entries:
+        large = self.log.size_bytes > self._options.snapshot_bytes
+        if due < self._options.snapshot_entries and not (large and due):
             return
         index = self.applied_index
         snapshot = consensus_pb2.Snapshot(
@@ -745,10 +825,27 @@
         return state
 
     def _save_hard_state(self, term: int, voted_for: str) -> None:
-        self._hard.term = term
-        self._hard.voted_for = voted_for
-        content = _frames.framed(self._hard.SerializeToString())
+        """Makes term and vote last before anything depends on them.
+
+        Raises:
+            OSError: the disk took nothing; the old ones hold.
+        """
+        saved = consensus_pb2.HardState(
+            term=term, voted_for=voted_for, incarnation=self.incarnation
+        )
+        content = _frames.framed(saved.SerializeToString())
         self._disk.replace(HARD_STATE_NAME, content)
+        self._hard = saved
+
+    def _note_disk_failure(self, error: OSError) -> None:
+        log_event("disk_failed", reason=error, leader=self.is_leader)
+        self._disk_failed_at = now_s()
+        if self.is_leader:
+            self._become_follower("")
+
+    def _disk_fails(self) -> bool:
+        pause_s = _DISK_PAUSE_TIMEOUTS * self._options.election_timeout_s
+        return now_s() - self._disk_failed_at < pause_s
 
     def _spawn(self, work: Coroutine) -> None:
         self._tasks.add(asyncio.create_task(work))
--- a/damaskcroft/consensus/_setup.py
+++ b/damaskcroft/consensus/_setup.py
@@ -45,6 +45,7 @@
             actual wait is drawn between once and twice this.
         heartbeat_s: longest time between a leader's messages.
         snapshot_entries: log entries between snapshots.
+        snapshot_bytes: size of the log at which one is taken sooner.
     """
 
     id: str
@@ -53,6 +54,7 @@
     election_timeout_s: float = 0.6
     heartbeat_s: float = 0.1
     snapshot_entries: int = 20_000
+    snapshot_bytes: int = 64 * 1024 * 1024
 
 
 def format_disk(disk: Disk, members: dict[str, str]) -> None:
--- a/damaskcroft/consensus/_transport.py
+++ b/damaskcroft/consensus/_transport.py
@@ -1,10 +1,16 @@
 """How replicas reach each other."""
 
 import abc
+import contextlib
+from collections.abc import Iterator
 from typing import TYPE_CHECKING, Any
 
+import grpclib
+import grpclib.const
+
 from damaskcroft._generated import consensus_grpc, consensus_pb2
 from damaskcroft.consensus._errors import ConsensusError
+from damaskcroft.observe import log_event
 from damaskcroft.rpc import CALL_ERRORS, ChannelPool
 
 if TYPE_CHECKING:
@@ -99,6 +105,9 @@
         try:
             return await getattr(stub, method)(request, timeout=timeout_s)
         except CALL_ERRORS as error:
+            if isinstance(error, TimeoutError):
+                # The connection may have gone silent for good.
+                self._pool.drop(address)
             raise PeerUnreachableError(f"{address}: {error}") from error
 
 
@@ -112,19 +121,37 @@
     async def Vote(self, stream: Any) -> None:  # noqa: N802
         """Answers a vote request."""
         request = await stream.recv_message()
-        await stream.send_message(await self._replica.handle_vote(request))
+        with _disk_errors_told():
+            reply = await self._replica.handle_vote(request)
+        await stream.send_message(reply)
 
     async def Append(self, stream: Any) -> None:  # noqa: N802
         """Answers entries or a heartbeat."""
         request = await stream.recv_message()
-        await stream.send_message(await self._replica.handle_append(request))
+        with _disk_errors_told():
+            reply = await self._replica.handle_append(request)
+        await stream.send_message(reply)
 
     async def Install(self, stream: Any) -> None:  # noqa: N802
         """Answers a snapshot."""
         request = await stream.recv_message()
-        await stream.send_message(await self._replica.handle_install(request))
+        with _disk_errors_told():
+            reply = await self._replica.handle_install(request)
+        await stream.send_message(reply)
 
     async def Join(self, stream: Any) -> None:  # noqa: N802
         """Answers a replica that lost its disk."""
         request = await stream.recv_message()
         await stream.send_message(await self._replica.handle_join(request))
+
+
+@contextlib.contextmanager
+def _disk_errors_told() -> Iterator[None]:
+    """Turns a failing disk into a refusal; the asking replica tries again."""
+    try:
+        yield
+    except OSError as error:
+        log_event("disk_failed", reason=error)
+        raise grpclib.GRPCError(
+            grpclib.const.Status.UNAVAILABLE, str(error)
+        ) from error
--- a/damaskcroft/consensus/tests/fakes.py
+++ b/damaskcroft/consensus/tests/fakes.py
@@ -19,6 +19,11 @@
 MEMBERS = {"a": "addr-a", "b": "addr-b", "c": "addr-c"}
 
 
+def address_of(member):
+    """First members have theirs; others are named after themselves."""
+    return MEMBERS.get(member, f"addr-{member}")
+
+
 class FakeDisk(Disk):
     """Keeps what is synced; a crash keeps only a part of the rest."""
 
@@ -27,6 +32,7 @@
         self.synced = dict(synced or {})
         self.pending = {}
         self.dead = False
+        self.full = False
 
     def read(self, name):
         if name not in self.synced and name not in self.pending:
@@ -35,7 +41,11 @@
 
     def append(self, name, content):
         self._check()
+        if self.full:
+            # A full disk may take the first bytes and refuse the rest.
+            content = content[: len(content) // 2]
         self.pending[name] = self.pending.get(name, b"") + content
+        self._check_room()
 
     async def sync(self, name):
         size = len(self.pending.get(name, b""))
@@ -55,6 +65,7 @@
 
     def replace(self, name, content):
         self._check()
+        self._check_room()
         self.synced[name] = content
         self.pending.pop(name, None)
 
@@ -71,6 +82,10 @@
         if self.dead:
             raise OSError("the process is gone")
 
+    def _check_room(self):
+        if self.full:
+            raise OSError("no space left")
+
 
 class ListMachine(StateMachine):
     """Remembers every command with its index."""
@@ -154,11 +169,17 @@
             format_disk(self.disks[member], MEMBERS)
             self.start(member)
 
+    def add(self, member):
+        """Starts a replica on a new machine, with an empty disk."""
+        self.disks[member] = FakeDisk(self.rng)
+        self.start(member)
+
     def start(self, member):
         machine = ListMachine()
+        address = address_of(member)
         options = ReplicaOptions(
             id=member,
-            address=MEMBERS[member],
+            address=address,
             first_members=MEMBERS,
             election_timeout_s=0.6,
             heartbeat_s=0.1,
@@ -167,18 +188,18 @@
         replica = Replica(
             options,
             self.disks[member],
-            FakeTransport(self.network, MEMBERS[member]),
+            FakeTransport(self.network, address),
             machine,
             random.Random(self.rng.random()),
         )
         self.machines[member] = machine
         self.replicas[member] = replica
-        self.network.replicas_by_address[MEMBERS[member]] = replica
+        self.network.replicas_by_address[address] = replica
         self.loop.run(replica.start())
 
     def crash(self, member, kept_share=0.0):
         replica = self.replicas.pop(member)
-        del self.network.replicas_by_address[MEMBERS[member]]
+        del self.network.replicas_by_address[address_of(member)]
         self.disks[member] = self.disks[member].crash(kept_share)
         self.loop.run(replica.stop())
 
--- /dev/null
+++ b/damaskcroft/consensus/tests/test_members.py
@@ -0,0 +1,121 @@
+"""Members that are replaced, dropped and taken back; disks that fail."""
+
+import pytest
+
+from damaskcroft.consensus import Committed, DiskFailed
+from damaskcroft.consensus.tests.fakes import MEMBERS, Cluster
+
+SETTLED_S = 8.0
+
+
+@pytest.fixture
+def cluster(loop):
+    made = Cluster(loop)
+    loop.pass_time(3.0)
+    yield made
+    for replica in made.replicas.values():
+        loop.run(replica.stop())
+
+
+def voting(cluster):
+    config = cluster.leader().log.config()
+    return sorted(m.id for m in config.members if not m.learner)
+
+
+def accepted(cluster, value):
+    return isinstance(cluster.write(value), Committed)
+
+
+def lose(cluster, member):
+    """A machine that is gone for good."""
+    cluster.crash(member)
+
+
+@pytest.mark.parametrize("member", ["a", "b", "c"])
+def test_a_replaced_member_stops_counting(cluster, loop, member):
+    """One member is gone, a new one comes; then one more may be lost."""
+    assert accepted(cluster, "before")
+    lose(cluster, member)
+    cluster.add("new")
+    loop.pass_time(SETTLED_S)
+    assert voting(cluster) == sorted({*MEMBERS, "new"} - {member})
+    lose(cluster, next(m for m in MEMBERS if m != member))
+    loop.pass_time(SETTLED_S)
+    assert accepted(cluster, "after")
+    assert "before" in [value for _, value in cluster.machines["new"].applied]
+
+
+def test_a_planned_replacement_leaves_three(cluster, loop):
+    cluster.add("new")
+    loop.pass_time(SETTLED_S)
+    assert voting(cluster) == ["a", "b", "c", "new"]
+    leader = next(m for m, r in cluster.replicas.items() if r.is_leader)
+    lose(cluster, leader)
+    loop.pass_time(SETTLED_S)
+    assert len(voting(cluster)) == 3
+    assert leader not in voting(cluster)
+    assert accepted(cluster, "after")
+
+
+def test_a_dropped_member_that_returns_is_taken_back(cluster, loop):
+    cluster.add("new")
+    loop.pass_time(SETTLED_S)
+    away = next(m for m in MEMBERS if not cluster.replicas[m].is_leader)
+    cluster.crash(away)
+    loop.pass_time(SETTLED_S)
+    assert away not in voting(cluster)
+    cluster.start(away)
+    loop.pass_time(SETTLED_S)
+    assert away in voting(cluster)
+
+
+def test_a_silent_member_of_three_is_kept(cluster, loop):
+    """Nobody replaced it, and its disk may hold what was accepted."""
+    away = next(m for m in MEMBERS if not cluster.replicas[m].is_leader)
+    cluster.crash(away)
+    loop.pass_time(3 * SETTLED_S)
+    assert voting(cluster) == ["a", "b", "c"]
+    assert accepted(cluster, "by two")
+
+
+def test_two_more_than_the_first_members_all_count(cluster, loop):
+    cluster.add("d")
+    cluster.add("e")
+    loop.pass_time(SETTLED_S)
+    assert voting(cluster) == ["a", "b", "c", "d", "e"]
+    for member in ("a", "d"):
+        lose(cluster, member)
+    loop.pass_time(SETTLED_S)
+    assert accepted(cluster, "by three")
+
+
+def test_a_leader_with_a_full_disk_gives_way(cluster, loop):
+    leader = next(m for m, r in cluster.replicas.items() if r.is_leader)
+    cluster.disks[leader].full = True
+    assert isinstance(cluster.write("refused"), DiskFailed)
+    loop.pass_time(SETTLED_S)
+    assert not cluster.replicas[leader].is_leader
+    assert accepted(cluster, "by the others")
+    cluster.disks[leader].full = False
+    loop.pass_time(SETTLED_S)
+    assert accepted(cluster, "later")
+    loop.pass_time(1.0)
+    values = [value for _, value in cluster.machines[leader].applied]
+    assert values == ["by the others", "later"]
+
+
+def test_a_disk_that_was_full_is_readable_afterwards(cluster, loop):
+    """A torn entry must not stand before later ones."""
+    follower = next(m for m, r in cluster.replicas.items() if not r.is_leader)
+    cluster.disks[follower].full = True
+    assert accepted(cluster, "by two")
+    loop.pass_time(1.0)
+    cluster.disks[follower].full = False
+    loop.pass_time(SETTLED_S)
+    assert accepted(cluster, "by all")
+    loop.pass_time(1.0)
+    cluster.crash(follower, kept_share=1.0)
+    cluster.start(follower)
+    loop.pass_time(SETTLED_S)
+    values = [value for _, value in cluster.machines[follower].applied]
+    assert values == ["by two", "by all"]
--- a/damaskcroft/control/_fleet_control.py
+++ b/damaskcroft/control/_fleet_control.py
@@ -6,7 +6,7 @@
 
 from damaskcroft._generated import fleet_grpc, fleet_pb2
 from damaskcroft.clock import now_s
-from damaskcroft.consensus import Committed, NotLeader, Replica
+from damaskcroft.consensus import Committed, DiskFailed, NotLeader, Replica
 from damaskcroft.control._fleet_state import FleetState
 from damaskcroft.fleet import FleetView, configuration_faults
 from damaskcroft.observe import log_event
@@ -191,6 +191,8 @@
                 return Accepted(result.version)
             case NotLeader():
                 return Unavailable("not the leader")
+            case DiskFailed(reason=reason):
+                return Unavailable(f"the leader's disk failed: {reason}")
         return Unavailable("not known to be committed")
 
     async def _commit_at_leader(
--- a/damaskcroft/hosted/control.py
+++ b/damaskcroft/hosted/control.py
@@ -31,9 +31,8 @@
 _ELECTION_TIMEOUT_S = 0.5
 _HEARTBEAT_S = 0.1
 _INSTALL_TIMEOUT_S = 5.0
-# Configurations of hundreds of kilobytes, on a disk of about a hundred
-# megabytes, half of which a snapshot's rewriting may take.
-_SNAPSHOT_ENTRIES = 40
+# Disks of about a hundred megabytes, and twice the log while it is rewritten.
+_SNAPSHOT_BYTES = 24 * 1024 * 1024
 
 
 async def serve(settings: NodeSettings) -> None:
@@ -59,7 +58,7 @@
         first_members={address: address for address in seeds},
         election_timeout_s=_ELECTION_TIMEOUT_S,
         heartbeat_s=_HEARTBEAT_S,
-        snapshot_entries=_SNAPSHOT_ENTRIES,
+        snapshot_bytes=_SNAPSHOT_BYTES,
     )
     transport = GrpcTransport(channels, _ELECTION_TIMEOUT_S, _INSTALL_TIMEOUT_S)
     replica = Replica(options, disk, transport, state)
--- a/damaskcroft/hosted/process.py
+++ b/damaskcroft/hosted/process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import signal
 import sys
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from typing import Any
@@ -52,9 +53,24 @@
 
 
 async def _awaited(work: Awaitable[None]) -> None:
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, _reload)
     await work
 
 
+def _reload() -> None:
+    """Reads changed settings.
+
+    Only seeds and bounds may change while a process runs. Seeds are for
+    finding control at a start; by now its members are known from itself.
+    """
+    try:
+        settings = load_node_settings()
+    except SettingsFileError as error:
+        log_event("reload_failed", reason=error)
+        return
+    log_event("reloaded", seeds=",".join(settings.seeds))
+
+
 @contextlib.asynccontextmanager
 async def background(*works: Coroutine[Any, Any, None]) -> AsyncIterator[None]:
     """Runs work beside the block and ends it with the block."""
--- a/damaskcroft/http1/_channel.py
+++ b/damaskcroft/http1/_channel.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+import struct
 
 __all__ = ["Channel", "ChannelLostError", "connect"]
 
@@ -11,6 +12,8 @@
 # Silence on unacknowledged bytes that ends a connection: three times the
 # retransmission of a packet lost twice in a row (RFC 6298: 0.2 + 0.4 s).
 _UNACKNOWLEDGED_MS = 2000
+# Linger for no time: closing sends a reset (socket(7)).
+_RESET = struct.pack("ii", 1, 0)
 
 
 class ChannelLostError(Exception):
@@ -145,9 +148,16 @@
             self._transport.close()
 
     def abort(self) -> None:
-        """Resets the connection at once."""
-        if self._transport is not None:
-            self._transport.abort()
+        """Resets the connection at once; what has not arrived is dropped.
+
+        A plain close would let the kernel go on delivering what was sent.
+        """
+        if self._transport is None:
+            return
+        with contextlib.suppress(OSError):
+            peer = self._transport.get_extra_info("socket")
+            peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        self._transport.abort()
 
 
 async def connect(address: str, timeout_s: float) -> Channel:
