A caller's connection is closed, not reset; a target's is reset

An unended body of chunks does not look complete by itself; only an HTTP/1.0 caller needs the reset.

--- a/damaskcroft/http1/_server.py
+++ b/damaskcroft/http1/_server.py
@@ -221,8 +221,10 @@
                 return
             await self._answer(request, answer, channel)
             if not answer.ended:
-                # What was begun must not look complete.
-                channel.abort()
+                # A body of chunks without its end doesn't look complete; one
+                # that ends with its connection does, unless that is reset.
+                if parser.their_http_version == b"1.0":
+                    channel.abort()
                 return
             if parser.our_state is not h11.DONE:
                 return
