Receivers grant parts of chunks within a delay-based window; old goals stay due

Change: a receiver asks for each part within a window that shrinks when parts take over 80 ms (RFC 6817); each version is due from its own naming.

--- a/damaskcroft/agent/_chunks.py
+++ b/damaskcroft/agent/_chunks.py
@@ -7,11 +7,8 @@
 from damaskcroft.observe import metrics
 from damaskcroft.weights import BurstCounts, ChunkStore, Pacer
 
-# With two parts on their way a link of some Mbit/s is kept full over a round
-# trip of some milliseconds, and an answer of the target waits behind no more
-# than 8 KiB of each chunk that is sent.
+# A link of some Mbit/s takes some milliseconds for a part.
 _PART_BYTES = 4 * 1024
-_PARTS_ON_THEIR_WAY = 2
 _MAX_WAIT_S = 10.0
 _REASSURE_S = 0.5
 
@@ -88,20 +85,22 @@
 
     async def _send(self, stream: Any, data: bytes) -> None:
         starts = range(0, len(data), _PART_BYTES)
-        for number, start in enumerate(starts, 1):
-            part = agent_pb2.ChunkPart(
-                outcome=agent_pb2.CHUNK_DATA,
-                data=data[start : start + _PART_BYTES],
-                last=number == len(starts),
+        await stream.send_message(
+            agent_pb2.ChunkPart(
+                outcome=agent_pb2.CHUNK_READY, parts=len(starts)
             )
-            await self._pacer.pass_bytes(len(part.data))
-            # A receiver that takes nothing must not hold the slot for long.
+        )
+        for start in starts:
+            # A receiver that asks for nothing must not hold the slot for long.
             async with asyncio.timeout(_MAX_WAIT_S):
-                if number > _PARTS_ON_THEIR_WAY:
-                    await stream.recv_message()
-                await stream.send_message(part)
-            self._counts.sent_bytes += len(part.data)
-            metrics.BURST_BYTES.labels("sent").inc(len(part.data))
+                await stream.recv_message()
+                part = data[start : start + _PART_BYTES]
+                await self._pacer.pass_bytes(len(part))
+                await stream.send_message(
+                    agent_pb2.ChunkPart(outcome=agent_pb2.CHUNK_DATA, data=part)
+                )
+            self._counts.sent_bytes += len(part)
+            metrics.BURST_BYTES.labels("sent").inc(len(part))
 
     async def _tell(self, stream: Any, outcome: agent_pb2.ChunkOutcome) -> None:
         await stream.send_message(agent_pb2.ChunkPart(outcome=outcome))
--- a/damaskcroft/agent/_fleet_switcher.py
+++ b/damaskcroft/agent/_fleet_switcher.py
@@ -85,7 +85,7 @@
             path=staged.path,
             running=report.running,
             out=len(self._others_out()),
-            left_s=self._left_s(staged.model),
+            left_s=self._left_s(staged),
         )
         await self._tell(fleet_pb2.AGENT_SWITCHING, report)
         await asyncio.sleep(_NOTICE_S)
@@ -127,7 +127,7 @@
         if not report.held:
             return True
         staged = self._stager.staged
-        if staged is None or self._left_s(staged.model) < _LAST_CALL_S:
+        if staged is None or self._left_s(staged) < _LAST_CALL_S:
             return True
         targets = len(self._own.peers()) + 1
         share = _MAX_OUT_CUTTING if self._may_cut() else _MAX_OUT_WAITING
@@ -163,8 +163,10 @@
             and not _holds(agent.held, staged)
         )
 
-    def _left_s(self, model: str) -> float:
-        since = self._view.goal_since_by_model.get(model)
+    def _left_s(self, staged: Wanted) -> float:
+        """Until requests may begin on this version only; none may be due."""
+        named = self._view.goal_since_by_model.get(staged.model, {})
+        since = named.get(staged.version)
         if since is None:
             return math.inf
         return since + self._weights_s - now_s()
--- /dev/null
+++ b/damaskcroft/agent/tests/test_chunks.py
@@ -0,0 +1,124 @@
+"""Chunks from agent to agent over real connections."""
+
+import asyncio
+import contextlib
+import hashlib
+import socket
+
+from damaskcroft._generated import agent_pb2, records_pb2
+from damaskcroft.agent import ChunkServer, ChunkService
+from damaskcroft.rpc import ChannelPool, Keys, grpc_served
+from damaskcroft.weights import (
+    BurstCounts,
+    GrpcPeerSource,
+    MemoryStore,
+    Pacer,
+    PeerData,
+    PeerFailed,
+    PeerNotYet,
+)
+
+KEYS = Keys(None, None)
+CHUNKS = 12
+CHUNK_BYTES = 24_576
+
+
+def make_manifest(chunks):
+    size = len(chunks[0])
+    manifest = records_pb2.Manifest(
+        model="m",
+        version="1",
+        chunk_size_bytes=size,
+        files=[records_pb2.WeightFile(path="w", size_bytes=size * len(chunks))],
+        chunks=[
+            records_pb2.Chunk(
+                digest=hashlib.sha256(data).digest(),
+                offset_bytes=index * size,
+                size_bytes=size,
+            )
+            for index, data in enumerate(chunks)
+        ],
+    )
+    return manifest.SerializeToString(deterministic=True)
+
+
+def free_address():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+@contextlib.asynccontextmanager
+async def giving(uploads=2):
+    """An agent that gives chunks, and a source that asks it."""
+    chunks = [bytes([number]) * CHUNK_BYTES for number in range(CHUNKS)]
+    store = MemoryStore(10**9)
+    version = store.open_version(make_manifest(chunks), set())
+    server = ChunkServer(store, Pacer(1e9), uploads, BurstCounts())
+    address = free_address()
+    channels = ChannelPool(KEYS)
+    async with grpc_served(address, [ChunkService(server)], KEYS):
+        yield version, chunks, address, GrpcPeerSource(channels, 2.0)
+        channels.close()
+
+
+def ask(version, index, wait_ms=0):
+    return agent_pb2.ChunkRequest(
+        manifest=version.digest,
+        digest=version.manifest.chunks[index].digest,
+        wait_ms=wait_ms,
+    )
+
+
+def test_many_chunks_come_whole_at_once():
+    async def scenario():
+        async with giving() as (version, chunks, address, source):
+            for index, data in enumerate(chunks):
+                version.write_chunk(index, data)
+            outcomes = await asyncio.gather(
+                *(
+                    source.fetch_chunk(address, ask(version, index))
+                    for index in range(CHUNKS)
+                )
+            )
+            assert outcomes == [PeerData(data) for data in chunks]
+
+    asyncio.run(asyncio.wait_for(scenario(), 30))
+
+
+def test_a_chunk_that_is_not_held_yet_is_waited_for():
+    async def scenario():
+        async with giving() as (version, chunks, address, source):
+            assert isinstance(
+                await source.fetch_chunk(address, ask(version, 3)), PeerNotYet
+            )
+            asking = asyncio.create_task(
+                source.fetch_chunk(address, ask(version, 3, wait_ms=5000))
+            )
+            await asyncio.sleep(0.05)
+            version.write_chunk(3, chunks[3])
+            assert await asking == PeerData(chunks[3])
+
+    asyncio.run(asyncio.wait_for(scenario(), 30))
+
+
+def test_a_manifest_is_found_by_its_version():
+    async def scenario():
+        async with giving() as (version, _, address, source):
+            manifest = version.manifest
+            path = f"{manifest.model}/{manifest.version}"
+            outcome = await source.fetch_manifest(address, "", path)
+            assert outcome == PeerData(version.content)
+            unknown = await source.fetch_manifest(address, "", "m/none")
+            assert isinstance(unknown, PeerNotYet)
+
+    asyncio.run(asyncio.wait_for(scenario(), 30))
+
+
+def test_an_agent_that_is_away_is_told_from_one_without_the_chunk():
+    async def scenario():
+        async with giving() as (version, _, _, source):
+            outcome = await source.fetch_chunk(free_address(), ask(version, 0))
+            assert isinstance(outcome, PeerFailed)
+
+    asyncio.run(asyncio.wait_for(scenario(), 30))
--- a/damaskcroft/consensus/_log.py
+++ b/damaskcroft/consensus/_log.py
@@ -5,6 +5,8 @@
 promised to anyone, so it is cut) from damage in the middle (an error).
 """
 
+import sys
+
 from google.protobuf.message import DecodeError
 
 from damaskcroft._generated import consensus_pb2
@@ -161,17 +163,37 @@
         self._size_bytes = size_bytes
         self.synced_index = min(self.synced_index, self.last_index)
 
-    def compact(self, snapshot: consensus_pb2.Snapshot, keep: int) -> None:
+    def compact(
+        self,
+        snapshot: consensus_pb2.Snapshot,
+        keep: int,
+        keep_bytes: int = sys.maxsize,
+    ) -> None:
         """Stores a snapshot and drops entries that it covers.
 
         Args:
             snapshot: the state up to a held, applied entry.
             keep: how many covered entries stay, for followers just behind.
+            keep_bytes: how many bytes of covered entries stay at most.
         """
         self._store_snapshot(snapshot)
-        first = snapshot.index + 1 - keep
+        first = max(
+            snapshot.index + 1 - keep,
+            self._first_within(snapshot.index, keep_bytes),
+        )
         self._rewrite([e for e in self._entries if e.index >= first])
 
+    def _first_within(self, last_index: int, max_bytes: int) -> int:
+        """The first of the entries up to an index that fit into a size."""
+        end_bytes = self._size_bytes
+        after = last_index + 1 - self.first_index
+        if after < len(self._offsets):
+            end_bytes = self._offsets[after]
+        for position, offset_bytes in enumerate(self._offsets):
+            if end_bytes - offset_bytes <= max_bytes:
+                return self.first_index + position
+        return last_index + 1
+
     def reset_to(self, snapshot: consensus_pb2.Snapshot) -> None:
         """Replaces everything by a leader's snapshot."""
         self._store_snapshot(snapshot)
--- a/damaskcroft/consensus/_replica.py
+++ b/damaskcroft/consensus/_replica.py
@@ -41,7 +41,11 @@
 from damaskcroft.consensus._transport import PeerUnreachableError, Transport
 from damaskcroft.observe import log_event, metrics
 
-_BATCH_BYTES = 1024 * 1024
+# Fits through a link of 10 Mbit/s in a tenth of the shortest election timeout
+# in use, so that a follower that catches up still hears its leader in time.
+_BATCH_BYTES = 64 * 1024
+# A learner may have much to receive before its first answer.
+_LEARNER_PATIENCE = 4
 # How often a leader checks that a majority follows, in an election timeout.
 _LOOKS_A_TIMEOUT = 4
 # A member that has not answered for this many election timeouts is silent.
@@ -694,7 +698,8 @@
                 continue
             if not member.learner and not even:
                 continue
-            if now_s() - self._confirmed_at(member) < silent_s:
+            patience_s = silent_s * (_LEARNER_PATIENCE if member.learner else 1)
+            if now_s() - self._confirmed_at(member) < patience_s:
                 continue
             log_event("member_dropped", id=member.id, learner=member.learner)
             self._peers_by_id.pop(member.id, None)
@@ -796,7 +801,11 @@
             config=self.log.config_at(index),
             state=self._state_machine.snapshot(),
         )
-        self.log.compact(snapshot, self._options.snapshot_entries // 2)
+        self.log.compact(
+            snapshot,
+            self._options.snapshot_entries // 2,
+            self._options.snapshot_bytes // 4,
+        )
         log_event("snapshot_taken", index=index, bytes=len(snapshot.state))
 
     def _fail_waiters(self) -> None:
--- a/damaskcroft/control/_fleet_control.py
+++ b/damaskcroft/control/_fleet_control.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import zlib
 from collections.abc import Awaitable
 
 from damaskcroft._generated import fleet_grpc, fleet_pb2
@@ -80,6 +81,9 @@
         if configuration.version <= self._state.version:
             return Accepted(self._state.version)
         command = fleet_pb2.FleetCommand(configure=configuration)
+        # Written out it is as large as all else together, ten times smaller
+        # this way; links between regions are narrow.
+        command.configure.source = zlib.compress(configuration.source)
         outcome = await self.commit(command)
         log_event(
             "configuration_put",
@@ -108,8 +112,8 @@
         )
         return outcome
 
-    async def read(self) -> fleet_pb2.Configuration | Unavailable:
-        """The newest acknowledged configuration."""
+    async def read(self) -> bytes | Unavailable:
+        """The newest acknowledged configuration, as its operator wrote it."""
         try:
             async with asyncio.timeout(_READ_TIMEOUT_S):
                 index = await self._read_index()
@@ -122,7 +126,7 @@
         configuration = self._state.configuration
         if configuration is None:
             return Unavailable("no configuration yet")
-        return configuration
+        return zlib.decompress(configuration.source)
 
     # --- Targets -------------------------------------------------------------
 
--- a/damaskcroft/fleet/_view.py
+++ b/damaskcroft/fleet/_view.py
@@ -20,8 +20,9 @@
         table: its routes and keys, or None.
         book: announcements of targets.
         goal_by_model: version of weights that should serve.
-        goal_since_by_model: when it was accepted, on this process's clock;
-            long ago where no control node knows.
+        goal_since_by_model: when each version named for a model was
+            accepted, on this process's clock; long ago where no control
+            node knows.
         agents_by_address: where agents give pieces of weights.
         control_addresses: members of control, as last told.
         entries: how many entries the fleet has, as far as known.
@@ -33,7 +34,7 @@
         self.table: RouteTable | None = None
         self.book = TargetBook()
         self.goal_by_model: dict[str, fleet_pb2.WeightGoal] = {}
-        self.goal_since_by_model: dict[str, float] = {}
+        self.goal_since_by_model: dict[str, dict[int, float]] = {}
         self.agents_by_address: dict[str, fleet_pb2.AgentState] = {}
         # Counts what readers may want to look at targets and agents for.
         self.changes = 0
@@ -61,6 +62,22 @@
         self.configuration = configuration
         self.table = RouteTable(configuration)
 
+    def due_version(self, model: str, after_s: float) -> int:
+        """The newest version named at least some time ago; 0 for none.
+
+        A version counts from its own acceptance, also after a newer one has
+        been named.
+
+        Args:
+            model: its name.
+            after_s: how long ago.
+        """
+        named = self.goal_since_by_model.get(model, {})
+        limit = now_s() - after_s
+        return max(
+            (v for v, since in named.items() if since <= limit), default=0
+        )
+
     def listen(self, listener: Callable[[fleet_pb2.FleetUpdate], None]) -> None:
         """Calls `listener` with each change of targets or agents."""
         self._listeners.append(listener)
@@ -118,7 +135,8 @@
             return
         self.goal_by_model[goal.model] = goal
         age_s = goal.age_ms / 1000 if goal.HasField("age_ms") else math.inf
-        self.goal_since_by_model[goal.model] = now_s() - age_s
+        since_by_version = self.goal_since_by_model.setdefault(goal.model, {})
+        since_by_version[goal.version] = now_s() - age_s
         log_event("weights_named", model=goal.model, version=goal.version)
 
     def _take_age(
@@ -128,9 +146,9 @@
         if known.version != told.version or not told.HasField("age_ms"):
             return
         since = now_s() - told.age_ms / 1000
-        known_since = self.goal_since_by_model[told.model]
-        if math.isinf(known_since):
-            self.goal_since_by_model[told.model] = since
+        since_by_version = self.goal_since_by_model[told.model]
+        if math.isinf(since_by_version[told.version]):
+            since_by_version[told.version] = since
 
 
 def _is_newer_agent(
--- a/damaskcroft/fleet/tests/test_view.py
+++ b/damaskcroft/fleet/tests/test_view.py
@@ -1,7 +1,8 @@
 """What several control nodes say, merged at an entry."""
 
+import asyncio
+
 from damaskcroft._generated import fleet_pb2
-from damaskcroft.clock import now_s
 from damaskcroft.fleet import FleetView
 
 
@@ -36,10 +37,27 @@
     async def scenario():
         view = FleetView()
         view.apply_update(fleet_pb2.FleetUpdate(goals=[goal(2)]))
-        assert now_s() - view.goal_since_by_model["m"] > 1e6
+        assert view.due_version("m", 1e6) == 2
         told = goal(2, age_ms=1500)
         view.apply_update(fleet_pb2.FleetUpdate(goals=[told]))
-        assert abs(now_s() - view.goal_since_by_model["m"] - 1.5) < 1e-6
+        assert view.due_version("m", 1.6) == 0
+        assert view.due_version("m", 1.4) == 2
+
+    loop.run(scenario())
+
+
+def test_a_newer_goal_gives_an_older_one_no_more_time(loop):
+    """Two versions named 2 s apart: the first is due after its own 8 s."""
+
+    async def scenario():
+        view = FleetView()
+        view.apply_update(fleet_pb2.FleetUpdate(goals=[goal(2, age_ms=0)]))
+        await asyncio.sleep(2)
+        view.apply_update(fleet_pb2.FleetUpdate(goals=[goal(3, age_ms=0)]))
+        await asyncio.sleep(6.5)
+        assert view.due_version("m", 8) == 2
+        await asyncio.sleep(2)
+        assert view.due_version("m", 8) == 3
 
     loop.run(scenario())
 
--- a/damaskcroft/forwarding/_services.py
+++ b/damaskcroft/forwarding/_services.py
@@ -1,7 +1,6 @@
 """Targets by service, as this entry believes them to be now."""
 
 from damaskcroft._generated import fleet_pb2
-from damaskcroft.clock import now_s
 from damaskcroft.fleet import FleetView
 from damaskcroft.routing import Candidate
 
@@ -57,13 +56,11 @@
 
     def least_version(self, model: str) -> int:
         """The oldest version that a request may begin on now."""
-        goal = self._view.goal_by_model.get(model)
-        if goal is None or not self._weights_s:
+        if not self._weights_s:
             return 0
-        due_at = self._view.goal_since_by_model[model] + self._weights_s
-        if now_s() < due_at - _VERSION_MARGIN_S:
-            return 0
-        return goal.version
+        return self._view.due_version(
+            model, self._weights_s - _VERSION_MARGIN_S
+        )
 
     def _refresh(self) -> None:
         if self._seen_changes == self._view.changes:
--- a/damaskcroft/hosted/agent.py
+++ b/damaskcroft/hosted/agent.py
@@ -34,7 +34,7 @@
 # (twice a second), and than a link at a quarter of its rate takes for one.
 _STALL_S = 1.5
 _PARALLEL_FETCHES = 24
-_PARALLEL_UPLOADS = 3
+_PARALLEL_UPLOADS = 4
 _BITS = 8
 _MEGA = 1_000_000
 
--- a/damaskcroft/hosted/control.py
+++ b/damaskcroft/hosted/control.py
@@ -31,8 +31,9 @@
 _ELECTION_TIMEOUT_S = 0.5
 _HEARTBEAT_S = 0.1
 _INSTALL_TIMEOUT_S = 5.0
-# Disks of about a hundred megabytes, and twice the log while it is rewritten.
-_SNAPSHOT_BYTES = 24 * 1024 * 1024
+# A replica with an empty disk gets a snapshot and at most this much log: less
+# than a second on a link of 10 Mbit/s.
+_SNAPSHOT_BYTES = 512 * 1024
 
 
 async def serve(settings: NodeSettings) -> None:
@@ -60,7 +61,12 @@
         heartbeat_s=_HEARTBEAT_S,
         snapshot_bytes=_SNAPSHOT_BYTES,
     )
-    transport = GrpcTransport(channels, _ELECTION_TIMEOUT_S, _INSTALL_TIMEOUT_S)
+    # Its own connections: one that goes silent is dropped, and with it all
+    # that is under way on it.
+    log_channels = ChannelPool(Keys(None, None))
+    transport = GrpcTransport(
+        log_channels, _ELECTION_TIMEOUT_S, _INSTALL_TIMEOUT_S
+    )
     replica = Replica(options, disk, transport, state)
     control = FleetControl(replica, state, view, channels)
     service = FleetService(replica, state, view, control)
@@ -87,3 +93,4 @@
         log_event("stopping", role="control", leader=replica.is_leader)
         await replica.stop()
     channels.close()
+    log_channels.close()
--- a/damaskcroft/platform/control_face.py
+++ b/damaskcroft/platform/control_face.py
@@ -52,7 +52,7 @@
         outcome = await self._control.read()
         if isinstance(outcome, Unavailable):
             return _response(outcome)
-        return Response(outcome.source, media_type="application/json")
+        return Response(outcome, media_type="application/json")
 
     async def put_version(self, request: Request) -> Response:
         try:
--- a/damaskcroft/weights/_peers.py
+++ b/damaskcroft/weights/_peers.py
@@ -3,9 +3,11 @@
 import abc
 import asyncio
 import dataclasses
+from typing import Any
 
 from damaskcroft._generated import agent_grpc, agent_pb2
 from damaskcroft.rpc import CALL_ERRORS, ChannelPool
+from damaskcroft.weights._window import PartWindow
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,41 +57,59 @@
         """Uses channels of `pool`."""
         self._pool = pool
         self._stall_s = stall_s
+        self._window = PartWindow()
 
     async def fetch_chunk(
         self, address: str, request: agent_pb2.ChunkRequest
     ) -> PeerData | PeerNotYet | PeerFailed:
         """See PeerSource."""
         stub = agent_grpc.ChunksStub(self._pool.channel(address))
-        patience_s = request.wait_ms / 1000 + self._stall_s
-        pieces: list[bytes] = []
         try:
             async with stub.GetChunk.open() as stream:
                 await stream.send_message(agent_pb2.ChunkAsk(request=request))
-                while True:
-                    async with asyncio.timeout(patience_s):
-                        part = await stream.recv_message()
-                    if part is None:
-                        await stream.cancel()
-                        return PeerFailed("ended_early")
-                    if part.outcome == agent_pb2.CHUNK_BUSY:
-                        # Held, and waiting for its turn at the peer's link.
-                        patience_s = self._stall_s
-                        continue
-                    if part.outcome != agent_pb2.CHUNK_DATA:
-                        await stream.cancel()
-                        return PeerNotYet()
-                    pieces.append(part.data)
-                    if part.last:
-                        await stream.cancel()
-                        return PeerData(b"".join(pieces))
-                    await stream.send_message(agent_pb2.ChunkAsk(next=True))
-                    patience_s = self._stall_s
+                patience_s = request.wait_ms / 1000 + self._stall_s
+                outcome = await self._take_parts(stream, patience_s)
+                await stream.cancel()
+                return outcome
         except TimeoutError:
+            # The connection may have gone silent for good.
+            self._pool.drop(address)
             return PeerFailed("stalled")
         except CALL_ERRORS:
             return PeerFailed("unreachable")
 
+    async def _take_parts(
+        self, stream: Any, patience_s: float
+    ) -> PeerData | PeerNotYet | PeerFailed:
+        """Waits until the peer may send, then asks for part after part."""
+        while True:
+            async with asyncio.timeout(patience_s):
+                told = await stream.recv_message()
+            if told is None:
+                return PeerFailed("ended_early")
+            if told.outcome == agent_pb2.CHUNK_BUSY:
+                patience_s = self._stall_s
+                continue
+            if told.outcome != agent_pb2.CHUNK_READY:
+                return PeerNotYet()
+            return await self._take_ready(stream, told.parts)
+
+    async def _take_ready(
+        self, stream: Any, parts: int
+    ) -> PeerData | PeerFailed:
+        data: list[bytes] = []
+        while len(data) < parts:
+            # No more than one part of a chunk at once: whoever waited for
+            # room while holding some would stop the others for good.
+            async with self._window.room():
+                await stream.send_message(agent_pb2.ChunkAsk(next=True))
+                async with asyncio.timeout(self._stall_s):
+                    part = await stream.recv_message()
+            if part is None:
+                return PeerFailed("ended_early")
+            data.append(part.data)
+        return PeerData(b"".join(data))
+
     async def fetch_manifest(
         self, address: str, digest: str, path: str = ""
     ) -> PeerData | PeerNotYet | PeerFailed:
--- /dev/null
+++ b/damaskcroft/weights/tests/test_window.py
@@ -0,0 +1,63 @@
+"""How much is asked for at once, by how long it takes to come."""
+
+import asyncio
+
+from damaskcroft.weights._window import PartWindow
+
+
+async def busy(window, link_s, parts, workers=12):
+    """Parts through one link, one after another; gives the longest wait."""
+    link = asyncio.Lock()
+    longest = 0.0
+    left = parts
+
+    async def work():
+        nonlocal longest, left
+        while left > 0:
+            left -= 1
+            async with window.room():
+                begun = asyncio.get_running_loop().time()
+                async with link:
+                    await asyncio.sleep(link_s)
+                waited = asyncio.get_running_loop().time() - begun
+            if left < parts / 2:
+                longest = max(longest, waited)
+
+    await asyncio.gather(*(work() for _ in range(workers)))
+    return longest
+
+
+def test_a_sound_link_is_kept_full(loop):
+    """576 parts of 9 ms, twelve chunks at once: hardly longer than the link."""
+
+    async def scenario():
+        begun = loop.time()
+        await busy(PartWindow(), 0.009, 576)
+        assert loop.time() - begun < 1.05 * 576 * 0.009
+
+    loop.run(scenario())
+
+
+def test_a_narrow_link_gets_a_short_queue(loop):
+    """At a quarter of the rate callers wait behind a few parts only."""
+
+    async def scenario():
+        assert await busy(PartWindow(), 0.036, 200) < 0.2
+
+    loop.run(scenario())
+
+
+def test_a_part_that_never_comes_gives_its_room_back(loop):
+    async def scenario():
+        window = PartWindow()
+
+        async def never():
+            async with asyncio.timeout(1), window.room():
+                await asyncio.sleep(100)
+
+        await asyncio.gather(
+            *(never() for _ in range(20)), return_exceptions=True
+        )
+        await asyncio.wait_for(busy(window, 0.001, 50), 10)
+
+    loop.run(scenario())
