--- /dev/null
+++ b/damaskcroft/control/tests/test_fleet_control.py
@@ -0,0 +1,242 @@
+"""Configurations and announcements at control nodes over real connections."""
+
+import asyncio
+import contextlib
+import socket
+
+import pytest
+
+from damaskcroft._generated import fleet_pb2
+from damaskcroft.consensus import (
+    FolderDisk,
+    GrpcTransport,
+    Replica,
+    ReplicaOptions,
+    ReplicaService,
+    format_disk,
+)
+from damaskcroft.control import (
+    Accepted,
+    FleetControl,
+    FleetService,
+    FleetState,
+    Invalid,
+    Unavailable,
+)
+from damaskcroft.fleet import FleetView, Watcher
+from damaskcroft.rpc import ChannelPool, Keys, grpc_served
+
+KEYS = Keys(None, None)
+ELECTION_S = 0.3
+
+
+def free_address():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+class Node:
+    """One control node: replica, state, view and services."""
+
+    def __init__(self, address, members, folder):
+        self.address = address
+        self.channels = ChannelPool(KEYS)
+        self.view = FleetView()
+        self.state = FleetState(lambda: self.service.state_changed())
+        disk = FolderDisk(folder)
+        format_disk(disk, members)
+        options = ReplicaOptions(
+            id=address, address=address, first_members=members,
+            election_timeout_s=ELECTION_S, heartbeat_s=0.05,
+        )  # fmt: skip
+        transport = GrpcTransport(self.channels, ELECTION_S, 5.0)
+        self.replica = Replica(options, disk, transport, self.state)
+        self.control = FleetControl(
+            self.replica, self.state, self.view, self.channels
+        )
+        self.service = FleetService(
+            self.replica, self.state, self.view, self.control
+        )
+        self.serving = contextlib.AsyncExitStack()
+
+    async def start(self):
+        services = [ReplicaService(self.replica), self.service]
+        await self.serving.enter_async_context(
+            grpc_served(self.address, services, KEYS)
+        )
+        await self.replica.start()
+
+    async def stop(self):
+        await self.replica.stop()
+        await self.serving.aclose()
+        self.channels.close()
+
+
+@contextlib.asynccontextmanager
+async def three_nodes(folder):
+    addresses = [free_address() for _ in range(3)]
+    members = {address: address for address in addresses}
+    nodes = [
+        Node(address, members, folder / str(number))
+        for number, address in enumerate(addresses)
+    ]
+    for node in nodes:
+        await node.start()
+    await until(lambda: any(n.replica.is_confirmed_leader for n in nodes))
+    await until(lambda: all(n.replica.leader_address for n in nodes))
+    try:
+        yield nodes
+    finally:
+        for node in nodes:
+            await node.stop()
+
+
+async def until(condition):
+    async with asyncio.timeout(20):
+        while not condition():
+            await asyncio.sleep(0.02)
+
+
+def configuration(version, text=b"text"):
+    return fleet_pb2.Configuration(version=version, source=text)
+
+
+def followers(nodes):
+    return [node for node in nodes if not node.replica.is_leader]
+
+
+@pytest.fixture
+def run():
+    return lambda scenario: asyncio.run(asyncio.wait_for(scenario, 60))
+
+
+def test_a_configuration_put_anywhere_is_read_back_everywhere(run, tmp_path):
+    async def scenario():
+        async with three_nodes(tmp_path) as nodes:
+            for version, node in enumerate(nodes, 1):
+                outcome = await node.control.configure(
+                    configuration(version, b"%d" % version)
+                )
+                assert outcome == Accepted(version)
+                for reader in nodes:
+                    assert await reader.control.read() == b"%d" % version
+
+    run(scenario())
+
+
+def test_a_lower_or_equal_version_is_acknowledged_and_changes_nothing(
+    run, tmp_path
+):
+    async def scenario():
+        async with three_nodes(tmp_path) as nodes:
+            await nodes[0].control.configure(configuration(5, b"first"))
+            for version in (5, 4):
+                for node in nodes:
+                    outcome = await node.control.configure(
+                        configuration(version, b"other")
+                    )
+                    assert outcome == Accepted(5)
+                    assert await node.control.read() == b"first"
+
+    run(scenario())
+
+
+def test_of_two_under_one_version_one_holds_everywhere(run, tmp_path):
+    async def scenario():
+        async with three_nodes(tmp_path) as nodes:
+            outcomes = await asyncio.gather(
+                nodes[0].control.configure(configuration(7, b"a")),
+                nodes[1].control.configure(configuration(7, b"b")),
+            )
+            assert outcomes == [Accepted(7), Accepted(7)]
+            read = {await node.control.read() for node in nodes}
+            assert len(read) == 1
+
+    run(scenario())
+
+
+def test_an_invalid_configuration_changes_nothing(run, tmp_path):
+    async def scenario():
+        async with three_nodes(tmp_path) as nodes:
+            wrong = configuration(9)
+            wrong.routes.add(name="r", path_prefix="/", timeout_ms=1)
+            outcome = await nodes[0].control.configure(wrong)
+            assert isinstance(outcome, Invalid)
+            assert isinstance(await nodes[0].control.read(), Unavailable)
+
+    run(scenario())
+
+
+def test_a_node_alone_promises_and_reads_nothing(run, tmp_path):
+    async def scenario():
+        async with three_nodes(tmp_path) as nodes:
+            await nodes[0].control.configure(configuration(1))
+            alone = followers(nodes)[0]
+            for node in nodes:
+                if node is not alone:
+                    await node.stop()
+            put = await alone.control.configure(configuration(2))
+            assert isinstance(put, Unavailable)
+            assert isinstance(await alone.control.read(), Unavailable)
+            leaving = fleet_pb2.TargetState(
+                id="t", phase=fleet_pb2.TARGET_DRAINING, sequence=3
+            )
+            assert not await alone.control.announce(leaving)
+            ready = fleet_pb2.TargetState(id="u", sequence=1)
+            assert await alone.control.announce(ready)
+
+    run(scenario())
+
+
+def test_what_one_node_hears_reaches_watchers_of_another(run, tmp_path):
+    async def scenario():
+        async with three_nodes(tmp_path) as nodes:
+            view = FleetView()
+            watched = nodes[2].address
+            channels = ChannelPool(KEYS)
+            watcher = Watcher(
+                view,
+                channels,
+                [watched],
+                lambda: fleet_pb2.WatchRequest(name="e", is_entry=True),
+            )
+            watching = asyncio.create_task(watcher.run())
+            await nodes[0].control.configure(configuration(3))
+            await until(lambda: view.version == 3)
+            assert set(view.control_addresses) == {n.address for n in nodes}
+            leaving = fleet_pb2.TargetState(
+                id="t", phase=fleet_pb2.TARGET_DRAINING, sequence=3
+            )
+            assert await nodes[0].control.announce(leaving)
+            await until(lambda: "t" in view.book.targets_by_id)
+            assert await nodes[1].control.announce(
+                nodes[1].control.leaving("t")
+            )
+            await until(lambda: "t" not in view.book.targets_by_id)
+            await nodes[0].control.name_weights(
+                fleet_pb2.WeightGoal(model="m", version=2)
+            )
+            await until(lambda: view.goal_by_model.get("m") is not None)
+            watching.cancel()
+            await asyncio.gather(watching, return_exceptions=True)
+            channels.close()
+
+    run(scenario())
+
+
+def test_state_survives_its_snapshot():
+    async def scenario():
+        state = FleetState()
+        command = fleet_pb2.FleetCommand(configure=configuration(4, b"x"))
+        state.apply(1, command.SerializeToString())
+        goal = fleet_pb2.WeightGoal(model="m", version=2)
+        command = fleet_pb2.FleetCommand(name_weights=goal)
+        state.apply(2, command.SerializeToString())
+        other = FleetState()
+        other.restore(state.snapshot())
+        assert other.version == 4
+        assert other.weights_version("m") == 2
+        assert other.configuration == state.configuration
+
+    asyncio.run(scenario())
