A replica in parts: hard state, peers, applier; no circle with the transport

Behaviour is unchanged but for one line: followers hear of a commit from the leader's advance, no longer from its applying.

--- a/damaskcroft/consensus/_replica.py
+++ b/damaskcroft/consensus/_replica.py
@@ -7,21 +7,19 @@
 import asyncio
 import contextlib
 import random
-import secrets
 from collections.abc import Callable, Coroutine
 
 from transitions import Machine
 
 from damaskcroft._generated import consensus_pb2
 from damaskcroft.clock import now_s
-from damaskcroft.consensus import _frames
+from damaskcroft.consensus._applier import Applier
 from damaskcroft.consensus._disk import Disk
-from damaskcroft.consensus._errors import LogDamagedError
+from damaskcroft.consensus._hard_state import HardStateFile
 from damaskcroft.consensus._log import DurableLog
 from damaskcroft.consensus._members import (
     find_member,
     is_voter,
-    majority_value,
     voters,
     with_member,
     without_member,
@@ -31,14 +29,17 @@
     DiskFailed,
     NotLeader,
     Outcome,
-    Undecided,
 )
+from damaskcroft.consensus._peers import Peer, Peers
 from damaskcroft.consensus._setup import (
-    HARD_STATE_NAME,
     ReplicaOptions,
     StateMachine,
 )
-from damaskcroft.consensus._transport import PeerUnreachableError, Transport
+from damaskcroft.consensus._transport import (
+    PeerUnreachableError,
+    RequestHandler,
+    Transport,
+)
 from damaskcroft.observe import log_event, metrics
 
 # Fits through a link of 10 Mbit/s in a tenth of the shortest election timeout
@@ -56,20 +57,7 @@
 _FOLLOWER, _CANDIDATE, _LEADER = "following", "standing", "leading"
 
 
-class _Peer:
-    """What a leader knows of one member."""
-
-    __slots__ = ("confirmed_at", "incarnation", "match_index", "next_index")
-
-    def __init__(self, next_index: int):
-        self.next_index = next_index
-        self.match_index = 0
-        self.incarnation = ""
-        # Send time of the newest message that the member acknowledged.
-        self.confirmed_at = float("-inf")
-
-
-class Replica:
+class Replica(RequestHandler):
     """One member of the replicated log."""
 
     # Set by the lifecycle machine below.
@@ -97,25 +85,19 @@
         self._state_machine = state_machine
         self._rng = rng or random.Random()
         self.log = DurableLog(disk)
-        self._hard = self._read_hard_state()
-        self.commit_index = self.log.snapshot.index
-        self.applied_index = self.log.snapshot.index
-        if self.log.snapshot.state:
-            state_machine.restore(self.log.snapshot.state)
+        self._hard = HardStateFile(disk, self.log)
+        self._applier = Applier(self.log, state_machine, options)
         self.leader_id = ""
-        self._peers_by_id: dict[str, _Peer] = {}
-        self._waiters_by_index: dict[int, tuple[int, asyncio.Future]] = {}
+        self._peers = Peers(options.id)
         self._lock = asyncio.Lock()
-        self._changed = asyncio.Condition()
+        self._changed = self._applier.changed
         self._replicate = asyncio.Event()
         self._append_local = asyncio.Event()
-        self._commit_moved = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
         self._leader_tasks: set[asyncio.Task] = set()
         self._heard_at = 0.0
         self._started_at = 0.0
         self._term_start_index = 0
-        self._led_since = 0.0
         self._disk_failed_at = float("-inf")
         self._machine = Machine(
             model=self,
@@ -141,6 +123,16 @@
         """This disk's incarnation."""
         return self._hard.incarnation
 
+    @property
+    def commit_index(self) -> int:
+        """The newest entry known to be committed."""
+        return self._applier.commit_index
+
+    @property
+    def applied_index(self) -> int:
+        """The newest entry that the state holds."""
+        return self._applier.applied_index
+
     @property
     def is_leader(self) -> bool:
         """Whether this replica leads its term."""
@@ -170,7 +162,7 @@
         """
         if not self.is_leader or self.commit_index < self._term_start_index:
             return False
-        age_s = now_s() - self._majority_confirmed_at()
+        age_s = now_s() - self._peers.majority_confirmed_at(self.log.config())
         return age_s < self._options.election_timeout_s
 
     async def start(self) -> None:
@@ -179,7 +171,7 @@
         self._heard_at = now_s()
         self._started_at = now_s()
         self._spawn(self._elect_forever())
-        self._spawn(self._apply_forever())
+        self._spawn(self._applier.run())
         self._spawn(self._join_whenever_left_out())
 
     async def stop(self) -> None:
@@ -188,7 +180,7 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        self._fail_waiters()
+        self._applier.give_up_waiting()
 
     async def propose(self, command: bytes) -> Outcome:
         """Appends a command and waits until it is committed and applied."""
@@ -224,11 +216,11 @@
     async def handle_vote(
         self, request: consensus_pb2.VoteRequest
     ) -> consensus_pb2.VoteReply:
-        """Gives or refuses a vote; a given vote is synced first."""
+        """See RequestHandler."""
         async with self._lock:
             granted = self._may_vote(request)
             if granted and not request.pre_vote:
-                self._save_hard_state(request.term, request.candidate)
+                self._hard.save(request.term, request.candidate)
                 self._become_follower("")
                 self._heard_at = now_s()
             return consensus_pb2.VoteReply(
@@ -241,7 +233,7 @@
     async def handle_append(
         self, request: consensus_pb2.AppendRequest
     ) -> consensus_pb2.AppendReply:
-        """Takes a leader's entries; synced before the answer."""
+        """See RequestHandler."""
         async with self._lock:
             if request.term < self.term:
                 return self._append_reply(False, 0)
@@ -251,13 +243,13 @@
             self._take_entries(request)
             await self.log.sync()
             match = request.previous_index + len(request.entries)
-            self._commit_up_to(min(request.commit_index, match))
+            self._applier.commit_up_to(min(request.commit_index, match))
             return self._append_reply(True, match)
 
     async def handle_install(
         self, request: consensus_pb2.InstallRequest
     ) -> consensus_pb2.AppendReply:
-        """Takes a leader's snapshot in place of missing entries."""
+        """See RequestHandler."""
         async with self._lock:
             if request.term < self.term:
                 return self._append_reply(False, 0)
@@ -265,16 +257,13 @@
             snapshot = request.snapshot
             if snapshot.index > self.commit_index:
                 self.log.reset_to(snapshot)
-                self._state_machine.restore(snapshot.state)
-                self.commit_index = snapshot.index
-                self.applied_index = snapshot.index
-                log_event("snapshot_installed", index=snapshot.index)
+                self._applier.install(snapshot)
             return self._append_reply(True, snapshot.index)
 
     async def handle_join(
         self, request: consensus_pb2.JoinRequest
     ) -> consensus_pb2.JoinReply:
-        """Takes back a replica that lost its disk, as a learner."""
+        """See RequestHandler."""
         if not self.is_confirmed_leader or self._config_change_pending():
             return consensus_pb2.JoinReply(leader=self.leader_address)
         member = consensus_pb2.Voter()
@@ -317,7 +306,7 @@
             await asyncio.sleep(remaining_s)
 
     async def _step_down_if_cut_off(self) -> None:
-        age_s = now_s() - self._majority_confirmed_at()
+        age_s = now_s() - self._peers.majority_confirmed_at(self.log.config())
         if age_s < self._options.election_timeout_s:
             return
         async with self._lock:
@@ -332,7 +321,7 @@
         async with self._lock:
             if self.is_leader or not self._is_voter():
                 return
-            self._save_hard_state(self.term + 1, self._options.id)
+            self._hard.save(self.term + 1, self._options.id)
             self.leader_id = ""
             self.stand()
             term = self.term
@@ -409,9 +398,8 @@
         self.leader_id = self._options.id
         metrics.ELECTIONS.labels("won").inc()
         log_event("leader_elected", term=self.term, last=self.log.last_index)
-        self._peers_by_id = {}
+        self._peers = Peers(self._options.id, now_s())
         self._term_start_index = self.log.last_index + 1
-        self._led_since = now_s()
         self._append(consensus_pb2.LogEntry())
         self._spawn_leader(self._sync_forever())
         self._start_peers()
@@ -425,11 +413,11 @@
         for task in self._leader_tasks:
             task.cancel()
         self._leader_tasks.clear()
-        self._fail_waiters()
+        self._applier.give_up_waiting()
 
     def _hear_leader(self, term: int, leader_id: str) -> None:
         if term > self.term:
-            self._save_hard_state(term, "")
+            self._hard.save(term, "")
         if self.state != _FOLLOWER or self.leader_id != leader_id:
             self._become_follower(leader_id)
         self._heard_at = now_s()
@@ -437,7 +425,7 @@
     def _meet_term(self, term: int) -> None:
         if term <= self.term:
             return
-        self._save_hard_state(term, "")
+        self._hard.save(term, "")
         self._become_follower("")
 
     # --- Following ---------------------------------------------------------
@@ -488,12 +476,8 @@
 
     async def _append_and_wait(self, entry: consensus_pb2.LogEntry) -> Outcome:
         index = self._append(entry)
-        done = asyncio.get_running_loop().create_future()
-        self._waiters_by_index[index] = (self.term, done)
-        try:
-            return await done
-        finally:
-            self._waiters_by_index.pop(index, None)
+        async with self._applier.outcome_of(index, self.term) as outcome:
+            return await outcome
 
     async def _sync_forever(self) -> None:
         """Group commit: one sync covers all that came in the meantime."""
@@ -509,13 +493,13 @@
 
     def _start_peers(self) -> None:
         for member in self.log.config().members:
-            if member.id == self._options.id or member.id in self._peers_by_id:
+            if member.id == self._options.id or member.id in self._peers.by_id:
                 continue
-            peer = _Peer(self.log.last_index + 1)
-            self._peers_by_id[member.id] = peer
+            peer = Peer(self.log.last_index + 1)
+            self._peers.by_id[member.id] = peer
             self._spawn_leader(self._replicate_forever(member.id, peer))
 
-    async def _replicate_forever(self, member_id: str, peer: _Peer) -> None:
+    async def _replicate_forever(self, member_id: str, peer: Peer) -> None:
         while True:
             member = find_member(self.log.config(), member_id)
             if member is None:
@@ -539,7 +523,7 @@
                 await self._replicate.wait()
 
     async def _replicate_once(
-        self, member: consensus_pb2.Voter, peer: _Peer
+        self, member: consensus_pb2.Voter, peer: Peer
     ) -> None:
         sent_at = now_s()
         term = self.term
@@ -566,7 +550,7 @@
 
     async def _take_append_reply(
         self,
-        peer: _Peer,
+        peer: Peer,
         reply: consensus_pb2.AppendReply,
         term: int,
         sent_at: float,
@@ -594,44 +578,24 @@
     async def _advance_commit(self) -> None:
         if not self.is_leader:
             return
-        index = majority_value(
-            self.log.config(),
-            self._options.id,
-            self.log.synced_index,
-            lambda member: self._counted_match(member),
+        index = self._peers.majority_match(
+            self.log.config(), self.log.synced_index
         )
         # Only entries of the own term are counted (Raft, 5.4.2).
-        if self.log.term_at(int(index)) != self.term:
+        if self.log.term_at(index) != self.term:
             return
-        self._commit_up_to(int(index))
+        if index > self.commit_index:
+            self._applier.commit_up_to(index)
+            # Followers hear of it at once, not with the next heartbeat.
+            self._replicate.set()
         self._promote_learners()
 
-    def _counted_match(self, member: consensus_pb2.Voter) -> float:
-        peer = self._peers_by_id.get(member.id)
-        if peer is None or peer.incarnation != member.incarnation:
-            return 0
-        return peer.match_index
-
-    def _majority_confirmed_at(self) -> float:
-        return majority_value(
-            self.log.config(),
-            self._options.id,
-            now_s(),
-            lambda member: self._counted_confirmation(member),
-        )
-
-    def _counted_confirmation(self, member: consensus_pb2.Voter) -> float:
-        peer = self._peers_by_id.get(member.id)
-        if peer is None or peer.incarnation != member.incarnation:
-            return float("-inf")
-        return peer.confirmed_at
-
     def _confirms(self, asked_at: float) -> bool:
         if self.commit_index < self._term_start_index:
             return False
         if self.applied_index < self.commit_index:
             return False
-        return self._majority_confirmed_at() >= asked_at
+        return self._peers.majority_confirmed_at(self.log.config()) >= asked_at
 
     # --- Members -----------------------------------------------------------
 
@@ -669,7 +633,7 @@
         for member in self.log.config().members:
             if not member.learner:
                 continue
-            if self._counted_match(member) < self.commit_index:
+            if self._peers.match(member) < self.commit_index:
                 continue
             promoted = consensus_pb2.Voter()
             promoted.CopyFrom(member)
@@ -689,7 +653,7 @@
         if not self.is_confirmed_leader or self._config_change_pending():
             return
         silent_s = _SILENT_TIMEOUTS * self._options.election_timeout_s
-        if now_s() - self._led_since < silent_s:
+        if now_s() - self._peers.since < silent_s:
             return
         config = self.log.config()
         even = len(voters(config)) % 2 == 0
@@ -699,20 +663,13 @@
             if not member.learner and not even:
                 continue
             patience_s = silent_s * (_LEARNER_PATIENCE if member.learner else 1)
-            if now_s() - self._confirmed_at(member) < patience_s:
+            if self._peers.silent_s(member) < patience_s:
                 continue
             log_event("member_dropped", id=member.id, learner=member.learner)
-            self._peers_by_id.pop(member.id, None)
+            self._peers.by_id.pop(member.id, None)
             self._append_config(without_member(config, member.id))
             return
 
-    def _confirmed_at(self, member: consensus_pb2.Voter) -> float:
-        """When a member last answered, or the start of this leadership."""
-        peer = self._peers_by_id.get(member.id)
-        if peer is None:
-            return self._led_since
-        return max(self._led_since, peer.confirmed_at)
-
     def _append_config(self, config: consensus_pb2.ClusterConfig) -> None:
         try:
             self._append(consensus_pb2.LogEntry(config=config))
@@ -750,102 +707,8 @@
 
     # --- Committing and applying -------------------------------------------
 
-    def _commit_up_to(self, index: int) -> None:
-        if index <= self.commit_index:
-            return
-        self.commit_index = index
-        metrics.COMMIT_INDEX.set(index)
-        self._commit_moved.set()
-
-    async def _apply_forever(self) -> None:
-        while True:
-            await self._commit_moved.wait()
-            self._commit_moved.clear()
-            while self.applied_index < self.commit_index:
-                self._apply_next()
-            self._replicate.set()
-            async with self._changed:
-                self._changed.notify_all()
-            try:
-                self._compact_if_due()
-            except OSError as error:
-                # The log stays as it is and is compacted another time.
-                log_event("snapshot_failed", reason=error)
-
-    def _apply_next(self) -> None:
-        entry = self.log.entry(self.applied_index + 1)
-        result = None
-        if entry.command:
-            result = self._state_machine.apply(entry.index, entry.command)
-        self.applied_index = entry.index
-        waiter = self._waiters_by_index.get(entry.index)
-        if waiter is None:
-            return
-        term, done = waiter
-        if done.done():
-            return
-        if term == entry.term:
-            done.set_result(Committed(entry.index, result))
-        else:
-            done.set_result(Undecided())
-
-    def _compact_if_due(self) -> None:
-        due = self.applied_index - self.log.snapshot.index
-        large = self.log.size_bytes > self._options.snapshot_bytes
-        if due < self._options.snapshot_entries and not (large and due):
-            return
-        index = self.applied_index
-        snapshot = consensus_pb2.Snapshot(
-            index=index,
-            term=self.log.term_at(index) or 0,
-            config=self.log.config_at(index),
-            state=self._state_machine.snapshot(),
-        )
-        self.log.compact(
-            snapshot,
-            self._options.snapshot_entries // 2,
-            self._options.snapshot_bytes // 4,
-        )
-        log_event("snapshot_taken", index=index, bytes=len(snapshot.state))
-
-    def _fail_waiters(self) -> None:
-        for _, done in self._waiters_by_index.values():
-            if not done.done():
-                done.set_result(Undecided())
-
     # --- Disk and tasks ------------------------------------------------------
 
-    def _read_hard_state(self) -> consensus_pb2.HardState:
-        content = self._disk.read(HARD_STATE_NAME)
-        if content is None:
-            return self._new_incarnation()
-        payload = _frames.frame_at(content, 0)
-        if payload is None:
-            raise LogDamagedError(HARD_STATE_NAME, 0)
-        return consensus_pb2.HardState.FromString(payload)
-
-    def _new_incarnation(self) -> consensus_pb2.HardState:
-        """An empty disk: whatever it promised before is lost."""
-        if self.log.last_index or self.log.config().members:
-            raise LogDamagedError(HARD_STATE_NAME, 0)
-        state = consensus_pb2.HardState(incarnation=secrets.token_hex(8))
-        content = _frames.framed(state.SerializeToString())
-        self._disk.replace(HARD_STATE_NAME, content)
-        return state
-
-    def _save_hard_state(self, term: int, voted_for: str) -> None:
-        """Makes term and vote last before anything depends on them.
-
-        Raises:
-            OSError: the disk took nothing; the old ones hold.
-        """
-        saved = consensus_pb2.HardState(
-            term=term, voted_for=voted_for, incarnation=self.incarnation
-        )
-        content = _frames.framed(saved.SerializeToString())
-        self._disk.replace(HARD_STATE_NAME, content)
-        self._hard = saved
-
     def _note_disk_failure(self, error: OSError) -> None:
         log_event("disk_failed", reason=error, leader=self.is_leader)
         self._disk_failed_at = now_s()
--- a/damaskcroft/consensus/_transport.py
+++ b/damaskcroft/consensus/_transport.py
@@ -3,7 +3,7 @@
 import abc
 import contextlib
 from collections.abc import Iterator
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import grpclib
 import grpclib.const
@@ -13,14 +13,39 @@
 from damaskcroft.observe import log_event
 from damaskcroft.rpc import CALL_ERRORS, ChannelPool
 
-if TYPE_CHECKING:
-    from damaskcroft.consensus._replica import Replica
-
 
 class PeerUnreachableError(ConsensusError):
     """A peer did not answer in time; it may have received the message."""
 
 
+class RequestHandler(abc.ABC):
+    """Answers what other members send; a replica is one."""
+
+    @abc.abstractmethod
+    async def handle_vote(
+        self, request: consensus_pb2.VoteRequest
+    ) -> consensus_pb2.VoteReply:
+        """Gives or refuses a vote; a given vote is synced first."""
+
+    @abc.abstractmethod
+    async def handle_append(
+        self, request: consensus_pb2.AppendRequest
+    ) -> consensus_pb2.AppendReply:
+        """Takes a leader's entries; synced before the answer."""
+
+    @abc.abstractmethod
+    async def handle_install(
+        self, request: consensus_pb2.InstallRequest
+    ) -> consensus_pb2.AppendReply:
+        """Takes a leader's snapshot in place of missing entries."""
+
+    @abc.abstractmethod
+    async def handle_join(
+        self, request: consensus_pb2.JoinRequest
+    ) -> consensus_pb2.JoinReply:
+        """Takes a replica in, or back, as a learner."""
+
+
 class Transport(abc.ABC):
     """Sends one message to a member and gives its answer."""
 
@@ -114,7 +139,7 @@
 class ReplicaService(consensus_grpc.ReplicaBase):
     """The gRPC face of a replica."""
 
-    def __init__(self, replica: "Replica"):
+    def __init__(self, replica: RequestHandler):
         """Serves `replica`."""
         self._replica = replica
 
