--- a/damaskcroft/hosted/__main__.py
+++ b/damaskcroft/hosted/__main__.py
@@ -1,35 +1,41 @@
 """Runs one of the programs on a machine of the platform."""
 
+import importlib
+from typing import Annotated
+
 import typer
 
+from damaskcroft.hosted.process import run_hosted
+
 app = typer.Typer(pretty_exceptions_enable=False, add_completion=False)
 
+_MetricsPort = Annotated[
+    int, typer.Option(help="port for /metrics on the machine's address")
+]
+
 
 @app.command()
-def entry() -> None:
+def entry(metrics_port: _MetricsPort = 0) -> None:
     """Takes callers' requests."""
-    from damaskcroft.hosted import entry as program
-    from damaskcroft.hosted.process import run_hosted
-
-    run_hosted("entry", program.serve)
+    _run("entry", metrics_port)
 
 
 @app.command()
-def control() -> None:
+def control(metrics_port: _MetricsPort = 0) -> None:
     """Keeps the configuration and hears announcements."""
-    from damaskcroft.hosted import control as program
-    from damaskcroft.hosted.process import run_hosted
-
-    run_hosted("control", program.serve)
+    _run("control", metrics_port)
 
 
 @app.command()
-def agent() -> None:
+def agent(metrics_port: _MetricsPort = 0) -> None:
     """Brings weights to the target beside it."""
-    from damaskcroft.hosted import agent as program
-    from damaskcroft.hosted.process import run_hosted
+    _run("agent", metrics_port)
+
 
-    run_hosted("agent", program.serve)
+def _run(role: str, metrics_port: int) -> None:
+    # Only the program that runs is imported: starting takes processor time.
+    program = importlib.import_module(f"damaskcroft.hosted.{role}")
+    run_hosted(role, program.serve, metrics_port)
 
 
 if __name__ == "__main__":
--- a/damaskcroft/hosted/process.py
+++ b/damaskcroft/hosted/process.py
@@ -10,6 +10,7 @@
 from damaskcroft.fleet import NodeSettings
 from damaskcroft.observe import log_event, start_logs
 from damaskcroft.platform.settings import SettingsFileError, load_node_settings
+from damaskcroft.rpc import http_served
 
 __all__ = ["background", "run_hosted"]
 
@@ -18,13 +19,16 @@
 
 
 def run_hosted(
-    role: str, serve: Callable[[NodeSettings], Awaitable[None]]
+    role: str,
+    serve: Callable[[NodeSettings], Awaitable[None]],
+    metrics_port: int,
 ) -> None:
     """Runs a program from the platform's settings to its end.
 
     Args:
         role: the program's name.
         serve: its work; returns when it has ended gracefully.
+        metrics_port: where metrics are served; 0 for nowhere.
 
     Raises:
         SystemExit: 2 for faults in the settings, 3 when it can't start.
@@ -45,16 +49,24 @@
     )
     try:
         with contextlib.suppress(KeyboardInterrupt):
-            asyncio.run(_awaited(serve(settings)))
+            asyncio.run(_run(serve, settings, metrics_port))
     except OSError as error:
         log_event("cannot_start", reason=error)
         raise SystemExit(_EXIT_CANNOT_START) from error
     log_event("stopped", role=role)
 
 
-async def _awaited(work: Awaitable[None]) -> None:
+async def _run(
+    serve: Callable[[NodeSettings], Awaitable[None]],
+    settings: NodeSettings,
+    metrics_port: int,
+) -> None:
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, _reload)
-    await work
+    if not metrics_port:
+        await serve(settings)
+        return
+    async with http_served(f"{settings.ip}:{metrics_port}", []):
+        await serve(settings)
 
 
 def _reload() -> None:
