Confirm a manifest while its chunks come; check staged pieces before the turn

Cause: a burst began 0.15 to 0.45 s after the naming, for two readings of the manifest one after the other; and at a switch the target was out for reading back too.

--- a/damaskcroft/agent/_fleet_stager.py
+++ b/damaskcroft/agent/_fleet_stager.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from damaskcroft.agent._fleet_agent import FleetAgent
+from damaskcroft.clock import now_s
 from damaskcroft.engines import EngineUnreachable, StagedEngine
 from damaskcroft.fleet import FleetView
 from damaskcroft.observe import log_event
@@ -38,6 +39,10 @@
 # Pieces at the target that don't fit, before it is taken to hold another
 # version; fewer might just be spoilt.
 _MAX_WRONG = 4
+# What was right at the target so long ago may be ordered without another look.
+_CHECKED_FOR_S = 1.0
+# Other readings of a manifest that outweigh one's own.
+_READINGS_AGAINST = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -92,6 +97,7 @@
         self.counts = BurstCounts()
         # What is whole and checked in the store and put at the target.
         self.staged: Wanted | None = None
+        self._checked_at = float("-inf")
         self.staged_version: StagedVersion | None = None
 
     def wanted(self) -> Wanted | None:
@@ -130,12 +136,17 @@
     async def restage(self) -> bool:
         """Reads all staged pieces back and puts spoilt ones again.
 
+        Not again right after it was done: an agent checks while it waits for
+        its turn, so that its target is out for the load alone.
+
         Returns:
             Whether every piece is right at the target now.
         """
         version = self.staged_version
         if version is None:
             return False
+        if now_s() - self._checked_at < _CHECKED_FOR_S:
+            return True
         for index in range(len(version.held)):
             digest = version.manifest.chunks[index].digest
             data = await self._engine.get_piece(version.manifest.model, index)
@@ -144,6 +155,7 @@
             log_event("staged_piece_spoilt", index=index, lost=data is None)
             if not await self._put_piece(version, index):
                 return False
+        self._checked_at = now_s()
         return True
 
     def _held_by_others(self, model: str) -> int:
@@ -173,7 +185,10 @@
         while isinstance(await self._engine.report(), EngineUnreachable):
             await asyncio.sleep(_RETRY_S)
         source = self._source()
-        content = await self._manifest(wanted, source)
+        content = await self._first_manifest(wanted, source)
+        confirming = asyncio.create_task(
+            self._confirmed(wanted, source, content)
+        )
         keep = {self.staged_version.digest} if self.staged_version else set()
         version = self._store.open_version(content, keep)
         self._put = set()
@@ -198,14 +213,23 @@
         self._plan(burst)
         putting = asyncio.create_task(self._put_as_they_come(version))
         planning = asyncio.create_task(self._plan_forever(burst))
+        fetching = asyncio.create_task(self._fetch_whole(burst, version))
         try:
-            while not version.verify_whole():
-                await burst.run(version)
+            # A spoilt manifest's chunks never come right, so don't wait for
+            # them before its readings are compared.
+            await asyncio.wait(
+                {fetching, confirming}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not await confirming:
+                raise ManifestError("other readings of the manifest differ")
+            await fetching
             await putting
         finally:
-            planning.cancel()
-            putting.cancel()
-            await asyncio.gather(planning, putting, return_exceptions=True)
+            tasks = (planning, putting, confirming, fetching)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+        self._checked_at = float("-inf")
         self.staged = wanted
         self.staged_version = version
         log_event(
@@ -216,6 +240,10 @@
             corrupt=self.counts.corrupt_chunks,
         )
 
+    async def _fetch_whole(self, burst: Burst, version: StagedVersion) -> None:
+        while not version.verify_whole():
+            await burst.run(version)
+
     def _source(self) -> OutsideSource:
         """The outside source that the configuration names.
 
@@ -229,26 +257,39 @@
                 return self._make_source(service.origin)
         raise OSError("the configuration names no origin of weights")
 
-    async def _manifest(self, wanted: Wanted, source: OutsideSource) -> bytes:
-        """The manifest that two readings agree on.
+    async def _first_manifest(
+        self, wanted: Wanted, source: OutsideSource
+    ) -> bytes:
+        """A manifest to begin with, from wherever one is had first."""
+        while True:
+            content = await self._manifest_from_outside(wanted, source)
+            if content is None:
+                content = await self._manifest_from_peer(wanted)
+            if content is not None:
+                load_manifest(content, manifest_digest(content))
+                return content
+            await asyncio.sleep(_RETRY_S * self._rng.random())
+
+    async def _confirmed(
+        self, wanted: Wanted, source: OutsideSource, content: bytes
+    ) -> bool:
+        """Whether two more readings, or one that is equal, bear one out.
 
         Nothing vouches for a manifest, and the origin may spoil what it
-        sends; two equal readings, or one and a peer's, are taken as right.
+        sends. Chunks of a spoilt one would come in vain, but never be
+        loaded: this is awaited before.
         """
-        seen: set[str] = set()
-        while True:
-            for content in (
+        others = 0
+        while others < _READINGS_AGAINST:
+            for other in (
                 await self._manifest_from_peer(wanted),
                 await self._manifest_from_outside(wanted, source),
             ):
-                if content is None:
-                    continue
-                digest = manifest_digest(content)
-                if digest in seen:
-                    load_manifest(content, digest)
-                    return content
-                seen.add(digest)
+                if other == content:
+                    return True
+                others += other is not None
             await asyncio.sleep(_RETRY_S * self._rng.random())
+        return False
 
     async def _manifest_from_peer(self, wanted: Wanted) -> bytes | None:
         peers = self._own.peers()
--- a/damaskcroft/agent/_fleet_switcher.py
+++ b/damaskcroft/agent/_fleet_switcher.py
@@ -18,20 +18,20 @@
 
 __all__ = ["FleetSwitcher"]
 
-_POLL_S = 0.1
-_IDLE_POLL_S = 0.3
+_POLL_S = 0.04
+_IDLE_POLL_S = 0.2
 # Share of a service's targets that may be out at once while versions change.
 # Where running requests are waited for, a target is out for as long as the
 # longest of them, some seconds, and only two waves fit between the last
 # chunk's arrival and the time by which all must serve the new version. Where
 # they are cut and go on elsewhere, it is out for the load alone.
 _MAX_OUT_WAITING = 0.5
-_MAX_OUT_CUTTING = 0.25
+_MAX_OUT_CUTTING = 0.34
 # Entries hear of a change within some milliseconds; requests already on their
 # way to the target arrive within a few more.
-_NOTICE_S = 0.05
+_NOTICE_S = 0.03
 # Kept before the deadline, for running requests to end and the load.
-_LAST_CALL_S = 1.0
+_LAST_CALL_S = 0.7
 # An order that shows no effect for this long is given again.
 _ORDER_PATIENCE_S = 10.0
 
@@ -74,6 +74,9 @@
             if staged is None or report.busy or self._serves(report, staged):
                 await asyncio.sleep(_IDLE_POLL_S)
                 continue
+            if not await self._stager.restage():
+                await asyncio.sleep(_POLL_S)
+                continue
             if not self._is_our_turn(report):
                 await asyncio.sleep(_POLL_S)
                 continue
@@ -89,8 +92,6 @@
         )
         await self._tell(fleet_pb2.AGENT_SWITCHING, report)
         await asyncio.sleep(_NOTICE_S)
-        if not await self._stager.restage():
-            return
         order = await self._engine.start(
             staged.model,
             staged.version,
--- /dev/null
+++ b/damaskcroft/agent/tests/test_fleet_stager.py
@@ -0,0 +1,212 @@
+"""Getting a version beside a target: from it, from others, from outside."""
+
+import asyncio
+import hashlib
+
+import pytest
+
+from damaskcroft._generated import fleet_pb2, records_pb2
+from damaskcroft.agent._fleet_stager import FleetStager, Wanted
+from damaskcroft.engines import EngineReport, EngineUnreachable
+from damaskcroft.fleet import FleetView
+from damaskcroft.weights import (
+    BurstOptions,
+    MemoryStore,
+    OutsideData,
+    OutsideFailed,
+    Pacer,
+    PeerNotYet,
+)
+
+CHUNKS = [bytes([number]) * 50 for number in range(8)]
+
+
+def manifest(chunks):
+    return records_pb2.Manifest(
+        model="m",
+        version="2",
+        chunk_size_bytes=50,
+        files=[records_pb2.WeightFile(path="w", size_bytes=50 * len(chunks))],
+        chunks=[
+            records_pb2.Chunk(
+                digest=hashlib.sha256(data).digest(),
+                offset_bytes=index * 50,
+                size_bytes=50,
+            )
+            for index, data in enumerate(chunks)
+        ],
+    ).SerializeToString(deterministic=True)
+
+
+class FakeOrigin:
+    name = "origin"
+    closed_for_s = 0.0
+
+    def __init__(self):
+        self.manifests = [manifest(CHUNKS)]
+        self.reads = 0
+
+    async def fetch_manifest(self, path):
+        assert path == "m/2"
+        await asyncio.sleep(0.01)
+        if len(self.manifests) > 1:
+            content = self.manifests.pop(0)
+        else:
+            content = self.manifests[0]
+        if content is None:
+            return OutsideFailed("cut", 0.0)
+        return OutsideData(content)
+
+    async def fetch_chunk(self, path, wanted, index):
+        await asyncio.sleep(0.01)
+        self.reads += 1
+        return OutsideData(CHUNKS[index])
+
+
+class NoPeers:
+    async def fetch_manifest(self, address, digest, path=""):
+        return PeerNotYet()
+
+
+class FakeTarget:
+    def __init__(self):
+        self.pieces = {}
+        self.reachable = True
+        self.puts = 0
+
+    async def report(self):
+        if not self.reachable:
+            return EngineUnreachable()
+        return EngineReport((), False, 0, 0)
+
+    async def get_piece(self, model, index):
+        return self.pieces.get(index)
+
+    async def put_piece(self, model, index, data):
+        self.puts += 1
+        self.pieces[index] = data
+        return True
+
+
+class FakeOwn:
+    state = fleet_pb2.AgentState(address="a", service="s", region="r")
+
+    def peers(self):
+        return []
+
+    def peer_addresses(self):
+        return []
+
+
+@pytest.fixture
+def made(loop):
+    view = FleetView()
+    engine = fleet_pb2.EngineProfile(
+        models=[fleet_pb2.EngineModel(name="m")], layers=4
+    )
+    services = [
+        fleet_pb2.Service(name="s", engine=engine),
+        fleet_pb2.Service(name="o", origin="x:1"),
+    ]
+    view.apply_configuration(
+        fleet_pb2.Configuration(version=1, services=services)
+    )
+    origin, target = FakeOrigin(), FakeTarget()
+    stager = FleetStager(
+        FakeOwn(), view, target, MemoryStore(10**6), lambda _: origin,
+        NoPeers(), Pacer(1e9), BurstOptions(in_step=False),
+    )  # fmt: skip
+    return view, origin, target, stager
+
+
+def run_for(loop, stager, seconds):
+    async def scenario():
+        task = asyncio.create_task(stager.run())
+        await asyncio.sleep(seconds)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    loop.run(scenario())
+
+
+def name(loop, view, version=2):
+    async def take():
+        goal = fleet_pb2.WeightGoal(model="m", version=version, age_ms=0)
+        view.apply_update(fleet_pb2.FleetUpdate(goals=[goal]))
+
+    loop.run(take())
+
+
+def test_a_named_version_lies_whole_beside_the_target(loop, made):
+    view, origin, target, stager = made
+    name(loop, view)
+    run_for(loop, stager, 5)
+    assert stager.staged == Wanted("m", 2)
+    assert [target.pieces[index] for index in range(8)] == CHUNKS
+    assert origin.reads == len(CHUNKS)
+
+
+def test_without_a_goal_a_target_gets_what_the_others_serve(loop, made):
+    view, _, _, stager = made
+    held = fleet_pb2.HeldLayers(model="m", version=2, end_layer=4)
+    other = fleet_pb2.TargetState(
+        id="t", service="s", address="y:1", sequence=1, held=[held]
+    )
+    view.take([other])
+    assert stager.wanted() == Wanted("m", 2)
+
+
+def test_what_lies_at_the_target_is_not_fetched_again(loop, made):
+    view, origin, target, stager = made
+    target.pieces = dict(enumerate(CHUNKS))
+    target.pieces[3] = b"spoilt"
+    name(loop, view)
+    run_for(loop, stager, 5)
+    assert stager.staged == Wanted("m", 2)
+    assert origin.reads == 1
+    assert target.pieces[3] == CHUNKS[3]
+
+
+def test_a_target_that_is_not_up_yet_is_waited_for(loop, made):
+    view, origin, target, stager = made
+    target.pieces = dict(enumerate(CHUNKS))
+    target.reachable = False
+    name(loop, view)
+    run_for(loop, stager, 3)
+    assert origin.reads == 0
+    target.reachable = True
+    run_for(loop, stager, 3)
+    assert stager.staged == Wanted("m", 2)
+    assert origin.reads == 0
+
+
+def test_a_piece_that_turned_bad_is_put_again_before_the_order(loop, made):
+    view, _, target, stager = made
+    name(loop, view)
+    run_for(loop, stager, 5)
+    del target.pieces[1]
+    target.pieces[6] = b"rotten"
+
+    async def restage():
+        assert await stager.restage()
+
+    loop.run(restage())
+    assert [target.pieces[index] for index in range(8)] == CHUNKS
+
+
+def test_a_spoilt_manifest_is_outvoted(loop, made):
+    view, origin, _, stager = made
+    spoilt = manifest([b"x" * 50, *CHUNKS[1:]])
+    origin.manifests = [spoilt, manifest(CHUNKS)]
+    name(loop, view)
+    run_for(loop, stager, 20)
+    assert stager.staged == Wanted("m", 2)
+    assert stager.staged_version.content == manifest(CHUNKS)
+
+
+def test_an_origin_that_is_cut_off_is_asked_again(loop, made):
+    view, origin, _, stager = made
+    origin.manifests = [None, None, manifest(CHUNKS)]
+    name(loop, view)
+    run_for(loop, stager, 5)
+    assert stager.staged == Wanted("m", 2)
--- a/damaskcroft/forwarding/_services.py
+++ b/damaskcroft/forwarding/_services.py
@@ -9,7 +9,7 @@
 # Before the time by which every request must begin on a new version, requests
 # stop going to targets with an older one: they may wait there a little before
 # they begin.
-_VERSION_MARGIN_S = 0.8
+_VERSION_MARGIN_S = 0.6
 # Slots of a target that doesn't say.
 _USUAL_SLOTS = 8
 
--- a/damaskcroft/weights/_window.py
+++ b/damaskcroft/weights/_window.py
@@ -20,9 +20,10 @@
 # 3.65 Mbit/s) and behind eight before the receiver's link.
 _TARGET_DELAY_S = 0.15
 _MIN_PARTS = 1.0
-# Eight parts of 4 KiB keep a link of 10 Mbit/s full over 25 ms.
-_MAX_PARTS = 8.0
-_FIRST_PARTS = 3.0
+# Sixteen parts of 4 KiB: as many as come in the time that is aimed at, on a
+# link of 3.65 Mbit/s.
+_MAX_PARTS = 16.0
+_FIRST_PARTS = 6.0
 _GROWTH = 0.25
 _SHRINKAGE = 0.8
 
