--- a/damaskcroft/agent/_chunks.py
+++ b/damaskcroft/agent/_chunks.py
@@ -8,7 +8,7 @@
 from damaskcroft.weights import BurstCounts, ChunkStore, Pacer
 
 # A link of some Mbit/s takes some milliseconds for a part.
-_PART_BYTES = 4 * 1024
+_PART_BYTES = 8 * 1024
 _MAX_WAIT_S = 10.0
 _REASSURE_S = 0.5
 
--- a/damaskcroft/weights/_window.py
+++ b/damaskcroft/weights/_window.py
@@ -16,14 +16,14 @@
 __all__ = ["PartWindow"]
 
 # Time from asking for a part to its arrival that the window aims at: a part
-# waits behind those of seven other chunks at its sender (9 ms each on a link of
-# 3.65 Mbit/s) and behind eight before the receiver's link.
+# waits behind those of some other chunks at its sender (18 ms each on a link of
+# 3.65 Mbit/s) and behind some before the receiver's link.
 _TARGET_DELAY_S = 0.15
 _MIN_PARTS = 1.0
-# Sixteen parts of 4 KiB: as many as come in the time that is aimed at, on a
+# Eight parts of 8 KiB: as many as come in the time that is aimed at, on a
 # link of 3.65 Mbit/s.
-_MAX_PARTS = 16.0
-_FIRST_PARTS = 6.0
+_MAX_PARTS = 8.0
+_FIRST_PARTS = 4.0
 _GROWTH = 0.25
 _SHRINKAGE = 0.8
 
