A slow agent's chunks are had elsewhere; newcomers don't change a burst's plan

Agents that joined in the middle became roots of chunks that others held already, and a link at a quarter of its rate held back all that was planned through it. Change: agents plan once; chunks with 16 later ones held are asked of any two others for half a second each, and read from outside by about one of all.

--- a/damaskcroft/agent/_fleet_agent.py
+++ b/damaskcroft/agent/_fleet_agent.py
@@ -92,10 +92,6 @@
             and agent.address != self.state.address
         ]
 
-    def peer_addresses(self) -> list[str]:
-        """Where those agents are, in one order everywhere."""
-        return sorted(agent.address for agent in self.peers())
-
 
 def _versions(held: Iterable[fleet_pb2.HeldLayers]) -> str:
     return ",".join(
--- a/damaskcroft/agent/_fleet_stager.py
+++ b/damaskcroft/agent/_fleet_stager.py
@@ -212,7 +212,7 @@
         )
         self._plan(burst)
         putting = asyncio.create_task(self._put_as_they_come(version))
-        planning = asyncio.create_task(self._plan_forever(burst))
+        planning = asyncio.create_task(self._plan_when_known(burst))
         fetching = asyncio.create_task(self._fetch_whole(burst, version))
         try:
             # A spoilt manifest's chunks never come right, so don't wait for
@@ -339,15 +339,15 @@
         data = version.read_chunk(index)
         return await self._engine.put_piece(version.manifest.model, index, data)
 
-    async def _plan_forever(self, burst: Burst) -> None:
-        """Plans anew when agents come or go."""
-        planned = self._own.peer_addresses()
-        while True:
+    async def _plan_when_known(self, burst: Burst) -> None:
+        """Plans once others are known; agents that come later join alone.
+
+        Planned anew, chunks would wait for newcomers that hold nothing yet.
+        These plan with everyone, so that nobody waits for them.
+        """
+        while not self._own.peers():
             await asyncio.sleep(_LOOK_EVERY_S)
-            addresses = self._own.peer_addresses()
-            if addresses != planned:
-                planned = addresses
-                self._plan(burst)
+        self._plan(burst)
 
     def _plan(self, burst: Burst) -> None:
         own = self._own.state
--- a/damaskcroft/agent/tests/test_fleet_stager.py
+++ b/damaskcroft/agent/tests/test_fleet_stager.py
@@ -94,9 +94,6 @@
     def peers(self):
         return []
 
-    def peer_addresses(self):
-        return []
-
 
 @pytest.fixture
 def made(loop):
--- a/damaskcroft/weights/_burst.py
+++ b/damaskcroft/weights/_burst.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import random
 from collections.abc import Iterator
@@ -32,6 +33,14 @@
 _SUSPECT_S = 1.0
 _CORRUPT_SUSPECT_S = 300.0
 _MIN_PAUSE_S = 0.02
+_LOOK_EVERY_S = 0.05
+_RESCUE_EVERY_S = 0.2
+# Chunks that came after a missing one before it counts as overdue: more than
+# are on their way at once along one tree's branches.
+_LATER_CHUNKS = 16
+_MAX_RESCUED = 4
+_RESCUE_PATIENCE_S = 0.5
+_ASKED_AT_ONCE = 2
 _MAX_PAUSE_S = 1.0
 _MANIFEST_PAUSE_S = 0.1
 # How many chunks may be on their way between the outside link and the leaves
@@ -178,11 +187,23 @@
         own = [i for i in missing if self._parent(i) is None]
         others = [i for i in missing if self._parent(i) is not None]
         self._taken = set()
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self._read_outside(version, own, others))
-            indexes = iter(others)
-            for _ in range(self._questions()):
-                group.create_task(self._work(version, indexes))
+        indexes = iter(others)
+        works = [
+            self._read_outside(version, own, others),
+            self._rescue(version),
+            *(self._work(version, indexes) for _ in range(self._questions())),
+        ]
+        tasks = [asyncio.create_task(work) for work in works]
+        try:
+            # What came another way is no longer waited for.
+            while not version.is_complete:
+                done, _ = await asyncio.wait(tasks, timeout=_LOOK_EVERY_S)
+                for task in done:
+                    task.result()
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
 
     def _questions(self) -> int:
         """Chunks to ask for at once: no more than can be on their way."""
@@ -258,6 +279,50 @@
             while not version.held[index]:
                 await self._try(version, index)
 
+    async def _rescue(self, version: StagedVersion) -> None:
+        """Gets chunks elsewhere whose parents are much later than others.
+
+        A parent may be up and answer, but on a link at a fraction of its
+        rate. Its chunks show as gaps behind which later ones have come.
+        """
+        overdue_before: set[int] = set()
+        while not version.is_complete:
+            held_before = version.held_count
+            await asyncio.sleep(_RESCUE_EVERY_S)
+            still = version.held_count == held_before > 0
+            overdue = _missing(version) if still else _overdue(version)
+            for index in overdue[:_MAX_RESCUED]:
+                found = await self._from_any(version, index)
+                stuck = index in overdue_before and not found
+                if stuck and self._rng.random() < self._outside_share():
+                    await self._from_outside(version, index)
+            overdue_before = set(overdue)
+
+    async def _from_any(self, version: StagedVersion, index: int) -> bool:
+        """Asks some agents that may hold a chunk already."""
+        if self._planner is None:
+            return False
+        suspects = self._suspects.now()
+        others = [
+            other
+            for other in self._planner.participants
+            if other.id != self._own_id and other.id not in suspects
+        ]
+        asked = self._rng.sample(others, min(_ASKED_AT_ONCE, len(others)))
+        for other in asked:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_RESCUE_PATIENCE_S):
+                    await self._from_peer(version, index, other, wait_s=0.0)
+            if version.held[index]:
+                return True
+        return False
+
+    def _outside_share(self) -> float:
+        """So that about one of all who miss a chunk reads it from outside."""
+        if self._planner is None:
+            return 1.0
+        return 1.0 / max(1, len(self._planner.participants))
+
     async def _try(self, version: StagedVersion, index: int) -> None:
         parent = self._parent(index)
         if parent is None:
@@ -265,15 +330,19 @@
                 if not version.held[index]:
                     await self._from_outside(version, index)
             return
-        await self._from_peer(version, index, parent)
+        await self._from_peer(version, index, parent, self._options.wait_s)
 
     async def _from_peer(
-        self, version: StagedVersion, index: int, peer: Participant
+        self,
+        version: StagedVersion,
+        index: int,
+        peer: Participant,
+        wait_s: float,
     ) -> None:
         request = agent_pb2.ChunkRequest(
             manifest=version.digest,
             digest=version.manifest.chunks[index].digest,
-            wait_ms=int(self._options.wait_s * 1000),
+            wait_ms=int(wait_s * 1000),
             requester=self._own_id,
         )
         outcome = await self._peers.fetch_chunk(peer.address, request)
@@ -373,3 +442,19 @@
     if policy == records_pb2.FEWEST_ORIGIN_BYTES:
         return 0.0
     return min(copies_cap - 1, _MAX_HELP_COPIES) / agents
+
+
+def _missing(version: StagedVersion) -> list[int]:
+    return [index for index, held in enumerate(version.held) if not held]
+
+
+def _overdue(version: StagedVersion) -> list[int]:
+    """Missing chunks after which many others have come."""
+    later = version.held_count
+    overdue = []
+    for index, held in enumerate(version.held):
+        if held:
+            later -= 1
+        elif later >= _LATER_CHUNKS:
+            overdue.append(index)
+    return overdue
--- a/damaskcroft/weights/tests/test_burst.py
+++ b/damaskcroft/weights/tests/test_burst.py
@@ -85,6 +85,7 @@
         self.versions_by_id = {}
         self.dead = set()
         self.frozen = set()
+        self.slow = set()
         self.liars = set()
 
     async def fetch_chunk(self, address, request):
@@ -97,6 +98,8 @@
         version = self.versions_by_id.get(address)
         if version is None:
             return PeerNotYet()
+        if address in self.slow:
+            await asyncio.sleep(8.0)
         index = version.index_by_digest[request.digest]
         if not await version.wait_for_chunk(index, request.wait_ms / 1000):
             return PeerNotYet()
@@ -185,6 +188,19 @@
     site.check(living)
 
 
+def test_a_slow_agents_chunks_are_had_elsewhere(loop, site):
+    """It is up and answers, but takes 8 s for a chunk that others hold."""
+    site.peers.slow = {"agent-1"}
+    others = [i for i in IDS if i != "agent-1"]
+
+    async def scenario():
+        await site.run(IDS)
+        return loop.time()
+
+    assert loop.run(scenario()) < 8.0
+    site.check(others)
+
+
 def test_corrupt_bytes_are_never_kept_and_their_source_is_left(loop, site):
     site.outside.corrupt_next = 3
     site.peers.liars = {"agent-3"}
