An agent on a machine that is gone is given up in time

Four machines are replaced then; opening a connection to one that is gone had no time limit, and was tried again each second by each chunk. Change: the stall time bounds opening too; suspicion doubles until a right chunk clears it. Test: test_an_agent_that_answers_no_connection_is_given_up.

--- a/damaskcroft/agent/tests/test_chunks.py
+++ b/damaskcroft/agent/tests/test_chunks.py
@@ -122,3 +122,31 @@
             assert isinstance(outcome, PeerFailed)
 
     asyncio.run(asyncio.wait_for(scenario(), 30))
+
+
+def test_an_agent_that_answers_no_connection_is_given_up():
+    """Its listening queue is full, as with a machine that is gone."""
+
+    async def scenario():
+        with socket.socket() as deaf:
+            deaf.bind(("127.0.0.1", 0))
+            deaf.listen(0)
+            host, port = deaf.getsockname()
+            fillers = []
+            for _ in range(4):
+                filler = socket.socket()
+                filler.setblocking(False)
+                filler.connect_ex((host, port))
+                fillers.append(filler)
+            async with giving() as (version, _, _, _):
+                channels = ChannelPool(KEYS)
+                source = GrpcPeerSource(channels, 0.3)
+                outcome = await source.fetch_chunk(
+                    f"{host}:{port}", ask(version, 0)
+                )
+                assert outcome == PeerFailed("stalled")
+                channels.close()
+            for filler in fillers:
+                filler.close()
+
+    asyncio.run(asyncio.wait_for(scenario(), 30))
--- a/damaskcroft/weights/_burst.py
+++ b/damaskcroft/weights/_burst.py
@@ -31,6 +31,7 @@
 # Silence may be a full link's; a refused connection a restart of a second.
 _STALLED_SUSPECT_S = 5.0
 _SUSPECT_S = 1.0
+_MAX_SUSPECT_S = 30.0
 _CORRUPT_SUSPECT_S = 300.0
 _MIN_PAUSE_S = 0.02
 _LOOK_EVERY_S = 0.05
@@ -86,16 +87,32 @@
 class Suspects:
     """Agents to be left alone for a while, after silence or wrong bytes."""
 
-    __slots__ = ("_until_by_id",)
+    __slots__ = ("_times_by_id", "_until_by_id")
 
     def __init__(self) -> None:
         """Creates an empty list."""
         self._until_by_id: dict[str, float] = {}
+        self._times_by_id: dict[str, int] = {}
 
     def add(self, agent_id: str, for_s: float) -> None:
-        """Suspects an agent for `for_s` seconds."""
+        """Suspects an agent, twice as long each time until it is cleared.
+
+        Args:
+            agent_id: which.
+            for_s: how long the first time.
+        """
+        if agent_id in self.now():
+            return
+        times = self._times_by_id.get(agent_id, 0)
+        self._times_by_id[agent_id] = times + 1
+        for_s = min(for_s * 2**times, max(for_s, _MAX_SUSPECT_S))
         self._until_by_id[agent_id] = now_s() + for_s
 
+    def clear(self, agent_id: str) -> None:
+        """Takes note that an agent has given a right chunk."""
+        self._until_by_id.pop(agent_id, None)
+        self._times_by_id.pop(agent_id, None)
+
     def now(self) -> frozenset[str]:
         """The ids suspected at this instant."""
         now = now_s()
@@ -348,6 +365,7 @@
         outcome = await self._peers.fetch_chunk(peer.address, request)
         match outcome:
             case PeerData(data=data):
+                self._suspects.clear(peer.id)
                 self._take(version, index, data, "peer", peer.id)
             case PeerNotYet():
                 await asyncio.sleep(_MIN_PAUSE_S)
--- a/damaskcroft/weights/_peers.py
+++ b/damaskcroft/weights/_peers.py
@@ -66,7 +66,11 @@
         stub = agent_grpc.ChunksStub(self._pool.channel(address))
         try:
             async with stub.GetChunk.open() as stream:
-                await stream.send_message(agent_pb2.ChunkAsk(request=request))
+                # A machine that is gone answers no connection attempt either.
+                async with asyncio.timeout(self._stall_s):
+                    await stream.send_message(
+                        agent_pb2.ChunkAsk(request=request)
+                    )
                 patience_s = request.wait_ms / 1000 + self._stall_s
                 outcome = await self._take_parts(stream, patience_s)
                 await stream.cancel()
