One slow sender no longer closes the window for all

The quickest of the last eight parts decides now. Test: test_one_slow_sender_does_not_slow_the_others (fails before).

--- a/damaskcroft/weights/_window.py
+++ b/damaskcroft/weights/_window.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import collections
 import contextlib
 import heapq
 from collections.abc import AsyncIterator
@@ -19,6 +20,8 @@
 # waits behind those of some other chunks at its sender (18 ms each on a link of
 # 3.65 Mbit/s) and behind some before the receiver's link.
 _TARGET_DELAY_S = 0.15
+# As many as are on their way at most, so that each sender shows among them.
+_LAST_DELAYS = 8
 _MIN_PARTS = 1.0
 # Eight parts of 8 KiB: as many as come in the time that is aimed at, on a
 # link of 3.65 Mbit/s.
@@ -35,13 +38,23 @@
     whole can be given on, many that are half here can't.
     """
 
-    __slots__ = ("_asked", "_begun", "_outstanding", "_waiting", "limit")
+    __slots__ = (
+        "_asked",
+        "_begun",
+        "_delays",
+        "_outstanding",
+        "_waiting",
+        "limit",
+    )
 
     def __init__(self) -> None:
         """Starts small, with nothing on its way."""
         self.limit = _FIRST_PARTS
         self._outstanding = 0
         self._begun = 0
+        self._delays: collections.deque[float] = collections.deque(
+            maxlen=_LAST_DELAYS
+        )
         self._waiting: list[tuple[int, int, asyncio.Future[None]]] = []
         # Between parts of one rank, the one that asked first.
         self._asked = 0
@@ -88,7 +101,13 @@
                 admitted.set_result(None)
 
     def _adapt(self, delay_s: float) -> None:
-        if delay_s > _TARGET_DELAY_S:
+        """Takes note of how long a part took.
+
+        A queue before our own link delays every part, so the quickest of the
+        last ones tells; a slow sender delays only its own.
+        """
+        self._delays.append(delay_s)
+        if min(self._delays) > _TARGET_DELAY_S:
             self.limit = max(_MIN_PARTS, self.limit * _SHRINKAGE)
         else:
             self.limit = min(_MAX_PARTS, self.limit + _GROWTH / self.limit)
--- a/damaskcroft/weights/tests/test_window.py
+++ b/damaskcroft/weights/tests/test_window.py
@@ -84,3 +84,32 @@
         assert all(a < b for a, b in zip(ended, latest, strict=True))
 
     loop.run(scenario())
+
+
+def test_one_slow_sender_does_not_slow_the_others(loop):
+    """One of eight senders is on a link at a fraction of its rate."""
+
+    async def scenario():
+        window = PartWindow()
+        link = asyncio.Lock()
+
+        async def sound():
+            rank = window.begin_chunk()
+            for _ in range(60):
+                async with window.room(rank), link:
+                    await asyncio.sleep(0.009)
+
+        async def slow():
+            rank = window.begin_chunk()
+            while True:
+                async with window.room(rank):
+                    await asyncio.sleep(0.6)
+
+        dragging = asyncio.create_task(slow())
+        begun = loop.time()
+        await asyncio.gather(*(sound() for _ in range(7)))
+        dragging.cancel()
+        assert window.limit > 4
+        assert loop.time() - begun < 1.1 * 7 * 60 * 0.009
+
+    loop.run(scenario())
