--- a/damaskcroft/weights/_peers.py
+++ b/damaskcroft/weights/_peers.py
@@ -72,7 +72,7 @@
                         agent_pb2.ChunkAsk(request=request)
                     )
                 patience_s = request.wait_ms / 1000 + self._stall_s
-                outcome = await self._take_parts(stream, patience_s)
+                outcome = await self._take_parts(stream, patience_s, address)
                 await stream.cancel()
                 return outcome
         except TimeoutError:
@@ -83,7 +83,7 @@
             return PeerFailed("unreachable")
 
     async def _take_parts(
-        self, stream: Any, patience_s: float
+        self, stream: Any, patience_s: float, address: str
     ) -> PeerData | PeerNotYet | PeerFailed:
         """Waits until the peer may send, then asks for part after part."""
         while True:
@@ -96,17 +96,17 @@
                 continue
             if told.outcome != agent_pb2.CHUNK_READY:
                 return PeerNotYet()
-            return await self._take_ready(stream, told.parts)
+            return await self._take_ready(stream, told.parts, address)
 
     async def _take_ready(
-        self, stream: Any, parts: int
+        self, stream: Any, parts: int, address: str
     ) -> PeerData | PeerFailed:
         data: list[bytes] = []
         rank = self._window.begin_chunk()
         while len(data) < parts:
             # No more than one part of a chunk at once: whoever waited for
             # room while holding some would stop the others for good.
-            async with self._window.room(rank):
+            async with self._window.room(rank, address):
                 await stream.send_message(agent_pb2.ChunkAsk(next=True))
                 async with asyncio.timeout(self._stall_s):
                     part = await stream.recv_message()
--- a/damaskcroft/weights/_window.py
+++ b/damaskcroft/weights/_window.py
@@ -7,9 +7,9 @@
 """
 
 import asyncio
+import bisect
 import collections
 import contextlib
-import heapq
 from collections.abc import AsyncIterator
 
 from damaskcroft.clock import now_s
@@ -27,6 +27,8 @@
 # link of 3.65 Mbit/s.
 _MAX_PARTS = 8.0
 _FIRST_PARTS = 4.0
+# A sender on a narrow link would else hold all the room with its many chunks.
+_MAX_OF_ONE_SENDER = 2
 _GROWTH = 0.25
 _SHRINKAGE = 0.8
 
@@ -42,7 +44,7 @@
         "_asked",
         "_begun",
         "_delays",
-        "_outstanding",
+        "_outstanding_by_sender",
         "_waiting",
         "limit",
     )
@@ -50,12 +52,14 @@
     def __init__(self) -> None:
         """Starts small, with nothing on its way."""
         self.limit = _FIRST_PARTS
-        self._outstanding = 0
+        self._outstanding_by_sender: collections.Counter[str] = (
+            collections.Counter()
+        )
         self._begun = 0
         self._delays: collections.deque[float] = collections.deque(
             maxlen=_LAST_DELAYS
         )
-        self._waiting: list[tuple[int, int, asyncio.Future[None]]] = []
+        self._waiting: list[tuple[int, int, str, asyncio.Future[None]]] = []
         # Between parts of one rank, the one that asked first.
         self._asked = 0
 
@@ -65,39 +69,49 @@
         return self._begun
 
     @contextlib.asynccontextmanager
-    async def room(self, rank: int) -> AsyncIterator[None]:
+    async def room(self, rank: int, sender: str) -> AsyncIterator[None]:
         """Waits until a part may be asked for; the block ends as it comes.
 
         Args:
             rank: from `begin_chunk`.
+            sender: who is asked.
         """
-        await self._enter(rank)
+        await self._enter(rank, sender)
         asked_at = now_s()
         try:
             yield
             self._adapt(now_s() - asked_at)
         finally:
-            self._outstanding -= 1
-            self._admit()
+            self._leave(sender)
 
-    async def _enter(self, rank: int) -> None:
+    async def _enter(self, rank: int, sender: str) -> None:
         admitted = asyncio.get_running_loop().create_future()
         self._asked += 1
-        heapq.heappush(self._waiting, (rank, self._asked, admitted))
+        bisect.insort(self._waiting, (rank, self._asked, sender, admitted))
         self._admit()
         try:
             await admitted
         except asyncio.CancelledError:
             if admitted.done() and not admitted.cancelled():
-                self._outstanding -= 1
-                self._admit()
+                self._leave(sender)
             raise
 
+    def _leave(self, sender: str) -> None:
+        self._outstanding_by_sender[sender] -= 1
+        self._admit()
+
     def _admit(self) -> None:
-        while self._waiting and self._outstanding < self.limit:
-            _, _, admitted = heapq.heappop(self._waiting)
+        place = 0
+        while place < len(self._waiting):
+            if self._outstanding_by_sender.total() >= self.limit:
+                return
+            _, _, sender, admitted = self._waiting[place]
+            if self._outstanding_by_sender[sender] >= _MAX_OF_ONE_SENDER:
+                place += 1
+                continue
+            self._waiting.pop(place)
             if not admitted.done():
-                self._outstanding += 1
+                self._outstanding_by_sender[sender] += 1
                 admitted.set_result(None)
 
     def _adapt(self, delay_s: float) -> None:
--- a/damaskcroft/weights/tests/test_window.py
+++ b/damaskcroft/weights/tests/test_window.py
@@ -16,7 +16,7 @@
         rank = window.begin_chunk()
         while left > 0:
             left -= 1
-            async with window.room(rank):
+            async with window.room(rank, f"s{rank % 4}"):
                 begun = asyncio.get_running_loop().time()
                 async with link:
                     await asyncio.sleep(link_s)
@@ -53,7 +53,7 @@
         window = PartWindow()
 
         async def never():
-            async with asyncio.timeout(1), window.room(1):
+            async with asyncio.timeout(1), window.room(1, "s"):
                 await asyncio.sleep(100)
 
         await asyncio.gather(
@@ -75,7 +75,7 @@
         async def chunk(number):
             rank = window.begin_chunk()
             for _ in range(6):
-                async with window.room(rank):
+                async with window.room(rank, "s"):
                     await asyncio.sleep(0.2)
             ended.append(loop.time())
 
@@ -86,29 +86,32 @@
     loop.run(scenario())
 
 
-def test_one_slow_sender_does_not_slow_the_others(loop):
-    """One of eight senders is on a link at a fraction of its rate."""
+def test_one_slow_sender_does_not_hold_all_the_room(loop):
+    """Eight chunks are to come from an agent at a fraction of its rate."""
 
     async def scenario():
         window = PartWindow()
         link = asyncio.Lock()
 
-        async def sound():
-            rank = window.begin_chunk()
-            for _ in range(60):
-                async with window.room(rank), link:
-                    await asyncio.sleep(0.009)
-
         async def slow():
             rank = window.begin_chunk()
             while True:
-                async with window.room(rank):
+                async with window.room(rank, "slow"):
                     await asyncio.sleep(0.6)
 
-        dragging = asyncio.create_task(slow())
+        async def sound(number):
+            rank = window.begin_chunk()
+            for _ in range(60):
+                async with window.room(rank, f"s{number}"), link:
+                    await asyncio.sleep(0.009)
+
+        dragging = [asyncio.create_task(slow()) for _ in range(8)]
+        await asyncio.sleep(0)
         begun = loop.time()
-        await asyncio.gather(*(sound() for _ in range(7)))
-        dragging.cancel()
+        async with asyncio.timeout(60):
+            await asyncio.gather(*(sound(number) for number in range(7)))
+        for task in dragging:
+            task.cancel()
         assert window.limit > 4
         assert loop.time() - begun < 1.1 * 7 * 60 * 0.009
 
