--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,10 @@
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.ready
 MODEL ?=
+KIT ?=
 DEMO_MIB ?= 64
 
-.PHONY: demo test check proto fuzz bench plots test-processes clean
+.PHONY: platform demo test check proto fuzz bench plots test-processes clean
 
 $(STAMP): pyproject.toml requirements.txt
 	test -x $(PY) || python3 -m venv $(VENV)
@@ -39,5 +40,10 @@
 plots: $(STAMP)
 	$(PY) tools/plots.py
 
+# The calm day of every site in a kit of the platform's.
+platform: $(STAMP)
+	test -n "$(KIT)" || (echo "make platform KIT=/path/to/kit"; exit 2)
+	$(PY) tools/platform.py $(KIT) | sh
+
 clean:
-	rm -rf build $(VENV)
+	rm -rf build target $(VENV)
