--- a/Makefile
+++ b/Makefile
@@ -43,7 +43,7 @@
 # The calm day of every site in a kit of the platform's.
 platform: $(STAMP)
 	test -n "$(KIT)" || (echo "make platform KIT=/path/to/kit"; exit 2)
-	$(PY) tools/platform.py $(KIT) | sh
+	$(PY) tools/calm_days.py $(KIT) | sh
 
 clean:
 	rm -rf build target $(VENV)
--- a/tools/platform.py
+++ b/tools/calm_days.py
@@ -13,11 +13,11 @@
 def main() -> None:
     """Runs the kit's bench in place of this process, a site at a time.
 
-    Usage: platform.py KIT [SITE]. Without a site, lists the commands: one
+    Usage: calm_days.py KIT [SITE]. Without a site, lists the commands: one
     bench run takes the place of this process, so that none is started.
     """
     if len(sys.argv) < 2:
-        print("usage: platform.py KIT [SITE]", file=sys.stderr)
+        print("usage: calm_days.py KIT [SITE]", file=sys.stderr)
         raise SystemExit(_USAGE)
     kit = pathlib.Path(sys.argv[1])
     sites = sorted((kit / _SITES).glob("*.toml"))
