--- a/damaskcroft/weights/_window.py
+++ b/damaskcroft/weights/_window.py
@@ -28,7 +28,7 @@
 _MAX_PARTS = 8.0
 _FIRST_PARTS = 4.0
 # A sender on a narrow link would else hold all the room with its many chunks.
-_MAX_OF_ONE_SENDER = 2
+_MAX_OF_ONE_SENDER = 3
 _GROWTH = 0.25
 _SHRINKAGE = 0.8
 
