--- a/damaskcroft/weights/_burst.py
+++ b/damaskcroft/weights/_burst.py
@@ -37,7 +37,11 @@
 _RESCUE_EVERY_S = 0.2
 # Chunks that came after a missing one before it counts as overdue: more than
 # are on their way at once along one tree's branches.
-_LATER_CHUNKS = 16
+_LATER_CHUNKS = 24
+# Without any chunk for this long, all that are missing count as overdue; at a
+# quarter of the usual rate one still comes each quarter of a second.
+_STILL_S = 1.0
+_PARALLEL_RESCUES = 4
 # After which another root is tried: to read a chunk from outside and pass it
 # down a tree takes some tenths of a second.
 _NEXT_ROOT_S = 1.0
@@ -163,6 +167,7 @@
         self._suspects = Suspects()
         # Agents that are left out of one chunk's tree, since it came too late.
         self._slow_by_index: dict[int, set[str]] = {}
+        self._rescue_slots = asyncio.Semaphore(_PARALLEL_RESCUES)
         self._outside_slots = asyncio.Semaphore(options.parallel_outside)
         self._rng = random.Random(own_id)
 
@@ -306,11 +311,15 @@
         All who see a gap leave the same root out, and so agree on another.
         """
         left_at: dict[int, float] = {}
+        moved_at = now_s()
+        held_before = version.held_count
         async with asyncio.TaskGroup() as group:
             while not version.is_complete:
-                held_before = version.held_count
                 await asyncio.sleep(_RESCUE_EVERY_S)
-                still = version.held_count == held_before > 0
+                if version.held_count != held_before:
+                    held_before = version.held_count
+                    moved_at = now_s()
+                still = now_s() - moved_at > _STILL_S
                 for index in _missing(version) if still else _overdue(version):
                     if (
                         now_s() - left_at.get(index, -_NEXT_ROOT_S)
@@ -319,7 +328,12 @@
                         continue
                     left_at[index] = now_s()
                     self._leave_root(index)
-                    group.create_task(self._try(version, index))
+                    group.create_task(self._try_again(version, index))
+
+    async def _try_again(self, version: StagedVersion, index: int) -> None:
+        async with self._rescue_slots:
+            if not version.held[index]:
+                await self._try(version, index)
 
     def _leave_root(self, index: int) -> None:
         """Plans a chunk without the agent that should have it first."""
