Revert: other roots for late chunks

Known: 6 s after naming all hold 86 of 96 chunks; the ten rooted at the squeezed agent come late. Not known: why another root does not bring them.

--- a/damaskcroft/weights/_burst.py
+++ b/damaskcroft/weights/_burst.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import random
 from collections.abc import Iterator
@@ -37,14 +38,10 @@
 _RESCUE_EVERY_S = 0.2
 # Chunks that came after a missing one before it counts as overdue: more than
 # are on their way at once along one tree's branches.
-_LATER_CHUNKS = 24
-# Without any chunk for this long, all that are missing count as overdue; at a
-# quarter of the usual rate one still comes each quarter of a second.
-_STILL_S = 1.0
-_PARALLEL_RESCUES = 4
-# After which another root is tried: to read a chunk from outside and pass it
-# down a tree takes some tenths of a second.
-_NEXT_ROOT_S = 1.0
+_LATER_CHUNKS = 16
+_MAX_RESCUED = 4
+_RESCUE_PATIENCE_S = 0.5
+_ASKED_AT_ONCE = 2
 _MAX_PAUSE_S = 1.0
 _MANIFEST_PAUSE_S = 0.1
 # How many chunks may be on their way between the outside link and the leaves
@@ -165,9 +162,6 @@
         self._read_ahead = _MIN_READ_AHEAD
         self._taken: set[int] = set()
         self._suspects = Suspects()
-        # Agents that are left out of one chunk's tree, since it came too late.
-        self._slow_by_index: dict[int, set[str]] = {}
-        self._rescue_slots = asyncio.Semaphore(_PARALLEL_RESCUES)
         self._outside_slots = asyncio.Semaphore(options.parallel_outside)
         self._rng = random.Random(own_id)
 
@@ -236,8 +230,7 @@
     def _parent(self, index: int) -> Participant | None:
         if self._planner is None:
             return None
-        slow = self._slow_by_index.get(index, set())
-        return self._planner.parent(index, self._suspects.now() | slow)
+        return self._planner.parent(index, self._suspects.now())
 
     def _copy_local(self, version: StagedVersion) -> None:
         """Takes chunks that an older version already holds."""
@@ -304,45 +297,48 @@
                 await self._try(version, index)
 
     async def _rescue(self, version: StagedVersion) -> None:
-        """Gets chunks past agents that are much slower than others.
+        """Gets chunks elsewhere whose parents are much later than others.
 
-        A chunk's root may be up and answer, but on a link at a fraction of
-        its rate. Its chunks show as gaps behind which later ones have come.
-        All who see a gap leave the same root out, and so agree on another.
+        A parent may be up and answer, but on a link at a fraction of its
+        rate. Its chunks show as gaps behind which later ones have come.
         """
-        left_at: dict[int, float] = {}
-        moved_at = now_s()
-        held_before = version.held_count
-        async with asyncio.TaskGroup() as group:
-            while not version.is_complete:
-                await asyncio.sleep(_RESCUE_EVERY_S)
-                if version.held_count != held_before:
-                    held_before = version.held_count
-                    moved_at = now_s()
-                still = now_s() - moved_at > _STILL_S
-                for index in _missing(version) if still else _overdue(version):
-                    if (
-                        now_s() - left_at.get(index, -_NEXT_ROOT_S)
-                        < _NEXT_ROOT_S
-                    ):
-                        continue
-                    left_at[index] = now_s()
-                    self._leave_root(index)
-                    group.create_task(self._try_again(version, index))
-
-    async def _try_again(self, version: StagedVersion, index: int) -> None:
-        async with self._rescue_slots:
-            if not version.held[index]:
-                await self._try(version, index)
+        overdue_before: set[int] = set()
+        while not version.is_complete:
+            held_before = version.held_count
+            await asyncio.sleep(_RESCUE_EVERY_S)
+            still = version.held_count == held_before > 0
+            overdue = _missing(version) if still else _overdue(version)
+            for index in overdue[:_MAX_RESCUED]:
+                found = await self._from_any(version, index)
+                stuck = index in overdue_before and not found
+                if stuck and self._rng.random() < self._outside_share():
+                    await self._from_outside(version, index)
+            overdue_before = set(overdue)
 
-    def _leave_root(self, index: int) -> None:
-        """Plans a chunk without the agent that should have it first."""
+    async def _from_any(self, version: StagedVersion, index: int) -> bool:
+        """Asks some agents that may hold a chunk already."""
         if self._planner is None:
-            return
-        slow = self._slow_by_index.setdefault(index, set())
-        root = self._planner.root(index, self._suspects.now() | slow)
-        if root is not None:
-            slow.add(root.id)
+            return False
+        suspects = self._suspects.now()
+        others = [
+            other
+            for other in self._planner.participants
+            if other.id != self._own_id and other.id not in suspects
+        ]
+        asked = self._rng.sample(others, min(_ASKED_AT_ONCE, len(others)))
+        for other in asked:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_RESCUE_PATIENCE_S):
+                    await self._from_peer(version, index, other, wait_s=0.0)
+            if version.held[index]:
+                return True
+        return False
+
+    def _outside_share(self) -> float:
+        """So that about one of all who miss a chunk reads it from outside."""
+        if self._planner is None:
+            return 1.0
+        return 1.0 / max(1, len(self._planner.participants))
 
     async def _try(self, version: StagedVersion, index: int) -> None:
         parent = self._parent(index)
@@ -351,18 +347,19 @@
                 if not version.held[index]:
                     await self._from_outside(version, index)
             return
-        await self._from_peer(version, index, parent)
+        await self._from_peer(version, index, parent, self._options.wait_s)
 
     async def _from_peer(
         self,
         version: StagedVersion,
         index: int,
         peer: Participant,
+        wait_s: float,
     ) -> None:
         request = agent_pb2.ChunkRequest(
             manifest=version.digest,
             digest=version.manifest.chunks[index].digest,
-            wait_ms=int(self._options.wait_s * 1000),
+            wait_ms=int(wait_s * 1000),
             requester=self._own_id,
         )
         outcome = await self._peers.fetch_chunk(peer.address, request)
--- a/damaskcroft/weights/_planner.py
+++ b/damaskcroft/weights/_planner.py
@@ -43,7 +43,7 @@
 
     @abc.abstractmethod
     def parent(
-        self, chunk_index: int, suspects: frozenset[str] | set[str]
+        self, chunk_index: int, suspects: frozenset[str]
     ) -> Participant | None:
         """Whom to ask for a chunk, or None to read it from outside.
 
@@ -52,18 +52,12 @@
             suspects: agents that do not answer now.
         """
 
-    def root(
-        self, chunk_index: int, suspects: frozenset[str] | set[str]
-    ) -> Participant | None:
-        """Who reads a chunk from outside, or None if everyone does."""
-        return None
-
 
 class OriginPlanner(Planner):
     """Everyone reads everything from outside: the baseline."""
 
     def parent(
-        self, chunk_index: int, suspects: frozenset[str] | set[str]
+        self, chunk_index: int, suspects: frozenset[str]
     ) -> Participant | None:
         """See Planner."""
         return None
@@ -73,7 +67,7 @@
     """One chain through all agents, the same for every chunk."""
 
     def parent(
-        self, chunk_index: int, suspects: frozenset[str] | set[str]
+        self, chunk_index: int, suspects: frozenset[str]
     ) -> Participant | None:
         """See Planner."""
         before: Participant | None = None
@@ -111,7 +105,7 @@
         """In which order `names` stand for a chunk, as places in `names`."""
 
     def parent(
-        self, chunk_index: int, suspects: frozenset[str] | set[str]
+        self, chunk_index: int, suspects: frozenset[str]
     ) -> Participant | None:
         """See Planner."""
         members = self._living(chunk_index, self._own_domain, suspects)
@@ -122,19 +116,8 @@
             return members[(place - 1) // _BRANCHES]
         return self._parent_outside_domain(chunk_index, suspects)
 
-    def root(
-        self, chunk_index: int, suspects: frozenset[str] | set[str]
-    ) -> Participant | None:
-        """See Planner."""
-        for position in self.order(chunk_index, self._domains):
-            domain = self._domains[position]
-            for member in self._living(chunk_index, domain, suspects):
-                if member.id not in suspects:
-                    return member
-        return None
-
     def _parent_outside_domain(
-        self, chunk_index: int, suspects: frozenset[str] | set[str]
+        self, chunk_index: int, suspects: frozenset[str]
     ) -> Participant | None:
         heads: list[Participant] = []
         for position in self.order(chunk_index, self._domains):
@@ -149,7 +132,7 @@
         return heads[(len(heads) - 1) // _BRANCHES]
 
     def _living(
-        self, chunk_index: int, domain: str, suspects: frozenset[str] | set[str]
+        self, chunk_index: int, domain: str, suspects: frozenset[str]
     ) -> list[Participant]:
         members = self._members_by_domain[domain]
         # Domains rotate with every chunk; members with every round of them,
