--- a/damaskcroft/forwarding/__init__.py
+++ b/damaskcroft/forwarding/__init__.py
@@ -7,15 +7,9 @@
     TargetLoad,
     Wire,
 )
-from damaskcroft.forwarding._forwarder import (
-    BrokenOff,
-    Forwarder,
-    Gave,
-    Job,
-    Ran,
-    Refused,
-)
+from damaskcroft.forwarding._forwarder import Forwarder
 from damaskcroft.forwarding._gate import EntryGate
+from damaskcroft.forwarding._job import BrokenOff, Gave, Job, Ran, Refused
 from damaskcroft.forwarding._services import Services
 
 __all__ = [
--- a/damaskcroft/forwarding/_attempt.py
+++ b/damaskcroft/forwarding/_attempt.py
@@ -17,7 +17,10 @@
 
 __all__ = ["Answered", "Attempt", "Lost", "NotRun", "NotSent", "attempt"]
 
+# Several round trips between regions, with a packet lost and sent again.
 _CONNECT_TIMEOUT_S = 0.5
+# A refusal's body explains itself; more than this isn't worth a connection.
+_MAX_REFUSAL_BYTES = 64 * 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -163,10 +166,6 @@
         return answered_id in ("", self._call.request_id)
 
 
-# A refusal's body explains itself; more than this isn't worth a connection.
-_MAX_REFUSAL_BYTES = 64 * 1024
-
-
 @contextlib.asynccontextmanager
 async def attempt(
     wire: Wire,
--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -3,10 +3,8 @@
 import asyncio
 import contextlib
 import dataclasses
-import enum
 from collections.abc import Iterator
 
-from damaskcroft._generated import fleet_pb2
 from damaskcroft.forwarding._attempt import (
     Answered,
     Attempt,
@@ -15,8 +13,18 @@
     NotSent,
     attempt,
 )
-from damaskcroft.forwarding._call import AnswerFacts, Call, Passing, Wire
+from damaskcroft.forwarding._call import AnswerFacts, Passing, Wire
 from damaskcroft.forwarding._events import EventSplitter
+from damaskcroft.forwarding._job import (
+    BrokenOff,
+    Ending,
+    Gave,
+    Job,
+    Progress,
+    Ran,
+    Refused,
+    given_up,
+)
 from damaskcroft.forwarding._services import Services
 from damaskcroft.http1 import (
     Answer,
@@ -39,7 +47,7 @@
     Turn,
 )
 
-__all__ = ["Ending", "Forwarder", "Gave", "Job", "Refused"]
+__all__ = ["Forwarder"]
 
 # Answers up to this size are read whole before the caller gets any of it, so
 # that one that is cut short can still be asked for elsewhere.
@@ -53,104 +61,6 @@
 _LOOK_EVERY_S = 0.1
 
 
-class Ran(enum.Enum):
-    """Whether a request that got no answer may have run."""
-
-    NO = "no"
-    MAYBE = "maybe"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Refused:
-    """The request ends with an answer of our own.
-
-    Attributes:
-        reason: a fixed word, also a counter's label.
-        ran: whether it may have run at a target.
-        detail: what decided it, for the log.
-    """
-
-    reason: str
-    ran: Ran
-    detail: str = ""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Gave:
-    """A target's answer went to the caller, whole."""
-
-    status: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class BrokenOff:
-    """A target's answer had begun and could not be finished."""
-
-    reason: str
-
-
-Ending = Gave | Refused | BrokenOff
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Job:
-    """A call with all that was decided before it is sent.
-
-    Attributes:
-        call: the caller's request.
-        route: its route.
-        service: which of the route's services takes it.
-        customer: whose it is; empty on public routes.
-        priority: 0 is the most urgent.
-        deadline_at: loop time at which it gets its final answer.
-    """
-
-    call: Call
-    route: fleet_pb2.Route
-    service: str
-    customer: str
-    priority: int
-    deadline_at: float
-
-    @property
-    def is_repeatable(self) -> bool:
-        """Whether it may run more than once."""
-        return self.route.idempotent or self.route.resumable
-
-
-class _Progress:
-    """What became of a job so far.
-
-    Attributes:
-        sent: targets that it was sent to.
-        unsent: targets that could not be connected to.
-        excluded: ids of targets that it shall not be sent to again.
-        last: how the last attempt failed.
-        may_have_run: whether any target may have run it.
-        begun: whether the caller has got the head of an answer.
-        last_event_id: the last event that the caller has.
-    """
-
-    __slots__ = (
-        "begun",
-        "excluded",
-        "last",
-        "last_event_id",
-        "may_have_run",
-        "sent",
-        "unsent",
-    )
-
-    def __init__(self, call: Call):
-        self.sent = 0
-        self.unsent = 0
-        self.excluded: set[str] = set()
-        self.last: NotSent | NotRun | Lost | None = None
-        self.may_have_run = False
-        self.begun = False
-        self.last_event_id = call.last_event_id
-
-
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class _Running:
     """An attempt that may be ended, since its job may go on elsewhere."""
@@ -206,15 +116,15 @@
             ChannelLostError: the caller has gone.
         """
         self._retry_window.earn()
-        progress = _Progress(job.call)
+        progress = Progress(job.call)
         try:
             async with asyncio.timeout_at(job.deadline_at):
                 return await self._try_targets(job, answer, progress)
         except TimeoutError:
-            return _given_up("deadline", progress)
+            return given_up("deadline", progress)
 
     async def _try_targets(
-        self, job: Job, answer: Answer, progress: _Progress
+        self, job: Job, answer: Answer, progress: Progress
     ) -> Ending:
         while True:
             ending = self._why_stop(job, progress)
@@ -227,7 +137,7 @@
             if ended is not None:
                 return ended
 
-    async def _place(self, job: Job, progress: _Progress) -> Candidate | Ending:
+    async def _place(self, job: Job, progress: Progress) -> Candidate | Ending:
         """Takes a slot at a target.
 
         A job that was tried already, or whose answer has begun, doesn't wait
@@ -249,16 +159,16 @@
             case Overloaded(reason=reason, waiting=waiting):
                 return Refused(reason, Ran.NO, f"{waiting} waiting")
 
-    def _place_again(self, job: Job, progress: _Progress) -> Candidate | Ending:
+    def _place_again(self, job: Job, progress: Progress) -> Candidate | Ending:
         placed = self._placer.choose(
             self._services.candidates(job.service, job.call.model),
             progress.excluded,
         )
         if placed is None:
-            return _given_up("no_target", progress)
+            return given_up("no_target", progress)
         if progress.sent and not self._retry_window.spend():
             metrics.RETRIES.labels("no_budget").inc()
-            return _given_up("no_retry_budget", progress)
+            return given_up("no_retry_budget", progress)
         self._placer.sent(placed.candidate.id)
         return placed.candidate
 
@@ -266,20 +176,20 @@
         candidates = self._services.candidates(ticket.service, ticket.model)
         return self._placer.choose(candidates, ())
 
-    def _why_stop(self, job: Job, progress: _Progress) -> Ending | None:
+    def _why_stop(self, job: Job, progress: Progress) -> Ending | None:
         if progress.unsent >= _MAX_UNSENT:
-            return _given_up("unreachable", progress)
+            return given_up("unreachable", progress)
         if progress.sent >= max(1, job.route.max_attempts):
-            return _given_up("attempts_used", progress)
+            return given_up("attempts_used", progress)
         if self._left_s(job) < _MIN_LEFT_S:
-            return _given_up("deadline", progress)
+            return given_up("deadline", progress)
         return None
 
     async def _try_one(
         self,
         job: Job,
         answer: Answer,
-        progress: _Progress,
+        progress: Progress,
         target: Candidate,
     ) -> Ending | None:
         """One attempt; None if another target may be tried."""
@@ -337,7 +247,7 @@
         self,
         job: Job,
         answer: Answer,
-        progress: _Progress,
+        progress: Progress,
         made: Attempt,
         target: Candidate,
     ) -> "NotSent | NotRun | Lost | Ending":
@@ -351,7 +261,7 @@
     def _judge(
         self,
         job: Job,
-        progress: _Progress,
+        progress: Progress,
         target: Candidate,
         outcome: "NotSent | NotRun | Lost | Ending",
     ) -> Ending | None:
@@ -382,7 +292,7 @@
         )
         metrics.RETRIES.labels(reason.partition(":")[0]).inc()
         if isinstance(outcome, Lost) and not job.is_repeatable:
-            return _given_up("lost", progress)
+            return given_up("lost", progress)
         return None
 
     # --- Answers -----------------------------------------------------------
@@ -391,7 +301,7 @@
         self,
         job: Job,
         answer: Answer,
-        progress: _Progress,
+        progress: Progress,
         made: Attempt,
         answered: Answered,
         target: Candidate,
@@ -412,7 +322,7 @@
         self,
         job: Job,
         answer: Answer,
-        progress: _Progress,
+        progress: Progress,
         made: Attempt,
         head: Head,
     ) -> "Lost | Ending":
@@ -440,7 +350,7 @@
     async def _relay_events(
         self,
         answer: Answer,
-        progress: _Progress,
+        progress: Progress,
         made: Attempt,
         head: Head,
     ) -> "Lost | Gave":
@@ -467,14 +377,14 @@
         await answer.end()
         return Gave(head.status)
 
-    def _is_old(self, event_id: int | None, progress: _Progress) -> bool:
+    def _is_old(self, event_id: int | None, progress: Progress) -> bool:
         if event_id is None or progress.last_event_id is None:
             return False
         return event_id <= progress.last_event_id
 
     # --- Small questions -----------------------------------------------------
 
-    def _may_repeat(self, job: Job, progress: _Progress) -> bool:
+    def _may_repeat(self, job: Job, progress: Progress) -> bool:
         """Whether a failure may still be tried elsewhere."""
         if not job.is_repeatable:
             return False
@@ -487,10 +397,3 @@
 
     def _left_s(self, job: Job) -> float:
         return job.deadline_at - asyncio.get_running_loop().time()
-
-
-def _given_up(reason: str, progress: _Progress) -> Ending:
-    if progress.begun:
-        return BrokenOff(reason)
-    ran = Ran.MAYBE if progress.may_have_run else Ran.NO
-    return Refused(reason, ran, str(progress.last))
--- a/damaskcroft/forwarding/_gate.py
+++ b/damaskcroft/forwarding/_gate.py
@@ -6,14 +6,8 @@
 from damaskcroft._generated import fleet_pb2
 from damaskcroft.fleet import FleetView
 from damaskcroft.forwarding._call import Call, Wire
-from damaskcroft.forwarding._forwarder import (
-    BrokenOff,
-    Forwarder,
-    Gave,
-    Job,
-    Ran,
-    Refused,
-)
+from damaskcroft.forwarding._forwarder import Forwarder
+from damaskcroft.forwarding._job import BrokenOff, Gave, Job, Ran, Refused
 from damaskcroft.http1 import (
     Answer,
     CallerHandler,
@@ -25,8 +19,7 @@
 
 __all__ = ["EntryGate"]
 
-# A caller that names no deadline gets the route's timeout.
-_MS = 1000
+_MS = 1000  # In a second.
 # How soon a refused caller may come back: long enough that a request under
 # way (about a second) has ended, spread so that callers don't return at once.
 _RETRY_AFTER_S = 0.3
--- /dev/null
+++ b/damaskcroft/forwarding/_job.py
@@ -0,0 +1,126 @@
+"""What is to be sent to a target, how far it has come, and how it ends."""
+
+import dataclasses
+import enum
+
+from damaskcroft._generated import fleet_pb2
+from damaskcroft.forwarding._attempt import Lost, NotRun, NotSent
+from damaskcroft.forwarding._call import Call
+
+__all__ = [
+    "BrokenOff",
+    "Ending",
+    "Gave",
+    "Job",
+    "Progress",
+    "Ran",
+    "Refused",
+    "given_up",
+]
+
+
+class Ran(enum.Enum):
+    """Whether a request that got no answer may have run."""
+
+    NO = "no"
+    MAYBE = "maybe"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """The request ends with an answer of our own.
+
+    Attributes:
+        reason: a fixed word, also a counter's label.
+        ran: whether it may have run at a target.
+        detail: what decided it, for the log.
+    """
+
+    reason: str
+    ran: Ran
+    detail: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Gave:
+    """A target's answer went to the caller, whole."""
+
+    status: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BrokenOff:
+    """A target's answer had begun and could not be finished."""
+
+    reason: str
+
+
+Ending = Gave | Refused | BrokenOff
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Job:
+    """A call with all that was decided before it is sent.
+
+    Attributes:
+        call: the caller's request.
+        route: its route.
+        service: which of the route's services takes it.
+        customer: whose it is; empty on public routes.
+        priority: 0 is the most urgent.
+        deadline_at: loop time at which it gets its final answer.
+    """
+
+    call: Call
+    route: fleet_pb2.Route
+    service: str
+    customer: str
+    priority: int
+    deadline_at: float
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether it may run more than once."""
+        return self.route.idempotent or self.route.resumable
+
+
+class Progress:
+    """What became of a job so far.
+
+    Attributes:
+        sent: targets that it was sent to.
+        unsent: targets that could not be connected to.
+        excluded: ids of targets that it shall not be sent to again.
+        last: how the last attempt failed.
+        may_have_run: whether any target may have run it.
+        begun: whether the caller has got the head of an answer.
+        last_event_id: the last event that the caller has.
+    """
+
+    __slots__ = (
+        "begun",
+        "excluded",
+        "last",
+        "last_event_id",
+        "may_have_run",
+        "sent",
+        "unsent",
+    )
+
+    def __init__(self, call: Call):
+        """Nothing was tried yet."""
+        self.sent = 0
+        self.unsent = 0
+        self.excluded: set[str] = set()
+        self.last: NotSent | NotRun | Lost | None = None
+        self.may_have_run = False
+        self.begun = False
+        self.last_event_id = call.last_event_id
+
+
+def given_up(reason: str, progress: Progress) -> Ending:
+    """How a job ends that no target answered, or not to the end."""
+    if progress.begun:
+        return BrokenOff(reason)
+    ran = Ran.MAYBE if progress.may_have_run else Ran.NO
+    return Refused(reason, ran, str(progress.last))
--- a/damaskcroft/http1/__init__.py
+++ b/damaskcroft/http1/__init__.py
@@ -14,15 +14,14 @@
     NoAnswerError,
     TargetConnection,
 )
-from damaskcroft.http1._pool import ConnectionPool, Place
-from damaskcroft.http1._server import (
+from damaskcroft.http1._exchange import (
     Answer,
-    CallerConnections,
     CallerHandler,
     CallerLimits,
     CallerRequest,
-    callers_served,
 )
+from damaskcroft.http1._pool import ConnectionPool, Place
+from damaskcroft.http1._server import CallerConnections, callers_served
 
 __all__ = [
     "Answer",
--- /dev/null
+++ b/damaskcroft/http1/_reader.py
@@ -0,0 +1,133 @@
+"""Reading whole requests, and refusing what can't be one."""
+
+import asyncio
+
+import h11
+
+from damaskcroft.http1._channel import Channel, ChannelLostError
+from damaskcroft.http1._exchange import (
+    Answer,
+    CallerHandler,
+    CallerLimits,
+    CallerRequest,
+)
+
+__all__ = ["RequestReader"]
+
+# More headers than any caller sends; a flood of them costs memory.
+_MAX_HEADERS = 100
+
+
+class RequestReader:
+    """Reads whole requests from one connection."""
+
+    __slots__ = ("_channel", "_handler", "_parser")
+
+    def __init__(
+        self, parser: h11.Connection, channel: Channel, handler: CallerHandler
+    ):
+        """Reads with `parser` what comes on `channel`."""
+        self._parser = parser
+        self._channel = channel
+        self._handler = handler
+
+    async def wait_for_first_byte(self) -> bool:
+        """Waits for the next request; False if the connection should end."""
+        if self._parser.trailing_data[0]:
+            return True
+        limits = self._handler.limits()
+        try:
+            async with asyncio.timeout(limits.idle_timeout_s):
+                data = await self._channel.read()
+        except TimeoutError:
+            return False
+        if not data:
+            return False
+        self._parser.receive_data(data)
+        return True
+
+    async def read_request(self, answer: Answer) -> CallerRequest | None:
+        """Reads a whole request, or refuses what can't be one.
+
+        Returns:
+            None if the connection should end; a refusal was sent.
+        """
+        limits = self._handler.limits()
+        try:
+            async with asyncio.timeout(limits.head_timeout_s):
+                head = await self._next_event()
+            if not isinstance(head, h11.Request):
+                return None
+            fault = _head_fault(head, limits)
+            if fault:
+                await self._refuse(answer, *fault)
+                return None
+            body = await self._read_body(limits)
+        except TimeoutError:
+            await self._refuse(answer, 408, "slow_request")
+            return None
+        except h11.RemoteProtocolError as error:
+            status = error.error_status_hint
+            await self._refuse(answer, status, "malformed_request")
+            return None
+        if body is None:
+            await self._refuse(answer, 413, "body_too_long")
+            return None
+        return CallerRequest(
+            bytes(head.method),
+            bytes(head.target),
+            list(head.headers),
+            body,
+            asyncio.get_running_loop().time(),
+        )
+
+    async def _read_body(self, limits: CallerLimits) -> bytes | None:
+        body = bytearray()
+        while True:
+            if self._parser.they_are_waiting_for_100_continue:
+                go_on = h11.InformationalResponse(status_code=100, headers=[])
+                self._channel.put(self._parser.send(go_on) or b"")
+            async with asyncio.timeout(limits.head_timeout_s):
+                event = await self._next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return bytes(body)
+            if not isinstance(event, h11.Data):
+                raise ChannelLostError("closed in the middle of a request")
+            body += event.data
+            if len(body) > limits.body_bytes:
+                return None
+
+    async def _next_event(self):
+        while True:
+            event = self._parser.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            data = await self._channel.read()
+            if not data and self._channel.lost:
+                raise ChannelLostError("closed in the middle of a request")
+            self._parser.receive_data(data)
+
+    async def _refuse(self, answer: Answer, status: int, reason: str) -> None:
+        headers = self._handler.refused(status, reason)
+        if self._parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        headers = [*headers, (b"connection", b"close")]
+        await answer.give(status, headers, b"")
+
+
+def _head_fault(
+    head: h11.Request, limits: CallerLimits
+) -> tuple[int, str] | None:
+    # The parser bounds only heads that come in several reads.
+    size = sum(len(name) + len(value) for name, value in head.headers)
+    if len(head.target) + size > limits.head_bytes:
+        return 431, "head_too_long"
+    if len(head.headers) > _MAX_HEADERS:
+        return 431, "too_many_headers"
+    names = [name for name, _ in head.headers]
+    if b"transfer-encoding" in names and b"content-length" in names:
+        # Two framings are how requests are smuggled (RFC 9112, 6.1).
+        return 400, "two_framings"
+    if not head.target.startswith(b"/") and head.target != b"*":
+        return 400, "bad_target"
+    return None
