Requests that have not begun are taken back before old weights are due to go

Ruled out: a longer margin for all (each tenth of a second is outage for all). Change: 0.25 s before the time, attempts without an answer at such targets are reset, as far as they may go on elsewhere. Test (fails before): test_what_has_not_begun_on_old_weights_in_time_goes_to_new_ones. Left: a request that may not be repeated stays where it is.

--- a/damaskcroft/forwarding/_attempt.py
+++ b/damaskcroft/forwarding/_attempt.py
@@ -57,7 +57,7 @@
     """A request that is being sent to one target."""
 
     __slots__ = ("_call", "_connection", "_given_up", "_heard", "_passing",
-                 "_place", "_pool", "_wire", "finished")  # fmt: skip
+                 "_place", "_pool", "_wire", "begun", "finished")  # fmt: skip
 
     def __init__(
         self,
@@ -88,6 +88,8 @@
         self._connection: TargetConnection | None = None
         # Whether the answer came whole, so that the connection may be kept.
         self.finished = False
+        # Whether the target has begun to answer.
+        self.begun = False
 
     async def begin(self) -> NotSent | NotRun | Lost | Answered:
         """Sends the request and reads the head of its answer."""
@@ -109,6 +111,7 @@
         except NoAnswerError as error:
             return Lost(self._given_up or _lost_reason(error, connection))
         self._heard()
+        self.begun = True
         facts = self._wire.facts(head)
         if not facts.not_run:
             return Answered(head, facts)
--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -67,6 +67,7 @@
 
     target_id: str
     attempt: Attempt
+    job: Job
 
 
 class Forwarder:
@@ -96,7 +97,8 @@
     async def run(self) -> None:
         """Looks at silent targets and at who waits in line, in turn.
 
-        Attempts at silent targets end if they may go on elsewhere.
+        Attempts that may go on elsewhere end at silent targets, and at those
+        whose weights are due to be gone before they begin.
         """
         while True:
             await asyncio.sleep(_LOOK_EVERY_S)
@@ -108,6 +110,16 @@
             for running in list(self._repeatable):
                 if running.target_id in silent:
                     running.attempt.give_up("silent")
+                elif self._is_outdated(running):
+                    running.attempt.give_up("version_due")
+
+    def _is_outdated(self, running: _Running) -> bool:
+        """Whether an attempt would begin on weights that are due to be gone."""
+        if running.attempt.begun:
+            return False
+        call = running.job.call
+        outdated = self._services.outdated_ids(running.job.service, call.model)
+        return running.target_id in outdated
 
     async def forward(self, job: Job, answer: Answer) -> Ending:
         """Gives a target's answer to the caller, or says why there is none.
@@ -236,7 +248,7 @@
         if not job.is_repeatable:
             yield
             return
-        running = _Running(target.id, made)
+        running = _Running(target.id, made, job)
         self._repeatable.add(running)
         try:
             yield
--- a/damaskcroft/forwarding/_services.py
+++ b/damaskcroft/forwarding/_services.py
@@ -10,6 +10,9 @@
 # stop going to targets with an older one: they may wait there a little before
 # they begin.
 _VERSION_MARGIN_S = 0.6
+# So long before that time, requests that have not begun at such targets are
+# taken back: over a narrow link one may arrive a second after it was sent.
+_TAKE_BACK_S = 0.25
 # Slots of a target that doesn't say.
 _USUAL_SLOTS = 8
 
@@ -62,6 +65,20 @@
             model, self._weights_s - _VERSION_MARGIN_S
         )
 
+    def outdated_ids(self, service: str, model: str) -> set[str]:
+        """Targets at which a request must not begin any more, by version."""
+        if not model or not self._weights_s:
+            return set()
+        due = self._view.due_version(model, self._weights_s - _TAKE_BACK_S)
+        if not due:
+            return set()
+        self._refresh()
+        return {
+            state.id
+            for state in self._states_by_service.get(service, [])
+            if not self._serves(state, model, due)
+        }
+
     def _refresh(self) -> None:
         if self._seen_changes == self._view.changes:
             return
--- a/damaskcroft/forwarding/tests/fakes.py
+++ b/damaskcroft/forwarding/tests/fakes.py
@@ -36,7 +36,7 @@
             deadline_s=float(request.value(b"x-deadline") or 2),
             arrived_at=request.arrived_at,
             last_event_id=int(last) if last else None,
-            model="",
+            model=request.value(b"x-model"),
             prompt_tokens=0,
             max_answer_tokens=0,
             prefix_ids=(),
@@ -80,6 +80,7 @@
         self.name = name
         self.modes = list(modes)
         self.heads = []
+        self.held = []
         self.left = 0
         self.address = ""
 
@@ -213,7 +214,9 @@
 
 
 @contextlib.asynccontextmanager
-async def entry_before(*targets, config=None, ratio=1.0, extra=100.0):
+async def entry_before(
+    *targets, config=None, ratio=1.0, extra=100.0, weights_s=0.0
+):
     """An entry that knows `targets` as the service "s"."""
     view = FleetView()
     if config is not None:
@@ -228,7 +231,7 @@
             [
                 fleet_pb2.TargetState(
                     id=target.name, service="s", address=target.address,
-                    slots=4, sequence=1,
+                    slots=4, sequence=1, held=target.held,
                 )
             ]
         )  # fmt: skip
@@ -237,7 +240,7 @@
     wire = PlainWire()
     forwarder = Forwarder(
         wire,
-        Services(view, {}, 0),
+        Services(view, {}, weights_s),
         placer,
         outliers,
         ConnectionPool(),
--- a/damaskcroft/forwarding/tests/test_forwarding.py
+++ b/damaskcroft/forwarding/tests/test_forwarding.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from prometheus_client import REGISTRY
 
 from damaskcroft._generated import fleet_pb2
 from damaskcroft.forwarding.tests.fakes import (
@@ -243,6 +244,54 @@
     asyncio.run(scenario())
 
 
+# --- Weights ---------------------------------------------------------------
+
+
+def test_what_has_not_begun_on_old_weights_in_time_goes_to_new_ones():
+    """The old target answers nothing; the new version is soon due."""
+
+    def taken_back():
+        name = "damask_retries_total"
+        reason = {"reason": "version_due"}
+        return REGISTRY.get_sample_value(name, reason) or 0
+
+    async def scenario():
+        before = taken_back()
+        old, new = FakeTarget("old", "hangs"), FakeTarget("new", "stream")
+        old.held = [fleet_pb2.HeldLayers(model="m", version=1)]
+        config = configuration(
+            1, route(streaming=True, resumable=True, timeout_ms=20_000)
+        )
+        async with entry_before(
+            old, new, config=config, weights_s=0.6
+        ) as entry:
+            asking = asyncio.create_task(entry.ask(x_model="m", x_deadline=20))
+            async with asyncio.timeout(10):
+                while not old.heads:
+                    await asyncio.sleep(0.01)
+            held = fleet_pb2.HeldLayers(model="m", version=2)
+            entry.view.take(
+                [
+                    fleet_pb2.TargetState(
+                        id="new", service="s", address=new.address,
+                        sequence=2, slots=4, held=[held],
+                    )
+                ]
+            )  # fmt: skip
+            goal = fleet_pb2.WeightGoal(model="m", version=2, age_ms=0)
+            entry.view.apply_update(fleet_pb2.FleetUpdate(goals=[goal]))
+            status, _, body = await asking
+            assert status == 200
+            assert unchunked(body)[1]
+            assert old.left == 1
+            # Not for its silence, which would be noticed only later.
+            assert taken_back() == before + 1
+            status, _, _ = await entry.ask(x_model="m")
+            assert (status, len(old.heads)) == (200, 1)
+
+    asyncio.run(scenario())
+
+
 # --- Configuration ---------------------------------------------------------
 
 
