--- a/damaskcroft/control/_fleet_service.py
+++ b/damaskcroft/control/_fleet_service.py
@@ -68,8 +68,9 @@
         self._watchers: set[_Watcher] = set()
         self._started_at = now_s()
         view.listen(self._spread)
+        state.listen(self._state_changed)
 
-    def state_changed(self) -> None:
+    def _state_changed(self) -> None:
         """Wakes every watcher after the replicated state moved."""
         for watcher in self._watchers:
             watcher.wake.set()
--- a/damaskcroft/control/_fleet_state.py
+++ b/damaskcroft/control/_fleet_state.py
@@ -26,19 +26,23 @@
 class FleetState(StateMachine):
     """The highest version of everything that operators named."""
 
-    def __init__(self, changed: Callable[[], None] = lambda: None):
-        """Creates the state of a new fleet.
-
-        Args:
-            changed: called after each change.
-        """
-        self._changed = changed
+    def __init__(self) -> None:
+        """Creates the state of a new fleet."""
+        self._listeners: list[Callable[[], None]] = []
         self.configuration: fleet_pb2.Configuration | None = None
         self.goal_by_model: dict[str, fleet_pb2.WeightGoal] = {}
         # On this process's clock; kept beside the replicated state.
         self.applied_at_by_model: dict[str, float] = {}
         self.time_ms = 0
 
+    def listen(self, listener: Callable[[], None]) -> None:
+        """Calls `listener` after each change from now on."""
+        self._listeners.append(listener)
+
+    def _changed(self) -> None:
+        for listener in self._listeners:
+            listener()
+
     @property
     def version(self) -> int:
         """Version of the configuration; 0 for none."""
--- a/damaskcroft/control/tests/test_fleet_control.py
+++ b/damaskcroft/control/tests/test_fleet_control.py
@@ -10,6 +10,7 @@
 from damaskcroft.consensus import (
     FolderDisk,
     GrpcTransport,
+    NotFormattedError,
     Replica,
     ReplicaOptions,
     ReplicaService,
@@ -43,12 +44,14 @@
         self.address = address
         self.channels = ChannelPool(KEYS)
         self.view = FleetView()
-        self.state = FleetState(lambda: self.service.state_changed())
+        self.state = FleetState()
         disk = FolderDisk(folder)
-        format_disk(disk, members)
+        with contextlib.suppress(NotFormattedError):
+            format_disk(disk, members)
         options = ReplicaOptions(
             id=address, address=address, first_members=members,
             election_timeout_s=ELECTION_S, heartbeat_s=0.05,
+            snapshot_entries=8,
         )  # fmt: skip
         transport = GrpcTransport(self.channels, ELECTION_S, 5.0)
         self.replica = Replica(options, disk, transport, self.state)
@@ -74,8 +77,8 @@
 
 
 @contextlib.asynccontextmanager
-async def three_nodes(folder):
-    addresses = [free_address() for _ in range(3)]
+async def three_nodes(folder, addresses=None):
+    addresses = addresses or [free_address() for _ in range(3)]
     members = {address: address for address in addresses}
     nodes = [
         Node(address, members, folder / str(number))
@@ -240,3 +243,21 @@
         assert other.configuration == state.configuration
 
     asyncio.run(scenario())
+
+
+def test_nodes_that_restart_from_a_snapshot_hold_what_they_promised(
+    run, tmp_path
+):
+    async def scenario():
+        async with three_nodes(tmp_path) as nodes:
+            for version in range(1, 31):
+                await nodes[0].control.configure(
+                    configuration(version, b"%d" % version)
+                )
+            assert nodes[0].replica.log.snapshot.index > 0
+            addresses = [node.address for node in nodes]
+        async with three_nodes(tmp_path, addresses) as nodes:
+            for node in nodes:
+                assert await node.control.read() == b"30"
+
+    run(scenario())
--- a/damaskcroft/hosted/control.py
+++ b/damaskcroft/hosted/control.py
@@ -52,7 +52,7 @@
             format_disk(disk, {address: address for address in seeds})
     channels = ChannelPool(Keys(None, None))
     view = FleetView()
-    state = FleetState(lambda: service.state_changed())
+    state = FleetState()
     options = ReplicaOptions(
         id=settings.rpc_address,
         address=settings.rpc_address,
