A stopped stand-in of a control node answers nobody

Cause: test_a_node_alone_promises_and_reads_nothing failed once: the library's stopped server went on answering on its open connections, so a majority still knew of the leaving target. The test closes them now and asserts the same.

--- a/damaskcroft/control/tests/test_fleet_control.py
+++ b/damaskcroft/control/tests/test_fleet_control.py
@@ -179,6 +179,9 @@
             for node in nodes:
                 if node is not alone:
                     await node.stop()
+            # A stopped gRPC server still answers on connections it has; a
+            # process that is gone doesn't.
+            alone.channels.close()
             put = await alone.control.configure(configuration(2))
             assert isinstance(put, Unavailable)
             assert isinstance(await alone.control.read(), Unavailable)
