An ending entry refuses at once what its end could cut

All entries were told to end within seconds, so the balancer used them all; requests taken 4.8 s after SIGTERM were cut 7.6 s after it. Change: 2.5 s after it was told to end, an entry takes only what its route's timeout lets end in time; the rest hears 503 and when to come back. Test: test_an_ending_entry_refuses_only_what_it_could_cut.

--- a/damaskcroft/forwarding/_gate.py
+++ b/damaskcroft/forwarding/_gate.py
@@ -1,6 +1,7 @@
 """From a caller's request to a job, or to a refusal at once."""
 
 import asyncio
+import dataclasses
 import random
 
 from damaskcroft._generated import fleet_pb2
@@ -24,6 +25,10 @@
 # way (about a second) has ended, spread so that callers don't return at once.
 _RETRY_AFTER_S = 0.3
 _RETRY_SPREAD_S = 0.7
+# After it was told to end, an entry takes every request for this long: the
+# balancer needs two of its questions, a second apart, to send none. Where all
+# entries end at once it goes on sending, and what could be cut is refused.
+_STILL_TAKEN_S = 2.5
 _STATUS_BY_REASON = {
     "malformed": 400,
     "no_configuration": 503,
@@ -35,6 +40,21 @@
 _LATE_STATUS = 504
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Stop:
+    """When an entry was told to end, and when it will."""
+
+    since: float
+    ends_at: float
+
+    def comes_before(self, route: fleet_pb2.Route) -> bool:
+        """Whether a request that comes now may be cut by the end."""
+        now = _now_s()
+        if now - self.since < _STILL_TAKEN_S:
+            return False
+        return now + route.timeout_ms / _MS > self.ends_at
+
+
 class EntryGate(CallerHandler):
     """Answers callers at one entry."""
 
@@ -52,11 +72,20 @@
         self._rng = rng or random.Random()
         self._limits = CallerLimits()
         self._limits_version = 0
-        self.stopping = False
+        self._stop: _Stop | None = None
 
     def is_stopping(self) -> bool:
         """See CallerHandler."""
-        return self.stopping
+        return self._stop is not None
+
+    def stop(self, within_s: float) -> None:
+        """Takes note that this entry ends soon.
+
+        Args:
+            within_s: until what has not been answered is cut.
+        """
+        now = _now_s()
+        self._stop = _Stop(now, now + within_s)
 
     def limits(self) -> CallerLimits:
         """See CallerHandler."""
@@ -117,6 +146,8 @@
             if customer is None:
                 detail = f"version {table.version}"
                 return Refused("unknown_key", Ran.NO, detail)
+        if self._stop is not None and self._stop.comes_before(route):
+            return Refused("stopping", Ran.NO)
         timeout_s = route.timeout_ms / _MS
         if call.deadline_s is not None:
             timeout_s = min(timeout_s, call.deadline_s)
--- a/damaskcroft/forwarding/tests/test_forwarding.py
+++ b/damaskcroft/forwarding/tests/test_forwarding.py
@@ -329,3 +329,26 @@
             assert (await entry.ask("/p/x", x_key="k"))[0] == 401
 
     asyncio.run(scenario())
+
+
+def test_an_ending_entry_refuses_only_what_it_could_cut():
+    """Told to end 2.5 s ago and 5 s to go: streams of 6 s are too long."""
+
+    async def scenario():
+        target = FakeTarget("a", "whole")
+        long = route(name="long", path_prefix="/long/", timeout_ms=6000)
+        short = route(name="short", path_prefix="/short/", timeout_ms=1200)
+        config = configuration(1, long, short)
+        async with entry_before(target, config=config) as entry:
+            entry.gate.stop(7.5)
+            status, head, _ = await entry.ask("/long/x")
+            assert status == 200
+            assert "connection: close" in head
+            await asyncio.sleep(2.6)
+            status, head, _ = await entry.ask("/long/x")
+            assert status == 503
+            assert "retry-after" in head
+            assert (await entry.ask("/short/x"))[0] == 200
+            assert len(target.heads) == 2
+
+    asyncio.run(scenario())
--- a/damaskcroft/hosted/entry.py
+++ b/damaskcroft/hosted/entry.py
@@ -67,7 +67,7 @@
     gate = EntryGate(wire, view, forwarder)
 
     def is_ready() -> bool:
-        return view.table is not None and not gate.stopping
+        return view.table is not None and not gate.is_stopping()
 
     async def keep_clean() -> None:
         while True:
@@ -83,7 +83,7 @@
     ):
         log_event("started", role="entry", address=settings.caller_address)
         await stop.wait()
-        gate.stopping = True
+        gate.stop(bounds.grace_s - _SPARE_S)
         log_event("stopping", role="entry", answering=callers.answering)
         await _drain(callers, bounds.grace_s - _SPARE_S)
         log_event("drained", answering=callers.answering)
