--- a/damaskcroft/agent/_chunks.py
+++ b/damaskcroft/agent/_chunks.py
@@ -7,8 +7,11 @@
 from damaskcroft.observe import metrics
 from damaskcroft.weights import BurstCounts, ChunkStore, Pacer
 
-# A link of some Mbit/s takes some milliseconds for a part.
-_PART_BYTES = 8 * 1024
+# A part takes about as long on the sender's link as callers' answers may wait
+# behind it, and a window of eight covers round trips between regions.
+_PART_S = 0.018
+_MIN_PART_BYTES = 8 * 1024
+_MAX_PART_BYTES = 256 * 1024
 _MAX_WAIT_S = 10.0
 _REASSURE_S = 0.5
 
@@ -84,7 +87,10 @@
             raise
 
     async def _send(self, stream: Any, data: bytes) -> None:
-        starts = range(0, len(data), _PART_BYTES)
+        part_bytes = min(
+            max(self._pacer.bytes_in(_PART_S), _MIN_PART_BYTES), _MAX_PART_BYTES
+        )
+        starts = range(0, len(data), part_bytes)
         await stream.send_message(
             agent_pb2.ChunkPart(
                 outcome=agent_pb2.CHUNK_READY, parts=len(starts)
@@ -94,7 +100,7 @@
             # A receiver that asks for nothing must not hold the slot for long.
             async with asyncio.timeout(_MAX_WAIT_S):
                 await stream.recv_message()
-                part = data[start : start + _PART_BYTES]
+                part = data[start : start + part_bytes]
                 await self._pacer.pass_bytes(len(part))
                 await stream.send_message(
                     agent_pb2.ChunkPart(outcome=agent_pb2.CHUNK_DATA, data=part)
--- a/damaskcroft/weights/_pacer.py
+++ b/damaskcroft/weights/_pacer.py
@@ -30,6 +30,10 @@
     def share(self, share: float) -> None:
         self._share = min(1.0, max(_MIN_SHARE, share))
 
+    def bytes_in(self, seconds: float) -> int:
+        """What the link carries in some time, at its full rate."""
+        return int(self._rate_bytes_s * seconds)
+
     async def pass_bytes(self, size_bytes: int) -> None:
         """Waits until `size_bytes` more may pass."""
         loop = asyncio.get_running_loop()
