No order while pieces of a newer version lie at the target; agents start silent

And an agent that restarted told at once that its target held nothing, so that entries left it for some tenths of a second. Change: nothing counts as staged once another version's pieces come, and a lock holds puts and the order apart; an agent tells nothing before its first report. Tests, both failing before: test_no_order_once_pieces_of_a_newer_version_are_put, test_nothing_counts_as_staged_while_another_version_comes.

--- a/damaskcroft/agent/_fleet_agent.py
+++ b/damaskcroft/agent/_fleet_agent.py
@@ -39,6 +39,14 @@
             service=settings.target_service,
         )
 
+    def known_state(self) -> fleet_pb2.AgentState | None:
+        """The state once the target has been heard; None before.
+
+        An agent that has just started must not tell that its target holds
+        nothing: entries would leave it.
+        """
+        return self.state if self.state.sequence else None
+
     async def tell(
         self,
         phase: fleet_pb2.AgentPhase,
@@ -46,23 +54,17 @@
         staged: fleet_pb2.HeldLayers | None,
     ) -> None:
         """Tells what has changed; returns when control nodes have it."""
-        told = fleet_pb2.AgentState(phase=phase, held=held, staged=staged)
-        before = fleet_pb2.AgentState(
-            phase=self.state.phase,
-            held=self.state.held,
-            staged=self.state.staged if self.state.HasField("staged") else None,
-        )
-        if told == before:
-            return
         state = fleet_pb2.AgentState()
         state.CopyFrom(self.state)
-        state.sequence += 1
         state.phase = phase
         del state.held[:]
-        state.held.extend(told.held)
+        state.held.extend(held)
         state.ClearField("staged")
         if staged is not None:
             state.staged.CopyFrom(staged)
+        if state == self.state and self.state.sequence:
+            return
+        state.sequence += 1
         self.state = state
         log_event(
             "agent_state",
--- a/damaskcroft/agent/_fleet_stager.py
+++ b/damaskcroft/agent/_fleet_stager.py
@@ -95,6 +95,9 @@
         self._rng = random.Random(own.state.address)
         self._put: set[int] = set()
         self.counts = BurstCounts()
+        # Held while a piece is put, and by whoever orders that all be loaded:
+        # the target loads what lies there at the moment of the order.
+        self.pieces_lock = asyncio.Lock()
         # What is whole and checked in the store and put at the target.
         self.staged: Wanted | None = None
         self._checked_at = float("-inf")
@@ -189,8 +192,10 @@
         confirming = asyncio.create_task(
             self._confirmed(wanted, source, content)
         )
-        keep = {self.staged_version.digest} if self.staged_version else set()
-        version = self._store.open_version(content, keep)
+        version = self._store.open_version(content, set())
+        # From here on the target's pieces may be of two versions.
+        self.staged = None
+        self.staged_version = None
         self._put = set()
         await self._take_from_target(version)
         log_event(
@@ -337,7 +342,10 @@
 
     async def _put_piece(self, version: StagedVersion, index: int) -> bool:
         data = version.read_chunk(index)
-        return await self._engine.put_piece(version.manifest.model, index, data)
+        async with self.pieces_lock:
+            return await self._engine.put_piece(
+                version.manifest.model, index, data
+            )
 
     async def _plan_when_known(self, burst: Burst) -> None:
         """Plans once others are known; agents that come later join alone.
--- a/damaskcroft/agent/_fleet_switcher.py
+++ b/damaskcroft/agent/_fleet_switcher.py
@@ -92,12 +92,16 @@
         )
         await self._tell(fleet_pb2.AGENT_SWITCHING, report)
         await asyncio.sleep(_NOTICE_S)
-        order = await self._engine.start(
-            staged.model,
-            staged.version,
-            report.sequence,
-            cut_running=self._may_cut(),
-        )
+        async with self._stager.pieces_lock:
+            if self._stager.staged != staged:
+                log_event("switch_overtaken", path=staged.path)
+                return
+            order = await self._engine.start(
+                staged.model,
+                staged.version,
+                report.sequence,
+                cut_running=self._may_cut(),
+            )
         metrics.ORDERS.labels("start", type(order).__name__).inc()
         log_event("ordered", path=staged.path, outcome=order)
         if isinstance(order, OrderAccepted):
--- a/damaskcroft/agent/tests/test_fleet_stager.py
+++ b/damaskcroft/agent/tests/test_fleet_stager.py
@@ -207,3 +207,35 @@
     name(loop, view)
     run_for(loop, stager, 5)
     assert stager.staged == Wanted("m", 2)
+
+
+def test_nothing_counts_as_staged_while_another_version_comes(loop, made):
+    view, origin, target, stager = made
+    name(loop, view)
+    run_for(loop, stager, 5)
+    assert stager.staged == Wanted("m", 2)
+    seen = []
+
+    async def put_and_look(model, index, data):
+        seen.append(stager.staged)
+        target.pieces[index] = data
+        return True
+
+    target.put_piece = put_and_look
+    newer = [b"n" * 50, *CHUNKS[1:]]
+    content = records_pb2.Manifest.FromString(manifest(newer))
+    content.version = "3"
+    origin.manifests = [content.SerializeToString(deterministic=True)]
+
+    async def fetch_manifest(path):
+        return OutsideData(origin.manifests[0])
+
+    async def fetch_chunk(path, wanted, index):
+        return OutsideData(newer[index])
+
+    origin.fetch_manifest = fetch_manifest
+    origin.fetch_chunk = fetch_chunk
+    name(loop, view, 3)
+    run_for(loop, stager, 5)
+    assert stager.staged == Wanted("m", 3)
+    assert seen and set(seen) == {None}
--- a/damaskcroft/agent/tests/test_fleet_switcher.py
+++ b/damaskcroft/agent/tests/test_fleet_switcher.py
@@ -51,9 +51,12 @@
 
 
 class FakeStager:
-    staged = STAGED
     whole = True
 
+    def __init__(self):
+        self.staged = STAGED
+        self.pieces_lock = asyncio.Lock()
+
     async def restage(self):
         return self.whole
 
@@ -147,6 +150,19 @@
     assert engine.orders == []
 
 
+def test_no_order_once_pieces_of_a_newer_version_are_put(loop, view):
+    """A version is named between the agent's turn and its order."""
+
+    class Overtaken(FakeStager):
+        async def restage(self):
+            loop.call_later(0.01, setattr, self, "staged", None)
+            return True
+
+    engine = FakeEngine(OLD)
+    run_for(loop, view, engine, 3.0, stager=Overtaken())
+    assert engine.orders == []
+
+
 def test_running_requests_are_waited_for_where_they_can_not_go_on(loop, view):
     services = [fleet_pb2.Service(name="s")]
     view.apply_configuration(
--- a/damaskcroft/hosted/agent.py
+++ b/damaskcroft/hosted/agent.py
@@ -54,7 +54,9 @@
         view,
         channels,
         [settings.rpc_address_at(seed) for seed in settings.seeds],
-        lambda: fleet_pb2.WatchRequest(name=settings.name, agent=own.state),
+        lambda: fleet_pb2.WatchRequest(
+            name=settings.name, agent=own.known_state()
+        ),
         without_routes=True,
     )
     rate_bytes_s = settings.link_mbps * _MEGA / _BITS * _LINK_SHARE
