What others sent to a target counts in full for a second

Load: mix, six targets for 95 requests a second: each of four entries underestimated what the others had sent by a third, so full targets queued.

--- a/damaskcroft/routing/_placement.py
+++ b/damaskcroft/routing/_placement.py
@@ -14,8 +14,11 @@
 
 __all__ = ["Candidate", "Placement", "Placer"]
 
-# What a target told of its load counts for less as it ages: requests last
-# about a second, so after this time half of what was told has changed.
+# What a target told of its load holds for as long as requests last there,
+# about a second: whoever ends is replaced while a target is full. Counted for
+# less sooner, each of four entries sends a third too much to full targets.
+_REPORT_HOLDS_S = 1.0
+# Later it counts for half as much with each such time.
 _REPORT_HALF_LIFE_S = 0.5
 
 
@@ -104,7 +107,8 @@
         if load is None:
             return 0.0
         age_s = asyncio.get_running_loop().time() - load.told_at
-        others = load.others * 0.5 ** (age_s / _REPORT_HALF_LIFE_S)
+        stale_s = max(0.0, age_s - _REPORT_HOLDS_S)
+        others = load.others * 0.5 ** (stale_s / _REPORT_HALF_LIFE_S)
         return (load.outstanding + others) / max(1, candidate.slots)
 
     def sent(self, target_id: str) -> None:
