--- a/damaskcroft/routing/_placement.py
+++ b/damaskcroft/routing/_placement.py
@@ -14,10 +14,11 @@
 
 __all__ = ["Candidate", "Placement", "Placer"]
 
-# What a target told of its load holds for as long as requests last there,
-# about a second: whoever ends is replaced while a target is full. Counted for
-# less sooner, each of four entries sends a third too much to full targets.
-_REPORT_HOLDS_S = 1.0
+# What a target told of its load holds for a while, since whoever ends is
+# replaced while a target is full: counted for less at once, each of four
+# entries sent a third too much to full targets. Held for a whole second, as
+# long as requests last, free slots were missed below that load.
+_REPORT_HOLDS_S = 0.75
 # Later it counts for half as much with each such time.
 _REPORT_HALF_LIFE_S = 0.5
 
