--- a/damaskcroft/http1/_server.py
+++ b/damaskcroft/http1/_server.py
@@ -9,6 +9,7 @@
 from damaskcroft.http1._channel import Channel, ChannelLostError
 from damaskcroft.http1._exchange import Answer, CallerHandler, CallerRequest
 from damaskcroft.http1._reader import RequestReader
+from damaskcroft.observe import log_warning
 
 __all__ = ["CallerConnections", "callers_served"]
 
@@ -60,7 +61,13 @@
     def _start(self, channel: Channel) -> None:
         task = asyncio.create_task(self._serve(channel))
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            # A fault of ours: the caller's connection was closed for it.
+            log_warning("connection_failed", reason=repr(task.exception()))
 
     async def _serve(self, channel: Channel) -> None:
         try:
