A change of weights is waited for in line

Change: while a service has ready targets, callers wait their third of the time; the rate is taken over 2 s, and a time without turns tells nothing. Test: test_a_change_of_weights_is_waited_for.

--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -86,7 +86,12 @@
         """Uses the entry's parts; see their classes."""
         self._silence = silence
         self._repeatable: set[_Running] = set()
-        self._line = Line(self._choose, placer.sent, placer.ended)
+        self._line = Line(
+            self._choose,
+            placer.sent,
+            placer.ended,
+            lambda ticket: services.has_ready(ticket.service),
+        )
         self._wire = wire
         self._services = services
         self._placer = placer
--- a/damaskcroft/forwarding/_services.py
+++ b/damaskcroft/forwarding/_services.py
@@ -57,6 +57,11 @@
         staying = [s for s in serving if not self._is_switching(s)]
         return [self._candidate(state) for state in staying or serving]
 
+    def has_ready(self, service: str) -> bool:
+        """Whether a service has ready targets, whatever weights they hold."""
+        self._refresh()
+        return bool(self._states_by_service.get(service))
+
     def least_version(self, model: str) -> int:
         """The oldest version that a request may begin on now."""
         if not self._weights_s:
--- a/damaskcroft/routing/_line.py
+++ b/damaskcroft/routing/_line.py
@@ -27,8 +27,12 @@
 # steps of a batch and the reading of a usual prompt. Only separates those who
 # may still be in time from those who can't.
 _FIRST_ANSWER_S = 0.12
-# Over which the rate of turns is measured, to foresee how long a wait is.
-_RATE_WINDOW_S = 1.0
+# Over which the rate of turns is measured, to foresee how long a wait is; a
+# pause of some tenths of a second, as when versions change, is not taken for
+# a lower rate.
+_RATE_WINDOW_S = 2.0
+# Turns kept for that: ten times what an entry gives out in that time.
+_MAX_TURNS = 1000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -100,6 +104,8 @@
         choose: the best target for a ticket now, or None if there is none.
         take: takes a slot of a target for a request about to be sent.
         give_back: gives a slot back that was taken in vain.
+        may_come: whether a target that can't serve a ticket now may soon, as
+            when its weights are about to change; worth waiting for.
     """
 
     def __init__(
@@ -107,8 +113,10 @@
         choose: Callable[[LineTicket], Placement | None],
         take: Callable[[str], None],
         give_back: Callable[[str], None],
+        may_come: Callable[[LineTicket], bool] = lambda _: False,
     ):
         """Begins with nobody waiting."""
+        self._may_come = may_come
         self._give_back = give_back
         self._choose = choose
         self._take = take
@@ -120,9 +128,9 @@
         waiting = self._waiting_by_service.get(ticket.service, [])
         if not waiting:
             placement = self._choose(ticket)
-            if placement is None:
+            if placement is None and not self._may_come(ticket):
                 return Overloaded("no_target", 0)
-            if placement.fullness < FULL:
+            if placement is not None and placement.fullness < FULL:
                 return self._given(ticket, placement)
         if self._foreseen_wait_s(ticket) > ticket.waits_until - _now_s():
             return Overloaded("overloaded", len(waiting))
@@ -158,14 +166,8 @@
         waiting.sort(key=lambda joined: _rank(joined.ticket, now))
         while waiting:
             joined = waiting[0]
-            placement = self._choose(joined.ticket)
-            if placement is None:
-                outcome: Turn | Overloaded = Overloaded(
-                    "no_target", len(waiting)
-                )
-            elif placement.fullness < FULL:
-                outcome = self._given(joined.ticket, placement)
-            else:
+            outcome = self._outcome_now(joined.ticket, len(waiting))
+            if outcome is None:
                 break
             waiting.pop(0)
             if not joined.outcome.done():
@@ -178,10 +180,21 @@
                         Overloaded("overloaded", len(waiting))
                     )
 
+    def _outcome_now(
+        self, ticket: LineTicket, waiting: int
+    ) -> Turn | Overloaded | None:
+        """What the first in line is told now; None if it waits on."""
+        placement = self._choose(ticket)
+        if placement is not None and placement.fullness < FULL:
+            return self._given(ticket, placement)
+        if placement is None and not self._may_come(ticket):
+            return Overloaded("no_target", waiting)
+        return None
+
     def _given(self, ticket: LineTicket, placement: Placement) -> Turn:
         self._take(placement.candidate.id)
         turns = self._turns_by_service.setdefault(
-            ticket.service, collections.deque()
+            ticket.service, collections.deque(maxlen=_MAX_TURNS)
         )
         turns.append(_now_s())
         return Turn(placement.candidate)
@@ -194,13 +207,12 @@
             _rank(joined.ticket, now) <= rank
             for joined in self._waiting_by_service.get(ticket.service, [])
         )
-        turns = self._turns_by_service.get(ticket.service)
-        if turns is None:
+        turns = self._turns_by_service.get(ticket.service, ())
+        recent = [at for at in turns if at >= now - _RATE_WINDOW_S]
+        if not recent:
+            # Nobody had a turn, so nothing is known of the rate.
             return 0.0
-        while turns and turns[0] < now - _RATE_WINDOW_S:
-            turns.popleft()
-        rate = max(1, len(turns)) / _RATE_WINDOW_S
-        return before / rate
+        return before * _RATE_WINDOW_S / len(recent)
 
 
 def _rank(ticket: LineTicket, now: float) -> tuple[float, ...]:
--- a/damaskcroft/routing/tests/test_line.py
+++ b/damaskcroft/routing/tests/test_line.py
@@ -155,6 +155,36 @@
     loop.run(scenario())
 
 
+def test_a_change_of_weights_is_waited_for(loop):
+    """For half a second no target may serve; then all may again."""
+
+    async def scenario():
+        targets = Targets(2)
+        ready = list(targets.candidates)
+        targets.line = Line(
+            lambda _: targets.placer.choose(targets.candidates, ()),
+            targets.placer.sent,
+            targets.placer.ended,
+            lambda _: bool(ready),
+        )
+        for _ in range(4):
+            await targets.line.turn(ticket(loop.time()))
+        targets.candidates.clear()
+        waiting = [
+            asyncio.create_task(targets.line.turn(ticket(loop.time())))
+            for _ in range(4)
+        ]
+        await asyncio.sleep(0.5)
+        targets.line.serve()
+        assert not any(task.done() for task in waiting)
+        targets.candidates.extend(ready)
+        targets.line.serve()
+        outcomes = await asyncio.gather(*waiting)
+        assert all(isinstance(outcome, Turn) for outcome in outcomes)
+
+    loop.run(scenario())
+
+
 @pytest.mark.parametrize("at_its_turn", [False, True])
 def test_a_caller_that_leaves_the_line_takes_no_slot(loop, at_its_turn):
     async def scenario():
