--- a/damaskcroft/agent/_fleet_stager.py
+++ b/damaskcroft/agent/_fleet_stager.py
@@ -1,13 +1,13 @@
 """Gets the wanted version's chunks and stages them beside the target."""
 
 import asyncio
-import contextlib
 import dataclasses
 import hashlib
 import random
 from collections.abc import Callable
 
 from damaskcroft.agent._fleet_agent import FleetAgent
+from damaskcroft.agent._tasks import cancelled
 from damaskcroft.clock import now_s
 from damaskcroft.engines import EngineUnreachable, StagedEngine
 from damaskcroft.fleet import FleetView
@@ -128,13 +128,13 @@
                 if found != wanted:
                     wanted = found
                     # A version no longer wanted stops its traffic at once.
-                    await _cancelled(work)
+                    await cancelled(work)
                     work = None
                     if wanted is not None:
                         work = asyncio.create_task(self._stage(wanted))
                 await asyncio.sleep(_LOOK_EVERY_S)
         finally:
-            await _cancelled(work)
+            await cancelled(work)
 
     async def restage(self) -> bool:
         """Reads all staged pieces back and puts spoilt ones again.
@@ -364,11 +364,3 @@
             for agent in [*self._own.peers(), own]
         ]
         burst.plan_with(make_planner(_PLANNER, own.address, participants))
-
-
-async def _cancelled(task: asyncio.Task | None) -> None:
-    if task is None:
-        return
-    task.cancel()
-    with contextlib.suppress(asyncio.CancelledError):
-        await task
--- a/damaskcroft/agent/_staging.py
+++ b/damaskcroft/agent/_staging.py
@@ -1,9 +1,9 @@
 """Gets the version that the records ask for onto this instance."""
 
 import asyncio
-import contextlib
 
 from damaskcroft._generated import control_pb2, records_pb2
+from damaskcroft.agent._tasks import cancelled
 from damaskcroft.membership import Roster
 from damaskcroft.observe import log_event, log_warning
 from damaskcroft.records import (
@@ -81,7 +81,7 @@
                 if found != wanted:
                     wanted = found
                     # A version no longer wanted stops its traffic at once.
-                    await _cancelled(work)
+                    await cancelled(work)
                     work = None
                     self.wanted_manifest = wanted.manifest if wanted else ""
                     if wanted is not None:
@@ -91,7 +91,7 @@
                 async with self._roster.changed:
                     await self._roster.changed.wait()
         finally:
-            await _cancelled(work)
+            await cancelled(work)
 
     def report(self) -> control_pb2.BurstReport:
         """Progress of the version now wanted."""
@@ -178,11 +178,3 @@
             make_planner(self._strategy, self._own.id, members),
             help_share(wanted.policy, wanted.origin_copies_cap, len(members)),
         )
-
-
-async def _cancelled(task: asyncio.Task | None) -> None:
-    if task is None:
-        return
-    task.cancel()
-    with contextlib.suppress(asyncio.CancelledError):
-        await task
--- a/damaskcroft/control/_fleet_control.py
+++ b/damaskcroft/control/_fleet_control.py
@@ -3,10 +3,8 @@
 import asyncio
 import dataclasses
 import zlib
-from collections.abc import Awaitable
 
 from damaskcroft._generated import fleet_grpc, fleet_pb2
-from damaskcroft.clock import now_s
 from damaskcroft.consensus import Committed, DiskFailed, NotLeader, Replica
 from damaskcroft.control._fleet_state import FleetState
 from damaskcroft.fleet import FleetView, configuration_faults
@@ -156,8 +154,8 @@
         self._view.take([state])
         members = self._replica.member_addresses()
         others = [a for a in members if a != self._replica.address]
-        told = await _count_true([self._relay(a, state) for a in others])
-        counted = told + (self._replica.address in members)
+        told = await asyncio.gather(*(self._relay(a, state) for a in others))
+        counted = sum(told) + (self._replica.address in members)
         return counted > len(members) // 2
 
     async def _relay(self, address: str, state: fleet_pb2.TargetState) -> bool:
@@ -188,7 +186,6 @@
         self, command: fleet_pb2.FleetCommand
     ) -> Accepted | Unavailable:
         """Commits a command as the leader."""
-        command.time_ms = max(self._state.time_ms, int(now_s() * 1000))
         outcome = await self._replica.propose(command.SerializeToString())
         match outcome:
             case Committed(result=result):
@@ -236,7 +233,3 @@
             log_event("read_index_failed", leader=address, reason=error)
             return None
         return reply.index if reply.confirmed else None
-
-
-async def _count_true(calls: list[Awaitable[bool]]) -> int:
-    return sum(await asyncio.gather(*calls))
--- a/damaskcroft/control/_fleet_state.py
+++ b/damaskcroft/control/_fleet_state.py
@@ -33,7 +33,6 @@
         self.goal_by_model: dict[str, fleet_pb2.WeightGoal] = {}
         # On this process's clock; kept beside the replicated state.
         self.applied_at_by_model: dict[str, float] = {}
-        self.time_ms = 0
 
     def listen(self, listener: Callable[[], None]) -> None:
         """Calls `listener` after each change from now on."""
@@ -57,7 +56,6 @@
         """See StateMachine."""
         del index  # The versions order everything here.
         parsed = fleet_pb2.FleetCommand.FromString(command)
-        self.time_ms = max(self.time_ms, parsed.time_ms)
         match parsed.WhichOneof("kind"):
             case "configure":
                 return self._configure(parsed.configure)
@@ -68,7 +66,6 @@
     def snapshot(self) -> bytes:
         """See StateMachine."""
         image = fleet_pb2.FleetImage(
-            time_ms=self.time_ms,
             configuration=self.configuration,
             goals=self.goal_by_model.values(),
         )
@@ -77,7 +74,6 @@
     def restore(self, state: bytes) -> None:
         """See StateMachine."""
         image = fleet_pb2.FleetImage.FromString(state)
-        self.time_ms = image.time_ms
         self.configuration = None
         if image.HasField("configuration"):
             self.configuration = image.configuration
--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -112,19 +112,21 @@
             for target_id in silent:
                 if not self._outliers.is_aside(target_id):
                     self._outliers.failed(target_id, certain=True)
-            for running in list(self._repeatable):
-                if running.target_id in silent:
-                    running.attempt.give_up("silent")
-                elif self._is_outdated(running):
-                    running.attempt.give_up("version_due")
-
-    def _is_outdated(self, running: _Running) -> bool:
-        """Whether an attempt would begin on weights that are due to be gone."""
-        if running.attempt.begun:
-            return False
-        call = running.job.call
-        outdated = self._services.outdated_ids(running.job.service, call.model)
-        return running.target_id in outdated
+            self._give_up(set(silent))
+
+    def _give_up(self, silent: set[str]) -> None:
+        outdated_by_kind: dict[tuple[str, str], set[str]] = {}
+        for running in list(self._repeatable):
+            if running.target_id in silent:
+                running.attempt.give_up("silent")
+                continue
+            if running.attempt.begun:
+                continue
+            kind = (running.job.service, running.job.call.model)
+            if kind not in outdated_by_kind:
+                outdated_by_kind[kind] = self._services.outdated_ids(*kind)
+            if running.target_id in outdated_by_kind[kind]:
+                running.attempt.give_up("version_due")
 
     async def forward(self, job: Job, answer: Answer) -> Ending:
         """Gives a target's answer to the caller, or says why there is none.
--- a/damaskcroft/hosted/agent.py
+++ b/damaskcroft/hosted/agent.py
@@ -26,9 +26,6 @@
 
 __all__ = ["serve"]
 
-# Share of the link that senders fill; the receivers' windows leave room for
-# live answers.
-_LINK_SHARE = 1.0
 # Machines beside targets have no disk; a sixth of their memory at most.
 _STORE_BYTES = 24 * 1024 * 1024
 # Longer than a peer takes to say that a chunk waits for its turn there
@@ -59,7 +56,8 @@
         ),
         without_routes=True,
     )
-    rate_bytes_s = settings.link_mbps * _MEGA / _BITS * _LINK_SHARE
+    # Senders fill their links; the receivers' windows leave room for answers.
+    rate_bytes_s = settings.link_mbps * _MEGA / _BITS
     download, upload = Pacer(rate_bytes_s), Pacer(rate_bytes_s)
     engine = PlatformEngine(settings.target_address)
 
