A target that answers late is left earlier before weights change

Cause: a request sent 1.1 to 1.4 s before the time by which old weights must be left reached its target behind a squeezed link (0.91 Mbit/s) after that time; the margin was 0.6 s for every target. Ruled out: taking requests back (their bytes are in the link's queue, and the reset arrives behind them); silence alone (a target that is probed again gets another request that arrives late). Conclusion: the margin grows with the quickest of a target's last answers.

--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from damaskcroft.forwarding._attempt import (
     Answered,
@@ -35,6 +35,7 @@
 )
 from damaskcroft.observe import log_event, metrics
 from damaskcroft.routing import (
+    AnswerDelays,
     Candidate,
     Line,
     LineTicket,
@@ -82,8 +83,10 @@
         connections: ConnectionPool,
         retry_window: RetryWindow,
         silence: SilenceWatch,
+        delays: AnswerDelays,
     ):
         """Uses the entry's parts; see their classes."""
+        self._delays = delays
         self._silence = silence
         self._repeatable: set[_Running] = set()
         self._line = Line(
@@ -235,9 +238,12 @@
                 passing,
                 lambda: self._silence.heard(target.id),
             ) as made:
-                with self._watched(job, made, target):
+                with (
+                    self._watched(job, made, target),
+                    self._delays.timed(target.id) as answered,
+                ):
                     outcome = await self._run(
-                        job, answer, progress, made, target
+                        job, answer, progress, made, target, answered
                     )
         finally:
             self._placer.ended(target.id)
@@ -269,8 +275,10 @@
         progress: Progress,
         made: Attempt,
         target: Candidate,
+        answered: Callable[[], None],
     ) -> "NotSent | NotRun | Lost | Ending":
         begun = await made.begin()
+        answered()
         if not isinstance(begun, Answered):
             return begun
         return await self._take_answer(
--- a/damaskcroft/forwarding/_services.py
+++ b/damaskcroft/forwarding/_services.py
@@ -1,5 +1,7 @@
 """Targets by service, as this entry believes them to be now."""
 
+from collections.abc import Callable
+
 from damaskcroft._generated import fleet_pb2
 from damaskcroft.fleet import FleetView
 from damaskcroft.routing import Candidate
@@ -10,6 +12,13 @@
 # stop going to targets with an older one: they may wait there a little before
 # they begin.
 _VERSION_MARGIN_S = 0.6
+# A target whose answers are slow may stand behind a narrow link, over which
+# requests arrive late too: twice the delay of its answers, since a queue before
+# a link may double within that time, and the usual wait at the target.
+_DELAYS_KEPT_BACK = 2
+_WAIT_AT_TARGET_S = 0.3
+# Longer than that, delays are those of a target that fails anyhow.
+_MAX_VERSION_MARGIN_S = 3.0
 # So long before that time, requests that have not begun at such targets are
 # taken back: over a narrow link one may arrive a second after it was sent.
 _TAKE_BACK_S = 0.25
@@ -25,6 +34,7 @@
         view: FleetView,
         region_by_domain: dict[str, str],
         weights_s: float,
+        answer_delay_s: Callable[[str], float] = lambda _: 0.0,
     ):
         """Reads `view`.
 
@@ -33,8 +43,10 @@
             region_by_domain: region of each failure domain.
             weights_s: from a named version of weights until no request may
                 begin on an older one; 0 for no bound.
+            answer_delay_s: how soon a target answers, by its id.
         """
         self._view = view
+        self._answer_delay_s = answer_delay_s
         self._weights_s = weights_s
         self._region_by_domain = region_by_domain
         self._states_by_service: dict[str, list[fleet_pb2.TargetState]] = {}
@@ -52,8 +64,11 @@
         states = self._states_by_service.get(service, [])
         if not model:
             return [self._candidate(state) for state in states]
-        least = self.least_version(model)
-        serving = [s for s in states if self._serves(s, model, least)]
+        serving = [
+            state
+            for state in states
+            if self._serves(state, model, self._least_version(model, state.id))
+        ]
         staying = [s for s in serving if not self._is_switching(s)]
         return [self._candidate(state) for state in staying or serving]
 
@@ -62,13 +77,16 @@
         self._refresh()
         return bool(self._states_by_service.get(service))
 
-    def least_version(self, model: str) -> int:
-        """The oldest version that a request may begin on now."""
+    def _least_version(self, model: str, target_id: str) -> int:
+        """The oldest version that a request sent now may begin on."""
         if not self._weights_s:
             return 0
-        return self._view.due_version(
-            model, self._weights_s - _VERSION_MARGIN_S
+        margin_s = (
+            _DELAYS_KEPT_BACK * self._answer_delay_s(target_id)
+            + _WAIT_AT_TARGET_S
         )
+        margin_s = min(max(margin_s, _VERSION_MARGIN_S), _MAX_VERSION_MARGIN_S)
+        return self._view.due_version(model, self._weights_s - margin_s)
 
     def outdated_ids(self, service: str, model: str) -> set[str]:
         """Targets at which a request must not begin any more, by version."""
--- a/damaskcroft/forwarding/tests/fakes.py
+++ b/damaskcroft/forwarding/tests/fakes.py
@@ -14,7 +14,13 @@
     Wire,
 )
 from damaskcroft.http1 import ConnectionPool, callers_served
-from damaskcroft.routing import Outliers, Placer, RetryWindow, SilenceWatch
+from damaskcroft.routing import (
+    AnswerDelays,
+    Outliers,
+    Placer,
+    RetryWindow,
+    SilenceWatch,
+)
 
 EVENTS = 6
 
@@ -238,14 +244,16 @@
     outliers = Outliers()
     placer = Placer("d", "r", outliers)
     wire = PlainWire()
+    delays = AnswerDelays()
     forwarder = Forwarder(
         wire,
-        Services(view, {}, weights_s),
+        Services(view, {}, weights_s, delays.quickest_s),
         placer,
         outliers,
         ConnectionPool(),
         RetryWindow(ratio, extra, 10),
         SilenceWatch(),
+        delays,
     )
     watching = asyncio.create_task(forwarder.run())
     gate = EntryGate(wire, view, forwarder)
--- /dev/null
+++ b/damaskcroft/forwarding/tests/test_services.py
@@ -0,0 +1,49 @@
+"""Which targets may still be asked when weights change."""
+
+import asyncio
+
+from damaskcroft._generated import fleet_pb2
+from damaskcroft.fleet import FleetView
+from damaskcroft.forwarding import Services
+
+
+def held(version):
+    return fleet_pb2.HeldLayers(model="m", version=version)
+
+
+def target(name, version):
+    return fleet_pb2.TargetState(
+        id=name, service="s", address=f"{name}:1", sequence=1, slots=4,
+        held=[held(version)],
+    )  # fmt: skip
+
+
+def ids(services):
+    return {candidate.id for candidate in services.candidates("s", "m")}
+
+
+def test_a_target_that_answers_late_is_left_earlier_before_a_change():
+    """Behind a narrow link, what is sent now arrives a second later."""
+
+    async def scenario():
+        view = FleetView()
+        view.take([target("near", 1), target("narrow", 1)])
+        delay_by_id = {"near": 0.05, "narrow": 0.9}
+        services = Services(view, {}, 8.0, lambda id: delay_by_id[id])
+
+        def name_version(age_s):
+            goal = fleet_pb2.WeightGoal(
+                model="m", version=2, age_ms=int(age_s * 1000)
+            )
+            view.goal_by_model.clear()
+            view.goal_since_by_model.clear()
+            view.apply_update(fleet_pb2.FleetUpdate(goals=[goal]))
+
+        name_version(5.5)
+        assert ids(services) == {"near", "narrow"}
+        name_version(6.0)
+        assert ids(services) == {"near"}
+        name_version(7.5)
+        assert ids(services) == set()
+
+    asyncio.run(scenario())
--- a/damaskcroft/hosted/entry.py
+++ b/damaskcroft/hosted/entry.py
@@ -14,7 +14,13 @@
 from damaskcroft.observe import log_event
 from damaskcroft.platform.ready_face import ready_routes
 from damaskcroft.platform.wire import PlatformWire
-from damaskcroft.routing import Outliers, Placer, RetryWindow, SilenceWatch
+from damaskcroft.routing import (
+    AnswerDelays,
+    Outliers,
+    Placer,
+    RetryWindow,
+    SilenceWatch,
+)
 from damaskcroft.rpc import ChannelPool, Keys, http_served, stop_event
 
 __all__ = ["serve"]
@@ -46,8 +52,12 @@
     )
     outliers = Outliers()
     placer = Placer(settings.failure_domain, settings.region, outliers)
+    delays = AnswerDelays()
     services = Services(
-        view, settings.region_by_domain, settings.bounds.weights_s
+        view,
+        settings.region_by_domain,
+        settings.bounds.weights_s,
+        delays.quickest_s,
     )
     connections = ConnectionPool()
     bounds = settings.bounds
@@ -63,6 +73,7 @@
         connections,
         retry_window,
         SilenceWatch(),
+        delays,
     )
     gate = EntryGate(wire, view, forwarder)
 
@@ -74,6 +85,7 @@
             await asyncio.sleep(_CLEAN_EVERY_S)
             connections.close_old()
             placer.forget_all_but(view.book.targets_by_id)
+            delays.forget_all_but(view.book.targets_by_id)
             retry_window.entries = view.entries
 
     async with (
--- a/damaskcroft/routing/__init__.py
+++ b/damaskcroft/routing/__init__.py
@@ -7,6 +7,7 @@
     Ticket,
 )
 from damaskcroft.routing._choice import TargetChooser
+from damaskcroft.routing._delays import AnswerDelays
 from damaskcroft.routing._line import Line, LineTicket, Overloaded, Turn
 from damaskcroft.routing._outliers import Outliers
 from damaskcroft.routing._placement import Candidate, Placement, Placer
@@ -17,6 +18,7 @@
 
 __all__ = [
     "Admission",
+    "AnswerDelays",
     "Candidate",
     "Granted",
     "Line",
