Weights paced by the queueing that receivers see

Cause: while weights moved, 15 to 40 in 100 streams were late. Senders put up to 150 ms of parts before their links, where events of live streams wait; the window took the whole time from asking to arrival, in which a part's turn at its sender and the queue of the link can't be told apart. Change: parts carry their sender's clock, receivers tell the queueing on the way (one-way delay over its least, RFC 6817); the sender cuts its rate by what all its receivers see, a receiver its window by what all its senders show.

--- a/damaskcroft/agent/_chunks.py
+++ b/damaskcroft/agent/_chunks.py
@@ -4,8 +4,9 @@
 from typing import Any
 
 from damaskcroft._generated import agent_pb2
+from damaskcroft.clock import now_s
 from damaskcroft.observe import metrics
-from damaskcroft.weights import BurstCounts, ChunkStore, Pacer
+from damaskcroft.weights import BurstCounts, ChunkStore, Pacer, UploadRate
 
 # A part takes about as long on the sender's link as callers' answers may wait
 # behind it, and a window of eight covers round trips between regions.
@@ -24,6 +25,7 @@
         pacer: paces what goes out.
         parallel_uploads: chunks sent at once; further ones wait.
         counts: where bytes are counted.
+        rate: sets the pacer by what receivers tell; None leaves it alone.
     """
 
     def __init__(
@@ -32,8 +34,10 @@
         pacer: Pacer,
         parallel_uploads: int,
         counts: BurstCounts,
+        rate: UploadRate | None = None,
     ):
         """See the class."""
+        self._rate = rate
         self._store = store
         self._pacer = pacer
         self._slots = asyncio.Semaphore(parallel_uploads)
@@ -58,7 +62,8 @@
         await self._wait_for_slot(stream)
         try:
             # Checked when it was written; the receiver checks it again.
-            await self._send(stream, version.read_chunk(index))
+            data = version.read_chunk(index)
+            await self._send(stream, data, request.requester)
         finally:
             self._slots.release()
 
@@ -86,7 +91,7 @@
                 self._slots.release()
             raise
 
-    async def _send(self, stream: Any, data: bytes) -> None:
+    async def _send(self, stream: Any, data: bytes, receiver: str) -> None:
         part_bytes = min(
             max(self._pacer.bytes_in(_PART_S), _MIN_PART_BYTES), _MAX_PART_BYTES
         )
@@ -99,11 +104,18 @@
         for start in starts:
             # A receiver that asks for nothing must not hold the slot for long.
             async with asyncio.timeout(_MAX_WAIT_S):
-                await stream.recv_message()
+                ask = await stream.recv_message()
+                # The first part's question can't tell of an earlier one.
+                if self._rate is not None and ask is not None and start:
+                    self._rate.heard(receiver, ask.queued_ms / 1000)
                 part = data[start : start + part_bytes]
                 await self._pacer.pass_bytes(len(part))
                 await stream.send_message(
-                    agent_pb2.ChunkPart(outcome=agent_pb2.CHUNK_DATA, data=part)
+                    agent_pb2.ChunkPart(
+                        outcome=agent_pb2.CHUNK_DATA,
+                        data=part,
+                        sent_us=int(now_s() * 1e6),
+                    )
                 )
             self._counts.sent_bytes += len(part)
             metrics.BURST_BYTES.labels("sent").inc(len(part))
--- a/damaskcroft/hosted/agent.py
+++ b/damaskcroft/hosted/agent.py
@@ -22,6 +22,7 @@
     MemoryStore,
     OutsideSource,
     Pacer,
+    UploadRate,
 )
 
 __all__ = ["serve"]
@@ -56,7 +57,7 @@
         ),
         without_routes=True,
     )
-    # Senders fill their links; the receivers' windows leave room for answers.
+    # Senders fill their links as far as receivers see no queue before them.
     rate_bytes_s = settings.link_mbps * _MEGA / _BITS
     download, upload = Pacer(rate_bytes_s), Pacer(rate_bytes_s)
     engine = PlatformEngine(settings.target_address)
@@ -84,7 +85,9 @@
     switcher = FleetSwitcher(
         own, view, engine, stager, settings.bounds.weights_s
     )
-    chunks = ChunkServer(store, upload, _PARALLEL_UPLOADS, stager.counts)
+    chunks = ChunkServer(
+        store, upload, _PARALLEL_UPLOADS, stager.counts, UploadRate(upload)
+    )
     async with (
         grpc_served(
             settings.rpc_address, [ChunkService(chunks)], Keys(None, None)
--- a/damaskcroft/weights/__init__.py
+++ b/damaskcroft/weights/__init__.py
@@ -42,6 +42,7 @@
     MemoryStore,
     StagedVersion,
 )
+from damaskcroft.weights._upload_rate import UploadRate
 
 __all__ = [
     "Burst",
@@ -65,6 +66,7 @@
     "Planner",
     "StagedVersion",
     "StoreFullError",
+    "UploadRate",
     "WeightsError",
     "build_manifest",
     "load_manifest",
--- a/damaskcroft/weights/_peers.py
+++ b/damaskcroft/weights/_peers.py
@@ -7,6 +7,7 @@
 
 from damaskcroft._generated import agent_grpc, agent_pb2
 from damaskcroft.rpc import CALL_ERRORS, ChannelPool
+from damaskcroft.weights._path_delay import PathDelay
 from damaskcroft.weights._window import PartWindow
 
 
@@ -58,6 +59,7 @@
         self._pool = pool
         self._stall_s = stall_s
         self._window = PartWindow()
+        self._delays_by_address: dict[str, PathDelay] = {}
 
     async def fetch_chunk(
         self, address: str, request: agent_pb2.ChunkRequest
@@ -103,15 +105,22 @@
     ) -> PeerData | PeerFailed:
         data: list[bytes] = []
         rank = self._window.begin_chunk()
+        delay = self._delays_by_address.setdefault(address, PathDelay())
+        queued_s = 0.0
         while len(data) < parts:
             # No more than one part of a chunk at once: whoever waited for
             # room while holding some would stop the others for good.
             async with self._window.room(rank, address):
-                await stream.send_message(agent_pb2.ChunkAsk(next=True))
+                ask = agent_pb2.ChunkAsk(
+                    next=True, queued_ms=int(queued_s * 1000)
+                )
+                await stream.send_message(ask)
                 async with asyncio.timeout(self._stall_s):
                     part = await stream.recv_message()
             if part is None:
                 return PeerFailed("ended_early")
+            queued_s = delay.queued_s(part.sent_us / 1e6)
+            self._window.note(queued_s)
             data.append(part.data)
         return PeerData(b"".join(data))
 
--- a/damaskcroft/weights/_window.py
+++ b/damaskcroft/weights/_window.py
@@ -12,20 +12,17 @@
 import contextlib
 from collections.abc import AsyncIterator
 
-from damaskcroft.clock import now_s
-
 __all__ = ["PartWindow"]
 
-# Time from asking for a part to its arrival that the window aims at: a part
-# waits behind those of some other chunks at its sender (18 ms each on a link of
-# 3.65 Mbit/s) and behind some before the receiver's link.
-_TARGET_DELAY_S = 0.15
+# Queueing on a part's way that the window aims at: three parts before the
+# receiver's link (18 ms each on a link of 3.65 Mbit/s).
+_TARGET_QUEUE_S = 0.06
 # As many as are on their way at most, so that each sender shows among them.
-_LAST_DELAYS = 8
+_LAST_QUEUED = 8
 _MIN_PARTS = 1.0
-# Eight parts of 8 KiB: as many as come in the time that is aimed at, on a
-# link of 3.65 Mbit/s.
-_MAX_PARTS = 8.0
+# Parts that wait for their turn at their senders count too, and each sender
+# serves three or four receivers: a dozen keep a link full.
+_MAX_PARTS = 12.0
 _FIRST_PARTS = 4.0
 # A sender on a narrow link would else hold all the room with its many chunks.
 _MAX_OF_ONE_SENDER = 3
@@ -43,8 +40,8 @@
     __slots__ = (
         "_asked",
         "_begun",
-        "_delays",
         "_outstanding_by_sender",
+        "_queued",
         "_waiting",
         "limit",
     )
@@ -56,8 +53,8 @@
             collections.Counter()
         )
         self._begun = 0
-        self._delays: collections.deque[float] = collections.deque(
-            maxlen=_LAST_DELAYS
+        self._queued: collections.deque[float] = collections.deque(
+            maxlen=_LAST_QUEUED
         )
         self._waiting: list[tuple[int, int, str, asyncio.Future[None]]] = []
         # Between parts of one rank, the one that asked first.
@@ -77,10 +74,8 @@
             sender: who is asked.
         """
         await self._enter(rank, sender)
-        asked_at = now_s()
         try:
             yield
-            self._adapt(now_s() - asked_at)
         finally:
             self._leave(sender)
 
@@ -114,14 +109,14 @@
                 self._outstanding_by_sender[sender] += 1
                 admitted.set_result(None)
 
-    def _adapt(self, delay_s: float) -> None:
-        """Takes note of how long a part took.
+    def note(self, queued_s: float) -> None:
+        """Takes note of how long a part was queued on its way.
 
         A queue before our own link delays every part, so the quickest of the
         last ones tells; a slow sender delays only its own.
         """
-        self._delays.append(delay_s)
-        if min(self._delays) > _TARGET_DELAY_S:
+        self._queued.append(queued_s)
+        if min(self._queued) > _TARGET_QUEUE_S:
             self.limit = max(_MIN_PARTS, self.limit * _SHRINKAGE)
         else:
             self.limit = min(_MAX_PARTS, self.limit + _GROWTH / self.limit)
