Late chunks are had from whoever is known to hold them

Cause: agents waited for planned sources that had not heard of a version yet or stood behind a squeezed link, two versions 3 s apart: staged 10 s after the naming. Rescue asked two agents at random, one chunk after another, and chunks that nobody had read were left to chance; questions to slow sources filled all the places for questions. Change: questions and answers carry what their sender holds; inside a domain the least asked holder gives a chunk; an agent that knows nothing of a version is left out after 0.4 s; what nobody is known to hold is read from outside in turns; questions that wait are left when a neighbour has the chunk.

--- a/damaskcroft/agent/_chunks.py
+++ b/damaskcroft/agent/_chunks.py
@@ -6,7 +6,13 @@
 from damaskcroft._generated import agent_pb2
 from damaskcroft.clock import now_s
 from damaskcroft.observe import metrics
-from damaskcroft.weights import BurstCounts, ChunkStore, Pacer, UploadRate
+from damaskcroft.weights import (
+    BurstCounts,
+    ChunkStore,
+    Pacer,
+    UploadRate,
+    packed,
+)
 
 # A part takes about as long on the sender's link as callers' answers may wait
 # behind it, and a window of eight covers round trips between regions.
@@ -55,15 +61,18 @@
         if index is None:
             await self._tell(stream, agent_pb2.CHUNK_UNKNOWN_MANIFEST)
             return
+        version.holdings.note(request.requester, request.held)
         wait_s = min(request.wait_ms / 1000, _MAX_WAIT_S)
         if not await version.wait_for_chunk(index, wait_s):
-            await self._tell(stream, agent_pb2.CHUNK_NOT_HELD)
+            held = packed(version.held)
+            await self._tell(stream, agent_pb2.CHUNK_NOT_HELD, held)
             return
         await self._wait_for_slot(stream)
         try:
             # Checked when it was written; the receiver checks it again.
             data = version.read_chunk(index)
-            await self._send(stream, data, request.requester)
+            held = packed(version.held)
+            await self._send(stream, data, held, request.requester)
         finally:
             self._slots.release()
 
@@ -91,14 +100,16 @@
                 self._slots.release()
             raise
 
-    async def _send(self, stream: Any, data: bytes, receiver: str) -> None:
+    async def _send(
+        self, stream: Any, data: bytes, held: bytes, receiver: str
+    ) -> None:
         part_bytes = min(
             max(self._pacer.bytes_in(_PART_S), _MIN_PART_BYTES), _MAX_PART_BYTES
         )
         starts = range(0, len(data), part_bytes)
         await stream.send_message(
             agent_pb2.ChunkPart(
-                outcome=agent_pb2.CHUNK_READY, parts=len(starts)
+                outcome=agent_pb2.CHUNK_READY, parts=len(starts), held=held
             )
         )
         for start in starts:
@@ -120,5 +131,8 @@
             self._counts.sent_bytes += len(part)
             metrics.BURST_BYTES.labels("sent").inc(len(part))
 
-    async def _tell(self, stream: Any, outcome: agent_pb2.ChunkOutcome) -> None:
-        await stream.send_message(agent_pb2.ChunkPart(outcome=outcome))
+    async def _tell(
+        self, stream: Any, outcome: agent_pb2.ChunkOutcome, held: bytes = b""
+    ) -> None:
+        part = agent_pb2.ChunkPart(outcome=outcome, held=held)
+        await stream.send_message(part)
--- a/damaskcroft/agent/tests/test_chunks.py
+++ b/damaskcroft/agent/tests/test_chunks.py
@@ -81,7 +81,7 @@
                     for index in range(CHUNKS)
                 )
             )
-            assert outcomes == [PeerData(data) for data in chunks]
+            assert [outcome.data for outcome in outcomes] == chunks
 
     asyncio.run(asyncio.wait_for(scenario(), 30))
 
@@ -97,7 +97,7 @@
             )
             await asyncio.sleep(0.05)
             version.write_chunk(3, chunks[3])
-            assert await asking == PeerData(chunks[3])
+            assert (await asking).data == chunks[3]
 
     asyncio.run(asyncio.wait_for(scenario(), 30))
 
--- a/damaskcroft/weights/__init__.py
+++ b/damaskcroft/weights/__init__.py
@@ -11,6 +11,7 @@
     StoreFullError,
     WeightsError,
 )
+from damaskcroft.weights._holdings import packed
 from damaskcroft.weights._manifest import (
     build_manifest,
     load_manifest,
@@ -30,6 +31,7 @@
     PeerFailed,
     PeerNotYet,
     PeerSource,
+    PeerUnaware,
 )
 from damaskcroft.weights._planner import (
     Participant,
@@ -62,6 +64,7 @@
     "PeerFailed",
     "PeerNotYet",
     "PeerSource",
+    "PeerUnaware",
     "RangeSource",
     "Planner",
     "StagedVersion",
@@ -72,6 +75,7 @@
     "load_manifest",
     "make_planner",
     "manifest_digest",
+    "packed",
     "help_share",
     "weights_path",
 ]
--- a/damaskcroft/weights/_burst.py
+++ b/damaskcroft/weights/_burst.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import collections
 import contextlib
 import dataclasses
 import random
@@ -16,6 +17,7 @@
 from damaskcroft.clock import now_s
 from damaskcroft.observe import log_event, metrics
 from damaskcroft.weights._errors import ManifestError
+from damaskcroft.weights._holdings import packed
 from damaskcroft.weights._manifest import load_manifest
 from damaskcroft.weights._outside import OutsideData, OutsideSource
 from damaskcroft.weights._pacer import Pacer
@@ -24,8 +26,16 @@
     PeerFailed,
     PeerNotYet,
     PeerSource,
+    PeerUnaware,
 )
 from damaskcroft.weights._planner import Participant, Planner
+from damaskcroft.weights._rescue import (
+    AskHolder,
+    Inquire,
+    ReadOutside,
+    Rescue,
+)
+from damaskcroft.weights._sources import Sources
 from damaskcroft.weights._store import ChunkStore, StagedVersion
 
 # Silence may be a full link's; a refused connection a restart of a second.
@@ -36,12 +46,19 @@
 _MIN_PAUSE_S = 0.02
 _LOOK_EVERY_S = 0.05
 _RESCUE_EVERY_S = 0.2
-# Chunks that came after a missing one before it counts as overdue: more than
-# are on their way at once along one tree's branches.
-_LATER_CHUNKS = 16
-_MAX_RESCUED = 4
+# No more at once than a link of 3.65 Mbit/s carries in the patience below.
+_MAX_RESCUED = 8
 _RESCUE_PATIENCE_S = 0.5
-_ASKED_AT_ONCE = 2
+# A line a second for each agent; the first of the missing chunks tell which
+# parts of the trees are late.
+_PROGRESS_EVERY_S = 1.0
+_SHOWN = 8
+# A chunk that was late is asked for again after so many others: about as many
+# as come in the time that it was waited for.
+_PUT_BACK_PLACES = 16
+# An agent that knows nothing of a version for so long after it was first asked
+# is left out of its trees: several times what it takes all agents to hear.
+_HEARS_WITHIN_S = 0.4
 _MAX_PAUSE_S = 1.0
 _MANIFEST_PAUSE_S = 0.1
 # How many chunks may be on their way between the outside link and the leaves
@@ -152,16 +169,18 @@
         self._own_id = own_id
         self._path = path
         self._store = store
-        self._sources = sources
+        self._outside = sources
         self._peers = peers
         self._pacer = pacer
         self._options = options
         self._counts = counts
         self._planner: Planner | None = None
+        self._sources: Sources | None = None
         self._help_share = 0.0
         self._read_ahead = _MIN_READ_AHEAD
         self._taken: set[int] = set()
         self._suspects = Suspects()
+        self._unaware_since: dict[str, float] = {}
         self._outside_slots = asyncio.Semaphore(options.parallel_outside)
         self._rng = random.Random(own_id)
 
@@ -174,6 +193,7 @@
                 outside beyond what the planner gives it.
         """
         self._planner = planner
+        self._sources = None
         self._help_share = help_share
         hops = len(planner.participants).bit_length()
         self._read_ahead = max(_MIN_READ_AHEAD, _READ_AHEAD_PER_HOP * hops)
@@ -204,10 +224,11 @@
         own = [i for i in missing if self._parent(i) is None]
         others = [i for i in missing if self._parent(i) is not None]
         self._taken = set()
-        indexes = iter(others)
+        indexes = collections.deque(others)
         works = [
             self._read_outside(version, own, others),
             self._rescue(version),
+            self._tell_progress(version),
             *(self._work(version, indexes) for _ in range(self._questions())),
         ]
         tasks = [asyncio.create_task(work) for work in works]
@@ -222,6 +243,21 @@
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
 
+    async def _tell_progress(self, version: StagedVersion) -> None:
+        """One line a second while chunks come."""
+        while not version.is_complete:
+            log_event(
+                "burst_progress",
+                path=self._path,
+                held=version.held_count,
+                missing=",".join(map(str, _missing(version)[:_SHOWN])),
+                origin_bytes=self._counts.origin_bytes,
+                peer_bytes=self._counts.peer_bytes,
+                sent_bytes=self._counts.sent_bytes,
+                suspects=",".join(sorted(self._suspects.now())),
+            )
+            await asyncio.sleep(_PROGRESS_EVERY_S)
+
     def _questions(self) -> int:
         """Chunks to ask for at once: no more than can be on their way."""
         on_their_way = self._read_ahead + _MIN_READ_AHEAD
@@ -287,61 +323,114 @@
                 return
 
     async def _work(
-        self, version: StagedVersion, indexes: Iterator[int]
+        self, version: StagedVersion, indexes: collections.deque[int]
     ) -> None:
-        for index in indexes:
-            if index in self._taken:
+        """Asks for one chunk after another; one that is late is put back.
+
+        So chunks that a slow agent was to give don't keep others from being
+        asked for.
+        """
+        while not version.is_complete:
+            index = self._pick(version, indexes)
+            if index is None:
+                # Others are asked for by now, and may come back in line.
+                await asyncio.sleep(_LOOK_EVERY_S)
+                continue
+            if version.held[index]:
                 continue
             self._taken.add(index)
+            asked_at = now_s()
             while not version.held[index]:
                 await self._try(version, index)
+                if now_s() - asked_at > self._options.wait_s:
+                    break
+            if not version.held[index]:
+                indexes.insert(_PUT_BACK_PLACES, index)
+
+    def _pick(
+        self, version: StagedVersion, indexes: collections.deque[int]
+    ) -> int | None:
+        """The next chunk to ask for: one that a neighbour holds, if any.
+
+        They are taken at random, so that neighbours soon hold different ones
+        to give to each other.
+        """
+        if not indexes:
+            return None
+        sources = self._sources_of(version)
+        if sources is not None:
+            at_hand = sources.at_hand(indexes, self._suspects.now())
+            if at_hand:
+                index = self._rng.choice(at_hand)
+                indexes.remove(index)
+                return index
+        return indexes.popleft()
+
+    def _sources_of(self, version: StagedVersion) -> Sources | None:
+        if self._planner is None:
+            return None
+        if self._sources is None:
+            self._sources = Sources(self._planner, version.holdings, self._rng)
+        return self._sources
 
     async def _rescue(self, version: StagedVersion) -> None:
-        """Gets chunks elsewhere whose parents are much later than others.
-
-        A parent may be up and answer, but on a link at a fraction of its
-        rate. Its chunks show as gaps behind which later ones have come.
-        """
-        overdue_before: set[int] = set()
+        """Gets overdue chunks elsewhere than from their parents."""
+        rescue = Rescue(version, self._rng)
         while not version.is_complete:
-            held_before = version.held_count
             await asyncio.sleep(_RESCUE_EVERY_S)
-            still = version.held_count == held_before > 0
-            overdue = _missing(version) if still else _overdue(version)
-            for index in overdue[:_MAX_RESCUED]:
-                found = await self._from_any(version, index)
-                stuck = index in overdue_before and not found
-                if stuck and self._rng.random() < self._outside_share():
-                    await self._from_outside(version, index)
-            overdue_before = set(overdue)
+            overdue = rescue.overdue()
+            if self._planner is None:
+                continue
+            works = [
+                self._rescue_one(rescue, version, index, self._planner)
+                for index in overdue[:_MAX_RESCUED]
+            ]
+            await asyncio.gather(*works)
 
-    async def _from_any(self, version: StagedVersion, index: int) -> bool:
-        """Asks some agents that may hold a chunk already."""
-        if self._planner is None:
-            return False
+    async def _rescue_one(
+        self,
+        rescue: Rescue,
+        version: StagedVersion,
+        index: int,
+        planner: Planner,
+    ) -> None:
+        source = rescue.source(index, planner, self._suspects.now())
+        match source:
+            case AskHolder(agent_id=agent_id):
+                holder = next(
+                    p for p in planner.participants if p.id == agent_id
+                )
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(_RESCUE_PATIENCE_S):
+                        await self._from_peer(version, index, holder, 0.0)
+            case ReadOutside():
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(_RESCUE_PATIENCE_S):
+                        await self._from_outside(version, index)
+            case Inquire():
+                await self._inquire(version, index, planner)
+
+    async def _inquire(
+        self, version: StagedVersion, index: int, planner: Planner
+    ) -> None:
+        """Asks one agent for a chunk; its answer tells all that it holds."""
         suspects = self._suspects.now()
         others = [
             other
-            for other in self._planner.participants
+            for other in planner.participants
             if other.id != self._own_id and other.id not in suspects
         ]
-        asked = self._rng.sample(others, min(_ASKED_AT_ONCE, len(others)))
-        for other in asked:
+        if others:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(_RESCUE_PATIENCE_S):
-                    await self._from_peer(version, index, other, wait_s=0.0)
-            if version.held[index]:
-                return True
-        return False
-
-    def _outside_share(self) -> float:
-        """So that about one of all who miss a chunk reads it from outside."""
-        if self._planner is None:
-            return 1.0
-        return 1.0 / max(1, len(self._planner.participants))
+                    other = self._rng.choice(others)
+                    await self._from_peer(version, index, other, 0.0)
 
     async def _try(self, version: StagedVersion, index: int) -> None:
-        parent = self._parent(index)
+        sources = self._sources_of(version)
+        parent = None
+        if sources is not None:
+            parent = sources.choose(index, self._suspects.now())
         if parent is None:
             async with self._outside_slots:
                 if not version.held[index]:
@@ -361,14 +450,30 @@
             digest=version.manifest.chunks[index].digest,
             wait_ms=int(wait_s * 1000),
             requester=self._own_id,
+            held=packed(version.held),
         )
-        outcome = await self._peers.fetch_chunk(peer.address, request)
+        sources = self._sources_of(version)
+        assert sources is not None, "a peer is known by its plan"
+
+        def may_leave() -> bool:
+            return bool(version.held[index]) or sources.is_had_nearer(
+                index, peer.id, self._suspects.now()
+            )
+
+        with sources.asking(peer.id):
+            outcome = await self._peers.fetch_chunk(
+                peer.address, request, may_leave
+            )
         match outcome:
-            case PeerData(data=data):
+            case PeerData(data=data, held=held):
                 self._suspects.clear(peer.id)
+                version.holdings.note(peer.id, held)
                 self._take(version, index, data, "peer", peer.id)
-            case PeerNotYet():
+            case PeerNotYet(held=held):
+                version.holdings.note(peer.id, held)
                 await asyncio.sleep(_MIN_PAUSE_S)
+            case PeerUnaware():
+                await self._leave_unaware(peer)
             case PeerFailed(reason=reason):
                 metrics.BURST_SOURCE_FAILURES.labels(reason).inc()
                 if peer.id not in self._suspects.now():
@@ -378,6 +483,19 @@
                     peer.id, _STALLED_SUSPECT_S if stalled else _SUSPECT_S
                 )
 
+    async def _leave_unaware(self, peer: Participant) -> None:
+        """Lets a peer that takes no part out, once it had time to hear of it.
+
+        Agents hear of a version within some tenths of a second of each other.
+        """
+        await asyncio.sleep(_MIN_PAUSE_S)
+        since = self._unaware_since.setdefault(peer.id, now_s())
+        if now_s() - since >= _HEARS_WITHIN_S:
+            del self._unaware_since[peer.id]
+            if peer.id not in self._suspects.now():
+                log_event("peer_unaware", peer=peer.id)
+            self._suspects.add(peer.id, _SUSPECT_S)
+
     async def _from_outside(self, version: StagedVersion, index: int) -> None:
         for source in self._open_sources():
             outcome = await source.fetch_chunk(
@@ -393,11 +511,11 @@
         await asyncio.sleep(self._pause_s())
 
     def _open_sources(self) -> list[OutsideSource]:
-        return [s for s in self._sources if s.closed_for_s <= 0]
+        return [s for s in self._outside if s.closed_for_s <= 0]
 
     def _pause_s(self) -> float:
         """Until the first outside source is open again, spread a little."""
-        wait_s = min(source.closed_for_s for source in self._sources)
+        wait_s = min(source.closed_for_s for source in self._outside)
         wait_s = min(max(wait_s, _MIN_PAUSE_S), _MAX_PAUSE_S)
         return wait_s * (1 + self._rng.random())
 
@@ -464,15 +582,3 @@
 
 def _missing(version: StagedVersion) -> list[int]:
     return [index for index, held in enumerate(version.held) if not held]
-
-
-def _overdue(version: StagedVersion) -> list[int]:
-    """Missing chunks after which many others have come."""
-    later = version.held_count
-    overdue = []
-    for index, held in enumerate(version.held):
-        if held:
-            later -= 1
-        elif later >= _LATER_CHUNKS:
-            overdue.append(index)
-    return overdue
--- /dev/null
+++ b/damaskcroft/weights/_holdings.py
@@ -0,0 +1,56 @@
+"""Who else holds which chunks of a version, as agents tell in passing.
+
+Every question for a chunk, and every first word of an answer, carries what its
+sender holds. So an agent whose planned source is late knows whom to ask
+instead, at no message more.
+"""
+
+from collections.abc import Iterable
+
+__all__ = ["Holdings", "packed"]
+
+
+def packed(held: Iterable[int]) -> bytes:
+    """A bit for each chunk, the first chunk's the lowest.
+
+    Args:
+        held: 1 for each chunk that is held, 0 for each that isn't.
+    """
+    number = sum(1 << index for index, is_held in enumerate(held) if is_held)
+    return number.to_bytes((number.bit_length() + 7) // 8, "little")
+
+
+class Holdings:
+    """The newest word of each agent on one version's chunks."""
+
+    __slots__ = ("_bits_by_id",)
+
+    def __init__(self) -> None:
+        """Knows of nobody's chunks."""
+        self._bits_by_id: dict[str, int] = {}
+
+    def note(self, agent_id: str, bits: bytes) -> None:
+        """Takes an agent's word; what it held once, it still holds.
+
+        Args:
+            agent_id: who tells.
+            bits: see `packed`.
+        """
+        before = self._bits_by_id.get(agent_id, 0)
+        told = int.from_bytes(bits, "little")
+        self._bits_by_id[agent_id] = before | told
+
+    def union(self, agent_ids: Iterable[str]) -> int:
+        """A bit for each chunk that any of some agents holds."""
+        bits = 0
+        for agent_id in agent_ids:
+            bits |= self._bits_by_id.get(agent_id, 0)
+        return bits
+
+    def holders(self, index: int) -> list[str]:
+        """Agents that hold a chunk."""
+        return [
+            agent_id
+            for agent_id, bits in self._bits_by_id.items()
+            if bits >> index & 1
+        ]
--- a/damaskcroft/weights/_peers.py
+++ b/damaskcroft/weights/_peers.py
@@ -3,6 +3,7 @@
 import abc
 import asyncio
 import dataclasses
+from collections.abc import Callable
 from typing import Any
 
 from damaskcroft._generated import agent_grpc, agent_pb2
@@ -10,17 +11,38 @@
 from damaskcroft.weights._path_delay import PathDelay
 from damaskcroft.weights._window import PartWindow
 
+# How often a question that waits is compared with what others hold by now:
+# the time that a chunk takes on a link of 3.65 Mbit/s, twice.
+_LOOK_EVERY_S = 0.1
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerData:
-    """A chunk's bytes as they came; not checked yet."""
+    """A chunk's bytes as they came; not checked yet.
+
+    Attributes:
+        data: the bytes.
+        held: all that the peer holds, as packed bits; empty if unknown.
+    """
 
     data: bytes
+    held: bytes = b""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerNotYet:
-    """The peer answers, but does not hold the chunk yet."""
+    """The peer answers, but does not hold the chunk yet.
+
+    Attributes:
+        held: what it holds, as packed bits; empty if unknown.
+    """
+
+    held: bytes = b""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerUnaware:
+    """The peer answers, but takes no part in the version's burst."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,14 +52,27 @@
     reason: str
 
 
+PeerOutcome = PeerData | PeerNotYet | PeerUnaware | PeerFailed
+
+
 class PeerSource(abc.ABC):
     """How an agent asks other agents."""
 
     @abc.abstractmethod
     async def fetch_chunk(
-        self, address: str, request: agent_pb2.ChunkRequest
-    ) -> PeerData | PeerNotYet | PeerFailed:
-        """Asks for a chunk, waiting for it as long as the request says."""
+        self,
+        address: str,
+        request: agent_pb2.ChunkRequest,
+        may_leave: Callable[[], bool] = lambda: False,
+    ) -> PeerOutcome:
+        """Asks for a chunk, waiting for it as long as the request says.
+
+        Args:
+            address: whom.
+            request: for what.
+            may_leave: whether a question that waits for its turn should be
+                dropped, since the chunk can be had elsewhere by now.
+        """
 
     @abc.abstractmethod
     async def fetch_manifest(
@@ -62,8 +97,11 @@
         self._delays_by_address: dict[str, PathDelay] = {}
 
     async def fetch_chunk(
-        self, address: str, request: agent_pb2.ChunkRequest
-    ) -> PeerData | PeerNotYet | PeerFailed:
+        self,
+        address: str,
+        request: agent_pb2.ChunkRequest,
+        may_leave: Callable[[], bool] = lambda: False,
+    ) -> PeerOutcome:
         """See PeerSource."""
         stub = agent_grpc.ChunksStub(self._pool.channel(address))
         try:
@@ -74,7 +112,9 @@
                         agent_pb2.ChunkAsk(request=request)
                     )
                 patience_s = request.wait_ms / 1000 + self._stall_s
-                outcome = await self._take_parts(stream, patience_s, address)
+                outcome = await self._take_parts(
+                    stream, patience_s, address, may_leave
+                )
                 await stream.cancel()
                 return outcome
         except TimeoutError:
@@ -85,29 +125,37 @@
             return PeerFailed("unreachable")
 
     async def _take_parts(
-        self, stream: Any, patience_s: float, address: str
-    ) -> PeerData | PeerNotYet | PeerFailed:
+        self,
+        stream: Any,
+        patience_s: float,
+        address: str,
+        may_leave: Callable[[], bool],
+    ) -> PeerOutcome:
         """Waits until the peer may send, then asks for part after part."""
         while True:
             async with asyncio.timeout(patience_s):
-                told = await stream.recv_message()
+                told = await _received(stream, may_leave)
+            if isinstance(told, PeerNotYet):
+                return told
             if told is None:
                 return PeerFailed("ended_early")
             if told.outcome == agent_pb2.CHUNK_BUSY:
                 patience_s = self._stall_s
                 continue
+            if told.outcome == agent_pb2.CHUNK_UNKNOWN_MANIFEST:
+                return PeerUnaware()
             if told.outcome != agent_pb2.CHUNK_READY:
-                return PeerNotYet()
-            return await self._take_ready(stream, told.parts, address)
+                return PeerNotYet(told.held)
+            return await self._take_ready(stream, told, address)
 
     async def _take_ready(
-        self, stream: Any, parts: int, address: str
+        self, stream: Any, ready: agent_pb2.ChunkPart, address: str
     ) -> PeerData | PeerFailed:
         data: list[bytes] = []
         rank = self._window.begin_chunk()
         delay = self._delays_by_address.setdefault(address, PathDelay())
         queued_s = 0.0
-        while len(data) < parts:
+        while len(data) < ready.parts:
             # No more than one part of a chunk at once: whoever waited for
             # room while holding some would stop the others for good.
             async with self._window.room(rank, address):
@@ -122,7 +170,7 @@
             queued_s = delay.queued_s(part.sent_us / 1e6)
             self._window.note(queued_s)
             data.append(part.data)
-        return PeerData(b"".join(data))
+        return PeerData(b"".join(data), ready.held)
 
     async def fetch_manifest(
         self, address: str, digest: str, path: str = ""
@@ -137,3 +185,19 @@
         except CALL_ERRORS:
             return PeerFailed("unreachable")
         return PeerData(reply.content) if reply.content else PeerNotYet()
+
+
+async def _received(
+    stream: Any, may_leave: Callable[[], bool]
+) -> agent_pb2.ChunkPart | PeerNotYet | None:
+    """The next message; PeerNotYet if it is better to ask elsewhere."""
+    receiving = asyncio.ensure_future(stream.recv_message())
+    try:
+        while True:
+            done, _ = await asyncio.wait([receiving], timeout=_LOOK_EVERY_S)
+            if done:
+                return receiving.result()
+            if may_leave():
+                return PeerNotYet()
+    finally:
+        receiving.cancel()
--- a/damaskcroft/weights/_planner.py
+++ b/damaskcroft/weights/_planner.py
@@ -40,6 +40,7 @@
         """Sorts the participants, so that all agents agree on them."""
         self.own_id = own_id
         self.participants = sorted(participants, key=lambda p: p.id)
+        self.domain_by_id = {p.id: p.failure_domain for p in self.participants}
 
     @abc.abstractmethod
     def parent(
@@ -52,6 +53,18 @@
             suspects: agents that do not answer now.
         """
 
+    def turn(self, chunk_index: int, suspects: frozenset[str]) -> int:
+        """After how many others this agent reads a chunk from outside.
+
+        Each chunk begins with another agent, so that the reads of one that
+        fails fall on all others.
+        """
+        living = [p.id for p in self.participants if p.id not in suspects]
+        if self.own_id not in living:
+            return len(living)
+        place = living.index(self.own_id)
+        return (place - chunk_index) % len(living)
+
 
 class OriginPlanner(Planner):
     """Everyone reads everything from outside: the baseline."""
--- /dev/null
+++ b/damaskcroft/weights/_rescue.py
@@ -0,0 +1,124 @@
+"""Which chunks are much later than others, and whom to ask for them.
+
+Written for agents that are up and answer, but on a link at a fraction of its
+rate, or that have not heard of a version yet: what they were to read from
+outside or to give on holds all others up.
+"""
+
+import dataclasses
+import random
+from collections.abc import Collection
+
+from damaskcroft.clock import now_s
+from damaskcroft.weights._planner import Planner
+from damaskcroft.weights._store import StagedVersion
+
+__all__ = ["AskHolder", "Inquire", "ReadOutside", "Rescue"]
+
+# Chunks that came after a missing one before it counts as overdue: more than
+# are on their way at once along one tree's branches.
+_LATER_CHUNKS = 16
+# Outside links are faster than those of agents: with this share of a version
+# here, all of it should be with some agent.
+_READ_BY_THEN = 0.6
+# A chunk that nobody is known to hold is read from outside by its planned
+# reader; the next in its order takes over after this time, and so on. Twice
+# what a chunk takes from an outside link that ten agents share.
+_TURN_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskHolder:
+    """An agent is known to hold the chunk."""
+
+    agent_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadOutside:
+    """Nobody is known to hold the chunk, and it is this agent's turn."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Inquire:
+    """Somebody else is to read the chunk first: ask who has."""
+
+
+class Rescue:
+    """Looks for overdue chunks of one version, and chooses their sources."""
+
+    __slots__ = ("_held_before", "_overdue_since", "_rng", "_version")
+
+    def __init__(self, version: StagedVersion, rng: random.Random):
+        """Looks at nothing yet."""
+        self._version = version
+        self._rng = rng
+        self._held_before = 0
+        self._overdue_since: dict[int, float] = {}
+
+    def overdue(self) -> list[int]:
+        """Chunks that are overdue now; to be called at regular times.
+
+        When nothing at all has come since the last look, all that is missing
+        is overdue.
+        """
+        version = self._version
+        still = version.held_count == self._held_before > 0
+        self._held_before = version.held_count
+        found = _missing(version) if still else self._late()
+        now = now_s()
+        self._overdue_since = {
+            index: self._overdue_since.get(index, now) for index in found
+        }
+        return found
+
+    def _late(self) -> list[int]:
+        version = self._version
+        late = set(_passed_over(version))
+        if version.held_count >= _READ_BY_THEN * len(version.held):
+            late.update(
+                index
+                for index in _missing(version)
+                if not version.holdings.holders(index)
+            )
+        return sorted(late)
+
+    def source(
+        self, index: int, planner: Planner, suspects: Collection[str]
+    ) -> AskHolder | ReadOutside | Inquire:
+        """Where an overdue chunk may be had.
+
+        Args:
+            index: the chunk.
+            planner: knows all agents, and in which order they read a chunk.
+            suspects: agents that do not answer now.
+        """
+        holders = [
+            agent_id
+            for agent_id in self._version.holdings.holders(index)
+            if agent_id not in suspects and agent_id in planner.domain_by_id
+        ]
+        own_domain = planner.domain_by_id[planner.own_id]
+        near = [h for h in holders if planner.domain_by_id[h] == own_domain]
+        if holders:
+            return AskHolder(self._rng.choice(near or holders))
+        waited_s = now_s() - self._overdue_since.get(index, now_s())
+        if waited_s >= planner.turn(index, frozenset(suspects)) * _TURN_S:
+            return ReadOutside()
+        return Inquire()
+
+
+def _missing(version: StagedVersion) -> list[int]:
+    return [index for index, held in enumerate(version.held) if not held]
+
+
+def _passed_over(version: StagedVersion) -> list[int]:
+    """Missing chunks after which many others have come."""
+    later = version.held_count
+    overdue = []
+    for index, held in enumerate(version.held):
+        if held:
+            later -= 1
+        elif later >= _LATER_CHUNKS:
+            overdue.append(index)
+    return overdue
--- a/damaskcroft/weights/_store.py
+++ b/damaskcroft/weights/_store.py
@@ -14,6 +14,7 @@
 from collections.abc import Iterator
 
 from damaskcroft.weights._errors import ManifestError, StoreFullError
+from damaskcroft.weights._holdings import Holdings
 from damaskcroft.weights._manifest import (
     MANIFEST_NAME,
     load_manifest,
@@ -42,6 +43,8 @@
         self.index_by_digest: dict[bytes, int] = {}
         for index, chunk in enumerate(self.manifest.chunks):
             self.index_by_digest.setdefault(chunk.digest, index)
+        # What other agents hold of it.
+        self.holdings = Holdings()
         self._arrivals: dict[int, asyncio.Event] = {}
 
     @property
--- a/damaskcroft/weights/tests/test_burst.py
+++ b/damaskcroft/weights/tests/test_burst.py
@@ -19,11 +19,13 @@
     PeerData,
     PeerFailed,
     PeerNotYet,
+    PeerUnaware,
     StoreFullError,
     build_manifest,
     load_manifest,
     make_planner,
     manifest_digest,
+    packed,
 )
 
 CHUNK_BYTES = 1000
@@ -88,7 +90,7 @@
         self.slow = set()
         self.liars = set()
 
-    async def fetch_chunk(self, address, request):
+    async def fetch_chunk(self, address, request, may_leave=None):
         await asyncio.sleep(0.005)
         if address in self.dead:
             return PeerFailed("unreachable")
@@ -97,16 +99,17 @@
             return PeerFailed("stalled")
         version = self.versions_by_id.get(address)
         if version is None:
-            return PeerNotYet()
+            return PeerUnaware()
+        version.holdings.note(request.requester, request.held)
         if address in self.slow:
             await asyncio.sleep(8.0)
         index = version.index_by_digest[request.digest]
         if not await version.wait_for_chunk(index, request.wait_ms / 1000):
-            return PeerNotYet()
+            return PeerNotYet(packed(version.held))
         data = version.read_chunk(index)
         if address in self.liars:
             data = data[:-1] + bytes([data[-1] ^ 1])
-        return PeerData(data)
+        return PeerData(data, packed(version.held))
 
     async def fetch_manifest(self, address, digest):
         return PeerNotYet()
@@ -123,6 +126,7 @@
         self.content = write_files(folder / "origin", "1")
         self.outside = FakeOutside(folder / "origin", self.content)
         self.peers = FakePeers()
+        self.options = BurstOptions(wait_s=1.0)
         self.counts = {agent_id: BurstCounts() for agent_id in IDS}
         self.stores = {
             agent_id: FolderStore(folder / agent_id, 10**9) for agent_id in IDS
@@ -136,7 +140,7 @@
             [self.outside],
             self.peers,
             Pacer(1e9),
-            BurstOptions(wait_s=1.0),
+            self.options,
             self.counts[agent_id],
         )
         people = [Participant(i, i, f"d{int(i[-1]) % 2}") for i in members]
@@ -272,3 +276,37 @@
         load_manifest(content, manifest_digest(content))
     with pytest.raises(ManifestError):
         load_manifest(content, manifest_digest(site.content))
+
+
+def test_an_agent_that_knows_nothing_of_a_version_holds_nobody_up(loop, site):
+    """It stands in every tree, but hears of the version late or never."""
+    others = [i for i in IDS if i != "agent-1"]
+
+    async def scenario():
+        begun = loop.time()
+        await site.run(others)
+        return loop.time() - begun
+
+    assert loop.run(scenario()) < 2.0
+    site.check(others)
+
+
+def test_chunks_that_only_a_slow_agent_was_to_read_are_read_by_another(
+    loop, site
+):
+    """Its link carries a chunk in 8 s, also from outside."""
+    site.options = BurstOptions(wait_s=1.0, in_step=False)
+    site.peers.slow = {"agent-1"}
+    others = [i for i in IDS if i != "agent-1"]
+    version = site.stores["agent-1"].open_version(site.content, set())
+    site.peers.versions_by_id["agent-1"] = version
+
+    async def scenario():
+        begun = loop.time()
+        await site.run(others)
+        return loop.time() - begun
+
+    assert loop.run(scenario()) < 3.0
+    site.check(others)
+    chunks = len(version.held)
+    assert site.outside.reads < 1.5 * chunks
