Few unread prompts at each engine

Change: an entry sends a prompt to an engine only when its own earlier ones there have begun to be answered, but for small ones (0.12 s of reading over all entries); the answer's way to the caller is a module of its own. Also, seen by its test: after a pause the line took its first turns for the rate and turned callers away; now eight turns are needed, over the time they took.

--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -2,21 +2,17 @@
 
 import asyncio
 import contextlib
-import dataclasses
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 
 from damaskcroft.forwarding._attempt import (
     Answered,
-    Attempt,
     Lost,
     NotRun,
     NotSent,
     attempt,
 )
 from damaskcroft.forwarding._call import AnswerFacts, Passing, Wire
-from damaskcroft.forwarding._events import EventSplitter
 from damaskcroft.forwarding._job import (
-    BrokenOff,
     Ending,
     Gave,
     Job,
@@ -25,12 +21,11 @@
     Refused,
     given_up,
 )
+from damaskcroft.forwarding._relay import Relay, Sending
 from damaskcroft.forwarding._services import Services
 from damaskcroft.http1 import (
     Answer,
     ConnectionPool,
-    CutShortError,
-    Head,
     Place,
 )
 from damaskcroft.observe import log_event, metrics
@@ -50,27 +45,14 @@
 
 __all__ = ["Forwarder"]
 
-# Answers up to this size are read whole before the caller gets any of it, so
-# that one that is cut short can still be asked for elsewhere.
-_WHOLE_BYTES = 256 * 1024
 # Targets that could not even be connected to, before a request is given up.
 _MAX_UNSENT = 4
 # Least time that is worth sending a request for.
 _MIN_LEFT_S = 0.03
-_SERVER_ERROR = 500
 # How often silent targets are looked for; an eighth of what counts as silent.
 _LOOK_EVERY_S = 0.1
 
 
-@dataclasses.dataclass(frozen=True, slots=True, eq=False)
-class _Running:
-    """An attempt that may be ended, since its job may go on elsewhere."""
-
-    target_id: str
-    attempt: Attempt
-    job: Job
-
-
 class Forwarder:
     """Sends jobs to targets."""
 
@@ -88,13 +70,15 @@
         """Uses the entry's parts; see their classes."""
         self._delays = delays
         self._silence = silence
-        self._repeatable: set[_Running] = set()
+        self._repeatable: set[Sending] = set()
         self._line = Line(
             self._choose,
-            placer.sent,
-            placer.ended,
+            lambda candidate, ticket: placer.take(
+                candidate, ticket.prompt_tokens
+            ),
             lambda ticket: services.has_ready(ticket.service),
         )
+        self._relay = Relay(wire, self._line.serve)
         self._wire = wire
         self._services = services
         self._placer = placer
@@ -120,16 +104,16 @@
     def _give_up(self, silent: set[str]) -> None:
         outdated_by_kind: dict[tuple[str, str], set[str]] = {}
         for running in list(self._repeatable):
-            if running.target_id in silent:
-                running.attempt.give_up("silent")
+            if running.target.id in silent:
+                running.made.give_up("silent")
                 continue
-            if running.attempt.begun:
+            if running.made.begun:
                 continue
             kind = (running.job.service, running.job.call.model)
             if kind not in outdated_by_kind:
                 outdated_by_kind[kind] = self._services.outdated_ids(*kind)
-            if running.target_id in outdated_by_kind[kind]:
-                running.attempt.give_up("version_due")
+            if running.target.id in outdated_by_kind[kind]:
+                running.made.give_up("version_due")
 
     async def forward(self, job: Job, answer: Answer) -> Ending:
         """Gives a target's answer to the caller, or says why there is none.
@@ -141,9 +125,12 @@
         progress = Progress(job.call)
         try:
             async with asyncio.timeout_at(job.deadline_at):
-                return await self._try_targets(job, answer, progress)
+                ending = await self._try_targets(job, answer, progress)
         except TimeoutError:
-            return given_up("deadline", progress)
+            ending = given_up("deadline", progress)
+        if isinstance(ending, Gave):
+            _tell_pace(job, progress)
+        return ending
 
     async def _try_targets(
         self, job: Job, answer: Answer, progress: Progress
@@ -152,14 +139,14 @@
             ending = self._why_stop(job, progress)
             if ending is not None:
                 return ending
-            target = await self._place(job, progress)
-            if not isinstance(target, Candidate):
-                return target
-            ended = await self._try_one(job, answer, progress, target)
+            turn = await self._place(job, progress)
+            if not isinstance(turn, Turn):
+                return turn
+            ended = await self._try_one(job, answer, progress, turn)
             if ended is not None:
                 return ended
 
-    async def _place(self, job: Job, progress: Progress) -> Candidate | Ending:
+    async def _place(self, job: Job, progress: Progress) -> Turn | Ending:
         """Takes a slot at a target.
 
         A job that was tried already, or whose answer has begun, doesn't wait
@@ -174,29 +161,34 @@
             arrived_at=job.call.arrived_at,
             goal_s=job.route.latency_goal_ms / 1000,
             deadline_at=job.deadline_at,
+            prompt_tokens=job.call.prompt_tokens,
         )
-        match await self._line.turn(ticket):
-            case Turn(candidate=candidate):
-                return candidate
+        outcome = await self._line.turn(ticket)
+        progress.pace.queued_s = _now_s() - job.call.arrived_at
+        match outcome:
+            case Turn():
+                return outcome
             case Overloaded(reason=reason, waiting=waiting):
                 return Refused(reason, Ran.NO, f"{waiting} waiting")
 
-    def _place_again(self, job: Job, progress: Progress) -> Candidate | Ending:
+    def _place_again(self, job: Job, progress: Progress) -> Turn | Ending:
+        prompt_tokens = job.call.prompt_tokens
         placed = self._placer.choose(
             self._services.candidates(job.service, job.call.model),
             progress.excluded,
+            prompt_tokens,
         )
         if placed is None:
             return given_up("no_target", progress)
         if progress.sent and not self._retry_window.spend():
             metrics.RETRIES.labels("no_budget").inc()
             return given_up("no_retry_budget", progress)
-        self._placer.sent(placed.candidate.id)
-        return placed.candidate
+        slot = self._placer.take(placed.candidate, prompt_tokens)
+        return Turn(placed.candidate, slot)
 
     def _choose(self, ticket: LineTicket) -> Placement | None:
         candidates = self._services.candidates(ticket.service, ticket.model)
-        return self._placer.choose(candidates, ())
+        return self._placer.choose(candidates, (), ticket.prompt_tokens)
 
     def _why_stop(self, job: Job, progress: Progress) -> Ending | None:
         if progress.unsent >= _MAX_UNSENT:
@@ -208,13 +200,10 @@
         return None
 
     async def _try_one(
-        self,
-        job: Job,
-        answer: Answer,
-        progress: Progress,
-        target: Candidate,
+        self, job: Job, answer: Answer, progress: Progress, turn: Turn
     ) -> Ending | None:
         """One attempt; None if another target may be tried."""
+        target = turn.candidate
         progress.excluded.add(target.id)
         passing = Passing(
             target_id=target.id,
@@ -238,15 +227,13 @@
                 passing,
                 lambda: self._silence.heard(target.id),
             ) as made:
-                with (
-                    self._watched(job, made, target),
-                    self._delays.timed(target.id) as answered,
-                ):
-                    outcome = await self._run(
-                        job, answer, progress, made, target, answered
-                    )
+                sending = Sending(
+                    job, answer, progress, target, turn.slot, made
+                )
+                with self._watched(sending):
+                    outcome = await self._run(sending)
         finally:
-            self._placer.ended(target.id)
+            turn.slot.give_back()
             self._silence.ended(target.id)
             self._line.serve()
         if isinstance(outcome, NotSent | NotRun):
@@ -254,36 +241,28 @@
         return self._judge(job, progress, target, outcome)
 
     @contextlib.contextmanager
-    def _watched(
-        self, job: Job, made: Attempt, target: Candidate
-    ) -> Iterator[None]:
+    def _watched(self, sending: Sending) -> Iterator[None]:
         """Lets `run` end the attempt while it may go on elsewhere."""
-        if not job.is_repeatable:
+        if not sending.job.is_repeatable:
             yield
             return
-        running = _Running(target.id, made, job)
-        self._repeatable.add(running)
+        self._repeatable.add(sending)
         try:
             yield
         finally:
-            self._repeatable.discard(running)
+            self._repeatable.discard(sending)
 
     async def _run(
-        self,
-        job: Job,
-        answer: Answer,
-        progress: Progress,
-        made: Attempt,
-        target: Candidate,
-        answered: Callable[[], None],
+        self, sending: Sending
     ) -> "NotSent | NotRun | Lost | Ending":
-        begun = await made.begin()
-        answered()
+        with self._delays.timed(sending.target.id) as answered:
+            begun = await sending.made.begin()
+            if not isinstance(begun, NotSent | Lost):
+                answered()
         if not isinstance(begun, Answered):
             return begun
-        return await self._take_answer(
-            job, answer, progress, made, begun, target
-        )
+        self._note_load(sending.target, begun.facts)
+        return await self._relay.give(sending, begun)
 
     def _judge(
         self,
@@ -322,105 +301,41 @@
             return given_up("lost", progress)
         return None
 
-    # --- Answers -----------------------------------------------------------
-
-    async def _take_answer(
-        self,
-        job: Job,
-        answer: Answer,
-        progress: Progress,
-        made: Attempt,
-        answered: Answered,
-        target: Candidate,
-    ) -> "Lost | Ending":
-        head, facts = answered.head, answered.facts
-        self._note_load(target, facts)
-        success = 200 <= head.status < 300
-        if success and not facts.sealed:
-            return Lost("unsealed")
-        if success and job.route.streaming:
-            return await self._relay_events(answer, progress, made, head)
-        if progress.begun:
-            # The caller has another target's head already.
-            return Lost(f"status_{head.status}")
-        return await self._give_whole(job, answer, progress, made, head)
-
-    async def _give_whole(
-        self,
-        job: Job,
-        answer: Answer,
-        progress: Progress,
-        made: Attempt,
-        head: Head,
-    ) -> "Lost | Ending":
-        try:
-            body, complete = await made.read_whole(_WHOLE_BYTES)
-        except CutShortError as error:
-            return Lost(f"cut_short: {error}")
-        if head.status >= _SERVER_ERROR and self._may_repeat(job, progress):
-            return Lost(f"status_{head.status}")
-        headers = self._wire.answer_headers(head)
-        if complete:
-            await answer.give(head.status, headers, body)
-            return Gave(head.status)
-        progress.begun = True
-        await answer.begin(head.status, headers)
-        await answer.part(body)
-        try:
-            while part := await made.read_part():
-                await answer.part(part)
-        except CutShortError as error:
-            return BrokenOff(f"cut_short: {error}")
-        await answer.end()
-        return Gave(head.status)
-
-    async def _relay_events(
-        self,
-        answer: Answer,
-        progress: Progress,
-        made: Attempt,
-        head: Head,
-    ) -> "Lost | Gave":
-        """Gives whole events on as they come."""
-        splitter = EventSplitter()
-        try:
-            while part := await made.read_part():
-                for event in splitter.feed(part):
-                    if self._is_old(event.id, progress):
-                        continue
-                    if not progress.begun:
-                        progress.begun = True
-                        headers = self._wire.answer_headers(head)
-                        await answer.begin(head.status, headers)
-                    await answer.part(event.data)
-                    if event.id is not None:
-                        progress.last_event_id = event.id
-        except (CutShortError, ValueError) as error:
-            return Lost(f"stream_cut: {error}")
-        if splitter.rest:
-            return Lost("stream_cut: ended within an event")
-        if not progress.begun:
-            await answer.begin(head.status, self._wire.answer_headers(head))
-        await answer.end()
-        return Gave(head.status)
-
-    def _is_old(self, event_id: int | None, progress: Progress) -> bool:
-        if event_id is None or progress.last_event_id is None:
-            return False
-        return event_id <= progress.last_event_id
-
     # --- Small questions -----------------------------------------------------
 
-    def _may_repeat(self, job: Job, progress: Progress) -> bool:
-        """Whether a failure may still be tried elsewhere."""
-        if not job.is_repeatable:
-            return False
-        return progress.sent < job.route.max_attempts
-
     def _note_load(self, target: Candidate, facts: AnswerFacts) -> None:
         if facts.load is not None:
             requests = facts.load.running + facts.load.waiting
             self._placer.told(target.id, requests)
 
     def _left_s(self, job: Job) -> float:
-        return job.deadline_at - asyncio.get_running_loop().time()
+        return job.deadline_at - _now_s()
+
+
+def _tell_pace(job: Job, progress: Progress) -> None:
+    """Histograms of all answers, and a line for each that came late."""
+    pace = progress.pace
+    service = job.service
+    metrics.ANSWER_QUEUED_S.labels(service).observe(pace.queued_s)
+    if pace.first_s is not None:
+        metrics.ANSWER_FIRST_S.labels(service).observe(pace.first_s)
+    if job.route.streaming:
+        metrics.ANSWER_GAP_S.labels(service).observe(pace.longest_gap_s)
+    metrics.ANSWER_WHOLE_S.labels(service).observe(
+        _now_s() - job.call.arrived_at
+    )
+    if pace.is_late(job.route):
+        log_event(
+            "answered_late",
+            request=job.call.request_id,
+            service=service,
+            queued_s=pace.queued_s,
+            first_s=pace.first_s,
+            longest_gap_s=pace.longest_gap_s,
+            targets=progress.sent,
+            prompt_tokens=job.call.prompt_tokens,
+        )
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- a/damaskcroft/forwarding/_job.py
+++ b/damaskcroft/forwarding/_job.py
@@ -12,6 +12,7 @@
     "Ending",
     "Gave",
     "Job",
+    "Pace",
     "Progress",
     "Ran",
     "Refused",
@@ -84,6 +85,43 @@
         return self.route.idempotent or self.route.resumable
 
 
+class Pace:
+    """How soon and how evenly a caller gets its answer.
+
+    Attributes:
+        queued_s: wait for a target's slot.
+        first_s: arrival of the request to the first event; None before it.
+        longest_gap_s: longest pause between two events.
+    """
+
+    __slots__ = ("_arrived_at", "_last_at", "first_s", "longest_gap_s",
+                 "queued_s")  # fmt: skip
+
+    def __init__(self, arrived_at: float):
+        """Nothing has been given yet."""
+        self._arrived_at = arrived_at
+        self._last_at = arrived_at
+        self.queued_s = 0.0
+        self.first_s: float | None = None
+        self.longest_gap_s = 0.0
+
+    def given(self, now: float) -> None:
+        """Takes note of an event, or of a whole answer."""
+        if self.first_s is None:
+            self.first_s = now - self._arrived_at
+        else:
+            self.longest_gap_s = max(self.longest_gap_s, now - self._last_at)
+        self._last_at = now
+
+    def is_late(self, route: fleet_pb2.Route) -> bool:
+        """Whether the caller's goals were missed; an unset goal is met."""
+        goal_s = route.latency_goal_ms / 1000
+        gap_goal_s = route.gap_goal_ms / 1000
+        if goal_s and self.first_s is not None and self.first_s > goal_s:
+            return True
+        return bool(gap_goal_s) and self.longest_gap_s > gap_goal_s
+
+
 class Progress:
     """What became of a job so far.
 
@@ -95,6 +133,7 @@
         may_have_run: whether any target may have run it.
         begun: whether the caller has got the head of an answer.
         last_event_id: the last event that the caller has.
+        pace: how soon and how evenly the answer came.
     """
 
     __slots__ = (
@@ -103,6 +142,7 @@
         "last",
         "last_event_id",
         "may_have_run",
+        "pace",
         "sent",
         "unsent",
     )
@@ -116,6 +156,7 @@
         self.may_have_run = False
         self.begun = False
         self.last_event_id = call.last_event_id
+        self.pace = Pace(call.arrived_at)
 
 
 def given_up(reason: str, progress: Progress) -> Ending:
--- /dev/null
+++ b/damaskcroft/forwarding/_relay.py
@@ -0,0 +1,146 @@
+"""Gives a target's answer to the caller: whole, or event by event."""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+
+from damaskcroft.forwarding._attempt import Answered, Attempt, Lost
+from damaskcroft.forwarding._call import Wire
+from damaskcroft.forwarding._events import EventSplitter
+from damaskcroft.forwarding._job import BrokenOff, Ending, Gave, Job, Progress
+from damaskcroft.http1 import Answer, CutShortError, Head
+from damaskcroft.routing import Candidate, Slot
+
+__all__ = ["Relay", "Sending"]
+
+# Answers up to this size are read whole before the caller gets any of it, so
+# that one that is cut short can still be asked for elsewhere.
+_WHOLE_BYTES = 256 * 1024
+_SERVER_ERROR = 500
+
+
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
+class Sending:
+    """A job on its way to one target.
+
+    Attributes:
+        job: what is sent.
+        answer: where the caller's answer goes.
+        progress: what became of the job so far.
+        target: where it is sent.
+        slot: its place there.
+        made: the attempt.
+    """
+
+    job: Job
+    answer: Answer
+    progress: Progress
+    target: Candidate
+    slot: Slot
+    made: Attempt
+
+
+class Relay:
+    """Passes answers on, so that a caller never gets half of two.
+
+    Args:
+        wire: how headers are written down.
+        room_made: called when a target has read a prompt, and so has room for
+            another one.
+    """
+
+    def __init__(self, wire: Wire, room_made: Callable[[], None]):
+        """See the class."""
+        self._wire = wire
+        self._room_made = room_made
+
+    async def give(
+        self, sending: Sending, answered: Answered
+    ) -> "Lost | Ending":
+        """Gives one target's answer on; Lost if another may be asked."""
+        head = answered.head
+        streaming = sending.job.route.streaming
+        success = 200 <= head.status < 300
+        if success and not answered.facts.sealed:
+            return Lost("unsealed")
+        if success and streaming:
+            return await self._give_events(sending, head)
+        self._note_given(sending)
+        if sending.progress.begun:
+            # The caller has another target's head already.
+            return Lost(f"status_{head.status}")
+        return await self._give_whole(sending, head)
+
+    async def _give_whole(
+        self, sending: Sending, head: Head
+    ) -> "Lost | Ending":
+        answer, made = sending.answer, sending.made
+        try:
+            body, complete = await made.read_whole(_WHOLE_BYTES)
+        except CutShortError as error:
+            return Lost(f"cut_short: {error}")
+        if head.status >= _SERVER_ERROR and _may_repeat(sending):
+            return Lost(f"status_{head.status}")
+        headers = self._wire.answer_headers(head)
+        if complete:
+            await answer.give(head.status, headers, body)
+            return Gave(head.status)
+        sending.progress.begun = True
+        await answer.begin(head.status, headers)
+        await answer.part(body)
+        try:
+            while part := await made.read_part():
+                await answer.part(part)
+        except CutShortError as error:
+            return BrokenOff(f"cut_short: {error}")
+        await answer.end()
+        return Gave(head.status)
+
+    async def _give_events(self, sending: Sending, head: Head) -> "Lost | Gave":
+        """Gives whole events on as they come."""
+        answer, progress = sending.answer, sending.progress
+        splitter = EventSplitter()
+        try:
+            while part := await sending.made.read_part():
+                for event in splitter.feed(part):
+                    if _is_old(event.id, progress):
+                        continue
+                    await self._begin(sending, head)
+                    await answer.part(event.data)
+                    self._note_given(sending)
+                    if event.id is not None:
+                        progress.last_event_id = event.id
+        except (CutShortError, ValueError) as error:
+            return Lost(f"stream_cut: {error}")
+        if splitter.rest:
+            return Lost("stream_cut: ended within an event")
+        await self._begin(sending, head)
+        await answer.end()
+        return Gave(head.status)
+
+    async def _begin(self, sending: Sending, head: Head) -> None:
+        if sending.progress.begun:
+            return
+        sending.progress.begun = True
+        headers = self._wire.answer_headers(head)
+        await sending.answer.begin(head.status, headers)
+
+    def _note_given(self, sending: Sending) -> None:
+        if sending.slot.read():
+            self._room_made()
+        now = asyncio.get_running_loop().time()
+        sending.progress.pace.given(now)
+
+
+def _is_old(event_id: int | None, progress: Progress) -> bool:
+    if event_id is None or progress.last_event_id is None:
+        return False
+    return event_id <= progress.last_event_id
+
+
+def _may_repeat(sending: Sending) -> bool:
+    """Whether a failure may still be tried elsewhere."""
+    job = sending.job
+    if not job.is_repeatable:
+        return False
+    return sending.progress.sent < job.route.max_attempts
--- a/damaskcroft/forwarding/_services.py
+++ b/damaskcroft/forwarding/_services.py
@@ -24,6 +24,8 @@
 _TAKE_BACK_S = 0.25
 # Slots of a target that doesn't say.
 _USUAL_SLOTS = 8
+# The profile of services that are no engines.
+_NO_ENGINE = fleet_pb2.EngineProfile()
 
 
 class Services:
@@ -137,15 +139,20 @@
         return agent.phase == fleet_pb2.AGENT_SWITCHING
 
     def _layers(self, service: str) -> int:
+        return self._engine(service).layers
+
+    def _engine(self, service: str) -> fleet_pb2.EngineProfile:
         table = self._view.table
         known = table.services_by_name.get(service) if table else None
-        return known.engine.layers if known else 0
+        return known.engine if known else _NO_ENGINE
 
     def _candidate(self, state: fleet_pb2.TargetState) -> Candidate:
+        engine = self._engine(state.service)
         return Candidate(
             id=state.id,
             address=state.address,
             failure_domain=state.failure_domain,
             region=self._region_by_domain.get(state.failure_domain, ""),
             slots=state.slots or _USUAL_SLOTS,
+            prompt_tokens_s=engine.prefill_tokens_per_s,
         )
--- a/damaskcroft/hosted/entry.py
+++ b/damaskcroft/hosted/entry.py
@@ -86,7 +86,7 @@
             connections.close_old()
             placer.forget_all_but(view.book.targets_by_id)
             delays.forget_all_but(view.book.targets_by_id)
-            retry_window.entries = view.entries
+            retry_window.entries = placer.entries = view.entries
 
     async with (
         http_served(settings.ready_address, ready_routes(is_ready)),
--- a/damaskcroft/observe/metrics.py
+++ b/damaskcroft/observe/metrics.py
@@ -6,6 +6,10 @@
     "ADMISSION_OUTSTANDING",
     "ADMISSION_QUEUED",
     "ANSWERS",
+    "ANSWER_FIRST_S",
+    "ANSWER_GAP_S",
+    "ANSWER_QUEUED_S",
+    "ANSWER_WHOLE_S",
     "BURST_BYTES",
     "BURST_CHUNKS_CORRUPT",
     "BURST_SOURCE_FAILURES",
@@ -52,6 +56,22 @@
 TOKEN_GAP_S = Histogram(
     "damask_token_gap_seconds", "Time between body pieces", buckets=_SECONDS
 )
+ANSWER_QUEUED_S = Histogram(
+    "damask_answer_queued_seconds", "Arrival until a target's slot is had",
+    ["service"], buckets=_SECONDS,
+)  # fmt: skip
+ANSWER_FIRST_S = Histogram(
+    "damask_answer_first_seconds", "Arrival until the caller has something",
+    ["service"], buckets=_SECONDS,
+)  # fmt: skip
+ANSWER_GAP_S = Histogram(
+    "damask_answer_gap_seconds", "Longest pause in a streamed answer",
+    ["service"], buckets=_SECONDS,
+)  # fmt: skip
+ANSWER_WHOLE_S = Histogram(
+    "damask_answer_whole_seconds", "Arrival until the answer is whole",
+    ["service"], buckets=_SECONDS,
+)  # fmt: skip
 ADMISSION_QUEUED = Gauge("damask_queued", "Requests waiting", ["pool"])
 ADMISSION_OUTSTANDING = Gauge("damask_outstanding", "Requests running")
 GATE_REFUSALS = Counter(
--- a/damaskcroft/routing/__init__.py
+++ b/damaskcroft/routing/__init__.py
@@ -10,7 +10,7 @@
 from damaskcroft.routing._delays import AnswerDelays
 from damaskcroft.routing._line import Line, LineTicket, Overloaded, Turn
 from damaskcroft.routing._outliers import Outliers
-from damaskcroft.routing._placement import Candidate, Placement, Placer
+from damaskcroft.routing._placement import Candidate, Placement, Placer, Slot
 from damaskcroft.routing._pools import Pool, PoolTable, Target
 from damaskcroft.routing._retries import RetryBudget
 from damaskcroft.routing._retry_window import RetryWindow
@@ -33,6 +33,7 @@
     "RetryBudget",
     "RetryWindow",
     "SilenceWatch",
+    "Slot",
     "Target",
     "TargetChooser",
     "Ticket",
--- a/damaskcroft/routing/_line.py
+++ b/damaskcroft/routing/_line.py
@@ -13,13 +13,10 @@
 import dataclasses
 from collections.abc import Callable
 
-from damaskcroft.routing._placement import Candidate, Placement
+from damaskcroft.routing._placement import Candidate, Placement, Slot
 
 __all__ = ["Line", "Overloaded", "LineTicket", "Turn"]
 
-# A target with this many requests for each slot is full: more would wait
-# there, in the order in which they came.
-FULL = 1.0
 # Share of its time that a request waits here at most. A caller comes back
 # within a third of what it has left, and must then still be served.
 _WAIT_SHARE = 0.33
@@ -33,6 +30,12 @@
 _RATE_WINDOW_S = 2.0
 # Turns kept for that: ten times what an entry gives out in that time.
 _MAX_TURNS = 1000
+# With fewer of them nothing is known of the rate: right after a pause, or at a
+# start, the first few don't tell how many follow.
+_MIN_TURNS = 8
+# Turns given at one moment are taken to be spread over this time: what a full
+# target's passes take.
+_MIN_SPAN_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,6 +49,7 @@
         arrived_at: loop time of its arrival.
         goal_s: an answer within this time is in time.
         deadline_at: loop time of its final answer.
+        prompt_tokens: length of its prompt.
     """
 
     service: str
@@ -54,6 +58,7 @@
     arrived_at: float
     goal_s: float
     deadline_at: float
+    prompt_tokens: int = 0
 
     @property
     def in_time_until(self) -> float:
@@ -72,6 +77,7 @@
     """A slot was taken at a target for the request."""
 
     candidate: Candidate
+    slot: Slot
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -102,8 +108,7 @@
 
     Args:
         choose: the best target for a ticket now, or None if there is none.
-        take: takes a slot of a target for a request about to be sent.
-        give_back: gives a slot back that was taken in vain.
+        take: takes a slot of a target for a ticket's request.
         may_come: whether a target that can't serve a ticket now may soon, as
             when its weights are about to change; worth waiting for.
     """
@@ -111,13 +116,11 @@
     def __init__(
         self,
         choose: Callable[[LineTicket], Placement | None],
-        take: Callable[[str], None],
-        give_back: Callable[[str], None],
+        take: Callable[[Candidate, LineTicket], Slot],
         may_come: Callable[[LineTicket], bool] = lambda _: False,
     ):
         """Begins with nobody waiting."""
         self._may_come = may_come
-        self._give_back = give_back
         self._choose = choose
         self._take = take
         self._waiting_by_service: dict[str, list[_Waiting]] = {}
@@ -130,7 +133,7 @@
             placement = self._choose(ticket)
             if placement is None and not self._may_come(ticket):
                 return Overloaded("no_target", 0)
-            if placement is not None and placement.fullness < FULL:
+            if placement is not None and placement.has_room:
                 return self._given(ticket, placement)
         if self._foreseen_wait_s(ticket) > ticket.waits_until - _now_s():
             return Overloaded("overloaded", len(waiting))
@@ -152,7 +155,7 @@
             return
         outcome = joined.outcome.result()
         if isinstance(outcome, Turn):
-            self._give_back(outcome.candidate.id)
+            outcome.slot.give_back()
 
     def serve(self) -> None:
         """Gives free slots to those who wait; to be called when any may be."""
@@ -185,19 +188,19 @@
     ) -> Turn | Overloaded | None:
         """What the first in line is told now; None if it waits on."""
         placement = self._choose(ticket)
-        if placement is not None and placement.fullness < FULL:
+        if placement is not None and placement.has_room:
             return self._given(ticket, placement)
         if placement is None and not self._may_come(ticket):
             return Overloaded("no_target", waiting)
         return None
 
     def _given(self, ticket: LineTicket, placement: Placement) -> Turn:
-        self._take(placement.candidate.id)
+        slot = self._take(placement.candidate, ticket)
         turns = self._turns_by_service.setdefault(
             ticket.service, collections.deque(maxlen=_MAX_TURNS)
         )
         turns.append(_now_s())
-        return Turn(placement.candidate)
+        return Turn(placement.candidate, slot)
 
     def _foreseen_wait_s(self, ticket: LineTicket) -> float:
         """How long those before a ticket will take, at the present rate."""
@@ -209,10 +212,10 @@
         )
         turns = self._turns_by_service.get(ticket.service, ())
         recent = [at for at in turns if at >= now - _RATE_WINDOW_S]
-        if not recent:
-            # Nobody had a turn, so nothing is known of the rate.
+        if len(recent) < _MIN_TURNS:
             return 0.0
-        return before * _RATE_WINDOW_S / len(recent)
+        span_s = max(now - recent[0], _MIN_SPAN_S)
+        return before * span_s / len(recent)
 
 
 def _rank(ticket: LineTicket, now: float) -> tuple[float, ...]:
--- a/damaskcroft/routing/_placement.py
+++ b/damaskcroft/routing/_placement.py
@@ -3,6 +3,12 @@
 Written for targets that many entries share: each entry knows what it has
 sent itself, and what the others have sent only from the load that targets
 tell in their answers. Both together estimate how full a target is.
+
+An engine reads prompts one after another, before their first tokens, and
+between the tokens of all that it is writing. On heavy days requests were late
+for prompts that waited before theirs in the engine, not for want of slots. So
+an entry has few prompts unread at each engine, and the others wait in the
+line, where whoever can still be in time goes first.
 """
 
 import asyncio
@@ -12,7 +18,15 @@
 
 from damaskcroft.routing._outliers import Outliers
 
-__all__ = ["Candidate", "Placement", "Placer"]
+__all__ = ["Candidate", "Placement", "Placer", "Slot"]
+
+# A target with this many requests for each slot is full: more would wait
+# there, in the order in which they came.
+FULL = 1.0
+# Prompts that may be unread at one engine, as the time that it takes to read
+# them, over all entries: with the steps between which they are read, first
+# events come within a third of a second then.
+_MAX_UNREAD_S = 0.12
 
 # What a target told of its load holds for a while, since whoever ends is
 # replaced while a target is full: counted for less at once, each of four
@@ -33,6 +47,7 @@
         failure_domain: where it stands.
         region: region of its failure domain.
         slots: requests that it runs at once.
+        prompt_tokens_s: how fast it reads prompts; 0 where it reads none.
     """
 
     id: str
@@ -40,19 +55,54 @@
     failure_domain: str
     region: str
     slots: int
+    prompt_tokens_s: float = 0.0
 
 
 class _Load:
     """What this entry knows of one target's load."""
 
-    __slots__ = ("others", "outstanding", "told_at")
+    __slots__ = ("others", "outstanding", "told_at", "unread_tokens")
 
     def __init__(self) -> None:
         self.outstanding = 0
+        self.unread_tokens = 0
         self.others = 0.0
         self.told_at = float("-inf")
 
 
+class Slot:
+    """A request's place at a target, as its entry counts it."""
+
+    __slots__ = ("_is_taken", "_load", "_unread_tokens")
+
+    def __init__(self, load: _Load, prompt_tokens: int):
+        """Takes a place in `load`."""
+        self._load = load
+        self._unread_tokens = prompt_tokens
+        self._is_taken = True
+        load.outstanding += 1
+        load.unread_tokens += prompt_tokens
+
+    def read(self) -> bool:
+        """The target has read the prompt, since its answer has begun.
+
+        Returns:
+            Whether that is news.
+        """
+        if not self._unread_tokens:
+            return False
+        self._load.unread_tokens -= self._unread_tokens
+        self._unread_tokens = 0
+        return True
+
+    def give_back(self) -> None:
+        """The request has left the target; once is enough."""
+        self.read()
+        if self._is_taken:
+            self._is_taken = False
+            self._load.outstanding -= 1
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Placement:
     """A chosen target.
@@ -60,10 +110,12 @@
     Attributes:
         candidate: the target.
         fullness: its estimated load in slots; 1 means that all are taken.
+        has_room: whether a request sent now should soon be answered.
     """
 
     candidate: Candidate
     fullness: float
+    has_room: bool
 
 
 class Placer:
@@ -82,25 +134,37 @@
         self._outliers = outliers
         self._rng = rng or random.Random()
         self._loads_by_id: dict[str, _Load] = {}
+        # How many entries share the targets.
+        self.entries = 1
 
     def choose(
-        self, candidates: Iterable[Candidate], excluded: Collection[str]
+        self,
+        candidates: Iterable[Candidate],
+        excluded: Collection[str],
+        prompt_tokens: int = 0,
     ) -> Placement | None:
         """The best target, or None if every one is excluded.
 
-        Targets that are put aside after failures come last.
+        Targets that are put aside after failures come last, those without
+        room before them.
+
+        Args:
+            candidates: all that could run the request.
+            excluded: ids of those that it shall not be sent to.
+            prompt_tokens: length of its prompt.
         """
         best = None
         best_rank: tuple[float, ...] = ()
         for candidate in candidates:
             if candidate.id in excluded:
                 continue
-            rank = self._rank(candidate)
+            rank = self._rank(candidate, prompt_tokens)
             if best is None or rank < best_rank:
                 best, best_rank = candidate, rank
         if best is None:
             return None
-        return Placement(best, self.fullness(best))
+        has_room = self._has_room(best, prompt_tokens)
+        return Placement(best, self.fullness(best), has_room)
 
     def fullness(self, candidate: Candidate) -> float:
         """Estimated requests at a target for each of its slots."""
@@ -112,14 +176,9 @@
         others = load.others * 0.5 ** (stale_s / _REPORT_HALF_LIFE_S)
         return (load.outstanding + others) / max(1, candidate.slots)
 
-    def sent(self, target_id: str) -> None:
-        """Takes note of a request on its way to a target."""
-        self._load(target_id).outstanding += 1
-
-    def ended(self, target_id: str) -> None:
-        """Takes note that a request has left a target."""
-        load = self._load(target_id)
-        load.outstanding = max(0, load.outstanding - 1)
+    def take(self, candidate: Candidate, prompt_tokens: int = 0) -> Slot:
+        """Takes a place for a request that is about to be sent."""
+        return Slot(self._load(candidate.id), prompt_tokens)
 
     def told(self, target_id: str, requests: int) -> None:
         """Takes a target's own word on how many requests it has."""
@@ -136,11 +195,25 @@
     def _load(self, target_id: str) -> _Load:
         return self._loads_by_id.setdefault(target_id, _Load())
 
-    def _rank(self, candidate: Candidate) -> tuple[float, ...]:
+    def _has_room(self, candidate: Candidate, prompt_tokens: int) -> bool:
+        if self.fullness(candidate) >= FULL:
+            return False
+        load = self._loads_by_id.get(candidate.id)
+        if load is None or not load.unread_tokens:
+            return True
+        unread_tokens = load.unread_tokens + prompt_tokens
+        most_tokens = candidate.prompt_tokens_s * _MAX_UNREAD_S
+        return unread_tokens <= most_tokens / max(1, self.entries)
+
+    def _rank(
+        self, candidate: Candidate, prompt_tokens: int
+    ) -> tuple[float, ...]:
         aside = self._outliers.is_aside(candidate.id)
+        without_room = not self._has_room(candidate, prompt_tokens)
         # Steps of a tenth, so that distance decides between equals.
         fullness = round(self.fullness(candidate), 1)
-        return (aside, fullness, self._distance(candidate), self._rng.random())
+        distance = self._distance(candidate)
+        return (aside, without_room, fullness, distance, self._rng.random())
 
     def _distance(self, candidate: Candidate) -> int:
         if candidate.failure_domain == self._failure_domain:
--- a/damaskcroft/routing/tests/test_line.py
+++ b/damaskcroft/routing/tests/test_line.py
@@ -32,8 +32,7 @@
         self.placer = Placer("d", "r", Outliers(), random.Random(1))
         self.line = Line(
             lambda _: self.placer.choose(self.candidates, ()),
-            self.placer.sent,
-            self.placer.ended,
+            lambda candidate, ticket: self.placer.take(candidate),
         )
         self.slots = asyncio.Semaphore(SLOTS * count)
         self.in_time = self.late = self.refused = 0
@@ -41,14 +40,14 @@
 
     async def caller(self, ticket, use_line):
         loop = asyncio.get_running_loop()
-        target = None
+        slot = None
         if use_line:
             outcome = await self.line.turn(ticket)
             if isinstance(outcome, Overloaded):
                 self.refused += 1
                 self.refused_after.append(loop.time() - ticket.arrived_at)
                 return
-            target = outcome.candidate.id
+            slot = outcome.slot
         async with self.slots:
             await asyncio.sleep(FIRST_S)
             first_s = loop.time() - ticket.arrived_at
@@ -59,8 +58,8 @@
             self.in_time += 1
         else:
             self.late += 1
-        if target is not None:
-            self.placer.ended(target)
+        if slot is not None:
+            slot.give_back()
             self.line.serve()
 
 
@@ -117,10 +116,11 @@
 def test_urgent_kinds_come_first(loop):
     async def scenario():
         targets = Targets(1)
+        slots = []
         for _ in range(SLOTS):
-            assert isinstance(
-                await targets.line.turn(ticket(loop.time())), Turn
-            )
+            turn = await targets.line.turn(ticket(loop.time()))
+            assert isinstance(turn, Turn)
+            slots.append(turn.slot)
         served = []
 
         async def wait(priority):
@@ -129,8 +129,8 @@
 
         waiting = [asyncio.create_task(wait(p)) for p in (2, 1, 0, 1)]
         await asyncio.sleep(0.01)
-        for _ in range(4):
-            targets.placer.ended("t0")
+        for slot in slots:
+            slot.give_back()
             targets.line.serve()
             await asyncio.sleep(0.01)
         await asyncio.gather(*waiting)
@@ -163,8 +163,7 @@
         ready = list(targets.candidates)
         targets.line = Line(
             lambda _: targets.placer.choose(targets.candidates, ()),
-            targets.placer.sent,
-            targets.placer.ended,
+            lambda candidate, ticket: targets.placer.take(candidate),
             lambda _: bool(ready),
         )
         for _ in range(4):
@@ -189,17 +188,52 @@
 def test_a_caller_that_leaves_the_line_takes_no_slot(loop, at_its_turn):
     async def scenario():
         targets = Targets(1)
-        for _ in range(SLOTS):
-            await targets.line.turn(ticket(loop.time()))
+        turns = [
+            await targets.line.turn(ticket(loop.time())) for _ in range(SLOTS)
+        ]
         waiting = asyncio.create_task(targets.line.turn(ticket(loop.time())))
         await asyncio.sleep(0.01)
         if at_its_turn:
-            targets.placer.ended("t0")
+            turns[0].slot.give_back()
             targets.line.serve()
         waiting.cancel()
         await asyncio.gather(waiting, return_exceptions=True)
         if not at_its_turn:
-            targets.placer.ended("t0")
+            turns[0].slot.give_back()
         assert isinstance(await targets.line.turn(ticket(loop.time())), Turn)
 
     loop.run(scenario())
+
+
+def test_after_a_pause_the_first_turns_do_not_turn_others_away(loop):
+    """All targets come back at once, before thirty callers in line."""
+
+    async def scenario():
+        targets = Targets(4)
+        ready = list(targets.candidates)
+        targets.candidates.clear()
+        targets.line = Line(
+            lambda _: targets.placer.choose(targets.candidates, ()),
+            lambda candidate, ticket: targets.placer.take(candidate),
+            lambda _: True,
+        )
+        waiting = [
+            asyncio.create_task(targets.line.turn(ticket(loop.time())))
+            for _ in range(18)
+        ]
+        await asyncio.sleep(0.5)
+        targets.candidates.extend(ready[:1])
+        targets.line.serve()
+        later = [
+            asyncio.create_task(targets.line.turn(ticket(loop.time())))
+            for _ in range(10)
+        ]
+        await asyncio.sleep(0.05)
+        assert not any(task.done() for task in later)
+        targets.candidates.extend(ready[1:])
+        targets.line.serve()
+        for task in (*waiting, *later):
+            task.cancel()
+        await asyncio.gather(*waiting, *later, return_exceptions=True)
+
+    loop.run(scenario())
--- a/damaskcroft/routing/tests/test_placement.py
+++ b/damaskcroft/routing/tests/test_placement.py
@@ -3,7 +3,13 @@
 import asyncio
 import random
 
-from damaskcroft.routing import Candidate, Outliers, Placer
+from damaskcroft.routing import (
+    Candidate,
+    Line,
+    LineTicket,
+    Outliers,
+    Placer,
+)
 
 
 def candidate(name, domain="d", region="r"):
@@ -17,7 +23,7 @@
 def test_what_others_sent_counts_in_full_while_it_may_still_run(loop):
     async def scenario():
         placer = make_placer()
-        placer.sent("a")
+        placer.take(candidate("a"))
         placer.told("a", 10)
         await asyncio.sleep(0.7)
         assert placer.fullness(candidate("a")) == 1.0
@@ -35,7 +41,7 @@
         near, far = candidate("near"), candidate("far", "e", "s")
         assert placer.choose([far, near], ()).candidate is near
         for _ in range(3):
-            placer.sent("near")
+            placer.take(near)
         assert placer.choose([far, near], ()).candidate is far
         assert placer.choose([far, near], {"far"}).candidate is near
 
@@ -52,3 +58,106 @@
         assert placer.choose([near], ()).candidate is near
 
     loop.run(scenario())
+
+
+# --- Prompts that an engine has not read yet ---------------------------------
+
+
+def engine(name, domain="d", prompt_tokens_s=30_000.0):
+    return Candidate(name, f"x:{name}", domain, "r", 16, prompt_tokens_s)
+
+
+def test_an_engine_with_an_unread_prompt_has_no_room_for_another(loop):
+    """0.12 s of reading in all, over four entries: 900 tokens each."""
+
+    async def scenario():
+        placer = make_placer()
+        placer.entries = 4
+        near, far = engine("near"), engine("far", "e")
+        slot = placer.take(near, 800)
+        assert placer.choose([near, far], (), 800).candidate is far
+        assert placer.choose([near], (), 50).has_room
+        assert not placer.choose([near], (), 200).has_room
+        placer.take(far, 800)
+        assert not placer.choose([near, far], (), 800).has_room
+        assert slot.read()
+        assert not slot.read()
+        assert placer.choose([near, far], (), 800).candidate is near
+        assert placer.choose([near, far], (), 800).has_room
+
+    loop.run(scenario())
+
+
+def test_a_prompt_of_any_length_is_sent_to_an_engine_without_another(loop):
+    async def scenario():
+        placer = make_placer()
+        placer.entries = 15
+        assert placer.choose([engine("a")], (), 4000).has_room
+
+    loop.run(scenario())
+
+
+def test_a_slot_that_is_given_back_twice_counts_once(loop):
+    async def scenario():
+        placer = make_placer()
+        a = engine("a")
+        first, second = placer.take(a, 100), placer.take(a, 100)
+        first.give_back()
+        first.give_back()
+        assert placer.fullness(a) == 1 / 16
+        second.give_back()
+        assert placer.fullness(a) == 0.0
+
+    loop.run(scenario())
+
+
+class Engine:
+    """Reads prompts one after another; all share what entries send."""
+
+    def __init__(self):
+        self.reader = asyncio.Lock()
+
+    async def run(self, prompt_tokens):
+        async with self.reader:
+            await asyncio.sleep(prompt_tokens / 30_000)
+
+
+def test_after_a_change_of_weights_the_first_callers_are_in_time(loop):
+    """Sixty callers of four entries have waited for six engines.
+
+    Without the bound all prompts would be sent at once, ten to an engine, and
+    the last one's first event come after a third of a second.
+    """
+
+    async def scenario():
+        engines = {f"e{n}": Engine() for n in range(6)}
+        candidates = [engine(name) for name in engines]
+        first_after_s = []
+        begun = loop.time()
+
+        async def entry():
+            placer = make_placer()
+            placer.entries = 4
+            line = Line(
+                lambda t: placer.choose(candidates, (), t.prompt_tokens),
+                lambda c, t: placer.take(c, t.prompt_tokens),
+            )
+
+            async def caller():
+                now = loop.time()
+                ticket = LineTicket("s", "m", 1, now, 0.4, now + 6, 1000)
+                turn = await line.turn(ticket)
+                sent_at = loop.time()
+                await engines[turn.candidate.id].run(1000)
+                first_after_s.append(loop.time() - sent_at)
+                turn.slot.read()
+                line.serve()
+
+            await asyncio.gather(*(caller() for _ in range(15)))
+
+        await asyncio.gather(*(entry() for _ in range(4)))
+        assert max(first_after_s) < 0.15
+        # Nothing is lost by it: the engines read all the time.
+        assert loop.time() - begun < 1.3 * 60 * 1000 / 30_000 / 6
+
+    loop.run(scenario())
