Logs on standard output, bounded; damaskctl why

Each attempt (sent, attempt_failed) and each outcome (answered, answered_late, refused, answer_broken_off, caller_left) is a line with the request's id, what decided it and its age.

--- a/damaskcroft/ctl/main.py
+++ b/damaskcroft/ctl/main.py
@@ -18,7 +18,7 @@
 
 from damaskcroft._generated import control_pb2, settings_pb2
 from damaskcroft.config import settings_or_exit
-from damaskcroft.ctl import _views
+from damaskcroft.ctl import _views, _why
 from damaskcroft.ctl._client import ControlClient, NoAnswer
 from damaskcroft.rpc import ChannelPool, KeysError, load_keys
 from damaskcroft.weights import build_manifest, manifest_digest
@@ -143,6 +143,26 @@
         print(line)
 
 
+@app.command()
+def why(
+    request_id: str,
+    logs: Annotated[
+        list[pathlib.Path], typer.Argument(help="log files of any processes")
+    ],
+) -> None:
+    """Tells from collected logs what became of one request, and why."""
+    lines: list[str] = []
+    for path in logs:
+        try:
+            lines += path.read_text(errors="replace").splitlines()
+        except OSError as error:
+            _fail(f"{path}: {error}", _EXIT_USAGE)
+    told = _why.story(request_id, _why.parsed(lines))
+    if not told:
+        _fail(f"no line of these logs names {request_id}", _EXIT_REFUSED)
+    print("\n".join(told))
+
+
 @app.command()
 def manifest(
     folder: Annotated[pathlib.Path, typer.Argument(help="model folder")],
--- a/damaskcroft/fleet/_view.py
+++ b/damaskcroft/fleet/_view.py
@@ -41,6 +41,12 @@
         self.control_addresses: tuple[str, ...] = ()
         self.entries = 1
         self._listeners: list[Callable[[fleet_pb2.FleetUpdate], None]] = []
+        self._heard_at = -math.inf
+
+    @property
+    def heard_s_ago(self) -> float:
+        """How long no control node has been heard; the age of all this."""
+        return now_s() - self._heard_at
 
     @property
     def version(self) -> int:
@@ -84,6 +90,7 @@
 
     def apply_update(self, update: fleet_pb2.FleetUpdate) -> None:
         """Takes goals, targets and agents from a control node's update."""
+        self._heard_at = now_s()
         for goal in update.goals:
             self._take_goal(goal)
         self.take(update.targets, update.agents)
--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -129,7 +129,7 @@
         except TimeoutError:
             ending = given_up("deadline", progress)
         if isinstance(ending, Gave):
-            _tell_pace(job, progress)
+            _tell_pace(job, progress, ending.status)
         return ending
 
     async def _try_targets(
@@ -213,6 +213,7 @@
             last_event_id=progress.last_event_id,
             weights_version=0,
         )
+        self._tell_sent(job, progress, target)
         place = Place(target.id, target.address)
         ran_before = progress.may_have_run
         progress.may_have_run = True
@@ -264,6 +265,22 @@
         self._note_load(sending.target, begun.facts)
         return await self._relay.give(sending, begun)
 
+    def _tell_sent(
+        self, job: Job, progress: Progress, target: Candidate
+    ) -> None:
+        log_event(
+            "sent",
+            request=job.call.request_id,
+            target=target.id,
+            address=target.address,
+            attempt=progress.sent + 1,
+            service=job.service,
+            left_s=self._left_s(job),
+            fullness=self._placer.fullness(target),
+            answer_delay_s=self._delays.quickest_s(target.id),
+            after_event=progress.last_event_id,
+        )
+
     def _judge(
         self,
         job: Job,
@@ -312,8 +329,8 @@
         return job.deadline_at - _now_s()
 
 
-def _tell_pace(job: Job, progress: Progress) -> None:
-    """Histograms of all answers, and a line for each that came late."""
+def _tell_pace(job: Job, progress: Progress, status: int) -> None:
+    """Histograms and a line of each answer that was given whole."""
     pace = progress.pace
     service = job.service
     metrics.ANSWER_QUEUED_S.labels(service).observe(pace.queued_s)
@@ -321,20 +338,20 @@
         metrics.ANSWER_FIRST_S.labels(service).observe(pace.first_s)
     if job.route.streaming:
         metrics.ANSWER_GAP_S.labels(service).observe(pace.longest_gap_s)
-    metrics.ANSWER_WHOLE_S.labels(service).observe(
-        _now_s() - job.call.arrived_at
+    whole_s = _now_s() - job.call.arrived_at
+    metrics.ANSWER_WHOLE_S.labels(service).observe(whole_s)
+    log_event(
+        "answered_late" if pace.is_late(job.route) else "answered",
+        request=job.call.request_id,
+        status=status,
+        service=service,
+        queued_s=pace.queued_s,
+        first_s=pace.first_s,
+        longest_gap_s=pace.longest_gap_s,
+        whole_s=whole_s,
+        targets=progress.sent,
+        prompt_tokens=job.call.prompt_tokens,
     )
-    if pace.is_late(job.route):
-        log_event(
-            "answered_late",
-            request=job.call.request_id,
-            service=service,
-            queued_s=pace.queued_s,
-            first_s=pace.first_s,
-            longest_gap_s=pace.longest_gap_s,
-            targets=progress.sent,
-            prompt_tokens=job.call.prompt_tokens,
-        )
 
 
 def _now_s() -> float:
--- a/damaskcroft/forwarding/_gate.py
+++ b/damaskcroft/forwarding/_gate.py
@@ -189,6 +189,7 @@
             route=job.route.name if job else "",
             service=job.service if job else "",
             configuration=self._view.version,
+            heard_s=self._view.heard_s_ago,
             retry_after_s=wait_s,
         )
         headers = self._wire.refusal_headers(request_id, wait_s)
--- a/damaskcroft/forwarding/tests/fakes.py
+++ b/damaskcroft/forwarding/tests/fakes.py
@@ -195,12 +195,16 @@
 class Entry:
     """An entry's request path, without its control."""
 
-    def __init__(self, view, gate, placer, address):
+    def __init__(self, view, gate, placer, services, address):
         self.view = view
+        self.services = services
         self.gate = gate
         self.placer = placer
         self.address = address
 
+    def candidates(self):
+        return self.services.candidates("s", "")
+
     async def connect(self):
         host, _, port = self.address.rpartition(":")
         return await asyncio.open_connection(host, port)
@@ -245,9 +249,10 @@
     placer = Placer("d", "r", outliers)
     wire = PlainWire()
     delays = AnswerDelays()
+    services = Services(view, {}, weights_s, delays.quickest_s)
     forwarder = Forwarder(
         wire,
-        Services(view, {}, weights_s, delays.quickest_s),
+        services,
         placer,
         outliers,
         ConnectionPool(),
@@ -258,7 +263,7 @@
     watching = asyncio.create_task(forwarder.run())
     gate = EntryGate(wire, view, forwarder)
     async with callers_served("127.0.0.1:0", gate) as connections:
-        yield Entry(view, gate, placer, connections.address)
+        yield Entry(view, gate, placer, services, connections.address)
     watching.cancel()
     for server in servers:
         server.close()
--- /dev/null
+++ b/damaskcroft/forwarding/tests/features/explained.feature
@@ -0,0 +1,28 @@
+Feature: On-call engineers find a request's cause from its id
+
+  A caller complains and gives the id of a request. Nothing but the processes'
+  logs tells what became of it.
+
+  Scenario: A request is refused while every target is full
+    Given a target whose only slot is taken
+    When a caller asks and is refused
+    Then the cause names "every target of s was full"
+    And it says when the caller was to come back
+
+  Scenario: A request that runs once is lost with its target
+    Given a target that breaks off without an answer
+    When a caller asks and is told that it may have run
+    Then the cause names "target a at"
+    And the cause names "no_answer"
+
+  Scenario: A stream is lost in its middle with its target
+    Given a target that breaks off in the middle of its events
+    When a caller asks for events and gets some
+    Then the cause names "the answer had begun and was broken off"
+    And the cause names "stream_cut"
+
+  Scenario: A request is refused by an entry with an old configuration
+    Given an entry that has not heard of the newest routes
+    When a caller asks on a new route and hears that there is none
+    Then the cause names "configuration 1 of"
+    And the cause names "has no such route"
--- /dev/null
+++ b/damaskcroft/forwarding/tests/test_explained.py
@@ -0,0 +1,138 @@
+"""Steps of features/explained.feature: from a request's id to its cause."""
+
+import asyncio
+import logging
+
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from damaskcroft.ctl._why import parsed, story
+from damaskcroft.forwarding.tests.fakes import (
+    FakeTarget,
+    configuration,
+    entry_before,
+    route,
+)
+
+scenarios("features/explained.feature")
+
+
+class Collector(logging.Handler):
+    """Lines as they would stand in a log file."""
+
+    def __init__(self):
+        super().__init__()
+        self.lines = []
+
+    def emit(self, record):
+        time = f"2026-01-01T10:00:00.{len(self.lines):03d}"
+        message = record.getMessage()
+        self.lines.append(f"time={time} process=entry-1 {message}")
+
+
+@pytest.fixture
+def logs():
+    collector = Collector()
+    logger = logging.getLogger("absl")
+    level = logger.level
+    logger.addHandler(collector)
+    logger.setLevel(logging.INFO)
+    yield collector.lines
+    logger.removeHandler(collector)
+    logger.setLevel(level)
+
+
+@pytest.fixture
+def made():
+    """What an entry is made of, and what a caller heard."""
+    return {}
+
+
+@given("a target whose only slot is taken")
+def taken(made):
+    made["targets"] = [FakeTarget("a", "whole")]
+    made["config"] = configuration(1, route(timeout_ms=300))
+    made["taken"] = 4
+
+
+@given("a target that breaks off without an answer")
+def breaks_off(made):
+    made["targets"] = [FakeTarget("a", "silent_close")]
+    made["config"] = configuration(1, route())
+
+
+@given("a target that breaks off in the middle of its events")
+def cuts(made):
+    made["targets"] = [FakeTarget("a", "stream_cut")]
+    made["config"] = configuration(1, route(streaming=True))
+
+
+@given("an entry that has not heard of the newest routes")
+def old(made):
+    made["targets"] = [FakeTarget("a", "whole")]
+    made["config"] = configuration(1, route(path_prefix="/old/"))
+
+
+def ask(made, path="/a"):
+    async def scenario():
+        async with entry_before(
+            *made["targets"], config=made["config"]
+        ) as entry:
+            placed = entry.placer.choose(entry.candidates(), ())
+            for _ in range(made.get("taken", 0)):
+                entry.placer.take(placed.candidate)
+            made["status"], made["head"], made["body"] = await entry.ask(
+                path, x_id="complaint-1"
+            )
+
+    asyncio.run(scenario())
+
+
+@when("a caller asks and is refused")
+def refused(made, logs):
+    ask(made)
+    assert made["status"] == 503
+
+
+@when("a caller asks and is told that it may have run")
+def may_have_run(made, logs):
+    ask(made)
+    assert made["status"] == 502
+
+
+@when("a caller asks for events and gets some")
+def some_events(made, logs):
+    ask(made)
+    assert made["status"] == 200
+    assert b"id: 3" in made["body"]
+
+
+@when("a caller asks on a new route and hears that there is none")
+def no_route(made, logs):
+    ask(made, "/new/x")
+    assert made["status"] == 404
+
+
+@then(parsers.parse('the cause names "{words}"'))
+def cause_names(words, logs):
+    told = story("complaint-1", parsed(logs))
+    assert told[-1].startswith("cause: ")
+    assert words in told[-1]
+
+
+@then("it says when the caller was to come back")
+def come_back(made, logs):
+    wait_s = made["head"].split("retry-after: ")[1].split("\r\n")[0]
+    told = story("complaint-1", parsed(logs))
+    said_s = told[-1].split("come back in ")[1].removesuffix(" s")
+    assert round(float(said_s), 2) == float(wait_s)
+
+
+def test_lines_with_anything_before_them_and_quotes_are_read():
+    text = (
+        " 12.5 front time=2026-01-01T10:00:00.000 process=p event=e"
+        ' a="b \\"c" d=1'
+    )
+    (line,) = parsed([text, "nonsense"])
+    assert line.fields == {"a": 'b "c', "d": "1"}
+    assert story("unknown", [line]) == []
--- a/damaskcroft/observe/_logs.py
+++ b/damaskcroft/observe/_logs.py
@@ -1,27 +1,51 @@
-"""One line of key=value pairs for each event, by absl.logging."""
+"""One line of key=value pairs for each event, by absl.logging.
 
+Lines go to standard output; see `_writer` and `_budget` for how they are kept
+from holding anything up and from growing without bound.
+"""
+
+import atexit
 import json
 import logging as standard_logging
 
 from absl import flags, logging
 
+from damaskcroft.observe._budget import LineBudget
+from damaskcroft.observe._writer import LineWriter
+
 _NEEDS_QUOTES = frozenset(' "=\n\t')
+_budget = LineBudget()
+
+
+class _Handler(standard_logging.Handler):
+    """Hands formatted lines to the writer."""
+
+    def __init__(self, writer: LineWriter):
+        super().__init__()
+        self._writer = writer
+
+    def emit(self, record: standard_logging.LogRecord) -> None:
+        self._writer.write(self.format(record))
 
 
 def start_logs(process: str) -> None:
-    """Sends events to standard error, each with the process's name."""
+    """Sends events to standard output, each with the process's name."""
     # Settings come from INI files; the library waits for flags otherwise.
     flags.FLAGS.mark_as_parsed()
-    logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
-    logging.set_stderrthreshold(logging.INFO)
-    handler = logging.get_absl_handler()
+    writer = LineWriter()
+    atexit.register(writer.close)
+    handler = _Handler(writer)
     handler.setFormatter(
         standard_logging.Formatter(
             f"time=%(asctime)s.%(msecs)03d process={process} %(message)s",
             datefmt="%Y-%m-%dT%H:%M:%S",
         )
     )
+    root = standard_logging.getLogger()
+    for other in list(root.handlers):
+        root.removeHandler(other)
+    root.addHandler(handler)
     # Libraries log in prose; only their warnings matter to operators.
     for name in ("uvicorn", "grpclib", "transitions", "asyncio", "h2", "hpack"):
         standard_logging.getLogger(name).setLevel(standard_logging.ERROR)
@@ -30,11 +54,18 @@
 def log_event(event: str, **fields: object) -> None:
     """Logs one event.
 
+    Of one event no more than some lines a second are written; what is left
+    out is counted by the field `reason` and told a second later.
+
     Args:
         event: the event's fixed name.
         **fields: its details; text that needs it is quoted as JSON.
     """
-    logging.info("%s", _line(event, fields))
+    for name, reason, count in _budget.over():
+        summed = {"of": name, "reason": reason, "count": count}
+        logging.info("%s", _line("log_lines_summed", summed))
+    if _budget.takes(event, fields.get("reason", "")):
+        logging.info("%s", _line(event, fields))
 
 
 def log_warning(event: str, **fields: object) -> None:
--- a/damaskcroft/routing/_outliers.py
+++ b/damaskcroft/routing/_outliers.py
@@ -56,4 +56,6 @@
 
     def succeeded(self, target_id: str) -> None:
         """Clears a target."""
-        self._records_by_id.pop(target_id, None)
+        record = self._records_by_id.pop(target_id, None)
+        if record is not None and record.until > float("-inf"):
+            log_event("target_back", target=target_id)
