--- a/damaskcroft/forwarding/_attempt.py
+++ b/damaskcroft/forwarding/_attempt.py
@@ -5,6 +5,7 @@
 import dataclasses
 from collections.abc import AsyncIterator, Callable
 
+from damaskcroft.clock import now_s
 from damaskcroft.forwarding._call import AnswerFacts, Call, Passing, Wire
 from damaskcroft.http1 import (
     ConnectionPool,
@@ -15,7 +16,18 @@
     TargetConnection,
 )
 
-__all__ = ["Answered", "Attempt", "Lost", "NotRun", "NotSent", "attempt"]
+__all__ = [
+    "TOO_LATE",
+    "Answered",
+    "Attempt",
+    "Lost",
+    "NotRun",
+    "NotSent",
+    "attempt",
+]
+
+# Why nothing was sent over a connection that was had: no fault of the target.
+TOO_LATE = "too_late_for_its_weights"
 
 # Several round trips between regions, with a packet lost and sent again.
 _CONNECT_TIMEOUT_S = 0.5
@@ -56,8 +68,19 @@
 class Attempt:
     """A request that is being sent to one target."""
 
-    __slots__ = ("_call", "_connection", "_given_up", "_heard", "_passing",
-                 "_place", "_pool", "_wire", "begun", "finished")  # fmt: skip
+    __slots__ = (
+        "_call",
+        "_connection",
+        "_given_up",
+        "_heard",
+        "_may_send",
+        "_passing",
+        "_place",
+        "_pool",
+        "_wire",
+        "begun",
+        "finished",
+    )
 
     def __init__(
         self,
@@ -67,6 +90,7 @@
         call: Call,
         passing: Passing,
         heard: Callable[[], None],
+        may_send: Callable[[float], bool],
     ):
         """Prepares an attempt; `begin` sends it.
 
@@ -77,8 +101,11 @@
             call: the caller's request.
             passing: what this attempt says beyond it.
             heard: called whenever something comes from the target.
+            may_send: asked right before the first byte is sent, with the
+                seconds that connecting took: much may have changed by then.
         """
         self._heard = heard
+        self._may_send = may_send
         self._given_up = ""
         self._wire = wire
         self._pool = pool
@@ -94,6 +121,7 @@
     async def begin(self) -> NotSent | NotRun | Lost | Answered:
         """Sends the request and reads the head of its answer."""
         connection = self._pool.idle(self._place)
+        began_at = now_s()
         if connection is None:
             try:
                 connection = await self._pool.opened(
@@ -102,6 +130,9 @@
             except OSError as error:
                 return NotSent(_connect_reason(error))
         self._connection = connection
+        if not self._may_send(now_s() - began_at):
+            self.finished = True
+            return NotSent(TOO_LATE)
         headers = self._wire.target_headers(self._call, self._passing)
         try:
             await connection.send(
@@ -177,9 +208,10 @@
     call: Call,
     passing: Passing,
     heard: Callable[[], None],
+    may_send: Callable[[float], bool] = lambda _: True,
 ) -> AsyncIterator[Attempt]:
     """One attempt; whatever ends the block also ends the target's work."""
-    made = Attempt(wire, pool, place, call, passing, heard)
+    made = Attempt(wire, pool, place, call, passing, heard, may_send)
     try:
         yield made
     finally:
--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 
 from damaskcroft.forwarding._attempt import (
+    TOO_LATE,
     Answered,
     Lost,
     NotRun,
@@ -227,6 +228,9 @@
                 job.call,
                 passing,
                 lambda: self._silence.heard(target.id),
+                lambda connect_s: self._services.may_begin(
+                    job.service, job.call.model, target.id, connect_s
+                ),
             ) as made:
                 sending = Sending(
                     job, answer, progress, target, turn.slot, made
@@ -293,7 +297,8 @@
                 progress.sent -= 1
                 progress.unsent += 1
                 progress.last = outcome
-                self._outliers.failed(target.id, certain=True)
+                if reason != TOO_LATE:
+                    self._outliers.failed(target.id, certain=True)
             case NotRun(status=status, facts=facts):
                 progress.last = outcome
                 reason = f"not_run_{status}"
--- a/damaskcroft/forwarding/_services.py
+++ b/damaskcroft/forwarding/_services.py
@@ -74,19 +74,41 @@
         staying = [s for s in serving if not self._is_switching(s)]
         return [self._candidate(state) for state in staying or serving]
 
+    def may_begin(
+        self, service: str, model: str, target_id: str, connect_s: float
+    ) -> bool:
+        """Whether a request sent to a target now may still begin there.
+
+        Args:
+            service: the target's.
+            model: what the request asks for; empty for plain services.
+            target_id: the target.
+            connect_s: how long connecting to it has just taken.
+        """
+        if not model or not self._weights_s:
+            return True
+        least = self._least_version(model, target_id, connect_s)
+        if not least:
+            return True
+        self._refresh()
+        return any(
+            state.id == target_id and self._serves(state, model, least)
+            for state in self._states_by_service.get(service, [])
+        )
+
     def has_ready(self, service: str) -> bool:
         """Whether a service has ready targets, whatever weights they hold."""
         self._refresh()
         return bool(self._states_by_service.get(service))
 
-    def _least_version(self, model: str, target_id: str) -> int:
+    def _least_version(
+        self, model: str, target_id: str, connect_s: float = 0.0
+    ) -> int:
         """The oldest version that a request sent now may begin on."""
         if not self._weights_s:
             return 0
-        margin_s = (
-            _DELAYS_KEPT_BACK * self._answer_delay_s(target_id)
-            + _WAIT_AT_TARGET_S
-        )
+        delay_s = max(self._answer_delay_s(target_id), connect_s)
+        margin_s = _DELAYS_KEPT_BACK * delay_s + _WAIT_AT_TARGET_S
         margin_s = min(max(margin_s, _VERSION_MARGIN_S), _MAX_VERSION_MARGIN_S)
         return self._view.due_version(model, self._weights_s - margin_s)
 
--- a/damaskcroft/forwarding/tests/test_forwarding.py
+++ b/damaskcroft/forwarding/tests/test_forwarding.py
@@ -292,6 +292,24 @@
     asyncio.run(scenario())
 
 
+def test_nothing_is_sent_when_connecting_took_too_long_for_old_weights():
+    """No byte has left, so even what runs once may go elsewhere."""
+
+    async def scenario():
+        old, new = FakeTarget("old", "whole"), FakeTarget("new", "whole")
+        config = configuration(1, route())
+        async with entry_before(old, new, config=config) as entry:
+            entry.services.may_begin = lambda s, m, target_id, c: (
+                target_id == "new"
+            )
+            for _ in range(8):
+                assert (await entry.ask())[0] == 200
+            assert old.heads == []
+            assert len(new.heads) == 8
+
+    asyncio.run(scenario())
+
+
 # --- Configuration ---------------------------------------------------------
 
 
--- a/damaskcroft/forwarding/tests/test_services.py
+++ b/damaskcroft/forwarding/tests/test_services.py
@@ -47,3 +47,17 @@
         assert ids(services) == set()
 
     asyncio.run(scenario())
+
+
+def test_connecting_that_took_long_makes_a_request_too_late():
+    async def scenario():
+        view = FleetView()
+        view.take([target("a", 1)])
+        services = Services(view, {}, 8.0)
+        goal = fleet_pb2.WeightGoal(model="m", version=2, age_ms=7300)
+        view.apply_update(fleet_pb2.FleetUpdate(goals=[goal]))
+        assert services.may_begin("s", "m", "a", 0.01)
+        assert not services.may_begin("s", "m", "a", 0.4)
+        assert services.may_begin("s", "", "a", 0.4)
+
+    asyncio.run(scenario())
--- a/damaskcroft/hosted/entry.py
+++ b/damaskcroft/hosted/entry.py
@@ -51,8 +51,13 @@
         lambda: fleet_pb2.WatchRequest(name=settings.name, is_entry=True),
     )
     outliers = Outliers()
-    placer = Placer(settings.failure_domain, settings.region, outliers)
     delays = AnswerDelays()
+    placer = Placer(
+        settings.failure_domain,
+        settings.region,
+        outliers,
+        answer_delay_s=delays.quickest_s,
+    )
     services = Services(
         view,
         settings.region_by_domain,
--- a/damaskcroft/routing/_delays.py
+++ b/damaskcroft/routing/_delays.py
@@ -13,9 +13,12 @@
 
 __all__ = ["AnswerDelays"]
 
-# Answers of so long ago are remembered: a loaded target gives each of a dozen
+# Answers of so long ago tell of now: a loaded target gives each of a dozen
 # entries at least one answer in this time.
 _WINDOW_S = 2.0
+# A target that got nothing lately, perhaps since it was slow, is taken to be as
+# it was for this long: links and machines stay slow for some seconds.
+_MEMORY_S = 10.0
 # Answers kept of each target; the quickest of them counts.
 _KEPT = 8
 
@@ -75,17 +78,23 @@
         """The quickest of a target's last answers, in seconds.
 
         Without one, the longest that a request has waited for an answer or
-        had when it was given up; 0 for a target of which nothing is known.
+        had when it was given up, or the quickest of older answers if that is
+        longer; 0 for a target of which nothing is known.
         """
         seen = self._seen_by_id.get(target_id)
         if seen is None:
             return 0.0
         now = _now_s()
-        answers = _recent(seen.answers, now)
+        answers = _since(seen.answers, now - _WINDOW_S)
         if answers:
             return min(answers)
         oldest_at = next(iter(seen.unanswered.values()), now)
-        return max([now - oldest_at, *_recent(seen.given_up, now)])
+        older = _since(seen.answers, now - _MEMORY_S)
+        return max(
+            now - oldest_at,
+            *_since(seen.given_up, now - _MEMORY_S),
+            min(older, default=0.0),
+        )
 
     def forget_all_but(self, target_ids: Collection[str]) -> None:
         """Drops what is known of targets that are gone."""
@@ -94,10 +103,10 @@
                 del self._seen_by_id[target_id]
 
 
-def _recent(
-    waits: collections.deque[tuple[float, float]], now: float
+def _since(
+    waits: collections.deque[tuple[float, float]], begin: float
 ) -> list[float]:
-    return [took_s for at, took_s in waits if now - at < _WINDOW_S]
+    return [took_s for at, took_s in waits if at > begin]
 
 
 def _now_s() -> float:
--- a/damaskcroft/routing/_placement.py
+++ b/damaskcroft/routing/_placement.py
@@ -14,7 +14,7 @@
 import asyncio
 import dataclasses
 import random
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from damaskcroft.routing._outliers import Outliers
 
@@ -28,6 +28,10 @@
 # events come within a third of a second then.
 _MAX_UNREAD_S = 0.12
 
+# A target whose quickest answers take this long is behind a narrow link, or on
+# a slow machine: others with room go before it. Goals for first events are
+# below it, and answers of a full engine are quicker.
+_SLOW_S = 0.5
 # What a target told of its load holds for a while, since whoever ends is
 # replaced while a target is full: counted for less at once, each of four
 # entries sent a third too much to full targets. Held for a whole second, as
@@ -127,8 +131,18 @@
         region: str,
         outliers: Outliers,
         rng: random.Random | None = None,
+        answer_delay_s: Callable[[str], float] = lambda _: 0.0,
     ):
-        """Chooses for an entry in a failure domain of a region."""
+        """Chooses for an entry in a failure domain of a region.
+
+        Args:
+            failure_domain: the entry's.
+            region: the entry's.
+            outliers: targets that failed.
+            rng: decides between equals.
+            answer_delay_s: how soon a target answers, by its id.
+        """
+        self._answer_delay_s = answer_delay_s
         self._failure_domain = failure_domain
         self._region = region
         self._outliers = outliers
@@ -210,10 +224,18 @@
     ) -> tuple[float, ...]:
         aside = self._outliers.is_aside(candidate.id)
         without_room = not self._has_room(candidate, prompt_tokens)
+        slow = self._answer_delay_s(candidate.id) > _SLOW_S
         # Steps of a tenth, so that distance decides between equals.
         fullness = round(self.fullness(candidate), 1)
         distance = self._distance(candidate)
-        return (aside, without_room, fullness, distance, self._rng.random())
+        return (
+            aside,
+            without_room,
+            slow,
+            fullness,
+            distance,
+            self._rng.random(),
+        )
 
     def _distance(self, candidate: Candidate) -> int:
         if candidate.failure_domain == self._failure_domain:
--- a/damaskcroft/routing/tests/test_placement.py
+++ b/damaskcroft/routing/tests/test_placement.py
@@ -60,6 +60,19 @@
     loop.run(scenario())
 
 
+def test_a_target_that_answers_late_is_taken_when_no_other_has_room(loop):
+    async def scenario():
+        delays = {"near": 0.9, "far": 0.1}
+        placer = Placer("d", "r", Outliers(), random.Random(1), delays.get)
+        near, far = candidate("near"), candidate("far", "e", "s")
+        assert placer.choose([near, far], ()).candidate is far
+        for _ in range(10):
+            placer.take(far)
+        assert placer.choose([near, far], ()).candidate is near
+
+    loop.run(scenario())
+
+
 # --- Prompts that an engine has not read yet ---------------------------------
 
 
--- a/damaskcroft/weights/_peers.py
+++ b/damaskcroft/weights/_peers.py
@@ -192,6 +192,10 @@
 ) -> agent_pb2.ChunkPart | PeerNotYet | None:
     """The next message; PeerNotYet if it is better to ask elsewhere."""
     receiving = asyncio.ensure_future(stream.recv_message())
+    # It may fail at the moment at which nobody waits for it any more.
+    receiving.add_done_callback(
+        lambda done: done.cancelled() or done.exception()
+    )
     try:
         while True:
             done, _ = await asyncio.wait([receiving], timeout=_LOOK_EVERY_S)
