An agent that restarts midway takes back what it had put

Change: chunks are put as they come; the first staging of a process reads every piece at the target, beside the burst.

--- a/damaskcroft/agent/_fleet_stager.py
+++ b/damaskcroft/agent/_fleet_stager.py
@@ -36,9 +36,9 @@
 _LOOK_EVERY_S = 0.05
 _RETRY_S = 0.2
 _PLANNER = "latin"
-# Pieces at the target that don't fit, before it is taken to hold another
-# version; fewer might just be spoilt.
-_MAX_WRONG = 4
+# How often it is looked whether chunks have come that are to be put: a chunk
+# takes longer than this on any link in use.
+_PUT_EVERY_S = 0.02
 # What was right at the target so long ago may be ordered without another look.
 _CHECKED_FOR_S = 1.0
 # Other readings of a manifest that outweigh one's own.
@@ -94,6 +94,7 @@
         self._options = options
         self._rng = random.Random(own.state.address)
         self._put: set[int] = set()
+        self._has_recovered = False
         self.counts = BurstCounts()
         # Held while a piece is put, and by whoever orders that all be loaded:
         # the target loads what lies there at the moment of the order.
@@ -216,6 +217,7 @@
             self.counts,
         )
         self._plan(burst)
+        recovering = asyncio.create_task(self._take_from_target(version))
         putting = asyncio.create_task(self._put_as_they_come(version))
         planning = asyncio.create_task(self._plan_when_known(burst))
         fetching = asyncio.create_task(self._fetch_whole(burst, version))
@@ -230,7 +232,7 @@
             await fetching
             await putting
         finally:
-            tasks = (planning, putting, confirming, fetching)
+            tasks = (planning, recovering, putting, confirming, fetching)
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
@@ -316,29 +318,37 @@
         return None
 
     async def _take_from_target(self, version: StagedVersion) -> None:
-        """Takes what already lies at the target, checked by digest."""
-        wrong = 0
+        """Takes what a former process of this agent put at the target.
+
+        Checked by digest, since pieces of another version, or spoilt ones,
+        may lie among them. Once this process has staged anything, it knows
+        what lies there.
+        """
+        if self._has_recovered:
+            return
         for index, held in enumerate(version.held):
             if held:
                 continue
             data = await self._engine.get_piece(version.manifest.model, index)
-            if data is None or wrong == _MAX_WRONG:
-                return
-            if version.write_chunk(index, data):
+            if data is not None and version.write_chunk(index, data):
                 self._put.add(index)
                 self.counts.local_bytes += len(data)
-            else:
-                wrong += 1
+        self._has_recovered = True
 
     async def _put_as_they_come(self, version: StagedVersion) -> None:
-        for index in range(len(version.held)):
-            while not await version.wait_for_chunk(index, _RETRY_S):
-                pass
-            while index not in self._put:
+        """Puts chunks in any order, so that a restart loses few of them."""
+        while len(self._put) < len(version.held):
+            arrived = [
+                index
+                for index, held in enumerate(version.held)
+                if held and index not in self._put
+            ]
+            for index in arrived:
                 if await self._put_piece(version, index):
                     self._put.add(index)
                 else:
                     await asyncio.sleep(_RETRY_S)
+            await asyncio.sleep(_PUT_EVERY_S)
 
     async def _put_piece(self, version: StagedVersion, index: int) -> bool:
         data = version.read_chunk(index)
--- a/damaskcroft/agent/tests/test_fleet_stager.py
+++ b/damaskcroft/agent/tests/test_fleet_stager.py
@@ -164,6 +164,36 @@
     assert target.pieces[3] == CHUNKS[3]
 
 
+def test_an_agent_that_restarts_midway_finds_what_it_had_put(loop, made):
+    """Old pieces lie between new ones, in whatever order these came."""
+    view, origin, target, stager = made
+    target.pieces = {
+        index: data if index % 2 else b"of version 1"
+        for index, data in enumerate(CHUNKS)
+    }
+    name(loop, view)
+    run_for(loop, stager, 5)
+    assert stager.staged == Wanted("m", 2)
+    assert origin.reads == len(CHUNKS) / 2
+    assert [target.pieces[index] for index in range(8)] == CHUNKS
+
+
+def test_chunks_are_put_as_they_come_not_in_their_order(loop, made):
+    view, origin, target, stager = made
+    fetch = origin.fetch_chunk
+
+    async def first_comes_last(path, wanted, index):
+        if index == 0:
+            await asyncio.sleep(2)
+        return await fetch(path, wanted, index)
+
+    origin.fetch_chunk = first_comes_last
+    stager._options = BurstOptions(in_step=False, parallel_outside=2)
+    name(loop, view)
+    run_for(loop, stager, 1)
+    assert sorted(target.pieces) == list(range(1, 8))
+
+
 def test_a_target_that_is_not_up_yet_is_waited_for(loop, made):
     view, origin, target, stager = made
     target.pieces = dict(enumerate(CHUNKS))
