--- a/damaskcroft/ctl/_why.py
+++ b/damaskcroft/ctl/_why.py
@@ -131,7 +131,9 @@
         case "answered_late":
             return _why_late(last)
         case "answer_broken_off":
-            return _why_lost(own, "the answer had begun and was broken off")
+            reason = last.fields.get("reason")
+            ending = f"the answer had begun and was broken off: {reason}"
+            return _why_lost(own, ending)
         case "caller_left":
             return f"the caller left after {last.fields.get('after_s')} s"
         case "refused":
--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -170,7 +170,8 @@
             case Turn():
                 return outcome
             case Overloaded(reason=reason, waiting=waiting):
-                return Refused(reason, Ran.NO, f"{waiting} waiting")
+                detail = f"{waiting} waiting"
+                return Refused(reason, Ran.NO, detail, outcome.foreseen_s)
 
     def _place_again(self, job: Job, progress: Progress) -> Turn | Ending:
         prompt_tokens = job.call.prompt_tokens
--- a/damaskcroft/forwarding/_job.py
+++ b/damaskcroft/forwarding/_job.py
@@ -35,11 +35,13 @@
         reason: a fixed word, also a counter's label.
         ran: whether it may have run at a target.
         detail: what decided it, for the log.
+        foreseen_s: when there should be room for it; 0 if unknown.
     """
 
     reason: str
     ran: Ran
     detail: str = ""
+    foreseen_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/damaskcroft/routing/_line.py
+++ b/damaskcroft/routing/_line.py
@@ -87,10 +87,12 @@
     Attributes:
         reason: "overloaded", or "no_target" if there is none at all.
         waiting: how many waited for the service.
+        foreseen_s: how long the line is at its present rate; 0 if unknown.
     """
 
     reason: str
     waiting: int
+    foreseen_s: float = 0.0
 
 
 class _Waiting:
@@ -135,8 +137,9 @@
                 return Overloaded("no_target", 0)
             if placement is not None and placement.has_room:
                 return self._given(ticket, placement)
-        if self._foreseen_wait_s(ticket) > ticket.waits_until - _now_s():
-            return Overloaded("overloaded", len(waiting))
+        foreseen_s = self._foreseen_wait_s(ticket)
+        if foreseen_s > ticket.waits_until - _now_s():
+            return Overloaded("overloaded", len(waiting), foreseen_s)
         joined = _Waiting(ticket)
         waiting = self._waiting_by_service.setdefault(ticket.service, [])
         waiting.append(joined)
@@ -177,10 +180,11 @@
                 joined.outcome.set_result(outcome)
         for joined in list(waiting):
             if now >= joined.ticket.waits_until:
+                foreseen_s = self._foreseen_wait_s(joined.ticket)
                 waiting.remove(joined)
                 if not joined.outcome.done():
                     joined.outcome.set_result(
-                        Overloaded("overloaded", len(waiting))
+                        Overloaded("overloaded", len(waiting), foreseen_s)
                     )
 
     def _outcome_now(
--- a/damaskcroft/routing/tests/test_line.py
+++ b/damaskcroft/routing/tests/test_line.py
@@ -237,3 +237,32 @@
         await asyncio.gather(*waiting, *later, return_exceptions=True)
 
     loop.run(scenario())
+
+
+def test_whoever_is_refused_hears_how_long_the_line_is(loop):
+    """Two turns of 0.1 s at a time; thirty callers wait before the last."""
+
+    async def scenario():
+        targets = Targets(1)
+        targets.candidates[0] = Candidate("t0", "x:0", "d", "r", 2)
+
+        async def caller():
+            outcome = await targets.line.turn(ticket(loop.time()))
+            if isinstance(outcome, Turn):
+                await asyncio.sleep(0.1)
+                outcome.slot.give_back()
+                targets.line.serve()
+            return outcome
+
+        early = [asyncio.create_task(caller()) for _ in range(30)]
+        await asyncio.sleep(0.55)
+        crowd = [asyncio.create_task(caller()) for _ in range(60)]
+        await asyncio.sleep(0.01)
+        at_once = [task.result() for task in crowd if task.done()]
+        refused = [o for o in at_once if isinstance(o, Overloaded)]
+        assert len(refused) > 10
+        await asyncio.gather(*early, *crowd)
+        # About twenty turns a second, and more than the third of six seconds.
+        assert all(1.5 < o.foreseen_s < 5 for o in refused)
+
+    loop.run(scenario())
