Incarnations of an agent are ordered

Cause, found while reading: a word of another incarnation always counted as newer, so two control nodes that held different ones could have sent them to each other without end. Now starts order incarnations, and one that finds an earlier one above it, after the time of day went back, goes above that.

--- a/damaskcroft/agent/_fleet_agent.py
+++ b/damaskcroft/agent/_fleet_agent.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import secrets
+import time
 from collections.abc import Iterable
 
 from damaskcroft._generated import fleet_grpc, fleet_pb2
@@ -13,6 +14,7 @@
 __all__ = ["FleetAgent"]
 
 _TELL_TIMEOUT_S = 0.5
+_NS_IN_MS = 1_000_000
 
 
 class FleetAgent:
@@ -37,6 +39,7 @@
             region=settings.region,
             incarnation=secrets.token_hex(8),
             service=settings.target_service,
+            started=time.time_ns() // _NS_IN_MS,
         )
 
     def known_state(self) -> fleet_pb2.AgentState | None:
@@ -53,9 +56,17 @@
         held: Iterable[fleet_pb2.HeldLayers],
         staged: fleet_pb2.HeldLayers | None,
     ) -> None:
-        """Tells what has changed; returns when control nodes have it."""
+        """Tells what has changed; returns when control nodes have it.
+
+        Where the fleet takes a word of an earlier incarnation for newer, since
+        the time of day has gone back between the starts, this one goes above
+        it (as incarnation numbers do in SWIM: Das, Gupta and Motivala, 2002).
+        """
         state = fleet_pb2.AgentState()
         state.CopyFrom(self.state)
+        known = self._view.agents_by_address.get(state.address)
+        if known is not None and known.incarnation != state.incarnation:
+            state.started = max(state.started, known.started + 1)
         state.phase = phase
         del state.held[:]
         state.held.extend(held)
--- a/damaskcroft/fleet/_view.py
+++ b/damaskcroft/fleet/_view.py
@@ -161,6 +161,13 @@
 def _is_newer_agent(
     agent: fleet_pb2.AgentState, known: fleet_pb2.AgentState
 ) -> bool:
-    if agent.incarnation != known.incarnation:
-        return True
-    return agent.sequence > known.sequence
+    """Whether one word of an agent goes before another.
+
+    The order is total, so that nodes which hold words of two incarnations
+    agree on one, whichever they heard first.
+    """
+    return _order(agent) > _order(known)
+
+
+def _order(agent: fleet_pb2.AgentState) -> tuple[int, str, int]:
+    return agent.started, agent.incarnation, agent.sequence
--- a/damaskcroft/fleet/tests/test_view.py
+++ b/damaskcroft/fleet/tests/test_view.py
@@ -79,3 +79,27 @@
     view.take([], [old])
     view.take([], [new])
     assert view.agents_by_address["a"].incarnation == "2"
+
+
+def agent(incarnation, started, sequence):
+    return fleet_pb2.AgentState(
+        address="a:1", incarnation=incarnation, started=started,
+        sequence=sequence,
+    )  # fmt: skip
+
+
+def test_nodes_agree_on_one_of_two_incarnations_whichever_came_first(loop):
+    """Else two that hold different ones would send them on without end."""
+
+    async def scenario():
+        old, new = agent("z", 1000, 9), agent("b", 2000, 1)
+        views = [FleetView(), FleetView()]
+        views[0].take([], [old])
+        views[0].take([], [new])
+        views[1].take([], [new])
+        views[1].take([], [old])
+        held = [view.agents_by_address["a:1"].incarnation for view in views]
+        assert held == ["b", "b"]
+        assert views[1].changes == 1
+
+    loop.run(scenario())
