Ending work is bounded, and nobody's cancellation is taken for another's

Cause, found while looking for the 37 agents that never ended after their drain: whoever was cancelled while it waited for another task to end took the cancellation for the other's and went on. Tests failed before: one that is cancelled while it waits; one that overhears one word.

--- a/damaskcroft/agent/_fleet_stager.py
+++ b/damaskcroft/agent/_fleet_stager.py
@@ -7,11 +7,11 @@
 from collections.abc import Callable
 
 from damaskcroft.agent._fleet_agent import FleetAgent
-from damaskcroft.agent._tasks import cancelled
 from damaskcroft.clock import now_s
 from damaskcroft.engines import EngineUnreachable, StagedEngine
 from damaskcroft.fleet import FleetView
 from damaskcroft.observe import log_event
+from damaskcroft.tasks import cancelled
 from damaskcroft.weights import (
     Burst,
     BurstCounts,
--- a/damaskcroft/agent/_staging.py
+++ b/damaskcroft/agent/_staging.py
@@ -3,7 +3,6 @@
 import asyncio
 
 from damaskcroft._generated import control_pb2, records_pb2
-from damaskcroft.agent._tasks import cancelled
 from damaskcroft.membership import Roster
 from damaskcroft.observe import log_event, log_warning
 from damaskcroft.records import (
@@ -11,6 +10,7 @@
     deployment_for,
     matches,
 )
+from damaskcroft.tasks import cancelled
 from damaskcroft.weights import (
     Burst,
     BurstCounts,
--- a/damaskcroft/agent/main.py
+++ b/damaskcroft/agent/main.py
@@ -35,6 +35,7 @@
     run_daemon,
     stop_event,
 )
+from damaskcroft.tasks import end_all
 from damaskcroft.weights import (
     BurstCounts,
     BurstOptions,
@@ -132,9 +133,7 @@
             tasks = [asyncio.create_task(work) for work in self._work()]
             await stop.wait()
             await self._drain()
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+            await end_all(tasks)
         await self._close()
 
     def _work(self) -> list:
--- a/damaskcroft/control/main.py
+++ b/damaskcroft/control/main.py
@@ -35,6 +35,7 @@
     run_daemon,
     stop_event,
 )
+from damaskcroft.tasks import end_all
 
 _EXIT_CANNOT_FORMAT = 3
 _INSTALL_TIMEOUT_S = 60.0
@@ -97,8 +98,7 @@
         working = asyncio.create_task(reconciler.run())
         await stop.wait()
         log_event("stopping", id=rules.id)
-        working.cancel()
-        await asyncio.gather(working, return_exceptions=True)
+        await end_all([working])
         await replica.stop()
     pool.close()
 
--- a/damaskcroft/entry/main.py
+++ b/damaskcroft/entry/main.py
@@ -29,6 +29,7 @@
     stop_event,
     unless_caller_leaves,
 )
+from damaskcroft.tasks import end_all
 
 _STOP_RETRY_S = 1.0
 _STOP_POLL_S = 0.05
@@ -112,9 +113,7 @@
             await asyncio.sleep(_BALANCER_NOTICE_S)
             while self._running:
                 await asyncio.sleep(_STOP_POLL_S)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await end_all(tasks)
         self._channels.close()
 
     def _routes(self) -> list[Route]:
--- a/damaskcroft/hosted/process.py
+++ b/damaskcroft/hosted/process.py
@@ -11,6 +11,7 @@
 from damaskcroft.observe import log_event, start_logs
 from damaskcroft.platform.settings import SettingsFileError, load_node_settings
 from damaskcroft.rpc import http_served
+from damaskcroft.tasks import end_all
 
 __all__ = ["background", "run_hosted"]
 
@@ -92,9 +93,7 @@
     try:
         yield
     finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await end_all(tasks)
 
 
 def _tell_failure(task: asyncio.Task) -> None:
--- /dev/null
+++ b/damaskcroft/tests/test_tasks.py
@@ -0,0 +1,71 @@
+"""Tasks are ended, whatever they do about it."""
+
+import asyncio
+
+from damaskcroft.tasks import cancelled, end_all
+
+
+def test_whoever_waits_for_another_to_end_may_be_cancelled(loop):
+    """Its own cancellation must not be taken for the other's."""
+
+    async def scenario():
+        async def slow_to_end():
+            try:
+                await asyncio.sleep(100)
+            finally:
+                await asyncio.sleep(1)
+
+        async def outer():
+            work = asyncio.create_task(slow_to_end())
+            await asyncio.sleep(0)
+            await cancelled(work)
+            await asyncio.sleep(100)
+
+        task = asyncio.create_task(outer())
+        await asyncio.sleep(0.5)
+        task.cancel()
+        async with asyncio.timeout(5):
+            await asyncio.wait([task])
+        assert task.cancelled()
+
+    loop.run(scenario())
+
+
+def test_a_task_that_overhears_one_word_is_told_again(loop):
+    async def scenario():
+        async def deaf_once():
+            try:
+                await asyncio.sleep(100)
+            except asyncio.CancelledError:
+                await asyncio.sleep(100)
+
+        async def never():
+            while True:
+                try:
+                    await asyncio.sleep(100)
+                except asyncio.CancelledError:
+                    continue
+
+        tasks = [asyncio.create_task(deaf_once()) for _ in range(3)]
+        stuck = asyncio.create_task(never())
+        await asyncio.sleep(0)
+        began_at = loop.time()
+        await end_all([*tasks, stuck])
+        assert all(task.done() for task in tasks)
+        assert loop.time() - began_at < 7
+
+    loop.run(scenario())
+
+
+def test_what_failed_before_is_told_and_not_raised(loop):
+    async def scenario():
+        async def fails():
+            raise ValueError("disk")
+
+        task = asyncio.create_task(fails())
+        await asyncio.sleep(0)
+        await cancelled(task)
+        await cancelled(None)
+        await end_all([task])
+
+    loop.run(scenario())
