--- a/damaskcroft/weights/_burst.py
+++ b/damaskcroft/weights/_burst.py
@@ -1,9 +1,10 @@
 """One agent's part in a burst: getting every chunk of one version.
 
-Chunks that this agent must read from outside go first and on their own; all
-others are asked of their parents, in the same order by every agent, a bounded
-number at once. A parent that holds a chunk not yet keeps the question open,
-so a chunk moves on as soon as it has arrived and been checked.
+Chunks that this agent must read from outside go first and on their own. Of the
+others, those that a neighbour is known to hold are asked of it, and the rest of
+their parents in the trees, a bounded number at once. Whoever holds a chunk not
+yet keeps the question open, so a chunk moves on as soon as it has arrived and
+been checked. What is late is looked for elsewhere: see `_rescue`.
 """
 
 import asyncio
@@ -37,11 +38,11 @@
 )
 from damaskcroft.weights._sources import Sources
 from damaskcroft.weights._store import ChunkStore, StagedVersion
+from damaskcroft.weights._suspects import Suspects
 
 # Silence may be a full link's; a refused connection a restart of a second.
 _STALLED_SUSPECT_S = 5.0
 _SUSPECT_S = 1.0
-_MAX_SUSPECT_S = 30.0
 _CORRUPT_SUSPECT_S = 300.0
 _MIN_PAUSE_S = 0.02
 _LOOK_EVERY_S = 0.05
@@ -101,45 +102,6 @@
     corrupt_chunks: int = 0
 
 
-class Suspects:
-    """Agents to be left alone for a while, after silence or wrong bytes."""
-
-    __slots__ = ("_times_by_id", "_until_by_id")
-
-    def __init__(self) -> None:
-        """Creates an empty list."""
-        self._until_by_id: dict[str, float] = {}
-        self._times_by_id: dict[str, int] = {}
-
-    def add(self, agent_id: str, for_s: float) -> None:
-        """Suspects an agent, twice as long each time until it is cleared.
-
-        Args:
-            agent_id: which.
-            for_s: how long the first time.
-        """
-        if agent_id in self.now():
-            return
-        times = self._times_by_id.get(agent_id, 0)
-        self._times_by_id[agent_id] = times + 1
-        for_s = min(for_s * 2**times, max(for_s, _MAX_SUSPECT_S))
-        self._until_by_id[agent_id] = now_s() + for_s
-
-    def clear(self, agent_id: str) -> None:
-        """Takes note that an agent has given a right chunk."""
-        self._until_by_id.pop(agent_id, None)
-        self._times_by_id.pop(agent_id, None)
-
-    def now(self) -> frozenset[str]:
-        """The ids suspected at this instant."""
-        now = now_s()
-        return frozenset(
-            agent_id
-            for agent_id, until in self._until_by_id.items()
-            if until > now
-        )
-
-
 class Burst:
     """Gets one version onto this instance.
 
@@ -395,20 +357,16 @@
         planner: Planner,
     ) -> None:
         source = rescue.source(index, planner, self._suspects.now())
-        match source:
-            case AskHolder(agent_id=agent_id):
-                holder = next(
-                    p for p in planner.participants if p.id == agent_id
-                )
-                with contextlib.suppress(TimeoutError):
-                    async with asyncio.timeout(_RESCUE_PATIENCE_S):
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_RESCUE_PATIENCE_S):
+                match source:
+                    case AskHolder(agent_id=agent_id):
+                        holder = planner.by_id[agent_id]
                         await self._from_peer(version, index, holder, 0.0)
-            case ReadOutside():
-                with contextlib.suppress(TimeoutError):
-                    async with asyncio.timeout(_RESCUE_PATIENCE_S):
+                    case ReadOutside():
                         await self._from_outside(version, index)
-            case Inquire():
-                await self._inquire(version, index, planner)
+                    case Inquire():
+                        await self._inquire(version, index, planner)
 
     async def _inquire(
         self, version: StagedVersion, index: int, planner: Planner
@@ -421,10 +379,8 @@
             if other.id != self._own_id and other.id not in suspects
         ]
         if others:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(_RESCUE_PATIENCE_S):
-                    other = self._rng.choice(others)
-                    await self._from_peer(version, index, other, 0.0)
+            other = self._rng.choice(others)
+            await self._from_peer(version, index, other, 0.0)
 
     async def _try(self, version: StagedVersion, index: int) -> None:
         sources = self._sources_of(version)
--- a/damaskcroft/weights/_planner.py
+++ b/damaskcroft/weights/_planner.py
@@ -40,6 +40,7 @@
         """Sorts the participants, so that all agents agree on them."""
         self.own_id = own_id
         self.participants = sorted(participants, key=lambda p: p.id)
+        self.by_id = {p.id: p for p in self.participants}
         self.domain_by_id = {p.id: p.failure_domain for p in self.participants}
 
     @abc.abstractmethod
--- a/damaskcroft/weights/_sources.py
+++ b/damaskcroft/weights/_sources.py
@@ -26,7 +26,7 @@
         rng: decides between equals.
     """
 
-    __slots__ = ("_asked", "_by_id", "_holdings", "_near_ids", "_planner",
+    __slots__ = ("_asked", "_holdings", "_near_ids", "_planner",
                  "_rng")  # fmt: skip
 
     def __init__(
@@ -37,7 +37,6 @@
         self._holdings = holdings
         self._rng = rng
         self._asked: collections.Counter[str] = collections.Counter()
-        self._by_id = {p.id: p for p in planner.participants}
         own_domain = planner.domain_by_id[planner.own_id]
         self._near_ids = {
             agent_id
@@ -80,7 +79,7 @@
         holders = [
             agent_id
             for agent_id in self._holdings.holders(index)
-            if agent_id in self._by_id and agent_id not in suspects
+            if agent_id in self._planner.by_id and agent_id not in suspects
         ]
         near = [agent_id for agent_id in holders if agent_id in self._near_ids]
         if near:
@@ -95,4 +94,4 @@
         chosen = self._rng.choice(
             [i for i in agent_ids if self._asked[i] == least]
         )
-        return self._by_id[chosen]
+        return self._planner.by_id[chosen]
