--- a/damaskcroft/weights/_window.py
+++ b/damaskcroft/weights/_window.py
@@ -21,9 +21,11 @@
 _TARGET_QUEUE_S = 0.06
 # As many as are on their way at most, so that each sender shows among them.
 _LAST_QUEUED = 8
-# What parts took tells of the link for this long: eight parts take less, even
-# at a fifth of the usual rate, and a narrow link may have no more to carry.
-_TOLD_FOR_S = 3.0
+# What parts took tells of the link for this long, and if so many came: over a
+# narrow link few do, as senders are given up for their silence, and links stay
+# narrow for some seconds.
+_TOLD_FOR_S = 6.0
+_MIN_TOLD = 4
 _MIN_PARTS = 1.0
 # Parts that wait for their turn at their senders count too, and each sender
 # serves three or four receivers: a dozen keep a link full.
@@ -129,7 +131,7 @@
         """
         since = now_s() - _TOLD_FOR_S
         took = [took_s for at, took_s in self._took if at > since]
-        return min(took) if len(took) == _LAST_QUEUED else 0.0
+        return min(took) if len(took) >= _MIN_TOLD else 0.0
 
     def note(self, queued_s: float) -> None:
         """Takes note of how long a part was queued on its way.
