--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -4,6 +4,7 @@
 import contextlib
 from collections.abc import Iterator
 
+from damaskcroft.clock import now_s
 from damaskcroft.forwarding._attempt import (
     TOO_LATE,
     Answered,
@@ -165,7 +166,7 @@
             prompt_tokens=job.call.prompt_tokens,
         )
         outcome = await self._line.turn(ticket)
-        progress.pace.queued_s = _now_s() - job.call.arrived_at
+        progress.pace.queued_s = now_s() - job.call.arrived_at
         match outcome:
             case Turn():
                 return outcome
@@ -332,7 +333,7 @@
             self._placer.told(target.id, requests)
 
     def _left_s(self, job: Job) -> float:
-        return job.deadline_at - _now_s()
+        return job.deadline_at - now_s()
 
 
 def _tell_pace(job: Job, progress: Progress, status: int) -> None:
@@ -344,7 +345,7 @@
         metrics.ANSWER_FIRST_S.labels(service).observe(pace.first_s)
     if job.route.streaming:
         metrics.ANSWER_GAP_S.labels(service).observe(pace.longest_gap_s)
-    whole_s = _now_s() - job.call.arrived_at
+    whole_s = now_s() - job.call.arrived_at
     metrics.ANSWER_WHOLE_S.labels(service).observe(whole_s)
     log_event(
         "answered_late" if pace.is_late(job.route) else "answered",
@@ -358,7 +359,3 @@
         targets=progress.sent,
         prompt_tokens=job.call.prompt_tokens,
     )
-
-
-def _now_s() -> float:
-    return asyncio.get_running_loop().time()
--- a/damaskcroft/forwarding/_gate.py
+++ b/damaskcroft/forwarding/_gate.py
@@ -5,6 +5,7 @@
 import random
 
 from damaskcroft._generated import fleet_pb2
+from damaskcroft.clock import now_s
 from damaskcroft.fleet import FleetView
 from damaskcroft.forwarding._call import Call, Wire
 from damaskcroft.forwarding._forwarder import Forwarder
@@ -54,7 +55,7 @@
 
     def comes_before(self, route: fleet_pb2.Route) -> bool:
         """Whether a request that comes now may be cut by the end."""
-        now = _now_s()
+        now = now_s()
         if now - self.since < _STILL_TAKEN_S:
             return False
         return now + route.timeout_ms / _MS > self.ends_at
@@ -89,7 +90,7 @@
         Args:
             within_s: until what has not been answered is cut.
         """
-        now = _now_s()
+        now = now_s()
         self._stop = _Stop(now, now + within_s)
 
     def limits(self) -> CallerLimits:
@@ -123,7 +124,7 @@
             log_event(
                 "caller_left",
                 request=call.request_id,
-                after_s=_now_s() - call.arrived_at,
+                after_s=now_s() - call.arrived_at,
             )
             raise
         match ending:
@@ -232,7 +233,3 @@
         head_timeout_s=limits.header_timeout_ms / _MS or usual.head_timeout_s,
         idle_timeout_s=limits.idle_timeout_ms / _MS or usual.idle_timeout_s,
     )
-
-
-def _now_s() -> float:
-    return asyncio.get_running_loop().time()
--- a/damaskcroft/forwarding/_relay.py
+++ b/damaskcroft/forwarding/_relay.py
@@ -1,9 +1,9 @@
 """Gives a target's answer to the caller: whole, or event by event."""
 
-import asyncio
 import dataclasses
 from collections.abc import Callable
 
+from damaskcroft.clock import now_s
 from damaskcroft.forwarding._attempt import Answered, Attempt, Lost
 from damaskcroft.forwarding._call import Wire
 from damaskcroft.forwarding._events import EventSplitter
@@ -128,8 +128,7 @@
     def _note_given(self, sending: Sending) -> None:
         if sending.slot.read():
             self._room_made()
-        now = asyncio.get_running_loop().time()
-        sending.progress.pace.given(now)
+        sending.progress.pace.given(now_s())
 
 
 def _is_old(event_id: int | None, progress: Progress) -> bool:
--- a/damaskcroft/routing/_delays.py
+++ b/damaskcroft/routing/_delays.py
@@ -6,11 +6,12 @@
 slow link or a slow machine delays all.
 """
 
-import asyncio
 import collections
 import contextlib
 from collections.abc import Callable, Collection, Iterator
 
+from damaskcroft.clock import now_s
+
 __all__ = ["AnswerDelays"]
 
 # Answers of so long ago tell of now: a loaded target gives each of a dozen
@@ -59,19 +60,19 @@
         """
         seen = self._seen_by_id.setdefault(target_id, _Seen())
         request = object()
-        sent_at = _now_s()
+        sent_at = now_s()
         seen.unanswered[request] = sent_at
 
         def answered() -> None:
             if seen.unanswered.pop(request, None) is not None:
-                now = _now_s()
+                now = now_s()
                 seen.answers.append((now, now - sent_at))
 
         try:
             yield answered
         finally:
             if seen.unanswered.pop(request, None) is not None:
-                now = _now_s()
+                now = now_s()
                 seen.given_up.append((now, now - sent_at))
 
     def quickest_s(self, target_id: str) -> float:
@@ -84,7 +85,7 @@
         seen = self._seen_by_id.get(target_id)
         if seen is None:
             return 0.0
-        now = _now_s()
+        now = now_s()
         answers = _since(seen.answers, now - _WINDOW_S)
         if answers:
             return min(answers)
@@ -107,7 +108,3 @@
     waits: collections.deque[tuple[float, float]], begin: float
 ) -> list[float]:
     return [took_s for at, took_s in waits if at > begin]
-
-
-def _now_s() -> float:
-    return asyncio.get_running_loop().time()
--- a/damaskcroft/routing/_line.py
+++ b/damaskcroft/routing/_line.py
@@ -13,6 +13,7 @@
 import dataclasses
 from collections.abc import Callable
 
+from damaskcroft.clock import now_s
 from damaskcroft.routing._placement import Candidate, Placement, Slot
 
 __all__ = ["Line", "Overloaded", "LineTicket", "Turn"]
@@ -138,7 +139,7 @@
             if placement is not None and placement.has_room:
                 return self._given(ticket, placement)
         foreseen_s = self._foreseen_wait_s(ticket)
-        if foreseen_s > ticket.waits_until - _now_s():
+        if foreseen_s > ticket.waits_until - now_s():
             return Overloaded("overloaded", len(waiting), foreseen_s)
         joined = _Waiting(ticket)
         waiting = self._waiting_by_service.setdefault(ticket.service, [])
@@ -168,7 +169,7 @@
                 del self._waiting_by_service[service]
 
     def _serve(self, waiting: list[_Waiting]) -> None:
-        now = _now_s()
+        now = now_s()
         waiting.sort(key=lambda joined: _rank(joined.ticket, now))
         while waiting:
             joined = waiting[0]
@@ -203,12 +204,12 @@
         turns = self._turns_by_service.setdefault(
             ticket.service, collections.deque(maxlen=_MAX_TURNS)
         )
-        turns.append(_now_s())
+        turns.append(now_s())
         return Turn(placement.candidate, slot)
 
     def _foreseen_wait_s(self, ticket: LineTicket) -> float:
         """How long those before a ticket will take, at the present rate."""
-        now = _now_s()
+        now = now_s()
         rank = _rank(ticket, now)
         before = sum(
             _rank(joined.ticket, now) <= rank
@@ -226,7 +227,3 @@
     """Urgent kinds first, then who may be in time, then who came first."""
     late = now > ticket.in_time_until
     return (ticket.priority, late, ticket.arrived_at)
-
-
-def _now_s() -> float:
-    return asyncio.get_running_loop().time()
--- a/damaskcroft/routing/_silence.py
+++ b/damaskcroft/routing/_silence.py
@@ -7,7 +7,7 @@
 request's deadline.
 """
 
-import asyncio
+from damaskcroft.clock import now_s
 
 __all__ = ["SilenceWatch"]
 
@@ -38,7 +38,7 @@
         """Takes note of a request that was sent."""
         seen = self._seen_by_id.setdefault(target_id, _Seen())
         if not seen.outstanding:
-            seen.busy_since = _now_s()
+            seen.busy_since = now_s()
         seen.outstanding += 1
 
     def ended(self, target_id: str) -> None:
@@ -54,14 +54,14 @@
         """Takes note of bytes that came from a target."""
         seen = self._seen_by_id.get(target_id)
         if seen is not None:
-            seen.heard_at = _now_s()
+            seen.heard_at = now_s()
 
     def silent_s(self, target_id: str) -> float:
         """For how long a target with work has said nothing; 0 without work."""
         seen = self._seen_by_id.get(target_id)
         if seen is None:
             return 0.0
-        return _now_s() - max(seen.busy_since, seen.heard_at)
+        return now_s() - max(seen.busy_since, seen.heard_at)
 
     def silent_ids(self) -> list[str]:
         """Targets that have been silent for too long."""
@@ -70,7 +70,3 @@
             for target_id in self._seen_by_id
             if self.silent_s(target_id) > SILENT_AFTER_S
         ]
-
-
-def _now_s() -> float:
-    return asyncio.get_running_loop().time()
--- a/damaskcroft/weights/_burst.py
+++ b/damaskcroft/weights/_burst.py
@@ -182,7 +182,7 @@
     async def run(self, version: StagedVersion) -> None:
         """Gets every missing chunk; returns when all are held."""
         self._copy_local(version)
-        missing = [i for i, held in enumerate(version.held) if not held]
+        missing = version.missing()
         own = [i for i in missing if self._parent(i) is None]
         others = [i for i in missing if self._parent(i) is not None]
         self._taken = set()
@@ -212,7 +212,7 @@
                 "burst_progress",
                 path=self._path,
                 held=version.held_count,
-                missing=",".join(map(str, _missing(version)[:_SHOWN])),
+                missing=",".join(map(str, version.missing()[:_SHOWN])),
                 origin_bytes=self._counts.origin_bytes,
                 peer_bytes=self._counts.peer_bytes,
                 sent_bytes=self._counts.sent_bytes,
@@ -232,9 +232,7 @@
 
     def _copy_local(self, version: StagedVersion) -> None:
         """Takes chunks that an older version already holds."""
-        for index, held in enumerate(version.held):
-            if held:
-                continue
+        for index in version.missing():
             data = self._store.local_copy(version.manifest.chunks[index].digest)
             if data is not None and version.write_chunk(index, data):
                 self._counts.local_bytes += len(data)
@@ -534,7 +532,3 @@
     if policy == records_pb2.FEWEST_ORIGIN_BYTES:
         return 0.0
     return min(copies_cap - 1, _MAX_HELP_COPIES) / agents
-
-
-def _missing(version: StagedVersion) -> list[int]:
-    return [index for index, held in enumerate(version.held) if not held]
--- a/damaskcroft/weights/_rescue.py
+++ b/damaskcroft/weights/_rescue.py
@@ -65,7 +65,7 @@
         version = self._version
         still = version.held_count == self._held_before > 0
         self._held_before = version.held_count
-        found = _missing(version) if still else self._late()
+        found = version.missing() if still else self._late()
         now = now_s()
         self._overdue_since = {
             index: self._overdue_since.get(index, now) for index in found
@@ -78,7 +78,7 @@
         if version.held_count >= _READ_BY_THEN * len(version.held):
             late.update(
                 index
-                for index in _missing(version)
+                for index in version.missing()
                 if not version.holdings.holders(index)
             )
         return sorted(late)
@@ -108,10 +108,6 @@
         return Inquire()
 
 
-def _missing(version: StagedVersion) -> list[int]:
-    return [index for index, held in enumerate(version.held) if not held]
-
-
 def _passed_over(version: StagedVersion) -> list[int]:
     """Missing chunks after which many others have come."""
     later = version.held_count
--- a/damaskcroft/weights/_store.py
+++ b/damaskcroft/weights/_store.py
@@ -57,6 +57,10 @@
         """Whether every chunk is held."""
         return self.held_count == len(self.held)
 
+    def missing(self) -> list[int]:
+        """Chunks that are not held."""
+        return [index for index, held in enumerate(self.held) if not held]
+
     @abc.abstractmethod
     def read_chunk(self, index: int) -> bytes:
         """Reads a held chunk.
