Tell what weights an agent wants, and what a sent request knew of its time

A request that began on old weights: nothing said whether it waited in the entry for a connection, or on a kept one. An agent that wants no weights wrote no line. Now `sent` tells how long a request may still begin there, `attempt_failed` what connecting took, `weights_wanted` each change of what an agent is to bring, and that it is nothing.

--- a/damaskcroft/agent/_fleet_stager.py
+++ b/damaskcroft/agent/_fleet_stager.py
@@ -123,11 +123,13 @@
         """Stages whatever is wanted, until cancelled."""
         work: asyncio.Task | None = None
         wanted: Wanted | None = None
+        self._tell_wanted(wanted)
         try:
             while True:
                 found = self.wanted()
                 if found != wanted:
                     wanted = found
+                    self._tell_wanted(wanted)
                     # A version no longer wanted stops its traffic at once.
                     await cancelled(work)
                     work = None
@@ -162,6 +164,16 @@
         self._checked_at = now_s()
         return True
 
+    def _tell_wanted(self, wanted: Wanted | None) -> None:
+        """One line whenever what is wanted changes, also to nothing."""
+        goal = wanted and self._view.goal_by_model.get(wanted.model)
+        log_event(
+            "weights_wanted",
+            path=wanted.path if wanted else "",
+            named=goal.version if goal else None,
+            configuration=self._view.version,
+        )
+
     def _held_by_others(self, model: str) -> int:
         """The newest version that any target of the service serves."""
         versions = [
--- a/damaskcroft/forwarding/_attempt.py
+++ b/damaskcroft/forwarding/_attempt.py
@@ -79,6 +79,7 @@
         "_pool",
         "_wire",
         "begun",
+        "connect_s",
         "finished",
     )
 
@@ -117,6 +118,8 @@
         self.finished = False
         # Whether the target has begun to answer.
         self.begun = False
+        # What connecting took; None for a kept connection, or before it.
+        self.connect_s: float | None = None
 
     async def begin(self) -> NotSent | NotRun | Lost | Answered:
         """Sends the request and reads the head of its answer."""
@@ -129,8 +132,9 @@
                 )
             except OSError as error:
                 return NotSent(_connect_reason(error))
+            self.connect_s = now_s() - began_at
         self._connection = connection
-        if not self._may_send(now_s() - began_at):
+        if not self._may_send(self.connect_s or 0.0):
             self.finished = True
             return NotSent(TOO_LATE)
         headers = self._wire.target_headers(self._call, self._passing)
--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -239,6 +239,7 @@
                 )
                 with self._watched(sending):
                     outcome = await self._run(sending)
+                progress.connect_s = made.connect_s
         finally:
             turn.slot.give_back()
             self._silence.ended(target.id)
@@ -284,6 +285,9 @@
             left_s=self._left_s(job),
             fullness=self._placer.fullness(target),
             answer_delay_s=self._delays.quickest_s(target.id),
+            begins_within_s=self._services.begins_within_s(
+                job.service, job.call.model, target.id
+            ),
             after_event=progress.last_event_id,
         )
 
@@ -319,6 +323,7 @@
             reason=reason,
             left_s=self._left_s(job),
             fullness=self._placer.fullness(target),
+            connect_s=progress.connect_s,
         )
         metrics.RETRIES.labels(reason.partition(":")[0]).inc()
         if isinstance(outcome, Lost) and not job.is_repeatable:
--- a/damaskcroft/forwarding/_job.py
+++ b/damaskcroft/forwarding/_job.py
@@ -136,10 +136,13 @@
         begun: whether the caller has got the head of an answer.
         last_event_id: the last event that the caller has.
         pace: how soon and how evenly the answer came.
+        connect_s: what connecting for the last attempt took; None where a
+            kept connection was used.
     """
 
     __slots__ = (
         "begun",
+        "connect_s",
         "excluded",
         "last",
         "last_event_id",
@@ -159,6 +162,7 @@
         self.begun = False
         self.last_event_id = call.last_event_id
         self.pace = Pace(call.arrived_at)
+        self.connect_s: float | None = None
 
 
 def given_up(reason: str, progress: Progress) -> Ending:
--- a/damaskcroft/forwarding/_services.py
+++ b/damaskcroft/forwarding/_services.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from damaskcroft._generated import fleet_pb2
+from damaskcroft.clock import now_s
 from damaskcroft.fleet import FleetView
 from damaskcroft.routing import Candidate
 
@@ -123,6 +124,31 @@
         margin_s = min(max(margin_s, _VERSION_MARGIN_S), _MAX_VERSION_MARGIN_S)
         return self._view.due_version(model, self._weights_s - margin_s)
 
+    def begins_within_s(
+        self, service: str, model: str, target_id: str
+    ) -> float | None:
+        """How long a request may still begin on the weights of a target.
+
+        For logs.
+
+        Returns:
+            Seconds, below 0 when it is too late; None where no newer version
+            is named.
+        """
+        if not model or not self._weights_s:
+            return None
+        named = self._view.goal_since_by_model.get(model, {})
+        self._refresh()
+        for state in self._states_by_service.get(service, []):
+            if state.id == target_id:
+                ends = [
+                    since + self._weights_s - now_s()
+                    for version, since in named.items()
+                    if not self._serves(state, model, version)
+                ]
+                return min(ends, default=None)
+        return None
+
     def outdated_ids(self, service: str, model: str) -> set[str]:
         """Targets at which a request must not begin any more, by version."""
         if not model or not self._weights_s:
