--- a/damaskcroft/agent/tests/test_fleet_switcher.py
+++ b/damaskcroft/agent/tests/test_fleet_switcher.py
@@ -38,6 +38,7 @@
         self.held = held
         self.orders = []
         self.cut = None
+        self.gave_up_at = None
 
     async def report(self):
         return EngineReport(self.held, False, len(self.orders), 3)
@@ -49,6 +50,15 @@
         self.held = (NEW,)
         return OrderAccepted()
 
+    async def keep_only(self, part, sequence):
+        assert sequence == len(self.orders)
+        assert part.version == self.held[0].version
+        assert part.end_layer - part.first_layer < OLD.end_layer
+        self.orders.append("keep_only")
+        self.gave_up_at = asyncio.get_running_loop().time()
+        self.held = (part,)
+        return OrderAccepted()
+
 
 class FakeStager:
     whole = True
@@ -171,3 +181,23 @@
     engine = FakeEngine(OLD)
     run_for(loop, view, engine, 1.0)
     assert engine.cut is False
+
+
+def test_a_target_takes_nothing_on_old_weights_once_their_time_has_come(
+    loop, view
+):
+    """Whatever is still on its way to it, and whoever sent it.
+
+    Callers' requests began on a version 0.2 s after its time. An entry had
+    sent them 1.1 s before that time, over a link that an agent's chunks had
+    filled; it took them back 0.25 s before it, and the target got them all the
+    same, 1.24 s after they were sent. The entry had judged by the delays that
+    it knew, and those were of a second before: `sent` said 0.35 s. What has
+    left an entry can't be held back by it, so the target itself must refuse.
+    """
+    engine = FakeEngine(OLD)
+    stager = FakeStager()
+    stager.staged = None
+    run_for(loop, view, engine, WEIGHTS_S - 0.1, stager=stager)
+    assert engine.orders == ["keep_only"]
+    assert engine.gave_up_at > WEIGHTS_S - 1.0
--- a/damaskcroft/forwarding/tests/test_services.py
+++ b/damaskcroft/forwarding/tests/test_services.py
@@ -82,3 +82,23 @@
         assert services.may_begin("s", "m", "b", 0.0)
 
     asyncio.run(scenario())
+
+
+def test_a_target_that_nobody_guards_is_left_in_good_time():
+    """Silence of the agent beside it is no sign of health.
+
+    An agent that is away, or has heard nothing of a new version, refuses
+    nothing; requests took 1.24 s to such a target while the last answer seen
+    had taken 0.35 s.
+    """
+
+    async def scenario():
+        view = FleetView()
+        view.take([target("a", 1)])
+        services = Services(view, {}, 8.0, lambda _: 0.05)
+        goal = fleet_pb2.WeightGoal(model="m", version=2, age_ms=5500)
+        view.apply_update(fleet_pb2.FleetUpdate(goals=[goal]))
+        assert ids(services) == set()
+        assert not services.may_begin("s", "m", "a", 0.0)
+
+    asyncio.run(scenario())
