A target refuses old weights by itself once their time has come

Cause: a promise on when requests begin was kept by forecasts of a link's delay alone, and where a sign was missing it counted as a good one. An agent with too few parts to judge told of a quick link, an agent that was away told nothing, an entry took one answer of a second before for the state of now. The request was on its way for 1.24 s; 0.35 s were known.

Ruled out: a late time at the entry (it took the request back when it should); the taking back itself, which is right but comes behind the queue.

Now the agent, on the target's own machine, orders it to keep one layer of the old version shortly before the time; the target lets what runs end and answers whatever comes with 421. Agents tell which version they guard; entries leave a target that nobody guards 3 s before the time. Parts that were asked for and stay away count as signs of a narrow link. The three tests of margins name guards now and are otherwise as they were.

--- a/damaskcroft/agent/__init__.py
+++ b/damaskcroft/agent/__init__.py
@@ -5,6 +5,7 @@
 from damaskcroft.agent._fleet_stager import FleetStager
 from damaskcroft.agent._fleet_switcher import FleetSwitcher
 from damaskcroft.agent._service import ChunkService
+from damaskcroft.agent._weights_guard import guarded_version
 
 __all__ = [
     "ChunkServer",
@@ -12,4 +13,5 @@
     "FleetAgent",
     "FleetStager",
     "FleetSwitcher",
+    "guarded_version",
 ]
--- a/damaskcroft/agent/_fleet_agent.py
+++ b/damaskcroft/agent/_fleet_agent.py
@@ -28,6 +28,7 @@
         view: what it knows of the fleet.
         channels: to control nodes.
         quickest_part_s: what parts of weights take at least to come.
+        guarded_version: see `AgentState.guarded_version`.
     """
 
     def __init__(
@@ -36,8 +37,10 @@
         view: FleetView,
         channels: ChannelPool,
         quickest_part_s: Callable[[], float] = lambda: 0.0,
+        guarded_version: Callable[[], int] = lambda: 0,
     ):
         """See the class."""
+        self._guarded_version = guarded_version
         self._quickest_part_s = quickest_part_s
         self._view = view
         self._channels = channels
@@ -78,6 +81,7 @@
             state.started = max(state.started, known.started + 1)
         state.phase = phase
         state.link_delay_ms = _step_ms(self._quickest_part_s())
+        state.guarded_version = self._guarded_version()
         del state.held[:]
         state.held.extend(held)
         state.ClearField("staged")
@@ -93,6 +97,7 @@
             held=_versions(state.held),
             staged=state.staged.version,
             link_delay_ms=state.link_delay_ms,
+            guarded=state.guarded_version,
             sequence=state.sequence,
         )
         self._view.take([], [state])
--- a/damaskcroft/agent/_fleet_switcher.py
+++ b/damaskcroft/agent/_fleet_switcher.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import math
+from collections.abc import Callable
 
 from damaskcroft._generated import fleet_pb2
 from damaskcroft.agent._fleet_agent import FleetAgent
 from damaskcroft.agent._fleet_stager import FleetStager, Wanted
+from damaskcroft.agent._weights_guard import WeightsGuard
 from damaskcroft.clock import now_s
 from damaskcroft.engines import (
     EngineReport,
@@ -45,6 +47,7 @@
         engine: the target.
         stager: what is staged.
         weights_s: from a named version until all must serve it.
+        link_is_quick: see `WeightsGuard`.
     """
 
     def __init__(
@@ -54,8 +57,10 @@
         engine: StagedEngine,
         stager: FleetStager,
         weights_s: float,
+        link_is_quick: Callable[[], bool] = lambda: False,
     ):
         """See the class."""
+        self._guard = WeightsGuard(view, engine, weights_s, link_is_quick)
         self._own = own
         self._view = view
         self._engine = engine
@@ -71,6 +76,8 @@
                 continue
             staged = self._stager.staged
             await self._tell(fleet_pb2.AGENT_SERVING, report)
+            if await self._guard.act(report, staged.version if staged else 0):
+                continue
             if staged is None or report.busy or self._serves(report, staged):
                 await asyncio.sleep(_IDLE_POLL_S)
                 continue
@@ -82,6 +89,12 @@
                 continue
             await self._switch(report, staged)
 
+    async def leave(self) -> None:
+        """Does before this agent ends what would come due while it is away."""
+        report = await self._engine.report()
+        if not isinstance(report, EngineUnreachable):
+            await self._guard.leave(report)
+
     async def _switch(self, report: EngineReport, staged: Wanted) -> None:
         log_event(
             "switching",
@@ -129,7 +142,7 @@
 
     def _is_our_turn(self, report: EngineReport) -> bool:
         """Whether enough other targets serve while this one is out."""
-        if not report.held:
+        if not any(_may_serve(part) for part in report.held):
             return True
         staged = self._stager.staged
         if staged is None or self._left_s(staged) < _LAST_CALL_S:
@@ -196,3 +209,8 @@
         part.model == staged.model and part.version == staged.version
         for part in held
     )
+
+
+def _may_serve(part: fleet_pb2.HeldLayers) -> bool:
+    """Whether more is held than the one layer that a guard leaves."""
+    return part.end_layer - part.first_layer != 1
--- /dev/null
+++ b/damaskcroft/agent/_weights_guard.py
@@ -0,0 +1,149 @@
+"""Makes a target refuse old weights by itself once their time has come.
+
+Entries stop sending to targets with old weights in time, by the delays that
+they have seen. What has left an entry can't be called back, though: over a link
+that has filled meanwhile it arrives when it arrives, and begins there. The
+agent stands on the target's own machine, with no link between them, so it takes
+the old weights away from under whatever comes late.
+"""
+
+import math
+from collections.abc import Callable
+
+from damaskcroft._generated import fleet_pb2
+from damaskcroft.clock import now_s
+from damaskcroft.engines import EngineReport, OrderAccepted, StagedEngine
+from damaskcroft.fleet import FleetView
+from damaskcroft.observe import log_event, metrics
+
+__all__ = ["WeightsGuard", "guarded_version"]
+
+# Old weights are given up so long before the time by which requests must begin
+# on newer ones: what came before may wait in the target's queue for this long
+# before it begins. Entries have left the target by then (see Services).
+_GIVE_UP_S = 1.0
+# Where the link is known to be quick, requests arrive within the margin that
+# entries keep, and the newer weights may still come in time; so they get more.
+_GIVE_UP_LAST_S = 0.3
+# An agent that is told to end is away for a second or two, and then has to hear
+# of the versions again.
+_AWAY_S = 3.0
+
+
+def guarded_version(view: FleetView, service: str, weights_s: float) -> int:
+    """The newest version that an agent can guard at a target of a service.
+
+    Args:
+        view: what the agent knows.
+        service: its target's.
+        weights_s: from a named version until no request may begin on an older
+            one; 0 for no bound.
+
+    Returns:
+        The newest version named for a model of the service; 0 if there is none,
+        or if the targets load models in one piece, of which nothing can be
+        given up.
+    """
+    table = view.table
+    known = table.services_by_name.get(service) if table else None
+    if known is None or known.engine.layers < 2 or not weights_s:
+        return 0
+    goals = (view.goal_by_model.get(m.name) for m in known.engine.models)
+    return max((goal.version for goal in goals if goal), default=0)
+
+
+class WeightsGuard:
+    """Gives up a target's old weights when nothing may begin on them.
+
+    Args:
+        view: which versions were named, and when.
+        engine: the target.
+        weights_s: see `guarded_version`.
+        link_is_quick: whether signs of right now say so; silence is no sign.
+    """
+
+    __slots__ = ("_engine", "_link_is_quick", "_view", "_weights_s")
+
+    def __init__(
+        self,
+        view: FleetView,
+        engine: StagedEngine,
+        weights_s: float,
+        link_is_quick: Callable[[], bool],
+    ):
+        """See the class."""
+        self._view = view
+        self._engine = engine
+        self._weights_s = weights_s
+        self._link_is_quick = link_is_quick
+
+    async def act(self, report: EngineReport, staged_version: int) -> bool:
+        """Gives up old weights if their time has come.
+
+        Args:
+            report: the target's state right now.
+            staged_version: what is ready to be loaded; its order takes the old
+                weights away as well.
+
+        Returns:
+            Whether an order was given.
+        """
+        part = self._outdated(report)
+        if part is None or report.busy:
+            return False
+        left_s = self._left_s(part)
+        if left_s > _GIVE_UP_S:
+            return False
+        is_ready = staged_version > part.version
+        if left_s > _GIVE_UP_LAST_S and (is_ready or self._link_is_quick()):
+            return False
+        return await self._give_up(report, part, left_s)
+
+    async def leave(self, report: EngineReport) -> None:
+        """Acts early before this agent ends, as it will be away."""
+        part = self._outdated(report)
+        if part is None or report.busy or self._left_s(part) > _AWAY_S:
+            return
+        await self._give_up(report, part, self._left_s(part))
+
+    async def _give_up(
+        self, report: EngineReport, part: fleet_pb2.HeldLayers, left_s: float
+    ) -> bool:
+        kept = fleet_pb2.HeldLayers(
+            model=part.model,
+            version=part.version,
+            first_layer=part.first_layer,
+            end_layer=part.first_layer + 1,
+        )
+        # What runs has begun in time; let it end.
+        order = await self._engine.keep_only(kept, report.sequence)
+        metrics.ORDERS.labels("keep_only", type(order).__name__).inc()
+        log_event(
+            "old_weights_given_up",
+            version=part.version,
+            running=report.running,
+            left_s=left_s,
+            outcome=order,
+        )
+        return isinstance(order, OrderAccepted)
+
+    def _outdated(self, report: EngineReport) -> fleet_pb2.HeldLayers | None:
+        """Held layers older than a named version; one alone serves nothing."""
+        for part in report.held:
+            if part.end_layer - part.first_layer < 2:
+                continue
+            if self._left_s(part) < math.inf:
+                return part
+        return None
+
+    def _left_s(self, part: fleet_pb2.HeldLayers) -> float:
+        """Until nothing may begin on these layers; infinite if none is due."""
+        if not self._weights_s:
+            return math.inf
+        named = self._view.goal_since_by_model.get(part.model, {})
+        ends = [
+            since + self._weights_s - now_s()
+            for version, since in named.items()
+            if version > part.version
+        ]
+        return min(ends, default=math.inf)
--- a/damaskcroft/agent/tests/test_fleet_switcher.py
+++ b/damaskcroft/agent/tests/test_fleet_switcher.py
@@ -7,6 +7,7 @@
 from damaskcroft._generated import fleet_pb2
 from damaskcroft.agent._fleet_stager import Wanted
 from damaskcroft.agent._fleet_switcher import FleetSwitcher
+from damaskcroft.agent._weights_guard import guarded_version
 from damaskcroft.engines import EngineReport, OrderAccepted
 from damaskcroft.fleet import FleetView
 
@@ -201,3 +202,74 @@
     run_for(loop, view, engine, WEIGHTS_S - 0.1, stager=stager)
     assert engine.orders == ["keep_only"]
     assert engine.gave_up_at > WEIGHTS_S - 1.0
+
+
+class NothingStaged(FakeStager):
+    def __init__(self):
+        super().__init__()
+        self.staged = None
+
+
+def test_over_a_quick_link_old_weights_serve_nearly_until_their_time(
+    loop, view
+):
+    engine = FakeEngine(OLD)
+    own = FakeOwn(view, "b")
+    switcher = FleetSwitcher(
+        own, view, engine, NothingStaged(), WEIGHTS_S, lambda: True
+    )
+
+    async def scenario():
+        task = asyncio.create_task(switcher.run())
+        await asyncio.sleep(WEIGHTS_S - 0.5)
+        assert engine.orders == []
+        await asyncio.sleep(0.45)
+        assert engine.orders == ["keep_only"]
+        task.cancel()
+
+    loop.run(scenario())
+
+
+def test_weights_that_are_due_and_ready_need_no_other_order(loop, view):
+    engine = FakeEngine(OLD)
+    view.take([], [agent("a", fleet_pb2.AGENT_SWITCHING)])
+    run_for(loop, view, engine, WEIGHTS_S + 1.0)
+    assert engine.orders == [("m", 2)]
+
+
+def test_after_old_weights_were_given_up_new_ones_are_loaded(loop, view):
+    engine = FakeEngine(OLD)
+    stager = NothingStaged()
+    loop.call_later(WEIGHTS_S + 2.0, setattr, stager, "staged", STAGED)
+    run_for(loop, view, engine, WEIGHTS_S + 3.0, stager=stager)
+    assert engine.orders == ["keep_only", ("m", 2)]
+
+
+def test_an_agent_that_ends_gives_up_what_would_come_due_meanwhile(loop, view):
+    engine = FakeEngine(OLD)
+    switcher = FleetSwitcher(
+        FakeOwn(view, "b"), view, engine, NothingStaged(), WEIGHTS_S
+    )
+
+    async def scenario():
+        await switcher.leave()
+        assert engine.orders == []
+        await asyncio.sleep(WEIGHTS_S - 2.0)
+        await switcher.leave()
+        assert engine.orders == ["keep_only"]
+
+    loop.run(scenario())
+
+
+def test_an_agent_guards_what_can_be_given_up_in_part(view):
+    assert guarded_version(view, "s", WEIGHTS_S) == 0
+    engine = fleet_pb2.EngineProfile(
+        models=[fleet_pb2.EngineModel(name="m")], layers=4
+    )
+    services = [fleet_pb2.Service(name="s", engine=engine)]
+    view.apply_configuration(
+        fleet_pb2.Configuration(version=2, services=services)
+    )
+    assert guarded_version(view, "s", WEIGHTS_S) == 2
+    assert guarded_version(view, "s", 0.0) == 0
+    assert guarded_version(view, "other", WEIGHTS_S) == 0
--- a/damaskcroft/engines/_staged.py
+++ b/damaskcroft/engines/_staged.py
@@ -54,6 +54,26 @@
             cut_running: end running requests instead of waiting for them.
         """
 
+    @abc.abstractmethod
+    async def keep_only(
+        self,
+        part: fleet_pb2.HeldLayers,
+        sequence: int,
+        *,
+        cut_running: bool = False,
+    ) -> OrderOutcome:
+        """Orders that all layers be given up but some of those it holds.
+
+        From the order on the target refuses whatever needs the others; what
+        runs there ends. No pieces are needed, and a newer version can be
+        loaded whole afterwards, once nothing runs any more.
+
+        Args:
+            part: the layers to keep.
+            sequence: obey only if this many orders have begun so far.
+            cut_running: end running requests instead of letting them end.
+        """
+
     @abc.abstractmethod
     async def close(self) -> None:
         """Closes all connections."""
--- a/damaskcroft/forwarding/_services.py
+++ b/damaskcroft/forwarding/_services.py
@@ -24,6 +24,11 @@
 _NARROW_MARGIN_S = 2.0
 # Longer than that, delays are those of a target that fails anyhow.
 _MAX_VERSION_MARGIN_S = 3.0
+# A target refuses by itself what comes too late if the agent beside it says
+# that it sees to that. Without its word nothing holds a request back that is on
+# its way for longer than foreseen, so the target is left earlier: 1.3 s were
+# seen over a link of 0.91 Mbit/s, and as much may wait there again.
+_UNGUARDED_MARGIN_S = 3.0
 # So long before that time, requests that have not begun at such targets are
 # taken back: over a narrow link one may arrive a second after it was sent.
 _TAKE_BACK_S = 0.25
@@ -122,7 +127,12 @@
         if link_s >= _NARROW_LINK_S:
             margin_s = max(margin_s, _NARROW_MARGIN_S)
         margin_s = min(max(margin_s, _VERSION_MARGIN_S), _MAX_VERSION_MARGIN_S)
-        return self._view.due_version(model, self._weights_s - margin_s)
+        least = self._view.due_version(model, self._weights_s - margin_s)
+        soon = self._view.due_version(
+            model, self._weights_s - _UNGUARDED_MARGIN_S
+        )
+        guarded = agent.guarded_version if agent is not None else 0
+        return max(least, soon) if soon > guarded else least
 
     def begins_within_s(
         self, service: str, model: str, target_id: str
--- a/damaskcroft/forwarding/tests/test_services.py
+++ b/damaskcroft/forwarding/tests/test_services.py
@@ -18,6 +18,14 @@
     )  # fmt: skip
 
 
+def guard(name, **fields):
+    """The agent beside a target, which sees to that it refuses old weights."""
+    return fleet_pb2.AgentState(
+        address=f"agent-{name}:1", target_address=f"{name}:1", sequence=1,
+        incarnation="1", held=[held(1)], guarded_version=2, **fields,
+    )  # fmt: skip
+
+
 def ids(services):
     return {candidate.id for candidate in services.candidates("s", "m")}
 
@@ -28,6 +36,7 @@
     async def scenario():
         view = FleetView()
         view.take([target("near", 1), target("narrow", 1)])
+        view.take([], [guard("near"), guard("narrow")])
         delay_by_id = {"near": 0.05, "narrow": 0.9}
         services = Services(view, {}, 8.0, lambda id: delay_by_id[id])
 
@@ -52,7 +61,7 @@
 def test_connecting_that_took_long_makes_a_request_too_late():
     async def scenario():
         view = FleetView()
-        view.take([target("a", 1)])
+        view.take([target("a", 1)], [guard("a")])
         services = Services(view, {}, 8.0)
         goal = fleet_pb2.WeightGoal(model="m", version=2, age_ms=7300)
         view.apply_update(fleet_pb2.FleetUpdate(goals=[goal]))
@@ -69,11 +78,7 @@
     async def scenario():
         view = FleetView()
         view.take([target("a", 1), target("b", 1)])
-        agent = fleet_pb2.AgentState(
-            address="x:1", target_address="a:1", incarnation="1", sequence=1,
-            held=[held(1)], link_delay_ms=500,
-        )  # fmt: skip
-        view.take([], [agent])
+        view.take([], [guard("a", link_delay_ms=500), guard("b")])
         services = Services(view, {}, 8.0, lambda _: 0.05)
         goal = fleet_pb2.WeightGoal(model="m", version=2, age_ms=7000)
         view.apply_update(fleet_pb2.FleetUpdate(goals=[goal]))
@@ -102,3 +107,24 @@
         assert not services.may_begin("s", "m", "a", 0.0)
 
     asyncio.run(scenario())
+
+
+def test_a_guard_of_an_older_version_is_none_for_a_newer_one():
+    """A second version follows, and the agent has not heard of it yet."""
+
+    async def scenario():
+        view = FleetView()
+        view.take([target("a", 1)], [guard("a")])
+        services = Services(view, {}, 8.0)
+        for version, age_ms in ((2, 5500), (3, 5200)):
+            goal = fleet_pb2.WeightGoal(
+                model="m", version=version, age_ms=age_ms
+            )
+            view.apply_update(fleet_pb2.FleetUpdate(goals=[goal]))
+        assert ids(services) == set()
+        view.take([], [guard("a", started=1)])
+        assert ids(services) == set()
+        view.goal_since_by_model["m"].pop(3)
+        assert ids(services) == {"a"}
+
+    asyncio.run(scenario())
--- a/damaskcroft/hosted/agent.py
+++ b/damaskcroft/hosted/agent.py
@@ -9,6 +9,7 @@
     FleetAgent,
     FleetStager,
     FleetSwitcher,
+    guarded_version,
 )
 from damaskcroft.fleet import FleetView, NodeSettings, Watcher
 from damaskcroft.hosted.process import background
@@ -48,7 +49,14 @@
     channels = ChannelPool(Keys(None, None))
     view = FleetView()
     peers = GrpcPeerSource(channels, _STALL_S)
-    own = FleetAgent(settings, view, channels, lambda: peers.quickest_part_s)
+    weights_s = settings.bounds.weights_s
+    own = FleetAgent(
+        settings,
+        view,
+        channels,
+        lambda: peers.quickest_part_s,
+        lambda: guarded_version(view, settings.target_service, weights_s),
+    )
     watcher = Watcher(
         view,
         channels,
@@ -84,7 +92,7 @@
         ),
     )
     switcher = FleetSwitcher(
-        own, view, engine, stager, settings.bounds.weights_s
+        own, view, engine, stager, weights_s, lambda: peers.link_is_quick
     )
     chunks = ChunkServer(
         store, upload, _PARALLEL_UPLOADS, stager.counts, UploadRate(upload)
@@ -98,5 +106,6 @@
         log_event("started", role="agent", target=settings.target_address)
         await stop.wait()
         log_event("stopping", role="agent")
+        await switcher.leave()
     await engine.close()
     channels.close()
--- a/damaskcroft/platform/engine.py
+++ b/damaskcroft/platform/engine.py
@@ -3,6 +3,7 @@
 import json
 from typing import Any
 
+from damaskcroft._generated import fleet_pb2
 from damaskcroft.engines import (
     EngineReport,
     EngineUnreachable,
@@ -77,13 +78,23 @@
         self, model: str, version: int, sequence: int, *, cut_running: bool
     ) -> OrderOutcome:
         """See StagedEngine."""
-        order = {
-            "operation": "start",
-            "model": model,
-            "version": version,
-            "switch_mode": "abort" if cut_running else "wait",
-            "precondition": sequence,
-        }
+        order = _start_order(model, version, sequence, cut_running)
+        return await self._order(order)
+
+    async def keep_only(
+        self,
+        part: fleet_pb2.HeldLayers,
+        sequence: int,
+        *,
+        cut_running: bool = False,
+    ) -> OrderOutcome:
+        """See StagedEngine."""
+        order = _start_order(part.model, part.version, sequence, cut_running)
+        # On the wire the end of a range of layers is called a target.
+        order["from"], order["target"] = part.first_layer, part.end_layer
+        return await self._order(order)
+
+    async def _order(self, order: dict[str, Any]) -> OrderOutcome:
         outcome = await self._call(
             "POST", "order", json.dumps(order).encode(), "application/json"
         )
@@ -122,3 +133,15 @@
             log_event("target_regained", path=path)
         self._reachable = True
         return response.status_code, content
+
+
+def _start_order(
+    model: str, version: int, sequence: int, cut_running: bool
+) -> dict[str, Any]:
+    return {
+        "operation": "start",
+        "model": model,
+        "version": version,
+        "switch_mode": "abort" if cut_running else "wait",
+        "precondition": sequence,
+    }
--- a/damaskcroft/weights/_peers.py
+++ b/damaskcroft/weights/_peers.py
@@ -101,6 +101,11 @@
         """What parts take at least to come over this machine's link."""
         return self._window.quickest_part_s
 
+    @property
+    def link_is_quick(self) -> bool:
+        """Whether parts of right now came quickly; False if none came."""
+        return self._window.is_quick
+
     async def fetch_chunk(
         self,
         address: str,
--- a/damaskcroft/weights/_window.py
+++ b/damaskcroft/weights/_window.py
@@ -26,6 +26,10 @@
 # narrow for some seconds.
 _TOLD_FOR_S = 6.0
 _MIN_TOLD = 4
+# Parts of so long ago tell of right now, and on a quick link come this soon: a
+# part takes 18 ms on a link of 3.65 Mbit/s, behind a few others.
+_FRESH_S = 1.0
+_QUICK_S = 0.15
 _MIN_PARTS = 1.0
 # Parts that wait for their turn at their senders count too, and each sender
 # serves three or four receivers: a dozen keep a link full.
@@ -46,6 +50,7 @@
 
     __slots__ = (
         "_asked",
+        "_asked_at",
         "_begun",
         "_outstanding_by_sender",
         "_queued",
@@ -68,6 +73,8 @@
             maxlen=_LAST_QUEUED
         )
         self._waiting: list[tuple[int, int, str, asyncio.Future[None]]] = []
+        # When parts that have not come were asked for.
+        self._asked_at: dict[object, float] = {}
         # Between parts of one rank, the one that asked first.
         self._asked = 0
 
@@ -86,10 +93,13 @@
         """
         await self._enter(rank, sender)
         asked_at = now_s()
+        part = object()
+        self._asked_at[part] = asked_at
         try:
             yield
             self._took.append((now_s(), now_s() - asked_at))
         finally:
+            del self._asked_at[part]
             self._leave(sender)
 
     async def _enter(self, rank: int, sender: str) -> None:
@@ -127,11 +137,30 @@
         """From asking to arrival, the quickest of the last parts; 0 if idle.
 
         Parts come from several senders, so what delays all of them is our own
-        link.
+        link. Where too few have come to tell, those that were asked for and
+        stay away tell.
         """
-        since = now_s() - _TOLD_FOR_S
-        took = [took_s for at, took_s in self._took if at > since]
-        return min(took) if len(took) >= _MIN_TOLD else 0.0
+        took = self._took_within(_TOLD_FOR_S)
+        if len(took) >= _MIN_TOLD:
+            return max(min(took), self._silent_s())
+        return self._silent_s()
+
+    @property
+    def is_quick(self) -> bool:
+        """Whether parts of right now came quickly; False if none came."""
+        took = self._took_within(_FRESH_S)
+        return len(took) >= _MIN_TOLD and min(took) < _QUICK_S
+
+    def _took_within(self, last_s: float) -> list[float]:
+        since = now_s() - last_s
+        return [took_s for at, took_s in self._took if at > since]
+
+    def _silent_s(self) -> float:
+        """For how long nothing came while as much as told was awaited."""
+        if len(self._asked_at) < _MIN_TOLD:
+            return 0.0
+        last_at = self._took[-1][0] if self._took else float("-inf")
+        return now_s() - max(last_at, min(self._asked_at.values()))
 
     def note(self, queued_s: float) -> None:
         """Takes note of how long a part was queued on its way.
--- a/damaskcroft/weights/tests/test_window.py
+++ b/damaskcroft/weights/tests/test_window.py
@@ -150,3 +150,36 @@
         assert window.quickest_part_s > 0.59
 
     loop.run(scenario())
+
+
+def test_parts_that_stay_away_tell_of_a_narrow_link(loop):
+    """Four are asked for and none comes: silence is no sign of health."""
+
+    async def scenario():
+        window = PartWindow()
+
+        async def never(sender):
+            async with window.room(window.begin_chunk(), sender):
+                await asyncio.sleep(100)
+
+        tasks = [asyncio.create_task(never(f"s{n}")) for n in range(4)]
+        await asyncio.sleep(1.5)
+        assert abs(window.quickest_part_s - 1.5) < 1e-6
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        assert window.quickest_part_s == 0.0
+
+    loop.run(scenario())
+
+
+def test_only_parts_of_right_now_show_that_a_link_is_quick(loop):
+    async def scenario():
+        window = PartWindow()
+        assert not window.is_quick
+        await busy(window, 0.009, 40)
+        assert window.is_quick
+        await asyncio.sleep(1.5)
+        assert not window.is_quick
+
+    loop.run(scenario())
