--- a/damaskcroft/hosted/tests/deployment.py
+++ b/damaskcroft/hosted/tests/deployment.py
@@ -69,12 +69,15 @@
     def address(self, ip, port):
         return f"{ip}:{port}"
 
-    async def start(self, role, ip, *, first=True):
+    async def start(self, role, ip, *, first=True, target=""):
+        """Starts a program; agents are told the target beside them."""
         name = f"{role}-{ip.rpartition('.')[2]}"
         listen, data = "", ""
         if role == "control":
             listen = f'control = "{ip}:{self.control}"'
             data = f'data_dir = "{self.folder / name}"'
+        if role == "agent":
+            data = f'app = "{target}"\nservice = "s"'
         if role == "entry":
             listen = (
                 f'front = "{ip}:{self.front}"\n'
