Control keeps which version of weights is in service

Cause: with no version named, the one in service was known only by what targets held, so a loss of power of all machines took it away, and no agent wanted any. Now the leader writes it into the log when more than half of a model's holders have shown one version whole for two announcements; agents bring it where no version is named. It is no goal: it has no age and nothing becomes due by it, so entries and the order of switching are as before, and the same version named later is accepted and counted from then. The first record stands, a goal goes before it and removes it, whatever came first. Images without it load as before. What is held whole is judged in one place now, for entries and for control. Ruled out: recording it as a goal of unknown age; such a goal counts as long due, so targets with something older would be left at once and switch out of turn.

--- a/damaskcroft/agent/_fleet_stager.py
+++ b/damaskcroft/agent/_fleet_stager.py
@@ -105,7 +105,11 @@
         self.staged_version: StagedVersion | None = None
 
     def wanted(self) -> Wanted | None:
-        """The version to hold: the goal, or what the other targets hold."""
+        """The version to hold.
+
+        The goal; without one what control recorded as in service, which
+        outlives every target; before it has, what the other targets hold.
+        """
         table = self._view.table
         if table is None:
             return None
@@ -113,12 +117,18 @@
         if service is None:
             return None
         for model in service.engine.models:
-            goal = self._view.goal_by_model.get(model.name)
-            version = goal.version if goal else self._held_by_others(model.name)
+            version = self._wanted_version(model.name)
             if version:
                 return Wanted(model.name, version)
         return None
 
+    def _wanted_version(self, model: str) -> int:
+        goal = self._view.goal_by_model.get(model)
+        if goal is not None:
+            return goal.version
+        served = self._view.served_by_model.get(model)
+        return served or self._held_by_others(model)
+
     async def run(self) -> None:
         """Stages whatever is wanted, until cancelled."""
         work: asyncio.Task | None = None
@@ -171,6 +181,7 @@
             "weights_wanted",
             path=wanted.path if wanted else "",
             named=goal.version if goal else None,
+            recorded=wanted and self._view.served_by_model.get(wanted.model),
             configuration=self._view.version,
         )
 
--- a/damaskcroft/control/__init__.py
+++ b/damaskcroft/control/__init__.py
@@ -8,6 +8,7 @@
 )
 from damaskcroft.control._fleet_service import FleetService
 from damaskcroft.control._fleet_state import FleetState
+from damaskcroft.control._service_recorder import ServiceRecorder
 
 __all__ = [
     "Accepted",
@@ -15,5 +16,6 @@
     "FleetService",
     "FleetState",
     "Invalid",
+    "ServiceRecorder",
     "Unavailable",
 ]
--- a/damaskcroft/control/_fleet_service.py
+++ b/damaskcroft/control/_fleet_service.py
@@ -95,6 +95,7 @@
     async def _push(self, stream: Any, watcher: _Watcher) -> None:
         watcher.add(self._everything())
         told_goals: dict[str, int] = {}
+        told_served: set[str] = set()
         while True:
             update = fleet_pb2.FleetUpdate(
                 configuration_version=self._state.version,
@@ -106,6 +107,10 @@
                 if told_goals.get(goal.model) != goal.version:
                     told_goals[goal.model] = goal.version
                     update.goals.append(self._aged(goal))
+            for served in self._state.served():
+                if served.model not in told_served:
+                    told_served.add(served.model)
+                    update.served.append(served)
             await stream.send_message(update)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(UPDATE_EVERY_S):
--- a/damaskcroft/control/_fleet_state.py
+++ b/damaskcroft/control/_fleet_state.py
@@ -1,4 +1,4 @@
-"""The replicated state of a fleet: its configuration and weight goals."""
+"""The replicated state of a fleet: its configuration and its weights."""
 
 import dataclasses
 from collections.abc import Callable
@@ -24,14 +24,22 @@
 
 
 class FleetState(StateMachine):
-    """The highest version of everything that operators named."""
+    """The highest version of everything that operators named.
+
+    Attributes:
+        configuration: the highest, or None.
+        goal_by_model: the highest version named.
+        served_by_model: the version in service, of models without a goal.
+        applied_at_by_model: when this process applied each goal, in seconds
+            on its own clock; kept beside the replicated state.
+    """
 
     def __init__(self) -> None:
         """Creates the state of a new fleet."""
         self._listeners: list[Callable[[], None]] = []
         self.configuration: fleet_pb2.Configuration | None = None
         self.goal_by_model: dict[str, fleet_pb2.WeightGoal] = {}
-        # On this process's clock; kept beside the replicated state.
+        self.served_by_model: dict[str, int] = {}
         self.applied_at_by_model: dict[str, float] = {}
 
     def listen(self, listener: Callable[[], None]) -> None:
@@ -52,6 +60,13 @@
         goal = self.goal_by_model.get(model)
         return goal.version if goal else 0
 
+    def served(self) -> list[fleet_pb2.ServedVersion]:
+        """The versions in service of models without a goal."""
+        return [
+            fleet_pb2.ServedVersion(model=model, version=version)
+            for model, version in self.served_by_model.items()
+        ]
+
     def apply(self, index: int, command: bytes) -> Applied | None:
         """See StateMachine."""
         del index  # The versions order everything here.
@@ -61,6 +76,8 @@
                 return self._configure(parsed.configure)
             case "name_weights":
                 return self._name_weights(parsed.name_weights)
+            case "record_served":
+                return self._record_served(parsed.record_served)
         return None
 
     def snapshot(self) -> bytes:
@@ -68,6 +85,7 @@
         image = fleet_pb2.FleetImage(
             configuration=self.configuration,
             goals=self.goal_by_model.values(),
+            served=self.served(),
         )
         return image.SerializeToString(deterministic=True)
 
@@ -78,6 +96,9 @@
         if image.HasField("configuration"):
             self.configuration = image.configuration
         self.goal_by_model = {goal.model: goal for goal in image.goals}
+        self.served_by_model = {
+            kept.model: kept.version for kept in image.served
+        }
         self._changed()
 
     def _configure(self, configuration: fleet_pb2.Configuration) -> Applied:
@@ -91,6 +112,22 @@
         changed = goal.version > self.weights_version(goal.model)
         if changed:
             self.goal_by_model[goal.model] = goal
+            self.served_by_model.pop(goal.model, None)
             self.applied_at_by_model[goal.model] = now_s()
             self._changed()
         return Applied(changed, self.weights_version(goal.model))
+
+    def _record_served(self, served: fleet_pb2.ServedVersion) -> Applied:
+        """Keeps the first version recorded, and none beside a goal.
+
+        Leaders may record twice, or while an operator names a version: the
+        order of the log decides, and what was named stands.
+        """
+        model = served.model
+        if model in self.goal_by_model:
+            return Applied(False, self.weights_version(model))
+        changed = model not in self.served_by_model
+        if changed:
+            self.served_by_model[model] = served.version
+            self._changed()
+        return Applied(changed, self.served_by_model[model])
--- a/damaskcroft/fleet/__init__.py
+++ b/damaskcroft/fleet/__init__.py
@@ -1,5 +1,10 @@
 """A fleet whose targets announce themselves and whose routes are configured."""
 
+from damaskcroft.fleet._held import (
+    held_by,
+    version_in_service,
+    whole_versions,
+)
 from damaskcroft.fleet._routes import RouteTable, mark_interruptible
 from damaskcroft.fleet._settings import Bounds, NodeSettings
 from damaskcroft.fleet._targets import TargetBook
@@ -16,5 +21,8 @@
     "TargetBook",
     "Watcher",
     "configuration_faults",
+    "held_by",
     "mark_interruptible",
+    "version_in_service",
+    "whole_versions",
 ]
--- a/damaskcroft/fleet/_view.py
+++ b/damaskcroft/fleet/_view.py
@@ -23,6 +23,8 @@
         goal_since_by_model: when each version named for a model was
             accepted, on this process's clock; long ago where no control
             node knows.
+        served_by_model: version in service where none was named, as control
+            has recorded it; a goal goes before it.
         agents_by_address: where agents give pieces of weights.
         control_addresses: members of control, as last told.
         entries: how many entries the fleet has, as far as known.
@@ -35,6 +37,7 @@
         self.book = TargetBook()
         self.goal_by_model: dict[str, fleet_pb2.WeightGoal] = {}
         self.goal_since_by_model: dict[str, dict[int, float]] = {}
+        self.served_by_model: dict[str, int] = {}
         self.agents_by_address: dict[str, fleet_pb2.AgentState] = {}
         # Counts what readers may want to look at targets and agents for.
         self.changes = 0
@@ -93,6 +96,8 @@
         self._heard_at = now_s()
         for goal in update.goals:
             self._take_goal(goal)
+        for served in update.served:
+            self._take_served(served)
         self.take(update.targets, update.agents)
         if update.control_addresses:
             self.control_addresses = tuple(update.control_addresses)
@@ -146,6 +151,15 @@
         since_by_version[goal.version] = now_s() - age_s
         log_event("weights_named", model=goal.model, version=goal.version)
 
+    def _take_served(self, served: fleet_pb2.ServedVersion) -> None:
+        """Control records one version of a model, once."""
+        if served.model in self.served_by_model:
+            return
+        self.served_by_model[served.model] = served.version
+        log_event(
+            "weights_in_service", model=served.model, version=served.version
+        )
+
     def _take_age(
         self, known: fleet_pb2.WeightGoal, told: fleet_pb2.WeightGoal
     ) -> None:
--- a/damaskcroft/forwarding/_services.py
+++ b/damaskcroft/forwarding/_services.py
@@ -4,7 +4,7 @@
 
 from damaskcroft._generated import fleet_pb2
 from damaskcroft.clock import now_s
-from damaskcroft.fleet import FleetView
+from damaskcroft.fleet import FleetView, held_by, whole_versions
 from damaskcroft.routing import Candidate
 
 __all__ = ["Services"]
@@ -181,15 +181,8 @@
         self, state: fleet_pb2.TargetState, model: str, least: int
     ) -> bool:
         layers = self._layers(state.service)
-        agent = self._agents_by_target.get(state.address)
-        told = agent.held if agent is not None else state.held
-        return any(
-            held.model == model
-            and held.version >= least
-            and held.first_layer == 0
-            and (held.end_layer == 0 or held.end_layer >= layers)
-            for held in told
-        )
+        parts = held_by(state, self._agents_by_target.get(state.address))
+        return any(v >= least for v in whole_versions(parts, model, layers))
 
     def _is_switching(self, state: fleet_pb2.TargetState) -> bool:
         agent = self._agents_by_target.get(state.address)
--- a/damaskcroft/hosted/control.py
+++ b/damaskcroft/hosted/control.py
@@ -12,7 +12,12 @@
     ReplicaService,
     format_disk,
 )
-from damaskcroft.control import FleetControl, FleetService, FleetState
+from damaskcroft.control import (
+    FleetControl,
+    FleetService,
+    FleetState,
+    ServiceRecorder,
+)
 from damaskcroft.fleet import FleetView, NodeSettings, Watcher
 from damaskcroft.hosted.process import background
 from damaskcroft.observe import log_event
@@ -34,6 +39,9 @@
 # A replica with an empty disk gets a snapshot and at most this much log: less
 # than a second on a link of 10 Mbit/s.
 _SNAPSHOT_BYTES = 512 * 1024
+# Every target has been heard within so many announcements, one of which may
+# be lost.
+_ANNOUNCEMENTS_TO_SETTLE = 2
 
 
 async def serve(settings: NodeSettings) -> None:
@@ -70,6 +78,13 @@
     replica = Replica(options, disk, transport, state)
     control = FleetControl(replica, state, view, channels)
     service = FleetService(replica, state, view, control)
+    recorder = ServiceRecorder(
+        replica,
+        state,
+        view,
+        control,
+        _ANNOUNCEMENTS_TO_SETTLE * settings.announce_every_s,
+    )
     watcher = Watcher(
         view,
         channels,
@@ -85,7 +100,7 @@
             Keys(None, None),
         ),
         http_served(settings.control_address, control_routes(control)),
-        background(watcher.run()),
+        background(watcher.run(), recorder.run()),
     ):
         await replica.start()
         log_event("started", role="control", incarnation=replica.incarnation)
