--- a/damaskcroft/agent/tests/test_fleet_stager.py
+++ b/damaskcroft/agent/tests/test_fleet_stager.py
@@ -153,6 +153,26 @@
     assert stager.wanted() == Wanted("m", 2)
 
 
+def test_a_record_goes_before_what_others_serve_and_a_goal_before_it(
+    loop, made
+):
+    view, _, _, stager = made
+    held = fleet_pb2.HeldLayers(model="m", version=5, end_layer=4)
+    other = fleet_pb2.TargetState(
+        id="t", service="s", address="y:1", sequence=1, held=[held]
+    )
+    view.take([other])
+    served = fleet_pb2.ServedVersion(model="m", version=2)
+
+    async def take():
+        view.apply_update(fleet_pb2.FleetUpdate(served=[served]))
+
+    loop.run(take())
+    assert stager.wanted() == Wanted("m", 2)
+    name(loop, view, version=3)
+    assert stager.wanted() == Wanted("m", 3)
+
+
 def test_what_lies_at_the_target_is_not_fetched_again(loop, made):
     view, origin, target, stager = made
     target.pieces = dict(enumerate(CHUNKS))
--- a/damaskcroft/agent/tests/test_fleet_switcher.py
+++ b/damaskcroft/agent/tests/test_fleet_switcher.py
@@ -116,6 +116,22 @@
     assert engine.orders == [("m", 2)]
 
 
+def test_targets_take_turns_for_a_version_that_is_only_recorded(loop, view):
+    """It has no time by which it is due, so nobody goes out of turn."""
+    view.goal_by_model.clear()
+    view.goal_since_by_model.clear()
+    served = fleet_pb2.ServedVersion(model="m", version=2)
+
+    async def record():
+        view.apply_update(fleet_pb2.FleetUpdate(served=[served]))
+
+    loop.run(record())
+    view.take([], [agent("a", fleet_pb2.AGENT_SWITCHING)])
+    engine = FakeEngine(OLD)
+    run_for(loop, view, engine, 60.0)
+    assert engine.orders == []
+
+
 def test_while_enough_are_out_others_wait(loop, view):
     view.take([], [agent("a", fleet_pb2.AGENT_SWITCHING)])
     engine = FakeEngine(OLD)
--- a/damaskcroft/control/tests/test_fleet_control.py
+++ b/damaskcroft/control/tests/test_fleet_control.py
@@ -248,6 +248,110 @@
     asyncio.run(scenario())
 
 
+def name_weights(version):
+    goal = fleet_pb2.WeightGoal(model="m", version=version)
+    return fleet_pb2.FleetCommand(name_weights=goal)
+
+
+def record_served(version):
+    served = fleet_pb2.ServedVersion(model="m", version=version)
+    return fleet_pb2.FleetCommand(record_served=served)
+
+
+def applied(*commands):
+    state = FleetState()
+    for index, command in enumerate(commands, 1):
+        state.apply(index, command.SerializeToString())
+    return state
+
+
+@pytest.mark.parametrize("named", [1, 2, 3])
+def test_a_goal_goes_before_the_record_whichever_came_first(loop, named):
+    async def scenario():
+        for commands in (
+            (record_served(2), name_weights(named)),
+            (name_weights(named), record_served(2)),
+        ):
+            state = applied(*commands)
+            assert state.weights_version("m") == named
+            assert state.served_by_model == {}
+            assert state.applied_at_by_model.keys() == {"m"}
+
+    loop.run(scenario())
+
+
+def test_the_first_record_stands():
+    state = applied(record_served(2), record_served(3), record_served(1))
+    assert state.served_by_model == {"m": 2}
+    assert state.weights_version("m") == 0
+
+
+def test_a_record_survives_its_snapshot():
+    state = applied(record_served(2))
+    other = applied(record_served(5))
+    other.restore(state.snapshot())
+    assert other.served_by_model == {"m": 2}
+    assert other.snapshot() == state.snapshot()
+
+
+def test_an_image_without_records_loads():
+    goal = fleet_pb2.WeightGoal(model="m", version=2)
+    image = fleet_pb2.FleetImage(goals=[goal])
+    state = applied(record_served(5))
+    state.restore(image.SerializeToString())
+    assert state.weights_version("m") == 2
+    assert state.served_by_model == {}
+
+
+def test_the_recorded_version_can_still_be_named(run, tmp_path):
+    """It is acknowledged as a goal, with an age that begins then."""
+
+    async def scenario():
+        async with three_nodes(tmp_path) as nodes:
+            assert await nodes[0].control.commit(record_served(1)) == Accepted(
+                1
+            )
+            named = [
+                await node.control.name_weights(
+                    fleet_pb2.WeightGoal(model="m", version=1)
+                )
+                for node in nodes
+            ]
+            assert named == [Accepted(1)] * 3
+            states = [node.state for node in nodes]
+            await until(
+                lambda: all(s.weights_version("m") == 1 for s in states)
+            )
+            assert all(not state.served_by_model for state in states)
+
+    run(scenario())
+
+
+def test_a_record_survives_control_and_reaches_watchers(run, tmp_path):
+    async def scenario():
+        async with three_nodes(tmp_path) as nodes:
+            await nodes[0].control.commit(record_served(1))
+            # Enough for snapshots, so that it doesn't stand in the log alone.
+            for version in range(1, 31):
+                await nodes[0].control.configure(configuration(version))
+            assert nodes[0].replica.log.snapshot.index > 0
+            addresses = [node.address for node in nodes]
+        async with three_nodes(tmp_path, addresses) as nodes:
+            view, channels = FleetView(), ChannelPool(KEYS)
+            watcher = Watcher(
+                view, channels, addresses[:1],
+                lambda: fleet_pb2.WatchRequest(name="a"),
+            )  # fmt: skip
+            watching = asyncio.create_task(watcher.run())
+            await until(lambda: view.served_by_model == {"m": 1})
+            assert view.goal_by_model == {}
+            watching.cancel()
+            await asyncio.gather(watching, return_exceptions=True)
+            channels.close()
+
+    run(scenario())
+
+
 def test_nodes_that_restart_from_a_snapshot_hold_what_they_promised(
     run, tmp_path
 ):
--- a/damaskcroft/fleet/tests/test_view.py
+++ b/damaskcroft/fleet/tests/test_view.py
@@ -62,6 +62,19 @@
     loop.run(scenario())
 
 
+def test_a_record_is_kept_but_never_due(loop):
+    async def scenario():
+        view = FleetView()
+        served = fleet_pb2.ServedVersion(model="m", version=1)
+        view.apply_update(fleet_pb2.FleetUpdate(served=[served]))
+        await asyncio.sleep(100)
+        assert view.served_by_model == {"m": 1}
+        assert view.due_version("m", 8) == 0
+        assert view.goal_since_by_model == {}
+
+    loop.run(scenario())
+
+
 def test_listeners_hear_of_real_changes_only(loop):
     view = FleetView()
     heard = []
