A red test: an entry's clock stands still while its machine is suspended

Cause: the loop asks CLOCK_MONOTONIC, which doesn't count a suspension, so an entry that was suspended for 5 s gives old weights 5 s more than the bound.

--- /dev/null
+++ b/damaskcroft/hosted/tests/test_suspended.py
@@ -0,0 +1,68 @@
+"""A program on a machine that was suspended for some seconds."""
+
+import time
+import types
+
+import pytest
+
+from damaskcroft._generated import fleet_pb2
+from damaskcroft.fleet import FleetView
+from damaskcroft.hosted import process
+
+SUSPENDED_S = 5.0
+WEIGHTS_S = 8.0
+
+
+class Machine:
+    """Its clocks: the steady one stands still while it is suspended."""
+
+    def __init__(self):
+        self.suspended_s = 0.0
+        self._read = time.clock_gettime
+
+    def clock_gettime(self, clock):
+        counts = clock in (time.CLOCK_BOOTTIME, time.CLOCK_REALTIME)
+        return self._read(clock) + (self.suspended_s if counts else 0.0)
+
+
+@pytest.fixture
+def machine(monkeypatch):
+    """Clocks that a test may let a suspension pass by."""
+    machine = Machine()
+    monkeypatch.setattr(time, "clock_gettime", machine.clock_gettime)
+    return machine
+
+
+@pytest.fixture
+def run_program(monkeypatch):
+    """Runs work as a hosted program does, without settings and logs."""
+    settings = types.SimpleNamespace(
+        name="e", ip="", failure_domain="", first_start=False, seeds=()
+    )
+    monkeypatch.setattr(process, "load_node_settings", lambda: settings)
+    monkeypatch.setattr(process, "start_logs", lambda name: None)
+    return lambda serve: process.run_hosted("entry", serve, 0)
+
+
+def test_time_on_a_suspended_machine_counts(machine, run_program):
+    """An entry sent to old weights for as long as it had been suspended.
+
+    It heard that version 2 had just been accepted, and its machine was
+    suspended for 5 s. It asked the steady clock, which doesn't count that
+    time, and held version 2 to be due 8 s later by that clock: 13 s after
+    its acceptance. Evidence: CLOCK_MONOTONIC stands still in a suspension,
+    and the loop of every program asked nothing else.
+    """
+    due = []
+
+    async def serve(settings):
+        del settings
+        view = FleetView()
+        goal = fleet_pb2.WeightGoal(model="m", version=2, age_ms=3100)
+        view.apply_update(fleet_pb2.FleetUpdate(goals=[goal]))
+        due.append(view.due_version("m", WEIGHTS_S))
+        machine.suspended_s = SUSPENDED_S
+        due.append(view.due_version("m", WEIGHTS_S))
+
+    run_program(serve)
+    assert due == [0, 2]
