Programs run on a clock that counts suspensions

Cause: the loop's CLOCK_MONOTONIC stands still while a machine is suspended, so ages, due times, leases, deadlines and silences were all short by that time. Ruled out: a second clock for ages alone, beside now_s. Whoever subtracts one from the other errs by all suspensions since the machine's start, and time budgets and leases would still be short. Before: an entry suspended for 5 s held a version due 5 s too late. Virtual time is as it was. Left: a wait in the selector itself doesn't count a suspension, so a timer may fire late by as much if nothing else wakes the loop.

--- a/damaskcroft/clock.py
+++ b/damaskcroft/clock.py
@@ -1,13 +1,38 @@
 """The one clock that decisions are made by."""
 
 import asyncio
+import time
+from collections.abc import Coroutine
+from typing import Any, TypeVar
 
-__all__ = ["now_s"]
+__all__ = ["now_s", "run"]
+
+_T = TypeVar("_T")
+
+
+class _LastingLoop(asyncio.SelectorEventLoop):
+    """A loop whose clock also counts time in which the machine is suspended.
+
+    What others promise and expect goes on meanwhile, so that to all code a
+    suspension is a freeze. A wait in the selector itself doesn't count it: a
+    timer may fire late by as much, unless anything else wakes the loop.
+    """
+
+    def time(self) -> float:
+        """Seconds since the machine was started, suspended or not."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 def now_s() -> float:
-    """The running loop's monotonic clock, in seconds.
+    """The running loop's clock, in seconds; it never goes back.
 
-    A test may run the loop in virtual time; wall clocks are never asked.
+    In a program it counts suspensions, see `run`. A test may run the loop in
+    virtual time; wall clocks are never asked.
     """
     return asyncio.get_running_loop().time()
+
+
+def run(work: Coroutine[Any, Any, _T]) -> _T:
+    """Runs a program's work to its end, on a clock that counts suspensions."""
+    with asyncio.Runner(loop_factory=_LastingLoop) as runner:
+        return runner.run(work)
--- a/damaskcroft/hosted/process.py
+++ b/damaskcroft/hosted/process.py
@@ -7,6 +7,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from typing import Any
 
+from damaskcroft.clock import run
 from damaskcroft.fleet import NodeSettings
 from damaskcroft.observe import log_event, start_logs
 from damaskcroft.platform.settings import SettingsFileError, load_node_settings
@@ -50,7 +51,7 @@
     )
     try:
         with contextlib.suppress(KeyboardInterrupt):
-            asyncio.run(_run(serve, settings, metrics_port))
+            run(_run(serve, settings, metrics_port))
     except OSError as error:
         log_event("cannot_start", reason=error)
         raise SystemExit(_EXIT_CANNOT_START) from error
--- a/damaskcroft/rpc/_daemon.py
+++ b/damaskcroft/rpc/_daemon.py
@@ -10,6 +10,7 @@
 
 from google.protobuf.message import Message
 
+from damaskcroft.clock import run
 from damaskcroft.config import settings_or_exit
 from damaskcroft.observe import start_logs
 from damaskcroft.rpc._keys import Keys, KeysError, load_keys
@@ -60,7 +61,7 @@
     try:
         keys = load_keys(settings.keys)
         with contextlib.suppress(KeyboardInterrupt):
-            asyncio.run(_awaited(serve(settings, keys)))
+            run(_awaited(serve(settings, keys)))
     except cannot_start as error:
         print(error, file=sys.stderr)
         raise SystemExit(_EXIT_CANNOT_START) from error
