A red test: an entry keeps the first word of a goal's age

Cause: FleetView takes another age only where the first was unknown. A control node that was cut off or frozen tells an age that is too small; heard first, it gives old weights that much more time.

--- a/damaskcroft/fleet/tests/test_view.py
+++ b/damaskcroft/fleet/tests/test_view.py
@@ -62,6 +62,29 @@
     loop.run(scenario())
 
 
+def test_the_earliest_word_of_a_goals_age_counts(loop):
+    """An entry that heard a late control node first sent to old weights.
+
+    A control node that had been cut off took version 2 over 4 s late and told
+    an entry an age of 0; the node that had accepted it told 4 s a moment
+    later. The entry kept the first word, and held version 2 to be due 12 s
+    after its acceptance. Evidence: only a goal of unknown age took another.
+    """
+
+    async def scenario():
+        view = FleetView()
+        view.apply_update(fleet_pb2.FleetUpdate(goals=[goal(2, age_ms=0)]))
+        view.apply_update(fleet_pb2.FleetUpdate(goals=[goal(2, age_ms=4000)]))
+        assert view.due_version("m", 3.9) == 2
+        await asyncio.sleep(1)
+        for late in (goal(2, age_ms=100), goal(2)):
+            view.apply_update(fleet_pb2.FleetUpdate(goals=[late]))
+        assert view.due_version("m", 4.9) == 2
+        assert view.due_version("m", 5.1) == 0
+
+    loop.run(scenario())
+
+
 def test_listeners_hear_of_real_changes_only(loop):
     view = FleetView()
     heard = []
