Of all words of a goal's age the earliest time counts

Cause: the first word was kept, also where it was a late node's. Ruled out: a word can't move the time too far back by way of the network, since what is late makes an age too small, never too large. A word without an age moves nothing that is known. Before: a version told first with age 0 and then with 4 s was due 4 s late.

--- a/damaskcroft/fleet/_view.py
+++ b/damaskcroft/fleet/_view.py
@@ -136,26 +136,29 @@
         return True
 
     def _take_goal(self, goal: fleet_pb2.WeightGoal) -> None:
+        self._take_age(goal)
         known = self.goal_by_model.get(goal.model)
         if known is not None and known.version >= goal.version:
-            self._take_age(known, goal)
             return
         self.goal_by_model[goal.model] = goal
-        age_s = goal.age_ms / 1000 if goal.HasField("age_ms") else math.inf
-        since_by_version = self.goal_since_by_model.setdefault(goal.model, {})
-        since_by_version[goal.version] = now_s() - age_s
         log_event("weights_named", model=goal.model, version=goal.version)
 
-    def _take_age(
-        self, known: fleet_pb2.WeightGoal, told: fleet_pb2.WeightGoal
-    ) -> None:
-        """Another control node may know when the same goal was accepted."""
-        if known.version != told.version or not told.HasField("age_ms"):
+    def _take_age(self, goal: fleet_pb2.WeightGoal) -> None:
+        """Keeps the earliest time of acceptance that any node has told.
+
+        A node that was cut off or frozen, or whose word came late, tells an
+        age that is too small; none tells one that is too large. A goal whose
+        age nobody knows was accepted long ago.
+        """
+        since_by_version = self.goal_since_by_model.setdefault(goal.model, {})
+        known = since_by_version.get(goal.version, -math.inf)
+        if not goal.HasField("age_ms"):
+            since_by_version[goal.version] = known
             return
-        since = now_s() - told.age_ms / 1000
-        since_by_version = self.goal_since_by_model[told.model]
-        if math.isinf(since_by_version[told.version]):
-            since_by_version[told.version] = since
+        told = now_s() - goal.age_ms / 1000
+        since_by_version[goal.version] = (
+            told if math.isinf(known) else min(known, told)
+        )
 
 
 def _is_newer_agent(
