--- a/damaskcroft/control/_fleet_state.py
+++ b/damaskcroft/control/_fleet_state.py
@@ -77,6 +77,10 @@
         self.configuration = None
         if image.HasField("configuration"):
             self.configuration = image.configuration
+        for goal in image.goals:
+            if goal.version != self.weights_version(goal.model):
+                # Nobody told when this one was accepted.
+                self.applied_at_by_model.pop(goal.model, None)
         self.goal_by_model = {goal.model: goal for goal in image.goals}
         self._changed()
 
