A red test: an entry that starts late knows the newest goal's time only

Cause: of two versions named 3 s apart a new watcher is told the second, so the first one's time is missing, which is taken for 'not named'.

--- a/damaskcroft/control/tests/test_fleet_service.py
+++ b/damaskcroft/control/tests/test_fleet_service.py
@@ -88,3 +88,32 @@
         assert view.due_version("m", WEIGHTS_S) < 3
 
     play(scenario)
+
+
+def test_an_entry_that_starts_late_knows_when_an_older_version_is_due(play):
+    """A new entry sent to weights whose time had passed 3 s before.
+
+    Versions 2 and 3 were named 3 s apart, and the entry began to watch a
+    second later. It was told of version 3 alone, with its age, and so let
+    requests begin on version 1 until that one was due, though version 2
+    forbids that 3 s sooner. Evidence: a control node kept and told the newest
+    goal's time only.
+    """
+
+    async def scenario(node):
+        node.name_weights(2)
+        await asyncio.sleep(3)
+        node.name_weights(3)
+        await asyncio.sleep(1)
+        view = FleetView()
+        watching = node.watch(view)
+        await asyncio.sleep(0.01)
+        watching.cancel()
+        assert view.goal_by_model["m"].version == 3
+        assert view.due_version("m", WEIGHTS_S) == 0
+        await asyncio.sleep(4.1)
+        assert view.due_version("m", WEIGHTS_S) == 2
+        await asyncio.sleep(3)
+        assert view.due_version("m", WEIGHTS_S) == 3
+
+    play(scenario)
