A watcher is told when each version that still matters was named

Cause: a control node kept the newest goal's time alone, by model. Ruled out: taking a missing time of an older version for 'long ago' at the entry, which can't know whether there was such a version. Before: an entry that began to watch 1 s after the second of two versions let requests begin on the weights before both for 3 s too long.

--- a/damaskcroft/control/_fleet_service.py
+++ b/damaskcroft/control/_fleet_service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Iterator
 from typing import Any
 
 from damaskcroft._generated import fleet_grpc, fleet_pb2
@@ -94,7 +95,7 @@
 
     async def _push(self, stream: Any, watcher: _Watcher) -> None:
         watcher.add(self._everything())
-        told_goals: dict[str, int] = {}
+        told_goals: set[tuple[str, int]] = set()
         while True:
             update = fleet_pb2.FleetUpdate(
                 configuration_version=self._state.version,
@@ -102,22 +103,33 @@
                 entries=sum(w.is_entry for w in self._watchers),
             )
             watcher.take(update)
-            for goal in self._state.goal_by_model.values():
-                if told_goals.get(goal.model) != goal.version:
-                    told_goals[goal.model] = goal.version
-                    update.goals.append(self._aged(goal))
+            for goal in self._goals():
+                if (goal.model, goal.version) not in told_goals:
+                    told_goals.add((goal.model, goal.version))
+                    update.goals.append(goal)
             await stream.send_message(update)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(UPDATE_EVERY_S):
                     await watcher.wake.wait()
                     await asyncio.sleep(_GATHER_S)
 
-    def _aged(self, goal: fleet_pb2.WeightGoal) -> fleet_pb2.WeightGoal:
+    def _goals(self) -> Iterator[fleet_pb2.WeightGoal]:
+        """Versions that may still matter, older ones before newer ones.
+
+        Who hears of the newest alone doesn't know when the ones before it
+        were named.
+        """
+        for model in self._state.goal_by_model:
+            for version, named_at in self._state.goal_times.of(model):
+                yield self._aged(model, version, named_at)
+
+    def _aged(
+        self, model: str, version: int, named_at: float
+    ) -> fleet_pb2.WeightGoal:
         """A goal with its age, unless it may have been replayed."""
-        aged = fleet_pb2.WeightGoal(model=goal.model, version=goal.version)
-        applied_at = self._state.applied_at_by_model.get(goal.model)
-        if applied_at is not None and applied_at - self._started_at > _REPLAY_S:
-            aged.age_ms = int((now_s() - applied_at) * 1000)
+        aged = fleet_pb2.WeightGoal(model=model, version=version)
+        if named_at - self._started_at > _REPLAY_S:
+            aged.age_ms = int((now_s() - named_at) * 1000)
         return aged
 
     def _everything(self) -> fleet_pb2.FleetUpdate:
--- a/damaskcroft/control/_fleet_state.py
+++ b/damaskcroft/control/_fleet_state.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable
 
 from damaskcroft._generated import fleet_pb2
-from damaskcroft.clock import now_s
 from damaskcroft.consensus import StateMachine
+from damaskcroft.control._goal_times import GoalTimes
 
 __all__ = ["Applied", "FleetState"]
 
@@ -31,8 +31,7 @@
         self._listeners: list[Callable[[], None]] = []
         self.configuration: fleet_pb2.Configuration | None = None
         self.goal_by_model: dict[str, fleet_pb2.WeightGoal] = {}
-        # On this process's clock; kept beside the replicated state.
-        self.applied_at_by_model: dict[str, float] = {}
+        self.goal_times = GoalTimes()
 
     def listen(self, listener: Callable[[], None]) -> None:
         """Calls `listener` after each change from now on."""
@@ -78,9 +77,7 @@
         if image.HasField("configuration"):
             self.configuration = image.configuration
         for goal in image.goals:
-            if goal.version != self.weights_version(goal.model):
-                # Nobody told when this one was accepted.
-                self.applied_at_by_model.pop(goal.model, None)
+            self.goal_times.restore(goal.model, goal.version)
         self.goal_by_model = {goal.model: goal for goal in image.goals}
         self._changed()
 
@@ -95,6 +92,6 @@
         changed = goal.version > self.weights_version(goal.model)
         if changed:
             self.goal_by_model[goal.model] = goal
-            self.applied_at_by_model[goal.model] = now_s()
+            self.goal_times.name(goal.model, goal.version)
             self._changed()
         return Applied(changed, self.weights_version(goal.model))
