A red test: a goal read late counts from when it was read

Cause: an age is told once over a stream, and the watcher counts it from when it reads it. A watcher that is frozen for less than the 2 s of silence that it bears, or whose link loses packets for a moment, keeps its stream and is late by as much. Shown by a run: after a freeze of 1.5 s version 2 isn't due 8.1 s after it was named.

--- a/damaskcroft/control/tests/test_fleet_service.py
+++ b/damaskcroft/control/tests/test_fleet_service.py
@@ -25,6 +25,25 @@
         self.view.apply_update(update)
 
 
+class FrozenStream(Stream):
+    """One whose watcher reads nothing for a while."""
+
+    def __init__(self, view):
+        super().__init__(view)
+        self.unread = []
+
+    async def send_message(self, update):
+        if self.unread is None:
+            await super().send_message(update)
+        else:
+            self.unread.append(update)
+
+    def thaw(self):
+        for update in self.unread:
+            self.view.apply_update(update)
+        self.unread = None
+
+
 class Node:
     """A control node's state and service, without its replica."""
 
@@ -40,9 +59,9 @@
         command = fleet_pb2.FleetCommand(name_weights=goal)
         self.state.apply(1, command.SerializeToString())
 
-    def watch(self, view):
-        """Tells a view all, and what changes until the task is cancelled."""
-        return asyncio.create_task(self.service.Watch(Stream(view)))
+    def watch(self, stream):
+        """Tells a stream all, then changes until the task is cancelled."""
+        return asyncio.create_task(self.service.Watch(stream))
 
 
 def image(version):
@@ -82,7 +101,7 @@
         view = FleetView()
         knowing = fleet_pb2.WeightGoal(model="m", version=3, age_ms=1000)
         view.apply_update(fleet_pb2.FleetUpdate(goals=[knowing]))
-        watching = node.watch(view)
+        watching = node.watch(Stream(view))
         await asyncio.sleep(0.01)
         watching.cancel()
         assert view.due_version("m", WEIGHTS_S) < 3
@@ -106,7 +125,7 @@
         node.name_weights(3)
         await asyncio.sleep(1)
         view = FleetView()
-        watching = node.watch(view)
+        watching = node.watch(Stream(view))
         await asyncio.sleep(0.01)
         watching.cancel()
         assert view.goal_by_model["m"].version == 3
@@ -117,3 +136,28 @@
         assert view.due_version("m", WEIGHTS_S) == 3
 
     play(scenario)
+
+
+def test_a_frozen_entry_learns_how_old_a_goal_was_when_it_read_of_it(play):
+    """An entry that had been frozen gave old weights as much more time.
+
+    Version 2 was named while the entry was frozen for 1.5 s. The update lay
+    in its connection meanwhile; read at last, it told an age of 0. Silence is
+    borne for 2 s, so the stream stayed open, and over one stream a goal was
+    told once: the entry held version 2 to be due 9.5 s after its acceptance.
+    A link that loses packets for a moment does the same.
+    """
+
+    async def scenario(node):
+        view = FleetView()
+        stream = FrozenStream(view)
+        watching = node.watch(stream)
+        await asyncio.sleep(0.01)
+        node.name_weights(2)
+        await asyncio.sleep(1.5)
+        stream.thaw()
+        await asyncio.sleep(WEIGHTS_S - 1.4)
+        assert view.due_version("m", WEIGHTS_S) == 2
+        watching.cancel()
+
+    play(scenario)
