A goal's age is told again while it is young

Cause: the age counted from when a watcher read of it, once over a stream. Ruled out: a shorter silence. It opens streams anew for all who are slow for a moment, and a link that loses packets holds an update up for less than that. Before: a watcher frozen for 1.5 s held a version due 1.5 s late. After: each regular update for 20 s tells the age again, and the earliest time counts; the red test passes. An update grows by about 10 bytes meanwhile.

--- a/damaskcroft/control/_fleet_service.py
+++ b/damaskcroft/control/_fleet_service.py
@@ -20,6 +20,10 @@
 # Ended targets that a new watcher is told of, so that another node's late
 # word can't revive them for it.
 _MAX_ENDED_TOLD = 512
+# For this long a goal's age is told again: a watcher that was frozen, or whose
+# link lost packets, counts the age from when it read of it. Over twice the
+# bound for weights of any deployment, in seconds.
+_TOLD_AGAIN_S = 20.0
 # For this long after a start, what is applied may have been accepted long ago.
 _REPLAY_S = 3.0
 
@@ -51,6 +55,30 @@
         self.wake.clear()
 
 
+class _ToldGoals:
+    """When each goal was last told to one watcher."""
+
+    __slots__ = ("_told_at",)
+
+    def __init__(self) -> None:
+        self._told_at: dict[tuple[str, int], float] = {}
+
+    def take(self, goal: fleet_pb2.WeightGoal) -> bool:
+        """Whether a goal is to be told now, which is noted."""
+        key = goal.model, goal.version
+        told_at = self._told_at.get(key)
+        if told_at is not None and not self._is_due_again(goal, told_at):
+            return False
+        self._told_at[key] = now_s()
+        return True
+
+    def _is_due_again(self, goal: fleet_pb2.WeightGoal, told_at: float) -> bool:
+        if not goal.HasField("age_ms"):
+            return False
+        is_young = goal.age_ms < _TOLD_AGAIN_S * 1000
+        return is_young and now_s() - told_at >= UPDATE_EVERY_S
+
+
 class FleetService(fleet_grpc.FleetBase):
     """Tells entries, agents and other control nodes what changes."""
 
@@ -95,7 +123,7 @@
 
     async def _push(self, stream: Any, watcher: _Watcher) -> None:
         watcher.add(self._everything())
-        told_goals: set[tuple[str, int]] = set()
+        told = _ToldGoals()
         while True:
             update = fleet_pb2.FleetUpdate(
                 configuration_version=self._state.version,
@@ -103,10 +131,7 @@
                 entries=sum(w.is_entry for w in self._watchers),
             )
             watcher.take(update)
-            for goal in self._goals():
-                if (goal.model, goal.version) not in told_goals:
-                    told_goals.add((goal.model, goal.version))
-                    update.goals.append(goal)
+            update.goals.extend(g for g in self._goals() if told.take(g))
             await stream.send_message(update)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(UPDATE_EVERY_S):
