A red test: a control node that took a goal late tells an age that is too small

Cause: a node tells the time at which it applied a goal itself, also where the other nodes, which it follows, have told it an earlier one.

--- a/damaskcroft/control/tests/test_fleet_service.py
+++ b/damaskcroft/control/tests/test_fleet_service.py
@@ -161,3 +161,39 @@
         watching.cancel()
 
     play(scenario)
+
+
+def test_a_node_that_took_a_goal_late_tells_what_the_others_know(play):
+    """A control node that had been cut off told everyone too small an age.
+
+    It took version 2 from the log 5 s after its acceptance and told an age of
+    0, though the other nodes, which it follows as entries do, had told it
+    better. An entry that started then, and reached it first or alone, gave
+    old weights 5 s more. A node that had restarted told no age at all, and
+    the entry gave old weights no time. Evidence: a node told its own times
+    only.
+    """
+
+    async def scenario(node):
+        others = fleet_pb2.WeightGoal(model="m", version=2, age_ms=5000)
+        node.name_weights(2)
+        node.view.apply_update(fleet_pb2.FleetUpdate(goals=[others]))
+        assert await due_after(node, 2.9) == 0
+        assert await due_after(node, 0.2) == 2
+        others = fleet_pb2.WeightGoal(model="m", version=3, age_ms=1000)
+        node.state.restore(image(3))
+        node.view.apply_update(fleet_pb2.FleetUpdate(goals=[others]))
+        assert await due_after(node, 6.9) == 2
+        assert await due_after(node, 0.2) == 3
+
+    play(scenario)
+
+
+async def due_after(node, seconds):
+    """What is due for an entry that begins to watch a while from now."""
+    await asyncio.sleep(seconds)
+    view = FleetView()
+    watching = node.watch(Stream(view))
+    await asyncio.sleep(0.01)
+    watching.cancel()
+    return view.due_version("m", WEIGHTS_S)
