A control node tells the earliest time of a goal that any node knows

Cause: it told its own time alone, too late after a cut and unknown after a restart, though it follows the other nodes and holds what they told. Ruled out: an echo moves no time back, since each hop makes an age smaller by its delay, and the earliest counts. Times that aren't known settle no older version now; else one of those would be forgotten while it still matters. Before: an entry that reached such a node gave old weights up to 5 s more in the test. After: it has the acceptance's time; the red test passes.

--- a/damaskcroft/control/_fleet_service.py
+++ b/damaskcroft/control/_fleet_service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import Iterator
 from typing import Any
 
@@ -151,10 +152,14 @@
     def _aged(
         self, model: str, version: int, named_at: float
     ) -> fleet_pb2.WeightGoal:
-        """A goal with its age, unless it may have been replayed."""
-        aged = fleet_pb2.WeightGoal(model=model, version=version)
+        """A goal with its age, where this node or another one knows it."""
+        known = [self._view.goal_since(model, version)]
         if named_at - self._started_at > _REPLAY_S:
-            aged.age_ms = int((now_s() - named_at) * 1000)
+            known.append(named_at)
+        since = min(filter(math.isfinite, known), default=None)
+        aged = fleet_pb2.WeightGoal(model=model, version=version)
+        if since is not None:
+            aged.age_ms = int((now_s() - since) * 1000)
         return aged
 
     def _everything(self) -> fleet_pb2.FleetUpdate:
--- a/damaskcroft/control/_goal_times.py
+++ b/damaskcroft/control/_goal_times.py
@@ -40,9 +40,11 @@
         return sorted(self._named_at.get(model, {}).items())
 
     def _forget_before(self, named_at: dict[int, float]) -> None:
+        # A time that isn't known here settles nothing: another node may know.
         limit = now_s() - _KEPT_S
         settled = max(
-            (v for v, at in named_at.items() if at <= limit), default=0
+            (v for v, at in named_at.items() if -math.inf < at <= limit),
+            default=0,
         )
         for version in [v for v in named_at if v < settled]:
             del named_at[version]
--- a/damaskcroft/fleet/_view.py
+++ b/damaskcroft/fleet/_view.py
@@ -84,6 +84,11 @@
             (v for v, since in named.items() if since <= limit), default=0
         )
 
+    def goal_since(self, model: str, version: int) -> float:
+        """When a version was accepted; minus infinity where nobody knows."""
+        named = self.goal_since_by_model.get(model, {})
+        return named.get(version, -math.inf)
+
     def listen(self, listener: Callable[[fleet_pb2.FleetUpdate], None]) -> None:
         """Calls `listener` with each change of targets or agents."""
         self._listeners.append(listener)
