A red test: a control node that has just started undoes the count of entries

Cause: each control node tells how many entries watch it, and a view keeps the last word. Right after a node's start that is 1 for the first entry, and the budget for repeats, which entries share, is taken whole by each.

--- a/damaskcroft/fleet/tests/test_view.py
+++ b/damaskcroft/fleet/tests/test_view.py
@@ -85,6 +85,38 @@
     loop.run(scenario())
 
 
+def test_a_control_node_that_has_just_started_does_not_undo_the_count(loop):
+    """Every entry took the whole budget for repeats for half a second.
+
+    A control node had restarted; the entries returned to it one by one, and
+    to the first it said that the fleet had one entry, while the other nodes
+    saw four. Each entry took the last word for the count, and so the extra of
+    a window for itself, by which the deployment bounds them all together.
+    Evidence: a node counts the watchers it has, and an entry kept the last
+    count it had heard.
+    """
+
+    async def scenario():
+        view = FleetView()
+
+        def hear(entries):
+            view.apply_update(fleet_pb2.FleetUpdate(entries=entries))
+
+        assert view.entries == 1
+        hear(4)
+        hear(1)
+        assert view.entries == 4
+        await asyncio.sleep(2)
+        hear(1)
+        assert view.entries == 4
+        await asyncio.sleep(2)
+        assert view.entries == 4
+        hear(2)
+        assert view.entries == 2
+
+    loop.run(scenario())
+
+
 def test_listeners_hear_of_real_changes_only(loop):
     view = FleetView()
     heard = []
