The most entries that a control node told of lately count

Cause: a node counts its own watchers, too few right after its start or behind a cut, and the last word was kept. Ruled out: the count of the node heard first or longest, since an update doesn't say who sent it. Before: told 4 and then 1, a view held 1, and each entry took the whole extra of the budget for repeats. After: the most told within 3 s counts; the red test passes. After an entry's end the others go on with the larger count for 3 s.

--- a/damaskcroft/fleet/_view.py
+++ b/damaskcroft/fleet/_view.py
@@ -11,6 +11,11 @@
 
 __all__ = ["FleetView"]
 
+# For this long the most entries that a control node told of count, in seconds:
+# watchers return to one that restarted once they have noticed, after two
+# seconds of silence at most, and it counts them with its next update.
+_ENTRIES_HOLD_S = 3.0
+
 
 class FleetView:
     """Merges what all control nodes say; each part only moves forward.
@@ -25,7 +30,6 @@
             node knows.
         agents_by_address: where agents give pieces of weights.
         control_addresses: members of control, as last told.
-        entries: how many entries the fleet has, as far as known.
     """
 
     def __init__(self) -> None:
@@ -39,7 +43,8 @@
         # Counts what readers may want to look at targets and agents for.
         self.changes = 0
         self.control_addresses: tuple[str, ...] = ()
-        self.entries = 1
+        # When each count of entries was last told.
+        self._entries_told_at = {1: -math.inf}
         self._listeners: list[Callable[[fleet_pb2.FleetUpdate], None]] = []
         self._heard_at = -math.inf
 
@@ -48,6 +53,11 @@
         """How long no control node has been heard; the age of all this."""
         return now_s() - self._heard_at
 
+    @property
+    def entries(self) -> int:
+        """How many entries the fleet has; the most that was told lately."""
+        return max(self._entries_told_at)
+
     @property
     def version(self) -> int:
         """Version of the applied configuration; 0 for none."""
@@ -102,7 +112,7 @@
         if update.control_addresses:
             self.control_addresses = tuple(update.control_addresses)
         if update.entries:
-            self.entries = update.entries
+            self._take_entries(update.entries)
 
     def take(
         self,
@@ -140,6 +150,16 @@
         self.agents_by_address[agent.address] = agent
         return True
 
+    def _take_entries(self, entries: int) -> None:
+        """A node counts its own watchers, too few after its start or a cut."""
+        now = now_s()
+        self._entries_told_at[entries] = now
+        self._entries_told_at = {
+            count: told_at
+            for count, told_at in self._entries_told_at.items()
+            if now - told_at <= _ENTRIES_HOLD_S
+        }
+
     def _take_goal(self, goal: fleet_pb2.WeightGoal) -> None:
         self._take_age(goal)
         known = self.goal_by_model.get(goal.model)
