A test: a lease runs out on a suspended machine

Holder and ledger count on clocks of their own, so that the holder ends first; with a clock that stands still in a suspension it ended last. The test fails with the loop on CLOCK_MONOTONIC and passes on the clock that programs have now.

--- a/damaskcroft/hosted/tests/test_suspended.py
+++ b/damaskcroft/hosted/tests/test_suspended.py
@@ -1,5 +1,6 @@
 """A program on a machine that was suspended for some seconds."""
 
+import asyncio
 import time
 import types
 
@@ -8,6 +9,8 @@
 from damaskcroft._generated import fleet_pb2
 from damaskcroft.fleet import FleetView
 from damaskcroft.hosted import process
+from damaskcroft.membership import Lease
+from damaskcroft.rpc import _daemon
 
 SUSPENDED_S = 5.0
 WEIGHTS_S = 8.0
@@ -44,6 +47,20 @@
     return lambda serve: process.run_hosted("entry", serve, 0)
 
 
+@pytest.fixture
+def run_daemon(monkeypatch):
+    """Runs work as a daemon does, without settings, keys and logs."""
+    settings = types.SimpleNamespace(
+        process=types.SimpleNamespace(name="a"), keys=None
+    )
+    monkeypatch.setattr(_daemon, "settings_or_exit", lambda *_, **__: settings)
+    monkeypatch.setattr(_daemon, "load_keys", lambda keys: keys)
+    monkeypatch.setattr(_daemon, "start_logs", lambda name: None)
+    return lambda serve: _daemon.run_daemon(
+        None, type(None), serve, check=False, reference=False
+    )
+
+
 def test_time_on_a_suspended_machine_counts(machine, run_program):
     """An entry sent to old weights for as long as it had been suspended.
 
@@ -66,3 +83,25 @@
 
     run_program(serve)
     assert due == [0, 2]
+
+
+def test_a_lease_runs_out_on_a_suspended_machine(machine, run_daemon):
+    """A holder acted on a lease that the ledger had long taken for lapsed.
+
+    Holder and ledger each count a lease on a clock of their own, and the
+    holder ends first. A holder that was suspended for 5 s had its clock stand
+    still meanwhile, and ended last. Evidence: as above; every daemon's loop
+    asked the same clock.
+    """
+    held = []
+
+    async def serve(settings, keys):
+        del settings, keys
+        lease = Lease()
+        lease.grant(asyncio.get_running_loop().time(), 4.0)
+        held.append(lease.is_held)
+        machine.suspended_s = SUSPENDED_S
+        held.append(lease.is_held)
+
+    run_daemon(serve)
+    assert held == [True, False]
