The leader tells the age of what it accepted right after its start

Cause: a node gave no age to what it applied within 3 s of its start, though what it has had committed itself is no replay. Ruled out: a shorter time, since a log is applied only after an election. Before: a version named within 3 s of a restart of all control was due at once and all targets were left until they held it. After: the leader tells its age, and the others tell on what the leader told; the red test passes.

--- a/damaskcroft/control/_fleet_control.py
+++ b/damaskcroft/control/_fleet_control.py
@@ -189,6 +189,9 @@
         outcome = await self._replica.propose(command.SerializeToString())
         match outcome:
             case Committed(result=result):
+                if result.changed and command.HasField("name_weights"):
+                    goal = command.name_weights
+                    self._state.goal_times.accept(goal.model, goal.version)
                 return Accepted(result.version)
             case NotLeader():
                 return Unavailable("not the leader")
--- a/damaskcroft/control/_fleet_service.py
+++ b/damaskcroft/control/_fleet_service.py
@@ -154,7 +154,8 @@
     ) -> fleet_pb2.WeightGoal:
         """A goal with its age, where this node or another one knows it."""
         known = [self._view.goal_since(model, version)]
-        if named_at - self._started_at > _REPLAY_S:
+        is_accepted = self._state.goal_times.is_accepted(model, version)
+        if is_accepted or named_at - self._started_at > _REPLAY_S:
             known.append(named_at)
         since = min(filter(math.isfinite, known), default=None)
         aged = fleet_pb2.WeightGoal(model=model, version=version)
--- a/damaskcroft/control/_goal_times.py
+++ b/damaskcroft/control/_goal_times.py
@@ -14,11 +14,21 @@
 class GoalTimes:
     """Times of goals on this process's clock, beside the replicated state."""
 
-    __slots__ = ("_named_at",)
+    __slots__ = ("_accepted", "_named_at")
 
     def __init__(self) -> None:
         """Knows of no goal."""
         self._named_at: dict[str, dict[int, float]] = {}
+        # What this node accepted as leader, by model: some a day.
+        self._accepted: dict[str, set[int]] = {}
+
+    def accept(self, model: str, version: int) -> None:
+        """Notes that this node itself has had a version committed just now."""
+        self._accepted.setdefault(model, set()).add(version)
+
+    def is_accepted(self, model: str, version: int) -> bool:
+        """Whether a version's time is its acceptance's, and no replay's."""
+        return version in self._accepted.get(model, ())
 
     def name(self, model: str, version: int) -> None:
         """Notes that a version has been named now."""
