A red test: an entry goes on asking at an address for a target that has ended

Cause: of two ids at one address the one first heard of later holds it, also when that was a late word of the earlier one, and the living one's refusals (421: another instance is here) change nothing.

--- a/damaskcroft/forwarding/tests/fakes.py
+++ b/damaskcroft/forwarding/tests/fakes.py
@@ -131,6 +131,14 @@
         )
         return True
 
+    async def only_for_itself(self, head, reader, writer):
+        if head["x-target"] == self.name:
+            return await self.whole(head, reader, writer)
+        writer.write(
+            b"HTTP/1.1 421 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+        )
+        return True
+
     async def silent_close(self, head, reader, writer):
         return False
 
--- a/damaskcroft/forwarding/tests/test_forwarding.py
+++ b/damaskcroft/forwarding/tests/test_forwarding.py
@@ -321,6 +321,36 @@
     assert max(gate._retry_after_s(60.0) for _ in range(200)) == 2.0
 
 
+def test_who_answers_at_an_address_holds_it():
+    """An entry asked for a target that had ended, and never the one there.
+
+    A target had died without a word, and another had started at its address.
+    A late word of the first one reached an entry after the second one's, and
+    whoever is heard of first later holds an address. Every request was sent
+    for the dead one, the living one said each time that it was another, and
+    nothing came of that: the address was lost until the entry's next start,
+    and each request used an attempt on it. Evidence: a refusal with 421 moved
+    neither the book of targets nor those put aside.
+    """
+
+    async def scenario():
+        target = FakeTarget("new", "only_for_itself")
+        async with entry_before(target, config=SAFE) as entry:
+            late = fleet_pb2.TargetState(
+                id="old", service="s", address=target.address,
+                slots=4, sequence=7,
+            )  # fmt: skip
+            entry.view.take([late])
+            status, _, body = await entry.ask()
+            assert (status, body) == (200, b"new")
+            assert asked(target) == 2
+            entry.view.take([late])
+            assert (await entry.ask())[0] == 200
+            assert asked(target) == 3
+
+    asyncio.run(scenario())
+
+
 # --- Configuration ---------------------------------------------------------
 
 
