Who answers at an address holds it

Cause: the order of first words decides who holds an address, and a late word of a target that has died may come after the first one of its successor. The successor says 421 to all that is sent for the dead one, which certifies that another instance is there, and nobody took note. Ruled out: the order of last words. Words that change nothing but the sequence don't reach entries, and late words would win again. Before: an address with such a word was lost to an entry until its next start, and each request used an attempt on it. After: the first refusal puts the dead one behind the others at its address and aside; the red test passes.

--- a/damaskcroft/fleet/_targets.py
+++ b/damaskcroft/fleet/_targets.py
@@ -60,7 +60,8 @@
         """Targets that hold their address, by the order of first word.
 
         Where two ids name one address, the one first heard of later holds
-        it: addresses are used again after their owner's end.
+        it, unless it is doubted: addresses are used again after their owner's
+        end.
         """
         holder_by_address: dict[str, fleet_pb2.TargetState] = {}
         born = self._born_by_id
@@ -72,6 +73,16 @@
             holder_by_address.values(), key=lambda state: born[state.id]
         )
 
+    def doubt(self, target_id: str) -> None:
+        """Lets the others at an address hold it before this id.
+
+        Whoever answers there has said to be another one: this id's word came
+        late. Should that have been wrong, another doubt undoes it.
+        """
+        if target_id in self._born_by_id:
+            first = min(self._born_by_id.values())
+            self._born_by_id[target_id] = first - 1
+
     def ended_ids(self) -> Iterable[str]:
         """Ids that have left, oldest first."""
         return self._ended
--- a/damaskcroft/fleet/_view.py
+++ b/damaskcroft/fleet/_view.py
@@ -130,6 +130,12 @@
         for listener in self._listeners:
             listener(changed)
 
+    def doubt_target(self, target_id: str) -> None:
+        """Takes note that another target answers at a target's address."""
+        log_event("target_doubted", id=target_id)
+        self.book.doubt(target_id)
+        self.changes += 1
+
     def _take_target(self, state: fleet_pb2.TargetState) -> bool:
         if not self.book.take(state):
             return False
--- a/damaskcroft/fleet/tests/test_targets.py
+++ b/damaskcroft/fleet/tests/test_targets.py
@@ -55,6 +55,20 @@
     assert [state.id for state in book.believed()] == ["old"]
 
 
+def test_a_doubted_id_leaves_its_address_to_the_others_there():
+    book = TargetBook()
+    book.take(said("new", 5))
+    book.take(said("old", 7))
+    book.doubt("old")
+    assert [state.id for state in book.believed()] == ["new"]
+    book.take(said("old", 8, slots=2))
+    book.doubt("old")
+    assert [state.id for state in book.believed()] == ["new"]
+    book.doubt("new")
+    assert [state.id for state in book.believed()] == ["old"]
+    book.doubt("never heard of")
+
+
 words = st.lists(
     st.one_of(
         st.builds(said, st.sampled_from("ab"), st.integers(1, 6)),
--- a/damaskcroft/forwarding/_call.py
+++ b/damaskcroft/forwarding/_call.py
@@ -67,6 +67,7 @@
         target_id: which target answered; empty if it doesn't say.
         load: its load, or None.
         weights_version: version of the weights that answer, or 0.
+        misdirected: the target is another one than the request is for.
     """
 
     request_id: str
@@ -75,6 +76,7 @@
     target_id: str
     load: TargetLoad | None
     weights_version: int
+    misdirected: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from damaskcroft.clock import now_s
 from damaskcroft.forwarding._attempt import (
@@ -68,8 +68,13 @@
         retry_window: RetryWindow,
         silence: SilenceWatch,
         delays: AnswerDelays,
+        doubt: Callable[[str], None],
     ):
-        """Uses the entry's parts; see their classes."""
+        """Uses the entry's parts; see their classes.
+
+        `doubt` is told the id of a target at whose address another answers.
+        """
+        self._doubt = doubt
         self._delays = delays
         self._silence = silence
         self._repeatable: set[Sending] = set()
@@ -309,6 +314,9 @@
                 progress.last = outcome
                 reason = f"not_run_{status}"
                 self._note_load(target, facts)
+                if facts.misdirected:
+                    self._outliers.failed(target.id, certain=True)
+                    self._doubt(target.id)
             case Lost(reason=reason):
                 progress.last = outcome
                 self._outliers.failed(target.id)
--- a/damaskcroft/forwarding/tests/fakes.py
+++ b/damaskcroft/forwarding/tests/fakes.py
@@ -68,6 +68,7 @@
             target_id="",
             load=None,
             weights_version=0,
+            misdirected=head.status == 421,
         )
 
     def answer_headers(self, head):
@@ -267,6 +268,7 @@
         RetryWindow(ratio, extra, 10),
         SilenceWatch(),
         delays,
+        view.doubt_target,
     )
     watching = asyncio.create_task(forwarder.run())
     gate = EntryGate(wire, view, forwarder)
--- a/damaskcroft/hosted/entry.py
+++ b/damaskcroft/hosted/entry.py
@@ -79,6 +79,7 @@
         retry_window,
         SilenceWatch(),
         delays,
+        view.doubt_target,
     )
     gate = EntryGate(wire, view, forwarder)
 
--- a/damaskcroft/platform/tests/test_wire.py
+++ b/damaskcroft/platform/tests/test_wire.py
@@ -85,6 +85,8 @@
 def test_only_the_targets_own_word_says_that_nothing_ran():
     assert facts(503, not_executed="1").not_run
     assert facts(421).not_run
+    assert facts(421).misdirected
+    assert not facts(503, not_executed="1").misdirected
     assert not facts(503).not_run
     assert not facts(500).not_run
 
--- a/damaskcroft/platform/wire.py
+++ b/damaskcroft/platform/wire.py
@@ -102,6 +102,7 @@
             target_id=head.value(b"instance-id"),
             load=_load(head.value(b"server-load")),
             weights_version=int(version) if version.isdecimal() else 0,
+            misdirected=misdirected,
         )
 
     def answer_headers(self, head: Head) -> Headers:
