--- a/damaskcroft/membership/__init__.py
+++ b/damaskcroft/membership/__init__.py
@@ -3,7 +3,8 @@
 Leases follow "Leases: An Efficient Fault-Tolerant Mechanism for Distributed
 File Cache Consistency" (Gray and Cheriton, 1989): a holder counts from the
 moment it sent the renewal, the granter from the moment it received it, both
-on their own monotonic clocks, so that the holder always stops first.
+on clocks of their own that count suspensions, so that the holder always stops
+first.
 """
 
 from damaskcroft.membership._client import LeaseClient
