--- a/damaskcroft/control/_fleet_service.py
+++ b/damaskcroft/control/_fleet_service.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import math
+from collections.abc import Iterator
 from typing import Any
 
 from damaskcroft._generated import fleet_grpc, fleet_pb2
@@ -19,6 +21,10 @@
 # Ended targets that a new watcher is told of, so that another node's late
 # word can't revive them for it.
 _MAX_ENDED_TOLD = 512
+# For this long a goal's age is told again: a watcher that was frozen, or whose
+# link lost packets, counts the age from when it read of it. Over twice the
+# bound for weights of any deployment, in seconds.
+_TOLD_AGAIN_S = 20.0
 # For this long after a start, what is applied may have been accepted long ago.
 _REPLAY_S = 3.0
 
@@ -50,6 +56,30 @@
         self.wake.clear()
 
 
+class _ToldGoals:
+    """When each goal was last told to one watcher."""
+
+    __slots__ = ("_told_at",)
+
+    def __init__(self) -> None:
+        self._told_at: dict[tuple[str, int], float] = {}
+
+    def take(self, goal: fleet_pb2.WeightGoal) -> bool:
+        """Whether a goal is to be told now, which is noted."""
+        key = goal.model, goal.version
+        told_at = self._told_at.get(key)
+        if told_at is not None and not self._is_due_again(goal, told_at):
+            return False
+        self._told_at[key] = now_s()
+        return True
+
+    def _is_due_again(self, goal: fleet_pb2.WeightGoal, told_at: float) -> bool:
+        if not goal.HasField("age_ms"):
+            return False
+        is_young = goal.age_ms < _TOLD_AGAIN_S * 1000
+        return is_young and now_s() - told_at >= UPDATE_EVERY_S
+
+
 class FleetService(fleet_grpc.FleetBase):
     """Tells entries, agents and other control nodes what changes."""
 
@@ -94,7 +124,7 @@
 
     async def _push(self, stream: Any, watcher: _Watcher) -> None:
         watcher.add(self._everything())
-        told_goals: dict[str, int] = {}
+        told = _ToldGoals()
         told_served: set[str] = set()
         while True:
             update = fleet_pb2.FleetUpdate(
@@ -103,10 +133,7 @@
                 entries=sum(w.is_entry for w in self._watchers),
             )
             watcher.take(update)
-            for goal in self._state.goal_by_model.values():
-                if told_goals.get(goal.model) != goal.version:
-                    told_goals[goal.model] = goal.version
-                    update.goals.append(self._aged(goal))
+            update.goals.extend(g for g in self._goals() if told.take(g))
             for served in self._state.served():
                 if served.model not in told_served:
                     told_served.add(served.model)
@@ -117,12 +144,28 @@
                     await watcher.wake.wait()
                     await asyncio.sleep(_GATHER_S)
 
-    def _aged(self, goal: fleet_pb2.WeightGoal) -> fleet_pb2.WeightGoal:
-        """A goal with its age, unless it may have been replayed."""
-        aged = fleet_pb2.WeightGoal(model=goal.model, version=goal.version)
-        applied_at = self._state.applied_at_by_model.get(goal.model)
-        if applied_at is not None and applied_at - self._started_at > _REPLAY_S:
-            aged.age_ms = int((now_s() - applied_at) * 1000)
+    def _goals(self) -> Iterator[fleet_pb2.WeightGoal]:
+        """Versions that may still matter, older ones before newer ones.
+
+        Who hears of the newest alone doesn't know when the ones before it
+        were named.
+        """
+        for model in self._state.goal_by_model:
+            for version, named_at in self._state.goal_times.of(model):
+                yield self._aged(model, version, named_at)
+
+    def _aged(
+        self, model: str, version: int, named_at: float
+    ) -> fleet_pb2.WeightGoal:
+        """A goal with its age, where this node or another one knows it."""
+        known = [self._view.goal_since(model, version)]
+        is_accepted = self._state.goal_times.is_accepted(model, version)
+        if is_accepted or named_at - self._started_at > _REPLAY_S:
+            known.append(named_at)
+        since = min(filter(math.isfinite, known), default=None)
+        aged = fleet_pb2.WeightGoal(model=model, version=version)
+        if since is not None:
+            aged.age_ms = int((now_s() - since) * 1000)
         return aged
 
     def _everything(self) -> fleet_pb2.FleetUpdate:
--- a/damaskcroft/control/_fleet_state.py
+++ b/damaskcroft/control/_fleet_state.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable
 
 from damaskcroft._generated import fleet_pb2
-from damaskcroft.clock import now_s
 from damaskcroft.consensus import StateMachine
+from damaskcroft.control._goal_times import GoalTimes
 
 __all__ = ["Applied", "FleetState"]
 
@@ -30,8 +30,8 @@
         configuration: the highest, or None.
         goal_by_model: the highest version named.
         served_by_model: the version in service, of models without a goal.
-        applied_at_by_model: when this process applied each goal, in seconds
-            on its own clock; kept beside the replicated state.
+        goal_times: when this process applied each goal, in seconds on its
+            own clock; kept beside the replicated state.
     """
 
     def __init__(self) -> None:
@@ -40,7 +40,7 @@
         self.configuration: fleet_pb2.Configuration | None = None
         self.goal_by_model: dict[str, fleet_pb2.WeightGoal] = {}
         self.served_by_model: dict[str, int] = {}
-        self.applied_at_by_model: dict[str, float] = {}
+        self.goal_times = GoalTimes()
 
     def listen(self, listener: Callable[[], None]) -> None:
         """Calls `listener` after each change from now on."""
@@ -95,6 +95,8 @@
         self.configuration = None
         if image.HasField("configuration"):
             self.configuration = image.configuration
+        for goal in image.goals:
+            self.goal_times.restore(goal.model, goal.version)
         self.goal_by_model = {goal.model: goal for goal in image.goals}
         self.served_by_model = {
             kept.model: kept.version for kept in image.served
@@ -113,7 +115,7 @@
         if changed:
             self.goal_by_model[goal.model] = goal
             self.served_by_model.pop(goal.model, None)
-            self.applied_at_by_model[goal.model] = now_s()
+            self.goal_times.name(goal.model, goal.version)
             self._changed()
         return Applied(changed, self.weights_version(goal.model))
 
--- a/damaskcroft/control/tests/test_fleet_control.py
+++ b/damaskcroft/control/tests/test_fleet_control.py
@@ -275,7 +275,8 @@
             state = applied(*commands)
             assert state.weights_version("m") == named
             assert state.served_by_model == {}
-            assert state.applied_at_by_model.keys() == {"m"}
+            timed = [version for version, _ in state.goal_times.of("m")]
+            assert timed == [named]
 
     loop.run(scenario())
 
@@ -294,13 +295,16 @@
     assert other.snapshot() == state.snapshot()
 
 
-def test_an_image_without_records_loads():
-    goal = fleet_pb2.WeightGoal(model="m", version=2)
-    image = fleet_pb2.FleetImage(goals=[goal])
-    state = applied(record_served(5))
-    state.restore(image.SerializeToString())
-    assert state.weights_version("m") == 2
-    assert state.served_by_model == {}
+def test_an_image_without_records_loads(loop):
+    async def scenario():
+        goal = fleet_pb2.WeightGoal(model="m", version=2)
+        image = fleet_pb2.FleetImage(goals=[goal])
+        state = applied(record_served(5))
+        state.restore(image.SerializeToString())
+        assert state.weights_version("m") == 2
+        assert state.served_by_model == {}
+
+    loop.run(scenario())
 
 
 def test_the_recorded_version_can_still_be_named(run, tmp_path):
--- a/damaskcroft/fleet/_view.py
+++ b/damaskcroft/fleet/_view.py
@@ -11,6 +11,11 @@
 
 __all__ = ["FleetView"]
 
+# For this long the most entries that a control node told of count, in seconds:
+# watchers return to one that restarted once they have noticed, after two
+# seconds of silence at most, and it counts them with its next update.
+_ENTRIES_HOLD_S = 3.0
+
 
 class FleetView:
     """Merges what all control nodes say; each part only moves forward.
@@ -27,7 +32,6 @@
             has recorded it; a goal goes before it.
         agents_by_address: where agents give pieces of weights.
         control_addresses: members of control, as last told.
-        entries: how many entries the fleet has, as far as known.
     """
 
     def __init__(self) -> None:
@@ -42,7 +46,8 @@
         # Counts what readers may want to look at targets and agents for.
         self.changes = 0
         self.control_addresses: tuple[str, ...] = ()
-        self.entries = 1
+        # When each count of entries was last told.
+        self._entries_told_at = {1: -math.inf}
         self._listeners: list[Callable[[fleet_pb2.FleetUpdate], None]] = []
         self._heard_at = -math.inf
 
@@ -51,6 +56,11 @@
         """How long no control node has been heard; the age of all this."""
         return now_s() - self._heard_at
 
+    @property
+    def entries(self) -> int:
+        """How many entries the fleet has; the most that was told lately."""
+        return max(self._entries_told_at)
+
     @property
     def version(self) -> int:
         """Version of the applied configuration; 0 for none."""
@@ -87,6 +97,11 @@
             (v for v, since in named.items() if since <= limit), default=0
         )
 
+    def goal_since(self, model: str, version: int) -> float:
+        """When a version was accepted; minus infinity where nobody knows."""
+        named = self.goal_since_by_model.get(model, {})
+        return named.get(version, -math.inf)
+
     def listen(self, listener: Callable[[fleet_pb2.FleetUpdate], None]) -> None:
         """Calls `listener` with each change of targets or agents."""
         self._listeners.append(listener)
@@ -102,7 +117,7 @@
         if update.control_addresses:
             self.control_addresses = tuple(update.control_addresses)
         if update.entries:
-            self.entries = update.entries
+            self._take_entries(update.entries)
 
     def take(
         self,
@@ -120,6 +135,12 @@
         for listener in self._listeners:
             listener(changed)
 
+    def doubt_target(self, target_id: str) -> None:
+        """Takes note that another target answers at a target's address."""
+        log_event("target_doubted", id=target_id)
+        self.book.doubt(target_id)
+        self.changes += 1
+
     def _take_target(self, state: fleet_pb2.TargetState) -> bool:
         if not self.book.take(state):
             return False
@@ -140,15 +161,22 @@
         self.agents_by_address[agent.address] = agent
         return True
 
+    def _take_entries(self, entries: int) -> None:
+        """A node counts its own watchers, too few after its start or a cut."""
+        now = now_s()
+        self._entries_told_at[entries] = now
+        self._entries_told_at = {
+            count: told_at
+            for count, told_at in self._entries_told_at.items()
+            if now - told_at <= _ENTRIES_HOLD_S
+        }
+
     def _take_goal(self, goal: fleet_pb2.WeightGoal) -> None:
+        self._take_age(goal)
         known = self.goal_by_model.get(goal.model)
         if known is not None and known.version >= goal.version:
-            self._take_age(known, goal)
             return
         self.goal_by_model[goal.model] = goal
-        age_s = goal.age_ms / 1000 if goal.HasField("age_ms") else math.inf
-        since_by_version = self.goal_since_by_model.setdefault(goal.model, {})
-        since_by_version[goal.version] = now_s() - age_s
         log_event("weights_named", model=goal.model, version=goal.version)
 
     def _take_served(self, served: fleet_pb2.ServedVersion) -> None:
@@ -160,16 +188,22 @@
             "weights_in_service", model=served.model, version=served.version
         )
 
-    def _take_age(
-        self, known: fleet_pb2.WeightGoal, told: fleet_pb2.WeightGoal
-    ) -> None:
-        """Another control node may know when the same goal was accepted."""
-        if known.version != told.version or not told.HasField("age_ms"):
+    def _take_age(self, goal: fleet_pb2.WeightGoal) -> None:
+        """Keeps the earliest time of acceptance that any node has told.
+
+        A node that was cut off or frozen, or whose word came late, tells an
+        age that is too small; none tells one that is too large. A goal whose
+        age nobody knows was accepted long ago.
+        """
+        since_by_version = self.goal_since_by_model.setdefault(goal.model, {})
+        known = since_by_version.get(goal.version, -math.inf)
+        if not goal.HasField("age_ms"):
+            since_by_version[goal.version] = known
             return
-        since = now_s() - told.age_ms / 1000
-        since_by_version = self.goal_since_by_model[told.model]
-        if math.isinf(since_by_version[told.version]):
-            since_by_version[told.version] = since
+        told = now_s() - goal.age_ms / 1000
+        since_by_version[goal.version] = (
+            told if math.isinf(known) else min(known, told)
+        )
 
 
 def _is_newer_agent(
--- a/damaskcroft/fleet/tests/test_view.py
+++ b/damaskcroft/fleet/tests/test_view.py
@@ -75,6 +75,61 @@
     loop.run(scenario())
 
 
+def test_the_earliest_word_of_a_goals_age_counts(loop):
+    """An entry that heard a late control node first sent to old weights.
+
+    A control node that had been cut off took version 2 over 4 s late and told
+    an entry an age of 0; the node that had accepted it told 4 s a moment
+    later. The entry kept the first word, and held version 2 to be due 12 s
+    after its acceptance. Evidence: only a goal of unknown age took another.
+    """
+
+    async def scenario():
+        view = FleetView()
+        view.apply_update(fleet_pb2.FleetUpdate(goals=[goal(2, age_ms=0)]))
+        view.apply_update(fleet_pb2.FleetUpdate(goals=[goal(2, age_ms=4000)]))
+        assert view.due_version("m", 3.9) == 2
+        await asyncio.sleep(1)
+        for late in (goal(2, age_ms=100), goal(2)):
+            view.apply_update(fleet_pb2.FleetUpdate(goals=[late]))
+        assert view.due_version("m", 4.9) == 2
+        assert view.due_version("m", 5.1) == 0
+
+    loop.run(scenario())
+
+
+def test_a_control_node_that_has_just_started_does_not_undo_the_count(loop):
+    """Every entry took the whole budget for repeats for half a second.
+
+    A control node had restarted; the entries returned to it one by one, and
+    to the first it said that the fleet had one entry, while the other nodes
+    saw four. Each entry took the last word for the count, and so the extra of
+    a window for itself, by which the deployment bounds them all together.
+    Evidence: a node counts the watchers it has, and an entry kept the last
+    count it had heard.
+    """
+
+    async def scenario():
+        view = FleetView()
+
+        def hear(entries):
+            view.apply_update(fleet_pb2.FleetUpdate(entries=entries))
+
+        assert view.entries == 1
+        hear(4)
+        hear(1)
+        assert view.entries == 4
+        await asyncio.sleep(2)
+        hear(1)
+        assert view.entries == 4
+        await asyncio.sleep(2)
+        assert view.entries == 4
+        hear(2)
+        assert view.entries == 2
+
+    loop.run(scenario())
+
+
 def test_listeners_hear_of_real_changes_only(loop):
     view = FleetView()
     heard = []
--- a/damaskcroft/forwarding/tests/fakes.py
+++ b/damaskcroft/forwarding/tests/fakes.py
@@ -68,6 +68,7 @@
             target_id="",
             load=None,
             weights_version=0,
+            misdirected=head.status == 421,
         )
 
     def answer_headers(self, head):
@@ -131,6 +132,14 @@
         )
         return True
 
+    async def only_for_itself(self, head, reader, writer):
+        if head["x-target"] == self.name:
+            return await self.whole(head, reader, writer)
+        writer.write(
+            b"HTTP/1.1 421 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+        )
+        return True
+
     async def silent_close(self, head, reader, writer):
         return False
 
@@ -259,6 +268,7 @@
         RetryWindow(ratio, extra, 10),
         SilenceWatch(),
         delays,
+        view.doubt_target,
     )
     watching = asyncio.create_task(forwarder.run())
     gate = EntryGate(wire, view, forwarder)
