--- /dev/null
+++ b/damaskcroft/ctl/_causes.py
@@ -0,0 +1,86 @@
+"""The cause of what became of a request, in one line, from its log lines."""
+
+from damaskcroft.ctl._log_lines import Line
+
+__all__ = ["cause"]
+
+
+def cause(own: list[Line], beside: list[Line]) -> str:
+    """Why a request ended as it did.
+
+    Args:
+        own: its lines in order, one at least.
+        beside: what its processes and targets met until then.
+    """
+    last = own[-1]
+    match last.event:
+        case "answered":
+            return f"answered in time with {last.fields.get('status')}"
+        case "answered_late":
+            return _why_late(last)
+        case "answer_broken_off":
+            reason = last.fields.get("reason")
+            ending = f"the answer had begun and was broken off: {reason}"
+            return _why_lost(own, ending)
+        case "caller_left":
+            return f"the caller left after {last.fields.get('after_s')} s"
+        case "refused":
+            return _why_refused(own, last, beside)
+    return f"no outcome is logged; the last word is {last.event}"
+
+
+def _why_late(last: Line) -> str:
+    queued_s = last.number("queued_s") or 0.0
+    first_s = last.number("first_s") or 0.0
+    longest_gap_s = last.number("longest_gap_s") or 0.0
+    parts = []
+    if queued_s > first_s / 2:
+        parts.append(f"{queued_s:.3g} s in line for a target")
+    else:
+        parts.append(
+            f"first event {first_s:.3g} s after it came, at the target"
+        )
+    if int(last.field("targets") or 1) > 1:
+        parts.append(f"{last.field('targets')} targets were tried")
+    parts.append(f"longest pause {longest_gap_s:.3g} s")
+    return "answered late: " + ", ".join(parts)
+
+
+def _why_refused(own: list[Line], last: Line, beside: list[Line]) -> str:
+    fields = last.fields
+    reason = fields.get("reason", "")
+    back = fields.get("retry_after_s", "None")
+    after = "" if back == "None" else f"; told to come back in {back} s"
+    service = fields.get("service", "")
+    match reason:
+        case "overloaded":
+            detail = fields.get("detail", "")
+            return f"every target of {service} was full, {detail}{after}"
+        case "no_target":
+            named = [b for b in beside if b.event == "weights_named"]
+            due = f" of version {named[-1].fields['version']}" if named else ""
+            return f"no target of {service} had weights{due} to serve{after}"
+        case "no_configuration":
+            return f"the entry had no configuration yet{after}"
+        case "unknown_route" | "unknown_key":
+            what = "route" if reason == "unknown_route" else "key"
+            return (
+                f"configuration {fields.get('configuration')} of"
+                f" {last.process} has no such {what}; it heard control"
+                f" {fields.get('heard_s')} s before"
+            )
+        case "stopping":
+            return f"the entry was about to end{after}"
+    return _why_lost(own, f"refused as {reason}{after}")
+
+
+def _why_lost(own: list[Line], ending: str) -> str:
+    failed = [line for line in own if line.event == "attempt_failed"]
+    if not failed:
+        return ending
+    lost = "; ".join(
+        f"target {line.fields.get('target')} at {line.fields.get('address')}"
+        f" failed: {line.fields.get('reason')}"
+        for line in failed
+    )
+    return f"{ending}; {lost}"
--- a/damaskcroft/ctl/main.py
+++ b/damaskcroft/ctl/main.py
@@ -18,7 +18,7 @@
 
 from damaskcroft._generated import control_pb2, settings_pb2
 from damaskcroft.config import settings_or_exit
-from damaskcroft.ctl import _views, _why
+from damaskcroft.ctl import _log_lines, _views, _why
 from damaskcroft.ctl._client import ControlClient, NoAnswer
 from damaskcroft.rpc import ChannelPool, KeysError, load_keys
 from damaskcroft.weights import build_manifest, manifest_digest
@@ -157,7 +157,7 @@
             lines += path.read_text(errors="replace").splitlines()
         except OSError as error:
             _fail(f"{path}: {error}", _EXIT_USAGE)
-    told = _why.story(request_id, _why.parsed(lines))
+    told = _why.story(request_id, _log_lines.parsed(lines))
     if not told:
         _fail(f"no line of these logs names {request_id}", _EXIT_REFUSED)
     print("\n".join(told))
--- a/damaskcroft/forwarding/tests/test_explained.py
+++ b/damaskcroft/forwarding/tests/test_explained.py
@@ -6,7 +6,8 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
-from damaskcroft.ctl._why import parsed, story
+from damaskcroft.ctl._log_lines import parsed
+from damaskcroft.ctl._why import story
 from damaskcroft.forwarding.tests.fakes import (
     FakeTarget,
     configuration,
