A request whose entry was killed is explained from the logs

Cause: a request in line wrote nothing until it had its turn, and `why` read nothing after a request's last line. An entry that was killed took the word of what waited with it; what was sent read "no outcome is logged". Ruled out: a line for each request that joins the line (a third more lines when busy); a file of what is under way, to be read at the next start (a write for each request); a count in the `starting` line, which can't know. Now whoever waits longer than a quarter of a second is told of once, as `queued`, by the look that an entry takes at its line anyhow; a usual request writes as many lines as before, and `queued` has the budget of any event. `why` ends with what was lost: the last line is no outcome and the same process starts anew after it. It says so only if the process didn't outlive the request's time, and says when lines were left out. Not covered: what waited less than a quarter of a second, or came within the twentieth of a second for which lines are gathered, has no line still.

--- a/damaskcroft/ctl/_causes.py
+++ b/damaskcroft/ctl/_causes.py
@@ -1,16 +1,18 @@
 """The cause of what became of a request, in one line, from its log lines."""
 
 from damaskcroft.ctl._log_lines import Line
+from damaskcroft.ctl._unended import why_unended
 
 __all__ = ["cause"]
 
 
-def cause(own: list[Line], beside: list[Line]) -> str:
+def cause(own: list[Line], beside: list[Line], later: list[Line]) -> str:
     """Why a request ended as it did.
 
     Args:
         own: its lines in order, one at least.
         beside: what its processes and targets met until then.
+        later: what the process of its last line wrote afterwards.
     """
     last = own[-1]
     match last.event:
@@ -26,7 +28,7 @@
             return f"the caller left after {last.fields.get('after_s')} s"
         case "refused":
             return _why_refused(own, last, beside)
-    return f"no outcome is logged; the last word is {last.event}"
+    return why_unended(last, later)
 
 
 def _why_late(last: Line) -> str:
--- a/damaskcroft/ctl/_log_lines.py
+++ b/damaskcroft/ctl/_log_lines.py
@@ -34,6 +34,12 @@
         pairs = " ".join(f"{k}={v}" for k, v in self.fields.items())
         return f"{self.time} {self.process} {self.event} {pairs}"
 
+    def time_before(self, seconds: float) -> str:
+        """The time so long before the line, written as lines write it."""
+        moment = datetime.datetime.fromisoformat(self.time)
+        earlier = moment - datetime.timedelta(seconds=seconds)
+        return earlier.isoformat(timespec="milliseconds")
+
     def field(self, name: str) -> str:
         """One of its fields; empty if there is none of that name."""
         return self.fields.get(name, "")
--- a/damaskcroft/ctl/_why.py
+++ b/damaskcroft/ctl/_why.py
@@ -39,10 +39,16 @@
     if beside:
         told.append("what its processes and targets met meanwhile:")
         told += [f"  {line.text()}" for line in beside]
-    told.append(f"cause: {cause(own, beside)}")
+    told.append(f"cause: {cause(own, beside, _later(own[-1], events))}")
     return told
 
 
+def _later(last: Line, events: list[Line]) -> list[Line]:
+    """What the process of a line wrote after it."""
+    place = next(n for n, line in enumerate(events) if line is last)
+    return [e for e in events[place + 1 :] if e.process == last.process]
+
+
 def _beside(own: list[Line], events: list[Line]) -> list[Line]:
     processes = {line.process for line in own}
     targets = {line.fields.get("target") for line in own} - {None}
--- a/damaskcroft/ctl/tests/test_why.py
+++ b/damaskcroft/ctl/tests/test_why.py
@@ -33,3 +33,66 @@
         *log("10:00:00.000 refused request=r-1 reason=stopping"),
     )
     assert way[-1] == "cause: the entry was about to end"
+
+
+# --- Requests without an outcome ---------------------------------------------
+
+QUEUED = (
+    "10:00:01.350 queued request=r-1 service=s waited_s=0.25 waiting=18"
+    " left_s=5.75"
+)
+SENT = (
+    "10:00:01.350 sent request=r-1 target=t-1 address=10.0.0.1:80 attempt=1"
+    " left_s=5.75"
+)
+
+
+def test_what_waited_in_line_is_lost_with_its_process():
+    way = told(
+        *log(QUEUED, "10:00:03.000 starting role=entry"),
+        *log("10:00:02.000 starting role=entry", process="entry-2"),
+    )
+    assert way[-1] == (
+        "cause: waited in line at entry-1 since 2026-01-01T10:00:01.100,"
+        " 18 waiting, and no line says that it was sent; entry-1 started anew"
+        " at 2026-01-01T10:00:03.000: lost with it"
+    )
+
+
+def test_what_was_sent_is_lost_with_its_process_and_may_have_run():
+    way = told(*log(SENT, "10:00:03.000 starting role=entry"))
+    assert way[-1] == (
+        "cause: sent to target t-1 at 10.0.0.1:80 by entry-1 at"
+        " 2026-01-01T10:00:01.350, and may have run; entry-1 started anew at"
+        " 2026-01-01T10:00:03.000: lost with it"
+    )
+
+
+def test_a_start_of_another_process_loses_nothing():
+    way = told(
+        *log(SENT, "10:00:01.400 control_lost"),
+        *log("10:00:03.000 starting role=entry", process="entry-2"),
+    )
+    assert way[-1] == "cause: no outcome is logged; the last word is sent"
+
+
+def test_a_process_that_is_not_back_yet_is_named():
+    way = told(*log(SENT))
+    assert way[-1].endswith("and entry-1 wrote nothing after it")
+
+
+def test_a_process_that_lived_past_a_requests_time_did_not_lose_it():
+    way = told(
+        *log(SENT, "10:00:09.000 control_lost", "10:00:11.000 starting x=1")
+    )
+    assert "lost with it" not in way[-1]
+    assert "its time was over before entry-1 started anew" in way[-1]
+
+
+def test_lines_that_were_left_out_make_a_loss_uncertain():
+    summed = "10:00:02.000 log_lines_summed of={} reason= count=7"
+    start = "10:00:03.000 starting role=entry"
+    certain = told(*log(SENT, summed.format("target_changed"), start))
+    assert certain[-1].endswith("lost with it")
+    uncertain = told(*log(SENT, summed.format("answered"), start))
+    assert uncertain[-1].endswith("or its later lines were left out of the log")
--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -36,6 +36,7 @@
     Candidate,
     Line,
     LineTicket,
+    LongWait,
     Outliers,
     Overloaded,
     Placement,
@@ -97,6 +98,8 @@
         while True:
             await asyncio.sleep(_LOOK_EVERY_S)
             self._line.serve()
+            for wait in self._line.newly_long():
+                _tell_queued(wait)
             silent = self._silence.silent_ids()
             for target_id in silent:
                 if not self._outliers.is_aside(target_id):
@@ -164,6 +167,7 @@
             goal_s=job.route.latency_goal_ms / 1000,
             deadline_at=job.deadline_at,
             prompt_tokens=job.call.prompt_tokens,
+            request_id=job.call.request_id,
         )
         outcome = await self._line.turn(ticket)
         progress.pace.queued_s = now_s() - job.call.arrived_at
@@ -341,6 +345,19 @@
         return job.deadline_at - now_s()
 
 
+def _tell_queued(wait: LongWait) -> None:
+    ticket = wait.ticket
+    now = now_s()
+    log_event(
+        "queued",
+        request=ticket.request_id,
+        service=ticket.service,
+        waited_s=now - ticket.arrived_at,
+        waiting=wait.waiting,
+        left_s=ticket.deadline_at - now,
+    )
+
+
 def _tell_pace(job: Job, progress: Progress, status: int) -> None:
     """Histograms and a line of each answer that was given whole."""
     pace = progress.pace
--- a/damaskcroft/forwarding/tests/features/explained.feature
+++ b/damaskcroft/forwarding/tests/features/explained.feature
@@ -26,3 +26,15 @@
     When a caller asks on a new route and hears that there is none
     Then the cause names "configuration 1 of"
     And the cause names "has no such route"
+
+  Scenario: An entry is killed while a request waits in its line
+    Given a target whose only slot is taken
+    When a caller asks and its entry is killed while it waits
+    Then the cause names "waited in line at entry-1 since"
+    And the cause names "lost with it"
+
+  Scenario: An entry is killed while a target has a request
+    Given a target that never answers
+    When a caller asks and its entry is killed while it waits
+    Then the cause names "sent to target a at"
+    And the cause names "lost with it"
--- a/damaskcroft/forwarding/tests/test_explained.py
+++ b/damaskcroft/forwarding/tests/test_explained.py
@@ -1,6 +1,7 @@
 """Steps of features/explained.feature: from a request's id to its cause."""
 
 import asyncio
+import contextlib
 import logging
 
 import pytest
@@ -60,6 +61,12 @@
     made["taken"] = 4
 
 
+@given("a target that never answers")
+def never_answers(made):
+    made["targets"] = [FakeTarget("a", "hangs")]
+    made["config"] = configuration(1, route())
+
+
 @given("a target that breaks off without an answer")
 def breaks_off(made):
     made["targets"] = [FakeTarget("a", "silent_close")]
@@ -78,14 +85,18 @@
     made["config"] = configuration(1, route(path_prefix="/old/"))
 
 
+@contextlib.asynccontextmanager
+async def entry_of(made):
+    async with entry_before(*made["targets"], config=made["config"]) as entry:
+        placed = entry.placer.choose(entry.candidates(), ())
+        for _ in range(made.get("taken", 0)):
+            entry.placer.take(placed.candidate)
+        yield entry
+
+
 def ask(made, path="/a"):
     async def scenario():
-        async with entry_before(
-            *made["targets"], config=made["config"]
-        ) as entry:
-            placed = entry.placer.choose(entry.candidates(), ())
-            for _ in range(made.get("taken", 0)):
-                entry.placer.take(placed.candidate)
+        async with entry_of(made) as entry:
             made["status"], made["head"], made["body"] = await entry.ask(
                 path, x_id="complaint-1"
             )
@@ -99,6 +110,24 @@
     assert made["status"] == 503
 
 
+@when("a caller asks and its entry is killed while it waits")
+def killed(made, logs):
+    """What the killed entry would still have written never reaches a log."""
+    made["config"].routes[0].timeout_ms = 2000
+
+    async def scenario():
+        async with entry_of(made) as entry:
+            asking = asyncio.create_task(entry.ask(x_id="complaint-1"))
+            await asyncio.sleep(0.5)
+            made["written"] = list(logs)
+            asking.cancel()
+            await asyncio.gather(asking, return_exceptions=True)
+
+    asyncio.run(scenario())
+    logs[:] = made["written"]
+    _logs.log_event("starting", role="entry")
+
+
 @when("a caller asks and is told that it may have run")
 def may_have_run(made, logs):
     ask(made)
--- a/damaskcroft/hosted/tests/test_processes.py
+++ b/damaskcroft/hosted/tests/test_processes.py
@@ -8,6 +8,8 @@
 
 import pytest
 
+from damaskcroft.ctl._log_lines import parsed
+from damaskcroft.ctl._why import story
 from damaskcroft.hosted.tests.deployment import (
     CONTROL_IPS,
     ENTRY_IP,
@@ -94,9 +96,9 @@
         await deployment.stop()
 
 
-async def ask(deployment):
+async def ask(deployment, name="r"):
     return await deployment.call(
-        ENTRY_IP, deployment.front, b"GET", "/a/b", request_id="r"
+        ENTRY_IP, deployment.front, b"GET", "/a/b", request_id=name
     )
 
 
@@ -193,6 +195,44 @@
     play(scenario)
 
 
+def test_a_killed_entry_leaves_word_of_what_it_had(play):
+    """Four requests are at the target, one more waits in line."""
+
+    async def scenario(deployment, gate, asked):
+        gate.clear()
+        log = deployment.folder / "entry-14.log"
+
+        def begin(name):
+            return asyncio.create_task(ask(deployment, name))
+
+        async def all_sent():
+            return log.read_text().count("event=sent request=sent-") == 4
+
+        async def told():
+            return "event=queued request=waits" in log.read_text()
+
+        asking = [begin(f"sent-{number}") for number in range(1, 5)]
+        await until(all_sent)
+        asking.append(begin("waits"))
+        await until(told)
+        await deployment.end("entry", ENTRY_IP)
+        await asyncio.gather(*asking)
+        await deployment.start("entry", ENTRY_IP, first=False)
+
+        async def back():
+            return log.read_text().count("event=starting") == 2
+
+        await until(back)
+        lines = list(parsed(log.read_text().splitlines()))
+        sent, waited = (story(name, lines)[-1] for name in ("sent-1", "waits"))
+        assert sent.startswith("cause: sent to target i-1 at 127.0.0.15:")
+        assert waited.startswith("cause: waited in line at entry-14 since")
+        assert sent.endswith("lost with it")
+        assert waited.endswith("lost with it")
+
+    play(scenario)
+
+
 def test_a_wrong_field_ends_the_start_with_one_line(tmp_path):
     async def scenario():
         file = tmp_path / "settings.toml"
--- a/damaskcroft/routing/__init__.py
+++ b/damaskcroft/routing/__init__.py
@@ -8,7 +8,13 @@
 )
 from damaskcroft.routing._choice import TargetChooser
 from damaskcroft.routing._delays import AnswerDelays
-from damaskcroft.routing._line import Line, LineTicket, Overloaded, Turn
+from damaskcroft.routing._line import (
+    Line,
+    LineTicket,
+    LongWait,
+    Overloaded,
+    Turn,
+)
 from damaskcroft.routing._outliers import Outliers
 from damaskcroft.routing._placement import Candidate, Placement, Placer, Slot
 from damaskcroft.routing._pools import Pool, PoolTable, Target
@@ -23,6 +29,7 @@
     "Granted",
     "Line",
     "LineTicket",
+    "LongWait",
     "NotGranted",
     "Outliers",
     "Overloaded",
--- a/damaskcroft/routing/_line.py
+++ b/damaskcroft/routing/_line.py
@@ -16,7 +16,7 @@
 from damaskcroft.clock import now_s
 from damaskcroft.routing._placement import Candidate, Placement, Slot
 
-__all__ = ["Line", "Overloaded", "LineTicket", "Turn"]
+__all__ = ["Line", "LineTicket", "LongWait", "Overloaded", "Turn"]
 
 # Share of its time that a request waits here at most. A caller comes back
 # within a third of what it has left, and must then still be served.
@@ -37,6 +37,11 @@
 # Turns given at one moment are taken to be spread over this time: what a full
 # target's passes take.
 _MIN_SPAN_S = 0.1
+# Waits above this are told of while they last, since whoever waits when the
+# process ends leaves no other line. Chosen well below what a request waits
+# before it is refused, and above some steps of a batch, after which a full
+# target has room.
+_LONG_WAIT_S = 0.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,6 +56,7 @@
         goal_s: an answer within this time is in time.
         deadline_at: loop time of its final answer.
         prompt_tokens: length of its prompt.
+        request_id: whose place it is, for logs.
     """
 
     service: str
@@ -60,6 +66,7 @@
     goal_s: float
     deadline_at: float
     prompt_tokens: int = 0
+    request_id: str = ""
 
     @property
     def in_time_until(self) -> float:
@@ -96,11 +103,25 @@
     foreseen_s: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LongWait:
+    """A request that has waited for a notable time, and waits on.
+
+    Attributes:
+        ticket: its place.
+        waiting: how many wait for the service.
+    """
+
+    ticket: LineTicket
+    waiting: int
+
+
 class _Waiting:
-    __slots__ = ("outcome", "ticket")
+    __slots__ = ("is_told", "outcome", "ticket")
 
     def __init__(self, ticket: LineTicket):
         self.ticket = ticket
+        self.is_told = False
         self.outcome: asyncio.Future[Turn | Overloaded] = (
             asyncio.get_running_loop().create_future()
         )
@@ -168,6 +189,18 @@
             if not waiting:
                 del self._waiting_by_service[service]
 
+    def newly_long(self) -> list[LongWait]:
+        """Who has waited for long since this was asked last; each once."""
+        since = now_s() - _LONG_WAIT_S
+        found = []
+        for waiting in self._waiting_by_service.values():
+            for joined in waiting:
+                if joined.is_told or joined.ticket.arrived_at > since:
+                    continue
+                joined.is_told = True
+                found.append(LongWait(joined.ticket, len(waiting)))
+        return found
+
     def _serve(self, waiting: list[_Waiting]) -> None:
         now = now_s()
         waiting.sort(key=lambda joined: _rank(joined.ticket, now))
--- a/damaskcroft/routing/tests/test_line.py
+++ b/damaskcroft/routing/tests/test_line.py
@@ -266,3 +266,30 @@
         assert all(1.5 < o.foreseen_s < 5 for o in refused)
 
     loop.run(scenario())
+
+
+def test_whoever_waits_for_long_is_named_once_and_others_never(loop):
+    async def scenario():
+        targets = Targets(1)
+        slots = [
+            (await targets.line.turn(ticket(loop.time()))).slot
+            for _ in range(SLOTS)
+        ]
+        short, long = (
+            asyncio.create_task(targets.line.turn(ticket(loop.time(), p)))
+            for p in (0, 1)
+        )
+        await asyncio.sleep(0.2)
+        assert targets.line.newly_long() == []
+        slots[0].give_back()
+        targets.line.serve()
+        await short
+        await asyncio.sleep(0.1)
+        (wait,) = targets.line.newly_long()
+        assert (wait.ticket.priority, wait.waiting) == (1, 1)
+        await asyncio.sleep(0.1)
+        assert targets.line.newly_long() == []
+        long.cancel()
+        await asyncio.gather(long, return_exceptions=True)
+
+    loop.run(scenario())
