A request that targets failed names them, and what they answered

Cause: a 5xx of the last target goes to the caller as the answer, and `why` took its `answered` line for the whole story: "answered in time with 500". Only the targets before it had an `attempt_failed` line. Ruled out: target and address in each `answered` line (dearer for every request, for the sake of the few that fail). Now the last target's failure is an `attempt_failed` line too, `reason=status_500`, and `why` names each target with its answer and how many were tried. Retries are counted as before, and what goes to the caller is the same.

--- a/damaskcroft/ctl/_causes.py
+++ b/damaskcroft/ctl/_causes.py
@@ -5,6 +5,13 @@
 
 __all__ = ["cause"]
 
+# HTTP statuses from here on are failures of whoever answers (RFC 9110).
+_SERVER_ERROR = 500
+# Events that name a target that was asked.
+_OF_ATTEMPTS = frozenset({"attempt_failed", "sent"})
+# Before the status of a target that failed, in the reason of its attempt.
+_STATUS = "status_"
+
 
 def cause(own: list[Line], beside: list[Line], later: list[Line]) -> str:
     """Why a request ended as it did.
@@ -16,10 +23,8 @@
     """
     last = own[-1]
     match last.event:
-        case "answered":
-            return f"answered in time with {last.fields.get('status')}"
-        case "answered_late":
-            return _why_late(last)
+        case "answered" | "answered_late":
+            return _why_answered(own, last)
         case "answer_broken_off":
             reason = last.fields.get("reason")
             ending = f"the answer had begun and was broken off: {reason}"
@@ -31,6 +36,32 @@
     return why_unended(last, later)
 
 
+def _why_answered(own: list[Line], last: Line) -> str:
+    late = _why_late(last) if last.event == "answered_late" else ""
+    if (last.number("status") or 0) >= _SERVER_ERROR:
+        return _why_failed(own, last) + (f"; {late}" if late else "")
+    return late or f"answered in time with {last.field('status')}"
+
+
+def _why_failed(own: list[Line], last: Line) -> str:
+    """A target's own failure, that the caller got as its answer."""
+    status = last.field("status")
+    asked = [line for line in own if line.event in _OF_ATTEMPTS]
+    if not asked:
+        return f"answered with {status} by a target of which no line is left"
+    told = f"{_target(asked[-1])} answered with {status}, its own failure"
+    tried = last.field("targets")
+    if tried and tried != "1":
+        told += f"; {tried} targets were tried"
+    before = [
+        _failure(line)
+        for line in asked
+        if line.event == "attempt_failed"
+        and line.field("target") != asked[-1].field("target")
+    ]
+    return "; ".join([told, *before])
+
+
 def _why_late(last: Line) -> str:
     queued_s = last.number("queued_s") or 0.0
     first_s = last.number("first_s") or 0.0
@@ -80,9 +111,17 @@
     failed = [line for line in own if line.event == "attempt_failed"]
     if not failed:
         return ending
-    lost = "; ".join(
-        f"target {line.fields.get('target')} at {line.fields.get('address')}"
-        f" failed: {line.fields.get('reason')}"
-        for line in failed
-    )
-    return f"{ending}; {lost}"
+    return "; ".join([ending, *(_failure(line) for line in failed)])
+
+
+def _failure(line: Line) -> str:
+    """How one target failed a request."""
+    reason = line.field("reason")
+    if reason.startswith(_STATUS):
+        status = reason.removeprefix(_STATUS)
+        return f"{_target(line)} answered with {status}, its own failure"
+    return f"{_target(line)} failed: {reason}"
+
+
+def _target(line: Line) -> str:
+    return f"target {line.field('target')} at {line.field('address')}"
--- a/damaskcroft/ctl/tests/test_why.py
+++ b/damaskcroft/ctl/tests/test_why.py
@@ -96,3 +96,21 @@
     assert certain[-1].endswith("lost with it")
     uncertain = told(*log(SENT, summed.format("answered"), start))
     assert uncertain[-1].endswith("or its later lines were left out of the log")
+
+
+# --- Failures of targets -----------------------------------------------------
+
+
+def test_a_failure_that_came_late_is_both():
+    way = told(
+        *log(
+            "10:00:01.000 attempt_failed request=r-1 target=t-1"
+            " address=10.0.0.1:80 reason=status_503",
+            "10:00:01.001 answered_late request=r-1 status=503 queued_s=0.9"
+            " first_s=1.0 longest_gap_s=0 targets=1",
+        )
+    )
+    assert way[-1] == (
+        "cause: target t-1 at 10.0.0.1:80 answered with 503, its own failure;"
+        " answered late: 0.9 s in line for a target, longest pause 0 s"
+    )
--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -318,7 +318,20 @@
                 self._outliers.failed(target.id)
             case _:
                 self._outliers.succeeded(target.id)
+                if isinstance(outcome, Gave) and outcome.is_failure:
+                    reason = f"status_{outcome.status}"
+                    self._tell_failed(job, progress, target, reason)
                 return outcome
+        self._tell_failed(job, progress, target, reason)
+        metrics.RETRIES.labels(reason.partition(":")[0]).inc()
+        if isinstance(outcome, Lost) and not job.is_repeatable:
+            return given_up("lost", progress)
+        return None
+
+    def _tell_failed(
+        self, job: Job, progress: Progress, target: Candidate, reason: str
+    ) -> None:
+        """One line for each target that failed, also if the caller got that."""
         log_event(
             "attempt_failed",
             request=job.call.request_id,
@@ -329,10 +342,6 @@
             fullness=self._placer.fullness(target),
             connect_s=progress.connect_s,
         )
-        metrics.RETRIES.labels(reason.partition(":")[0]).inc()
-        if isinstance(outcome, Lost) and not job.is_repeatable:
-            return given_up("lost", progress)
-        return None
 
     # --- Small questions -----------------------------------------------------
 
--- a/damaskcroft/forwarding/_job.py
+++ b/damaskcroft/forwarding/_job.py
@@ -8,6 +8,7 @@
 from damaskcroft.forwarding._call import Call
 
 __all__ = [
+    "SERVER_ERROR",
     "BrokenOff",
     "Ending",
     "Gave",
@@ -20,6 +21,10 @@
 ]
 
 
+# HTTP statuses from here on are failures of whoever answers (RFC 9110).
+SERVER_ERROR = 500
+
+
 class Ran(enum.Enum):
     """Whether a request that got no answer may have run."""
 
@@ -50,6 +55,11 @@
 
     status: int
 
+    @property
+    def is_failure(self) -> bool:
+        """Whether the answer says that the target failed."""
+        return self.status >= SERVER_ERROR
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BrokenOff:
--- a/damaskcroft/forwarding/_relay.py
+++ b/damaskcroft/forwarding/_relay.py
@@ -7,7 +7,14 @@
 from damaskcroft.forwarding._attempt import Answered, Attempt, Lost
 from damaskcroft.forwarding._call import Wire
 from damaskcroft.forwarding._events import EventSplitter
-from damaskcroft.forwarding._job import BrokenOff, Ending, Gave, Job, Progress
+from damaskcroft.forwarding._job import (
+    SERVER_ERROR,
+    BrokenOff,
+    Ending,
+    Gave,
+    Job,
+    Progress,
+)
 from damaskcroft.http1 import Answer, CutShortError, Head
 from damaskcroft.routing import Candidate, Slot
 
@@ -16,7 +23,6 @@
 # Answers up to this size are read whole before the caller gets any of it, so
 # that one that is cut short can still be asked for elsewhere.
 _WHOLE_BYTES = 256 * 1024
-_SERVER_ERROR = 500
 
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
@@ -79,7 +85,7 @@
             body, complete = await made.read_whole(_WHOLE_BYTES)
         except CutShortError as error:
             return Lost(f"cut_short: {error}")
-        if head.status >= _SERVER_ERROR and _may_repeat(sending):
+        if head.status >= SERVER_ERROR and _may_repeat(sending):
             return Lost(f"status_{head.status}")
         headers = self._wire.answer_headers(head)
         if complete:
--- a/damaskcroft/forwarding/tests/features/explained.feature
+++ b/damaskcroft/forwarding/tests/features/explained.feature
@@ -38,3 +38,15 @@
     When a caller asks and its entry is killed while it waits
     Then the cause names "sent to target a at"
     And the cause names "lost with it"
+
+  Scenario: A request that may be repeated is failed by two targets
+    Given two targets that answer with their own failure
+    When a caller asks and gets that failure
+    Then the cause names "its own failure; 2 targets were tried"
+    And it names every target
+
+  Scenario: A request that runs once is failed by its target
+    Given a target that answers with its own failure
+    When a caller asks and gets that failure
+    Then the cause names "answered with 500, its own failure"
+    And it names every target
--- a/damaskcroft/forwarding/tests/test_explained.py
+++ b/damaskcroft/forwarding/tests/test_explained.py
@@ -73,6 +73,18 @@
     made["config"] = configuration(1, route())
 
 
+@given("two targets that answer with their own failure")
+def both_fail(made):
+    made["targets"] = [FakeTarget("a", "fails"), FakeTarget("b", "fails")]
+    made["config"] = configuration(1, route(idempotent=True))
+
+
+@given("a target that answers with its own failure")
+def fails(made):
+    made["targets"] = [FakeTarget("a", "fails")]
+    made["config"] = configuration(1, route())
+
+
 @given("a target that breaks off in the middle of its events")
 def cuts(made):
     made["targets"] = [FakeTarget("a", "stream_cut")]
@@ -134,6 +146,12 @@
     assert made["status"] == 502
 
 
+@when("a caller asks and gets that failure")
+def gets_failure(made, logs):
+    ask(made)
+    assert made["status"] == 500
+
+
 @when("a caller asks for events and gets some")
 def some_events(made, logs):
     ask(made)
@@ -154,6 +172,14 @@
     assert words in told[-1]
 
 
+@then("it names every target")
+def every_target(made, logs):
+    told = story("complaint-1", parsed(logs))
+    for target in made["targets"]:
+        words = f"target {target.name} at {target.address} answered with 500"
+        assert words in told[-1]
+
+
 @then("it says when the caller was to come back")
 def come_back(made, logs):
     wait_s = made["head"].split("retry-after: ")[1].split("\r\n")[0]
