A refusal says that no target holds the weights that are due

Cause: whoever waited in line as long as it may was refused as `overloaded`, and `why` said "every target was full", also while every target was ready and none held weights that it might begin on. It is looked at most ten times a second for each model, as the line is. Now the reason is `no_weights` while ready targets hold no weights that are due, `no_target` while none is ready, and `overloaded` only while they are full; `queued` tells the same of those who still wait. When requests are refused, with which status and when callers are to come back is as it was. `why` also tells "no target was ready" from "no other target was left", which both read as weights.

--- a/damaskcroft/ctl/_causes.py
+++ b/damaskcroft/ctl/_causes.py
@@ -55,9 +55,8 @@
         told += f"; {tried} targets were tried"
     before = [
         _failure(line)
-        for line in asked
-        if line.event == "attempt_failed"
-        and line.field("target") != asked[-1].field("target")
+        for line in _failures(own)
+        if line.field("target") != asked[-1].field("target")
     ]
     return "; ".join([told, *before])
 
@@ -88,11 +87,15 @@
     match reason:
         case "overloaded":
             detail = fields.get("detail", "")
-            return f"every target of {service} was full, {detail}{after}"
+            full = f"every target of {service} was full, {detail}{after}"
+            return full + _waited_for_weights(own)
+        case "no_weights":
+            return _why_no_weights(service, beside) + after
+        case "no_target" if last.field("ran") == "no" and not _failures(own):
+            return f"no target of {service} was ready{after}"
         case "no_target":
-            named = [b for b in beside if b.event == "weights_named"]
-            due = f" of version {named[-1].fields['version']}" if named else ""
-            return f"no target of {service} had weights{due} to serve{after}"
+            ending = f"no other target of {service} was left{after}"
+            return _why_lost(own, ending)
         case "no_configuration":
             return f"the entry had no configuration yet{after}"
         case "unknown_route" | "unknown_key":
@@ -107,11 +110,29 @@
     return _why_lost(own, f"refused as {reason}{after}")
 
 
+def _why_no_weights(service: str, beside: list[Line]) -> str:
+    named = [line for line in beside if line.event == "weights_named"]
+    due = f", version {named[-1].field('version')}" if named else ""
+    return f"no target of {service} holds the weights that are due{due}"
+
+
+def _waited_for_weights(own: list[Line]) -> str:
+    """What was wanting first, where that is not what decided in the end."""
+    for line in own:
+        if line.event == "queued" and line.field("reason") == "no_weights":
+            return (
+                f"; {line.field('waited_s')} s after it came no target held"
+                " the weights that were due"
+            )
+    return ""
+
+
 def _why_lost(own: list[Line], ending: str) -> str:
-    failed = [line for line in own if line.event == "attempt_failed"]
-    if not failed:
-        return ending
-    return "; ".join([ending, *(_failure(line) for line in failed)])
+    return "; ".join([ending, *(_failure(line) for line in _failures(own))])
+
+
+def _failures(own: list[Line]) -> list[Line]:
+    return [line for line in own if line.event == "attempt_failed"]
 
 
 def _failure(line: Line) -> str:
--- a/damaskcroft/ctl/_unended.py
+++ b/damaskcroft/ctl/_unended.py
@@ -22,6 +22,11 @@
         "sent",
     }
 )
+# What a request waits for, by the reason of its line.
+_WANTING = {
+    "no_weights": "no target held the weights that were due",
+    "overloaded": "all targets were full",
+}
 # A request ends so long after its time at most: the process looks at its
 # timers more often, and a pause of it may be this long.
 _LATE_S = 1.0
@@ -60,8 +65,9 @@
             return (
                 f"waited in line at {last.process} since"
                 f" {last.time_before(last.number('waited_s') or 0.0)},"
-                f" {last.field('waiting')} waiting, and no line says that it"
-                " was sent"
+                f" {last.field('waiting')} waiting, while"
+                f" {_WANTING.get(last.field('reason'), 'none could take it')};"
+                " no line says that it was sent"
             )
         case "sent":
             return (
--- a/damaskcroft/ctl/tests/test_why.py
+++ b/damaskcroft/ctl/tests/test_why.py
@@ -38,8 +38,8 @@
 # --- Requests without an outcome ---------------------------------------------
 
 QUEUED = (
-    "10:00:01.350 queued request=r-1 service=s waited_s=0.25 waiting=18"
-    " left_s=5.75"
+    "10:00:01.350 queued request=r-1 reason=overloaded service=s"
+    " waited_s=0.25 waiting=18 left_s=5.75"
 )
 SENT = (
     "10:00:01.350 sent request=r-1 target=t-1 address=10.0.0.1:80 attempt=1"
@@ -54,8 +54,8 @@
     )
     assert way[-1] == (
         "cause: waited in line at entry-1 since 2026-01-01T10:00:01.100,"
-        " 18 waiting, and no line says that it was sent; entry-1 started anew"
-        " at 2026-01-01T10:00:03.000: lost with it"
+        " 18 waiting, while all targets were full; no line says that it was"
+        " sent; entry-1 started anew at 2026-01-01T10:00:03.000: lost with it"
     )
 
 
@@ -114,3 +114,55 @@
         "cause: target t-1 at 10.0.0.1:80 answered with 503, its own failure;"
         " answered late: 0.9 s in line for a target, longest pause 0 s"
     )
+
+
+# --- Refusals ----------------------------------------------------------------
+
+
+def test_weights_that_no_target_holds_are_named_with_their_version():
+    way = told(
+        *log(
+            "10:00:00.000 weights_named model=m version=2",
+            "10:00:01.000 refused request=r-1 reason=no_weights ran=no"
+            " service=s retry_after_s=0.7",
+        )
+    )
+    assert way[-1] == (
+        "cause: no target of s holds the weights that are due, version 2; told"
+        " to come back in 0.7 s"
+    )
+
+
+def test_a_full_service_that_held_no_weights_before_says_both():
+    way = told(
+        *log(
+            "10:00:00.250 queued request=r-1 reason=no_weights service=s"
+            " waited_s=0.25 waiting=18 left_s=5.75",
+            "10:00:02.000 refused request=r-1 reason=overloaded ran=no"
+            ' service=s detail="18 waiting" retry_after_s=None',
+        )
+    )
+    assert way[-1] == (
+        "cause: every target of s was full, 18 waiting; 0.25 s after it came"
+        " no target held the weights that were due"
+    )
+
+
+def test_no_target_at_the_first_and_no_other_after_one_are_told_apart():
+    refused = (
+        "10:00:01.000 refused request=r-1 reason=no_target ran={} service=s"
+        " retry_after_s=None"
+    )
+    first = told(*log(refused.format("no")))
+    assert first[-1] == "cause: no target of s was ready"
+    other = told(
+        *log(
+            "10:00:00.500 attempt_failed request=r-1 target=t-1"
+            " address=10.0.0.1:80 reason=silent",
+            refused.format("maybe"),
+        )
+    )
+    assert other[-1] == (
+        "cause: no other target of s was left; target t-1 at 10.0.0.1:80"
+        " failed: silent"
+    )
--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -99,7 +99,7 @@
             await asyncio.sleep(_LOOK_EVERY_S)
             self._line.serve()
             for wait in self._line.newly_long():
-                _tell_queued(wait)
+                self._tell_queued(wait)
             silent = self._silence.silent_ids()
             for target_id in silent:
                 if not self._outliers.is_aside(target_id):
@@ -176,8 +176,15 @@
                 return outcome
             case Overloaded(reason=reason, waiting=waiting):
                 detail = f"{waiting} waiting"
+                reason = self._why_none(reason, job.service)
                 return Refused(reason, Ran.NO, detail, outcome.foreseen_s)
 
+    def _why_none(self, reason: str, service: str) -> str:
+        """Tells ready targets without the weights that are due from none."""
+        if reason == "no_target" and self._services.has_ready(service):
+            return "no_weights"
+        return reason
+
     def _place_again(self, job: Job, progress: Progress) -> Turn | Ending:
         prompt_tokens = job.call.prompt_tokens
         placed = self._placer.choose(
@@ -276,6 +283,19 @@
         self._note_load(sending.target, begun.facts)
         return await self._relay.give(sending, begun)
 
+    def _tell_queued(self, wait: LongWait) -> None:
+        ticket = wait.ticket
+        now = now_s()
+        log_event(
+            "queued",
+            request=ticket.request_id,
+            reason=self._why_none(wait.reason, ticket.service),
+            service=ticket.service,
+            waited_s=now - ticket.arrived_at,
+            waiting=wait.waiting,
+            left_s=ticket.deadline_at - now,
+        )
+
     def _tell_sent(
         self, job: Job, progress: Progress, target: Candidate
     ) -> None:
@@ -354,19 +374,6 @@
         return job.deadline_at - now_s()
 
 
-def _tell_queued(wait: LongWait) -> None:
-    ticket = wait.ticket
-    now = now_s()
-    log_event(
-        "queued",
-        request=ticket.request_id,
-        service=ticket.service,
-        waited_s=now - ticket.arrived_at,
-        waiting=wait.waiting,
-        left_s=ticket.deadline_at - now,
-    )
-
-
 def _tell_pace(job: Job, progress: Progress, status: int) -> None:
     """Histograms and a line of each answer that was given whole."""
     pace = progress.pace
--- a/damaskcroft/forwarding/tests/features/explained.feature
+++ b/damaskcroft/forwarding/tests/features/explained.feature
@@ -9,6 +9,12 @@
     Then the cause names "every target of s was full"
     And it says when the caller was to come back
 
+  Scenario: A request is refused while no target holds any weights
+    Given ready targets of which none holds the weights that are due
+    When a caller asks and is refused
+    Then the cause names "no target of s holds the weights that are due"
+    And it says when the caller was to come back
+
   Scenario: A request that runs once is lost with its target
     Given a target that breaks off without an answer
     When a caller asks and is told that it may have run
--- a/damaskcroft/forwarding/tests/test_explained.py
+++ b/damaskcroft/forwarding/tests/test_explained.py
@@ -61,6 +61,13 @@
     made["taken"] = 4
 
 
+@given("ready targets of which none holds the weights that are due")
+def no_weights(made):
+    made["targets"] = [FakeTarget("a", "whole"), FakeTarget("b", "whole")]
+    made["config"] = configuration(1, route(timeout_ms=1200))
+    made["model"] = "m"
+
+
 @given("a target that never answers")
 def never_answers(made):
     made["targets"] = [FakeTarget("a", "hangs")]
@@ -110,7 +117,7 @@
     async def scenario():
         async with entry_of(made) as entry:
             made["status"], made["head"], made["body"] = await entry.ask(
-                path, x_id="complaint-1"
+                path, x_id="complaint-1", x_model=made.get("model", "")
             )
 
     asyncio.run(scenario())
--- a/damaskcroft/routing/_line.py
+++ b/damaskcroft/routing/_line.py
@@ -42,6 +42,9 @@
 # before it is refused, and above some steps of a batch, after which a full
 # target has room.
 _LONG_WAIT_S = 0.25
+# What is wanting for one request holds for others of its kind this long, since
+# many are refused in one moment: as often as the line is looked at anyhow.
+_WANTING_HOLDS_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -93,7 +96,8 @@
     """No slot in time; the request was sent to nobody.
 
     Attributes:
-        reason: "overloaded", or "no_target" if there is none at all.
+        reason: "overloaded" if all that could serve it were full, "no_target"
+            if none could serve it.
         waiting: how many waited for the service.
         foreseen_s: how long the line is at its present rate; 0 if unknown.
     """
@@ -109,10 +113,12 @@
 
     Attributes:
         ticket: its place.
+        reason: what it waits for, in the words of `Overloaded`.
         waiting: how many wait for the service.
     """
 
     ticket: LineTicket
+    reason: str
     waiting: int
 
 
@@ -149,6 +155,8 @@
         self._take = take
         self._waiting_by_service: dict[str, list[_Waiting]] = {}
         self._turns_by_service: dict[str, collections.deque[float]] = {}
+        self._wanting_by_kind: dict[tuple[str, str], str] = {}
+        self._wanting_since = float("-inf")
 
     async def turn(self, ticket: LineTicket) -> Turn | Overloaded:
         """Takes a slot, at once if one is free and nobody waits."""
@@ -161,7 +169,7 @@
                 return self._given(ticket, placement)
         foreseen_s = self._foreseen_wait_s(ticket)
         if foreseen_s > ticket.waits_until - now_s():
-            return Overloaded("overloaded", len(waiting), foreseen_s)
+            return self._refused(ticket, len(waiting), foreseen_s)
         joined = _Waiting(ticket)
         waiting = self._waiting_by_service.setdefault(ticket.service, [])
         waiting.append(joined)
@@ -198,7 +206,8 @@
                 if joined.is_told or joined.ticket.arrived_at > since:
                     continue
                 joined.is_told = True
-                found.append(LongWait(joined.ticket, len(waiting)))
+                reason = self._what_is_wanting(joined.ticket)
+                found.append(LongWait(joined.ticket, reason, len(waiting)))
         return found
 
     def _serve(self, waiting: list[_Waiting]) -> None:
@@ -218,7 +227,7 @@
                 waiting.remove(joined)
                 if not joined.outcome.done():
                     joined.outcome.set_result(
-                        Overloaded("overloaded", len(waiting), foreseen_s)
+                        self._refused(joined.ticket, len(waiting), foreseen_s)
                     )
 
     def _outcome_now(
@@ -240,6 +249,24 @@
         turns.append(now_s())
         return Turn(placement.candidate, slot)
 
+    def _refused(
+        self, ticket: LineTicket, waiting: int, foreseen_s: float
+    ) -> Overloaded:
+        reason = self._what_is_wanting(ticket)
+        return Overloaded(reason, waiting, foreseen_s)
+
+    def _what_is_wanting(self, ticket: LineTicket) -> str:
+        """Room, or any target that can serve a ticket at all."""
+        now = now_s()
+        if now - self._wanting_since >= _WANTING_HOLDS_S:
+            self._wanting_by_kind.clear()
+            self._wanting_since = now
+        kind = (ticket.service, ticket.model)
+        if kind not in self._wanting_by_kind:
+            found = self._choose(ticket)
+            self._wanting_by_kind[kind] = "overloaded" if found else "no_target"
+        return self._wanting_by_kind[kind]
+
     def _foreseen_wait_s(self, ticket: LineTicket) -> float:
         """How long those before a ticket will take, at the present rate."""
         now = now_s()
--- a/damaskcroft/routing/tests/test_line.py
+++ b/damaskcroft/routing/tests/test_line.py
@@ -293,3 +293,60 @@
         await asyncio.gather(long, return_exceptions=True)
 
     loop.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("held", "reason"), [(True, "overloaded"), (False, "no_target")]
+)
+def test_a_refusal_after_a_wait_says_what_was_wanting(loop, held, reason):
+    """Targets are full, or are ready and can't serve it."""
+
+    async def scenario():
+        targets = Targets(1)
+        for _ in range(SLOTS):
+            await targets.line.turn(ticket(loop.time()))
+        targets.line = Line(
+            lambda _: targets.placer.choose(targets.candidates, ()),
+            lambda candidate, ticket: targets.placer.take(candidate),
+            lambda _: True,
+        )
+        if not held:
+            targets.candidates.clear()
+        waiting = asyncio.create_task(targets.line.turn(ticket(loop.time())))
+        await asyncio.sleep(1.0)
+        (wait,) = targets.line.newly_long()
+        assert wait.reason == reason
+        await asyncio.sleep(DEADLINE_S * 0.33)
+        targets.line.serve()
+        assert (await waiting).reason == reason
+
+    loop.run(scenario())
+
+
+def test_a_flood_of_refusals_asks_seldom_what_is_wanting(loop):
+    async def scenario():
+        targets = Targets(1)
+        asked = []
+
+        def choose(_):
+            asked.append(loop.time())
+            return targets.placer.choose(targets.candidates, ())
+
+        targets.line = Line(
+            choose, lambda candidate, ticket: targets.placer.take(candidate)
+        )
+        for _ in range(SLOTS):
+            await targets.line.turn(ticket(loop.time()))
+        crowd = [
+            asyncio.create_task(targets.line.turn(ticket(loop.time())))
+            for _ in range(300)
+        ]
+        await asyncio.sleep(DEADLINE_S * 0.33 + 0.01)
+        asked.clear()
+        targets.line.serve()
+        outcomes = await asyncio.gather(*crowd)
+        assert all(outcome.reason == "overloaded" for outcome in outcomes)
+        # Whether the first in line may go, and what is wanting for all.
+        assert len(asked) == 2
+
+    loop.run(scenario())
