Why a request was taken back for its weights: the time it had, and its way

Cause: `sent` tells how long a request may still begin on a target's weights and `attempt_failed` what connecting took, but `why` read neither: "failed: version_due" left open whether the request was sent late or travelled long. Now the cause says how long it had, whether it went over a kept connection or how long connecting took, and after what time it was given up. A connection that failed says nothing of the kind. What is told of targets stands in one module, ctl/_attempts.py; it was in two. Before: the three new cases of a request taken back failed. After: they pass.

--- a/damaskcroft/ctl/_causes.py
+++ b/damaskcroft/ctl/_causes.py
@@ -1,5 +1,6 @@
 """The cause of what became of a request, in one line, from its log lines."""
 
+from damaskcroft.ctl._attempts import asked, failures, target_of
 from damaskcroft.ctl._log_lines import Line
 from damaskcroft.ctl._unended import why_unended
 
@@ -7,10 +8,6 @@
 
 # HTTP statuses from here on are failures of whoever answers (RFC 9110).
 _SERVER_ERROR = 500
-# Events that name a target that was asked.
-_OF_ATTEMPTS = frozenset({"attempt_failed", "sent"})
-# Before the status of a target that failed, in the reason of its attempt.
-_STATUS = "status_"
 
 
 def cause(own: list[Line], beside: list[Line], later: list[Line]) -> str:
@@ -46,19 +43,15 @@
 def _why_failed(own: list[Line], last: Line) -> str:
     """A target's own failure, that the caller got as its answer."""
     status = last.field("status")
-    asked = [line for line in own if line.event in _OF_ATTEMPTS]
-    if not asked:
+    attempts = asked(own)
+    if not attempts:
         return f"answered with {status} by a target of which no line is left"
-    told = f"{_target(asked[-1])} answered with {status}, its own failure"
+    answering = attempts[-1]
+    told = f"{target_of(answering)} answered with {status}, its own failure"
     tried = last.field("targets")
     if tried and tried != "1":
         told += f"; {tried} targets were tried"
-    before = [
-        _failure(line)
-        for line in _failures(own)
-        if line.field("target") != asked[-1].field("target")
-    ]
-    return "; ".join([told, *before])
+    return "; ".join([told, *failures(own, answering.field("target"))])
 
 
 def _why_late(last: Line) -> str:
@@ -91,7 +84,7 @@
             return full + _waited_for_weights(own)
         case "no_weights":
             return _why_no_weights(service, beside) + after
-        case "no_target" if last.field("ran") == "no" and not _failures(own):
+        case "no_target" if not asked(own):
             return f"no target of {service} was ready{after}"
         case "no_target":
             ending = f"no other target of {service} was left{after}"
@@ -128,21 +121,4 @@
 
 
 def _why_lost(own: list[Line], ending: str) -> str:
-    return "; ".join([ending, *(_failure(line) for line in _failures(own))])
-
-
-def _failures(own: list[Line]) -> list[Line]:
-    return [line for line in own if line.event == "attempt_failed"]
-
-
-def _failure(line: Line) -> str:
-    """How one target failed a request."""
-    reason = line.field("reason")
-    if reason.startswith(_STATUS):
-        status = reason.removeprefix(_STATUS)
-        return f"{_target(line)} answered with {status}, its own failure"
-    return f"{_target(line)} failed: {reason}"
-
-
-def _target(line: Line) -> str:
-    return f"target {line.field('target')} at {line.field('address')}"
+    return "; ".join([ending, *failures(own)])
--- a/damaskcroft/ctl/_unended.py
+++ b/damaskcroft/ctl/_unended.py
@@ -5,6 +5,7 @@
 it, unless the process lived past the request's time or left lines out.
 """
 
+from damaskcroft.ctl._attempts import target_of
 from damaskcroft.ctl._log_lines import Line
 
 __all__ = ["why_unended"]
@@ -59,7 +60,6 @@
 
 def _state(last: Line) -> str:
     """Where a request was when its process wrote of it last."""
-    target = f"target {last.field('target')} at {last.field('address')}"
     match last.event:
         case "queued":
             return (
@@ -71,11 +71,12 @@
             )
         case "sent":
             return (
-                f"sent to {target} by {last.process} at {last.time}, and may"
-                " have run"
+                f"sent to {target_of(last)} by {last.process} at {last.time},"
+                " and may have run"
             )
         case "attempt_failed":
-            return f"{target} failed it at {last.time}: {last.field('reason')}"
+            reason = last.field("reason")
+            return f"{target_of(last)} failed it at {last.time}: {reason}"
     return f"the last word is {last.event} at {last.time}"
 
 
--- a/damaskcroft/ctl/tests/test_why.py
+++ b/damaskcroft/ctl/tests/test_why.py
@@ -1,5 +1,7 @@
 """Causes that are told from log lines alone."""
 
+import pytest
+
 from damaskcroft.ctl._log_lines import parsed
 from damaskcroft.ctl._why import story
 
@@ -166,3 +168,57 @@
         "cause: no other target of s was left; target t-1 at 10.0.0.1:80"
         " failed: silent"
     )
+
+
+# --- Weights that are due ----------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    ("within_s", "connect_s", "words"),
+    [
+        (
+            "1.11",
+            "None",
+            "version_due, sent with 1.11 s left to begin on its weights, over a"
+            " kept connection, given up 0.87 s after it was sent",
+        ),
+        (
+            "1.11",
+            "0.213",
+            "version_due, sent with 1.11 s left to begin on its weights,"
+            " connecting took 0.213 s, given up 0.87 s after it was sent",
+        ),
+        (
+            "None",
+            "None",
+            "version_due, sent before a newer version was named, over a kept"
+            " connection, given up 0.87 s after it was sent",
+        ),
+    ],
+)
+def test_a_request_taken_back_says_what_time_it_had(within_s, connect_s, words):
+    way = told(
+        *log(
+            "10:00:24.940 sent request=r-1 target=t-1 address=10.0.0.1:80"
+            f" begins_within_s={within_s}",
+            "10:00:25.810 attempt_failed request=r-1 target=t-1"
+            f" address=10.0.0.1:80 reason=version_due connect_s={connect_s}",
+            "10:00:25.811 refused request=r-1 reason=attempts_used ran=maybe"
+            " service=s retry_after_s=None",
+        )
+    )
+    assert way[-1] == (
+        "cause: refused as attempts_used; target t-1 at 10.0.0.1:80 failed: "
+        + words
+    )
+
+
+def test_a_connection_that_failed_is_not_said_to_be_kept():
+    way = told(
+        *log(
+            "10:00:01.000 attempt_failed request=r-1 target=t-1"
+            " address=10.0.0.1:80 reason=connect_timeout connect_s=None",
+            "10:00:01.001 refused request=r-1 reason=unreachable ran=no",
+        )
+    )
+    assert way[-1].endswith("failed: connect_timeout")
