An agent that wants no weights shows in a gauge and in the cause of refusals

Cause: `weights_wanted` tells that an agent wants nothing, but named no service, no metric showed it, and a refused caller's cause stopped at the targets. Now the gauge `damask_weights_wanted` is the version, 0 for none, set when the line is written; the line names its service, and `why` names the agents of the service that wanted none when a request was refused as `no_weights`, if their logs are given. Before: both new tests failed without the change. After: they pass.

--- a/damaskcroft/agent/_fleet_stager.py
+++ b/damaskcroft/agent/_fleet_stager.py
@@ -10,7 +10,7 @@
 from damaskcroft.clock import now_s
 from damaskcroft.engines import EngineUnreachable, StagedEngine
 from damaskcroft.fleet import FleetView
-from damaskcroft.observe import log_event
+from damaskcroft.observe import log_event, metrics
 from damaskcroft.tasks import cancelled
 from damaskcroft.weights import (
     Burst,
@@ -165,10 +165,12 @@
         return True
 
     def _tell_wanted(self, wanted: Wanted | None) -> None:
-        """One line whenever what is wanted changes, also to nothing."""
+        """A line and a gauge whenever that changes, also to nothing."""
+        metrics.WEIGHTS_WANTED.set(wanted.version if wanted else 0)
         goal = wanted and self._view.goal_by_model.get(wanted.model)
         log_event(
             "weights_wanted",
+            service=self._own.state.service,
             path=wanted.path if wanted else "",
             named=goal.version if goal else None,
             configuration=self._view.version,
--- a/damaskcroft/agent/tests/test_fleet_stager.py
+++ b/damaskcroft/agent/tests/test_fleet_stager.py
@@ -4,6 +4,7 @@
 import hashlib
 
 import pytest
+from prometheus_client import REGISTRY
 
 from damaskcroft._generated import fleet_pb2, records_pb2
 from damaskcroft.agent._fleet_stager import FleetStager, Wanted
@@ -269,3 +270,16 @@
     run_for(loop, stager, 5)
     assert stager.staged == Wanted("m", 3)
     assert seen and set(seen) == {None}
+
+
+def test_an_agent_that_wants_nothing_shows_it(loop, made):
+    view, _, _, stager = made
+
+    def shown():
+        return REGISTRY.get_sample_value("damask_weights_wanted")
+
+    run_for(loop, stager, 1)
+    assert shown() == 0
+    name(loop, view)
+    run_for(loop, stager, 1)
+    assert shown() == 2
--- a/damaskcroft/ctl/_causes.py
+++ b/damaskcroft/ctl/_causes.py
@@ -1,22 +1,38 @@
 """The cause of what became of a request, in one line, from its log lines."""
 
+import dataclasses
+
 from damaskcroft.ctl._attempts import asked, failures, target_of
 from damaskcroft.ctl._log_lines import Line
 from damaskcroft.ctl._unended import why_unended
 
-__all__ = ["cause"]
+__all__ = ["Met", "cause"]
 
 # HTTP statuses from here on are failures of whoever answers (RFC 9110).
 _SERVER_ERROR = 500
 
 
-def cause(own: list[Line], beside: list[Line], later: list[Line]) -> str:
+@dataclasses.dataclass(frozen=True, slots=True)
+class Met:
+    """What happened around a request.
+
+    Attributes:
+        before: what its processes and targets met until its last line.
+        later: what the process of its last line wrote afterwards.
+        idle_agents: agents of its service that wanted no weights then.
+    """
+
+    before: list[Line]
+    later: list[Line]
+    idle_agents: list[str]
+
+
+def cause(own: list[Line], met: Met) -> str:
     """Why a request ended as it did.
 
     Args:
         own: its lines in order, one at least.
-        beside: what its processes and targets met until then.
-        later: what the process of its last line wrote afterwards.
+        met: what happened around it.
     """
     last = own[-1]
     match last.event:
@@ -29,8 +45,8 @@
         case "caller_left":
             return f"the caller left after {last.fields.get('after_s')} s"
         case "refused":
-            return _why_refused(own, last, beside)
-    return why_unended(last, later)
+            return _why_refused(own, last, met)
+    return why_unended(last, met.later)
 
 
 def _why_answered(own: list[Line], last: Line) -> str:
@@ -71,7 +87,7 @@
     return "answered late: " + ", ".join(parts)
 
 
-def _why_refused(own: list[Line], last: Line, beside: list[Line]) -> str:
+def _why_refused(own: list[Line], last: Line, met: Met) -> str:
     fields = last.fields
     reason = fields.get("reason", "")
     back = fields.get("retry_after_s", "None")
@@ -83,7 +99,7 @@
             full = f"every target of {service} was full, {detail}{after}"
             return full + _waited_for_weights(own)
         case "no_weights":
-            return _why_no_weights(service, beside) + after
+            return _why_no_weights(service, met) + after
         case "no_target" if not asked(own):
             return f"no target of {service} was ready{after}"
         case "no_target":
@@ -103,10 +119,13 @@
     return _why_lost(own, f"refused as {reason}{after}")
 
 
-def _why_no_weights(service: str, beside: list[Line]) -> str:
-    named = [line for line in beside if line.event == "weights_named"]
+def _why_no_weights(service: str, met: Met) -> str:
+    named = [line for line in met.before if line.event == "weights_named"]
     due = f", version {named[-1].field('version')}" if named else ""
-    return f"no target of {service} holds the weights that are due{due}"
+    told = f"no target of {service} holds the weights that are due{due}"
+    if met.idle_agents:
+        told += f"; these agents wanted none: {', '.join(met.idle_agents)}"
+    return told
 
 
 def _waited_for_weights(own: list[Line]) -> str:
--- a/damaskcroft/ctl/_why.py
+++ b/damaskcroft/ctl/_why.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Iterable
 
-from damaskcroft.ctl._causes import cause
+from damaskcroft.ctl._causes import Met, cause
 from damaskcroft.ctl._log_lines import Line
 
 __all__ = ["story"]
@@ -39,7 +39,12 @@
     if beside:
         told.append("what its processes and targets met meanwhile:")
         told += [f"  {line.text()}" for line in beside]
-    told.append(f"cause: {cause(own, beside, _later(own[-1], events))}")
+    met = Met(
+        before=beside,
+        later=_later(own[-1], events),
+        idle_agents=_idle_agents(own[-1], events),
+    )
+    told.append(f"cause: {cause(own, met)}")
     return told
 
 
@@ -49,6 +54,18 @@
     return [e for e in events[place + 1 :] if e.process == last.process]
 
 
+def _idle_agents(last: Line, events: list[Line]) -> list[str]:
+    """Agents that wanted no weights when a line of a service was written."""
+    path_by_agent: dict[str, str] = {}
+    for line in events:
+        if line.time > last.time:
+            break
+        if line.event == "weights_wanted":
+            if line.field("service") == last.field("service"):
+                path_by_agent[line.process] = line.field("path")
+    return sorted(agent for agent, path in path_by_agent.items() if not path)
+
+
 def _beside(own: list[Line], events: list[Line]) -> list[Line]:
     processes = {line.process for line in own}
     targets = {line.fields.get("target") for line in own} - {None}
--- a/damaskcroft/ctl/tests/test_why.py
+++ b/damaskcroft/ctl/tests/test_why.py
@@ -222,3 +222,27 @@
         )
     )
     assert way[-1].endswith("failed: connect_timeout")
+
+
+def test_agents_that_want_nothing_are_named_beside_a_want_of_weights():
+    """Only those of its service, by what they wanted when it was refused."""
+    wants = "{} weights_wanted service={} path={} named=None"
+    way = told(
+        *log(wants.format("09:00:00.000", "s", '""'), process="agent-2"),
+        *log(wants.format("09:00:00.000", "s", '""'), process="agent-1"),
+        *log(wants.format("09:00:00.000", "o", '""'), process="agent-3"),
+        *log(
+            wants.format("09:00:00.000", "s", '""'),
+            wants.format("09:00:01.000", "s", "m/1"),
+            process="agent-4",
+        ),
+        *log(
+            "10:00:01.000 refused request=r-1 reason=no_weights ran=no"
+            " service=s retry_after_s=None",
+        ),
+        *log(wants.format("10:00:02.000", "s", '""'), process="agent-4"),
+    )
+    assert way[-1] == (
+        "cause: no target of s holds the weights that are due; these agents"
+        " wanted none: agent-1, agent-2"
+    )
--- a/damaskcroft/observe/metrics.py
+++ b/damaskcroft/observe/metrics.py
@@ -28,6 +28,7 @@
     "REFUSALS",
     "RETRIES",
     "TOKEN_GAP_S",
+    "WEIGHTS_WANTED",
 ]
 
 _SECONDS = (
@@ -104,3 +105,7 @@
 BURST_YIELDS = Counter(
     "damask_burst_yields", "Times weight traffic slowed for live requests"
 )
+WEIGHTS_WANTED = Gauge(
+    "damask_weights_wanted",
+    "Version that this agent is to have beside its target; 0 for none",
+)
