Dropped lines are told with time and process, so that `why` sees them

Cause: `log_lines_dropped` is written by the writer's thread past the formatter, without time and process; `why` names it among what a request's process met, but reads only lines with both, so that it never showed. Before: the new test, a process whose output is read late, found no such line by its process. After: it finds them, and they count for every line that is missing.

--- a/damaskcroft/observe/_logs.py
+++ b/damaskcroft/observe/_logs.py
@@ -33,15 +33,14 @@
     # Settings come from INI files; the library waits for flags otherwise.
     flags.FLAGS.mark_as_parsed()
     logging.set_verbosity(logging.INFO)
-    writer = LineWriter()
+    formatter = standard_logging.Formatter(
+        f"time=%(asctime)s.%(msecs)03d process={process} %(message)s",
+        datefmt="%Y-%m-%dT%H:%M:%S",
+    )
+    writer = LineWriter(told_dropped=lambda count: _dropped(formatter, count))
     atexit.register(writer.close)
     handler = _Handler(writer)
-    handler.setFormatter(
-        standard_logging.Formatter(
-            f"time=%(asctime)s.%(msecs)03d process={process} %(message)s",
-            datefmt="%Y-%m-%dT%H:%M:%S",
-        )
-    )
+    handler.setFormatter(formatter)
     root = standard_logging.getLogger()
     for other in list(root.handlers):
         root.removeHandler(other)
@@ -73,6 +72,12 @@
     logging.warning("%s", _line(event, fields))
 
 
+def _dropped(formatter: standard_logging.Formatter, count: int) -> str:
+    """The line that tells of others, as if it had been logged."""
+    message = _line("log_lines_dropped", {"count": count})
+    return formatter.format(standard_logging.makeLogRecord({"msg": message}))
+
+
 def _line(event: str, fields: dict[str, object]) -> str:
     pairs = [f"event={event}"]
     pairs += [f"{key}={_quoted(value)}" for key, value in fields.items()]
--- a/damaskcroft/observe/_writer.py
+++ b/damaskcroft/observe/_writer.py
@@ -8,6 +8,7 @@
 import collections
 import sys
 import threading
+from collections.abc import Callable
 from typing import TextIO
 
 __all__ = ["LineWriter"]
@@ -16,6 +17,8 @@
 _MAX_LINES = 8192
 # Lines are gathered for this long, so that the thread wakes up seldom.
 _GATHER_S = 0.05
+# Tells of lines that were dropped, where nobody gives it another form.
+_TOLD_DROPPED = "event=log_lines_dropped count={}"
 # At its end a process waits for its last lines for this long.
 _LAST_S = 1.0
 
@@ -26,12 +29,17 @@
     Args:
         stream: where to; standard output unless a test says otherwise.
         max_lines: most lines that wait.
+        told_dropped: the line that tells how many were dropped.
     """
 
     def __init__(
-        self, stream: TextIO | None = None, max_lines: int = _MAX_LINES
+        self,
+        stream: TextIO | None = None,
+        max_lines: int = _MAX_LINES,
+        told_dropped: Callable[[int], str] = _TOLD_DROPPED.format,
     ):
         """Starts the thread."""
+        self._told_dropped = told_dropped
         self._stream = stream or sys.stdout
         self._max_lines = max_lines
         self._lines: collections.deque[str] = collections.deque()
@@ -78,7 +86,7 @@
         lines = []
         dropped, self._dropped = self._dropped, 0
         if dropped:
-            lines.append(f"event=log_lines_dropped count={dropped}")
+            lines.append(self._told_dropped(dropped))
         for _ in range(len(self._lines)):
             lines.append(self._lines.popleft())
         return "".join(f"{line}\n" for line in lines)
--- a/damaskcroft/observe/tests/test_logs.py
+++ b/damaskcroft/observe/tests/test_logs.py
@@ -1,9 +1,12 @@
 """Logs under a flood, and before a reader that does not read."""
 
 import os
+import subprocess
+import sys
 import threading
 import time
 
+from damaskcroft.ctl._log_lines import parsed
 from damaskcroft.observe._budget import LineBudget
 from damaskcroft.observe._writer import LineWriter
 
@@ -78,3 +81,30 @@
     counted = sum(int(r.rpartition("=")[2]) for r in dropped)
     whole = sum(r == line + "\n" for r in received)
     assert whole + counted == 1070
+
+
+# Writes more than a pipe and the buffer take, and then waits to be read.
+FLOODING = """
+import sys
+from damaskcroft.observe import log_warning, start_logs
+start_logs("p-1")
+for number in range(20_000):
+    log_warning("flood", number=number)
+print("written", file=sys.stderr, flush=True)
+sys.stdin.read()
+"""
+
+
+def test_lines_that_were_dropped_are_told_like_any_other():
+    process = subprocess.Popen(
+        [sys.executable, "-c", FLOODING],
+        stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=subprocess.PIPE,
+        text=True,
+    )  # fmt: skip
+    assert process.stderr.readline() == "written\n"
+    written, _ = process.communicate(timeout=30)
+    lines = list(parsed(written.splitlines()))
+    told = [line for line in lines if line.event == "log_lines_dropped"]
+    assert {line.process for line in told} == {"p-1"}
+    floods = sum(line.event == "flood" for line in lines)
+    assert floods + sum(line.number("count") for line in told) == 20_000
