Where no target has any weights, requests are refused at once

The refusal came two seconds late, and no sooner did an answer. Ruled out: the same while targets hold an older version (the entry isn't told how far their copies are, and a short wait pays at a switch); the same where an agent has not been heard (it may have anything). Both wait as before. Before: the new test of one request got its 503 after 2.0 s. After: within half a second; with a version staged it waits and is answered when that is loaded.

--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -79,7 +79,9 @@
             lambda candidate, ticket: placer.take(
                 candidate, ticket.prompt_tokens
             ),
-            lambda ticket: services.has_ready(ticket.service),
+            lambda ticket: services.may_serve_soon(
+                ticket.service, ticket.model
+            ),
         )
         self._relay = Relay(wire, self._line.serve)
         self._wire = wire
--- a/damaskcroft/forwarding/_services.py
+++ b/damaskcroft/forwarding/_services.py
@@ -106,6 +106,31 @@
         self._refresh()
         return bool(self._states_by_service.get(service))
 
+    def may_serve_soon(self, service: str, model: str) -> bool:
+        """Whether it may pay to wait for a target while none can serve.
+
+        A staged version is loaded soon, and whoever holds an older
+        one is likely being brought a newer. Where nothing lies at any target,
+        as after a loss of power, a whole copy has to come first: that takes
+        longer than a request waits. An agent that has not been heard may
+        have anything.
+
+        Args:
+            service: its name.
+            model: what the request asks for; empty for plain services.
+        """
+        self._refresh()
+        states = self._states_by_service.get(service, [])
+        if not model:
+            return bool(states)
+        return any(self._may_have(state, model) for state in states)
+
+    def _may_have(self, state: fleet_pb2.TargetState, model: str) -> bool:
+        agent = self._agents_by_target.get(state.address)
+        if agent is None or agent.phase == fleet_pb2.AGENT_SWITCHING:
+            return True
+        return any(part.model == model for part in (agent.staged, *agent.held))
+
     def _least_version(
         self,
         model: str,
--- a/damaskcroft/forwarding/tests/test_forwarding.py
+++ b/damaskcroft/forwarding/tests/test_forwarding.py
@@ -312,6 +312,40 @@
     asyncio.run(scenario())
 
 
+def test_where_no_target_has_any_weights_callers_hear_it_at_once():
+    """With one staged they wait, and are served when it is loaded."""
+
+    async def scenario():
+        target = FakeTarget("a", "whole")
+        config = configuration(1, route(timeout_ms=6000))
+        async with entry_before(target, config=config) as entry:
+
+            def tell(sequence, **fields):
+                agent = fleet_pb2.AgentState(
+                    address="x:2", target_address=target.address,
+                    incarnation="1", sequence=sequence, **fields,
+                )  # fmt: skip
+                entry.view.take([], [agent])
+
+            loop = asyncio.get_running_loop()
+            tell(1)
+            began_at = loop.time()
+            status, head, _ = await entry.ask(x_model="m", x_deadline=6)
+            assert status == 503
+            assert "retry-after" in head
+            assert loop.time() - began_at < 0.5
+            part = fleet_pb2.HeldLayers(model="m", version=1)
+            tell(2, staged=part)
+            asking = asyncio.create_task(entry.ask(x_model="m", x_deadline=6))
+            await asyncio.sleep(0.6)
+            assert not asking.done()
+            tell(3, staged=part, held=[part])
+            status, _, _ = await asking
+            assert status == 200
+
+    asyncio.run(scenario())
+
+
 def test_refused_callers_return_when_there_should_be_room_and_not_at_once():
     gate = EntryGate(None, None, None, random.Random(1))
     unknown = [gate._retry_after_s(0.0) for _ in range(200)]
--- a/damaskcroft/forwarding/tests/test_services.py
+++ b/damaskcroft/forwarding/tests/test_services.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from damaskcroft._generated import fleet_pb2
 from damaskcroft.fleet import FleetView
 from damaskcroft.forwarding import Services
@@ -82,3 +84,36 @@
         assert services.may_begin("s", "m", "b", 0.0)
 
     asyncio.run(scenario())
+
+
+def agent_beside(name, **fields):
+    return fleet_pb2.AgentState(
+        address=f"{name}:2", target_address=f"{name}:1", incarnation="1",
+        sequence=1, **fields,
+    )  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ("fields", "may"),
+    [
+        ({}, False),
+        ({"held": [held(1)]}, True),
+        ({"staged": held(2)}, True),
+        ({"phase": fleet_pb2.AGENT_SWITCHING}, True),
+        ({"staged": fleet_pb2.HeldLayers(model="other", version=2)}, False),
+    ],
+)
+def test_waiting_is_in_vain_where_no_target_has_anything(fields, may):
+    view = FleetView()
+    services = Services(view, {}, 8.0)
+    empty = [
+        fleet_pb2.TargetState(id=n, service="s", address=f"{n}:1", sequence=1)
+        for n in ("a", "b")
+    ]
+    assert not services.may_serve_soon("s", "m")
+    view.take(empty)
+    # Nobody has heard what lies beside them.
+    assert services.may_serve_soon("s", "m")
+    view.take([], [agent_beside("a"), agent_beside("b", **fields)])
+    assert services.may_serve_soon("s", "m") == may
+    assert services.may_serve_soon("s", "")
