Why of a caller that left, and of a late answer, names who kept it waiting

Cause: "the caller left after 1.9 s" did not say whether it stood in line or at which target; "answered late, 2 targets were tried" did not say how the first failed, though its line was there. Before: both new tests failed without the change. After: they pass.

--- a/damaskcroft/ctl/_causes.py
+++ b/damaskcroft/ctl/_causes.py
@@ -43,7 +43,7 @@
             ending = f"the answer had begun and was broken off: {reason}"
             return _why_lost(own, ending)
         case "caller_left":
-            return f"the caller left after {last.fields.get('after_s')} s"
+            return _why_left(own, last)
         case "refused":
             return _why_refused(own, last, met)
     return why_unended(last, met.later)
@@ -53,7 +53,9 @@
     late = _why_late(last) if last.event == "answered_late" else ""
     if (last.number("status") or 0) >= _SERVER_ERROR:
         return _why_failed(own, last) + (f"; {late}" if late else "")
-    return late or f"answered in time with {last.field('status')}"
+    if not late:
+        return f"answered in time with {last.field('status')}"
+    return _why_lost(own, late)
 
 
 def _why_failed(own: list[Line], last: Line) -> str:
@@ -87,6 +89,16 @@
     return "answered late: " + ", ".join(parts)
 
 
+def _why_left(own: list[Line], last: Line) -> str:
+    told = f"the caller left after {last.field('after_s')} s"
+    attempts = asked(own)
+    if attempts and attempts[-1].event == "sent":
+        told += f", while {target_of(attempts[-1])} had it"
+    elif not attempts and own[0].event == "queued":
+        told += ", in line all that time"
+    return _why_lost(own, told)
+
+
 def _why_refused(own: list[Line], last: Line, met: Met) -> str:
     fields = last.fields
     reason = fields.get("reason", "")
--- a/damaskcroft/ctl/tests/test_why.py
+++ b/damaskcroft/ctl/tests/test_why.py
@@ -246,3 +246,34 @@
         "cause: no target of s holds the weights that are due; these agents"
         " wanted none: agent-1, agent-2"
     )
+
+
+# --- Who was kept waiting ----------------------------------------------------
+
+LEFT = "10:00:03.000 caller_left request=r-1 after_s=1.9"
+
+
+def test_a_caller_that_left_says_what_it_waited_for():
+    assert told(*log(LEFT))[-1] == "cause: the caller left after 1.9 s"
+    in_line = told(*log(QUEUED, LEFT))
+    assert in_line[-1].endswith("after 1.9 s, in line all that time")
+    at_target = told(*log(QUEUED, SENT, LEFT))
+    assert at_target[-1].endswith(
+        "after 1.9 s, while target t-1 at 10.0.0.1:80 had it"
+    )
+
+
+def test_a_late_answer_names_the_targets_that_failed_before():
+    way = told(
+        *log(
+            "10:00:01.000 attempt_failed request=r-1 target=t-1"
+            " address=10.0.0.1:80 reason=silent",
+            "10:00:01.500 answered_late request=r-1 status=200 queued_s=0"
+            " first_s=1.4 longest_gap_s=0.1 targets=2",
+        )
+    )
+    assert way[-1] == (
+        "cause: answered late: first event 1.4 s after it came, at the target,"
+        " 2 targets were tried, longest pause 0.1 s; target t-1 at"
+        " 10.0.0.1:80 failed: silent"
+    )
