--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -24,19 +24,19 @@
     given_up,
 )
 from damaskcroft.forwarding._relay import Relay, Sending
+from damaskcroft.forwarding._request_log import RequestLog
 from damaskcroft.forwarding._services import Services
 from damaskcroft.http1 import (
     Answer,
     ConnectionPool,
     Place,
 )
-from damaskcroft.observe import log_event, metrics
+from damaskcroft.observe import metrics
 from damaskcroft.routing import (
     AnswerDelays,
     Candidate,
     Line,
     LineTicket,
-    LongWait,
     Outliers,
     Overloaded,
     Placement,
@@ -90,6 +90,7 @@
         self._outliers = outliers
         self._connections = connections
         self._retry_window = retry_window
+        self._log = RequestLog(services, placer, delays)
 
     async def run(self) -> None:
         """Looks at silent targets and at who waits in line, in turn.
@@ -101,7 +102,8 @@
             await asyncio.sleep(_LOOK_EVERY_S)
             self._line.serve()
             for wait in self._line.newly_long():
-                self._tell_queued(wait)
+                reason = self._why_none(wait.reason, wait.ticket.service)
+                self._log.queued(wait, reason)
             silent = self._silence.silent_ids()
             for target_id in silent:
                 if not self._outliers.is_aside(target_id):
@@ -136,7 +138,7 @@
         except TimeoutError:
             ending = given_up("deadline", progress)
         if isinstance(ending, Gave):
-            _tell_pace(job, progress, ending.status)
+            self._log.answered(job, progress, ending.status)
         return ending
 
     async def _try_targets(
@@ -211,7 +213,7 @@
             return given_up("unreachable", progress)
         if progress.sent >= max(1, job.route.max_attempts):
             return given_up("attempts_used", progress)
-        if self._left_s(job) < _MIN_LEFT_S:
+        if job.left_s < _MIN_LEFT_S:
             return given_up("deadline", progress)
         return None
 
@@ -224,12 +226,12 @@
         passing = Passing(
             target_id=target.id,
             customer=job.customer,
-            deadline_s=self._left_s(job),
+            deadline_s=job.left_s,
             priority=None,
             last_event_id=progress.last_event_id,
             weights_version=0,
         )
-        self._tell_sent(job, progress, target)
+        self._log.sent(job, progress, target)
         place = Place(target.id, target.address)
         ran_before = progress.may_have_run
         progress.may_have_run = True
@@ -285,38 +287,6 @@
         self._note_load(sending.target, begun.facts)
         return await self._relay.give(sending, begun)
 
-    def _tell_queued(self, wait: LongWait) -> None:
-        ticket = wait.ticket
-        now = now_s()
-        log_event(
-            "queued",
-            request=ticket.request_id,
-            reason=self._why_none(wait.reason, ticket.service),
-            service=ticket.service,
-            waited_s=now - ticket.arrived_at,
-            waiting=wait.waiting,
-            left_s=ticket.deadline_at - now,
-        )
-
-    def _tell_sent(
-        self, job: Job, progress: Progress, target: Candidate
-    ) -> None:
-        log_event(
-            "sent",
-            request=job.call.request_id,
-            target=target.id,
-            address=target.address,
-            attempt=progress.sent + 1,
-            service=job.service,
-            left_s=self._left_s(job),
-            fullness=self._placer.fullness(target),
-            answer_delay_s=self._delays.quickest_s(target.id),
-            begins_within_s=self._services.begins_within_s(
-                job.service, job.call.model, target.id
-            ),
-            after_event=progress.last_event_id,
-        )
-
     def _judge(
         self,
         job: Job,
@@ -342,60 +312,17 @@
                 self._outliers.succeeded(target.id)
                 if isinstance(outcome, Gave) and outcome.is_failure:
                     reason = f"status_{outcome.status}"
-                    self._tell_failed(job, progress, target, reason)
+                    self._log.failed(job, progress, target, reason)
                 return outcome
-        self._tell_failed(job, progress, target, reason)
+        self._log.failed(job, progress, target, reason)
         metrics.RETRIES.labels(reason.partition(":")[0]).inc()
         if isinstance(outcome, Lost) and not job.is_repeatable:
             return given_up("lost", progress)
         return None
 
-    def _tell_failed(
-        self, job: Job, progress: Progress, target: Candidate, reason: str
-    ) -> None:
-        """One line for each target that failed, also if the caller got that."""
-        log_event(
-            "attempt_failed",
-            request=job.call.request_id,
-            target=target.id,
-            address=target.address,
-            reason=reason,
-            left_s=self._left_s(job),
-            fullness=self._placer.fullness(target),
-            connect_s=progress.connect_s,
-        )
-
     # --- Small questions -----------------------------------------------------
 
     def _note_load(self, target: Candidate, facts: AnswerFacts) -> None:
         if facts.load is not None:
             requests = facts.load.running + facts.load.waiting
             self._placer.told(target.id, requests)
-
-    def _left_s(self, job: Job) -> float:
-        return job.deadline_at - now_s()
-
-
-def _tell_pace(job: Job, progress: Progress, status: int) -> None:
-    """Histograms and a line of each answer that was given whole."""
-    pace = progress.pace
-    service = job.service
-    metrics.ANSWER_QUEUED_S.labels(service).observe(pace.queued_s)
-    if pace.first_s is not None:
-        metrics.ANSWER_FIRST_S.labels(service).observe(pace.first_s)
-    if job.route.streaming:
-        metrics.ANSWER_GAP_S.labels(service).observe(pace.longest_gap_s)
-    whole_s = now_s() - job.call.arrived_at
-    metrics.ANSWER_WHOLE_S.labels(service).observe(whole_s)
-    log_event(
-        "answered_late" if pace.is_late(job.route) else "answered",
-        request=job.call.request_id,
-        status=status,
-        service=service,
-        queued_s=pace.queued_s,
-        first_s=pace.first_s,
-        longest_gap_s=pace.longest_gap_s,
-        whole_s=whole_s,
-        targets=progress.sent,
-        prompt_tokens=job.call.prompt_tokens,
-    )
--- a/damaskcroft/forwarding/_job.py
+++ b/damaskcroft/forwarding/_job.py
@@ -4,6 +4,7 @@
 import enum
 
 from damaskcroft._generated import fleet_pb2
+from damaskcroft.clock import now_s
 from damaskcroft.forwarding._attempt import Lost, NotRun, NotSent
 from damaskcroft.forwarding._call import Call
 
@@ -96,6 +97,11 @@
         """Whether it may run more than once."""
         return self.route.idempotent or self.route.resumable
 
+    @property
+    def left_s(self) -> float:
+        """How long it may still take; below 0 when its time is over."""
+        return self.deadline_at - now_s()
+
 
 class Pace:
     """How soon and how evenly a caller gets its answer.
--- /dev/null
+++ b/damaskcroft/forwarding/_request_log.py
@@ -0,0 +1,103 @@
+"""Lines and histograms of what becomes of a request at an entry."""
+
+from damaskcroft.clock import now_s
+from damaskcroft.forwarding._job import Job, Progress
+from damaskcroft.forwarding._services import Services
+from damaskcroft.observe import log_event, metrics
+from damaskcroft.routing import AnswerDelays, Candidate, LongWait, Placer
+
+__all__ = ["RequestLog"]
+
+
+class RequestLog:
+    """Tells each step of a request, with what the entry knew at that moment.
+
+    Args:
+        services: which targets could run it.
+        placer: how full they are.
+        delays: how soon they answer.
+    """
+
+    def __init__(
+        self, services: Services, placer: Placer, delays: AnswerDelays
+    ):
+        """See the class."""
+        self._services = services
+        self._placer = placer
+        self._delays = delays
+
+    def queued(self, wait: LongWait, reason: str) -> None:
+        """A request has waited in line for long.
+
+        Args:
+            wait: which, and beside how many.
+            reason: what it waits for.
+        """
+        ticket = wait.ticket
+        now = now_s()
+        log_event(
+            "queued",
+            request=ticket.request_id,
+            reason=reason,
+            service=ticket.service,
+            waited_s=now - ticket.arrived_at,
+            waiting=wait.waiting,
+            left_s=ticket.deadline_at - now,
+        )
+
+    def sent(self, job: Job, progress: Progress, target: Candidate) -> None:
+        """A request is about to be sent to a target."""
+        log_event(
+            "sent",
+            request=job.call.request_id,
+            target=target.id,
+            address=target.address,
+            attempt=progress.sent + 1,
+            service=job.service,
+            left_s=job.left_s,
+            fullness=self._placer.fullness(target),
+            answer_delay_s=self._delays.quickest_s(target.id),
+            begins_within_s=self._services.begins_within_s(
+                job.service, job.call.model, target.id
+            ),
+            after_event=progress.last_event_id,
+        )
+
+    def failed(
+        self, job: Job, progress: Progress, target: Candidate, reason: str
+    ) -> None:
+        """A target failed a request, also if the caller gets its failure."""
+        log_event(
+            "attempt_failed",
+            request=job.call.request_id,
+            target=target.id,
+            address=target.address,
+            reason=reason,
+            left_s=job.left_s,
+            fullness=self._placer.fullness(target),
+            connect_s=progress.connect_s,
+        )
+
+    def answered(self, job: Job, progress: Progress, status: int) -> None:
+        """A target's answer was given whole."""
+        pace = progress.pace
+        service = job.service
+        metrics.ANSWER_QUEUED_S.labels(service).observe(pace.queued_s)
+        if pace.first_s is not None:
+            metrics.ANSWER_FIRST_S.labels(service).observe(pace.first_s)
+        if job.route.streaming:
+            metrics.ANSWER_GAP_S.labels(service).observe(pace.longest_gap_s)
+        whole_s = now_s() - job.call.arrived_at
+        metrics.ANSWER_WHOLE_S.labels(service).observe(whole_s)
+        log_event(
+            "answered_late" if pace.is_late(job.route) else "answered",
+            request=job.call.request_id,
+            status=status,
+            service=service,
+            queued_s=pace.queued_s,
+            first_s=pace.first_s,
+            longest_gap_s=pace.longest_gap_s,
+            whole_s=whole_s,
+            targets=progress.sent,
+            prompt_tokens=job.call.prompt_tokens,
+        )
