--- /dev/null
+++ b/damaskcroft/ctl/tests/test_why.py
@@ -0,0 +1,279 @@
+"""Causes that are told from log lines alone."""
+
+import pytest
+
+from damaskcroft.ctl._log_lines import parsed
+from damaskcroft.ctl._why import story
+
+
+def log(*lines, process="entry-1", day="2026-01-01"):
+    """Lines of one process, each beginning with its time of day."""
+    return [
+        f"time={day}T{time} process={process} event={rest}"
+        for time, rest in (line.split(" ", 1) for line in lines)
+    ]
+
+
+def told(*lines):
+    return story("r-1", parsed(lines))
+
+
+def test_what_happened_on_the_day_before_is_not_beside_a_request():
+    way = told(
+        *log("23:59:40.000 control_lost", day="2026-01-01"),
+        *log("23:59:58.000 control_in_touch", day="2026-01-01"),
+        *log("00:00:01.000 refused request=r-1 reason=stopping",
+             day="2026-01-02"),
+    )  # fmt: skip
+    assert any("control_in_touch" in line for line in way)
+    assert not any("control_lost" in line for line in way)
+
+
+def test_a_line_that_was_cut_in_its_time_is_passed_over():
+    way = told(
+        "time=2026-01-0 process=entry-1 event=starting",
+        *log("10:00:00.000 refused request=r-1 reason=stopping"),
+    )
+    assert way[-1] == "cause: the entry was about to end"
+
+
+# --- Requests without an outcome ---------------------------------------------
+
+QUEUED = (
+    "10:00:01.350 queued request=r-1 reason=overloaded service=s"
+    " waited_s=0.25 waiting=18 left_s=5.75"
+)
+SENT = (
+    "10:00:01.350 sent request=r-1 target=t-1 address=10.0.0.1:80 attempt=1"
+    " left_s=5.75"
+)
+
+
+def test_what_waited_in_line_is_lost_with_its_process():
+    way = told(
+        *log(QUEUED, "10:00:03.000 starting role=entry"),
+        *log("10:00:02.000 starting role=entry", process="entry-2"),
+    )
+    assert way[-1] == (
+        "cause: waited in line at entry-1 since 2026-01-01T10:00:01.100,"
+        " 18 waiting, while all targets were full; no line says that it was"
+        " sent; entry-1 started anew at 2026-01-01T10:00:03.000: lost with it"
+    )
+
+
+def test_what_was_sent_is_lost_with_its_process_and_may_have_run():
+    way = told(*log(SENT, "10:00:03.000 starting role=entry"))
+    assert way[-1] == (
+        "cause: sent to target t-1 at 10.0.0.1:80 by entry-1 at"
+        " 2026-01-01T10:00:01.350, and may have run; entry-1 started anew at"
+        " 2026-01-01T10:00:03.000: lost with it"
+    )
+
+
+def test_a_start_of_another_process_loses_nothing():
+    way = told(
+        *log(SENT, "10:00:01.400 control_lost"),
+        *log("10:00:03.000 starting role=entry", process="entry-2"),
+    )
+    assert way[-1] == "cause: no outcome is logged; the last word is sent"
+
+
+def test_a_process_that_is_not_back_yet_is_named():
+    way = told(*log(SENT))
+    assert way[-1].endswith("and entry-1 wrote nothing after it")
+
+
+def test_a_process_that_lived_past_a_requests_time_did_not_lose_it():
+    way = told(
+        *log(SENT, "10:00:09.000 control_lost", "10:00:11.000 starting x=1")
+    )
+    assert "lost with it" not in way[-1]
+    assert "its time was over before entry-1 started anew" in way[-1]
+
+
+def test_lines_that_were_left_out_make_a_loss_uncertain():
+    summed = "10:00:02.000 log_lines_summed of={} reason= count=7"
+    start = "10:00:03.000 starting role=entry"
+    certain = told(*log(SENT, summed.format("target_changed"), start))
+    assert certain[-1].endswith("lost with it")
+    uncertain = told(*log(SENT, summed.format("answered"), start))
+    assert uncertain[-1].endswith("or its later lines were left out of the log")
+
+
+# --- Failures of targets -----------------------------------------------------
+
+
+def test_a_failure_that_came_late_is_both():
+    way = told(
+        *log(
+            "10:00:01.000 attempt_failed request=r-1 target=t-1"
+            " address=10.0.0.1:80 reason=status_503",
+            "10:00:01.001 answered_late request=r-1 status=503 queued_s=0.9"
+            " first_s=1.0 longest_gap_s=0 targets=1",
+        )
+    )
+    assert way[-1] == (
+        "cause: target t-1 at 10.0.0.1:80 answered with 503, its own failure;"
+        " answered late: 0.9 s in line for a target, longest pause 0 s"
+    )
+
+
+# --- Refusals ----------------------------------------------------------------
+
+
+def test_weights_that_no_target_holds_are_named_with_their_version():
+    way = told(
+        *log(
+            "10:00:00.000 weights_named model=m version=2",
+            "10:00:01.000 refused request=r-1 reason=no_weights ran=no"
+            " service=s retry_after_s=0.7",
+        )
+    )
+    assert way[-1] == (
+        "cause: no target of s holds the weights that are due, version 2; told"
+        " to come back in 0.7 s"
+    )
+
+
+def test_a_full_service_that_held_no_weights_before_says_both():
+    way = told(
+        *log(
+            "10:00:00.250 queued request=r-1 reason=no_weights service=s"
+            " waited_s=0.25 waiting=18 left_s=5.75",
+            "10:00:02.000 refused request=r-1 reason=overloaded ran=no"
+            ' service=s detail="18 waiting" retry_after_s=None',
+        )
+    )
+    assert way[-1] == (
+        "cause: every target of s was full, 18 waiting; 0.25 s after it came"
+        " no target held the weights that were due"
+    )
+
+
+def test_no_target_at_the_first_and_no_other_after_one_are_told_apart():
+    refused = (
+        "10:00:01.000 refused request=r-1 reason=no_target ran={} service=s"
+        " retry_after_s=None"
+    )
+    first = told(*log(refused.format("no")))
+    assert first[-1] == "cause: no target of s was ready"
+    other = told(
+        *log(
+            "10:00:00.500 attempt_failed request=r-1 target=t-1"
+            " address=10.0.0.1:80 reason=silent",
+            refused.format("maybe"),
+        )
+    )
+    assert other[-1] == (
+        "cause: no other target of s was left; target t-1 at 10.0.0.1:80"
+        " failed: silent"
+    )
+
+
+# --- Weights that are due ----------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    ("within_s", "connect_s", "words"),
+    [
+        (
+            "1.11",
+            "None",
+            "version_due, sent with 1.11 s left to begin on its weights, over a"
+            " kept connection, given up 0.87 s after it was sent",
+        ),
+        (
+            "1.11",
+            "0.213",
+            "version_due, sent with 1.11 s left to begin on its weights,"
+            " connecting took 0.213 s, given up 0.87 s after it was sent",
+        ),
+        (
+            "None",
+            "None",
+            "version_due, sent before a newer version was named, over a kept"
+            " connection, given up 0.87 s after it was sent",
+        ),
+    ],
+)
+def test_a_request_taken_back_says_what_time_it_had(within_s, connect_s, words):
+    way = told(
+        *log(
+            "10:00:24.940 sent request=r-1 target=t-1 address=10.0.0.1:80"
+            f" begins_within_s={within_s}",
+            "10:00:25.810 attempt_failed request=r-1 target=t-1"
+            f" address=10.0.0.1:80 reason=version_due connect_s={connect_s}",
+            "10:00:25.811 refused request=r-1 reason=attempts_used ran=maybe"
+            " service=s retry_after_s=None",
+        )
+    )
+    assert way[-1] == (
+        "cause: refused as attempts_used; target t-1 at 10.0.0.1:80 failed: "
+        + words
+    )
+
+
+def test_a_connection_that_failed_is_not_said_to_be_kept():
+    way = told(
+        *log(
+            "10:00:01.000 attempt_failed request=r-1 target=t-1"
+            " address=10.0.0.1:80 reason=connect_timeout connect_s=None",
+            "10:00:01.001 refused request=r-1 reason=unreachable ran=no",
+        )
+    )
+    assert way[-1].endswith("failed: connect_timeout")
+
+
+def test_agents_that_want_nothing_are_named_beside_a_want_of_weights():
+    """Only those of its service, by what they wanted when it was refused."""
+    wants = "{} weights_wanted service={} path={} named=None"
+    way = told(
+        *log(wants.format("09:00:00.000", "s", '""'), process="agent-2"),
+        *log(wants.format("09:00:00.000", "s", '""'), process="agent-1"),
+        *log(wants.format("09:00:00.000", "o", '""'), process="agent-3"),
+        *log(
+            wants.format("09:00:00.000", "s", '""'),
+            wants.format("09:00:01.000", "s", "m/1"),
+            process="agent-4",
+        ),
+        *log(
+            "10:00:01.000 refused request=r-1 reason=no_weights ran=no"
+            " service=s retry_after_s=None",
+        ),
+        *log(wants.format("10:00:02.000", "s", '""'), process="agent-4"),
+    )
+    assert way[-1] == (
+        "cause: no target of s holds the weights that are due; these agents"
+        " wanted none: agent-1, agent-2"
+    )
+
+
+# --- Who was kept waiting ----------------------------------------------------
+
+LEFT = "10:00:03.000 caller_left request=r-1 after_s=1.9"
+
+
+def test_a_caller_that_left_says_what_it_waited_for():
+    assert told(*log(LEFT))[-1] == "cause: the caller left after 1.9 s"
+    in_line = told(*log(QUEUED, LEFT))
+    assert in_line[-1].endswith("after 1.9 s, in line all that time")
+    at_target = told(*log(QUEUED, SENT, LEFT))
+    assert at_target[-1].endswith(
+        "after 1.9 s, while target t-1 at 10.0.0.1:80 had it"
+    )
+
+
+def test_a_late_answer_names_the_targets_that_failed_before():
+    way = told(
+        *log(
+            "10:00:01.000 attempt_failed request=r-1 target=t-1"
+            " address=10.0.0.1:80 reason=silent",
+            "10:00:01.500 answered_late request=r-1 status=200 queued_s=0"
+            " first_s=1.4 longest_gap_s=0.1 targets=2",
+        )
+    )
+    assert way[-1] == (
+        "cause: answered late: first event 1.4 s after it came, at the target,"
+        " 2 targets were tried, longest pause 0.1 s; target t-1 at"
+        " 10.0.0.1:80 failed: silent"
+    )
--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -24,13 +24,14 @@
     given_up,
 )
 from damaskcroft.forwarding._relay import Relay, Sending
+from damaskcroft.forwarding._request_log import RequestLog
 from damaskcroft.forwarding._services import Services
 from damaskcroft.http1 import (
     Answer,
     ConnectionPool,
     Place,
 )
-from damaskcroft.observe import log_event, metrics
+from damaskcroft.observe import metrics
 from damaskcroft.routing import (
     AnswerDelays,
     Candidate,
@@ -83,7 +84,9 @@
             lambda candidate, ticket: placer.take(
                 candidate, ticket.prompt_tokens
             ),
-            lambda ticket: services.has_ready(ticket.service),
+            lambda ticket: services.may_serve_soon(
+                ticket.service, ticket.model
+            ),
         )
         self._relay = Relay(wire, self._line.serve)
         self._wire = wire
@@ -92,6 +95,7 @@
         self._outliers = outliers
         self._connections = connections
         self._retry_window = retry_window
+        self._log = RequestLog(services, placer, delays)
 
     async def run(self) -> None:
         """Looks at silent targets and at who waits in line, in turn.
@@ -102,6 +106,9 @@
         while True:
             await asyncio.sleep(_LOOK_EVERY_S)
             self._line.serve()
+            for wait in self._line.newly_long():
+                reason = self._why_none(wait.reason, wait.ticket.service)
+                self._log.queued(wait, reason)
             silent = self._silence.silent_ids()
             for target_id in silent:
                 if not self._outliers.is_aside(target_id):
@@ -136,7 +143,7 @@
         except TimeoutError:
             ending = given_up("deadline", progress)
         if isinstance(ending, Gave):
-            _tell_pace(job, progress, ending.status)
+            self._log.answered(job, progress, ending.status)
         return ending
 
     async def _try_targets(
@@ -169,6 +176,7 @@
             goal_s=job.route.latency_goal_ms / 1000,
             deadline_at=job.deadline_at,
             prompt_tokens=job.call.prompt_tokens,
+            request_id=job.call.request_id,
         )
         outcome = await self._line.turn(ticket)
         progress.pace.queued_s = now_s() - job.call.arrived_at
@@ -177,8 +185,15 @@
                 return outcome
             case Overloaded(reason=reason, waiting=waiting):
                 detail = f"{waiting} waiting"
+                reason = self._why_none(reason, job.service)
                 return Refused(reason, Ran.NO, detail, outcome.foreseen_s)
 
+    def _why_none(self, reason: str, service: str) -> str:
+        """Tells ready targets without the weights that are due from none."""
+        if reason == "no_target" and self._services.has_ready(service):
+            return "no_weights"
+        return reason
+
     def _place_again(self, job: Job, progress: Progress) -> Turn | Ending:
         prompt_tokens = job.call.prompt_tokens
         placed = self._placer.choose(
@@ -203,7 +218,7 @@
             return given_up("unreachable", progress)
         if progress.sent >= max(1, job.route.max_attempts):
             return given_up("attempts_used", progress)
-        if self._left_s(job) < _MIN_LEFT_S:
+        if job.left_s < _MIN_LEFT_S:
             return given_up("deadline", progress)
         return None
 
@@ -216,12 +231,12 @@
         passing = Passing(
             target_id=target.id,
             customer=job.customer,
-            deadline_s=self._left_s(job),
+            deadline_s=job.left_s,
             priority=None,
             last_event_id=progress.last_event_id,
             weights_version=0,
         )
-        self._tell_sent(job, progress, target)
+        self._log.sent(job, progress, target)
         place = Place(target.id, target.address)
         ran_before = progress.may_have_run
         progress.may_have_run = True
@@ -277,25 +292,6 @@
         self._note_load(sending.target, begun.facts)
         return await self._relay.give(sending, begun)
 
-    def _tell_sent(
-        self, job: Job, progress: Progress, target: Candidate
-    ) -> None:
-        log_event(
-            "sent",
-            request=job.call.request_id,
-            target=target.id,
-            address=target.address,
-            attempt=progress.sent + 1,
-            service=job.service,
-            left_s=self._left_s(job),
-            fullness=self._placer.fullness(target),
-            answer_delay_s=self._delays.quickest_s(target.id),
-            begins_within_s=self._services.begins_within_s(
-                job.service, job.call.model, target.id
-            ),
-            after_event=progress.last_event_id,
-        )
-
     def _judge(
         self,
         job: Job,
@@ -322,17 +318,11 @@
                 self._outliers.failed(target.id)
             case _:
                 self._outliers.succeeded(target.id)
+                if isinstance(outcome, Gave) and outcome.is_failure:
+                    reason = f"status_{outcome.status}"
+                    self._log.failed(job, progress, target, reason)
                 return outcome
-        log_event(
-            "attempt_failed",
-            request=job.call.request_id,
-            target=target.id,
-            address=target.address,
-            reason=reason,
-            left_s=self._left_s(job),
-            fullness=self._placer.fullness(target),
-            connect_s=progress.connect_s,
-        )
+        self._log.failed(job, progress, target, reason)
         metrics.RETRIES.labels(reason.partition(":")[0]).inc()
         if isinstance(outcome, Lost) and not job.is_repeatable:
             return given_up("lost", progress)
@@ -344,31 +334,3 @@
         if facts.load is not None:
             requests = facts.load.running + facts.load.waiting
             self._placer.told(target.id, requests)
-
-    def _left_s(self, job: Job) -> float:
-        return job.deadline_at - now_s()
-
-
-def _tell_pace(job: Job, progress: Progress, status: int) -> None:
-    """Histograms and a line of each answer that was given whole."""
-    pace = progress.pace
-    service = job.service
-    metrics.ANSWER_QUEUED_S.labels(service).observe(pace.queued_s)
-    if pace.first_s is not None:
-        metrics.ANSWER_FIRST_S.labels(service).observe(pace.first_s)
-    if job.route.streaming:
-        metrics.ANSWER_GAP_S.labels(service).observe(pace.longest_gap_s)
-    whole_s = now_s() - job.call.arrived_at
-    metrics.ANSWER_WHOLE_S.labels(service).observe(whole_s)
-    log_event(
-        "answered_late" if pace.is_late(job.route) else "answered",
-        request=job.call.request_id,
-        status=status,
-        service=service,
-        queued_s=pace.queued_s,
-        first_s=pace.first_s,
-        longest_gap_s=pace.longest_gap_s,
-        whole_s=whole_s,
-        targets=progress.sent,
-        prompt_tokens=job.call.prompt_tokens,
-    )
--- a/damaskcroft/forwarding/_job.py
+++ b/damaskcroft/forwarding/_job.py
@@ -4,10 +4,12 @@
 import enum
 
 from damaskcroft._generated import fleet_pb2
+from damaskcroft.clock import now_s
 from damaskcroft.forwarding._attempt import Lost, NotRun, NotSent
 from damaskcroft.forwarding._call import Call
 
 __all__ = [
+    "SERVER_ERROR",
     "BrokenOff",
     "Ending",
     "Gave",
@@ -20,6 +22,10 @@
 ]
 
 
+# HTTP statuses from here on are failures of whoever answers (RFC 9110).
+SERVER_ERROR = 500
+
+
 class Ran(enum.Enum):
     """Whether a request that got no answer may have run."""
 
@@ -50,6 +56,11 @@
 
     status: int
 
+    @property
+    def is_failure(self) -> bool:
+        """Whether the answer says that the target failed."""
+        return self.status >= SERVER_ERROR
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BrokenOff:
@@ -86,6 +97,11 @@
         """Whether it may run more than once."""
         return self.route.idempotent or self.route.resumable
 
+    @property
+    def left_s(self) -> float:
+        """How long it may still take; below 0 when its time is over."""
+        return self.deadline_at - now_s()
+
 
 class Pace:
     """How soon and how evenly a caller gets its answer.
--- a/damaskcroft/forwarding/tests/features/explained.feature
+++ b/damaskcroft/forwarding/tests/features/explained.feature
@@ -9,6 +9,12 @@
     Then the cause names "every target of s was full"
     And it says when the caller was to come back
 
+  Scenario: A request is refused while no target holds any weights
+    Given ready targets of which none holds the weights that are due
+    When a caller asks and is refused
+    Then the cause names "no target of s holds the weights that are due"
+    And it says when the caller was to come back
+
   Scenario: A request that runs once is lost with its target
     Given a target that breaks off without an answer
     When a caller asks and is told that it may have run
@@ -26,3 +32,27 @@
     When a caller asks on a new route and hears that there is none
     Then the cause names "configuration 1 of"
     And the cause names "has no such route"
+
+  Scenario: An entry is killed while a request waits in its line
+    Given a target whose only slot is taken
+    When a caller asks and its entry is killed while it waits
+    Then the cause names "waited in line at entry-1 since"
+    And the cause names "lost with it"
+
+  Scenario: An entry is killed while a target has a request
+    Given a target that never answers
+    When a caller asks and its entry is killed while it waits
+    Then the cause names "sent to target a at"
+    And the cause names "lost with it"
+
+  Scenario: A request that may be repeated is failed by two targets
+    Given two targets that answer with their own failure
+    When a caller asks and gets that failure
+    Then the cause names "its own failure; 2 targets were tried"
+    And it names every target
+
+  Scenario: A request that runs once is failed by its target
+    Given a target that answers with its own failure
+    When a caller asks and gets that failure
+    Then the cause names "answered with 500, its own failure"
+    And it names every target
--- a/damaskcroft/forwarding/tests/test_explained.py
+++ b/damaskcroft/forwarding/tests/test_explained.py
@@ -1,12 +1,14 @@
 """Steps of features/explained.feature: from a request's id to its cause."""
 
 import asyncio
+import contextlib
 import logging
 
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
-from damaskcroft.ctl._why import parsed, story
+from damaskcroft.ctl._log_lines import parsed
+from damaskcroft.ctl._why import story
 from damaskcroft.forwarding.tests.fakes import (
     FakeTarget,
     configuration,
@@ -59,12 +61,37 @@
     made["taken"] = 4
 
 
+@given("ready targets of which none holds the weights that are due")
+def no_weights(made):
+    made["targets"] = [FakeTarget("a", "whole"), FakeTarget("b", "whole")]
+    made["config"] = configuration(1, route(timeout_ms=1200))
+    made["model"] = "m"
+
+
+@given("a target that never answers")
+def never_answers(made):
+    made["targets"] = [FakeTarget("a", "hangs")]
+    made["config"] = configuration(1, route())
+
+
 @given("a target that breaks off without an answer")
 def breaks_off(made):
     made["targets"] = [FakeTarget("a", "silent_close")]
     made["config"] = configuration(1, route())
 
 
+@given("two targets that answer with their own failure")
+def both_fail(made):
+    made["targets"] = [FakeTarget("a", "fails"), FakeTarget("b", "fails")]
+    made["config"] = configuration(1, route(idempotent=True))
+
+
+@given("a target that answers with its own failure")
+def fails(made):
+    made["targets"] = [FakeTarget("a", "fails")]
+    made["config"] = configuration(1, route())
+
+
 @given("a target that breaks off in the middle of its events")
 def cuts(made):
     made["targets"] = [FakeTarget("a", "stream_cut")]
@@ -77,16 +104,20 @@
     made["config"] = configuration(1, route(path_prefix="/old/"))
 
 
+@contextlib.asynccontextmanager
+async def entry_of(made):
+    async with entry_before(*made["targets"], config=made["config"]) as entry:
+        placed = entry.placer.choose(entry.candidates(), ())
+        for _ in range(made.get("taken", 0)):
+            entry.placer.take(placed.candidate)
+        yield entry
+
+
 def ask(made, path="/a"):
     async def scenario():
-        async with entry_before(
-            *made["targets"], config=made["config"]
-        ) as entry:
-            placed = entry.placer.choose(entry.candidates(), ())
-            for _ in range(made.get("taken", 0)):
-                entry.placer.take(placed.candidate)
+        async with entry_of(made) as entry:
             made["status"], made["head"], made["body"] = await entry.ask(
-                path, x_id="complaint-1"
+                path, x_id="complaint-1", x_model=made.get("model", "")
             )
 
     asyncio.run(scenario())
@@ -98,12 +129,36 @@
     assert made["status"] == 503
 
 
+@when("a caller asks and its entry is killed while it waits")
+def killed(made, logs):
+    """What the killed entry would still have written never reaches a log."""
+    made["config"].routes[0].timeout_ms = 2000
+
+    async def scenario():
+        async with entry_of(made) as entry:
+            asking = asyncio.create_task(entry.ask(x_id="complaint-1"))
+            await asyncio.sleep(0.5)
+            made["written"] = list(logs)
+            asking.cancel()
+            await asyncio.gather(asking, return_exceptions=True)
+
+    asyncio.run(scenario())
+    logs[:] = made["written"]
+    _logs.log_event("starting", role="entry")
+
+
 @when("a caller asks and is told that it may have run")
 def may_have_run(made, logs):
     ask(made)
     assert made["status"] == 502
 
 
+@when("a caller asks and gets that failure")
+def gets_failure(made, logs):
+    ask(made)
+    assert made["status"] == 500
+
+
 @when("a caller asks for events and gets some")
 def some_events(made, logs):
     ask(made)
@@ -124,6 +179,14 @@
     assert words in told[-1]
 
 
+@then("it names every target")
+def every_target(made, logs):
+    told = story("complaint-1", parsed(logs))
+    for target in made["targets"]:
+        words = f"target {target.name} at {target.address} answered with 500"
+        assert words in told[-1]
+
+
 @then("it says when the caller was to come back")
 def come_back(made, logs):
     wait_s = made["head"].split("retry-after: ")[1].split("\r\n")[0]
--- a/damaskcroft/routing/tests/test_line.py
+++ b/damaskcroft/routing/tests/test_line.py
@@ -266,3 +266,87 @@
         assert all(1.5 < o.foreseen_s < 5 for o in refused)
 
     loop.run(scenario())
+
+
+def test_whoever_waits_for_long_is_named_once_and_others_never(loop):
+    async def scenario():
+        targets = Targets(1)
+        slots = [
+            (await targets.line.turn(ticket(loop.time()))).slot
+            for _ in range(SLOTS)
+        ]
+        short, long = (
+            asyncio.create_task(targets.line.turn(ticket(loop.time(), p)))
+            for p in (0, 1)
+        )
+        await asyncio.sleep(0.2)
+        assert targets.line.newly_long() == []
+        slots[0].give_back()
+        targets.line.serve()
+        await short
+        await asyncio.sleep(0.1)
+        (wait,) = targets.line.newly_long()
+        assert (wait.ticket.priority, wait.waiting) == (1, 1)
+        await asyncio.sleep(0.1)
+        assert targets.line.newly_long() == []
+        long.cancel()
+        await asyncio.gather(long, return_exceptions=True)
+
+    loop.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("held", "reason"), [(True, "overloaded"), (False, "no_target")]
+)
+def test_a_refusal_after_a_wait_says_what_was_wanting(loop, held, reason):
+    """Targets are full, or are ready and can't serve it."""
+
+    async def scenario():
+        targets = Targets(1)
+        for _ in range(SLOTS):
+            await targets.line.turn(ticket(loop.time()))
+        targets.line = Line(
+            lambda _: targets.placer.choose(targets.candidates, ()),
+            lambda candidate, ticket: targets.placer.take(candidate),
+            lambda _: True,
+        )
+        if not held:
+            targets.candidates.clear()
+        waiting = asyncio.create_task(targets.line.turn(ticket(loop.time())))
+        await asyncio.sleep(1.0)
+        (wait,) = targets.line.newly_long()
+        assert wait.reason == reason
+        await asyncio.sleep(DEADLINE_S * 0.33)
+        targets.line.serve()
+        assert (await waiting).reason == reason
+
+    loop.run(scenario())
+
+
+def test_a_flood_of_refusals_asks_seldom_what_is_wanting(loop):
+    async def scenario():
+        targets = Targets(1)
+        asked = []
+
+        def choose(_):
+            asked.append(loop.time())
+            return targets.placer.choose(targets.candidates, ())
+
+        targets.line = Line(
+            choose, lambda candidate, ticket: targets.placer.take(candidate)
+        )
+        for _ in range(SLOTS):
+            await targets.line.turn(ticket(loop.time()))
+        crowd = [
+            asyncio.create_task(targets.line.turn(ticket(loop.time())))
+            for _ in range(300)
+        ]
+        await asyncio.sleep(DEADLINE_S * 0.33 + 0.01)
+        asked.clear()
+        targets.line.serve()
+        outcomes = await asyncio.gather(*crowd)
+        assert all(outcome.reason == "overloaded" for outcome in outcomes)
+        # Whether the first in line may go, and what is wanting for all.
+        assert len(asked) == 2
+
+    loop.run(scenario())
