Control that an agent hears of late is told of its target

Cause: an agent tells a word once, to the control nodes it knows at that moment. When all start at once its target may answer after the streams were opened, with no word in them, and before the first update names any control node: then the word went to nobody until the next change, and others planned without the agent. Found by reading; not seen in a log. Now nodes heard of later are told, once. Before: the new test fails (nothing told).

--- a/damaskcroft/agent/_fleet_agent.py
+++ b/damaskcroft/agent/_fleet_agent.py
@@ -41,6 +41,7 @@
         self._quickest_part_s = quickest_part_s
         self._view = view
         self._channels = channels
+        self._told_addresses: set[str] = set()
         self.state = fleet_pb2.AgentState(
             address=settings.rpc_address,
             target_address=settings.target_address,
@@ -84,8 +85,10 @@
         if staged is not None:
             state.staged.CopyFrom(staged)
         if state == self.state and self.state.sequence:
+            await self._tell_all()
             return
         state.sequence += 1
+        self._told_addresses = set()
         self.state = state
         log_event(
             "agent_state",
@@ -96,9 +99,16 @@
             sequence=state.sequence,
         )
         self._view.take([], [state])
-        await asyncio.gather(
-            *(self._tell(address) for address in self._view.control_addresses)
-        )
+        await self._tell_all()
+
+    async def _tell_all(self) -> None:
+        """Tells control nodes of which this agent heard after the last word.
+
+        Their streams may have been opened before there was a word to give.
+        """
+        addresses = set(self._view.control_addresses) - self._told_addresses
+        self._told_addresses |= addresses
+        await asyncio.gather(*(self._tell(address) for address in addresses))
 
     async def _tell(self, address: str) -> None:
         stub = fleet_grpc.FleetStub(self._channels.channel(address))
--- a/damaskcroft/agent/tests/test_fleet_agent.py
+++ b/damaskcroft/agent/tests/test_fleet_agent.py
@@ -1,10 +1,12 @@
 """What an agent tells the fleet of itself."""
 
 import asyncio
+import socket
 
-from damaskcroft._generated import fleet_pb2
+from damaskcroft._generated import fleet_grpc, fleet_pb2
 from damaskcroft.agent import FleetAgent
 from damaskcroft.fleet import FleetView
+from damaskcroft.rpc import ChannelPool, Keys, grpc_served
 
 
 class Settings:
@@ -51,3 +53,51 @@
         ]  # fmt: skip
 
     asyncio.run(scenario())
+
+
+class Control(fleet_grpc.FleetBase):
+    """A control node that takes down what it is told."""
+
+    def __init__(self):
+        self.told = []
+
+    async def Relay(self, stream):  # noqa: N802
+        self.told.extend((await stream.recv_message()).agents)
+        await stream.send_message(fleet_pb2.RelayReply())
+
+    async def Watch(self, stream): ...  # noqa: N802
+    async def GetConfiguration(self, stream): ...  # noqa: N802
+    async def Forward(self, stream): ...  # noqa: N802
+    async def ReadIndex(self, stream): ...  # noqa: N802
+
+
+def free_address():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def test_control_that_is_heard_of_later_is_told_once():
+    """All machines start at one moment; the target answers before control.
+
+    The stream of updates is open already, and said nothing of the target.
+    """
+
+    async def scenario():
+        view, control, address = FleetView(), Control(), free_address()
+        channels = ChannelPool(Keys(None, None))
+        own = FleetAgent(Settings, view, channels)
+        async with grpc_served(address, [control], Keys(None, None)):
+            await own.tell(fleet_pb2.AGENT_SERVING, [], None)
+            assert control.told == []
+            view.apply_update(
+                fleet_pb2.FleetUpdate(control_addresses=[address])
+            )
+            for _ in range(3):
+                await own.tell(fleet_pb2.AGENT_SERVING, [], None)
+            assert control.told == [own.state]
+            await own.tell(fleet_pb2.AGENT_SWITCHING, [], None)
+            assert [state.sequence for state in control.told] == [1, 2]
+        channels.close()
+
+    asyncio.run(scenario())
