A target that has given up its weights is not taken for another instance

Cause: 421 says either that another instance answers at an address or that the target lacks the weights; the first put the target aside and doubted its id. A target that refuses old weights by itself answers 421 to what comes late, and would have been ranked last for up to 30 s after it had loaded the new ones. Found by reading. Before: the two tests fail. After: they pass.

--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -310,7 +310,7 @@
                 progress.last = outcome
                 reason = f"not_run_{status}"
                 self._note_load(target, facts)
-                if facts.misdirected:
+                if facts.misdirected and self._is_surprise(job, target):
                     self._outliers.failed(target.id, certain=True)
                     self._doubt(target.id)
             case Lost(reason=reason):
@@ -330,6 +330,15 @@
 
     # --- Small questions -----------------------------------------------------
 
+    def _is_surprise(self, job: Job, target: Candidate) -> bool:
+        """Whether a target said to be another one, and not to lack weights.
+
+        Both are told in the same way.
+        """
+        return self._services.should_hold(
+            job.service, job.call.model, target.id
+        )
+
     def _note_load(self, target: Candidate, facts: AnswerFacts) -> None:
         if facts.load is not None:
             requests = facts.load.running + facts.load.waiting
--- a/damaskcroft/forwarding/_services.py
+++ b/damaskcroft/forwarding/_services.py
@@ -106,6 +106,27 @@
             for state in self._states_by_service.get(service, [])
         )
 
+    def should_hold(self, service: str, model: str, target_id: str) -> bool:
+        """Whether a target is believed to hold a model whole right now.
+
+        Args:
+            service: the target's.
+            model: its name; empty for plain services, which need none.
+            target_id: the target.
+        """
+        self._refresh()
+        state = next(
+            (
+                state
+                for state in self._states_by_service.get(service, [])
+                if state.id == target_id
+            ),
+            None,
+        )
+        if state is None or not model:
+            return state is not None
+        return self._serves(state, model, 0) and not self._is_switching(state)
+
     def has_ready(self, service: str) -> bool:
         """Whether a service has ready targets, whatever weights they hold."""
         self._refresh()
--- a/damaskcroft/forwarding/tests/test_forwarding.py
+++ b/damaskcroft/forwarding/tests/test_forwarding.py
@@ -385,6 +385,24 @@
     asyncio.run(scenario())
 
 
+def test_a_target_that_lacks_weights_is_not_taken_for_another_one():
+    """It says so in the same way as one to which a request was misdirected."""
+
+    async def scenario():
+        target = FakeTarget("other", "only_for_itself")
+        async with entry_before(target, config=SAFE) as entry:
+            later = fleet_pb2.TargetState(
+                id="a", service="s", address=target.address, slots=4,
+                sequence=1,
+            )  # fmt: skip
+            entry.view.take([later])
+            entry.services.should_hold = lambda *_: False
+            assert (await entry.ask())[0] == 503
+            assert [s.id for s in entry.view.book.believed()] == ["a"]
+
+    asyncio.run(scenario())
+
+
 # --- Configuration ---------------------------------------------------------
 
 
--- a/damaskcroft/forwarding/tests/test_services.py
+++ b/damaskcroft/forwarding/tests/test_services.py
@@ -163,3 +163,30 @@
     view.take([], [agent_beside("a"), agent_beside("b", **fields)])
     assert services.may_serve_soon("s", "m") == may
     assert services.may_serve_soon("s", "")
+
+
+@pytest.mark.parametrize(
+    ("fields", "holds"),
+    [
+        ({"held": [held(1)]}, True),
+        ({"held": [held(1)], "phase": fleet_pb2.AGENT_SWITCHING}, False),
+        (
+            {"held": [fleet_pb2.HeldLayers(model="m", version=1, end_layer=1)]},
+            False,
+        ),
+        ({}, False),
+    ],
+)
+def test_who_has_given_up_its_weights_should_hold_none(fields, holds):
+    view = FleetView()
+    engine = fleet_pb2.EngineProfile(layers=4)
+    view.apply_configuration(
+        fleet_pb2.Configuration(
+            version=1, services=[fleet_pb2.Service(name="s", engine=engine)]
+        )
+    )
+    services = Services(view, {}, 8.0)
+    view.take([target("a", 1)], [agent_beside("a", **fields)])
+    assert services.should_hold("s", "m", "a") == holds
+    assert services.should_hold("s", "", "a")
+    assert not services.should_hold("s", "", "b")
