Old weights are given up in time, whatever else an agent does

Cause: the guard was asked once in a round of the switcher, after the word to control nodes (0.5 s where one is away or the link is full) and after staged pieces were read back. With 0.3 s kept, the order came up to 0.4 s after the time. It now has a loop of its own, which asks the target only while old weights may be due. An agent that ends and has given up weights tells so: else entries go on sending there until the next process has been heard.

--- a/damaskcroft/agent/_fleet_switcher.py
+++ b/damaskcroft/agent/_fleet_switcher.py
@@ -22,6 +22,9 @@
 
 _POLL_S = 0.04
 _IDLE_POLL_S = 0.2
+# How often old weights are looked at that may have to be given up; a third of
+# the shortest time that is kept for that (see WeightsGuard).
+_GUARD_POLL_S = 0.1
 # Share of a service's targets that may be out at once while versions change.
 # Where running requests are waited for, a target is out for as long as the
 # longest of them, some seconds, and only two waves fit between the last
@@ -68,16 +71,34 @@
         self._weights_s = weights_s
 
     async def run(self) -> None:
-        """Switches whenever something newer is staged, until cancelled."""
+        """Guards, and switches to what is newer and staged, until cancelled."""
+        await asyncio.gather(self._guard_always(), self._switch_always())
+
+    async def _guard_always(self) -> None:
+        """Gives up old weights in time, whatever else is under way.
+
+        A word to control nodes of which one is away takes half a second, and
+        so may reading the staged pieces back; the time doesn't wait for them.
+        """
+        while True:
+            if self._guard.is_near():
+                report = await self._engine.report()
+                if isinstance(report, EngineReport):
+                    staged = self._stager.staged
+                    await self._guard.act(
+                        report, staged.version if staged else 0
+                    )
+            await asyncio.sleep(_GUARD_POLL_S)
+
+    async def _switch_always(self) -> None:
         while True:
             report = await self._engine.report()
             if isinstance(report, EngineUnreachable):
                 await asyncio.sleep(_IDLE_POLL_S)
                 continue
+            self._guard.note(report)
             staged = self._stager.staged
             await self._tell(fleet_pb2.AGENT_SERVING, report)
-            if await self._guard.act(report, staged.version if staged else 0):
-                continue
             if staged is None or report.busy or self._serves(report, staged):
                 await asyncio.sleep(_IDLE_POLL_S)
                 continue
@@ -92,8 +113,14 @@
     async def leave(self) -> None:
         """Does before this agent ends what would come due while it is away."""
         report = await self._engine.report()
-        if not isinstance(report, EngineUnreachable):
-            await self._guard.leave(report)
+        if isinstance(report, EngineUnreachable):
+            return
+        if not await self._guard.leave(report):
+            return
+        report = await self._engine.report()
+        if isinstance(report, EngineReport):
+            # Nobody else tells it before the next process has been heard.
+            await self._tell(fleet_pb2.AGENT_SERVING, report)
 
     async def _switch(self, report: EngineReport, staged: Wanted) -> None:
         log_event(
--- a/damaskcroft/agent/_weights_guard.py
+++ b/damaskcroft/agent/_weights_guard.py
@@ -8,7 +8,7 @@
 """
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from damaskcroft._generated import fleet_pb2
 from damaskcroft.clock import now_s
@@ -62,7 +62,7 @@
         link_is_quick: whether signs of right now say so; silence is no sign.
     """
 
-    __slots__ = ("_engine", "_link_is_quick", "_view", "_weights_s")
+    __slots__ = ("_engine", "_link_is_quick", "_seen", "_view", "_weights_s")
 
     def __init__(
         self,
@@ -76,6 +76,17 @@
         self._engine = engine
         self._weights_s = weights_s
         self._link_is_quick = link_is_quick
+        # What the target was last seen to hold.
+        self._seen: tuple[fleet_pb2.HeldLayers, ...] = ()
+
+    def note(self, report: EngineReport) -> None:
+        """Takes note of what the target holds."""
+        self._seen = report.held
+
+    def is_near(self) -> bool:
+        """Whether old weights may have to be given up now, to be looked at."""
+        part = self._outdated(self._seen)
+        return part is not None and self._left_s(part) <= _GIVE_UP_S
 
     async def act(self, report: EngineReport, staged_version: int) -> bool:
         """Gives up old weights if their time has come.
@@ -88,7 +99,8 @@
         Returns:
             Whether an order was given.
         """
-        part = self._outdated(report)
+        self.note(report)
+        part = self._outdated(report.held)
         if part is None or report.busy:
             return False
         left_s = self._left_s(part)
@@ -99,12 +111,16 @@
             return False
         return await self._give_up(report, part, left_s)
 
-    async def leave(self, report: EngineReport) -> None:
-        """Acts early before this agent ends, as it will be away."""
-        part = self._outdated(report)
+    async def leave(self, report: EngineReport) -> bool:
+        """Acts early before this agent ends, as it will be away.
+
+        Returns:
+            Whether an order was given.
+        """
+        part = self._outdated(report.held)
         if part is None or report.busy or self._left_s(part) > _AWAY_S:
-            return
-        await self._give_up(report, part, self._left_s(part))
+            return False
+        return await self._give_up(report, part, self._left_s(part))
 
     async def _give_up(
         self, report: EngineReport, part: fleet_pb2.HeldLayers, left_s: float
@@ -127,9 +143,11 @@
         )
         return isinstance(order, OrderAccepted)
 
-    def _outdated(self, report: EngineReport) -> fleet_pb2.HeldLayers | None:
+    def _outdated(
+        self, held: Iterable[fleet_pb2.HeldLayers]
+    ) -> fleet_pb2.HeldLayers | None:
         """Held layers older than a named version; one alone serves nothing."""
-        for part in report.held:
+        for part in held:
             if part.end_layer - part.first_layer < 2:
                 continue
             if self._left_s(part) < math.inf:
--- /dev/null
+++ b/damaskcroft/agent/tests/test_guard_in_time.py
@@ -0,0 +1,149 @@
+"""Whether old weights are given up in time while much else is to be done."""
+
+import asyncio
+import types
+
+import pytest
+
+from damaskcroft._generated import fleet_pb2
+from damaskcroft.agent._fleet_agent import _TELL_TIMEOUT_S, FleetAgent
+from damaskcroft.agent._fleet_stager import Wanted
+from damaskcroft.agent._fleet_switcher import FleetSwitcher
+from damaskcroft.agent.tests.test_fleet_switcher import (
+    OLD,
+    WEIGHTS_S,
+    FakeEngine,
+    FakeOwn,
+    NothingStaged,
+    agent,
+)
+from damaskcroft.clock import now_s
+from damaskcroft.fleet import FleetView
+
+LAYERS = 4
+
+
+def make_view(*models):
+    view = FleetView()
+    engine = fleet_pb2.EngineProfile(
+        models=[fleet_pb2.EngineModel(name=model) for model in models],
+        layers=LAYERS,
+    )
+    service = fleet_pb2.Service(name="s", interruptible=True, engine=engine)
+    view.apply_configuration(
+        fleet_pb2.Configuration(version=1, services=[service])
+    )
+    return view
+
+
+def name(view, version, model="m", **age):
+    goal = fleet_pb2.WeightGoal(model=model, version=version, **age)
+    view.apply_update(fleet_pb2.FleetUpdate(goals=[goal]))
+
+
+class HangingTold(FleetAgent):
+    """Tells control nodes of which one is away: calls to it end by timeout."""
+
+    def __init__(self, view, quickest_part_s):
+        place = types.SimpleNamespace(
+            rpc_address="b", target_address="b:1", failure_domain="d",
+            region="r", target_service="s",
+        )  # fmt: skip
+        view.control_addresses = ("away",)
+        super().__init__(place, view, None, quickest_part_s)
+
+    async def _tell(self, address):
+        await asyncio.sleep(_TELL_TIMEOUT_S)
+
+
+class Timed(FakeEngine):
+    """Notes when the first order came that ends work on old weights."""
+
+    ordered_at = None
+
+    async def start(self, *args, **kwargs):
+        self.ordered_at = self.ordered_at or now_s()
+        return await super().start(*args, **kwargs)
+
+    async def keep_only(self, part, sequence):
+        self.ordered_at = self.ordered_at or now_s()
+        return await super().keep_only(part, sequence)
+
+
+def ordered_after_s(loop, own, view, engine, stager, link_is_quick):
+    """Seconds from the naming until old weights were taken away."""
+    switcher = FleetSwitcher(
+        own, view, engine, stager, WEIGHTS_S, link_is_quick
+    )
+
+    async def scenario():
+        began_at = now_s()
+        name(view, 2, age_ms=0)
+        task = asyncio.create_task(switcher.run())
+        await asyncio.sleep(WEIGHTS_S + 3.0)
+        task.cancel()
+        return engine.ordered_at - began_at
+
+    return loop.run(scenario())
+
+
+@pytest.mark.parametrize("quick_until_s", [7.3, 7.4, 7.5, 7.6, 7.65, 7.7])
+def test_a_word_to_control_does_not_delay_the_guard(loop, quick_until_s):
+    """The link fills shortly before the time, and one control node is away.
+
+    The change of the link's delay is told before the guard is asked.
+    """
+    view = make_view("m")
+    began_at = loop.run(now())
+
+    def quick():
+        return now_s() - began_at < quick_until_s
+
+    own = HangingTold(view, lambda: 0.0 if quick() else 0.5)
+    engine = Timed(OLD)
+    after_s = ordered_after_s(loop, own, view, engine, NothingStaged(), quick)
+    assert after_s < WEIGHTS_S
+
+
+async def now():
+    return now_s()
+
+
+@pytest.mark.parametrize("start_s", [6.3, 6.6, 6.9, 7.1, 7.2, 7.25, 7.29])
+def test_reading_pieces_back_does_not_delay_the_guard(loop, start_s):
+    """96 pieces at 10 ms each, by an agent that waits for its turn."""
+
+    class SlowToRead(NothingStaged):
+        async def restage(self):
+            await asyncio.sleep(0.96)
+            return True
+
+    view = make_view("m")
+    view.take([], [agent("a", fleet_pb2.AGENT_SWITCHING)])
+    stager = SlowToRead()
+    loop.call_later(start_s, setattr, stager, "staged", Wanted("m", 2))
+    own = FakeOwn(view, "b")
+    engine = Timed(OLD)
+    after_s = ordered_after_s(loop, own, view, engine, stager, lambda: True)
+    assert after_s < WEIGHTS_S
+
+
+def test_an_agent_that_ends_tells_what_it_gave_up(loop):
+    """Nobody else tells it until the next process has heard its target."""
+    view = make_view("m")
+    told = []
+
+    class Noting(FakeOwn):
+        async def tell(self, phase, held, staged):
+            told.append([part.end_layer for part in held])
+
+    switcher = FleetSwitcher(
+        Noting(view, "b"), view, FakeEngine(OLD), NothingStaged(), WEIGHTS_S
+    )
+
+    async def scenario():
+        name(view, 2, age_ms=6000)
+        await switcher.leave()
+
+    loop.run(scenario())
+    assert told and told[-1] == [1]
