A guard of weights holds only while it is told, of each model, by its own time

A guard is told again every second while old weights are held, and counts for 2.5 s; the first word that an entry hears counts for nothing. - One number guarded all models of a service. Now a goal a model. - A goal whose age nobody knows yet made the agent give up weights for good, up to 8 s early. It is left to entries, which send nothing older meanwhile. - Weights were given up 1 s before their time while entries sent until 0.6 s before it. Now 0.5 s, or 0.3 s over a link known to be quick. - With two versions named 2 s apart and the second staged, old weights were given up instead of loading it. The turn looks at the time of what is held. - An agent that ends orders what is staged, where there is anything. - A word was waited for until every control node had answered, 0.5 s where one is away, before each order. The first that has it tells everybody. - A refusal on weights near their time isn't taken for another instance.

--- a/damaskcroft/agent/_fleet_agent.py
+++ b/damaskcroft/agent/_fleet_agent.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import contextlib
+import math
 import secrets
 import time
 from collections.abc import Callable, Iterable
 
 from damaskcroft._generated import fleet_grpc, fleet_pb2
-from damaskcroft.fleet import FleetView, NodeSettings
+from damaskcroft.clock import now_s
+from damaskcroft.fleet import GUARD_RENEWED_S, FleetView, NodeSettings
 from damaskcroft.observe import log_event
 from damaskcroft.rpc import CALL_ERRORS, ChannelPool
 
@@ -28,7 +30,7 @@
         view: what it knows of the fleet.
         channels: to control nodes.
         quickest_part_s: what parts of weights take at least to come.
-        guarded_version: see `AgentState.guarded_version`.
+        guarded_goals: see `AgentState.guarded`.
     """
 
     def __init__(
@@ -37,10 +39,13 @@
         view: FleetView,
         channels: ChannelPool,
         quickest_part_s: Callable[[], float] = lambda: 0.0,
-        guarded_version: Callable[[], int] = lambda: 0,
+        guarded_goals: Callable[[], list[fleet_pb2.WeightGoal]] = list,
     ):
         """See the class."""
-        self._guarded_version = guarded_version
+        self._guarded_goals = guarded_goals
+        self._told_at = -math.inf
+        # Words that are on their way to control nodes.
+        self._telling: set[asyncio.Task] = set()
         self._quickest_part_s = quickest_part_s
         self._view = view
         self._channels = channels
@@ -82,45 +87,78 @@
             state.started = max(state.started, known.started + 1)
         state.phase = phase
         state.link_delay_ms = _step_ms(self._quickest_part_s())
-        state.guarded_version = self._guarded_version()
+        del state.guarded[:]
+        state.guarded.extend(self._guarded_goals())
         del state.held[:]
         state.held.extend(held)
         state.ClearField("staged")
         if staged is not None:
             state.staged.CopyFrom(staged)
-        if state == self.state and self.state.sequence:
+        is_news = state != self.state or not self.state.sequence
+        if not is_news and not self._must_renew():
             await self._tell_all()
             return
         state.sequence += 1
         self._told_addresses = set()
+        self._told_at = now_s()
         self.state = state
+        if is_news:
+            self._log_state()
+        self._view.take([], [state])
+        await self._tell_all()
+
+    def _must_renew(self) -> bool:
+        """Whether a guard is to be told again, as others hold it for short."""
+        if now_s() - self._told_at < GUARD_RENEWED_S:
+            return False
+        return any(
+            part.model == goal.model and part.version < goal.version
+            for part in self.state.held
+            for goal in self.state.guarded
+        )
+
+    def _log_state(self) -> None:
+        state = self.state
         log_event(
             "agent_state",
-            phase=fleet_pb2.AgentPhase.Name(phase),
+            phase=fleet_pb2.AgentPhase.Name(state.phase),
             held=_versions(state.held),
             staged=state.staged.version,
             link_delay_ms=state.link_delay_ms,
-            guarded=state.guarded_version,
+            guarded=",".join(str(goal.version) for goal in state.guarded),
             sequence=state.sequence,
         )
-        self._view.take([], [state])
-        await self._tell_all()
 
     async def _tell_all(self) -> None:
         """Tells control nodes of which this agent heard after the last word.
 
         Their streams may have been opened before there was a word to give.
+        Returns when the first one has it, since each tells everybody: one that
+        is away would hold up orders for as long as a call to it takes to fail.
         """
         addresses = set(self._view.control_addresses) - self._told_addresses
         self._told_addresses |= addresses
-        await asyncio.gather(*(self._tell(address) for address in addresses))
-
-    async def _tell(self, address: str) -> None:
+        tasks = {asyncio.create_task(self._tell(a)) for a in addresses}
+        self._telling |= tasks
+        for task in tasks:
+            task.add_done_callback(self._telling.discard)
+        waiting = set(tasks)
+        while waiting:
+            done, waiting = await asyncio.wait(
+                waiting, return_when=asyncio.FIRST_COMPLETED
+            )
+            if any(task.result() for task in done):
+                return
+
+    async def _tell(self, address: str) -> bool:
+        """Tells one control node; whether it has the word."""
         stub = fleet_grpc.FleetStub(self._channels.channel(address))
         request = fleet_pb2.RelayRequest(agents=[self.state])
         # Its stream of updates notices that a control node is away.
         with contextlib.suppress(*CALL_ERRORS):
             await stub.Relay(request, timeout=_TELL_TIMEOUT_S)
+            return True
+        return False
 
     def peers(self) -> list[fleet_pb2.AgentState]:
         """Agents beside targets of the same service, this one left out."""
--- a/damaskcroft/agent/_fleet_switcher.py
+++ b/damaskcroft/agent/_fleet_switcher.py
@@ -72,7 +72,9 @@
 
     async def run(self) -> None:
         """Guards, and switches to what is newer and staged, until cancelled."""
-        await asyncio.gather(self._guard_always(), self._switch_always())
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._guard_always())
+            group.create_task(self._switch_always())
 
     async def _guard_always(self) -> None:
         """Gives up old weights in time, whatever else is under way.
@@ -113,10 +115,17 @@
     async def leave(self) -> None:
         """Does before this agent ends what would come due while it is away."""
         report = await self._engine.report()
-        if isinstance(report, EngineUnreachable):
+        if isinstance(report, EngineUnreachable) or report.busy:
             return
-        if not await self._guard.leave(report):
+        if not self._guard.is_due_while_away(report):
             return
+        staged = self._stager.staged
+        if staged is not None and await self._stager.restage():
+            # Takes the old weights away as well.
+            await self._tell(fleet_pb2.AGENT_SWITCHING, report)
+            await self._order(report, staged)
+            return
+        await self._guard.give_up(report)
         report = await self._engine.report()
         if isinstance(report, EngineReport):
             # Nobody else tells it before the next process has been heard.
@@ -132,10 +141,15 @@
         )
         await self._tell(fleet_pb2.AGENT_SWITCHING, report)
         await asyncio.sleep(_NOTICE_S)
+        if await self._order(report, staged):
+            await self._wait_until_loaded(staged)
+
+    async def _order(self, report: EngineReport, staged: Wanted) -> bool:
+        """Orders that what is staged be loaded; whether it is begun."""
         async with self._stager.pieces_lock:
             if self._stager.staged != staged:
                 log_event("switch_overtaken", path=staged.path)
-                return
+                return False
             order = await self._engine.start(
                 staged.model,
                 staged.version,
@@ -144,8 +158,7 @@
             )
         metrics.ORDERS.labels("start", type(order).__name__).inc()
         log_event("ordered", path=staged.path, outcome=order)
-        if isinstance(order, OrderAccepted):
-            await self._wait_until_loaded(staged)
+        return isinstance(order, OrderAccepted)
 
     async def _wait_until_loaded(self, staged: Wanted) -> None:
         ordered_at = now_s()
@@ -172,7 +185,7 @@
         if not any(_may_serve(part) for part in report.held):
             return True
         staged = self._stager.staged
-        if staged is None or self._left_s(staged) < _LAST_CALL_S:
+        if staged is None or self._guard.left_s(report) < _LAST_CALL_S:
             return True
         targets = len(self._own.peers()) + 1
         share = _MAX_OUT_CUTTING if self._may_cut() else _MAX_OUT_WAITING
--- a/damaskcroft/agent/_weights_guard.py
+++ b/damaskcroft/agent/_weights_guard.py
@@ -16,22 +16,26 @@
 from damaskcroft.fleet import FleetView
 from damaskcroft.observe import log_event, metrics
 
-__all__ = ["WeightsGuard", "guarded_version"]
+__all__ = ["WeightsGuard", "guarded_goals"]
 
 # Old weights are given up so long before the time by which requests must begin
 # on newer ones: what came before may wait in the target's queue for this long
-# before it begins. Entries have left the target by then (see Services).
-_GIVE_UP_S = 1.0
-# Where the link is known to be quick, requests arrive within the margin that
-# entries keep, and the newer weights may still come in time; so they get more.
+# before it begins. Entries leave the target 0.6 s before that (see Services).
+_GIVE_UP_S = 0.5
+# Where the link is known to be quick, entries can take back in time what has
+# not begun, and the newer weights may still come; so the old ones get more.
 _GIVE_UP_LAST_S = 0.3
 # An agent that is told to end is away for a second or two, and then has to hear
 # of the versions again.
 _AWAY_S = 3.0
 
 
-def guarded_version(view: FleetView, service: str, weights_s: float) -> int:
-    """The newest version that an agent can guard at a target of a service.
+def guarded_goals(
+    view: FleetView, service: str, weights_s: float
+) -> list[fleet_pb2.WeightGoal]:
+    """The newest versions that an agent can guard at a target of a service.
+
+    A version whose age nobody knows is none: the agent can't tell when.
 
     Args:
         view: what the agent knows.
@@ -40,16 +44,26 @@
             one; 0 for no bound.
 
     Returns:
-        The newest version named for a model of the service; 0 if there is none,
-        or if the targets load models in one piece, of which nothing can be
-        given up.
+        One goal for each model; none if the targets load models in one piece,
+        of which nothing can be given up.
     """
     table = view.table
     known = table.services_by_name.get(service) if table else None
     if known is None or known.engine.layers < 2 or not weights_s:
-        return 0
-    goals = (view.goal_by_model.get(m.name) for m in known.engine.models)
-    return max((goal.version for goal in goals if goal), default=0)
+        return []
+    newest = (
+        (m.name, _newest_timed(view, m.name)) for m in known.engine.models
+    )
+    return [
+        fleet_pb2.WeightGoal(model=model, version=version)
+        for model, version in newest
+        if version
+    ]
+
+
+def _newest_timed(view: FleetView, model: str) -> int:
+    named = view.goal_since_by_model.get(model, {})
+    return max((v for v, at in named.items() if math.isfinite(at)), default=0)
 
 
 class WeightsGuard:
@@ -58,7 +72,7 @@
     Args:
         view: which versions were named, and when.
         engine: the target.
-        weights_s: see `guarded_version`.
+        weights_s: see `guarded_goals`.
         link_is_quick: whether signs of right now say so; silence is no sign.
     """
 
@@ -109,22 +123,17 @@
         is_ready = staged_version > part.version
         if left_s > _GIVE_UP_LAST_S and (is_ready or self._link_is_quick()):
             return False
-        return await self._give_up(report, part, left_s)
+        return await self.give_up(report)
 
-    async def leave(self, report: EngineReport) -> bool:
-        """Acts early before this agent ends, as it will be away.
+    def is_due_while_away(self, report: EngineReport) -> bool:
+        """Whether old weights come due before a next process would act."""
+        return self.left_s(report) <= _AWAY_S
 
-        Returns:
-            Whether an order was given.
-        """
+    async def give_up(self, report: EngineReport) -> bool:
+        """Gives up old weights right now; whether an order was given."""
         part = self._outdated(report.held)
-        if part is None or report.busy or self._left_s(part) > _AWAY_S:
+        if part is None:
             return False
-        return await self._give_up(report, part, self._left_s(part))
-
-    async def _give_up(
-        self, report: EngineReport, part: fleet_pb2.HeldLayers, left_s: float
-    ) -> bool:
         kept = fleet_pb2.HeldLayers(
             model=part.model,
             version=part.version,
@@ -138,7 +147,7 @@
             "old_weights_given_up",
             version=part.version,
             running=report.running,
-            left_s=left_s,
+            left_s=self._left_s(part),
             outcome=order,
         )
         return isinstance(order, OrderAccepted)
@@ -154,14 +163,23 @@
                 return part
         return None
 
+    def left_s(self, report: EngineReport) -> float:
+        """Until nothing may begin on what is held; infinite if none is due."""
+        part = self._outdated(report.held)
+        return math.inf if part is None else self._left_s(part)
+
     def _left_s(self, part: fleet_pb2.HeldLayers) -> float:
-        """Until nothing may begin on these layers; infinite if none is due."""
+        """Until nothing may begin on these layers; infinite if none is due.
+
+        A version whose age nobody knows is left to entries, which send nothing
+        to older ones: its age may come with the next word.
+        """
         if not self._weights_s:
             return math.inf
         named = self._view.goal_since_by_model.get(part.model, {})
         ends = [
             since + self._weights_s - now_s()
             for version, since in named.items()
-            if version > part.version
+            if version > part.version and math.isfinite(since)
         ]
         return min(ends, default=math.inf)
--- a/damaskcroft/agent/tests/test_fleet_agent.py
+++ b/damaskcroft/agent/tests/test_fleet_agent.py
@@ -101,3 +101,58 @@
         channels.close()
 
     asyncio.run(scenario())
+
+
+def test_a_guard_is_told_again_while_the_target_holds_old_weights(loop):
+    """Others hold it for a short time, as its agent may end without a word."""
+    old = fleet_pb2.HeldLayers(model="m", version=1, end_layer=4)
+    new = fleet_pb2.HeldLayers(model="m", version=2, end_layer=4)
+    goal = fleet_pb2.WeightGoal(model="m", version=2)
+
+    async def scenario():
+        view, heard_by = FleetView(), FleetView()
+        own = FleetAgent(Settings, view, None, guarded_goals=lambda: [goal])
+
+        async def told_for(seconds, held):
+            for _ in range(int(seconds / 0.2)):
+                await own.tell(fleet_pb2.AGENT_SERVING, [held], None)
+                heard_by.take([], [own.state])
+                await asyncio.sleep(0.2)
+
+        await told_for(5, old)
+        assert 5 <= own.state.sequence <= 6
+        assert heard_by.guarded_version("a:1", "m") == 2
+        assert heard_by.guarded_version("a:1", "other") == 0
+        await told_for(5, new)
+        assert own.state.sequence <= 7
+        assert heard_by.guarded_version("a:1", "m") == 0
+
+    loop.run(scenario())
+
+
+def test_a_control_node_that_is_away_holds_up_no_word(loop):
+    """Orders wait for the word; the others tell it to everybody."""
+
+    class Told(FleetAgent):
+        reached = ()
+
+        async def _tell(self, address):
+            if address == "here":
+                self.reached += (address,)
+                return True
+            await asyncio.sleep(0.5)
+            return False
+
+    async def scenario():
+        view = FleetView()
+        own = Told(Settings, view, None)
+        view.control_addresses = ("away", "here", "gone")
+        began_at = loop.time()
+        await own.tell(fleet_pb2.AGENT_SERVING, [], None)
+        assert loop.time() - began_at < 0.1
+        assert own.reached == ("here",)
+        view.control_addresses = ("away", "gone")
+        await own.tell(fleet_pb2.AGENT_SWITCHING, [], None)
+        assert 0.5 <= loop.time() - began_at < 0.6
+
+    loop.run(scenario())
--- a/damaskcroft/agent/tests/test_fleet_switcher.py
+++ b/damaskcroft/agent/tests/test_fleet_switcher.py
@@ -7,7 +7,7 @@
 from damaskcroft._generated import fleet_pb2
 from damaskcroft.agent._fleet_stager import Wanted
 from damaskcroft.agent._fleet_switcher import FleetSwitcher
-from damaskcroft.agent._weights_guard import guarded_version
+from damaskcroft.agent._weights_guard import guarded_goals
 from damaskcroft.engines import EngineReport, OrderAccepted
 from damaskcroft.fleet import FleetView
 
@@ -277,15 +277,22 @@
     loop.run(scenario())
 
 
-def test_an_agent_guards_what_can_be_given_up_in_part(view):
-    assert guarded_version(view, "s", WEIGHTS_S) == 0
-    engine = fleet_pb2.EngineProfile(
-        models=[fleet_pb2.EngineModel(name="m")], layers=4
-    )
-    services = [fleet_pb2.Service(name="s", engine=engine)]
-    view.apply_configuration(
-        fleet_pb2.Configuration(version=2, services=services)
-    )
-    assert guarded_version(view, "s", WEIGHTS_S) == 2
-    assert guarded_version(view, "s", 0.0) == 0
-    assert guarded_version(view, "other", WEIGHTS_S) == 0
+def test_an_agent_guards_what_can_be_given_up_in_part(loop, view):
+    async def scenario():
+        assert guarded_goals(view, "s", WEIGHTS_S) == []
+        engine = fleet_pb2.EngineProfile(
+            models=[fleet_pb2.EngineModel(name="m")], layers=4
+        )
+        services = [fleet_pb2.Service(name="s", engine=engine)]
+        view.apply_configuration(
+            fleet_pb2.Configuration(version=2, services=services)
+        )
+        second = fleet_pb2.WeightGoal(model="m", version=2)
+        assert guarded_goals(view, "s", WEIGHTS_S) == [second]
+        assert guarded_goals(view, "s", 0.0) == []
+        assert guarded_goals(view, "other", WEIGHTS_S) == []
+        ageless = fleet_pb2.WeightGoal(model="m", version=3)
+        view.apply_update(fleet_pb2.FleetUpdate(goals=[ageless]))
+        assert guarded_goals(view, "s", WEIGHTS_S) == [second]
+
+    loop.run(scenario())
--- a/damaskcroft/fleet/__init__.py
+++ b/damaskcroft/fleet/__init__.py
@@ -9,10 +9,11 @@
 from damaskcroft.fleet._settings import Bounds, NodeSettings
 from damaskcroft.fleet._targets import TargetBook
 from damaskcroft.fleet._validation import configuration_faults
-from damaskcroft.fleet._view import FleetView
+from damaskcroft.fleet._view import GUARD_RENEWED_S, FleetView
 from damaskcroft.fleet._watch import UPDATE_EVERY_S, Watcher
 
 __all__ = [
+    "GUARD_RENEWED_S",
     "UPDATE_EVERY_S",
     "Bounds",
     "FleetView",
--- a/damaskcroft/fleet/_view.py
+++ b/damaskcroft/fleet/_view.py
@@ -9,7 +9,14 @@
 from damaskcroft.fleet._targets import TargetBook
 from damaskcroft.observe import log_event
 
-__all__ = ["FleetView"]
+__all__ = ["GUARD_RENEWED_S", "FleetView"]
+
+# How often an agent tells again what it guards, while its target still holds
+# older weights: some words in the seconds between naming and switch.
+GUARD_RENEWED_S = 1.0
+# A guard that has not been told for so long is none: the agent may have ended
+# or stand still. Two words that don't come, and their way.
+_GUARD_HOLDS_S = 2.5 * GUARD_RENEWED_S
 
 # For this long the most entries that a control node told of count, in seconds:
 # watchers return to one that restarted once they have noticed, after two
@@ -43,6 +50,7 @@
         self.goal_since_by_model: dict[str, dict[int, float]] = {}
         self.served_by_model: dict[str, int] = {}
         self.agents_by_address: dict[str, fleet_pb2.AgentState] = {}
+        self._agent_heard_at: dict[str, float] = {}
         # Counts what readers may want to look at targets and agents for.
         self.changes = 0
         self.control_addresses: tuple[str, ...] = ()
@@ -102,6 +110,20 @@
         named = self.goal_since_by_model.get(model, {})
         return named.get(version, -math.inf)
 
+    def guarded_version(self, agent_address: str, model: str) -> int:
+        """The newest version that an agent guards now; 0 for none.
+
+        Args:
+            agent_address: whose word it is.
+            model: its name.
+        """
+        agent = self.agents_by_address.get(agent_address)
+        heard_at = self._agent_heard_at.get(agent_address, -math.inf)
+        if agent is None or now_s() - heard_at > _GUARD_HOLDS_S:
+            return 0
+        goals = (goal for goal in agent.guarded if goal.model == model)
+        return max((goal.version for goal in goals), default=0)
+
     def listen(self, listener: Callable[[fleet_pb2.FleetUpdate], None]) -> None:
         """Calls `listener` with each change of targets or agents."""
         self._listeners.append(listener)
@@ -158,6 +180,9 @@
         known = self.agents_by_address.get(agent.address)
         if known is not None and not _is_newer_agent(agent, known):
             return False
+        if known is not None:
+            # The first word that is heard may be as old as its sender's end.
+            self._agent_heard_at[agent.address] = now_s()
         self.agents_by_address[agent.address] = agent
         return True
 
--- a/damaskcroft/fleet/tests/test_view.py
+++ b/damaskcroft/fleet/tests/test_view.py
@@ -141,12 +141,15 @@
 
 
 def test_an_agents_restart_counts_from_anew(loop):
-    view = FleetView()
-    old = fleet_pb2.AgentState(address="a", incarnation="1", sequence=9)
-    new = fleet_pb2.AgentState(address="a", incarnation="2", sequence=1)
-    view.take([], [old])
-    view.take([], [new])
-    assert view.agents_by_address["a"].incarnation == "2"
+    async def scenario():
+        view = FleetView()
+        old = fleet_pb2.AgentState(address="a", incarnation="1", sequence=9)
+        new = fleet_pb2.AgentState(address="a", incarnation="2", sequence=1)
+        view.take([], [old])
+        view.take([], [new])
+        assert view.agents_by_address["a"].incarnation == "2"
+
+    loop.run(scenario())
 
 
 def agent(incarnation, started, sequence):
--- a/damaskcroft/forwarding/_services.py
+++ b/damaskcroft/forwarding/_services.py
@@ -125,6 +125,10 @@
         )
         if state is None or not model:
             return state is not None
+        within_s = self.begins_within_s(service, model, target_id)
+        if within_s is not None and within_s < _UNGUARDED_MARGIN_S:
+            # It may give up its weights at any moment.
+            return False
         return self._serves(state, model, 0) and not self._is_switching(state)
 
     def has_ready(self, service: str) -> bool:
@@ -177,7 +181,9 @@
         soon = self._view.due_version(
             model, self._weights_s - _UNGUARDED_MARGIN_S
         )
-        guarded = agent.guarded_version if agent is not None else 0
+        guarded = 0
+        if agent is not None:
+            guarded = self._view.guarded_version(agent.address, model)
         return max(least, soon) if soon > guarded else least
 
     def begins_within_s(
--- a/damaskcroft/forwarding/tests/test_services.py
+++ b/damaskcroft/forwarding/tests/test_services.py
@@ -20,12 +20,19 @@
     )  # fmt: skip
 
 
-def guard(name, **fields):
-    """The agent beside a target, which sees to that it refuses old weights."""
-    return fleet_pb2.AgentState(
-        address=f"agent-{name}:1", target_address=f"{name}:1", sequence=1,
-        incarnation="1", held=[held(1)], guarded_version=2, **fields,
-    )  # fmt: skip
+def guard(view, *names, started=0, **fields):
+    """Agents beside targets tell, not for the first time, what they guard."""
+    goal = fleet_pb2.WeightGoal(model="m", version=2)
+    for sequence in (1, 2):
+        agents = [
+            fleet_pb2.AgentState(
+                address=f"agent-{name}:1", target_address=f"{name}:1",
+                sequence=sequence, started=started, incarnation="1",
+                held=[held(1)], guarded=[goal], **fields,
+            )
+            for name in names
+        ]  # fmt: skip
+        view.take([], agents)
 
 
 def ids(services):
@@ -38,7 +45,7 @@
     async def scenario():
         view = FleetView()
         view.take([target("near", 1), target("narrow", 1)])
-        view.take([], [guard("near"), guard("narrow")])
+        guard(view, "near", "narrow")
         delay_by_id = {"near": 0.05, "narrow": 0.9}
         services = Services(view, {}, 8.0, lambda id: delay_by_id[id])
 
@@ -63,7 +70,8 @@
 def test_connecting_that_took_long_makes_a_request_too_late():
     async def scenario():
         view = FleetView()
-        view.take([target("a", 1)], [guard("a")])
+        view.take([target("a", 1)])
+        guard(view, "a")
         services = Services(view, {}, 8.0)
         goal = fleet_pb2.WeightGoal(model="m", version=2, age_ms=7300)
         view.apply_update(fleet_pb2.FleetUpdate(goals=[goal]))
@@ -80,7 +88,8 @@
     async def scenario():
         view = FleetView()
         view.take([target("a", 1), target("b", 1)])
-        view.take([], [guard("a", link_delay_ms=500), guard("b")])
+        guard(view, "a", link_delay_ms=500)
+        guard(view, "b")
         services = Services(view, {}, 8.0, lambda _: 0.05)
         goal = fleet_pb2.WeightGoal(model="m", version=2, age_ms=7000)
         view.apply_update(fleet_pb2.FleetUpdate(goals=[goal]))
@@ -116,7 +125,8 @@
 
     async def scenario():
         view = FleetView()
-        view.take([target("a", 1)], [guard("a")])
+        view.take([target("a", 1)])
+        guard(view, "a")
         services = Services(view, {}, 8.0)
         for version, age_ms in ((2, 5500), (3, 5200)):
             goal = fleet_pb2.WeightGoal(
@@ -124,7 +134,7 @@
             )
             view.apply_update(fleet_pb2.FleetUpdate(goals=[goal]))
         assert ids(services) == set()
-        view.take([], [guard("a", started=1)])
+        guard(view, "a", started=1)
         assert ids(services) == set()
         view.goal_since_by_model["m"].pop(3)
         assert ids(services) == {"a"}
@@ -132,6 +142,46 @@
     asyncio.run(scenario())
 
 
+def test_a_guard_that_is_not_told_again_is_none(loop):
+    """Its agent may have ended, and its last word may be as old as that."""
+
+    async def scenario():
+        view = FleetView()
+        view.take([target("a", 1)])
+        services = Services(view, {}, 8.0)
+        goal = fleet_pb2.WeightGoal(model="m", version=2, age_ms=4000)
+        view.apply_update(fleet_pb2.FleetUpdate(goals=[goal]))
+        guard(view, "a")
+        await asyncio.sleep(1.5)
+        assert ids(services) == {"a"}
+        await asyncio.sleep(1.2)
+        assert ids(services) == set()
+        guard(view, "a", started=1)
+        assert ids(services) == {"a"}
+
+    loop.run(scenario())
+
+
+def test_the_first_word_heard_of_an_agent_guards_nothing():
+    """An entry that has just started may hear the last word of a dead one."""
+
+    async def scenario():
+        view = FleetView()
+        view.take([target("a", 1)])
+        word = fleet_pb2.AgentState(
+            address="agent-a:1", target_address="a:1", sequence=9,
+            incarnation="1", held=[held(1)],
+            guarded=[fleet_pb2.WeightGoal(model="m", version=2)],
+        )  # fmt: skip
+        view.take([], [word])
+        services = Services(view, {}, 8.0)
+        goal = fleet_pb2.WeightGoal(model="m", version=2, age_ms=5500)
+        view.apply_update(fleet_pb2.FleetUpdate(goals=[goal]))
+        assert ids(services) == set()
+
+    asyncio.run(scenario())
+
+
 def agent_beside(name, **fields):
     return fleet_pb2.AgentState(
         address=f"{name}:2", target_address=f"{name}:1", incarnation="1",
@@ -190,3 +240,16 @@
     assert services.should_hold("s", "m", "a") == holds
     assert services.should_hold("s", "", "a")
     assert not services.should_hold("s", "", "b")
+
+
+def test_whose_weights_are_about_to_be_given_up_should_hold_none():
+    async def scenario():
+        view = FleetView()
+        services = Services(view, {}, 8.0)
+        view.take([target("a", 1)])
+        assert services.should_hold("s", "m", "a")
+        goal = fleet_pb2.WeightGoal(model="m", version=2, age_ms=7700)
+        view.apply_update(fleet_pb2.FleetUpdate(goals=[goal]))
+        assert not services.should_hold("s", "m", "a")
+
+    asyncio.run(scenario())
--- a/damaskcroft/hosted/agent.py
+++ b/damaskcroft/hosted/agent.py
@@ -9,7 +9,7 @@
     FleetAgent,
     FleetStager,
     FleetSwitcher,
-    guarded_version,
+    guarded_goals,
 )
 from damaskcroft.fleet import FleetView, NodeSettings, Watcher
 from damaskcroft.hosted.process import background
@@ -55,7 +55,7 @@
         view,
         channels,
         lambda: peers.quickest_part_s,
-        lambda: guarded_version(view, settings.target_service, weights_s),
+        lambda: guarded_goals(view, settings.target_service, weights_s),
     )
     watcher = Watcher(
         view,
