--- a/damaskcroft/forwarding/tests/fakes.py
+++ b/damaskcroft/forwarding/tests/fakes.py
@@ -258,7 +258,7 @@
     placer = Placer("d", "r", outliers)
     wire = PlainWire()
     delays = AnswerDelays()
-    services = Services(view, {}, weights_s, delays.quickest_s)
+    services = Services(view, {}, weights_s, delays.foreseen_s)
     forwarder = Forwarder(
         wire,
         services,
--- a/damaskcroft/hosted/entry.py
+++ b/damaskcroft/hosted/entry.py
@@ -62,7 +62,7 @@
         view,
         settings.region_by_domain,
         settings.bounds.weights_s,
-        delays.quickest_s,
+        delays.foreseen_s,
     )
     connections = ConnectionPool()
     bounds = settings.bounds
--- a/damaskcroft/routing/_delays.py
+++ b/damaskcroft/routing/_delays.py
@@ -97,6 +97,22 @@
             min(older, default=0.0),
         )
 
+    def foreseen_s(self, target_id: str) -> float:
+        """What a request that is sent now takes at least, in seconds.
+
+        The quickest of the last answers may be of two seconds ago. Where
+        requests wait and none was answered since, they tell of now.
+        """
+        return max(self.quickest_s(target_id), self._silent_s(target_id))
+
+    def _silent_s(self, target_id: str) -> float:
+        """For how long no answer has come while one was awaited."""
+        seen = self._seen_by_id.get(target_id)
+        if seen is None or not seen.unanswered:
+            return 0.0
+        last_at = seen.answers[-1][0] if seen.answers else float("-inf")
+        return now_s() - max(last_at, next(iter(seen.unanswered.values())))
+
     def forget_all_but(self, target_ids: Collection[str]) -> None:
         """Drops what is known of targets that are gone."""
         for target_id in list(self._seen_by_id):
--- a/damaskcroft/routing/tests/test_delays.py
+++ b/damaskcroft/routing/tests/test_delays.py
@@ -68,3 +68,26 @@
         assert delays.quickest_s("a") == 0.0
 
     loop.run(scenario())
+
+
+def test_a_quick_answer_does_not_hide_those_that_stay_away(loop):
+    """An entry foresaw 0.35 s, its last request took 1.24 s to arrive.
+
+    One answer of a second before had been quick; the requests after it had
+    none.
+    """
+
+    async def scenario():
+        delays = AnswerDelays()
+        await answer_after(delays, "a", 0.35)
+        never = asyncio.create_task(answer_after(delays, "a", 100))
+        await asyncio.sleep(0.8)
+        assert abs(delays.quickest_s("a") - 0.35) < 1e-6
+        assert abs(delays.foreseen_s("a") - 0.8) < 1e-6
+        await answer_after(delays, "a", 0.1)
+        assert abs(delays.foreseen_s("a") - 0.1) < 1e-6
+        never.cancel()
+        await asyncio.gather(never, return_exceptions=True)
+        assert delays.foreseen_s("b") == 0.0
+
+    loop.run(scenario())
