--- a/damaskcroft/agent/_fleet_stager.py
+++ b/damaskcroft/agent/_fleet_stager.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from damaskcroft.agent._fleet_agent import FleetAgent
+from damaskcroft.agent._manifest_reader import ManifestReader
 from damaskcroft.clock import now_s
 from damaskcroft.engines import EngineUnreachable, StagedEngine
 from damaskcroft.fleet import FleetView
@@ -18,16 +19,12 @@
     BurstOptions,
     ChunkStore,
     ManifestError,
-    OutsideData,
     OutsideSource,
     Pacer,
     Participant,
-    PeerData,
     PeerSource,
     StagedVersion,
-    load_manifest,
     make_planner,
-    manifest_digest,
     weights_path,
 )
 
@@ -41,8 +38,6 @@
 _PUT_EVERY_S = 0.02
 # What was right at the target so long ago may be ordered without another look.
 _CHECKED_FOR_S = 1.0
-# Other readings of a manifest that outweigh one's own.
-_READINGS_AGAINST = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -214,10 +209,11 @@
         while isinstance(await self._engine.report(), EngineUnreachable):
             await asyncio.sleep(_RETRY_S)
         source = self._source()
-        content = await self._first_manifest(wanted, source)
-        confirming = asyncio.create_task(
-            self._confirmed(wanted, source, content)
+        manifests = ManifestReader(
+            wanted.path, source, self._peers, self._own.peers, self._rng
         )
+        content = await manifests.first()
+        confirming = asyncio.create_task(manifests.is_confirmed(content))
         version = self._store.open_version(content, set())
         # From here on the target's pieces may be of two versions.
         self.staged = None
@@ -231,6 +227,19 @@
             held=version.held_count,
             digest=version.digest[:12],
         )
+        await self._bring(self._burst(wanted, source), version, confirming)
+        self._checked_at = float("-inf")
+        self.staged = wanted
+        self.staged_version = version
+        log_event(
+            "staged",
+            path=wanted.path,
+            origin_bytes=self.counts.origin_bytes,
+            peer_bytes=self.counts.peer_bytes,
+            corrupt=self.counts.corrupt_chunks,
+        )
+
+    def _burst(self, wanted: Wanted, source: OutsideSource) -> Burst:
         burst = Burst(
             self._own.state.address,
             wanted.path,
@@ -242,7 +251,19 @@
             self.counts,
         )
         self._plan(burst)
-        recovering = asyncio.create_task(self._take_from_target(version))
+        return burst
+
+    async def _bring(
+        self,
+        burst: Burst,
+        version: StagedVersion,
+        confirming: asyncio.Task[bool],
+    ) -> None:
+        """Fetches what is missing and puts it at the target, until all is.
+
+        Raises:
+            ManifestError: the manifest is not borne out.
+        """
         putting = asyncio.create_task(self._put_as_they_come(version))
         planning = asyncio.create_task(self._plan_when_known(burst))
         fetching = asyncio.create_task(self._fetch_whole(burst, version))
@@ -257,20 +278,10 @@
             await fetching
             await putting
         finally:
-            tasks = (planning, recovering, putting, confirming, fetching)
+            tasks = (planning, putting, confirming, fetching)
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
-        self._checked_at = float("-inf")
-        self.staged = wanted
-        self.staged_version = version
-        log_event(
-            "staged",
-            path=wanted.path,
-            origin_bytes=self.counts.origin_bytes,
-            peer_bytes=self.counts.peer_bytes,
-            corrupt=self.counts.corrupt_chunks,
-        )
 
     async def _fetch_whole(self, burst: Burst, version: StagedVersion) -> None:
         while not version.verify_whole():
@@ -289,59 +300,6 @@
                 return self._make_source(service.origin)
         raise OSError("the configuration names no origin of weights")
 
-    async def _first_manifest(
-        self, wanted: Wanted, source: OutsideSource
-    ) -> bytes:
-        """A manifest to begin with, from wherever one is had first."""
-        while True:
-            content = await self._manifest_from_outside(wanted, source)
-            if content is None:
-                content = await self._manifest_from_peer(wanted)
-            if content is not None:
-                load_manifest(content, manifest_digest(content))
-                return content
-            await asyncio.sleep(_RETRY_S * self._rng.random())
-
-    async def _confirmed(
-        self, wanted: Wanted, source: OutsideSource, content: bytes
-    ) -> bool:
-        """Whether two more readings, or one that is equal, bear one out.
-
-        Nothing vouches for a manifest, and the origin may spoil what it
-        sends. Chunks of a spoilt one would come in vain, but never be
-        loaded: this is awaited before.
-        """
-        others = 0
-        while others < _READINGS_AGAINST:
-            for other in (
-                await self._manifest_from_peer(wanted),
-                await self._manifest_from_outside(wanted, source),
-            ):
-                if other == content:
-                    return True
-                others += other is not None
-            await asyncio.sleep(_RETRY_S * self._rng.random())
-        return False
-
-    async def _manifest_from_peer(self, wanted: Wanted) -> bytes | None:
-        peers = self._own.peers()
-        if not peers:
-            return None
-        peer = self._rng.choice(peers)
-        outcome = await self._peers.fetch_manifest(
-            peer.address, "", wanted.path
-        )
-        return outcome.data if isinstance(outcome, PeerData) else None
-
-    async def _manifest_from_outside(
-        self, wanted: Wanted, source: OutsideSource
-    ) -> bytes | None:
-        outcome = await source.fetch_manifest(wanted.path)
-        if isinstance(outcome, OutsideData):
-            return outcome.data
-        log_event("manifest_failed", path=wanted.path, reason=outcome.reason)
-        return None
-
     async def _take_from_target(self, version: StagedVersion) -> None:
         """Takes what a former process of this agent put at the target.
 
--- a/damaskcroft/agent/tests/test_fleet_switcher.py
+++ b/damaskcroft/agent/tests/test_fleet_switcher.py
@@ -10,6 +10,7 @@
 from damaskcroft.agent._weights_guard import guarded_goals
 from damaskcroft.engines import EngineReport, OrderAccepted
 from damaskcroft.fleet import FleetView
+from damaskcroft.tasks import cancelled
 
 STAGED = Wanted("m", 2)
 WEIGHTS_S = 8.0
@@ -104,7 +105,7 @@
     async def scenario():
         task = asyncio.create_task(switcher.run())
         await asyncio.sleep(seconds)
-        task.cancel()
+        await cancelled(task)
 
     loop.run(scenario())
     return own
@@ -241,7 +242,7 @@
         assert engine.orders == []
         await asyncio.sleep(0.45)
         assert engine.orders == ["keep_only"]
-        task.cancel()
+        await cancelled(task)
 
     loop.run(scenario())
 
--- a/damaskcroft/agent/tests/test_guard_in_time.py
+++ b/damaskcroft/agent/tests/test_guard_in_time.py
@@ -19,6 +19,7 @@
 )
 from damaskcroft.clock import now_s
 from damaskcroft.fleet import FleetView
+from damaskcroft.tasks import cancelled
 
 LAYERS = 4
 
@@ -81,7 +82,7 @@
         name(view, 2, age_ms=0)
         task = asyncio.create_task(switcher.run())
         await asyncio.sleep(WEIGHTS_S + 3.0)
-        task.cancel()
+        await cancelled(task)
         return engine.ordered_at - began_at
 
     return loop.run(scenario())
--- a/damaskcroft/agent/tests/test_guard_price.py
+++ b/damaskcroft/agent/tests/test_guard_price.py
@@ -17,6 +17,7 @@
 )
 from damaskcroft.agent.tests.test_guard_in_time import make_view, name
 from damaskcroft.forwarding import Services
+from damaskcroft.tasks import cancelled
 
 
 def hear(view, guarded):
@@ -67,7 +68,7 @@
         await asyncio.sleep(0.3)
         name(view, 2, age_ms=300)
         await asyncio.sleep(4.0)
-        task.cancel()
+        await cancelled(task)
 
     loop.run(scenario())
     assert engine.orders == []
@@ -93,7 +94,7 @@
         name(view, 3, age_ms=4500)
         task = asyncio.create_task(switcher.run())
         await asyncio.sleep(1.45)
-        task.cancel()
+        await cancelled(task)
 
     loop.run(scenario())
     assert engine.orders == [("m", 3)]
--- a/damaskcroft/forwarding/_services.py
+++ b/damaskcroft/forwarding/_services.py
@@ -167,16 +167,15 @@
         state: fleet_pb2.TargetState,
         connect_s: float = 0.0,
     ) -> int:
-        """The oldest version that a request sent now may begin on."""
+        """The oldest version that a request sent now may begin on.
+
+        Versions that the target's agent guards count as due by what is
+        foreseen of the way there, others at the latest that is known of any.
+        """
         if not self._weights_s:
             return 0
         agent = self._agents_by_target.get(state.address)
-        link_s = agent.link_delay_ms / 1000 if agent is not None else 0.0
-        delay_s = max(self._answer_delay_s(state.id), link_s, connect_s)
-        margin_s = _DELAYS_KEPT_BACK * delay_s + _WAIT_AT_TARGET_S
-        if link_s >= _NARROW_LINK_S:
-            margin_s = max(margin_s, _NARROW_MARGIN_S)
-        margin_s = min(max(margin_s, _VERSION_MARGIN_S), _MAX_VERSION_MARGIN_S)
+        margin_s = self._margin_s(state, agent, connect_s)
         least = self._view.due_version(model, self._weights_s - margin_s)
         soon = self._view.due_version(
             model, self._weights_s - _UNGUARDED_MARGIN_S
@@ -186,6 +185,20 @@
             guarded = self._view.guarded_version(agent.address, model)
         return max(least, soon) if soon > guarded else least
 
+    def _margin_s(
+        self,
+        state: fleet_pb2.TargetState,
+        agent: fleet_pb2.AgentState | None,
+        connect_s: float,
+    ) -> float:
+        """From sending a request to its begin at a target, as foreseen."""
+        link_s = agent.link_delay_ms / 1000 if agent is not None else 0.0
+        delay_s = max(self._answer_delay_s(state.id), link_s, connect_s)
+        margin_s = _DELAYS_KEPT_BACK * delay_s + _WAIT_AT_TARGET_S
+        if link_s >= _NARROW_LINK_S:
+            margin_s = max(margin_s, _NARROW_MARGIN_S)
+        return min(max(margin_s, _VERSION_MARGIN_S), _MAX_VERSION_MARGIN_S)
+
     def begins_within_s(
         self, service: str, model: str, target_id: str
     ) -> float | None:
