An agent that ends after an order doesn't stay out in the others' count

Its last word was that its target is being switched, which others would have counted until its next process, or for good where its machine is removed. Found by reading. Before: the extended test fails. After: it passes. With it a task of staging that would have outlived a cancelled staging is begun where it is ended.

--- a/damaskcroft/agent/_fleet_stager.py
+++ b/damaskcroft/agent/_fleet_stager.py
@@ -4,7 +4,8 @@
 import dataclasses
 import hashlib
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 from damaskcroft.agent._fleet_agent import FleetAgent
 from damaskcroft.agent._manifest_reader import ManifestReader
@@ -213,7 +214,6 @@
             wanted.path, source, self._peers, self._own.peers, self._rng
         )
         content = await manifests.first()
-        confirming = asyncio.create_task(manifests.is_confirmed(content))
         version = self._store.open_version(content, set())
         # From here on the target's pieces may be of two versions.
         self.staged = None
@@ -227,7 +227,8 @@
             held=version.held_count,
             digest=version.digest[:12],
         )
-        await self._bring(self._burst(wanted, source), version, confirming)
+        burst = self._burst(wanted, source)
+        await self._bring(burst, version, manifests.is_confirmed(content))
         self._checked_at = float("-inf")
         self.staged = wanted
         self.staged_version = version
@@ -257,13 +258,19 @@
         self,
         burst: Burst,
         version: StagedVersion,
-        confirming: asyncio.Task[bool],
+        confirmation: Coroutine[Any, Any, bool],
     ) -> None:
         """Fetches what is missing and puts it at the target, until all is.
 
+        Args:
+            burst: fetches.
+            version: what is to be whole.
+            confirmation: tells whether its manifest is borne out.
+
         Raises:
-            ManifestError: the manifest is not borne out.
+            ManifestError: it is not.
         """
+        confirming = asyncio.create_task(confirmation)
         putting = asyncio.create_task(self._put_as_they_come(version))
         planning = asyncio.create_task(self._plan_when_known(burst))
         fetching = asyncio.create_task(self._fetch_whole(burst, version))
--- a/damaskcroft/agent/_fleet_switcher.py
+++ b/damaskcroft/agent/_fleet_switcher.py
@@ -124,8 +124,8 @@
             # Takes the old weights away as well.
             await self._tell(fleet_pb2.AGENT_SWITCHING, report)
             await self._order(report, staged)
-            return
-        await self._guard.give_up(report)
+        else:
+            await self._guard.give_up(report)
         report = await self._engine.report()
         if isinstance(report, EngineReport):
             # Nobody else tells it before the next process has been heard.
--- a/damaskcroft/agent/tests/test_guard_price.py
+++ b/damaskcroft/agent/tests/test_guard_price.py
@@ -37,9 +37,8 @@
     """An order to load takes the old weights away as well, and serves."""
     view = make_view("m")
     engine = FakeEngine(OLD)
-    switcher = FleetSwitcher(
-        FakeOwn(view, "b"), view, engine, FakeStager(), WEIGHTS_S
-    )
+    own = FakeOwn(view, "b")
+    switcher = FleetSwitcher(own, view, engine, FakeStager(), WEIGHTS_S)
 
     async def scenario():
         name(view, 2, age_ms=6000)
@@ -47,6 +46,8 @@
 
     loop.run(scenario())
     assert engine.orders == [("m", 2)]
+    # Else the others would count it as out for as long as it is away.
+    assert own.told[-1] == fleet_pb2.AGENT_SERVING
 
 
 def test_a_goal_whose_age_comes_a_moment_later_costs_no_weights(loop):
