Connections to an origin of weights are closed after each read

Cause: an origin takes so many connections over all agents, and agents kept some open between two reads.

Ruled out: an unknown version (every agent wanted version 3 within 0.7 s of its start); the links (no chunk was begun).

--- a/damaskcroft/rpc/_http_client.py
+++ b/damaskcroft/rpc/_http_client.py
@@ -24,6 +24,15 @@
         await super().__aexit__(exc_type, exc, tb)
 
 
+class _SingleUseConnection(_ClosingConnection):
+    """Closes once its call's response has been read."""
+
+    def release(self) -> None:
+        """See the library's class."""
+        self.keep = False
+        super().release()
+
+
 def make_http_client(
     *,
     connections: int,
@@ -31,6 +40,7 @@
     read_timeout_s: float | None = None,
     max_requests: int | None = None,
     max_idle_ms: int = 2000,
+    keeps_open: bool = True,
 ) -> aiosonic.HTTPClient:
     """Creates a client; nothing is connected yet.
 
@@ -40,6 +50,9 @@
         read_timeout_s: longest silence before the response's head.
         max_requests: requests after which a connection is replaced.
         max_idle_ms: idle time after which a connection is not used again.
+        keeps_open: whether connections stay open between two calls. They
+            count at a server whose number is bounded, also long after their
+            machine has lost power.
     """
     timeouts = Timeouts(
         sock_connect=connect_timeout_s,
@@ -54,6 +67,8 @@
     connector = TCPConnector(
         pool_configs={":default": config},
         timeouts=timeouts,
-        connection_cls=_ClosingConnection,
+        connection_cls=(
+            _ClosingConnection if keeps_open else _SingleUseConnection
+        ),
     )
     return aiosonic.HTTPClient(connector)
