The margin of a target that nobody guards is the longest, and asked first

Cause: each choice of a target worked out both margins for each target and took the later version. The longest margin finds every version that a shorter one does, so where it decides, the foreseen one need not be worked out; and the bound on the latter was a second constant of the same 3 s. Before: two look-ups and the delays of a target, always. After: one where it decides. What is decided is the same; the tests are as they were.

--- a/damaskcroft/forwarding/_services.py
+++ b/damaskcroft/forwarding/_services.py
@@ -22,12 +22,11 @@
 # grow by a second at any moment, whatever answers took until then.
 _NARROW_LINK_S = 0.25
 _NARROW_MARGIN_S = 2.0
-# Longer than that, delays are those of a target that fails anyhow.
-_MAX_VERSION_MARGIN_S = 3.0
 # A target refuses by itself what comes too late if the agent beside it says
 # that it sees to that. Without its word nothing holds a request back that is on
 # its way for longer than foreseen, so the target is left earlier: 1.3 s were
-# seen over a link of 0.91 Mbit/s, and as much may wait there again.
+# seen over a link of 0.91 Mbit/s, and as much may wait there again. No foreseen
+# margin is longer: such delays are those of a target that fails anyhow.
 _UNGUARDED_MARGIN_S = 3.0
 # So long before that time, requests that have not begun at such targets are
 # taken back: over a narrow link one may arrive a second after it was sent.
@@ -164,15 +163,16 @@
         if not self._weights_s:
             return 0
         agent = self._agents_by_target.get(state.address)
-        margin_s = self._margin_s(state, agent, connect_s)
-        least = self._view.due_version(model, self._weights_s - margin_s)
-        soon = self._view.due_version(
-            model, self._weights_s - _UNGUARDED_MARGIN_S
-        )
         guarded = 0
         if agent is not None:
             guarded = self._view.guarded_version(agent.address, model)
-        return max(least, soon) if soon > guarded else least
+        soon = self._view.due_version(
+            model, self._weights_s - _UNGUARDED_MARGIN_S
+        )
+        if soon > guarded:
+            return soon
+        margin_s = self._margin_s(state, agent, connect_s)
+        return self._view.due_version(model, self._weights_s - margin_s)
 
     def _margin_s(
         self,
@@ -186,7 +186,7 @@
         margin_s = _DELAYS_KEPT_BACK * delay_s + _WAIT_AT_TARGET_S
         if link_s >= _NARROW_LINK_S:
             margin_s = max(margin_s, _NARROW_MARGIN_S)
-        return min(max(margin_s, _VERSION_MARGIN_S), _MAX_VERSION_MARGIN_S)
+        return min(max(margin_s, _VERSION_MARGIN_S), _UNGUARDED_MARGIN_S)
 
     def begins_within_s(
         self, service: str, model: str, target_id: str
