A settings signal that comes at a start ends nothing; the soak's waits are bounded

Cause: a SIGHUP ends a process until its handler stands, which was after all imports (0.1 s, 0.6 s and more at a load of 25). Soak seeds 411 and 414 sent one 0.6 s and 0.04 s after control nodes were started again; the soak, which restarts nobody that ends by itself, waited for ever, or failed on the missing process. Change: the signal is ignored before the imports; the settings are read after them anyhow. A change that isn't acknowledged within 45 s is a broken promise, not an endless wait. Both seeds are regression cases now. Some of the soak's targets keep their id over a restart and tell when they were born. Before: test_a_settings_signal_that_comes_at_a_start_ends_nothing failed on the code before (protobuf was imported when the signal was first taken). After: it passes. Conclusion: what is left is the start of the interpreter itself, some tens of milliseconds, in which nothing of ours runs.

--- a/damaskcroft/hosted/__main__.py
+++ b/damaskcroft/hosted/__main__.py
@@ -1,11 +1,19 @@
 """Runs one of the programs on a machine of the platform."""
 
-import importlib
-from typing import Annotated
+import signal
 
-import typer
+# A signal to read the settings again may come before the handler stands; it
+# would end the process. Imports take 0.1 s, and 0.6 s and more were seen on a
+# machine with three times as much work as processors. The settings are read
+# after them anyhow.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
-from damaskcroft.hosted.process import run_hosted
+import importlib  # noqa: E402
+from typing import Annotated  # noqa: E402
+
+import typer  # noqa: E402
+
+from damaskcroft.hosted.process import run_hosted  # noqa: E402
 
 app = typer.Typer(pretty_exceptions_enable=False, add_completion=False)
 
--- a/damaskcroft/hosted/tests/soak/_faults.py
+++ b/damaskcroft/hosted/tests/soak/_faults.py
@@ -1,6 +1,7 @@
 """What a seed does to the processes, links and disks, and when."""
 
 import asyncio
+import contextlib
 import dataclasses
 import random
 import signal
@@ -110,7 +111,9 @@
         if role == "all":
             for process in self._deployment.processes.values():
                 if process.returncode is None:
-                    process.send_signal(signal.SIGHUP)
+                    # It may end at this moment.
+                    with contextlib.suppress(ProcessLookupError):
+                        process.send_signal(signal.SIGHUP)
         elif role == "target":
             await self._at_target(fault, self._target(who[0]))
         elif name == "pause":
--- a/damaskcroft/hosted/tests/soak/_run.py
+++ b/damaskcroft/hosted/tests/soak/_run.py
@@ -29,6 +29,10 @@
 # After the last fault, until everything must serve and tell the newest again.
 _RECOVERY_S = 12.0
 _MAX_REQUESTS_ON_ONE = 20
+# A change is acknowledged so long after it was put first, whatever fails
+# meanwhile: the longest run of faults that a majority is away for, and as much
+# again to recover.
+_ACKNOWLEDGED_WITHIN_S = 45.0
 
 
 class Soak:
@@ -45,7 +49,8 @@
         self.book = Book()
         self.deployment = Deployment(folder)
         self.targets = [
-            Target(f"t{n}", self.deployment, self.book) for n in range(_TARGETS)
+            Target(f"t{n}", self.deployment, self.book, keeps_id=n % 2 == 0)
+            for n in range(_TARGETS)
         ]
         self.injector = Injector(self.deployment, self.targets, self.note)
         self._ids = itertools.count(1)
@@ -113,8 +118,17 @@
     async def _put_next(self):
         self._version += 1
         values = self._configuration(self._version)
+        began_at = asyncio.get_running_loop().time()
         # The same again until it is acknowledged, by whichever node.
         while True:
+            if asyncio.get_running_loop().time() - began_at > (
+                _ACKNOWLEDGED_WITHIN_S
+            ):
+                self.book.broken.append(
+                    f"change {self._version} is not acknowledged"
+                )
+                self._ending = True
+                return
             status, _ = await self.deployment.operator(
                 b"POST", "/api/config/put", values
             )
--- a/damaskcroft/hosted/tests/soak/_target.py
+++ b/damaskcroft/hosted/tests/soak/_target.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import time
 
 from damaskcroft.hosted.tests.deployment import CONTROL_IPS, TARGET_IP
 from damaskcroft.hosted.tests.soak._proxy import Proxy
@@ -15,9 +16,14 @@
 
 
 class Target:
-    """One address; each start of it is another boot with another id."""
+    """One address, started again and again.
 
-    def __init__(self, name, deployment, book):
+    Some targets keep their id over a restart and tell when they were born;
+    the others have a new id at each start.
+    """
+
+    def __init__(self, name, deployment, book, *, keeps_id=False):
+        self._keeps_id = keeps_id
         self.name = name
         self.deployment = deployment
         self.book = book
@@ -31,6 +37,10 @@
 
     @property
     def id(self):
+        return f"i-{self.name}" if self._keeps_id else self._start_id
+
+    @property
+    def _start_id(self):
         return f"i-{self.name}-{self.boot}"
 
     async def start(self, port=0):
@@ -41,6 +51,7 @@
             await self.proxy.start(TARGET_IP)
         self.boot += 1
         self._state, self._sequence = "ready", 0
+        self._born_ms = time.time_ns() // 1_000_000
         self._announcing = asyncio.create_task(self._announce_forever())
 
     async def crash(self):
@@ -72,6 +83,8 @@
             "service": "s", "address": self.proxy.address, "slots": 8,
             "sequence": self._sequence, "state": self._state,
         }  # fmt: skip
+        if self._keeps_id:
+            values["born"] = self._born_ms
         for ip in CONTROL_IPS:
             status, _, _ = await self.deployment.call(
                 ip, self.deployment.control, b"POST",
@@ -104,7 +117,7 @@
                 b"Content-Length: 0\r\n\r\n"
             )
             return True
-        self.book.ran(request_id, self.id)
+        self.book.ran(request_id, self._start_id)
         if "/stream/" in lines[0]:
             return await self._stream(head, request_id, writer)
         await asyncio.sleep(_WORK_S)
--- a/damaskcroft/hosted/tests/test_processes.py
+++ b/damaskcroft/hosted/tests/test_processes.py
@@ -159,6 +159,39 @@
     play(scenario)
 
 
+def signals_taken(process):
+    """Numbers of the signals that a process ignores or handles."""
+    masks = [
+        int(line.split()[1], 16)
+        for line in open(f"/proc/{process.pid}/status")
+        if line.startswith(("SigIgn:", "SigCgt:"))
+    ]
+    return {n for n in range(1, 64) for mask in masks if mask >> (n - 1) & 1}
+
+
+def test_a_settings_signal_that_comes_at_a_start_ends_nothing(play):
+    """It is taken before the program's imports, which take long under load."""
+
+    async def scenario(deployment, gate, asked):
+        process = deployment.processes[f"entry-{ENTRY_IP[-2:]}"]
+        process.kill()
+        await process.wait()
+        process = await deployment.start("entry", ENTRY_IP, first=False)
+        while signal.SIGHUP not in signals_taken(process):
+            await asyncio.sleep(0.001)
+        with open(f"/proc/{process.pid}/maps") as maps:
+            assert "_message" not in maps.read(), "protobuf is imported"
+        process.send_signal(signal.SIGHUP)
+
+        async def serves():
+            return (await ask(deployment))[0] == 200
+
+        await until(serves)
+        assert process.returncode is None
+
+    play(scenario)
+
+
 def test_all_control_killed_at_once_comes_back_with_what_it_promised(play):
     async def scenario(deployment, gate, asked):
         for ip in CONTROL_IPS:
--- a/damaskcroft/hosted/tests/test_soak.py
+++ b/damaskcroft/hosted/tests/test_soak.py
@@ -11,7 +11,11 @@
 # Seed and seconds of faults. Each seed that ever failed is added here, with a
 # line on its cause.
 SEEDS = [
-    (2, 6.0),  # None failed yet: this one stops, kills and cuts in 6 s.
+    (2, 6.0),  # Never failed: this one stops, kills and cuts in 6 s.
+    # Settings signals 0.6 s and 0.04 s after all control nodes were started
+    # again ended them, before their handlers stood.
+    (411, 15.0),
+    (414, 15.0),
 ]
 
 
