Red: targets that start again under their id, and words of other writers

What was seen, each line a test at the control node's HTTP face, without a network: a start under the same id isn't heard until its sequence passes the earlier one's; an id that left is never taken again; a word on an unknown service takes a known target's address; any state but the leaving one counts as ready; addresses that are none, counts below zero and layers of another type are taken as they come.

--- /dev/null
+++ b/damaskcroft/platform/tests/test_targets_over_http.py
@@ -0,0 +1,154 @@
+"""What a control node believes after the calls of targets and others."""
+
+import asyncio
+import json
+
+import pytest
+from starlette.applications import Starlette
+
+from damaskcroft._generated import fleet_pb2
+from damaskcroft.control import FleetControl, FleetState
+from damaskcroft.fleet import FleetView
+from damaskcroft.platform.control_face import control_routes
+
+BORN_MS = 1_764_000_000_000
+WORD = {
+    "service": "s", "address": "10.0.0.1:80", "zone": "z", "slots": 16,
+    "state": "ready", "cold_remaining_ms": 0, "sequence": 1, "models": [],
+}  # fmt: skip
+
+
+class AloneReplica:
+    """A replica that is a majority by itself."""
+
+    address = "c:1"
+
+    def member_addresses(self):
+        return [self.address]
+
+
+class Node:
+    """A control node's HTTP face, without a network."""
+
+    def __init__(self):
+        self.state = FleetState()
+        self.view = FleetView()
+        control = FleetControl(AloneReplica(), self.state, self.view, None)
+        self._app = Starlette(routes=control_routes(control))
+
+    def configure(self, *services):
+        configuration = fleet_pb2.Configuration(
+            version=self.state.version + 1,
+            services=[fleet_pb2.Service(name=name) for name in services],
+        )
+        command = fleet_pb2.FleetCommand(configure=configuration)
+        self.state.apply(1, command.SerializeToString())
+
+    def announce(self, target_id, **changes):
+        """Status of an announcement; a field of None is left out."""
+        values = {k: v for k, v in (WORD | changes).items() if v is not None}
+        return self.post(target_id, "heartbeat", json.dumps(values).encode())
+
+    def leave(self, target_id, body=b""):
+        return self.post(target_id, "leave", body)
+
+    def post(self, target_id, call, body):
+        statuses = []
+
+        async def receive():
+            return {"type": "http.request", "body": body, "more_body": False}
+
+        async def send(message):
+            if message["type"] == "http.response.start":
+                statuses.append(message["status"])
+
+        scope = {
+            "type": "http", "method": "POST", "headers": [],
+            "path": f"/api/instances/{target_id}/{call}",
+            "query_string": b"", "raw_path": b"", "root_path": "",
+            "http_version": "1.1", "scheme": "http",
+        }  # fmt: skip
+        asyncio.run(self._app(scope, receive, send))
+        return statuses[0]
+
+    def believed(self):
+        return [
+            (state.id, state.address, state.slots, state.phase)
+            for state in self.view.book.believed()
+        ]
+
+
+TARGET = ("i", "10.0.0.1:80", 16, fleet_pb2.TARGET_READY)
+
+
+@pytest.fixture
+def node():
+    made = Node()
+    made.configure("s")
+    return made
+
+
+def test_a_target_that_starts_again_under_its_id_is_heard_at_once(node):
+    assert node.announce("i", sequence=50, born=BORN_MS, slots=4) == 200
+    assert node.announce("i", sequence=1, born=BORN_MS + 5000) == 200
+    assert node.believed() == [TARGET]
+    # What the earlier start said last comes late.
+    assert node.announce("i", sequence=51, born=BORN_MS, slots=4) == 200
+    assert node.believed() == [TARGET]
+
+
+@pytest.mark.parametrize("told", [True, False])
+def test_a_target_that_left_may_start_again_under_its_id(node, told):
+    """The last word tells its start, or is an older writer's."""
+    node.announce("i", sequence=50, born=BORN_MS)
+    last = json.dumps({"born": BORN_MS}).encode() if told else b""
+    assert node.leave("i", last) == 200
+    assert node.believed() == []
+    node.announce("i", sequence=51, born=BORN_MS)
+    assert node.believed() == []
+    node.announce("i", sequence=1, born=BORN_MS + 5000)
+    assert node.believed() == [TARGET]
+
+
+@pytest.mark.parametrize("stranger_first", [True, False])
+def test_a_word_on_an_unknown_service_takes_no_address(node, stranger_first):
+    calls = [
+        lambda: node.announce("x", service="unknown", sequence=9),
+        lambda: node.announce("i"),
+    ]
+    for call in reversed(calls) if not stranger_first else calls:
+        call()
+    assert node.believed() == [TARGET]
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"state": "sleeping"},
+        {"state": 3},
+        {"state": {"ready": True}},
+        {"address": "none"},
+        {"address": "10.0.0.1"},
+        {"slots": -1},
+        {"slots": "16"},
+        {"cold_remaining_ms": -5},
+        {"layers": "all"},
+        {"layers": 3},
+        {"service": None},
+        {"sequence": "2"},
+    ],
+)
+def test_a_word_of_another_writer_moves_no_belief(node, changes):
+    """Neither as the word of a known target nor as that of a new one."""
+    assert node.announce("i") == 200
+    for target_id in ("i", "x"):
+        assert node.announce(target_id, **({"sequence": 7} | changes)) == 400
+        assert node.believed() == [TARGET]
+
+
+@pytest.mark.parametrize("body", [b"", b"\xff\xfe", b"[", b"5"])
+def test_bytes_that_cannot_be_read_move_no_belief(node, body):
+    node.announce("i")
+    assert node.post("i", "heartbeat", body) == 400
+    assert node.post("i", "leave", body or b"\x00") == 400
+    assert node.believed() == [TARGET]
