Targets may start again under their ids; other writers' words change nothing

Cause: announcements were ordered by sequence alone, an id that left stayed away for good, and whatever was of the right names was taken as it came. Ruled out: a counter of starts in the log, and the time of first hearing (both differ behind a cut); refusing words on services that no configuration names yet (docs/design/010). Change: one order (start, sequence) in the book, on our wire, in merges and marks of ends; what is believed of a target (load, faults, delays, silence, connections, requests under way, an agent's word, pieces put, expected counts) hangs on its start. The adapter decodes with msgspec into a type or an outcome that says what is wrong; sense is checked in fleet/_announcements.py. `ended_ids` became `ended`, which tells starts too: the test of orders compares the same ids as before. test_fleet_control's words now bear an address, since one without an address is no longer usable.

--- a/damaskcroft/agent/_fleet_agent.py
+++ b/damaskcroft/agent/_fleet_agent.py
@@ -73,6 +73,7 @@
         phase: fleet_pb2.AgentPhase,
         held: Iterable[fleet_pb2.HeldLayers],
         staged: fleet_pb2.HeldLayers | None,
+        target_born_ms: int = 0,
     ) -> None:
         """Tells what has changed; returns when control nodes have it.
 
@@ -86,6 +87,7 @@
         if known is not None and known.incarnation != state.incarnation:
             state.started = max(state.started, known.started + 1)
         state.phase = phase
+        state.target_born_ms = target_born_ms
         state.link_delay_ms = _step_ms(self._quickest_part_s())
         del state.guarded[:]
         state.guarded.extend(self._guarded_goals())
@@ -126,6 +128,7 @@
             staged=state.staged.version,
             link_delay_ms=state.link_delay_ms,
             guarded=",".join(str(goal.version) for goal in state.guarded),
+            target_born_ms=state.target_born_ms,
             sequence=state.sequence,
         )
 
--- a/damaskcroft/agent/_fleet_stager.py
+++ b/damaskcroft/agent/_fleet_stager.py
@@ -90,6 +90,10 @@
         self._options = options
         self._rng = random.Random(own.state.address)
         self._put: set[int] = set()
+        # The start of the target at which that was put; None before it spoke.
+        self._target_born_ms: int | None = None
+        # Whether all was put at an earlier start than that.
+        self._must_put_again = False
         self._has_recovered = False
         self.counts = BurstCounts()
         # Held while a piece is put, and by whoever orders that all be loaded:
@@ -133,8 +137,9 @@
         try:
             while True:
                 found = self.wanted()
-                if found != wanted:
+                if found != wanted or self._must_put_again:
                     wanted = found
+                    self._must_put_again = False
                     self._tell_wanted(wanted)
                     # A version no longer wanted stops its traffic at once.
                     await cancelled(work)
@@ -155,7 +160,7 @@
             Whether every piece is right at the target now.
         """
         version = self.staged_version
-        if version is None:
+        if version is None or self.staged is None:
             return False
         if now_s() - self._checked_at < _CHECKED_FOR_S:
             return True
@@ -170,6 +175,20 @@
         self._checked_at = now_s()
         return True
 
+    def note_start(self, born_ms: int) -> None:
+        """Takes note of which start of the target speaks.
+
+        What was put at an earlier one may be lost, so it is put again.
+        """
+        before, self._target_born_ms = self._target_born_ms, born_ms
+        if before in (None, born_ms):
+            return
+        log_event("target_restarted", born_ms=born_ms, put=len(self._put))
+        # Whoever is putting a piece right now adds it to the set of before.
+        self._put = set()
+        self._must_put_again = self.staged is not None
+        self.staged = None
+
     def _tell_wanted(self, wanted: Wanted | None) -> None:
         """A line and a gauge whenever that changes, also to nothing."""
         metrics.WEIGHTS_WANTED.set(wanted.version if wanted else 0)
@@ -209,6 +228,10 @@
         # What lies at the target is worth waiting for: it costs no traffic.
         while isinstance(await self._engine.report(), EngineUnreachable):
             await asyncio.sleep(_RETRY_S)
+        whole = self._whole(wanted)
+        if whole is not None:
+            await self._finish(wanted, whole)
+            return
         source = self._source()
         manifests = ManifestReader(
             wanted.path, source, self._peers, self._own.peers, self._rng
@@ -229,6 +252,20 @@
         )
         burst = self._burst(wanted, source)
         await self._bring(burst, version, manifests.is_confirmed(content))
+        await self._finish(wanted, version)
+
+    def _whole(self, wanted: Wanted) -> StagedVersion | None:
+        """The wanted version, if this process has had it whole and checked."""
+        version = self.staged_version
+        if version is None or version is not self._store.version_at(
+            wanted.path
+        ):
+            return None
+        return version
+
+    async def _finish(self, wanted: Wanted, version: StagedVersion) -> None:
+        # Nothing is left to be put, unless the target has started again.
+        await self._put_as_they_come(version)
         self._checked_at = float("-inf")
         self.staged = wanted
         self.staged_version = version
@@ -333,9 +370,10 @@
                 for index, held in enumerate(version.held)
                 if held and index not in self._put
             ]
+            put = self._put
             for index in arrived:
                 if await self._put_piece(version, index):
-                    self._put.add(index)
+                    put.add(index)
                 else:
                     await asyncio.sleep(_RETRY_S)
             await asyncio.sleep(_PUT_EVERY_S)
--- a/damaskcroft/agent/_fleet_switcher.py
+++ b/damaskcroft/agent/_fleet_switcher.py
@@ -99,6 +99,7 @@
                 await asyncio.sleep(_IDLE_POLL_S)
                 continue
             self._guard.note(report)
+            self._stager.note_start(report.born_ms)
             staged = self._stager.staged
             await self._tell(fleet_pb2.AGENT_SERVING, report)
             if staged is None or report.busy or self._serves(report, staged):
@@ -145,8 +146,16 @@
             await self._wait_until_loaded(staged)
 
     async def _order(self, report: EngineReport, staged: Wanted) -> bool:
-        """Orders that what is staged be loaded; whether it is begun."""
+        """Orders that what is staged be loaded; whether it is begun.
+
+        A target that has started again since its pieces were checked may have
+        lost some, and its count of orders may be the same as before.
+        """
         async with self._stager.pieces_lock:
+            now = await self._engine.report()
+            if not isinstance(now, EngineReport):
+                return False
+            self._stager.note_start(now.born_ms)
             if self._stager.staged != staged:
                 log_event("switch_overtaken", path=staged.path)
                 return False
@@ -173,6 +182,7 @@
                     )
                     await self._tell(fleet_pb2.AGENT_SERVING, report)
                     return
+                self._stager.note_start(report.born_ms)
                 if not report.busy:
                     log_event("order_had_no_effect", path=staged.path)
                     return
@@ -241,7 +251,7 @@
             told = fleet_pb2.HeldLayers(
                 model=staged.model, version=staged.version
             )
-        await self._own.tell(phase, report.held, told)
+        await self._own.tell(phase, report.held, told, report.born_ms)
 
 
 def _holds(held, staged: Wanted) -> bool:
--- a/damaskcroft/agent/tests/test_fleet_stager.py
+++ b/damaskcroft/agent/tests/test_fleet_stager.py
@@ -303,3 +303,64 @@
     name(loop, view)
     run_for(loop, stager, 1)
     assert shown() == 2
+
+
+# --- Targets that start again -------------------------------------------------
+
+
+def test_what_was_put_is_put_again_at_a_target_that_has_started_again(
+    loop, made
+):
+    """From the agent's own store: outside nothing is read for it."""
+    view, origin, target, stager = made
+    stager.note_start(1000)
+    name(loop, view)
+
+    async def scenario():
+        task = asyncio.create_task(stager.run())
+        await asyncio.sleep(5)
+        assert stager.staged == Wanted("m", 2)
+        reads = origin.reads
+        target.pieces.clear()
+        stager.note_start(2000)
+        assert stager.staged is None
+        assert not await stager.restage()
+        await asyncio.sleep(1)
+        assert stager.staged == Wanted("m", 2)
+        assert [target.pieces[index] for index in range(8)] == CHUNKS
+        assert origin.reads == reads
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    loop.run(scenario())
+
+
+def test_a_start_in_the_middle_of_a_burst_loses_no_piece(loop, made):
+    view, origin, target, stager = made
+    stager.note_start(1000)
+    name(loop, view)
+
+    async def scenario():
+        task = asyncio.create_task(stager.run())
+        while len(target.pieces) < 4:
+            await asyncio.sleep(0.005)
+        target.pieces.clear()
+        stager.note_start(2000)
+        await asyncio.sleep(5)
+        assert stager.staged == Wanted("m", 2)
+        assert [target.pieces[index] for index in range(8)] == CHUNKS
+        assert origin.reads == len(CHUNKS)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    loop.run(scenario())
+
+
+def test_the_first_word_of_a_target_is_no_restart(loop, made):
+    view, _, target, stager = made
+    name(loop, view)
+    run_for(loop, stager, 5)
+    puts = target.puts
+    stager.note_start(1000)
+    assert stager.staged == Wanted("m", 2)
+    assert target.puts == puts
--- a/damaskcroft/agent/tests/test_fleet_switcher.py
+++ b/damaskcroft/agent/tests/test_fleet_switcher.py
@@ -31,7 +31,7 @@
             if agent.address != self.state.address
         ]
 
-    async def tell(self, phase, held, staged):
+    async def tell(self, phase, held, staged, target_born_ms=0):
         self.told.append(phase)
 
 
@@ -68,6 +68,13 @@
     def __init__(self):
         self.staged = STAGED
         self.pieces_lock = asyncio.Lock()
+        self.born_ms = 0
+
+    def note_start(self, born_ms):
+        """What is staged is no longer known to be, after a restart."""
+        if born_ms != self.born_ms:
+            self.staged = None
+        self.born_ms = born_ms
 
     async def restage(self):
         return self.whole
@@ -111,6 +118,47 @@
     return own
 
 
+class RestartingEngine(FakeEngine):
+    """Starts again, empty, between a look at its pieces and the order."""
+
+    def __init__(self, *held):
+        super().__init__(*held)
+        self.reports = 0
+
+    async def report(self):
+        self.reports += 1
+        restarted = self.reports > 1
+        held = () if restarted else self.held
+        return EngineReport(held, False, 0, 0, 2000 if restarted else 0)
+
+
+def test_nothing_is_ordered_of_a_target_that_has_just_started_again(loop, view):
+    """Its count of orders is the same, and pieces may have been lost."""
+    engine = RestartingEngine()
+    run_for(loop, view, engine, 1.0)
+    assert engine.reports > 2
+    assert engine.orders == []
+
+
+def test_an_agent_tells_which_start_of_its_target_it_speaks_of(loop, view):
+    class Tells(FakeOwn):
+        async def tell(self, phase, held, staged, target_born_ms=0):
+            self.told.append(target_born_ms)
+
+    own = Tells(view, "b")
+    engine = RestartingEngine(NEW)
+    switcher = FleetSwitcher(own, view, engine, FakeStager(), WEIGHTS_S)
+
+    async def scenario():
+        task = asyncio.create_task(switcher.run())
+        await asyncio.sleep(1)
+        await cancelled(task)
+
+    loop.run(scenario())
+    assert own.told[0] == 0
+    assert own.told[-1] == 2000
+
+
 def test_a_target_alone_switches_at_once(loop, view):
     engine = FakeEngine(OLD)
     own = run_for(loop, view, engine, 1.0)
--- a/damaskcroft/agent/tests/test_guard_in_time.py
+++ b/damaskcroft/agent/tests/test_guard_in_time.py
@@ -135,7 +135,7 @@
     told = []
 
     class Noting(FakeOwn):
-        async def tell(self, phase, held, staged):
+        async def tell(self, phase, held, staged, target_born_ms=0):
             told.append([part.end_layer for part in held])
 
     switcher = FleetSwitcher(
--- a/damaskcroft/control/_fleet_control.py
+++ b/damaskcroft/control/_fleet_control.py
@@ -7,7 +7,13 @@
 from damaskcroft._generated import fleet_grpc, fleet_pb2
 from damaskcroft.consensus import Committed, DiskFailed, NotLeader, Replica
 from damaskcroft.control._fleet_state import FleetState
-from damaskcroft.fleet import FleetView, configuration_faults
+from damaskcroft.fleet import (
+    FleetView,
+    Unusable,
+    checked,
+    configuration_faults,
+    note_unusable,
+)
 from damaskcroft.observe import log_event
 from damaskcroft.rpc import CALL_ERRORS, ChannelPool
 
@@ -61,6 +67,13 @@
         self._state = state
         self._view = view
         self._channels = channels
+        state.listen(self._name_services)
+
+    def _name_services(self) -> None:
+        """Lets targets count whose services the configuration names."""
+        configuration = self._state.configuration
+        if configuration is not None:
+            self._view.name_services(s.name for s in configuration.services)
 
     # --- Operators -----------------------------------------------------------
 
@@ -128,12 +141,19 @@
 
     # --- Targets -------------------------------------------------------------
 
-    async def announce(self, state: fleet_pb2.TargetState) -> bool:
+    async def announce(
+        self, target_id: str, word: fleet_pb2.TargetState | Unusable
+    ) -> bool | Unusable:
         """Takes a target's word; whether it may count as taken.
 
         That a target is leaving counts once a majority of control nodes
-        knows, so that every entry in touch hears of it.
+        knows, so that every entry in touch hears of it. What no target can
+        have said changes nothing.
         """
+        state = checked(word)
+        if isinstance(state, Unusable):
+            note_unusable("announcement", target_id, state)
+            return state
         if state.phase == fleet_pb2.TARGET_READY:
             self._view.take([state])
             return True
@@ -142,13 +162,27 @@
             "target_leaving",
             id=state.id,
             phase=fleet_pb2.TargetPhase.Name(state.phase),
+            born_ms=state.born_ms,
             majority_knows=known,
         )
         return known
 
-    def leaving(self, target_id: str) -> fleet_pb2.TargetState:
-        """The state of a target that has ended."""
-        return fleet_pb2.TargetState(id=target_id, phase=fleet_pb2.TARGET_GONE)
+    async def leave(
+        self, target_id: str, start: fleet_pb2.TargetState | Unusable
+    ) -> bool | Unusable:
+        """Takes a target's last word; see `announce`.
+
+        Args:
+            target_id: whose it is.
+            start: which start ends. Where it isn't told, that is the newest
+                one that this node knows.
+        """
+        if isinstance(start, Unusable):
+            note_unusable("leave", target_id, start)
+            return start
+        if not start.born_ms:
+            start.born_ms = self._view.book.newest_born_ms(target_id)
+        return await self.announce(target_id, start)
 
     async def _tell_majority(self, state: fleet_pb2.TargetState) -> bool:
         self._view.take([state])
--- a/damaskcroft/control/_fleet_service.py
+++ b/damaskcroft/control/_fleet_service.py
@@ -32,26 +32,28 @@
 class _Watcher:
     """What one watcher has not been told yet."""
 
-    __slots__ = ("agents_by_address", "is_entry", "targets_by_id", "wake")
+    __slots__ = ("agents_by_address", "is_entry", "targets_by_key", "wake")
 
     def __init__(self, is_entry: bool):
         self.is_entry = is_entry
-        self.targets_by_id: dict[str, fleet_pb2.TargetState] = {}
+        # By id and service: another writer may name a target's id beside a
+        # service of its own.
+        self.targets_by_key: dict[tuple[str, str], fleet_pb2.TargetState] = {}
         self.agents_by_address: dict[str, fleet_pb2.AgentState] = {}
         self.wake = asyncio.Event()
 
     def add(self, update: fleet_pb2.FleetUpdate) -> None:
         for state in update.targets:
-            self.targets_by_id[state.id] = state
+            self.targets_by_key[state.id, state.service] = state
         for agent in update.agents:
             self.agents_by_address[agent.address] = agent
         self.wake.set()
 
     def take(self, update: fleet_pb2.FleetUpdate) -> None:
         """Moves all that is new into an update."""
-        update.targets.extend(self.targets_by_id.values())
+        update.targets.extend(self.targets_by_key.values())
         update.agents.extend(self.agents_by_address.values())
-        self.targets_by_id.clear()
+        self.targets_by_key.clear()
         self.agents_by_address.clear()
         self.wake.clear()
 
@@ -169,12 +171,9 @@
         return aged
 
     def _everything(self) -> fleet_pb2.FleetUpdate:
-        ended = list(self._view.book.ended_ids())[-_MAX_ENDED_TOLD:]
+        ended = list(self._view.book.ended())[-_MAX_ENDED_TOLD:]
         return fleet_pb2.FleetUpdate(
-            targets=[
-                *self._view.book.targets_by_id.values(),
-                *(self._control.leaving(target_id) for target_id in ended),
-            ],
+            targets=[*self._view.book.words(), *ended],
             agents=self._view.agents_by_address.values(),
         )
 
--- a/damaskcroft/control/tests/test_fleet_control.py
+++ b/damaskcroft/control/tests/test_fleet_control.py
@@ -186,11 +186,14 @@
             assert isinstance(put, Unavailable)
             assert isinstance(await alone.control.read(), Unavailable)
             leaving = fleet_pb2.TargetState(
-                id="t", phase=fleet_pb2.TARGET_DRAINING, sequence=3
+                id="t", phase=fleet_pb2.TARGET_DRAINING, sequence=3,
+                service="s", address="10.0.0.1:1",
+            )  # fmt: skip
+            assert not await alone.control.announce("t", leaving)
+            ready = fleet_pb2.TargetState(
+                id="u", sequence=1, service="s", address="10.0.0.1:2"
             )
-            assert not await alone.control.announce(leaving)
-            ready = fleet_pb2.TargetState(id="u", sequence=1)
-            assert await alone.control.announce(ready)
+            assert await alone.control.announce("u", ready) is True
 
     run(scenario())
 
@@ -208,17 +211,20 @@
                 lambda: fleet_pb2.WatchRequest(name="e", is_entry=True),
             )
             watching = asyncio.create_task(watcher.run())
-            await nodes[0].control.configure(configuration(3))
+            named = configuration(3)
+            named.services.add(name="s")
+            await nodes[0].control.configure(named)
             await until(lambda: view.version == 3)
             assert set(view.control_addresses) == {n.address for n in nodes}
             leaving = fleet_pb2.TargetState(
-                id="t", phase=fleet_pb2.TARGET_DRAINING, sequence=3
-            )
-            assert await nodes[0].control.announce(leaving)
+                id="t", phase=fleet_pb2.TARGET_DRAINING, sequence=3,
+                service="s", address="10.0.0.1:1", born_ms=1000,
+            )  # fmt: skip
+            assert await nodes[0].control.announce("t", leaving) is True
             await until(lambda: "t" in view.book.targets_by_id)
-            assert await nodes[1].control.announce(
-                nodes[1].control.leaving("t")
-            )
+            # The last word doesn't tell which start it ends.
+            gone = fleet_pb2.TargetState(id="t", phase=fleet_pb2.TARGET_GONE)
+            assert await nodes[1].control.leave("t", gone) is True
             await until(lambda: "t" not in view.book.targets_by_id)
             await nodes[0].control.name_weights(
                 fleet_pb2.WeightGoal(model="m", version=2)
--- a/damaskcroft/engines/_staged.py
+++ b/damaskcroft/engines/_staged.py
@@ -18,12 +18,16 @@
         busy: whether it is carrying out an order.
         sequence: how many orders it has begun since its start.
         running: requests that it works on.
+        born_ms: its start, in Unix milliseconds; 0 where it doesn't tell. A
+            change in between is a restart: it holds and knows nothing of
+            before, and counts its orders anew.
     """
 
     held: tuple[fleet_pb2.HeldLayers, ...]
     busy: bool
     sequence: int
     running: int
+    born_ms: int = 0
 
 
 class StagedEngine(abc.ABC):
--- a/damaskcroft/fleet/__init__.py
+++ b/damaskcroft/fleet/__init__.py
@@ -1,13 +1,15 @@
 """A fleet whose targets announce themselves and whose routes are configured."""
 
+from damaskcroft.fleet._announcements import Unusable, checked, note_unusable
 from damaskcroft.fleet._held import (
+    agents_by_target_address,
     held_by,
     version_in_service,
     whole_versions,
 )
 from damaskcroft.fleet._routes import RouteTable, mark_interruptible
 from damaskcroft.fleet._settings import Bounds, NodeSettings
-from damaskcroft.fleet._targets import TargetBook
+from damaskcroft.fleet._targets import TargetBook, start_id
 from damaskcroft.fleet._validation import configuration_faults
 from damaskcroft.fleet._view import GUARD_RENEWED_S, FleetView
 from damaskcroft.fleet._watch import UPDATE_EVERY_S, Watcher
@@ -20,10 +22,15 @@
     "NodeSettings",
     "RouteTable",
     "TargetBook",
+    "Unusable",
     "Watcher",
+    "agents_by_target_address",
+    "checked",
     "configuration_faults",
     "held_by",
     "mark_interruptible",
+    "note_unusable",
+    "start_id",
     "version_in_service",
     "whole_versions",
 ]
--- a/damaskcroft/fleet/_held.py
+++ b/damaskcroft/fleet/_held.py
@@ -6,7 +6,39 @@
 from damaskcroft._generated import fleet_pb2
 from damaskcroft.fleet._view import FleetView
 
-__all__ = ["held_by", "version_in_service", "whole_versions"]
+__all__ = [
+    "agents_by_target_address",
+    "held_by",
+    "version_in_service",
+    "whole_versions",
+]
+
+
+def agents_by_target_address(
+    view: FleetView,
+) -> dict[str, fleet_pb2.AgentState]:
+    """Agents whose word is of the start that their target is known by.
+
+    An agent sees its target some tenths of a second after that has started
+    again; until then its word is of a start that is over.
+    """
+    agents = {
+        agent.target_address: agent for agent in view.agents_by_address.values()
+    }
+    for state in view.book.believed():
+        agent = agents.get(state.address)
+        if agent is not None and _is_of_earlier_start(agent, state):
+            del agents[state.address]
+    return agents
+
+
+def _is_of_earlier_start(
+    agent: fleet_pb2.AgentState, state: fleet_pb2.TargetState
+) -> bool:
+    """Whether the target has started again since; unknown where one is mute."""
+    if not agent.target_born_ms or not state.born_ms:
+        return False
+    return agent.target_born_ms < state.born_ms
 
 
 def held_by(
@@ -57,9 +89,7 @@
         for service in services
         if any(known.name == model for known in service.engine.models)
     }
-    agent_by_target = {
-        agent.target_address: agent for agent in view.agents_by_address.values()
-    }
+    agent_by_target = agents_by_target_address(view)
     holders = 0
     holders_by_version: collections.Counter[int] = collections.Counter()
     for state in view.book.believed():
--- a/damaskcroft/fleet/_targets.py
+++ b/damaskcroft/fleet/_targets.py
@@ -1,38 +1,92 @@
 """What targets say of themselves, in the order in which they said it.
 
 Announcements are soft state: they may come late, twice, or after their
-sender's end. Each start of a target has its own id and numbers its
-announcements, so that an older one can't undo a newer one; an id that has
-left never comes back.
+sender's end, and a target may start again under the id that it had. A word's
+place is its start, told by when the target was born, then its number within
+that start. So a later start takes the place of an earlier one, whose late
+words change nothing; who leaves ends its start and those before it, not its
+id.
+
+A target of an older writer doesn't tell when it was born: the sequence alone
+orders its words, and its id never comes back once it has left. Where words
+with and without it mix under one id, those with it go first. A leaving word
+without it can't say which start it ends: it takes the target out until its
+next word.
 """
 
-from collections.abc import Iterable
+import math
+from collections.abc import Collection, Iterator
 
 from damaskcroft._generated import fleet_pb2
 
-__all__ = ["TargetBook"]
+__all__ = ["TargetBook", "start_id"]
 
-# Ended ids kept so that late announcements can't revive them. A target's
-# announcement is at most some seconds late; this covers days of releases.
+# Marks of ended starts kept, so that late announcements can't revive them. A
+# target's announcement is at most some seconds late; this covers days of
+# releases.
 _MAX_ENDED = 4096
+# Words kept, the longest unheard dropped first: four times the targets of the
+# largest planned fleet. Whoever is up is heard every second or so; other
+# writers' words can't fill the memory.
+_MAX_WORDS = 16384
+# Of a mark that ends a start whatever service it told.
+_ANY_SERVICE = ""
+
+# A start, and a place within it. No word comes before the first.
+_Order = tuple[int, float]
+_BEFORE_ALL: _Order = (-1, 0)
+
+
+class _Word:
+    """The newest word of a target on one service.
+
+    Attributes:
+        state: the word.
+        heard: the order in which the first words of starts were heard; below
+            1 for one that is doubted.
+    """
+
+    __slots__ = ("heard", "state")
+
+    def __init__(self, state: fleet_pb2.TargetState, heard: int):
+        self.state = state
+        self.heard = heard
+
+    @property
+    def address_rank(self) -> tuple[bool, int, int]:
+        """Of two at one address, the higher one holds it."""
+        is_trusted = self.heard > 0
+        born_ms = self.state.born_ms if is_trusted else 0
+        return is_trusted, born_ms, self.heard
 
 
 class TargetBook:
-    """The newest state of each target, by id."""
+    """The newest state of each target.
+
+    Words are kept by id and service. Only those of services that the
+    configuration in force names count, so that another writer's word on an
+    unknown service displaces no target; a later configuration may name it.
+    """
 
-    __slots__ = (
-        "_births",
-        "_born_by_id",
-        "_ended",
-        "targets_by_id",
-    )
+    __slots__ = ("_ended", "_heard", "_named_services", "_newest_by_id",
+                 "_words_by_key")  # fmt: skip
 
     def __init__(self) -> None:
-        """Creates an empty book."""
-        self.targets_by_id: dict[str, fleet_pb2.TargetState] = {}
-        self._ended: dict[str, None] = {}
-        self._births = 0
-        self._born_by_id: dict[str, int] = {}
+        """Creates an empty book to which every service counts."""
+        # By id and service, the one that was heard last at the end.
+        self._words_by_key: dict[tuple[str, str], _Word] = {}
+        # Up to which word of an id, and of which service, all is over.
+        self._ended: dict[tuple[str, str], _Order] = {}
+        self._heard = 0
+        self._named_services: frozenset[str] | None = None
+        self._newest_by_id: dict[str, _Word] | None = None
+
+    @property
+    def targets_by_id(self) -> dict[str, fleet_pb2.TargetState]:
+        """The newest word of each target on a service that counts."""
+        return {
+            target_id: word.state for target_id, word in self._newest().items()
+        }
 
     def take(self, state: fleet_pb2.TargetState) -> bool:
         """Takes one announcement.
@@ -40,38 +94,44 @@
         Returns:
             Whether it changed anything but the sequence.
         """
-        if state.id in self._ended:
+        known = self._words_by_key.get(_key(state))
+        if known is not None and _leaves_some_start(state, known.state):
+            return self._take_out(known.state)
+        if self._is_over(state):
             return False
         if state.phase == fleet_pb2.TARGET_GONE:
-            self._end(state.id)
-            return True
-        known = self.targets_by_id.get(state.id)
-        if known is None:
-            self._births += 1
-            self._born_by_id[state.id] = self._births
-            self.targets_by_id[state.id] = state
-            return True
-        if state.sequence <= known.sequence:
+            return self._end(state)
+        if known is not None and _order(state) <= _order(known.state):
             return False
-        self.targets_by_id[state.id] = state
-        return not _equal_but_sequence(state, known)
+        self._keep(state, known)
+        return known is None or not _equal_but_sequence(state, known.state)
+
+    def name_services(self, names: Collection[str]) -> bool:
+        """Lets words on these services count, and no others.
+
+        Returns:
+            Whether other targets count than before.
+        """
+        before = self.targets_by_id
+        self._named_services = frozenset(names)
+        self._newest_by_id = None
+        return self.targets_by_id != before
 
     def believed(self) -> list[fleet_pb2.TargetState]:
         """Targets that hold their address, by the order of first word.
 
-        Where two ids name one address, the one first heard of later holds
-        it, unless it is doubted: addresses are used again after their owner's
-        end.
+        Where two ids name one address, the one born later holds it, or the
+        one first heard of later where a target doesn't tell, unless it is
+        doubted: addresses are used again after their owner's end.
         """
-        holder_by_address: dict[str, fleet_pb2.TargetState] = {}
-        born = self._born_by_id
-        for state in self.targets_by_id.values():
-            other = holder_by_address.get(state.address)
-            if other is None or born[state.id] > born[other.id]:
-                holder_by_address[state.address] = state
-        return sorted(
-            holder_by_address.values(), key=lambda state: born[state.id]
-        )
+        holder_by_address: dict[str, _Word] = {}
+        for word in self._newest().values():
+            address = word.state.address
+            other = holder_by_address.get(address)
+            if other is None or word.address_rank > other.address_rank:
+                holder_by_address[address] = word
+        holders = sorted(holder_by_address.values(), key=lambda w: w.heard)
+        return [word.state for word in holders]
 
     def doubt(self, target_id: str) -> None:
         """Lets the others at an address hold it before this id.
@@ -79,26 +139,134 @@
         Whoever answers there has said to be another one: this id's word came
         late. Should that have been wrong, another doubt undoes it.
         """
-        if target_id in self._born_by_id:
-            first = min(self._born_by_id.values())
-            self._born_by_id[target_id] = first - 1
-
-    def ended_ids(self) -> Iterable[str]:
-        """Ids that have left, oldest first."""
-        return self._ended
-
-    def forget(self, target_id: str) -> None:
-        """Drops a target that has been silent for long, without ending it."""
-        self.targets_by_id.pop(target_id, None)
-        self._born_by_id.pop(target_id, None)
-
-    def _end(self, target_id: str) -> None:
-        self.forget(target_id)
-        self._ended[target_id] = None
+        doubted = [
+            word
+            for (known_id, _), word in self._words_by_key.items()
+            if known_id == target_id
+        ]
+        least = min((w.heard for w in self._words_by_key.values()), default=0)
+        for word in doubted:
+            word.heard = min(least, 1) - 1
+
+    def newest_born_ms(self, target_id: str) -> int:
+        """The newest start of a target that is known; 0 if it tells none."""
+        word = self._newest().get(target_id)
+        return word.state.born_ms if word is not None else 0
+
+    def start_ids(self) -> set[str]:
+        """The known starts of all targets; see `start_id`."""
+        return {start_id(state) for state in self.targets_by_id.values()}
+
+    def words(self) -> Iterator[fleet_pb2.TargetState]:
+        """All that is kept, also on services that don't count yet."""
+        for word in self._words_by_key.values():
+            yield word.state
+
+    def ended(self) -> Iterator[fleet_pb2.TargetState]:
+        """Words that end what has ended, oldest first.
+
+        One that doesn't tell its start is not told on once a later start of
+        the target is known, since it would end that for whoever hears it.
+        """
+        living = {target_id for target_id, _ in self._words_by_key}
+        for (target_id, service), (born_ms, _) in self._ended.items():
+            if service != _ANY_SERVICE:
+                continue
+            if born_ms or target_id not in living:
+                yield fleet_pb2.TargetState(
+                    id=target_id, phase=fleet_pb2.TARGET_GONE, born_ms=born_ms
+                )
+
+    def _newest(self) -> dict[str, _Word]:
+        if self._newest_by_id is None:
+            self._newest_by_id = {}
+            for (target_id, service), word in self._words_by_key.items():
+                if not self._counts(service):
+                    continue
+                other = self._newest_by_id.get(target_id)
+                if other is None or _order(word.state) > _order(other.state):
+                    self._newest_by_id[target_id] = word
+        return self._newest_by_id
+
+    def _counts(self, service: str) -> bool:
+        return self._named_services is None or service in self._named_services
+
+    def _is_over(self, state: fleet_pb2.TargetState) -> bool:
+        order = _order(state)
+        if state.phase == fleet_pb2.TARGET_GONE:
+            order = (state.born_ms, math.inf)
+        marks = (
+            self._ended.get((state.id, service), _BEFORE_ALL)
+            for service in {_ANY_SERVICE, state.service}
+        )
+        return order <= max(marks)
+
+    def _keep(self, state: fleet_pb2.TargetState, known: _Word | None) -> None:
+        heard = known.heard if known is not None else 0
+        if known is None or known.state.born_ms != state.born_ms:
+            self._heard += 1
+            heard = self._heard
+        self._words_by_key.pop(_key(state), None)
+        self._words_by_key[_key(state)] = _Word(state, heard)
+        if len(self._words_by_key) > _MAX_WORDS:
+            self._words_by_key.pop(next(iter(self._words_by_key)))
+        self._newest_by_id = None
+
+    def _end(self, gone: fleet_pb2.TargetState) -> bool:
+        """Ends a start and those before it."""
+        last = (gone.born_ms, math.inf)
+        for key, word in list(self._words_by_key.items()):
+            if key[0] != gone.id:
+                continue
+            if _order(word.state) <= last:
+                del self._words_by_key[key]
+            elif not gone.born_ms:
+                self._take_out(word.state)
+        self._mark((gone.id, _ANY_SERVICE), last)
+        self._newest_by_id = None
+        return True
+
+    def _take_out(self, known: fleet_pb2.TargetState) -> bool:
+        """Leaves a target aside until its next word."""
+        del self._words_by_key[_key(known)]
+        self._mark(_key(known), _order(known))
+        self._newest_by_id = None
+        return True
+
+    def _mark(self, key: tuple[str, str], order: _Order) -> None:
+        before = self._ended.pop(key, _BEFORE_ALL)
+        self._ended[key] = max(before, order)
         while len(self._ended) > _MAX_ENDED:
             self._ended.pop(next(iter(self._ended)))
 
 
+def start_id(state: fleet_pb2.TargetState) -> str:
+    """Names one start of a target.
+
+    What is believed of a target's load, faults and connections is kept by it,
+    so that nothing of that outlives the start that it was seen of.
+    """
+    if not state.born_ms:
+        return state.id
+    return f"{state.id}@{state.born_ms}"
+
+
+def _key(state: fleet_pb2.TargetState) -> tuple[str, str]:
+    return state.id, state.service
+
+
+def _order(state: fleet_pb2.TargetState) -> _Order:
+    return state.born_ms, state.sequence
+
+
+def _leaves_some_start(
+    state: fleet_pb2.TargetState, known: fleet_pb2.TargetState
+) -> bool:
+    """Whether a leaving word doesn't say which start of a target it is of."""
+    is_leaving = state.phase == fleet_pb2.TARGET_DRAINING
+    return is_leaving and not state.born_ms and known.born_ms > 0
+
+
 def _equal_but_sequence(
     state: fleet_pb2.TargetState, known: fleet_pb2.TargetState
 ) -> bool:
--- a/damaskcroft/fleet/_view.py
+++ b/damaskcroft/fleet/_view.py
@@ -88,6 +88,12 @@
         )
         self.configuration = configuration
         self.table = RouteTable(configuration)
+        self.name_services(service.name for service in configuration.services)
+
+    def name_services(self, names: Iterable[str]) -> None:
+        """Lets targets of these services count, and no others."""
+        if self.book.name_services(frozenset(names)):
+            self.changes += 1
 
     def due_version(self, model: str, after_s: float) -> int:
         """The newest version named at least some time ago; 0 for none.
@@ -172,6 +178,7 @@
             service=state.service,
             address=state.address,
             phase=fleet_pb2.TargetPhase.Name(state.phase),
+            born_ms=state.born_ms,
             sequence=state.sequence,
         )
         return True
--- a/damaskcroft/fleet/tests/test_targets.py
+++ b/damaskcroft/fleet/tests/test_targets.py
@@ -90,7 +90,7 @@
             book.take(state)
         books.append(book)
     first, second = books
-    assert set(first.ended_ids()) == set(second.ended_ids())
+    assert {s.id for s in first.ended()} == {s.id for s in second.ended()}
     assert {i: s.sequence for i, s in first.targets_by_id.items()} == {
         i: s.sequence for i, s in second.targets_by_id.items()
     }
--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -100,8 +100,9 @@
     async def run(self) -> None:
         """Looks at silent targets and at who waits in line, in turn.
 
-        Attempts that may go on elsewhere end at silent targets, and at those
-        whose weights are due to be gone before they begin.
+        Attempts that may go on elsewhere end at silent targets, at those that
+        have started again, and at those whose weights are due to be gone
+        before they begin.
         """
         while True:
             await asyncio.sleep(_LOOK_EVERY_S)
@@ -121,6 +122,9 @@
             if running.target.id in silent:
                 running.made.give_up("silent")
                 continue
+            if self._services.has_started_again(running.target):
+                running.made.give_up("restarted")
+                continue
             if running.made.begun:
                 continue
             kind = (running.job.service, running.job.call.model)
@@ -229,7 +233,7 @@
         target = turn.candidate
         progress.excluded.add(target.id)
         passing = Passing(
-            target_id=target.id,
+            target_id=target.target_id,
             customer=job.customer,
             deadline_s=job.left_s,
             priority=None,
@@ -312,7 +316,7 @@
                 self._note_load(target, facts)
                 if facts.misdirected and self._is_surprise(job, target):
                     self._outliers.failed(target.id, certain=True)
-                    self._doubt(target.id)
+                    self._doubt(target.target_id)
             case Lost(reason=reason):
                 progress.last = outcome
                 self._outliers.failed(target.id)
--- a/damaskcroft/forwarding/_services.py
+++ b/damaskcroft/forwarding/_services.py
@@ -4,7 +4,13 @@
 
 from damaskcroft._generated import fleet_pb2
 from damaskcroft.clock import now_s
-from damaskcroft.fleet import FleetView, held_by, whole_versions
+from damaskcroft.fleet import (
+    FleetView,
+    agents_by_target_address,
+    held_by,
+    start_id,
+    whole_versions,
+)
 from damaskcroft.routing import Candidate
 
 __all__ = ["Services"]
@@ -84,36 +90,47 @@
         return [self._candidate(state) for state in staying or serving]
 
     def may_begin(
-        self, service: str, model: str, target_id: str, connect_s: float
+        self, service: str, model: str, candidate_id: str, connect_s: float
     ) -> bool:
         """Whether a request sent to a target now may still begin there.
 
         Args:
             service: the target's.
             model: what the request asks for; empty for plain services.
-            target_id: the target.
+            candidate_id: the target's start.
             connect_s: how long connecting to it has just taken.
         """
         if not model or not self._weights_s:
             return True
-        state = self._state(service, target_id)
+        state = self._state(service, candidate_id)
         if state is None:
             return False
         least = self._least_version(model, state, connect_s)
         return self._serves(state, model, least)
 
-    def should_hold(self, service: str, model: str, target_id: str) -> bool:
+    def has_started_again(self, candidate: Candidate) -> bool:
+        """Whether a later start of the target is known.
+
+        What ran at the earlier one is lost, also where its connections stay
+        open and silent.
+        """
+        state = self._view.book.targets_by_id.get(candidate.target_id)
+        if state is None or not state.born_ms:
+            return False
+        return start_id(state) != candidate.id != candidate.target_id
+
+    def should_hold(self, service: str, model: str, candidate_id: str) -> bool:
         """Whether a target is believed to hold a model whole right now.
 
         Args:
             service: the target's.
             model: its name; empty for plain services, which need none.
-            target_id: the target.
+            candidate_id: the target's start.
         """
-        state = self._state(service, target_id)
+        state = self._state(service, candidate_id)
         if state is None or not model:
             return state is not None
-        within_s = self.begins_within_s(service, model, target_id)
+        within_s = self.begins_within_s(service, model, candidate_id)
         if within_s is not None and within_s < _UNGUARDED_MARGIN_S:
             # It may give up its weights at any moment.
             return False
@@ -182,14 +199,14 @@
     ) -> float:
         """From sending a request to its begin at a target, as foreseen."""
         link_s = agent.link_delay_ms / 1000 if agent is not None else 0.0
-        delay_s = max(self._answer_delay_s(state.id), link_s, connect_s)
+        delay_s = max(self._answer_delay_s(start_id(state)), link_s, connect_s)
         margin_s = _DELAYS_KEPT_BACK * delay_s + _WAIT_AT_TARGET_S
         if link_s >= _NARROW_LINK_S:
             margin_s = max(margin_s, _NARROW_MARGIN_S)
         return min(max(margin_s, _VERSION_MARGIN_S), _UNGUARDED_MARGIN_S)
 
     def begins_within_s(
-        self, service: str, model: str, target_id: str
+        self, service: str, model: str, candidate_id: str
     ) -> float | None:
         """How long a request may still begin on the weights of a target.
 
@@ -201,7 +218,7 @@
         """
         if not model or not self._weights_s:
             return None
-        state = self._state(service, target_id)
+        state = self._state(service, candidate_id)
         if state is None:
             return None
         named = self._view.goal_since_by_model.get(model, {})
@@ -221,27 +238,24 @@
             return set()
         self._refresh()
         return {
-            state.id
+            start_id(state)
             for state in self._states_by_service.get(service, [])
             if not self._serves(state, model, due)
         }
 
     def _state(
-        self, service: str, target_id: str
+        self, service: str, candidate_id: str
     ) -> fleet_pb2.TargetState | None:
-        """A ready target of a service by its id."""
+        """A ready target of a service by its start."""
         self._refresh()
         states = self._states_by_service.get(service, [])
-        return next((s for s in states if s.id == target_id), None)
+        return next((s for s in states if start_id(s) == candidate_id), None)
 
     def _refresh(self) -> None:
         if self._seen_changes == self._view.changes:
             return
         self._seen_changes = self._view.changes
-        self._agents_by_target = {
-            agent.target_address: agent
-            for agent in self._view.agents_by_address.values()
-        }
+        self._agents_by_target = agents_by_target_address(self._view)
         self._states_by_service = {}
         for state in self._view.book.believed():
             if state.phase == fleet_pb2.TARGET_READY:
@@ -272,7 +286,8 @@
     def _candidate(self, state: fleet_pb2.TargetState) -> Candidate:
         engine = self._engine(state.service)
         return Candidate(
-            id=state.id,
+            id=start_id(state),
+            target_id=state.id,
             address=state.address,
             failure_domain=state.failure_domain,
             region=self._region_by_domain.get(state.failure_domain, ""),
--- a/damaskcroft/forwarding/tests/test_forwarding.py
+++ b/damaskcroft/forwarding/tests/test_forwarding.py
@@ -403,6 +403,67 @@
     asyncio.run(scenario())
 
 
+# --- Targets that start again ------------------------------------------------
+
+
+def started(target, born_ms, sequence=1):
+    return fleet_pb2.TargetState(
+        id=target.name, service="s", address=target.address, slots=4,
+        sequence=sequence, born_ms=born_ms,
+    )  # fmt: skip
+
+
+def test_nothing_that_was_believed_of_an_earlier_start_holds_for_a_later_one():
+    async def scenario():
+        target = FakeTarget("a", "whole")
+        async with entry_before(target, config=SAFE) as entry:
+            entry.view.take([started(target, 1000)])
+            (before,) = entry.candidates()
+            assert before.target_id == "a"
+            entry.placer.told(before.id, 9)
+            slot = entry.placer.take(before, 500)
+            assert entry.placer.fullness(before) > 2
+            entry.view.take([started(target, 2000)])
+            (after,) = entry.candidates()
+            assert entry.placer.fullness(after) == 0
+            slot.give_back()
+            assert entry.placer.fullness(after) == 0
+            assert entry.services.has_started_again(before)
+            assert not entry.services.has_started_again(after)
+            # A late word of the earlier start changes nothing of that.
+            entry.view.take([started(target, 1000, sequence=99)])
+            assert entry.candidates() == [after]
+
+    asyncio.run(scenario())
+
+
+def test_a_request_at_an_earlier_start_goes_on_elsewhere():
+    """The connection stays open and silent, as after a crash behind a cut."""
+
+    async def scenario():
+        # Whatever runs at the earlier start is lost; the later one answers.
+        dead, sound = (
+            FakeTarget("a", "hangs", "whole"),
+            FakeTarget("b", "whole"),
+        )
+        async with entry_before(dead, sound, config=SAFE) as entry:
+            entry.view.take([started(dead, 1000), started(sound, 1000)])
+            busy = [c for c in entry.candidates() if c.target_id == "b"]
+            slots = [entry.placer.take(busy[0]) for _ in range(3)]
+            asking = asyncio.create_task(entry.ask())
+            while not asked(dead):
+                await asyncio.sleep(0.01)
+            for slot in slots:
+                slot.give_back()
+            entry.view.take([started(dead, 2000)])
+            async with asyncio.timeout(0.5):
+                status, _, _ = await asking
+            assert status == 200
+            assert asked(dead, sound) == 2
+
+    asyncio.run(scenario())
+
+
 # --- Configuration ---------------------------------------------------------
 
 
--- a/damaskcroft/hosted/entry.py
+++ b/damaskcroft/hosted/entry.py
@@ -90,8 +90,9 @@
         while True:
             await asyncio.sleep(_CLEAN_EVERY_S)
             connections.close_old()
-            placer.forget_all_but(view.book.targets_by_id)
-            delays.forget_all_but(view.book.targets_by_id)
+            started_ids = view.book.start_ids()
+            placer.forget_all_but(started_ids)
+            delays.forget_all_but(started_ids)
             retry_window.entries = placer.entries = view.entries
 
     async with (
--- a/damaskcroft/http1/_pool.py
+++ b/damaskcroft/http1/_pool.py
@@ -20,7 +20,7 @@
     """Which target a connection is for.
 
     Attributes:
-        id: the target's id, new at each of its starts.
+        id: one start of the target.
         address: where it listens.
     """
 
--- a/damaskcroft/observe/metrics.py
+++ b/damaskcroft/observe/metrics.py
@@ -42,6 +42,10 @@
     "damask_retries", "Attempts on another target, by the first's refusal",
     ["reason"],
 )  # fmt: skip
+UNUSABLE_WORDS = Counter(
+    "damask_unusable_words", "Words of targets that changed nothing, by fault",
+    ["kind", "reason"],
+)  # fmt: skip
 ANSWERS = Counter("damask_answers", "Whole answers given", ["kind"])
 LATE_DROPPED = Counter(
     "damask_answers_dropped", "Late or crossed answers dropped", ["reason"]
--- a/damaskcroft/platform/control_face.py
+++ b/damaskcroft/platform/control_face.py
@@ -5,9 +5,13 @@
 from starlette.routing import Route
 
 from damaskcroft.control import Accepted, FleetControl, Invalid, Unavailable
+from damaskcroft.fleet import Unusable
+from damaskcroft.platform.announcements import (
+    decode_announcement,
+    decode_leave,
+)
 from damaskcroft.platform.messages import (
     BadMessageError,
-    decode_announcement,
     decode_configuration,
     decode_weight_goal,
 )
@@ -63,16 +67,13 @@
 
     async def take_announcement(self, request: Request) -> Response:
         target_id = request.path_params["target_id"]
-        try:
-            state = decode_announcement(target_id, await request.body())
-        except BadMessageError as error:
-            return _bad(str(error))
-        return _told(await self._control.announce(state))
+        word = decode_announcement(target_id, await request.body())
+        return _told(await self._control.announce(target_id, word))
 
     async def take_leave(self, request: Request) -> Response:
         target_id = request.path_params["target_id"]
-        gone = self._control.leaving(target_id)
-        return _told(await self._control.announce(gone))
+        start = decode_leave(target_id, await request.body())
+        return _told(await self._control.leave(target_id, start))
 
 
 def _response(outcome: Accepted | Invalid | Unavailable) -> Response:
@@ -89,5 +90,7 @@
     return JSONResponse({"error": fault}, 400)
 
 
-def _told(taken: bool) -> Response:
+def _told(taken: bool | Unusable) -> Response:
+    if isinstance(taken, Unusable):
+        return _bad(f"{taken.reason}: {taken.detail}")
     return JSONResponse({}, 200 if taken else 503)
--- a/damaskcroft/platform/engine.py
+++ b/damaskcroft/platform/engine.py
@@ -13,8 +13,9 @@
     OrderRefused,
     StagedEngine,
 )
+from damaskcroft.fleet import Unusable, note_unusable
 from damaskcroft.observe import log_event
-from damaskcroft.platform.messages import decode_held
+from damaskcroft.platform.announcements import decode_report
 from damaskcroft.rpc import HTTP_ERRORS, make_http_client
 
 __all__ = ["PlatformEngine"]
@@ -45,17 +46,11 @@
         outcome = await self._call("GET", "report")
         if outcome is None or outcome[0] != _OK:
             return EngineUnreachable()
-        try:
-            values = json.loads(outcome[1])
-            return EngineReport(
-                held=tuple(decode_held(values)),
-                busy=bool(values["busy"]),
-                sequence=int(values["sequence"]),
-                running=int(values["active"]) + int(values["queued"]),
-            )
-        except (ValueError, KeyError, TypeError) as error:
-            log_event("report_unreadable", reason=error)
+        report = decode_report(outcome[1])
+        if isinstance(report, Unusable):
+            note_unusable("report", self._base_url, report)
             return EngineUnreachable()
+        return report
 
     async def put_piece(self, model: str, index: int, data: bytes) -> bool:
         """See StagedEngine."""
--- a/damaskcroft/platform/messages.py
+++ b/damaskcroft/platform/messages.py
@@ -7,13 +7,10 @@
 
 __all__ = [
     "BadMessageError",
-    "decode_announcement",
     "decode_configuration",
-    "decode_held",
     "decode_weight_goal",
 ]
 
-_DRAINING = "draining"
 _STREAMING = "streaming"
 # May run more than once for one request of a client.
 _IDEMPOTENT_KINDS = frozenset({"safe"})
@@ -162,64 +159,3 @@
         )
     except (KeyError, TypeError, ValueError) as error:
         raise BadMessageError(f"weights: {error!r}") from error
-
-
-def decode_announcement(target_id: str, body: bytes) -> fleet_pb2.TargetState:
-    """Reads what a target says of itself.
-
-    Raises:
-        BadMessageError: it can't be read.
-    """
-    values = _parsed(body)
-    draining = values.get("state") == _DRAINING
-    try:
-        return fleet_pb2.TargetState(
-            id=target_id,
-            service=values["service"],
-            address=values["address"],
-            failure_domain=values.get("zone", ""),
-            slots=values.get("slots", 0),
-            phase=(
-                fleet_pb2.TARGET_DRAINING
-                if draining
-                else fleet_pb2.TARGET_READY
-            ),
-            warming_ms=values.get("cold_remaining_ms", 0),
-            sequence=values["sequence"],
-            held=decode_held(values),
-        )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise BadMessageError(f"announcement: {error!r}") from error
-
-
-def decode_held(values: dict[str, Any]) -> list[fleet_pb2.HeldLayers]:
-    """The layers that a target says it holds, by model.
-
-    The wire tells the range once for all models; a target that holds nothing
-    tells none.
-    """
-    models = values.get("models") or ()
-    if "layers" not in values:
-        return [
-            fleet_pb2.HeldLayers(model=model["name"], version=model["version"])
-            for model in models
-        ]
-    ranges = values["layers"] or ()
-    if isinstance(ranges, dict):
-        ranges = (ranges,)
-    return [
-        _held_range(model["name"], model, part)
-        for model in models
-        for part in ranges
-    ]
-
-
-def _held_range(
-    name: str, model: dict[str, Any], part: dict[str, Any]
-) -> fleet_pb2.HeldLayers:
-    return fleet_pb2.HeldLayers(
-        model=name,
-        version=part.get("version", model.get("version", 0)),
-        first_layer=part.get("from", 0),
-        end_layer=part.get("target", 0),
-    )
--- a/damaskcroft/platform/tests/test_messages.py
+++ b/damaskcroft/platform/tests/test_messages.py
@@ -4,12 +4,9 @@
 
 import pytest
 
-from damaskcroft._generated import fleet_pb2
 from damaskcroft.platform.messages import (
     BadMessageError,
-    decode_announcement,
     decode_configuration,
-    decode_held,
     decode_weight_goal,
 )
 
@@ -95,35 +92,6 @@
         decode_configuration(encoded(wrong))
 
 
-def test_an_announcement_becomes_a_target():
-    decoded = decode_announcement(
-        "i-1",
-        encoded(
-            {
-                "service": "s", "address": "a:1", "zone": "z", "slots": 16,
-                "state": "draining", "sequence": 4,
-                "models": [{"name": "m", "version": 2}],
-                "layers": {"from": 0, "target": 16, "version": 2},
-            }
-        ),
-    )  # fmt: skip
-    assert decoded.phase == fleet_pb2.TARGET_DRAINING
-    assert decoded.failure_domain == "z"
-    held = decoded.held[0]
-    assert (held.model, held.version, held.end_layer) == ("m", 2, 16)
-
-
-def test_a_target_without_layers_holds_nothing():
-    assert decode_held({"models": [], "layers": None}) == []
-    assert decode_held({"models": [{"name": "m", "version": 1}],
-                        "layers": None}) == []  # fmt: skip
-
-
-def test_a_target_that_knows_no_layers_holds_its_models_whole():
-    held = decode_held({"models": [{"name": "m", "version": 3}]})
-    assert (held[0].version, held[0].end_layer) == (3, 0)
-
-
 @pytest.mark.parametrize("body", [b"", b"{}", b'{"model": "m"}', b"[]"])
 def test_a_goal_without_its_fields_is_refused(body):
     with pytest.raises(BadMessageError):
--- a/damaskcroft/routing/_placement.py
+++ b/damaskcroft/routing/_placement.py
@@ -46,12 +46,14 @@
     """A target that could run a request.
 
     Attributes:
-        id: the target's id.
+        id: one start of the target: what is believed of it holds for that
+            start alone.
         address: where it listens.
         failure_domain: where it stands.
         region: region of its failure domain.
         slots: requests that it runs at once.
         prompt_tokens_s: how fast it reads prompts; 0 where it reads none.
+        target_id: the target's own id, which it may keep over a restart.
     """
 
     id: str
@@ -60,6 +62,7 @@
     region: str
     slots: int
     prompt_tokens_s: float = 0.0
+    target_id: str = ""
 
 
 class _Load:
