--- a/damaskcroft/weights/_peers.py
+++ b/damaskcroft/weights/_peers.py
@@ -2,8 +2,9 @@
 
 import abc
 import asyncio
+import contextlib
 import dataclasses
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 from damaskcroft._generated import agent_grpc, agent_pb2
@@ -113,9 +114,8 @@
         may_leave: Callable[[], bool] = lambda: False,
     ) -> PeerOutcome:
         """See PeerSource."""
-        stub = agent_grpc.ChunksStub(self._pool.channel(address))
         try:
-            async with stub.GetChunk.open() as stream:
+            async with self._opened(address) as stream:
                 # A machine that is gone answers no connection attempt either.
                 async with asyncio.timeout(self._stall_s):
                     await stream.send_message(
@@ -134,6 +134,13 @@
         except CALL_ERRORS:
             return PeerFailed("unreachable")
 
+    @contextlib.asynccontextmanager
+    async def _opened(self, address: str) -> AsyncIterator[Any]:
+        """A stream of questions and answers with an agent."""
+        stub = agent_grpc.ChunksStub(self._pool.channel(address))
+        async with stub.GetChunk.open() as stream:
+            yield stream
+
     async def _take_parts(
         self,
         stream: Any,
