A burst moves each chunk once, tells who holds what, and reads for late readers

(2) A chunk could be on its way twice. (3) Questions that waited for room at the receiver held the senders' eight places. (4) Nobody read for a frozen or narrow reader before three fifths of the version were there, and then only chunks passed over by sixteen others; the origin went at 2.5 s. (5) Who holds what was known for sure only within a region: to read for others early, three copies were read instead of one. Ruled out, in virtual time: a wider first window, more parts, higher queue targets at senders (no difference over 0.1 s of 6); silence as a sign of a frozen reader (agents of other regions are seldom heard directly).

--- a/damaskcroft/_generated/agent_grpc.py
+++ b/damaskcroft/_generated/agent_grpc.py
@@ -66,6 +66,10 @@
     async def GetManifest(self, stream: 'grpclib.server.Stream[damaskcroft._generated.agent_pb2.ManifestRequest, damaskcroft._generated.agent_pb2.ManifestReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Exchange(self, stream: 'grpclib.server.Stream[damaskcroft._generated.agent_pb2.Rumour, damaskcroft._generated.agent_pb2.Rumour]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/damaskcroft.Chunks/GetChunk': grpclib.const.Handler(
@@ -80,6 +84,12 @@
                 damaskcroft._generated.agent_pb2.ManifestRequest,
                 damaskcroft._generated.agent_pb2.ManifestReply,
             ),
+            '/damaskcroft.Chunks/Exchange': grpclib.const.Handler(
+                self.Exchange,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                damaskcroft._generated.agent_pb2.Rumour,
+                damaskcroft._generated.agent_pb2.Rumour,
+            ),
         }
 
 
@@ -98,3 +108,9 @@
             damaskcroft._generated.agent_pb2.ManifestRequest,
             damaskcroft._generated.agent_pb2.ManifestReply,
         )
+        self.Exchange = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/damaskcroft.Chunks/Exchange',
+            damaskcroft._generated.agent_pb2.Rumour,
+            damaskcroft._generated.agent_pb2.Rumour,
+        )
--- a/damaskcroft/agent/_chunks.py
+++ b/damaskcroft/agent/_chunks.py
@@ -10,6 +10,7 @@
     BurstCounts,
     ChunkStore,
     Pacer,
+    StagedVersion,
     UploadRate,
     packed,
 )
@@ -62,20 +63,32 @@
             await self._tell(stream, agent_pb2.CHUNK_UNKNOWN_MANIFEST)
             return
         version.holdings.note(request.requester, request.held)
+        version.holdings.note_known(request.known)
         wait_s = min(request.wait_ms / 1000, _MAX_WAIT_S)
         if not await version.wait_for_chunk(index, wait_s):
-            held = packed(version.held)
-            await self._tell(stream, agent_pb2.CHUNK_NOT_HELD, held)
+            await self._tell(stream, agent_pb2.CHUNK_NOT_HELD, version)
             return
         await self._wait_for_slot(stream)
         try:
             # Checked when it was written; the receiver checks it again.
             data = version.read_chunk(index)
-            held = packed(version.held)
-            await self._send(stream, data, held, request.requester)
+            await self._send(stream, data, version, request.requester)
         finally:
             self._slots.release()
 
+    def exchange(self, rumour: agent_pb2.Rumour) -> agent_pb2.Rumour:
+        """Takes another agent's word on a version; gives this one's."""
+        version = self._store.versions_by_digest.get(rumour.manifest)
+        if version is None:
+            return agent_pb2.Rumour(manifest=rumour.manifest)
+        version.holdings.note(rumour.teller, rumour.held)
+        version.holdings.note_known(rumour.known)
+        return agent_pb2.Rumour(
+            manifest=rumour.manifest,
+            held=packed(version.held),
+            known=version.holdings.known(),
+        )
+
     def manifest(self, digest: str, path: str = "") -> bytes:
         """A held version's manifest, or nothing.
 
@@ -101,7 +114,11 @@
             raise
 
     async def _send(
-        self, stream: Any, data: bytes, held: bytes, receiver: str
+        self,
+        stream: Any,
+        data: bytes,
+        version: StagedVersion,
+        receiver: str,
     ) -> None:
         part_bytes = min(
             max(self._pacer.bytes_in(_PART_S), _MIN_PART_BYTES), _MAX_PART_BYTES
@@ -109,7 +126,10 @@
         starts = range(0, len(data), part_bytes)
         await stream.send_message(
             agent_pb2.ChunkPart(
-                outcome=agent_pb2.CHUNK_READY, parts=len(starts), held=held
+                outcome=agent_pb2.CHUNK_READY,
+                parts=len(starts),
+                held=packed(version.held),
+                known=version.holdings.known(),
             )
         )
         for start in starts:
@@ -132,7 +152,13 @@
             metrics.BURST_BYTES.labels("sent").inc(len(part))
 
     async def _tell(
-        self, stream: Any, outcome: agent_pb2.ChunkOutcome, held: bytes = b""
+        self,
+        stream: Any,
+        outcome: agent_pb2.ChunkOutcome,
+        version: StagedVersion | None = None,
     ) -> None:
-        part = agent_pb2.ChunkPart(outcome=outcome, held=held)
+        part = agent_pb2.ChunkPart(outcome=outcome)
+        if version is not None:
+            part.held = packed(version.held)
+            part.known = version.holdings.known()
         await stream.send_message(part)
--- a/damaskcroft/agent/_service.py
+++ b/damaskcroft/agent/_service.py
@@ -49,3 +49,8 @@
         request = await stream.recv_message()
         content = self._chunks.manifest(request.manifest, request.path)
         await stream.send_message(agent_pb2.ManifestReply(content=content))
+
+    async def Exchange(self, stream: Any) -> None:  # noqa: N802
+        """Hears what another agent holds and knows, and says the same."""
+        rumour = await stream.recv_message()
+        await stream.send_message(self._chunks.exchange(rumour))
--- a/damaskcroft/standins/virtual_links.py
+++ b/damaskcroft/standins/virtual_links.py
@@ -14,7 +14,7 @@
 from collections.abc import AsyncIterator, Callable
 from typing import Any
 
-from damaskcroft._generated import records_pb2
+from damaskcroft._generated import agent_pb2, records_pb2
 from damaskcroft.agent import ChunkServer
 from damaskcroft.clock import now_s
 from damaskcroft.rpc import ChannelPool, Keys
@@ -196,6 +196,19 @@
         finally:
             await here.cancel()
 
+    async def exchange(
+        self, address: str, rumour: agent_pb2.Rumour
+    ) -> agent_pb2.Rumour | None:
+        """See PeerSource."""
+        network, arrived = self._fleet.network, asyncio.Event()
+        network.send(self._own, address, rumour.ByteSize(), arrived.set)
+        await arrived.wait()
+        server = self._fleet.agents_by_address[address].server
+        reply, came = server.exchange(rumour), asyncio.Event()
+        network.send(address, self._own, reply.ByteSize(), came.set)
+        await came.wait()
+        return reply
+
 
 def _cancel(task: asyncio.Task) -> None:
     task.cancel()
--- a/damaskcroft/weights/__init__.py
+++ b/damaskcroft/weights/__init__.py
@@ -1,16 +1,12 @@
 """Weights on their way: manifests, chunks, who fetches from whom."""
 
-from damaskcroft.weights._burst import (
-    Burst,
-    BurstCounts,
-    BurstOptions,
-    help_share,
-)
+from damaskcroft.weights._burst import Burst, BurstOptions, help_share
 from damaskcroft.weights._errors import (
     ManifestError,
     StoreFullError,
     WeightsError,
 )
+from damaskcroft.weights._fetcher import BurstCounts
 from damaskcroft.weights._holdings import packed
 from damaskcroft.weights._manifest import (
     build_manifest,
--- /dev/null
+++ b/damaskcroft/weights/_fetcher.py
@@ -0,0 +1,218 @@
+"""Getting one chunk from one place, and what is learned of that place."""
+
+import asyncio
+import dataclasses
+import random
+from collections.abc import Sequence
+
+from damaskcroft._generated import agent_pb2
+from damaskcroft.clock import now_s
+from damaskcroft.observe import log_event, metrics
+from damaskcroft.weights._arrivals import Arrivals
+from damaskcroft.weights._holdings import packed
+from damaskcroft.weights._outside import OutsideData, OutsideSource
+from damaskcroft.weights._pacer import Pacer
+from damaskcroft.weights._peers import (
+    PeerData,
+    PeerFailed,
+    PeerNotYet,
+    PeerSource,
+    PeerUnaware,
+)
+from damaskcroft.weights._planner import Participant
+from damaskcroft.weights._sources import Sources
+from damaskcroft.weights._store import StagedVersion
+from damaskcroft.weights._suspects import Suspects
+
+__all__ = ["CORRUPT_SUSPECT_S", "SUSPECT_S", "BurstCounts", "Fetcher"]
+
+# Silence may be a full link's; a refused connection a restart of a second.
+_STALLED_SUSPECT_S = 5.0
+SUSPECT_S = 1.0
+CORRUPT_SUSPECT_S = 300.0
+_MIN_PAUSE_S = 0.02
+_MAX_PAUSE_S = 1.0
+# An agent that knows nothing of a version for so long after it was first asked
+# is left out of its trees: several times what it takes all agents to hear.
+_HEARS_WITHIN_S = 0.4
+
+
+@dataclasses.dataclass(slots=True)
+class BurstCounts:
+    """Bytes by source and faults met, for reports."""
+
+    origin_bytes: int = 0
+    store_bytes: int = 0
+    peer_bytes: int = 0
+    local_bytes: int = 0
+    sent_bytes: int = 0
+    corrupt_chunks: int = 0
+
+
+class Fetcher:
+    """Fetches chunks of one version.
+
+    Attributes:
+        arrivals: what is being transferred now.
+
+    Args:
+        own_id: this agent.
+        path: where outside sources keep the version.
+        version: where chunks are kept.
+        outside: outside sources; the first is preferred.
+        peers: how other agents are asked.
+        pacer: paces what comes in from outside.
+        counts: where bytes are counted.
+        suspects: agents that don't answer.
+        rng: spreads pauses.
+    """
+
+    __slots__ = (
+        "_counts",
+        "_outside",
+        "_own_id",
+        "_pacer",
+        "_path",
+        "_peers",
+        "_rng",
+        "_suspects",
+        "_unaware_since",
+        "_version",
+        "arrivals",
+    )
+
+    def __init__(
+        self,
+        own_id: str,
+        path: str,
+        version: StagedVersion,
+        outside: Sequence[OutsideSource],
+        peers: PeerSource,
+        pacer: Pacer,
+        counts: BurstCounts,
+        suspects: Suspects,
+        rng: random.Random,
+    ):
+        """See the class."""
+        self._own_id = own_id
+        self._path = path
+        self._version = version
+        self._outside = outside
+        self._peers = peers
+        self._pacer = pacer
+        self._counts = counts
+        self._suspects = suspects
+        self._rng = rng
+        self._unaware_since: dict[str, float] = {}
+        self.arrivals = Arrivals()
+
+    async def from_peer(
+        self, index: int, peer: Participant, sources: Sources, wait_s: float
+    ) -> None:
+        """Asks an agent for a chunk, and notes what else it holds.
+
+        Args:
+            index: which chunk.
+            peer: whom to ask.
+            sources: whom else there is to ask.
+            wait_s: how long it may keep the question open.
+        """
+        version = self._version
+        request = agent_pb2.ChunkRequest(
+            manifest=version.digest,
+            digest=version.manifest.chunks[index].digest,
+            wait_ms=int(wait_s * 1000),
+            requester=self._own_id,
+            held=packed(version.held),
+            known=version.holdings.known(),
+        )
+
+        def may_leave() -> bool:
+            return bool(version.held[index]) or sources.is_had_nearer(
+                index, peer.id, self._suspects.now()
+            )
+
+        with sources.asking(peer.id):
+            outcome = await self._peers.fetch_chunk(
+                peer.address,
+                request,
+                may_leave,
+                lambda: self.arrivals.transfer(index),
+                is_held=peer.id in version.holdings.holders(index),
+            )
+        match outcome:
+            case PeerData(data=data, held=held, known=known):
+                self._suspects.clear(peer.id)
+                version.holdings.note(peer.id, held)
+                version.holdings.note_known(known)
+                self._take(index, data, "peer", peer.id)
+            case PeerNotYet(held=held, known=known):
+                version.holdings.note(peer.id, held)
+                version.holdings.note_known(known)
+                await asyncio.sleep(_MIN_PAUSE_S)
+            case PeerUnaware():
+                await self._leave_unaware(peer)
+            case PeerFailed(reason=reason):
+                self._suspect(peer, reason)
+
+    async def from_outside(self, index: int) -> None:
+        """Reads a chunk from the first outside source that gives it."""
+        for source in self._outside:
+            if source.closed_for_s > 0:
+                continue
+            with self.arrivals.transfer(index) as may_begin:
+                if not may_begin:
+                    break
+                outcome = await source.fetch_chunk(
+                    self._path, self._version.manifest, index
+                )
+            if isinstance(outcome, OutsideData):
+                await self._pacer.pass_bytes(len(outcome.data))
+                self._take(index, outcome.data, source.name, "")
+                return
+            metrics.BURST_SOURCE_FAILURES.labels(
+                f"{source.name}_{outcome.reason}"
+            ).inc()
+        await asyncio.sleep(self._pause_s())
+
+    def _suspect(self, peer: Participant, reason: str) -> None:
+        metrics.BURST_SOURCE_FAILURES.labels(reason).inc()
+        if peer.id not in self._suspects.now():
+            log_event("peer_suspected", peer=peer.id, reason=reason)
+        stalled = reason == "stalled"
+        self._suspects.add(
+            peer.id, _STALLED_SUSPECT_S if stalled else SUSPECT_S
+        )
+
+    async def _leave_unaware(self, peer: Participant) -> None:
+        """Lets a peer that takes no part out, once it had time to hear of it.
+
+        Agents hear of a version within some tenths of a second of each other.
+        """
+        await asyncio.sleep(_MIN_PAUSE_S)
+        since = self._unaware_since.setdefault(peer.id, now_s())
+        if now_s() - since >= _HEARS_WITHIN_S:
+            del self._unaware_since[peer.id]
+            if peer.id not in self._suspects.now():
+                log_event("peer_unaware", peer=peer.id)
+            self._suspects.add(peer.id, SUSPECT_S)
+
+    def _pause_s(self) -> float:
+        """Until the first outside source is open again, spread a little."""
+        wait_s = min(source.closed_for_s for source in self._outside)
+        wait_s = min(max(wait_s, _MIN_PAUSE_S), _MAX_PAUSE_S)
+        return wait_s * (1 + self._rng.random())
+
+    def _take(self, index: int, data: bytes, source: str, peer_id: str) -> None:
+        metrics.BURST_BYTES.labels(source).inc(len(data))
+        field = f"{source}_bytes"
+        setattr(self._counts, field, getattr(self._counts, field) + len(data))
+        if self._version.write_chunk(index, data):
+            return
+        self._counts.corrupt_chunks += 1
+        metrics.BURST_CHUNKS_CORRUPT.labels(source).inc()
+        log_event(
+            "chunk_corrupt", index=index, source=source, peer=peer_id or "none"
+        )
+        if peer_id:
+            self._suspects.add(peer_id, CORRUPT_SUSPECT_S)
--- a/damaskcroft/weights/_holdings.py
+++ b/damaskcroft/weights/_holdings.py
@@ -23,11 +23,27 @@
 class Holdings:
     """The newest word of each agent on one version's chunks."""
 
-    __slots__ = ("_bits_by_id",)
+    __slots__ = ("_bits_by_id", "_known")
 
     def __init__(self) -> None:
         """Knows of nobody's chunks."""
         self._bits_by_id: dict[str, int] = {}
+        # Held by anybody, as whoever was talked to knows.
+        self._known = 0
+
+    def note_known(self, bits: bytes) -> None:
+        """Takes another agent's word on what anybody holds."""
+        self._known |= int.from_bytes(bits, "little")
+
+    def is_known(self, index: int) -> bool:
+        """Whether anybody is known to hold a chunk, also by hearsay."""
+        return bool(self._known >> index & 1)
+
+    def known(self) -> bytes:
+        """A bit for each chunk that anybody is known to hold."""
+        return self._known.to_bytes(
+            (self._known.bit_length() + 7) // 8, "little"
+        )
 
     def note(self, agent_id: str, bits: bytes) -> None:
         """Takes an agent's word; what it held once, it still holds.
@@ -39,6 +55,7 @@
         before = self._bits_by_id.get(agent_id, 0)
         told = int.from_bytes(bits, "little")
         self._bits_by_id[agent_id] = before | told
+        self._known |= told
 
     def union(self, agent_ids: Iterable[str]) -> int:
         """A bit for each chunk that any of some agents holds."""
--- a/damaskcroft/weights/_peers.py
+++ b/damaskcroft/weights/_peers.py
@@ -24,10 +24,12 @@
     Attributes:
         data: the bytes.
         held: all that the peer holds, as packed bits; empty if unknown.
+        known: all that it knows anybody to hold, likewise.
     """
 
     data: bytes
     held: bytes = b""
+    known: bytes = b""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,9 +38,11 @@
 
     Attributes:
         held: what it holds, as packed bits; empty if unknown.
+        known: what it knows anybody to hold, likewise.
     """
 
     held: bytes = b""
+    known: bytes = b""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,6 +60,9 @@
 PeerOutcome = PeerData | PeerNotYet | PeerUnaware | PeerFailed
 
 
+Transfer = Callable[[], contextlib.AbstractContextManager[bool]]
+
+
 class PeerSource(abc.ABC):
     """How an agent asks other agents."""
 
@@ -65,6 +72,9 @@
         address: str,
         request: agent_pb2.ChunkRequest,
         may_leave: Callable[[], bool] = lambda: False,
+        transfer: Transfer = lambda: contextlib.nullcontext(True),
+        *,
+        is_held: bool = False,
     ) -> PeerOutcome:
         """Asks for a chunk, waiting for it as long as the request says.
 
@@ -73,6 +83,9 @@
             request: for what.
             may_leave: whether a question that waits for its turn should be
                 dropped, since the chunk can be had elsewhere by now.
+            transfer: entered before the chunk's bytes are asked for; tells
+                whether they may be.
+            is_held: whether the agent is known to hold the chunk.
         """
 
     @abc.abstractmethod
@@ -81,6 +94,12 @@
     ) -> PeerData | PeerNotYet | PeerFailed:
         """Asks for a manifest, by its name or by the version's path."""
 
+    @abc.abstractmethod
+    async def exchange(
+        self, address: str, rumour: agent_pb2.Rumour
+    ) -> agent_pb2.Rumour | None:
+        """Tells an agent what is held where, and hears it; None if silent."""
+
 
 class GrpcPeerSource(PeerSource):
     """Agents reached by grpclib.
@@ -112,10 +131,16 @@
         address: str,
         request: agent_pb2.ChunkRequest,
         may_leave: Callable[[], bool] = lambda: False,
+        transfer: Transfer = lambda: contextlib.nullcontext(True),
+        *,
+        is_held: bool = False,
     ) -> PeerOutcome:
         """See PeerSource."""
         try:
-            async with self._opened(address) as stream:
+            async with (
+                self._chunk_room(is_held),
+                self._opened(address) as stream,
+            ):
                 # A machine that is gone answers no connection attempt either.
                 async with asyncio.timeout(self._stall_s):
                     await stream.send_message(
@@ -123,7 +148,7 @@
                     )
                 patience_s = request.wait_ms / 1000 + self._stall_s
                 outcome = await self._take_parts(
-                    stream, patience_s, address, may_leave
+                    stream, patience_s, address, may_leave, transfer
                 )
                 await stream.cancel()
                 return outcome
@@ -134,6 +159,13 @@
         except CALL_ERRORS:
             return PeerFailed("unreachable")
 
+    def _chunk_room(
+        self, is_held: bool
+    ) -> contextlib.AbstractAsyncContextManager[None]:
+        if is_held:
+            return self._window.chunk_room()
+        return contextlib.nullcontext()
+
     @contextlib.asynccontextmanager
     async def _opened(self, address: str) -> AsyncIterator[Any]:
         """A stream of questions and answers with an agent."""
@@ -147,6 +179,7 @@
         patience_s: float,
         address: str,
         may_leave: Callable[[], bool],
+        transfer: Transfer,
     ) -> PeerOutcome:
         """Waits until the peer may send, then asks for part after part."""
         while True:
@@ -162,8 +195,11 @@
             if told.outcome == agent_pb2.CHUNK_UNKNOWN_MANIFEST:
                 return PeerUnaware()
             if told.outcome != agent_pb2.CHUNK_READY:
-                return PeerNotYet(told.held)
-            return await self._take_ready(stream, told, address)
+                return PeerNotYet(told.held, told.known)
+            with transfer() as may_begin:
+                if not may_begin:
+                    return PeerNotYet(told.held, told.known)
+                return await self._take_ready(stream, told, address)
 
     async def _take_ready(
         self, stream: Any, ready: agent_pb2.ChunkPart, address: str
@@ -187,7 +223,7 @@
             queued_s = delay.queued_s(part.sent_us / 1e6)
             self._window.note(queued_s)
             data.append(part.data)
-        return PeerData(b"".join(data), ready.held)
+        return PeerData(b"".join(data), ready.held, ready.known)
 
     async def fetch_manifest(
         self, address: str, digest: str, path: str = ""
@@ -203,6 +239,16 @@
             return PeerFailed("unreachable")
         return PeerData(reply.content) if reply.content else PeerNotYet()
 
+    async def exchange(
+        self, address: str, rumour: agent_pb2.Rumour
+    ) -> agent_pb2.Rumour | None:
+        """See PeerSource."""
+        stub = agent_grpc.ChunksStub(self._pool.channel(address))
+        try:
+            return await stub.Exchange(rumour, timeout=self._stall_s)
+        except (TimeoutError, *CALL_ERRORS):
+            return None
+
 
 async def _received(
     stream: Any, may_leave: Callable[[], bool]
--- a/damaskcroft/weights/_planner.py
+++ b/damaskcroft/weights/_planner.py
@@ -54,6 +54,10 @@
             suspects: agents that do not answer now.
         """
 
+    def reader(self, chunk_index: int) -> Participant:
+        """Who is to read a chunk from outside while everybody is well."""
+        return self.participants[chunk_index % len(self.participants)]
+
     def turn(self, chunk_index: int, suspects: frozenset[str]) -> int:
         """After how many others this agent reads a chunk from outside.
 
@@ -118,6 +122,11 @@
     def order(self, chunk_index: int, names: Sequence[str]) -> Sequence[int]:
         """In which order `names` stand for a chunk, as places in `names`."""
 
+    def reader(self, chunk_index: int) -> Participant:
+        """See Planner."""
+        first = self.order(chunk_index, self._domains)[0]
+        return self._living(chunk_index, self._domains[first], frozenset())[0]
+
     def parent(
         self, chunk_index: int, suspects: frozenset[str]
     ) -> Participant | None:
--- a/damaskcroft/weights/_rescue.py
+++ b/damaskcroft/weights/_rescue.py
@@ -5,15 +5,30 @@
 outside or to give on holds all others up.
 """
 
+import asyncio
 import dataclasses
+import functools
 import random
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 from damaskcroft.clock import now_s
+from damaskcroft.weights._fetcher import Fetcher
 from damaskcroft.weights._planner import Planner
+from damaskcroft.weights._sources import Sources
 from damaskcroft.weights._store import StagedVersion
+from damaskcroft.weights._suspects import Suspects
 
-__all__ = ["AskHolder", "Inquire", "ReadOutside", "Rescue"]
+__all__ = ["AskHolder", "Inquire", "ReadOutside", "Rescue", "Rescuer"]
+
+_RESCUE_EVERY_S = 0.2
+# No more at once than a link of 3.65 Mbit/s carries in the patience below.
+_MAX_RESCUED = 8
+# A chunk takes up to a second beside a full window of others; cut sooner, what
+# had come of it was lost, and one byte in fifteen came in vain.
+_RESCUE_PATIENCE_S = 1.5
+# A holder that has not given a chunk in that time is left aside in looking for
+# overdue ones: others may read them outside meanwhile.
+_SLOW_S = 2.0
 
 # Chunks that came after a missing one before it counts as overdue: more than
 # are on their way at once along one tree's branches.
@@ -118,3 +133,98 @@
         elif later >= _LATER_CHUNKS:
             overdue.append(index)
     return overdue
+
+
+class Rescuer:
+    """Gets overdue chunks elsewhere than from their planned sources.
+
+    Args:
+        version: what is wanted.
+        fetcher: gets a chunk from one place.
+        sources: whom there is to ask; None before anybody is known.
+        rng: chooses among equals.
+    """
+
+    __slots__ = ("_fetcher", "_rescue", "_rng", "_running_by_index", "_slow",
+                 "_sources", "_version")  # fmt: skip
+
+    def __init__(
+        self,
+        version: StagedVersion,
+        fetcher: Fetcher,
+        sources: Callable[[], Sources | None],
+        rng: random.Random,
+    ):
+        """See the class."""
+        self._version = version
+        self._fetcher = fetcher
+        self._sources = sources
+        self._rng = rng
+        self._rescue = Rescue(version, rng)
+        self._slow = Suspects()
+        self._running_by_index: dict[int, asyncio.Task[None]] = {}
+
+    async def run(self, suspects: Suspects) -> None:
+        """Looks for overdue chunks until all are held."""
+        try:
+            while not self._version.is_complete:
+                await asyncio.sleep(_RESCUE_EVERY_S)
+                self._begin(self._rescue.overdue(), suspects)
+        finally:
+            tasks = list(self._running_by_index.values())
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _begin(self, overdue: list[int], suspects: Suspects) -> None:
+        sources = self._sources()
+        if sources is None:
+            return
+        aside = suspects.now() | self._slow.now()
+        for index in overdue:
+            if len(self._running_by_index) >= _MAX_RESCUED:
+                return
+            if index in self._running_by_index:
+                continue
+            if index in self._fetcher.arrivals:
+                continue
+            task = asyncio.create_task(self._get(index, sources, aside))
+            self._running_by_index[index] = task
+            task.add_done_callback(functools.partial(self._ended, index))
+
+    def _ended(self, index: int, _: asyncio.Task[None]) -> None:
+        del self._running_by_index[index]
+
+    async def _get(
+        self, index: int, sources: Sources, aside: frozenset[str]
+    ) -> None:
+        source = self._rescue.source(index, sources.planner, aside)
+        try:
+            async with asyncio.timeout(_RESCUE_PATIENCE_S):
+                match source:
+                    case AskHolder(agent_id=agent_id):
+                        holder = sources.planner.by_id[agent_id]
+                        await self._fetcher.from_peer(
+                            index, holder, sources, 0.0
+                        )
+                    case ReadOutside():
+                        await self._fetcher.from_outside(index)
+                    case Inquire():
+                        await self._inquire(index, sources, aside)
+        except TimeoutError:
+            if isinstance(source, AskHolder):
+                self._slow.add(source.agent_id, _SLOW_S)
+
+    async def _inquire(
+        self, index: int, sources: Sources, aside: frozenset[str]
+    ) -> None:
+        """Asks one agent for a chunk; its answer tells all that it holds."""
+        planner = sources.planner
+        others = [
+            other
+            for other in planner.participants
+            if other.id != planner.own_id and other.id not in aside
+        ]
+        if others:
+            other = self._rng.choice(others)
+            await self._fetcher.from_peer(index, other, sources, 0.0)
--- a/damaskcroft/weights/_sources.py
+++ b/damaskcroft/weights/_sources.py
@@ -26,14 +26,14 @@
         rng: decides between equals.
     """
 
-    __slots__ = ("_asked", "_holdings", "_near_ids", "_planner",
+    __slots__ = ("_asked", "_holdings", "_near_ids", "planner",
                  "_rng")  # fmt: skip
 
     def __init__(
         self, planner: Planner, holdings: Holdings, rng: random.Random
     ):
         """Nobody is asked for anything yet."""
-        self._planner = planner
+        self.planner = planner
         self._holdings = holdings
         self._rng = rng
         self._asked: collections.Counter[str] = collections.Counter()
@@ -79,12 +79,12 @@
         holders = [
             agent_id
             for agent_id in self._holdings.holders(index)
-            if agent_id in self._planner.by_id and agent_id not in suspects
+            if agent_id in self.planner.by_id and agent_id not in suspects
         ]
         near = [agent_id for agent_id in holders if agent_id in self._near_ids]
         if near:
             return self._least_asked(near)
-        parent = self._planner.parent(index, suspects)
+        parent = self.planner.parent(index, suspects)
         if parent is None or parent.id in self._near_ids or not holders:
             return parent
         return self._least_asked(holders)
@@ -94,4 +94,4 @@
         chosen = self._rng.choice(
             [i for i in agent_ids if self._asked[i] == least]
         )
-        return self._planner.by_id[chosen]
+        return self.planner.by_id[chosen]
--- a/damaskcroft/weights/_window.py
+++ b/damaskcroft/weights/_window.py
@@ -37,6 +37,9 @@
 _FIRST_PARTS = 4.0
 # A sender on a narrow link would else hold all the room with its many chunks.
 _MAX_OF_ONE_SENDER = 3
+# Chunks beyond the window's parts that may be asked for, so that there is
+# always one to go on with: an answer takes a round trip.
+_SPARE_CHUNKS = 1
 _GROWTH = 0.25
 _SHRINKAGE = 0.8
 
@@ -52,6 +55,8 @@
         "_asked",
         "_asked_at",
         "_begun",
+        "_chunk_left",
+        "_chunks",
         "_outstanding_by_sender",
         "_queued",
         "_took",
@@ -66,6 +71,8 @@
             collections.Counter()
         )
         self._begun = 0
+        self._chunks = 0
+        self._chunk_left = asyncio.Event()
         self._queued: collections.deque[float] = collections.deque(
             maxlen=_LAST_QUEUED
         )
@@ -78,6 +85,23 @@
         # Between parts of one rank, the one that asked first.
         self._asked = 0
 
+    @contextlib.asynccontextmanager
+    async def chunk_room(self) -> AsyncIterator[None]:
+        """Waits until a chunk that is there to be had may be asked for.
+
+        Chunks that wait here for room of their parts would take the places of
+        others at their senders: behind a narrow link those of a whole region.
+        """
+        while self._chunks >= self.limit + _SPARE_CHUNKS:
+            self._chunk_left.clear()
+            await self._chunk_left.wait()
+        self._chunks += 1
+        try:
+            yield
+        finally:
+            self._chunks -= 1
+            self._chunk_left.set()
+
     def begin_chunk(self) -> int:
         """The rank of a chunk whose parts will be asked for."""
         self._begun += 1
--- a/damaskcroft/weights/tests/test_burst.py
+++ b/damaskcroft/weights/tests/test_burst.py
@@ -90,7 +90,10 @@
         self.slow = set()
         self.liars = set()
 
-    async def fetch_chunk(self, address, request, may_leave=None):
+    async def exchange(self, address, rumour):
+        return None
+
+    async def fetch_chunk(self, address, request, *_, is_held=False):
         await asyncio.sleep(0.005)
         if address in self.dead:
             return PeerFailed("unreachable")
