The soak starts a process again that a settings signal has ended at its start

The platform starts such a process again, the soak started nobody. Also: a failure in a rescue ends the burst as before it was split, instead of being told at exit alone; one look-up of a target by its id where a map of all was made for each running request, ten times a second.

--- a/damaskcroft/fleet/_targets.py
+++ b/damaskcroft/fleet/_targets.py
@@ -88,6 +88,11 @@
             target_id: word.state for target_id, word in self._newest().items()
         }
 
+    def newest(self, target_id: str) -> fleet_pb2.TargetState | None:
+        """The newest word of one target, or None."""
+        word = self._newest().get(target_id)
+        return word.state if word is not None else None
+
     def take(self, state: fleet_pb2.TargetState) -> bool:
         """Takes one announcement.
 
@@ -150,8 +155,8 @@
 
     def newest_born_ms(self, target_id: str) -> int:
         """The newest start of a target that is known; 0 if it tells none."""
-        word = self._newest().get(target_id)
-        return word.state.born_ms if word is not None else 0
+        state = self.newest(target_id)
+        return state.born_ms if state is not None else 0
 
     def start_ids(self) -> set[str]:
         """The known starts of all targets; see `start_id`."""
--- a/damaskcroft/forwarding/_services.py
+++ b/damaskcroft/forwarding/_services.py
@@ -114,7 +114,7 @@
         What ran at the earlier one is lost, also where its connections stay
         open and silent.
         """
-        state = self._view.book.targets_by_id.get(candidate.target_id)
+        state = self._view.book.newest(candidate.target_id)
         if state is None or not state.born_ms:
             return False
         return start_id(state) != candidate.id != candidate.target_id
--- a/damaskcroft/hosted/tests/soak/_faults.py
+++ b/damaskcroft/hosted/tests/soak/_faults.py
@@ -11,6 +11,8 @@
 # Between two faults; they last longer, so that they overlap.
 _GAP_S = (0.1, 1.2)
 _LASTS_S = (0.3, 3.0)
+# The platform starts a process that has ended again after a short delay.
+_STARTED_AGAIN_S = 0.5
 # A control node that is back counts as whole after this long.
 _SETTLED_S = 4.0
 _KINDS = (
@@ -109,15 +111,11 @@
 
     async def _carry_out(self, fault, name, role, who):
         if role == "all":
-            for process in self._deployment.processes.values():
-                if process.returncode is None:
-                    # It may end at this moment.
-                    with contextlib.suppress(ProcessLookupError):
-                        process.send_signal(signal.SIGHUP)
+            await self._hang_up_all()
         elif role == "target":
             await self._at_target(fault, self._target(who[0]))
         elif name == "pause":
-            process = self._deployment.processes[f"{role}-{who[0][-2:]}"]
+            process = await self._running(role, who[0])
             process.send_signal(signal.SIGSTOP)
             await asyncio.sleep(fault.for_s)
             process.send_signal(signal.SIGCONT)
@@ -125,6 +123,33 @@
         else:
             await self._end_and_start(fault, name, role, who)
 
+    async def _hang_up_all(self):
+        for process in self._deployment.processes.values():
+            if process.returncode is None:
+                # It may end at this moment.
+                with contextlib.suppress(ProcessLookupError):
+                    process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(_STARTED_AGAIN_S)
+        for role, ips in (("control", CONTROL_IPS), ("entry", ENTRY_IPS)):
+            for ip in ips:
+                if ip not in self._busy:
+                    await self._running(role, ip)
+
+    async def _running(self, role, ip):
+        """The process of a node, started again as the platform would.
+
+        The signal to read settings ends one whose interpreter has not come to
+        the program's first line; nothing else ends a process by itself.
+        """
+        process = self._deployment.processes[f"{role}-{ip[-2:]}"]
+        if process.returncode is None:
+            return process
+        assert process.returncode == -signal.SIGHUP, process.returncode
+        self._journal(f"starts {role} {ip} again")
+        if role == "entry":
+            self.boots[ip] += 1
+        return await self._deployment.start(role, ip, first=False)
+
     async def _end_and_start(self, fault, name, role, who):
         how = signal.SIGTERM if name == "stop" else signal.SIGKILL
         await asyncio.gather(
--- a/damaskcroft/weights/_rescue.py
+++ b/damaskcroft/weights/_rescue.py
@@ -145,8 +145,16 @@
         rng: chooses among equals.
     """
 
-    __slots__ = ("_fetcher", "_rescue", "_rng", "_running_by_index", "_slow",
-                 "_sources", "_version")  # fmt: skip
+    __slots__ = (
+        "_failure",
+        "_fetcher",
+        "_rescue",
+        "_rng",
+        "_running_by_index",
+        "_slow",
+        "_sources",
+        "_version",
+    )
 
     def __init__(
         self,
@@ -163,12 +171,19 @@
         self._rescue = Rescue(version, rng)
         self._slow = Suspects()
         self._running_by_index: dict[int, asyncio.Task[None]] = {}
+        self._failure: BaseException | None = None
 
     async def run(self, suspects: Suspects) -> None:
-        """Looks for overdue chunks until all are held."""
+        """Looks for overdue chunks until all are held.
+
+        Raises:
+            OSError: a chunk can't be kept.
+        """
         try:
             while not self._version.is_complete:
                 await asyncio.sleep(_RESCUE_EVERY_S)
+                if self._failure is not None:
+                    raise self._failure
                 self._begin(self._rescue.overdue(), suspects)
         finally:
             tasks = list(self._running_by_index.values())
@@ -192,8 +207,10 @@
             self._running_by_index[index] = task
             task.add_done_callback(functools.partial(self._ended, index))
 
-    def _ended(self, index: int, _: asyncio.Task[None]) -> None:
+    def _ended(self, index: int, task: asyncio.Task[None]) -> None:
         del self._running_by_index[index]
+        if not task.cancelled() and task.exception() is not None:
+            self._failure = task.exception()
 
     async def _get(
         self, index: int, sources: Sources, aside: frozenset[str]
