One word of holdings, one manifest of equal chunks, derived state worked out once

The tests' assertions are as before; their blob is named as the adapter names it. - a target was looked up by walking its service's targets and writing each start's name, several times for each request: a map, made when targets change. - who holds which address was worked out twice for each change and twenty times a second by each agent: kept until a word changes it. Naming the same services again, as each change of the replicated state does, compares nothing. - planned readers were worked out for every unread chunk thirty times a second: once, as they don't depend on who is well. - whether a target is up was asked in three places in the same words. Behaviour as before.

--- a/damaskcroft/agent/_chunks.py
+++ b/damaskcroft/agent/_chunks.py
@@ -62,8 +62,7 @@
         if index is None:
             await self._tell(stream, agent_pb2.CHUNK_UNKNOWN_MANIFEST)
             return
-        version.holdings.note(request.requester, request.held)
-        version.holdings.note_known(request.known)
+        version.holdings.note(request.requester, request.held, request.known)
         wait_s = min(request.wait_ms / 1000, _MAX_WAIT_S)
         if not await version.wait_for_chunk(index, wait_s):
             await self._tell(stream, agent_pb2.CHUNK_NOT_HELD, version)
@@ -81,8 +80,7 @@
         version = self._store.versions_by_digest.get(rumour.manifest)
         if version is None:
             return agent_pb2.Rumour(manifest=rumour.manifest)
-        version.holdings.note(rumour.teller, rumour.held)
-        version.holdings.note_known(rumour.known)
+        version.holdings.note(rumour.teller, rumour.held, rumour.known)
         return agent_pb2.Rumour(
             manifest=rumour.manifest,
             held=packed(version.held),
--- a/damaskcroft/agent/_fleet_stager.py
+++ b/damaskcroft/agent/_fleet_stager.py
@@ -241,7 +241,7 @@
         self.staged_version = None
         self._put = set()
         await self._wait_for_known_target()
-        if not isinstance(await self._engine.report(), EngineUnreachable):
+        if await self._is_target_up():
             await self._take_from_target(version)
         log_event(
             "staging",
@@ -262,10 +262,14 @@
         """
         address = self._own.state.target_address
         while any(s.address == address for s in self._view.book.words()):
-            if not isinstance(await self._engine.report(), EngineUnreachable):
+            if await self._is_target_up():
                 return
             await asyncio.sleep(_RETRY_S)
 
+    async def _is_target_up(self) -> bool:
+        report = await self._engine.report()
+        return not isinstance(report, EngineUnreachable)
+
     def _whole(self, wanted: Wanted) -> StagedVersion | None:
         """The wanted version, if this process has had it whole and checked."""
         version = self.staged_version
@@ -375,7 +379,7 @@
         self._has_recovered = True
 
     async def _put_when_up(self, version: StagedVersion) -> None:
-        while isinstance(await self._engine.report(), EngineUnreachable):
+        while not await self._is_target_up():
             await asyncio.sleep(_RETRY_S)
         await self._take_from_target(version)
         await self._put_as_they_come(version)
--- a/damaskcroft/agent/tests/test_chunks.py
+++ b/damaskcroft/agent/tests/test_chunks.py
@@ -5,7 +5,7 @@
 import hashlib
 import socket
 
-from damaskcroft._generated import agent_pb2, records_pb2
+from damaskcroft._generated import agent_pb2
 from damaskcroft.agent import ChunkServer, ChunkService
 from damaskcroft.rpc import ChannelPool, Keys, grpc_served
 from damaskcroft.weights import (
@@ -16,6 +16,7 @@
     PeerData,
     PeerFailed,
     PeerNotYet,
+    manifest_of_digests,
 )
 
 KEYS = Keys(None, None)
@@ -24,22 +25,9 @@
 
 
 def make_manifest(chunks):
-    size = len(chunks[0])
-    manifest = records_pb2.Manifest(
-        model="m",
-        version="1",
-        chunk_size_bytes=size,
-        files=[records_pb2.WeightFile(path="w", size_bytes=size * len(chunks))],
-        chunks=[
-            records_pb2.Chunk(
-                digest=hashlib.sha256(data).digest(),
-                offset_bytes=index * size,
-                size_bytes=size,
-            )
-            for index, data in enumerate(chunks)
-        ],
-    )
-    return manifest.SerializeToString(deterministic=True)
+    digests = [hashlib.sha256(data).digest() for data in chunks]
+    made = manifest_of_digests("m", "1", len(chunks[0]), digests)
+    return made.SerializeToString(deterministic=True)
 
 
 def free_address():
--- a/damaskcroft/agent/tests/test_fleet_stager.py
+++ b/damaskcroft/agent/tests/test_fleet_stager.py
@@ -17,26 +17,16 @@
     OutsideFailed,
     Pacer,
     PeerNotYet,
+    manifest_of_digests,
 )
 
 CHUNKS = [bytes([number]) * 50 for number in range(8)]
 
 
 def manifest(chunks):
-    return records_pb2.Manifest(
-        model="m",
-        version="2",
-        chunk_size_bytes=50,
-        files=[records_pb2.WeightFile(path="w", size_bytes=50 * len(chunks))],
-        chunks=[
-            records_pb2.Chunk(
-                digest=hashlib.sha256(data).digest(),
-                offset_bytes=index * 50,
-                size_bytes=50,
-            )
-            for index, data in enumerate(chunks)
-        ],
-    ).SerializeToString(deterministic=True)
+    digests = [hashlib.sha256(data).digest() for data in chunks]
+    made = manifest_of_digests("m", "2", 50, digests)
+    return made.SerializeToString(deterministic=True)
 
 
 class FakeOrigin:
--- a/damaskcroft/fleet/_targets.py
+++ b/damaskcroft/fleet/_targets.py
@@ -68,8 +68,8 @@
     unknown service displaces no target; a later configuration may name it.
     """
 
-    __slots__ = ("_ended", "_heard", "_named_services", "_newest_by_id",
-                 "_words_by_key")  # fmt: skip
+    __slots__ = ("_believed", "_ended", "_heard", "_named_services",
+                 "_newest_by_id", "_words_by_key")  # fmt: skip
 
     def __init__(self) -> None:
         """Creates an empty book to which every service counts."""
@@ -79,7 +79,9 @@
         self._ended: dict[tuple[str, str], _Order] = {}
         self._heard = 0
         self._named_services: frozenset[str] | None = None
+        # Worked out from the words when asked for; None after a change.
         self._newest_by_id: dict[str, _Word] | None = None
+        self._believed: tuple[fleet_pb2.TargetState, ...] | None = None
 
     @property
     def targets_by_id(self) -> dict[str, fleet_pb2.TargetState]:
@@ -117,9 +119,12 @@
         Returns:
             Whether other targets count than before.
         """
+        named = frozenset(names)
+        if named == self._named_services:
+            return False
         before = self.targets_by_id
-        self._named_services = frozenset(names)
-        self._newest_by_id = None
+        self._named_services = named
+        self._forget_derived()
         return self.targets_by_id != before
 
     def believed(self) -> list[fleet_pb2.TargetState]:
@@ -129,6 +134,11 @@
         one first heard of later where a target doesn't tell, unless it is
         doubted: addresses are used again after their owner's end.
         """
+        if self._believed is None:
+            self._believed = self._holders()
+        return list(self._believed)
+
+    def _holders(self) -> tuple[fleet_pb2.TargetState, ...]:
         holder_by_address: dict[str, _Word] = {}
         for word in self._newest().values():
             address = word.state.address
@@ -136,7 +146,7 @@
             if other is None or word.address_rank > other.address_rank:
                 holder_by_address[address] = word
         holders = sorted(holder_by_address.values(), key=lambda w: w.heard)
-        return [word.state for word in holders]
+        return tuple(word.state for word in holders)
 
     def doubt(self, target_id: str) -> None:
         """Lets the others at an address hold it before this id.
@@ -152,6 +162,7 @@
         least = min((w.heard for w in self._words_by_key.values()), default=0)
         for word in doubted:
             word.heard = min(least, 1) - 1
+        self._forget_derived()
 
     def newest_born_ms(self, target_id: str) -> int:
         """The newest start of a target that is known; 0 if it tells none."""
@@ -182,6 +193,10 @@
                     id=target_id, phase=fleet_pb2.TARGET_GONE, born_ms=born_ms
                 )
 
+    def _forget_derived(self) -> None:
+        self._newest_by_id = None
+        self._believed = None
+
     def _newest(self) -> dict[str, _Word]:
         if self._newest_by_id is None:
             self._newest_by_id = {}
@@ -215,7 +230,7 @@
         self._words_by_key[_key(state)] = _Word(state, heard)
         if len(self._words_by_key) > _MAX_WORDS:
             self._words_by_key.pop(next(iter(self._words_by_key)))
-        self._newest_by_id = None
+        self._forget_derived()
 
     def _end(self, gone: fleet_pb2.TargetState) -> bool:
         """Ends a start and those before it."""
@@ -228,14 +243,14 @@
             elif not gone.born_ms:
                 self._take_out(word.state)
         self._mark((gone.id, _ANY_SERVICE), last)
-        self._newest_by_id = None
+        self._forget_derived()
         return True
 
     def _take_out(self, known: fleet_pb2.TargetState) -> bool:
         """Leaves a target aside until its next word."""
         del self._words_by_key[_key(known)]
         self._mark(_key(known), _order(known))
-        self._newest_by_id = None
+        self._forget_derived()
         return True
 
     def _mark(self, key: tuple[str, str], order: _Order) -> None:
--- a/damaskcroft/forwarding/_services.py
+++ b/damaskcroft/forwarding/_services.py
@@ -67,6 +67,7 @@
         self._weights_s = weights_s
         self._region_by_domain = region_by_domain
         self._states_by_service: dict[str, list[fleet_pb2.TargetState]] = {}
+        self._states_by_start_id: dict[str, fleet_pb2.TargetState] = {}
         self._agents_by_target: dict[str, fleet_pb2.AgentState] = {}
         self._seen_changes = -1
 
@@ -248,8 +249,8 @@
     ) -> fleet_pb2.TargetState | None:
         """A ready target of a service by its start."""
         self._refresh()
-        states = self._states_by_service.get(service, [])
-        return next((s for s in states if start_id(s) == candidate_id), None)
+        state = self._states_by_start_id.get(candidate_id)
+        return state if state is not None and state.service == service else None
 
     def _refresh(self) -> None:
         if self._seen_changes == self._view.changes:
@@ -257,10 +258,12 @@
         self._seen_changes = self._view.changes
         self._agents_by_target = agents_by_target_address(self._view)
         self._states_by_service = {}
+        self._states_by_start_id = {}
         for state in self._view.book.believed():
             if state.phase == fleet_pb2.TARGET_READY:
                 states = self._states_by_service.setdefault(state.service, [])
                 states.append(state)
+                self._states_by_start_id[start_id(state)] = state
 
     def _serves(
         self, state: fleet_pb2.TargetState, model: str, least: int
--- a/damaskcroft/platform/origin.py
+++ b/damaskcroft/platform/origin.py
@@ -3,13 +3,16 @@
 import json
 
 from damaskcroft._generated import records_pb2
-from damaskcroft.weights import OutsideData, OutsideFailed, OutsideSource
+from damaskcroft.weights import (
+    OutsideData,
+    OutsideFailed,
+    OutsideSource,
+    manifest_of_digests,
+)
 
 __all__ = ["PlatformOrigin"]
 
 _DIGEST_HEX = 64
-# The origin keeps one blob a version; the product's manifests name files.
-_FILE_NAME = "weights"
 
 
 class PlatformOrigin(OutsideSource):
@@ -53,22 +56,4 @@
     digests = [bytes.fromhex(text) for text in values["digests"]]
     if any(len(digest) * 2 != _DIGEST_HEX for digest in digests):
         raise ValueError("a digest of another length")
-    return records_pb2.Manifest(
-        model=model,
-        version=version,
-        chunk_size_bytes=size_bytes,
-        files=[
-            records_pb2.WeightFile(
-                path=_FILE_NAME, size_bytes=size_bytes * len(digests)
-            )
-        ],
-        chunks=[
-            records_pb2.Chunk(
-                digest=digest,
-                file=0,
-                offset_bytes=index * size_bytes,
-                size_bytes=size_bytes,
-            )
-            for index, digest in enumerate(digests)
-        ],
-    )
+    return manifest_of_digests(model, version, size_bytes, digests)
--- a/damaskcroft/standins/virtual_links.py
+++ b/damaskcroft/standins/virtual_links.py
@@ -31,6 +31,8 @@
     StagedVersion,
     UploadRate,
     make_planner,
+    manifest_of_digests,
+    weights_path,
 )
 
 __all__ = ["Fleet", "FleetShape", "Link", "LinkedAgent"]
@@ -42,7 +44,8 @@
 # An origin serves its connections in turn, by parts of this size.
 _ORIGIN_PART_BYTES = 8192
 _ORIGIN = "origin"
-_PATH = "m/2"
+_MODEL, _VERSION = "m", "2"
+_PATH = weights_path(_MODEL, "", _VERSION)
 _STALL_S = 1.5
 _PARALLEL_UPLOADS = 8
 
@@ -332,7 +335,10 @@
             hashlib.shake_128(f"{seed}/{n}".encode()).digest(shape.chunk_bytes)
             for n in range(shape.chunks)
         ]
-        self.manifest = _manifest(self.chunks)
+        digests = [hashlib.sha256(data).digest() for data in self.chunks]
+        self.manifest = manifest_of_digests(
+            _MODEL, _VERSION, shape.chunk_bytes, digests
+        ).SerializeToString(deterministic=True)
         self.network = _Network(shape)
         self.network.join(_ORIGIN, "r0", shape.origin_mbps)
         self.is_origin_away = False
@@ -386,21 +392,3 @@
         """Lets nothing come from an agent or to it for a while."""
         self.network.up_by_address[address].pause(seconds)
         self.network.down_by_address[address].pause(seconds)
-
-
-def _manifest(chunks: list[bytes]) -> bytes:
-    size = len(chunks[0])
-    return records_pb2.Manifest(
-        model="m",
-        version="2",
-        chunk_size_bytes=size,
-        files=[records_pb2.WeightFile(path="w", size_bytes=size * len(chunks))],
-        chunks=[
-            records_pb2.Chunk(
-                digest=hashlib.sha256(data).digest(),
-                offset_bytes=index * size,
-                size_bytes=size,
-            )
-            for index, data in enumerate(chunks)
-        ],
-    ).SerializeToString(deterministic=True)
--- a/damaskcroft/weights/__init__.py
+++ b/damaskcroft/weights/__init__.py
@@ -12,6 +12,7 @@
     build_manifest,
     load_manifest,
     manifest_digest,
+    manifest_of_digests,
     weights_path,
 )
 from damaskcroft.weights._outside import (
@@ -71,6 +72,7 @@
     "load_manifest",
     "make_planner",
     "manifest_digest",
+    "manifest_of_digests",
     "packed",
     "help_share",
     "weights_path",
--- a/damaskcroft/weights/_fetcher.py
+++ b/damaskcroft/weights/_fetcher.py
@@ -143,12 +143,10 @@
         match outcome:
             case PeerData(data=data, held=held, known=known):
                 self._suspects.clear(peer.id)
-                version.holdings.note(peer.id, held)
-                version.holdings.note_known(known)
+                version.holdings.note(peer.id, held, known)
                 self._take(index, data, "peer", peer.id)
             case PeerNotYet(held=held, known=known):
-                version.holdings.note(peer.id, held)
-                version.holdings.note_known(known)
+                version.holdings.note(peer.id, held, known)
                 await asyncio.sleep(_MIN_PAUSE_S)
             case PeerUnaware():
                 await self._leave_unaware(peer)
--- a/damaskcroft/weights/_gossip.py
+++ b/damaskcroft/weights/_gossip.py
@@ -69,5 +69,4 @@
         )
         heard = await self._peers.exchange(address, rumour)
         if heard is not None:
-            holdings.note(agent_id, heard.held)
-            holdings.note_known(heard.known)
+            holdings.note(agent_id, heard.held, heard.known)
--- a/damaskcroft/weights/_holdings.py
+++ b/damaskcroft/weights/_holdings.py
@@ -17,7 +17,11 @@
         held: 1 for each chunk that is held, 0 for each that isn't.
     """
     number = sum(1 << index for index, is_held in enumerate(held) if is_held)
-    return number.to_bytes((number.bit_length() + 7) // 8, "little")
+    return _as_bytes(number)
+
+
+def _as_bytes(bits: int) -> bytes:
+    return bits.to_bytes((bits.bit_length() + 7) // 8, "little")
 
 
 class Holdings:
@@ -31,31 +35,26 @@
         # Held by anybody, as whoever was talked to knows.
         self._known = 0
 
-    def note_known(self, bits: bytes) -> None:
-        """Takes another agent's word on what anybody holds."""
-        self._known |= int.from_bytes(bits, "little")
-
     def is_known(self, index: int) -> bool:
         """Whether anybody is known to hold a chunk, also by hearsay."""
         return bool(self._known >> index & 1)
 
     def known(self) -> bytes:
         """A bit for each chunk that anybody is known to hold."""
-        return self._known.to_bytes(
-            (self._known.bit_length() + 7) // 8, "little"
-        )
+        return _as_bytes(self._known)
 
-    def note(self, agent_id: str, bits: bytes) -> None:
+    def note(self, agent_id: str, held: bytes, known: bytes = b"") -> None:
         """Takes an agent's word; what it held once, it still holds.
 
         Args:
             agent_id: who tells.
-            bits: see `packed`.
+            held: what it holds itself; see `packed`.
+            known: what it knows anybody to hold, likewise.
         """
         before = self._bits_by_id.get(agent_id, 0)
-        told = int.from_bytes(bits, "little")
+        told = int.from_bytes(held, "little")
         self._bits_by_id[agent_id] = before | told
-        self._known |= told
+        self._known |= told | int.from_bytes(known, "little")
 
     def union(self, agent_ids: Iterable[str]) -> int:
         """A bit for each chunk that any of some agents holds."""
--- a/damaskcroft/weights/_manifest.py
+++ b/damaskcroft/weights/_manifest.py
@@ -6,6 +6,7 @@
 
 import hashlib
 import pathlib
+from collections.abc import Sequence
 
 from google.protobuf.message import DecodeError
 
@@ -14,6 +15,8 @@
 
 MANIFEST_NAME = "manifest.pb"
 _DIGEST_BYTES = 32
+# Of a version that is kept as one blob, where manifests name files.
+_BLOB_NAME = "weights"
 
 
 def build_manifest(
@@ -112,3 +115,35 @@
     for file, covered in zip(manifest.files, covered_bytes, strict=True):
         if file.size_bytes != covered:
             raise ManifestError(f"chunks don't cover {file.path}")
+
+
+def manifest_of_digests(
+    model: str, version: str, chunk_bytes: int, digests: Sequence[bytes]
+) -> records_pb2.Manifest:
+    """Describes a version that is kept as one blob of equal chunks.
+
+    Args:
+        model: its name.
+        version: its version.
+        chunk_bytes: size of each chunk.
+        digests: SHA-256 of each chunk, in order.
+    """
+    return records_pb2.Manifest(
+        model=model,
+        version=version,
+        chunk_size_bytes=chunk_bytes,
+        files=[
+            records_pb2.WeightFile(
+                path=_BLOB_NAME, size_bytes=chunk_bytes * len(digests)
+            )
+        ],
+        chunks=[
+            records_pb2.Chunk(
+                digest=digest,
+                file=0,
+                offset_bytes=index * chunk_bytes,
+                size_bytes=chunk_bytes,
+            )
+            for index, digest in enumerate(digests)
+        ],
+    )
--- a/damaskcroft/weights/_reading.py
+++ b/damaskcroft/weights/_reading.py
@@ -33,7 +33,8 @@
 class LateReading:
     """Reads, in turn with the others, what planned readers are late with."""
 
-    __slots__ = ("_fetcher", "_planner", "_suspects", "_version")
+    __slots__ = ("_fetcher", "_planner", "_reader_id_by_index", "_suspects",
+                 "_version")  # fmt: skip
 
     def __init__(
         self,
@@ -54,6 +55,10 @@
         self._fetcher = fetcher
         self._planner = planner
         self._suspects = suspects
+        # Who is to read a chunk doesn't depend on who is well.
+        self._reader_id_by_index = {
+            index: planner.reader(index).id for index in version.missing()
+        }
 
     async def run(self) -> None:
         """Reads until every chunk is known to be held by somebody."""
@@ -71,7 +76,7 @@
         for index in self._version.missing():
             if self._version.holdings.is_known(index):
                 continue
-            reader_id = self._planner.reader(index).id
+            reader_id = self._reader_id_by_index[index]
             before = unread_by_reader[reader_id]
             unread_by_reader[reader_id] += 1
             if index in self._fetcher.arrivals:
