An entry without a view says "not ready"; names without a target stay known

Symptom: `refused reason=unknown_model` with 404, 67 ms after `started`; a caller takes that as final. Cause: what is known was worked out from targets that serve now and from assignments alone, and was asked before the first view. Now 503 `not_ready` until the first view, and a name is known while a record, an assignment or an announced service speaks of it.

--- a/damaskcroft/entry/_dispatch.py
+++ b/damaskcroft/entry/_dispatch.py
@@ -50,6 +50,9 @@
 _MAX_ATTEMPTS = 4
 _RETRY_S = 1.0
 _RETRY_PAUSE_S = 0.02
+# An entry that has been started hears from control within some tenths of a
+# second, or after an election, which takes a second or two.
+_FIRST_VIEW_RETRY_S = 0.5
 # Refusals that send the entry back to the claim: another entry has taken the
 # run over.
 _RUN_TAKEN_OVER = (
@@ -118,11 +121,9 @@
         """Gives a call's final answer."""
         arrived_at = now_s()
         deadline_at = arrived_at + call.deadline_s
-        if not self._pools.is_known(call.pool):
-            refusal = Refusal(
-                "unknown_model", 404, Ran.NOT_RUN, detail=call.pool
-            )
-            return final_of(refusal_response(refusal, call.request_id))
+        unknown = self._unknown(call)
+        if unknown is not None:
+            return final_of(refusal_response(unknown, call.request_id))
         self._budget.earn()
         ticket = Ticket(call.pool, call.customer, call.priority, deadline_at)
         granted = await self._admission.acquire(ticket)
@@ -143,6 +144,15 @@
         slot.release()
         return final_of(whole_response(call, outcome, arrived_at))
 
+    def _unknown(self, call: Call) -> Refusal | None:
+        """The refusal of a call to a name that nothing speaks of."""
+        if not self._client.roster.has_view:
+            # A 404 would be final for the caller, and most likely wrong.
+            return Refusal("not_ready", 503, Ran.NOT_RUN, _FIRST_VIEW_RETRY_S)
+        if self._pools.is_known(call.pool):
+            return None
+        return Refusal("unknown_model", 404, Ran.NOT_RUN, detail=call.pool)
+
     # --- Attempts ------------------------------------------------------------
 
     async def _run(
--- a/damaskcroft/records/__init__.py
+++ b/damaskcroft/records/__init__.py
@@ -4,6 +4,7 @@
 from damaskcroft.records._selection import (
     deployment_for,
     matches,
+    models_on_record,
 )
 from damaskcroft.records._shapes import (
     CURRENT_SCHEMA_VERSION,
@@ -20,6 +21,7 @@
     "UnsupportedSchema",
     "deployment_for",
     "matches",
+    "models_on_record",
     "parse_deployment",
     "validate",
 ]
--- a/damaskcroft/records/_selection.py
+++ b/damaskcroft/records/_selection.py
@@ -50,3 +50,15 @@
         if matches(parsed.targets, target):
             newest, newest_revision = parsed, record.revision
     return newest
+
+
+def models_on_record(records: Iterable[records_pb2.Record]) -> set[str]:
+    """Models that some deployment in force names."""
+    models = set()
+    for record in records:
+        if record.kind != "deployment" or record.withdrawn:
+            continue
+        parsed = parse_deployment(record)
+        if not isinstance(parsed, UnsupportedSchema | InvalidRecord):
+            models.add(parsed.model)
+    return models
--- a/damaskcroft/routing/_pools.py
+++ b/damaskcroft/routing/_pools.py
@@ -4,6 +4,7 @@
 import math
 
 from damaskcroft.membership import Roster
+from damaskcroft.records import models_on_record
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,6 +48,9 @@
         """Reads from `roster`."""
         self._roster = roster
         self._pools_by_name: dict[str, Pool] = {}
+        self._announced_services: set[str] = set()
+        self._models_on_record: set[str] = set()
+        self._names_revision = 0
 
     async def run(self) -> None:
         """Follows the roster until cancelled."""
@@ -60,10 +64,16 @@
         return self._pools_by_name.get(name, Pool(name, (), 0))
 
     def is_known(self, name: str) -> bool:
-        """Whether any target or record speaks of a name."""
-        if name in self._pools_by_name:
+        """Whether any target or record speaks of a name.
+
+        A service whose targets are all away is known, and so is a model that
+        no target has yet: whoever asks for it should come back.
+        """
+        if name in self._pools_by_name or name in self._announced_services:
             return True
         model = name.split(":", 1)[0]
+        if model in self._models_on_record:
+            return True
         return any(
             assignment.model == model
             for assignment in self._roster.assignments_by_target.values()
@@ -79,6 +89,7 @@
 
     def rebuild(self) -> None:
         """Reads the roster anew."""
+        self._rebuild_names()
         targets_by_name: dict[str, list[Target]] = {}
         for agent in self._roster.live_agents():
             report = self._roster.reports_by_id.get(agent.id)
@@ -110,6 +121,20 @@
             for name, targets in targets_by_name.items()
         }
 
+    def _rebuild_names(self) -> None:
+        """Names that don't hang on who serves now; reports don't change."""
+        if self._names_revision == self._roster.revision:
+            return
+        self._names_revision = self._roster.revision
+        self._announced_services = {
+            service_pool(holder.service)
+            for holder in self._roster.holders_by_id.values()
+            if holder.service
+        }
+        self._models_on_record = models_on_record(
+            self._roster.records_by_key.values()
+        )
+
 
 def _pool_name(service: str, name: str) -> str:
     # A model and a service may share a name without meeting.
