Fleets on loopback never share an address, and say which process can't start

Each process that starts fleets now holds a loopback network of its own; a process that ends by itself fails the wait at once with its name and last line; a program that can't start logs `cannot_start` with the address. One function for that in all programs.

--- a/damaskcroft/hosted/process.py
+++ b/damaskcroft/hosted/process.py
@@ -11,13 +11,12 @@
 from damaskcroft.fleet import NodeSettings
 from damaskcroft.observe import log_event, start_logs
 from damaskcroft.platform.settings import SettingsFileError, load_node_settings
-from damaskcroft.rpc import http_served
+from damaskcroft.rpc import http_served, start_failure_logged
 from damaskcroft.tasks import end_all
 
 __all__ = ["background", "run_hosted"]
 
 _EXIT_BAD_SETTINGS = 2
-_EXIT_CANNOT_START = 3
 
 
 def run_hosted(
@@ -49,12 +48,8 @@
         first_start=settings.first_start,
         seeds=",".join(settings.seeds),
     )
-    try:
-        with contextlib.suppress(KeyboardInterrupt):
-            run(_run(serve, settings, metrics_port))
-    except OSError as error:
-        log_event("cannot_start", reason=error)
-        raise SystemExit(_EXIT_CANNOT_START) from error
+    with start_failure_logged(OSError):
+        run(_run(serve, settings, metrics_port))
     log_event("stopped", role=role)
 
 
--- a/damaskcroft/hosted/tests/deployment.py
+++ b/damaskcroft/hosted/tests/deployment.py
@@ -5,16 +5,18 @@
 import json
 import shutil
 import signal
-import socket
 import sys
 
 from damaskcroft.http1 import CutShortError, NoAnswerError, connect
 from damaskcroft.http1 import TargetConnection as Connection
+from damaskcroft.standins.loopback import own_network, ports
 
-CONTROL_IPS = ["127.0.0.11", "127.0.0.12", "127.0.0.13"]
-ENTRY_IP = "127.0.0.14"
-ENTRY_IPS = [ENTRY_IP, "127.0.0.16"]
-TARGET_IP = "127.0.0.15"
+_PREFIX = own_network().prefix
+CONTROL_IPS = [f"{_PREFIX}.{number}" for number in (11, 12, 13)]
+ENTRY_IP = f"{_PREFIX}.14"
+ENTRY_IPS = [ENTRY_IP, f"{_PREFIX}.16"]
+TARGET_IP = f"{_PREFIX}.15"
+_PORTS = ports()
 ROUTE = {
     "name": "r", "host": "h", "path_prefix": "/a/", "kind": "unsafe",
     "timeout_ms": 5000, "service": "s", "max_attempts": 1,
@@ -41,19 +43,8 @@
 
 
 def free_port():
-    """A port that is free on every address used here."""
-    while True:
-        with contextlib.ExitStack() as stack:
-            probe = stack.enter_context(socket.socket())
-            probe.bind((CONTROL_IPS[0], 0))
-            port = probe.getsockname()[1]
-            try:
-                for ip in (*CONTROL_IPS[1:], *ENTRY_IPS, TARGET_IP):
-                    other = stack.enter_context(socket.socket())
-                    other.bind((ip, port))
-            except OSError:
-                continue
-            return port
+    """A port that is free on every address used here, given out once."""
+    return next(_PORTS)
 
 
 class Deployment:
--- a/damaskcroft/hosted/tests/test_processes.py
+++ b/damaskcroft/hosted/tests/test_processes.py
@@ -258,7 +258,7 @@
         await until(back)
         lines = list(parsed(log.read_text().splitlines()))
         sent, waited = (story(name, lines)[-1] for name in ("sent-1", "waits"))
-        assert sent.startswith("cause: sent to target i-1 at 127.0.0.15:")
+        assert sent.startswith(f"cause: sent to target i-1 at {TARGET_IP}:")
         assert waited.startswith("cause: waited in line at entry-14 since")
         assert sent.endswith("lost with it")
         assert waited.endswith("lost with it")
--- a/damaskcroft/rpc/__init__.py
+++ b/damaskcroft/rpc/__init__.py
@@ -1,7 +1,11 @@
 """gRPC plumbing that every process shares: channels, servers, keys."""
 
 from damaskcroft.rpc._channels import CALL_ERRORS, ChannelPool, split_address
-from damaskcroft.rpc._daemon import run_daemon, stop_event
+from damaskcroft.rpc._daemon import (
+    run_daemon,
+    start_failure_logged,
+    stop_event,
+)
 from damaskcroft.rpc._http import CallerLeft, http_served, unless_caller_leaves
 from damaskcroft.rpc._http_client import HTTP_ERRORS, make_http_client
 from damaskcroft.rpc._keys import Keys, KeysError, load_keys
@@ -20,6 +24,7 @@
     "make_http_client",
     "run_daemon",
     "split_address",
+    "start_failure_logged",
     "stop_event",
     "unless_caller_leaves",
 ]
--- a/damaskcroft/rpc/_daemon.py
+++ b/damaskcroft/rpc/_daemon.py
@@ -4,15 +4,14 @@
 import contextlib
 import pathlib
 import signal
-import sys
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from typing import Any, TypeVar
 
 from google.protobuf.message import Message
 
 from damaskcroft.clock import run
 from damaskcroft.config import settings_or_exit
-from damaskcroft.observe import start_logs
+from damaskcroft.observe import log_event, start_logs
 from damaskcroft.rpc._keys import Keys, KeysError, load_keys
 
 _EXIT_CANNOT_START = 3
@@ -58,12 +57,23 @@
     )
     cannot_start: tuple[type[Exception], ...] = (KeysError, OSError, *errors)
     start_logs(settings.process.name)
-    try:
+    with start_failure_logged(*cannot_start):
         keys = load_keys(settings.keys)
+        run(_awaited(serve(settings, keys)))
+
+
+@contextlib.contextmanager
+def start_failure_logged(*errors: type[Exception]) -> Iterator[None]:
+    """Runs a program; ends it with a logged event when it can't start.
+
+    Raises:
+        SystemExit: 3 after one of `errors`.
+    """
+    try:
         with contextlib.suppress(KeyboardInterrupt):
-            run(_awaited(serve(settings, keys)))
-    except cannot_start as error:
-        print(error, file=sys.stderr)
+            yield
+    except errors as error:
+        log_event("cannot_start", reason=error)
         raise SystemExit(_EXIT_CANNOT_START) from error
 
 
--- a/damaskcroft/standins/bench_requests.py
+++ b/damaskcroft/standins/bench_requests.py
@@ -90,7 +90,7 @@
 
 
 def _start_baseline(fleet: Fleet) -> None:
-    fleet.http_by_name["baseline"] = f"127.0.0.1:{next(fleet.ports)}"
+    fleet.http_by_name["baseline"] = f"{fleet.host}:{next(fleet.ports)}"
     program = pathlib.Path(sys.executable).parent / "damask-standin"
     target = fleet.http_by_name["target-agent-0"]
     fleet.start_program(
--- a/damaskcroft/standins/fleet.py
+++ b/damaskcroft/standins/fleet.py
@@ -20,13 +20,27 @@
 
 import trustme
 
+from damaskcroft.standins.loopback import own_network, ports
+
 _BIN = pathlib.Path(sys.executable).parent
-_HOST = "127.0.0.1"
 _START_TIMEOUT_S = 60.0
 _STOP_TIMEOUT_S = 20.0
 _POLL_S = 0.05
 
 
+class ProcessEndedError(Exception):
+    """A process of the fleet ended though nobody ended it.
+
+    Attributes:
+        name: the process.
+    """
+
+    def __init__(self, name: str, status: int, last_line: str):
+        """Keeps what the process left behind."""
+        super().__init__(f"{name} ended with {status}: {last_line}")
+        self.name = name
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetPlan:
     """One target to be started, with its agent.
@@ -94,7 +108,7 @@
     """Running processes by name, and what the harness knows of them."""
 
     def __init__(self, folder: pathlib.Path, plan: FleetPlan):
-        """Prepares settings below `folder`; `started` starts processes."""
+        """Prepares settings below `folder`; `start` starts processes."""
         self.folder = folder.resolve()
         self.plan = plan
         self.processes_by_name: dict[str, subprocess.Popen] = {}
@@ -103,14 +117,21 @@
         self.http_by_name: dict[str, str] = {}
         self.weights_folder = self.folder / "weights"
         self.weights_folder.mkdir(parents=True, exist_ok=True)
-        self.ports = _free_ports(4 * (len(plan.targets) + 12))
+        self.host = own_network().next_host()
+        self.ports = ports()
         self._write_keys()
 
     # --- Starting and stopping ------------------------------------------------
 
     def start(self) -> None:
-        """Starts everything and waits until it is ready."""
-        self._plan_addresses()
+        """Starts everything and waits until it is ready.
+
+        Raises:
+            ProcessEndedError: a process could not start.
+            TimeoutError: a process is not ready in time.
+        """
+        if not self.http_by_name:
+            self.plan_addresses()
         self._start_outside()
         for number in range(self.plan.controls):
             self.start_control(number)
@@ -211,6 +232,11 @@
         """Where a process's log goes."""
         return self.folder / "logs" / f"{name}.log"
 
+    def last_line(self, name: str) -> str:
+        """The last line of a process's log, or empty."""
+        lines = self.log_path(name).read_text().splitlines()
+        return lines[-1] if lines else ""
+
     def get_json(self, name: str, path: str) -> Any:
         """Reads a JSON page of a process; None when it does not answer."""
         url = f"http://{self.http_by_name[name]}{path}"
@@ -249,9 +275,11 @@
 
         Raises:
             TimeoutError: it did not come to hold.
+            ProcessEndedError: a process has ended by itself meanwhile.
         """
         started_at = time.monotonic()
         while not condition():
+            self._check_running()
             if time.monotonic() - started_at > timeout_s:
                 raise TimeoutError(f"waited {timeout_s} s for: {what}")
             time.sleep(_POLL_S)
@@ -278,15 +306,16 @@
 
     # --- Settings ------------------------------------------------------------
 
-    def _plan_addresses(self) -> None:
+    def plan_addresses(self) -> None:
+        """Gives each process its addresses; `start` does so if need be."""
         names = ["origin", "store"]
         names += [f"control-{n}" for n in range(self.plan.controls)]
         names += [f"entry-{n}" for n in range(self.plan.entries)]
         names += [target.name for target in self.plan.targets]
         names += [f"target-{target.name}" for target in self.plan.targets]
         for name in names:
-            self.grpc_by_name[name] = f"{_HOST}:{next(self.ports)}"
-            self.http_by_name[name] = f"{_HOST}:{next(self.ports)}"
+            self.grpc_by_name[name] = f"{self.host}:{next(self.ports)}"
+            self.http_by_name[name] = f"{self.host}:{next(self.ports)}"
 
     def _start_outside(self) -> None:
         program = str(_BIN / "damask-standin")
@@ -402,7 +431,7 @@
         folder = self.folder / "keys"
         folder.mkdir(exist_ok=True)
         authority = trustme.CA()
-        certificate = authority.issue_cert(_HOST)
+        certificate = authority.issue_cert(self.host)
         authority.cert_pem.write_to_path(str(folder / "authority.pem"))
         certificate.private_key_pem.write_to_path(str(folder / "process.key"))
         for position, blob in enumerate(certificate.cert_chain_pems):
@@ -433,12 +462,27 @@
         self.processes_by_name[name] = process
 
     def _all_ready(self) -> bool:
-        names = [
-            name
-            for name in self.processes_by_name
-            if not name.startswith(("target-", "origin", "store"))
-        ]
-        return all(self.get_json(name, "/readyz") for name in names)
+        return all(self._is_ready(name) for name in self.processes_by_name)
+
+    def _is_ready(self, name: str) -> bool:
+        if name.startswith(("target-", "origin", "store")):
+            return self._is_listening(name)
+        return bool(self.get_json(name, "/readyz"))
+
+    def _is_listening(self, name: str) -> bool:
+        host, _, port = self.http_by_name[name].rpartition(":")
+        try:
+            with socket.create_connection((host, int(port)), timeout=2):
+                return True
+        except OSError:
+            return False
+
+    def _check_running(self) -> None:
+        """A test must not wait for what an ended process would have done."""
+        for name, process in self.processes_by_name.items():
+            status = process.poll()
+            if status is not None:
+                raise ProcessEndedError(name, status, self.last_line(name))
 
 
 @contextlib.contextmanager
@@ -450,14 +494,3 @@
         yield fleet
     finally:
         fleet.stop()
-
-
-def _free_ports(count: int) -> Iterator[int]:
-    """Ports that were free a moment ago, all held at once to differ."""
-    sockets = [socket.socket() for _ in range(count)]
-    for holder in sockets:
-        holder.bind((_HOST, 0))
-    ports = [holder.getsockname()[1] for holder in sockets]
-    for holder in sockets:
-        holder.close()
-    return iter(ports)
--- a/damaskcroft/standins/main.py
+++ b/damaskcroft/standins/main.py
@@ -1,7 +1,6 @@
 """damask-standin: origin, weight store, model engine and plain service."""
 
 import asyncio
-import contextlib
 import pathlib
 from typing import Annotated
 
@@ -9,7 +8,7 @@
 from starlette.routing import Route
 
 from damaskcroft.observe import start_logs
-from damaskcroft.rpc import http_served, stop_event
+from damaskcroft.rpc import http_served, start_failure_logged, stop_event
 from damaskcroft.standins._engine import StandInEngine
 from damaskcroft.standins._journal import Journal
 from damaskcroft.standins._passthrough import PassThrough
@@ -78,5 +77,5 @@
         async with http_served(listen, routes):
             await stop.wait()
 
-    with contextlib.suppress(KeyboardInterrupt):
+    with start_failure_logged(OSError):
         asyncio.run(run())
