--- a/damaskcroft/weights/tests/test_burst.py
+++ b/damaskcroft/weights/tests/test_burst.py
@@ -180,6 +180,19 @@
     assert site.outside.reads == chunks
 
 
+def test_a_manifest_that_no_other_agent_has_is_read_from_outside(loop, site):
+    """Others may not have heard of the version, and may never hear of it."""
+
+    async def scenario():
+        digest = manifest_digest(site.content)
+        async with asyncio.timeout(30):
+            return await asyncio.gather(
+                *(site.burst(i).fetch_manifest(digest) for i in IDS)
+            )
+
+    assert set(loop.run(scenario())) == {site.content}
+
+
 def test_dead_agents_work_falls_on_others(loop, site):
     dead = {"agent-2", "agent-5"}
     site.peers.dead = dead
