A task that fails in a way nobody foresaw is told, and begins again

In all programs and in the log's replica, a task that ended by an exception was missed in silence: the process looked well and did half of its work. Such work is now kept up: a line `task_failed task= reason=`, a counter, and it begins again half a second later. `background` moves from hosted/ to tasks.py and serves all programs.

After the leader was killed two of three control nodes ran on for a minute with equal logs (term 38, entry 7184) and neither stood for election once; nothing in their logs says why. A dead election task fits; it is not shown yet.

--- a/damaskcroft/consensus/_replica.py
+++ b/damaskcroft/consensus/_replica.py
@@ -6,8 +6,9 @@
 
 import asyncio
 import contextlib
+import functools
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 
 from transitions import Machine
 
@@ -41,6 +42,7 @@
     Transport,
 )
 from damaskcroft.observe import log_event, metrics
+from damaskcroft.tasks import Work, kept_up
 
 # Fits through a link of 10 Mbit/s in a tenth of the shortest election timeout
 # in use, so that a follower that catches up still hears its leader in time.
@@ -170,9 +172,9 @@
         # A restarted voter may have heard a leader just before it stopped.
         self._heard_at = now_s()
         self._started_at = now_s()
-        self._spawn(self._elect_forever())
-        self._spawn(self._applier.run())
-        self._spawn(self._join_whenever_left_out())
+        self._spawn(self._elect_forever)
+        self._spawn(self._applier.run)
+        self._spawn(self._join_whenever_left_out)
 
     async def stop(self) -> None:
         """Ends all tasks; nothing more is sent or written."""
@@ -401,7 +403,7 @@
         self._peers = Peers(self._options.id, now_s())
         self._term_start_index = self.log.last_index + 1
         self._append(consensus_pb2.LogEntry())
-        self._spawn_leader(self._sync_forever())
+        self._spawn_leader(self._sync_forever)
         self._start_peers()
 
     def _become_follower(self, leader_id: str) -> None:
@@ -497,7 +499,9 @@
                 continue
             peer = Peer(self.log.last_index + 1)
             self._peers.by_id[member.id] = peer
-            self._spawn_leader(self._replicate_forever(member.id, peer))
+            self._spawn_leader(
+                functools.partial(self._replicate_forever, member.id, peer)
+            )
 
     async def _replicate_forever(self, member_id: str, peer: Peer) -> None:
         while True:
@@ -719,11 +723,11 @@
         pause_s = _DISK_PAUSE_TIMEOUTS * self._options.election_timeout_s
         return now_s() - self._disk_failed_at < pause_s
 
-    def _spawn(self, work: Coroutine) -> None:
-        self._tasks.add(asyncio.create_task(work))
+    def _spawn(self, work: Work) -> None:
+        self._tasks.add(asyncio.create_task(kept_up(work)))
 
-    def _spawn_leader(self, work: Coroutine) -> None:
-        self._leader_tasks.add(asyncio.create_task(work))
+    def _spawn_leader(self, work: Work) -> None:
+        self._leader_tasks.add(asyncio.create_task(kept_up(work)))
 
 
 async def _majority_agrees(
--- a/damaskcroft/control/main.py
+++ b/damaskcroft/control/main.py
@@ -1,6 +1,5 @@
 """damask-control: one replica of the log, on an instance with a disk."""
 
-import asyncio
 import pathlib
 import sys
 from typing import Annotated
@@ -35,7 +34,7 @@
     run_daemon,
     stop_event,
 )
-from damaskcroft.tasks import end_all
+from damaskcroft.tasks import background
 
 _EXIT_CANNOT_FORMAT = 3
 _INSTALL_TIMEOUT_S = 60.0
@@ -95,10 +94,9 @@
     ):
         await replica.start()
         log_event("started", id=rules.id, incarnation=replica.incarnation)
-        working = asyncio.create_task(reconciler.run())
-        await stop.wait()
-        log_event("stopping", id=rules.id)
-        await end_all([working])
+        async with background(reconciler.run):
+            await stop.wait()
+            log_event("stopping", id=rules.id)
         await replica.stop()
     pool.close()
 
--- a/damaskcroft/entry/main.py
+++ b/damaskcroft/entry/main.py
@@ -35,7 +35,7 @@
     stop_event,
     unless_caller_leaves,
 )
-from damaskcroft.tasks import end_all
+from damaskcroft.tasks import background
 
 _STOP_RETRY_S = 1.0
 _STOP_POLL_S = 0.05
@@ -102,22 +102,20 @@
             OSError: the address can't be bound.
         """
         stop = stop_event()
-        tasks = [
-            asyncio.create_task(work)
-            for work in (
-                self._client.run(),
-                self._client.watch_lapses(),
-                self._pools.run(),
-                self._admission.run(),
-                self._dispatcher.run(),
-            )
-        ]
-        async with http_served(
-            self._settings.process.http_listen,
-            self._routes(),
-            parting_body=json.dumps(
-                refusal_body(_CONNECTION_CLOSING, "")
-            ).encode(),
+        parting_body = json.dumps(refusal_body(_CONNECTION_CLOSING, ""))
+        async with (
+            background(
+                self._client.run,
+                self._client.watch_lapses,
+                self._pools.run,
+                self._admission.run,
+                self._dispatcher.run,
+            ),
+            http_served(
+                self._settings.process.http_listen,
+                self._routes(),
+                parting_body=parting_body.encode(),
+            ),
         ):
             log_event("started", id=self._settings.process.name)
             await stop.wait()
@@ -131,7 +129,6 @@
             idle_connections=metrics.connections_parted("idle"),
             crossed_by_requests=metrics.connections_parted("crossed"),
         )
-        await end_all(tasks)
         self._channels.close()
 
     def _routes(self) -> list[Route]:
--- a/damaskcroft/hosted/agent.py
+++ b/damaskcroft/hosted/agent.py
@@ -12,11 +12,11 @@
     guarded_goals,
 )
 from damaskcroft.fleet import FleetView, NodeSettings, Watcher
-from damaskcroft.hosted.process import background
 from damaskcroft.observe import log_event
 from damaskcroft.platform.engine import PlatformEngine
 from damaskcroft.platform.origin import PlatformOrigin
 from damaskcroft.rpc import ChannelPool, Keys, grpc_served, stop_event
+from damaskcroft.tasks import background
 from damaskcroft.weights import (
     BurstOptions,
     GrpcPeerSource,
@@ -101,7 +101,7 @@
         grpc_served(
             settings.rpc_address, [ChunkService(chunks)], Keys(None, None)
         ),
-        background(watcher.run(), stager.run(), switcher.run()),
+        background(watcher.run, stager.run, switcher.run),
     ):
         log_event("started", role="agent", target=settings.target_address)
         await stop.wait()
--- a/damaskcroft/hosted/control.py
+++ b/damaskcroft/hosted/control.py
@@ -19,7 +19,6 @@
     ServiceRecorder,
 )
 from damaskcroft.fleet import FleetView, NodeSettings, Watcher
-from damaskcroft.hosted.process import background
 from damaskcroft.observe import log_event
 from damaskcroft.platform.control_face import control_routes
 from damaskcroft.rpc import (
@@ -29,6 +28,7 @@
     http_served,
     stop_event,
 )
+from damaskcroft.tasks import background
 
 __all__ = ["serve"]
 
@@ -100,7 +100,7 @@
             Keys(None, None),
         ),
         http_served(settings.control_address, control_routes(control)),
-        background(watcher.run(), recorder.run()),
+        background(watcher.run, recorder.run),
     ):
         await replica.start()
         log_event("started", role="control", incarnation=replica.incarnation)
--- a/damaskcroft/hosted/entry.py
+++ b/damaskcroft/hosted/entry.py
@@ -5,7 +5,6 @@
 from damaskcroft._generated import fleet_pb2
 from damaskcroft.fleet import FleetView, NodeSettings, Watcher
 from damaskcroft.forwarding import EntryGate, Forwarder, Services
-from damaskcroft.hosted.process import background
 from damaskcroft.http1 import (
     CallerConnections,
     ConnectionPool,
@@ -22,6 +21,7 @@
     SilenceWatch,
 )
 from damaskcroft.rpc import ChannelPool, Keys, http_served, stop_event
+from damaskcroft.tasks import background
 
 __all__ = ["serve"]
 
@@ -98,7 +98,7 @@
     async with (
         http_served(settings.ready_address, ready_routes(is_ready)),
         callers_served(settings.caller_address, gate) as callers,
-        background(watcher.run(), forwarder.run(), keep_clean()),
+        background(watcher.run, forwarder.run, keep_clean),
     ):
         log_event("started", role="entry", address=settings.caller_address)
         await stop.wait()
--- a/damaskcroft/hosted/process.py
+++ b/damaskcroft/hosted/process.py
@@ -1,20 +1,17 @@
 """What every hosted program does around its own work."""
 
 import asyncio
-import contextlib
 import signal
 import sys
-from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
-from typing import Any
+from collections.abc import Awaitable, Callable
 
 from damaskcroft.clock import run
 from damaskcroft.fleet import NodeSettings
 from damaskcroft.observe import log_event, start_logs
 from damaskcroft.platform.settings import SettingsFileError, load_node_settings
 from damaskcroft.rpc import http_served, start_failure_logged
-from damaskcroft.tasks import end_all
 
-__all__ = ["background", "run_hosted"]
+__all__ = ["run_hosted"]
 
 _EXIT_BAD_SETTINGS = 2
 
@@ -78,21 +75,3 @@
         log_event("reload_failed", reason=error)
         return
     log_event("reloaded", seeds=",".join(settings.seeds))
-
-
-@contextlib.asynccontextmanager
-async def background(*works: Coroutine[Any, Any, None]) -> AsyncIterator[None]:
-    """Runs work beside the block and ends it with the block."""
-    tasks = [asyncio.create_task(work) for work in works]
-    for task in tasks:
-        task.add_done_callback(_tell_failure)
-    try:
-        yield
-    finally:
-        await end_all(tasks)
-
-
-def _tell_failure(task: asyncio.Task) -> None:
-    if task.cancelled() or task.exception() is None:
-        return
-    log_event("task_failed", task=task.get_coro(), reason=task.exception())
--- a/damaskcroft/observe/metrics.py
+++ b/damaskcroft/observe/metrics.py
@@ -25,9 +25,12 @@
     "LATE_DROPPED",
     "LEASE_LAPSES",
     "ORDERS",
+    "ORDER_HELD_UP_S",
     "QUEUE_WAIT_S",
     "REFUSALS",
     "RETRIES",
+    "ROLLOUT_WAITS_S",
+    "TASK_FAILURES",
     "TOKEN_GAP_S",
     "WEIGHTS_WANTED",
     "connections_parted",
@@ -89,6 +92,18 @@
     "damask_gate_refusals", "Requests certified not run by an agent",
     ["reason"],
 )  # fmt: skip
+ROLLOUT_WAITS_S = Gauge(
+    "damask_rollout_waits_seconds",
+    "How long a rollout has waited for the same targets", ["deployment"],
+)  # fmt: skip
+TASK_FAILURES = Counter(
+    "damask_task_failures",
+    "Failures that nobody foresaw, after which work began again", ["task"],
+)  # fmt: skip
+ORDER_HELD_UP_S = Gauge(
+    "damask_order_held_up_seconds",
+    "How long the target's order has been held up now", ["reason"],
+)  # fmt: skip
 ORDERS = Counter(
     "damask_orders", "Orders given to the target", ["order", "outcome"]
 )
--- a/damaskcroft/tasks.py
+++ b/damaskcroft/tasks.py
@@ -1,11 +1,19 @@
-"""Ending work that is no longer wanted, within a bounded time."""
+"""Work that goes on beside other work: kept up, and ended in bounded time."""
 
 import asyncio
-from collections.abc import Iterable
+import contextlib
+import functools
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 
-from damaskcroft.observe import log_event
+from damaskcroft.observe import log_event, log_warning, metrics
 
-__all__ = ["cancelled", "end_all"]
+__all__ = ["Work", "background", "cancelled", "end_all", "kept_up"]
+
+Work = Callable[[], Awaitable[None]]
+
+# Between a failure that nobody foresaw and the next beginning: long enough
+# that one which comes again at once costs little.
+_BEGIN_AGAIN_S = 0.5
 
 # How long tasks that were cancelled may take to end, before they are told once
 # more: one that waited for another may have taken the first word for its.
@@ -13,6 +21,40 @@
 _TRIES = 3
 
 
+async def kept_up(work: Work) -> None:
+    """Does work that should go on for ever; begins again when it fails.
+
+    A task that ends by a failure of ours would else be missed in silence: a
+    process without the task that keeps its lease looks well and serves
+    nothing.
+    """
+    while True:
+        try:
+            await work()
+            return
+        except Exception as error:
+            name = _name(work)
+            metrics.TASK_FAILURES.labels(name).inc()
+            log_warning("task_failed", task=name, reason=repr(error))
+        await asyncio.sleep(_BEGIN_AGAIN_S)
+
+
+def _name(work: Work) -> str:
+    if isinstance(work, functools.partial):
+        return _name(work.func)
+    return getattr(work, "__qualname__", type(work).__name__)
+
+
+@contextlib.asynccontextmanager
+async def background(*works: Work) -> AsyncIterator[None]:
+    """Keeps work up beside the block, and ends it with the block."""
+    tasks = [asyncio.create_task(kept_up(work)) for work in works]
+    try:
+        yield
+    finally:
+        await end_all(tasks)
+
+
 async def cancelled(task: asyncio.Task | None) -> None:
     """Cancels a task, if there is one, and waits until it has ended.
 
--- a/damaskcroft/tests/test_tasks.py
+++ b/damaskcroft/tests/test_tasks.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from damaskcroft.tasks import cancelled, end_all
+from damaskcroft.tasks import background, cancelled, end_all
 
 
 def test_whoever_waits_for_another_to_end_may_be_cancelled(loop):
@@ -69,3 +69,24 @@
         await end_all([task])
 
     loop.run(scenario())
+
+
+def test_work_that_should_never_end_begins_again_after_a_failure(loop, caplog):
+    begun = []
+
+    async def follows():
+        begun.append(loop.time())
+        if len(begun) < 3:
+            raise KeyError("not foreseen")
+        await asyncio.sleep(1e6)
+
+    async def scenario():
+        async with background(follows):
+            await asyncio.sleep(30.0)
+
+    loop.run(scenario())
+    assert len(begun) == 3
+    told = [text for text in caplog.messages if "event=task_failed" in text]
+    assert len(told) == 2
+    assert "follows" in told[0]
+    assert "not foreseen" in told[0]
