--- a/damaskcroft/agent/_activation.py
+++ b/damaskcroft/agent/_activation.py
@@ -6,7 +6,9 @@
 
 from damaskcroft._generated import control_pb2
 from damaskcroft.agent._gate import Gate
+from damaskcroft.agent._held_up import HeldUp
 from damaskcroft.agent._staging import Stager
+from damaskcroft.clock import now_s
 from damaskcroft.engines import (
     Engine,
     EngineState,
@@ -16,15 +18,24 @@
 )
 from damaskcroft.membership import LeaseClient
 from damaskcroft.observe import log_event, log_warning
+from damaskcroft.tasks import background
 from damaskcroft.weights import ChunkStore
 
 _POLL_S = 0.05
 _RETRY_S = 0.5
+# A load that has neither ended nor failed by then is ordered once more: a
+# target that was started again has forgotten the order. Twice what a target
+# of the planned size takes to load.
+_LOAD_AGAIN_S = 60.0
 
 
 class Activator:
     """Brings the target to what the newest assignment says.
 
+    Attributes:
+        failure: why the target can't serve what it was ordered to, or empty.
+        held_up: why the order is not carried out yet.
+
     Args:
         own_id: this agent.
         client: lease and roster.
@@ -54,6 +65,7 @@
         self._stager = stager
         self._store = store
         self.failure = ""
+        self.held_up = HeldUp()
         self._done_fencing = 0
         self._machine = Machine(
             model=self,
@@ -84,14 +96,16 @@
 
     async def run(self) -> None:
         """Follows the assignments until cancelled."""
-        while True:
-            assignment = await self._next_assignment()
-            self.begin()  # type: ignore[attr-defined]
-            self._client.report_soon()
-            done = await self._carry_out(assignment)
-            if done:
-                self._done_fencing = assignment.fencing
-            self._client.report_soon()
+        async with background(self.held_up.tell):
+            while True:
+                assignment = await self._next_assignment()
+                self.begin()  # type: ignore[attr-defined]
+                self._client.report_soon()
+                done = await self._carry_out(assignment)
+                if done:
+                    self._done_fencing = assignment.fencing
+                    self.held_up.by_nothing()
+                self._client.report_soon()
 
     async def _next_assignment(self) -> control_pb2.Assignment:
         while True:
@@ -108,9 +122,8 @@
 
     async def _carry_out(self, assignment: control_pb2.Assignment) -> bool:
         """Returns whether the assignment is settled, for good or ill."""
-        state = await self._engine.state()
-        if not isinstance(state, EngineState):
-            await asyncio.sleep(_RETRY_S)
+        state = await self._state()
+        if state is None:
             return False
         if not assignment.manifest:
             return await self._withdraw(assignment)
@@ -137,52 +150,78 @@
         await self._shut_and_drain()
         return await self._activate(order)
 
+    async def _state(self) -> EngineState | None:
+        """The target's state; None, after a pause, if it can't be reached."""
+        state = await self._engine.state()
+        if isinstance(state, EngineState):
+            if self.held_up.reason == control_pb2.HELD_UP_TARGET_UNREACHABLE:
+                self.held_up.by_nothing()
+            return state
+        self.held_up.by(control_pb2.HELD_UP_TARGET_UNREACHABLE)
+        self._client.report_soon()
+        await asyncio.sleep(_RETRY_S)
+        return None
+
     async def _withdraw(self, assignment: control_pb2.Assignment) -> bool:
         await self._shut_and_drain()
         outcome = await self._engine.unload(assignment)
         if not isinstance(outcome, OrderAccepted):
-            await asyncio.sleep(_RETRY_S)
+            await self._note_order_failed("unload", outcome.reason)
             return False
         self.clear()  # type: ignore[attr-defined]
         log_event("withdrawn", fencing=assignment.fencing)
         return True
 
     async def _wait_staged(self, assignment: control_pb2.Assignment) -> bool:
-        while True:
-            version = self._store.versions_by_digest.get(assignment.manifest)
-            if version is not None and version.verified:
-                return True
-            if self._is_superseded(assignment):
-                return False
-            await asyncio.sleep(_POLL_S)
+        with self.held_up.waiting(control_pb2.HELD_UP_WEIGHTS_MISSING):
+            while True:
+                digest = assignment.manifest
+                version = self._store.versions_by_digest.get(digest)
+                if version is not None and version.verified:
+                    return True
+                if self._is_superseded(assignment):
+                    return False
+                await asyncio.sleep(_POLL_S)
 
     async def _shut_and_drain(self) -> None:
         """Nothing new comes in, and all that is running ends first."""
         self._gate.shut()
         self._client.report_soon()
-        await self._gate.wait_idle()
+        with self.held_up.waiting(control_pb2.HELD_UP_REQUESTS_UNENDED):
+            await self._gate.wait_idle()
 
     async def _load(self, order: LoadOrder, state: EngineState) -> bool:
-        manifest = order.assignment.manifest
-        if manifest in state.loaded:
+        if order.assignment.manifest in state.loaded:
             return True
         outcome = await self._engine.load(order)
         if isinstance(outcome, OrderRefused):
             return self._fail_with(order, outcome.reason)
         if not isinstance(outcome, OrderAccepted):
-            log_event("order_failed", order="load", reason=outcome.reason)
-            await asyncio.sleep(_RETRY_S)
+            await self._note_order_failed("load", outcome.reason)
             return False
-        while True:
-            now = await self._engine.state()
-            if not isinstance(now, EngineState):
-                await asyncio.sleep(_RETRY_S)
+        with self.held_up.waiting(control_pb2.HELD_UP_LOAD_UNENDED):
+            return await self._wait_loaded(order)
+
+    async def _wait_loaded(self, order: LoadOrder) -> bool:
+        manifest = order.assignment.manifest
+        ordered_at = now_s()
+        while now_s() - ordered_at < _LOAD_AGAIN_S:
+            state = await self._state()
+            if state is None:
                 return False
-            if manifest in now.loaded:
+            if manifest in state.loaded:
                 return True
-            if manifest in now.failed:
-                return self._fail_with(order, now.failed[manifest])
+            if manifest in state.failed:
+                return self._fail_with(order, state.failed[manifest])
             await asyncio.sleep(_POLL_S)
+        log_warning("load_ordered_again", after_s=now_s() - ordered_at)
+        return False
+
+    async def _note_order_failed(self, order: str, reason: str) -> None:
+        """Notes an order without an answer; it is given again after a pause."""
+        self.held_up.by(control_pb2.HELD_UP_ORDER_FAILED)
+        log_event("order_failed", order=order, reason=reason)
+        await asyncio.sleep(_RETRY_S)
 
     async def _activate(self, order: LoadOrder) -> bool:
         outcome = await self._engine.activate(order)
@@ -190,12 +229,12 @@
             self._fail_with(order, outcome.reason)
             return True
         # Whatever the answer was: only what is read back counts.
-        state = await self._engine.state()
-        if not isinstance(state, EngineState):
-            await asyncio.sleep(_RETRY_S)
+        state = await self._state()
+        if state is None:
             return False
         if state.active != order.assignment.manifest:
-            await asyncio.sleep(_RETRY_S)
+            reason = getattr(outcome, "reason", "accepted and not obeyed")
+            await self._note_order_failed("activate", reason)
             return False
         self._open(order.assignment)
         return True
--- a/damaskcroft/agent/main.py
+++ b/damaskcroft/agent/main.py
@@ -35,7 +35,7 @@
     run_daemon,
     stop_event,
 )
-from damaskcroft.tasks import end_all
+from damaskcroft.tasks import Work, background
 from damaskcroft.weights import (
     BurstCounts,
     BurstOptions,
@@ -130,24 +130,23 @@
                 id=self._announcement.id,
                 incarnation=self._incarnation,
             )
-            tasks = [asyncio.create_task(work) for work in self._work()]
-            await stop.wait()
-            await self._drain()
-            await end_all(tasks)
+            async with background(*self._work()):
+                await stop.wait()
+                await self._drain()
         await self._close()
 
-    def _work(self) -> list:
-        work = [
-            self._client.run(),
-            self._client.watch_lapses(),
-            self._follow_drain_records(),
-            self._guard.run(),
+    def _work(self) -> list[Work]:
+        work: list[Work] = [
+            self._client.run,
+            self._client.watch_lapses,
+            self._follow_drain_records,
+            self._guard.run,
         ]
         if not self._settings.target.service:
             work += [
-                self._stager.run(),
-                self._activator.run(),
-                self._report_staged(),
+                self._stager.run,
+                self._activator.run,
+                self._report_staged,
             ]
         return work
 
@@ -217,6 +216,8 @@
             failure=self._activator.failure,
             applied_revision=self._client.roster.revision,
             staged_manifest=self._stager.staged_manifest,
+            held_up_by=self._activator.held_up.reason,
+            held_up_ms=self._activator.held_up.for_ms(),
         )
 
     def _phase(self) -> control_pb2.Phase:
--- a/damaskcroft/agent/tests/test_activation.py
+++ b/damaskcroft/agent/tests/test_activation.py
@@ -20,6 +20,7 @@
     OrderFailed,
 )
 from damaskcroft.membership import Lease, Roster
+from damaskcroft.tasks import end_all
 
 MANIFEST = "m" * 64
 
@@ -103,7 +104,13 @@
                 fencing=7,
             )
         )
-        self.running = asyncio.ensure_future(self.activator.run())
+        self.running = None
+
+    def pass_time(self, loop, seconds):
+        """Lets the activator work; it begins with the first call."""
+        if self.running is None:
+            self.running = loop.create_task(self.activator.run())
+        loop.pass_time(seconds)
 
 
 @pytest.fixture
@@ -113,7 +120,11 @@
 
     world = loop.run(make())
     yield world
-    world.running.cancel()
+    loop.run(end_all([world.running]))
+
+
+async def lasted_s(held_up):
+    return held_up.for_s()
 
 
 def test_a_target_out_of_reach_is_told_and_tried_until_it_is_back(
@@ -121,15 +132,15 @@
 ):
     world.target.away = True
     with caplog.at_level("INFO"):
-        loop.pass_time(30.0)
+        world.pass_time(loop, 30.0)
         held_up = world.activator.held_up
         assert held_up.reason == control_pb2.HELD_UP_TARGET_UNREACHABLE
-        assert 29.0 < held_up.for_s() < 31.0
+        assert 29.0 < loop.run(lasted_s(held_up)) < 31.0
         lines = [t for t in caplog.messages if "event=order_held_up" in t]
         assert 1 < len(lines) < 10
         assert all("reason=target_unreachable" in line for line in lines)
         world.target.away = False
-        loop.pass_time(5.0)
+        world.pass_time(loop, 5.0)
     assert world.gate.is_open
     assert world.activator.held_up.reason == control_pb2.HELD_UP_BY_NOTHING
     assert any("event=order_goes_on" in text for text in caplog.messages)
@@ -137,31 +148,31 @@
 
 def test_a_load_that_a_restarted_target_forgot_is_ordered_again(loop, world):
     world.target.forgets = 1
-    loop.pass_time(300.0)
+    world.pass_time(loop, 300.0)
     assert world.gate.is_open
     assert world.target.loads == 2
 
 
 def test_a_load_that_lasts_is_told(loop, world):
     world.target.forgets = 100
-    loop.pass_time(15.0)
+    world.pass_time(loop, 15.0)
     held_up = world.activator.held_up
     assert held_up.reason == control_pb2.HELD_UP_LOAD_UNENDED
 
 
 def test_requests_that_do_not_end_are_told(loop, world):
     with world.gate.running():
-        loop.pass_time(15.0)
+        world.pass_time(loop, 15.0)
         held_up = world.activator.held_up
         assert held_up.reason == control_pb2.HELD_UP_REQUESTS_UNENDED
-    loop.pass_time(1.0)
+    world.pass_time(loop, 1.0)
     assert world.gate.is_open
 
 
 def test_weights_that_are_missing_are_told(loop, world):
     world.store.versions_by_digest[MANIFEST].verified = False
     try:
-        loop.pass_time(15.0)
+        world.pass_time(loop, 15.0)
         held_up = world.activator.held_up
         assert held_up.reason == control_pb2.HELD_UP_WEIGHTS_MISSING
     finally:
@@ -170,5 +181,5 @@
 
 def test_an_order_without_an_answer_is_given_again(loop, world):
     world.target.fails = 3
-    loop.pass_time(10.0)
+    world.pass_time(loop, 10.0)
     assert world.gate.is_open
--- a/damaskcroft/agent/tests/test_fuzz_orders.py
+++ b/damaskcroft/agent/tests/test_fuzz_orders.py
@@ -163,7 +163,7 @@
 
     async def open(self):
         self.ledger = LeaseLedger(LEASE_S)
-        self.ledger.start_leading()
+        self.ledger.lead(1)
         await self.add_agent()
         await asyncio.sleep(LEASE_S)
         await self.renew()
--- a/damaskcroft/control/_reconciler.py
+++ b/damaskcroft/control/_reconciler.py
@@ -14,6 +14,7 @@
 from damaskcroft.consensus import Committed
 from damaskcroft.control._proposer import Proposer
 from damaskcroft.control._rollout import next_wave
+from damaskcroft.control._rollout_waits import RolloutWaits
 from damaskcroft.membership import LeaseLedger
 from damaskcroft.observe import log_event, metrics
 from damaskcroft.records import UnsupportedSchema, deployment_for
@@ -39,6 +40,7 @@
         )
         self._watchers: set[asyncio.Task] = set()
         self._stopped_reasons_by_deployment: dict[str, str] = {}
+        self._waits = RolloutWaits(self._note)
 
     async def run(self) -> None:
         """Runs rounds for as long as this replica leads, until cancelled."""
@@ -47,9 +49,9 @@
             await self._wait_for_round()
             if not self._replica.is_confirmed_leader:
                 continue
+            self._ledger.lead(self._replica.term)
             if led_term != self._replica.term:
                 led_term = self._replica.term
-                self._ledger.start_leading()
                 self._note("leads", term=led_term)
             await self._mark_lapsed()
             await self._assign_next()
@@ -119,6 +121,7 @@
                 self._reports_by_id(),
             )
             self._note_stop(deployment.name, wave.stopped_by)
+            self._waits.look(deployment, wave)
             for target in wave.targets:
                 batch.assignments.append(self._assignment(target, deployment))
         batch.assignments.extend(self._withdrawals())
--- a/damaskcroft/control/_rollout.py
+++ b/damaskcroft/control/_rollout.py
@@ -4,6 +4,12 @@
 
 from damaskcroft._generated import control_pb2, records_pb2
 
+# A target that its agent has not reached for so long holds the rollout up no
+# more. Longer than a target of the stand-ins takes to be started again, and
+# than one state call may last (5 s), so that one that is slow for a moment is
+# not passed by: two would then be out where one may be.
+_PASSED_BY_AFTER_MS = 10_000
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Wave:
@@ -12,10 +18,17 @@
     Attributes:
         targets: to be assigned now; may be empty.
         stopped_by: why the rollout must not go on, or empty.
+        waits_for: what holds up targets that are changing now, by target id.
+        passed_by: targets that the rollout goes on without, since they can't
+            be reached; they follow their assignment when they are back.
     """
 
     targets: list[control_pb2.Announcement]
     stopped_by: str = ""
+    waits_for: dict[str, control_pb2.HeldUpBy] = dataclasses.field(
+        default_factory=dict
+    )
+    passed_by: list[str] = dataclasses.field(default_factory=list)
 
 
 def next_wave(
@@ -29,7 +42,9 @@
     At most `max_out` targets are between versions at once, and never so many
     that fewer than `floor` serve. Until the first target serves the new
     version, one at a time is tried, so that a version that fails to load
-    stops at its first target.
+    stops at its first target. A target that can't be reached counts neither
+    as serving nor as changing: it is out already, and standing still until
+    somebody mends it would keep all others from the version.
 
     Args:
         deployment: what the targets should serve.
@@ -56,9 +71,15 @@
         if _is_assigned(target.id, manifest, assignments_by_target)
         and report.manifest != manifest
     ]
+    passed_by = [report.id for report in changing if _is_out_of_reach(report)]
+    waits_for = {
+        report.id: report.held_up_by
+        for report in changing
+        if not _is_out_of_reach(report)
+    }
     proven = any(_serves(report, manifest) for report in reports)
     serving = sum(1 for report in reports if _is_in_service(report))
-    room = (deployment.max_out if proven else 1) - len(changing)
+    room = (deployment.max_out if proven else 1) - len(waits_for)
     spare = serving - deployment.floor
     chosen: list[control_pb2.Announcement] = []
     for target, report in zip(targets, reports, strict=True):
@@ -76,7 +97,7 @@
         chosen.append(target)
         room -= 1
         spare -= 1 if in_service else 0
-    return Wave(chosen)
+    return Wave(chosen, waits_for=waits_for, passed_by=passed_by)
 
 
 def _is_assigned(
@@ -96,4 +117,12 @@
 
 
 def _is_in_service(report: control_pb2.TargetReport) -> bool:
-    return bool(report.manifest) and not report.draining
+    serves = bool(report.manifest) and not report.draining
+    return serves and not _is_out_of_reach(report)
+
+
+def _is_out_of_reach(report: control_pb2.TargetReport) -> bool:
+    return (
+        report.held_up_by == control_pb2.HELD_UP_TARGET_UNREACHABLE
+        and report.held_up_ms >= _PASSED_BY_AFTER_MS
+    )
--- a/damaskcroft/control/_service.py
+++ b/damaskcroft/control/_service.py
@@ -41,13 +41,14 @@
         if first is None or first.WhichOneof("kind") != "announce":
             return
         announcement = first.announce
+        holder = _HolderStream(stream)
         if not await self._announce(announcement):
-            await self._send_not_leader(stream)
+            await self._send_not_leader(holder)
             return
         await self._wait_for_predecessor(announcement)
-        pushing = asyncio.create_task(self._push_deltas(stream, announcement))
+        pushing = asyncio.create_task(self._push_deltas(holder, announcement))
         try:
-            await self._take_renewals(stream, announcement)
+            await self._take_renewals(holder, announcement)
         finally:
             pushing.cancel()
             await asyncio.gather(pushing, return_exceptions=True)
@@ -55,6 +56,7 @@
     async def _announce(self, announcement: control_pb2.Announcement) -> bool:
         if not self._replica.is_confirmed_leader:
             return False
+        self._ledger.lead(self._replica.term)
         known = self._state.holders.holders_by_id.get(announcement.id)
         if known is not None:
             announcement.revision = known.revision
@@ -88,11 +90,11 @@
             await asyncio.sleep(wait_s)
 
     async def _take_renewals(
-        self, stream: Any, announcement: control_pb2.Announcement
+        self, stream: "_HolderStream", announcement: control_pb2.Announcement
     ) -> None:
         holder_id = announcement.id
         while True:
-            message = await stream.recv_message()
+            message = await stream.receive()
             if message is None:
                 return
             known = self._state.holders.holders_by_id.get(holder_id)
@@ -102,6 +104,7 @@
             if superseded or not self._replica.is_confirmed_leader:
                 await self._send_not_leader(stream)
                 return
+            self._ledger.lead(self._replica.term)
             before = self._ledger.sequence
             self._ledger.renew(
                 holder_id, announcement.incarnation, message.renew
@@ -110,12 +113,12 @@
                 sequence=message.renew.sequence,
                 duration_ms=int(self._ledger.lease_s * 1000),
             )
-            await stream.send_message(control_pb2.ControlMessage(lease=grant))
+            await stream.send(control_pb2.ControlMessage(lease=grant))
             if self._ledger.sequence != before:
                 await self._ledger.notify()
 
     async def _push_deltas(
-        self, stream: Any, announcement: control_pb2.Announcement
+        self, stream: "_HolderStream", announcement: control_pb2.Announcement
     ) -> None:
         revision, sequence = 0, -1
         lapsed: set[str] = set()
@@ -131,9 +134,7 @@
                 revision = delta.to_revision
                 lapsed = now_lapsed
                 sequence = self._ledger.sequence
-                await stream.send_message(
-                    control_pb2.ControlMessage(delta=delta)
-                )
+                await stream.send(control_pb2.ControlMessage(delta=delta))
             await asyncio.sleep(_PUSH_GAP_S)
             await self._wait_for_change(revision, sequence)
 
@@ -147,9 +148,9 @@
                     )
                 )
 
-    async def _send_not_leader(self, stream: Any) -> None:
+    async def _send_not_leader(self, stream: "_HolderStream") -> None:
         hint = control_pb2.NotLeader(leader=self._replica.leader_address)
-        await stream.send_message(control_pb2.ControlMessage(not_leader=hint))
+        await stream.send(control_pb2.ControlMessage(not_leader=hint))
 
     # --- Operators -----------------------------------------------------------
 
@@ -265,6 +266,28 @@
         return self._state.claims.answer(held)
 
 
+class _HolderStream:
+    """One holder's stream, on which grants and deltas are sent by turns.
+
+    A message that waits for a slow reader is sent in pieces; another one that
+    was sent meanwhile would end up between them, and the reader could decode
+    neither.
+    """
+
+    __slots__ = ("_sending", "_stream")
+
+    def __init__(self, stream: Any):
+        self._stream = stream
+        self._sending = asyncio.Lock()
+
+    async def receive(self) -> control_pb2.HolderMessage | None:
+        return await self._stream.recv_message()
+
+    async def send(self, message: control_pb2.ControlMessage) -> None:
+        async with self._sending:
+            await self._stream.send_message(message)
+
+
 def _says_something(delta: control_pb2.RosterDelta) -> bool:
     return bool(
         delta.to_revision > delta.from_revision
--- a/damaskcroft/ctl/_views.py
+++ b/damaskcroft/ctl/_views.py
@@ -6,8 +6,11 @@
 from google.protobuf import json_format
 
 from damaskcroft._generated import control_pb2, records_pb2
+from damaskcroft.membership import held_up_word
 from damaskcroft.records import InvalidRecord, deployment_for, parse_deployment
 
+_MS = 1000  # In a second.
+
 
 def table(headings: Sequence[str], rows: Sequence[Sequence[str]]) -> str:
     """Columns as wide as their content."""
@@ -119,13 +122,12 @@
     report, burst = holder.report, holder.report.burst
     announcement = holder.announcement
     is_agent = announcement.kind == control_pb2.HOLDER_AGENT
-    phase = control_pb2.Phase.Name(report.phase).removeprefix("PHASE_")
     return [
         announcement.id,
         announcement.role or "entry",
         announcement.failure_domain,
         "held" if holder.lease_held else f"lapsed {holder.silent_s:.0f}s",
-        phase.lower() if is_agent else "",
+        _phase(report) if is_agent else "",
         report.version,
         f"{burst.chunks_held}/{burst.chunks_total}" if is_agent else "",
         _mib(burst.origin_bytes),
@@ -135,6 +137,18 @@
     ]
 
 
+def _phase(report: control_pb2.TargetReport) -> str:
+    """A target's phase, with what holds its order up for over a second."""
+    phase = control_pb2.Phase.Name(report.phase).removeprefix("PHASE_").lower()
+    if report.held_up_ms < _MS:
+        return phase
+    return f"{phase} ({held_up_word(report.held_up_by)} {_held_up_s(report)})"
+
+
+def _held_up_s(report: control_pb2.TargetReport) -> str:
+    return f"{report.held_up_ms / _MS:.0f}s"
+
+
 def _mib(size_bytes: int) -> str:
     return f"{size_bytes / 2**20:.1f}M" if size_bytes else ""
 
@@ -146,6 +160,9 @@
 ) -> list[str]:
     report, burst = holder.report, holder.report.burst
     lines = []
+    if report.held_up_ms:
+        word = held_up_word(report.held_up_by)
+        lines.append(f"its order is held up: {word} for {_held_up_s(report)}")
     if report.failure:
         lines.append(f"the target refused or failed: {report.failure}")
     if report.staged_manifest != wanted.manifest:
--- /dev/null
+++ b/damaskcroft/ctl/tests/test_views.py
@@ -0,0 +1,46 @@
+"""What operators see of a rollout that stands still."""
+
+import json
+
+from damaskcroft._generated import control_pb2
+from damaskcroft.ctl._views import explain_target, status_text
+
+
+def reply():
+    reply = control_pb2.ReadReply(leader="l", term=1, revision=3)
+    holder = reply.holders.add(lease_held=True, applied_revision=3)
+    holder.announcement.id = "drafting-0"
+    holder.announcement.kind = control_pb2.HOLDER_AGENT
+    holder.report.id = "drafting-0"
+    holder.report.phase = control_pb2.PHASE_ACTIVATING
+    holder.report.held_up_by = control_pb2.HELD_UP_TARGET_UNREACHABLE
+    holder.report.held_up_ms = 12_300
+    reply.events.append("rollout_passes_by target=drafting-0")
+    return reply
+
+
+def test_status_says_what_holds_an_order_up():
+    assert "activating (target_unreachable 12s)" in status_text(reply())
+
+
+def test_explain_says_so_too():
+    told = reply()
+    body = {
+        "schema_version": 2,
+        "kind": "deployment",
+        "name": "drafting",
+        "model": "draft",
+        "version": "2",
+        "manifest": "0" * 64,
+        "targets": {},
+        "rollout": {"floor": 1, "max_out": 1},
+    }
+    told.records.add(
+        kind="deployment",
+        name="drafting",
+        schema_version=2,
+        body=json.dumps(body).encode(),
+        revision=2,
+    )
+    lines = explain_target(told, "drafting-0")
+    assert "its order is held up: target_unreachable for 12s" in lines
--- a/damaskcroft/membership/_client.py
+++ b/damaskcroft/membership/_client.py
@@ -12,6 +12,10 @@
 
 _RECONNECT_S = 0.1
 _MAX_SENT_KEPT = 64
+# A control node that says nothing for so many renewals is as good as gone. A
+# frozen one still accepts connections; a TLS handshake with it would be given
+# up after a minute only.
+_PATIENCE_RENEWALS = 6
 
 
 class LeaseClient:
@@ -38,6 +42,7 @@
         self._addresses = addresses
         self._pool = pool
         self._renew_every_s = renew_every_s
+        self._patience_s = _PATIENCE_RENEWALS * renew_every_s
         self._report = report
         self.lease = Lease()
         self.roster = Roster()
@@ -80,9 +85,10 @@
     async def _hold(self, address: str) -> None:
         stub = control_grpc.ControlStub(self._pool.channel(address))
         async with stub.Hold.open() as stream:
-            await stream.send_message(
-                control_pb2.HolderMessage(announce=self._announcement)
-            )
+            async with asyncio.timeout(self._patience_s):
+                await stream.send_message(
+                    control_pb2.HolderMessage(announce=self._announcement)
+                )
             renewing = asyncio.create_task(self._renew_forever(stream))
             try:
                 await self._take_messages(stream, address)
@@ -113,10 +119,8 @@
                 continue
 
     async def _take_messages(self, stream, address: str) -> None:
-        # A leader that is silent for many renewals is as good as gone.
-        patience_s = 6 * self._renew_every_s
         while True:
-            async with asyncio.timeout(patience_s):
+            async with asyncio.timeout(self._patience_s):
                 message = await stream.recv_message()
             if message is None:
                 self._try_next_address()
--- a/damaskcroft/weights/_burst.py
+++ b/damaskcroft/weights/_burst.py
@@ -135,6 +135,7 @@
         Raises:
             ManifestError: the outside source holds another one.
         """
+        asked_since: dict[str, float] = {}
         while True:
             parent = self._parent(0)
             if parent is None:
@@ -146,8 +147,24 @@
                 content = await self._manifest_from_peer(parent, digest)
                 if content is not None:
                     return content
+                self._leave_unaware(parent, asked_since)
             await asyncio.sleep(_MANIFEST_PAUSE_S)
 
+    def _leave_unaware(
+        self, parent: Participant, asked_since: dict[str, float]
+    ) -> None:
+        """Looks elsewhere when an agent has had no manifest for long.
+
+        It may have no configuration, and may never hear of the version.
+        """
+        since = asked_since.setdefault(parent.id, now_s())
+        if now_s() - since < self._options.wait_s:
+            return
+        del asked_since[parent.id]
+        if parent.id not in self._suspects.now():
+            log_event("peer_unaware", peer=parent.id, path=self._path)
+        self._suspects.add(parent.id, self._options.wait_s)
+
     async def run(self, version: StagedVersion) -> None:
         """Gets every missing chunk; returns when all are held."""
         self._copy_local(version)
