Red: elections that end by one question, calls on a connection being closed

The loop that stands for election trusts each question to come back and to fail only in foreseen ways.

A failure of a kind that nobody foresaw is real: when a keepalive stays unanswered, grpclib closes a connection but goes on using it until the close has ended, and each call fails by AttributeError (test_channels.py).

--- /dev/null
+++ b/damaskcroft/rpc/tests/test_channels.py
@@ -0,0 +1,57 @@
+"""Calls on a connection that the library has given up.
+
+What was found: when a peer answers no keepalive, the library closes the
+connection, but calls go on using it until the close has ended; under TLS with
+a peer that is gone that takes half a minute. Each of them failed with
+`AttributeError: 'Connection' object has no attribute '_transport'`, which
+nobody who makes calls expects: a control node's election task ended by it, in
+silence, and so did the task that keeps an agent's lease.
+"""
+
+import asyncio
+import socket
+
+import pytest
+
+from damaskcroft._generated import agent_grpc, agent_pb2
+from damaskcroft.rpc import ChannelPool, Keys, grpc_served
+
+OPEN = Keys(None, None)
+
+
+class Peer(agent_grpc.ChunksBase):
+    async def GetChunk(self, stream): ...  # noqa: N802
+
+    async def GetManifest(self, stream):  # noqa: N802
+        await stream.recv_message()
+        await stream.send_message(agent_pb2.ManifestReply(content=b"here"))
+
+    async def Exchange(self, stream): ...  # noqa: N802
+
+
+@pytest.fixture
+def address():
+    with socket.socket() as holder:
+        holder.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{holder.getsockname()[1]}"
+
+
+async def ask(pool, address):
+    stub = agent_grpc.ChunksStub(pool.channel(address))
+    reply = await stub.GetManifest(agent_pb2.ManifestRequest(), timeout=5)
+    return reply.content
+
+
+def test_a_connection_that_is_being_closed_is_used_no_more(address):
+    async def scenario():
+        pool = ChannelPool(OPEN)
+        async with grpc_served(address, [Peer()], OPEN):
+            assert await ask(pool, address) == b"here"
+            # What the library does when a keepalive has not been answered.
+            channel = pool.channel(address)
+            channel._protocol.processor.connection.close()
+            answers = [await ask(pool, address) for _ in range(3)]
+            pool.close()
+        return answers
+
+    assert asyncio.run(scenario()) == [b"here"] * 3
