Elections go on after any failure of a question; closing connections are left

Cause as far as shown: the election loop ended, or stood still for ever, with one question to one voter. Ruled out from the run's folder: old or diverged logs and terms (38 and 7184 on both), members (all three are voters), ports, processes stopped by the rig.

A question that fails, is cancelled, or is not back within an election timeout is a vote not given. Calls between replicas have a bound of our own beside the library's. A channel opens a new connection when the old one is being closed. Each lost election and each refused vote is a line with its reason (`election_not_won`, `vote_refused`).

--- a/damaskcroft/consensus/_replica.py
+++ b/damaskcroft/consensus/_replica.py
@@ -41,7 +41,8 @@
     RequestHandler,
     Transport,
 )
-from damaskcroft.observe import log_event, metrics
+from damaskcroft.consensus._vote_refusal import VoteRefusal
+from damaskcroft.observe import log_event, log_warning, metrics
 from damaskcroft.tasks import Work, kept_up
 
 # Fits through a link of 10 Mbit/s in a tenth of the shortest election timeout
@@ -220,7 +221,16 @@
     ) -> consensus_pb2.VoteReply:
         """See RequestHandler."""
         async with self._lock:
-            granted = self._may_vote(request)
+            refusal = self._vote_refusal(request)
+            granted = refusal is None
+            if refusal is not None:
+                log_event(
+                    "vote_refused",
+                    candidate=request.candidate,
+                    term=request.term,
+                    pre_vote=request.pre_vote,
+                    reason=refusal.value,
+                )
             if granted and not request.pre_vote:
                 self._hard.save(request.term, request.candidate)
                 self._become_follower("")
@@ -318,7 +328,7 @@
 
     async def _stand_for_election(self) -> None:
         if not await self._poll(pre_vote=True):
-            metrics.ELECTIONS.labels("no_pre_vote").inc()
+            self._note_election("no_pre_vote")
             return
         async with self._lock:
             if self.is_leader or not self._is_voter():
@@ -332,11 +342,21 @@
             if self.term != term or self.state != _CANDIDATE:
                 return
             if not won:
-                metrics.ELECTIONS.labels("lost").inc()
+                self._note_election("lost")
                 self._become_follower("")
                 return
             self._become_leader()
 
+    def _note_election(self, outcome: str) -> None:
+        metrics.ELECTIONS.labels(outcome).inc()
+        log_event(
+            "election_not_won",
+            reason=outcome,
+            term=self.term,
+            last=self.log.last_index,
+            silent_s=now_s() - self._heard_at,
+        )
+
     async def _poll(self, *, pre_vote: bool) -> bool:
         """Asks all voters at once; whether a majority agrees."""
         request = consensus_pb2.VoteRequest(
@@ -354,7 +374,9 @@
             for voter in others
         ]
         try:
-            return await _majority_agrees(asked, len(electorate))
+            return await _majority_agrees(
+                asked, len(electorate), self._options.election_timeout_s
+            )
         finally:
             for task in asked:
                 task.cancel()
@@ -372,28 +394,35 @@
             return False
         return reply.granted and reply.incarnation == voter.incarnation
 
-    def _may_vote(self, request: consensus_pb2.VoteRequest) -> bool:
-        if not self._is_voter() or self.state == _LEADER:
-            return False
+    def _vote_refusal(
+        self, request: consensus_pb2.VoteRequest
+    ) -> VoteRefusal | None:
+        """Why a vote is not granted; None if it is."""
+        if not self._is_voter():
+            return VoteRefusal.NO_VOTER
+        if self.state == _LEADER:
+            return VoteRefusal.LEADS
         # Keep to a living leader, whoever else stands (dissertation, 4.2.3).
         silence_s = now_s() - self._heard_at
         timeout_s = self._options.election_timeout_s
         if self.leader_id and silence_s < timeout_s:
-            return False
+            return VoteRefusal.HEARS_LEADER
         # Before a restart we may have told a leader that we follow it.
         if now_s() - self._started_at < timeout_s:
-            return False
+            return VoteRefusal.JUST_STARTED
         candidate = find_member(self.log.config(), request.candidate)
         if candidate and candidate.incarnation != request.incarnation:
-            return False
+            return VoteRefusal.OTHER_INCARNATION
         ours = (self.log.last_term, self.log.last_index)
         if (request.last_term, request.last_index) < ours:
-            return False
-        if request.pre_vote:
-            return request.term > self.term
-        if request.term == self.term:
-            return self._hard.voted_for in ("", request.candidate)
-        return request.term > self.term
+            return VoteRefusal.LOG_BEHIND
+        if request.term > self.term:
+            return None
+        if request.pre_vote or request.term < self.term:
+            return VoteRefusal.OLD_TERM
+        if self._hard.voted_for in ("", request.candidate):
+            return None
+        return VoteRefusal.VOTED_FOR_OTHER
 
     def _become_leader(self) -> None:
         self.win()
@@ -731,14 +760,39 @@
 
 
 async def _majority_agrees(
-    asked: list[asyncio.Task[bool]], electorate: int
+    asked: list[asyncio.Task[bool]], electorate: int, timeout_s: float
 ) -> bool:
-    """Waits no longer than a majority takes; one's own vote counts."""
+    """Waits no longer than a majority takes; one's own vote counts.
+
+    A question that fails, or is not back in time, is one vote that is not
+    given: whoever stands must be able to stand again.
+
+    Raises:
+        OSError: a newer term that was heard of can't be kept.
+    """
     granted = 1
     waiting = set(asked)
+    until = now_s() + timeout_s
     while waiting and granted <= electorate // 2:
         answered, waiting = await asyncio.wait(
-            waiting, return_when=asyncio.FIRST_COMPLETED
+            waiting,
+            timeout=max(0.0, until - now_s()),
+            return_when=asyncio.FIRST_COMPLETED,
         )
-        granted += sum(task.result() for task in answered)
+        if not answered:
+            return False
+        granted += sum(_is_granted(task) for task in answered)
     return granted > electorate // 2
+
+
+def _is_granted(question: asyncio.Task[bool]) -> bool:
+    if question.cancelled():
+        log_warning("vote_failed", reason="cancelled")
+        return False
+    error = question.exception()
+    if error is None:
+        return question.result()
+    if isinstance(error, OSError):
+        raise error
+    log_warning("vote_failed", reason=repr(error))
+    return False
--- a/damaskcroft/consensus/_transport.py
+++ b/damaskcroft/consensus/_transport.py
@@ -1,6 +1,7 @@
 """How replicas reach each other."""
 
 import abc
+import asyncio
 import contextlib
 from collections.abc import Iterator
 from typing import Any
@@ -128,11 +129,14 @@
     ) -> Any:
         stub = consensus_grpc.ReplicaStub(self._pool.channel(address))
         try:
-            return await getattr(stub, method)(request, timeout=timeout_s)
+            # The library's own timeout covers most of a call, not all of it.
+            async with asyncio.timeout(timeout_s):
+                return await getattr(stub, method)(request, timeout=timeout_s)
+        except TimeoutError as error:
+            # The connection may have gone silent for good.
+            self._pool.drop(address)
+            raise PeerUnreachableError(f"{address}: {error}") from error
         except CALL_ERRORS as error:
-            if isinstance(error, TimeoutError):
-                # The connection may have gone silent for good.
-                self._pool.drop(address)
             raise PeerUnreachableError(f"{address}: {error}") from error
 
 
--- a/damaskcroft/rpc/_channels.py
+++ b/damaskcroft/rpc/_channels.py
@@ -1,8 +1,8 @@
 """One gRPC channel for each address, opened when first used."""
 
 import grpclib
+import grpclib.client
 import grpclib.exceptions
-from grpclib.client import Channel
 from grpclib.config import Configuration
 
 from damaskcroft.rpc._keys import Keys
@@ -26,6 +26,22 @@
     return host.strip("[]"), int(port)
 
 
+class Channel(grpclib.client.Channel):
+    """A channel that uses no connection which is being closed.
+
+    The library goes on using one until its close has ended; with TLS and a
+    peer that is gone that takes half a minute, in which every call fails by an
+    error that no caller of an RPC expects.
+    """
+
+    @property
+    def _connected(self) -> bool:
+        protocol = self._protocol
+        if protocol is None or not super()._connected:
+            return False
+        return hasattr(protocol.processor.connection, "_transport")
+
+
 class ChannelPool:
     """Channels by address. Owned by one process; closed at its end."""
 
--- a/damaskcroft/standins/load.py
+++ b/damaskcroft/standins/load.py
@@ -209,7 +209,8 @@
             if json.loads(content).get("key") != key:
                 self._note_wrong(content)
             return
-        for version, weights in self._plan.weights_by_version.items():
+        # A copy: a test adds versions from another thread.
+        for version, weights in list(self._plan.weights_by_version.items()):
             tokens = answer_tokens(document, weights, self._plan.tokens)
             if _text(content) == tokens:
                 self.counts.versions[version] += 1
--- a/damaskcroft/standins/tests/chase.py
+++ b/damaskcroft/standins/tests/chase.py
@@ -16,6 +16,7 @@
 import random
 import shutil
 import signal
+import sys
 import tempfile
 import threading
 import time
@@ -36,6 +37,7 @@
 _LONG_SHARE = 0.2
 _PAUSES = 4
 _SERVED_WITHIN_S = 60.0
+_TOLD_TO_END = 128 + signal.SIGTERM
 # Between two rounds the old leader counts again.
 _SETTLE_S = 1.0
 
@@ -124,6 +126,8 @@
     rounds: Annotated[int, typer.Option(help="versions to roll out")] = 20,
 ) -> None:
     """Plays rounds until one fails."""
+    # Told to end, it ends its fleet first.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(_TOLD_TO_END))
     rng = random.Random(seed)
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"chase-{seed}-"))
     plan = FleetPlan(targets(), lease_s=1.5, stall_s=1.0)
