--- a/damaskcroft/agent/_staging.py
+++ b/damaskcroft/agent/_staging.py
@@ -86,6 +86,8 @@
                     self.wanted_manifest = wanted.manifest if wanted else ""
                     if wanted is not None:
                         work = asyncio.create_task(self._stage(wanted))
+                    # A newer record may have come while work was stopped.
+                    continue
                 if wanted is not None and self._burst is not None:
                     self._plan(self._burst, wanted)
                 async with self._roster.changed:
