--- a/damaskcroft/agent/tests/test_chunks.py
+++ b/damaskcroft/agent/tests/test_chunks.py
@@ -8,6 +8,7 @@
 from damaskcroft._generated import agent_pb2
 from damaskcroft.agent import ChunkServer, ChunkService
 from damaskcroft.rpc import ChannelPool, Keys, grpc_served
+from damaskcroft.standins.loopback import free_address
 from damaskcroft.weights import (
     BurstCounts,
     GrpcPeerSource,
@@ -30,12 +31,6 @@
     return made.SerializeToString(deterministic=True)
 
 
-def free_address():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 @contextlib.asynccontextmanager
 async def giving(uploads=2):
     """An agent that gives chunks, and a source that asks it."""
--- a/damaskcroft/agent/tests/test_fleet_agent.py
+++ b/damaskcroft/agent/tests/test_fleet_agent.py
@@ -1,12 +1,12 @@
 """What an agent tells the fleet of itself."""
 
 import asyncio
-import socket
 
 from damaskcroft._generated import fleet_grpc, fleet_pb2
 from damaskcroft.agent import FleetAgent
 from damaskcroft.fleet import FleetView
 from damaskcroft.rpc import ChannelPool, Keys, grpc_served
+from damaskcroft.standins.loopback import free_address
 
 
 class Settings:
@@ -71,12 +71,6 @@
     async def ReadIndex(self, stream): ...  # noqa: N802
 
 
-def free_address():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 def test_control_that_is_heard_of_later_is_told_once():
     """All machines start at one moment; the target answers before control.
 
--- a/damaskcroft/control/tests/test_fleet_control.py
+++ b/damaskcroft/control/tests/test_fleet_control.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import socket
 
 import pytest
 
@@ -26,17 +25,12 @@
 )
 from damaskcroft.fleet import FleetView, Watcher
 from damaskcroft.rpc import ChannelPool, Keys, grpc_served
+from damaskcroft.standins.loopback import free_address
 
 KEYS = Keys(None, None)
 ELECTION_S = 0.3
 
 
-def free_address():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 class Node:
     """One control node: replica, state, view and services."""
 
--- a/damaskcroft/platform/tests/test_engine.py
+++ b/damaskcroft/platform/tests/test_engine.py
@@ -1,7 +1,6 @@
 """Orders as a model server of the platform gets them."""
 
 import asyncio
-import socket
 
 import pytest
 from starlette.responses import Response
@@ -11,13 +10,12 @@
 from damaskcroft.engines import OrderAccepted, OrderRefused
 from damaskcroft.platform.engine import PlatformEngine
 from damaskcroft.rpc import http_served
+from damaskcroft.standins.loopback import free_address
 
 
 @pytest.fixture
 def address():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    return free_address()
 
 
 def ordered(address, order, status=202):
--- a/damaskcroft/rpc/tests/test_channels.py
+++ b/damaskcroft/rpc/tests/test_channels.py
@@ -9,12 +9,12 @@
 """
 
 import asyncio
-import socket
 
 import pytest
 
 from damaskcroft._generated import agent_grpc, agent_pb2
 from damaskcroft.rpc import ChannelPool, Keys, grpc_served
+from damaskcroft.standins.loopback import free_address
 
 OPEN = Keys(None, None)
 
@@ -31,9 +31,7 @@
 
 @pytest.fixture
 def address():
-    with socket.socket() as holder:
-        holder.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{holder.getsockname()[1]}"
+    return free_address()
 
 
 async def ask(pool, address):
--- a/damaskcroft/rpc/tests/test_kept_connections.py
+++ b/damaskcroft/rpc/tests/test_kept_connections.py
@@ -19,6 +19,7 @@
 from starlette.routing import Route
 
 from damaskcroft.rpc import http_served
+from damaskcroft.standins.loopback import free_address
 
 REQUEST = b"POST /work HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
 # Callers that send at moments spread over the whole end of the server.
@@ -29,9 +30,10 @@
 class Served:
     """A server's address and what it has run."""
 
-    def __init__(self, port):
-        self.address = f"127.0.0.1:{port}"
-        self.port = port
+    def __init__(self, address):
+        self.address = address
+        host, _, port = address.rpartition(":")
+        self.place = host, int(port)
         self.runs = 0
 
     async def work(self, request):
@@ -46,10 +48,7 @@
 
 @pytest.fixture
 def server():
-    with socket.socket() as holder:
-        holder.bind(("127.0.0.1", 0))
-        port = holder.getsockname()[1]
-    return Served(port)
+    return Served(free_address())
 
 
 class Caller:
@@ -59,8 +58,8 @@
         self.sock = sock
 
     @classmethod
-    async def connected(cls, port):
-        sock = socket.create_connection(("127.0.0.1", port))
+    async def connected(cls, place):
+        sock = socket.create_connection(place)
         sock.setblocking(False)
         caller = cls(sock)
         await caller.send(REQUEST)
@@ -99,7 +98,7 @@
     async def scenario():
         async with server.serve():
             callers = [
-                await Caller.connected(server.port) for _ in range(CALLERS)
+                await Caller.connected(server.place) for _ in range(CALLERS)
             ]
             runs = server.runs
             asking = [
@@ -126,7 +125,7 @@
     async def scenario():
         async with server.serve():
             for _ in range(CALLERS):
-                callers.append(await Caller.connected(server.port))
+                callers.append(await Caller.connected(server.place))
             runs = server.runs
             monkeypatch.setattr(uvicorn.Server, "shutdown", sends_first)
         outcomes = [await caller.received() for caller in callers]
@@ -138,7 +137,7 @@
 def test_an_idle_connection_ends_with_a_promise_that_nothing_ran(server):
     async def scenario():
         async with server.serve(idle_timeout_s=0.1, parting_body=b"{}"):
-            caller = await Caller.connected(server.port)
+            caller = await Caller.connected(server.place)
             runs = server.runs
             await asyncio.sleep(0.3)
             # It has been closed by now; this caller did not look.
@@ -156,7 +155,7 @@
 def test_a_part_of_a_request_at_the_end_is_told_as_not_run(server):
     async def scenario():
         async with server.serve():
-            caller = await Caller.connected(server.port)
+            caller = await Caller.connected(server.place)
             await caller.send(REQUEST[:20])
             await asyncio.sleep(0.05)
         return await caller.received()
@@ -173,7 +172,7 @@
     async def scenario():
         routes = [Route("/work", too_long, methods=["POST"])]
         async with http_served(server.address, routes):
-            sock = socket.create_connection(("127.0.0.1", server.port))
+            sock = socket.create_connection(server.place)
             sock.setblocking(False)
             caller = Caller(sock)
             await caller.send(
@@ -191,7 +190,7 @@
 def test_an_address_in_use_is_an_error_that_names_it(server):
     async def scenario():
         async with server.serve():
-            with pytest.raises(OSError, match=str(server.port)):
+            with pytest.raises(OSError, match=server.address):
                 async with server.serve():
                     pass
 
--- a/damaskcroft/standins/loopback.py
+++ b/damaskcroft/standins/loopback.py
@@ -12,7 +12,7 @@
 import socket
 from collections.abc import Iterator
 
-__all__ = ["LoopbackNetwork", "own_network", "ports"]
+__all__ = ["LoopbackNetwork", "free_address", "own_network", "ports"]
 
 # Bound by the owner of a network, at its last address.
 _GUARD_HOST = 254
@@ -66,3 +66,8 @@
             continue
         return LoopbackNetwork(prefix, guard)
     raise OSError("no loopback network is free")
+
+
+def free_address() -> str:
+    """An address and port that nobody else binds meanwhile."""
+    return f"{own_network().next_host()}:{_FIRST_PORT}"
