--- a/damaskcroft/consensus/_replica.py
+++ b/damaskcroft/consensus/_replica.py
@@ -41,8 +41,8 @@
     RequestHandler,
     Transport,
 )
-from damaskcroft.consensus._vote_refusal import VoteRefusal
-from damaskcroft.observe import log_event, log_warning, metrics
+from damaskcroft.consensus._votes import VoteRefusal, majority_agrees
+from damaskcroft.observe import log_event, metrics
 from damaskcroft.tasks import Work, kept_up
 
 # Fits through a link of 10 Mbit/s in a tenth of the shortest election timeout
@@ -374,7 +374,7 @@
             for voter in others
         ]
         try:
-            return await _majority_agrees(
+            return await majority_agrees(
                 asked, len(electorate), self._options.election_timeout_s
             )
         finally:
@@ -757,42 +757,3 @@
 
     def _spawn_leader(self, work: Work) -> None:
         self._leader_tasks.add(asyncio.create_task(kept_up(work)))
-
-
-async def _majority_agrees(
-    asked: list[asyncio.Task[bool]], electorate: int, timeout_s: float
-) -> bool:
-    """Waits no longer than a majority takes; one's own vote counts.
-
-    A question that fails, or is not back in time, is one vote that is not
-    given: whoever stands must be able to stand again.
-
-    Raises:
-        OSError: a newer term that was heard of can't be kept.
-    """
-    granted = 1
-    waiting = set(asked)
-    until = now_s() + timeout_s
-    while waiting and granted <= electorate // 2:
-        answered, waiting = await asyncio.wait(
-            waiting,
-            timeout=max(0.0, until - now_s()),
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        if not answered:
-            return False
-        granted += sum(_is_granted(task) for task in answered)
-    return granted > electorate // 2
-
-
-def _is_granted(question: asyncio.Task[bool]) -> bool:
-    if question.cancelled():
-        log_warning("vote_failed", reason="cancelled")
-        return False
-    error = question.exception()
-    if error is None:
-        return question.result()
-    if isinstance(error, OSError):
-        raise error
-    log_warning("vote_failed", reason=repr(error))
-    return False
