--- a/damaskcroft/agent/tests/test_staging.py
+++ b/damaskcroft/agent/tests/test_staging.py
@@ -6,31 +6,11 @@
 """
 
 import asyncio
-import json
 
-from damaskcroft._generated import control_pb2, records_pb2
+from damaskcroft._generated import control_pb2
 from damaskcroft.agent._staging import Stager
 from damaskcroft.membership import Roster
-
-
-def record(version, revision):
-    body = {
-        "schema_version": 2,
-        "kind": "deployment",
-        "name": "drafting",
-        "model": "draft",
-        "version": version,
-        "manifest": version * 64,
-        "targets": {},
-        "rollout": {"floor": 1, "max_out": 1},
-    }
-    return records_pb2.Record(
-        kind="deployment",
-        name="drafting",
-        schema_version=2,
-        body=json.dumps(body).encode(),
-        revision=revision,
-    )
+from damaskcroft.records.tests.fakes import deployment_record
 
 
 class StagerOfNothing(Stager):
@@ -61,11 +41,11 @@
 def test_a_record_that_comes_while_work_is_stopped_is_followed(loop):
     async def scenario():
         roster = Roster()
-        stager = StagerOfNothing(roster, {"1": record("3", 3)})
+        stager = StagerOfNothing(roster, {"1": deployment_record("3", 3)})
         running = asyncio.ensure_future(stager.run())
         for revision, version in enumerate(("1", "2"), 1):
             await asyncio.sleep(1.0)
-            await tell(roster, record(version, revision))
+            await tell(roster, deployment_record(version, revision))
         await asyncio.sleep(5.0)
         running.cancel()
         await asyncio.gather(running, return_exceptions=True)
--- a/damaskcroft/consensus/tests/test_elections.py
+++ b/damaskcroft/consensus/tests/test_elections.py
@@ -12,8 +12,6 @@
 
 import pytest
 
-from damaskcroft.consensus.tests.fakes import Cluster
-
 ELECTED_WITHIN_S = 5.0
 
 
@@ -29,15 +27,6 @@
     raise asyncio.CancelledError
 
 
-@pytest.fixture
-def cluster(loop):
-    made = Cluster(loop)
-    loop.pass_time(3.0)
-    yield made
-    for replica in made.replicas.values():
-        loop.run(replica.stop())
-
-
 @pytest.mark.parametrize(
     "fault",
     [fails, never_answers, ends_by_cancellation],
--- a/damaskcroft/consensus/tests/test_members.py
+++ b/damaskcroft/consensus/tests/test_members.py
@@ -3,20 +3,11 @@
 import pytest
 
 from damaskcroft.consensus import Committed, DiskFailed
-from damaskcroft.consensus.tests.fakes import MEMBERS, Cluster
+from damaskcroft.consensus.tests.fakes import MEMBERS
 
 SETTLED_S = 8.0
 
 
-@pytest.fixture
-def cluster(loop):
-    made = Cluster(loop)
-    loop.pass_time(3.0)
-    yield made
-    for replica in made.replicas.values():
-        loop.run(replica.stop())
-
-
 def voting(cluster):
     config = cluster.leader().log.config()
     return sorted(m.id for m in config.members if not m.learner)
--- a/damaskcroft/ctl/tests/test_views.py
+++ b/damaskcroft/ctl/tests/test_views.py
@@ -1,9 +1,8 @@
 """What operators see of a rollout that stands still."""
 
-import json
-
 from damaskcroft._generated import control_pb2
 from damaskcroft.ctl._views import explain_target, status_text
+from damaskcroft.records.tests.fakes import deployment_record
 
 
 def reply():
@@ -25,22 +24,6 @@
 
 def test_explain_says_so_too():
     told = reply()
-    body = {
-        "schema_version": 2,
-        "kind": "deployment",
-        "name": "drafting",
-        "model": "draft",
-        "version": "2",
-        "manifest": "0" * 64,
-        "targets": {},
-        "rollout": {"floor": 1, "max_out": 1},
-    }
-    told.records.add(
-        kind="deployment",
-        name="drafting",
-        schema_version=2,
-        body=json.dumps(body).encode(),
-        revision=2,
-    )
+    told.records.append(deployment_record("2", 2))
     lines = explain_target(told, "drafting-0")
     assert "its order is held up: target_unreachable for 12s" in lines
--- a/damaskcroft/entry/tests/test_first_view.py
+++ b/damaskcroft/entry/tests/test_first_view.py
@@ -12,8 +12,9 @@
 
 import pytest
 
-from damaskcroft._generated import control_pb2, records_pb2
+from damaskcroft._generated import control_pb2
 from damaskcroft.entry.tests.fakes import POOL, SERVICE, Entry
+from damaskcroft.records.tests.fakes import deployment_record
 
 
 @pytest.fixture
@@ -52,27 +53,6 @@
     entry.pools.rebuild()
 
 
-def deployment(*, withdrawn=False):
-    body = {
-        "schema_version": 2,
-        "kind": "deployment",
-        "name": "drafting",
-        "model": "draft",
-        "version": "1",
-        "manifest": "0" * 64,
-        "targets": {},
-        "rollout": {"floor": 1, "max_out": 1},
-    }
-    return records_pb2.Record(
-        kind="deployment",
-        name="drafting",
-        schema_version=2,
-        body=json.dumps(body).encode(),
-        revision=1,
-        withdrawn=withdrawn,
-    )
-
-
 def test_an_entry_without_a_view_says_when_to_come_back(ask, entry):
     status, error, retry_after = ask(entry)
     assert status == 503
@@ -108,11 +88,11 @@
 
 
 def test_a_model_on_record_is_known_before_any_target_has_it(ask, entry):
-    view(entry, records=[deployment()])
+    view(entry, records=[deployment_record()])
     status, error, _ = ask(entry, "draft")
     assert (status, error["type"]) == (503, "no_target")
 
 
 def test_a_model_whose_record_is_withdrawn_is_unknown(ask, entry):
-    view(entry, records=[deployment(withdrawn=True)])
+    view(entry, records=[deployment_record(withdrawn=True)])
     assert ask(entry, "draft")[0] == 404
