A former leader of control falls silent; who is elected gets time to lead

A replication task of a leader that had stepped down survived its cancellation, since grpclib hides one that meets a failing call, and sent heartbeats in the name of a node that led no more, under the present term; whoever heard them neither stood nor voted.

- Replication goes on only while its node leads the term that it was begun for, and sends that term; a cancellation is not what this hangs on.
- Calls between replicas run in a task of their own (`rpc.called`), so that a cancellation reaches who awaits them, with a bound of ours.
- `cancelled` tells a task until it hears; bursts, watches and the replica end their tasks by `end_all`, which did so before.

--- a/damaskcroft/agent/_fleet_stager.py
+++ b/damaskcroft/agent/_fleet_stager.py
@@ -14,7 +14,7 @@
 from damaskcroft.engines import EngineUnreachable, StagedEngine
 from damaskcroft.fleet import FleetView
 from damaskcroft.observe import log_event, metrics
-from damaskcroft.tasks import cancelled
+from damaskcroft.tasks import cancelled, end_all
 from damaskcroft.weights import (
     Burst,
     BurstCounts,
@@ -338,10 +338,7 @@
             await fetching
             await putting
         finally:
-            tasks = (planning, putting, confirming, fetching)
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+            await end_all((planning, putting, confirming, fetching))
 
     async def _fetch_whole(self, burst: Burst, version: StagedVersion) -> None:
         while not version.verify_whole():
--- a/damaskcroft/consensus/_replica.py
+++ b/damaskcroft/consensus/_replica.py
@@ -43,7 +43,7 @@
 )
 from damaskcroft.consensus._votes import VoteRefusal, majority_agrees
 from damaskcroft.observe import log_event, metrics
-from damaskcroft.tasks import Work, kept_up
+from damaskcroft.tasks import Work, end_all, kept_up
 
 # Fits through a link of 10 Mbit/s in a tenth of the shortest election timeout
 # in use, so that a follower that catches up still hears its leader in time.
@@ -179,10 +179,7 @@
 
     async def stop(self) -> None:
         """Ends all tasks; nothing more is sent or written."""
-        tasks = self._tasks | self._leader_tasks
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await end_all(self._tasks | self._leader_tasks)
         self._applier.give_up_waiting()
 
     async def propose(self, command: bytes) -> Outcome:
@@ -318,7 +315,9 @@
             await asyncio.sleep(remaining_s)
 
     async def _step_down_if_cut_off(self) -> None:
-        age_s = now_s() - self._peers.majority_confirmed_at(self.log.config())
+        confirmed_at = self._peers.majority_confirmed_at(self.log.config())
+        # Who has just been elected has had no time to be confirmed.
+        age_s = now_s() - max(confirmed_at, self._peers.since)
         if age_s < self._options.election_timeout_s:
             return
         async with self._lock:
@@ -529,17 +528,26 @@
             peer = Peer(self.log.last_index + 1)
             self._peers.by_id[member.id] = peer
             self._spawn_leader(
-                functools.partial(self._replicate_forever, member.id, peer)
+                functools.partial(
+                    self._replicate_while_leading, member.id, peer, self.term
+                )
             )
 
-    async def _replicate_forever(self, member_id: str, peer: Peer) -> None:
-        while True:
+    async def _replicate_while_leading(
+        self, member_id: str, peer: Peer, term: int
+    ) -> None:
+        """Brings a member up to date for as long as this replica leads a term.
+
+        The task is also cancelled when that is over, but a cancellation alone
+        must not be what keeps a former leader from speaking as the leader.
+        """
+        while self.is_leader and self.term == term:
             member = find_member(self.log.config(), member_id)
             if member is None:
                 return
             sent_up_to = self.log.last_index
             try:
-                await self._replicate_once(member, peer)
+                await self._replicate_once(member, peer, term)
             except PeerUnreachableError:
                 await asyncio.sleep(self._options.heartbeat_s)
                 continue
@@ -556,10 +564,9 @@
                 await self._replicate.wait()
 
     async def _replicate_once(
-        self, member: consensus_pb2.Voter, peer: Peer
+        self, member: consensus_pb2.Voter, peer: Peer, term: int
     ) -> None:
         sent_at = now_s()
-        term = self.term
         previous_index = peer.next_index - 1
         previous_term = self.log.term_at(previous_index)
         if previous_term is None or peer.next_index < self.log.first_index:
--- a/damaskcroft/consensus/_transport.py
+++ b/damaskcroft/consensus/_transport.py
@@ -1,7 +1,6 @@
 """How replicas reach each other."""
 
 import abc
-import asyncio
 import contextlib
 from collections.abc import Iterator
 from typing import Any
@@ -12,7 +11,7 @@
 from damaskcroft._generated import consensus_grpc, consensus_pb2
 from damaskcroft.consensus._errors import ConsensusError
 from damaskcroft.observe import log_event
-from damaskcroft.rpc import CALL_ERRORS, ChannelPool
+from damaskcroft.rpc import CALL_ERRORS, ChannelPool, called
 
 
 class PeerUnreachableError(ConsensusError):
@@ -129,9 +128,8 @@
     ) -> Any:
         stub = consensus_grpc.ReplicaStub(self._pool.channel(address))
         try:
-            # The library's own timeout covers most of a call, not all of it.
-            async with asyncio.timeout(timeout_s):
-                return await getattr(stub, method)(request, timeout=timeout_s)
+            call = getattr(stub, method)(request, timeout=timeout_s)
+            return await called(call, timeout_s)
         except TimeoutError as error:
             # The connection may have gone silent for good.
             self._pool.drop(address)
--- a/damaskcroft/fleet/_watch.py
+++ b/damaskcroft/fleet/_watch.py
@@ -9,6 +9,7 @@
 from damaskcroft.fleet._view import FleetView
 from damaskcroft.observe import log_event
 from damaskcroft.rpc import CALL_ERRORS, ChannelPool
+from damaskcroft.tasks import end_all
 
 __all__ = ["UPDATE_EVERY_S", "Watcher"]
 
@@ -62,10 +63,7 @@
         try:
             await asyncio.Event().wait()
         finally:
-            tasks = list(self._tasks_by_address.values())
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+            await end_all(list(self._tasks_by_address.values()))
 
     def _follow(self, addresses: Iterable[str]) -> None:
         for address in addresses:
--- a/damaskcroft/rpc/_channels.py
+++ b/damaskcroft/rpc/_channels.py
@@ -1,6 +1,8 @@
 """One gRPC channel for each address, opened when first used."""
 
 import asyncio
+from collections.abc import Awaitable
+from typing import TypeVar
 
 import grpclib
 import grpclib.client
@@ -9,6 +11,8 @@
 
 from damaskcroft.rpc._keys import Keys
 
+_T = TypeVar("_T")
+
 # What a gRPC call raises when its peer is away, slow, or refuses it.
 CALL_ERRORS = (
     OSError,  # Covers TimeoutError and refused connections.
@@ -87,7 +91,36 @@
         return Channel(host, port, ssl=self._keys.client, config=config)
 
 
-async def called(call, timeout_s):
-    """A call with a bound of our own."""
-    async with asyncio.timeout(timeout_s):
-        return await call
+async def called(call: Awaitable[_T], timeout_s: float) -> _T:
+    """Awaits a call in a task of its own, for a bounded time.
+
+    The library turns a cancellation that meets a failure of the call into that
+    failure, so that whoever was cancelled goes on as if nothing had been said:
+    a former leader of control went on sending heartbeats, and no other could
+    be elected. Here the cancellation reaches the one who awaits.
+
+    Args:
+        call: a unary call that has not begun.
+        timeout_s: longest wait for its answer.
+
+    Raises:
+        TimeoutError: it is not back in time, or the library gave it up.
+    """
+    calling = asyncio.ensure_future(call)
+    # Nobody may be there to see how it ends.
+    calling.add_done_callback(
+        lambda ended: ended.cancelled() or ended.exception()
+    )
+    try:
+        await asyncio.wait({calling}, timeout=timeout_s)
+        if not calling.done() or calling.cancelled():
+            raise TimeoutError("no answer")
+        return calling.result()
+    finally:
+        calling.cancel()
+
+
+def _seen(ended: asyncio.Future) -> None:
+    """Looks at how a call ended that nobody may be waiting for any more."""
+    if not ended.cancelled():
+        ended.exception()
--- a/damaskcroft/tasks.py
+++ b/damaskcroft/tasks.py
@@ -62,8 +62,11 @@
     """
     if task is None:
         return
-    task.cancel()
-    await asyncio.wait([task])
+    while not task.done():
+        # Told again until it hears: a library may take a cancellation for its
+        # own, and the task goes on as if nothing had been said.
+        task.cancel()
+        await asyncio.wait([task], timeout=_END_S)
     _note_failure(task)
 
 
--- a/damaskcroft/weights/_burst.py
+++ b/damaskcroft/weights/_burst.py
@@ -16,6 +16,7 @@
 from damaskcroft._generated import records_pb2
 from damaskcroft.clock import now_s
 from damaskcroft.observe import log_event, metrics
+from damaskcroft.tasks import end_all
 from damaskcroft.weights._errors import ManifestError
 from damaskcroft.weights._fetcher import (
     CORRUPT_SUSPECT_S,
@@ -195,9 +196,7 @@
                 for task in done:
                     task.result()
         finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+            await end_all(tasks)
 
     def _fetcher(self, version: StagedVersion) -> Fetcher:
         return Fetcher(
--- a/damaskcroft/weights/_rescue.py
+++ b/damaskcroft/weights/_rescue.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable, Collection
 
 from damaskcroft.clock import now_s
+from damaskcroft.tasks import end_all
 from damaskcroft.weights._fetcher import Fetcher
 from damaskcroft.weights._planner import Planner
 from damaskcroft.weights._sources import Sources
@@ -186,10 +187,7 @@
                     raise self._failure
                 self._begin(self._rescue.overdue(), suspects)
         finally:
-            tasks = list(self._running_by_index.values())
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+            await end_all(list(self._running_by_index.values()))
 
     def _begin(self, overdue: list[int], suspects: Suspects) -> None:
         sources = self._sources()
