--- a/damaskcroft/agent/_activation.py
+++ b/damaskcroft/agent/_activation.py
@@ -23,9 +23,9 @@
 
 _POLL_S = 0.05
 _RETRY_S = 0.5
-# A load that has neither ended nor failed by then is ordered once more: a
-# target that was started again has forgotten the order. Twice what a target
-# of the planned size takes to load.
+# A load that has neither ended nor failed by then is ordered once more, since a
+# target that was started again has forgotten the order: as long as an order's
+# answer is waited for by default (`order_timeout_s`).
 _LOAD_AGAIN_S = 60.0
 
 
--- a/damaskcroft/control/_rollout.py
+++ b/damaskcroft/control/_rollout.py
@@ -7,8 +7,8 @@
 # A target that its agent has not reached for so long holds the rollout up no
 # more. Longer than a target of the stand-ins takes to be started again, and
 # than one state call may last (5 s), so that one that is slow for a moment is
-# not passed by: two would then be out where one may be.
-_PASSED_BY_AFTER_MS = 10_000
+# not skipped: two would then be out where one may be.
+_SKIPPED_AFTER_MS = 10_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -19,7 +19,7 @@
         targets: to be assigned now; may be empty.
         stopped_by: why the rollout must not go on, or empty.
         waits_for: what holds up targets that are changing now, by target id.
-        passed_by: targets that the rollout goes on without, since they can't
+        skipped: targets that the rollout goes on without, since they can't
             be reached; they follow their assignment when they are back.
     """
 
@@ -28,7 +28,7 @@
     waits_for: dict[str, control_pb2.HeldUpBy] = dataclasses.field(
         default_factory=dict
     )
-    passed_by: list[str] = dataclasses.field(default_factory=list)
+    skipped: list[str] = dataclasses.field(default_factory=list)
 
 
 def next_wave(
@@ -71,7 +71,7 @@
         if _is_assigned(target.id, manifest, assignments_by_target)
         and report.manifest != manifest
     ]
-    passed_by = [report.id for report in changing if _is_out_of_reach(report)]
+    skipped = [report.id for report in changing if _is_out_of_reach(report)]
     waits_for = {
         report.id: report.held_up_by
         for report in changing
@@ -97,7 +97,7 @@
         chosen.append(target)
         room -= 1
         spare -= 1 if in_service else 0
-    return Wave(chosen, waits_for=waits_for, passed_by=passed_by)
+    return Wave(chosen, waits_for=waits_for, skipped=skipped)
 
 
 def _is_assigned(
@@ -124,5 +124,5 @@
 def _is_out_of_reach(report: control_pb2.TargetReport) -> bool:
     return (
         report.held_up_by == control_pb2.HELD_UP_TARGET_UNREACHABLE
-        and report.held_up_ms >= _PASSED_BY_AFTER_MS
+        and report.held_up_ms >= _SKIPPED_AFTER_MS
     )
--- a/damaskcroft/control/_rollout_waits.py
+++ b/damaskcroft/control/_rollout_waits.py
@@ -32,7 +32,7 @@
 
 
 class RolloutWaits:
-    """What each deployment's rollout waits for, and who is passed by.
+    """What each deployment's rollout waits for, and whom it skips.
 
     Args:
         note: logs an event, and keeps it for operators' status.
@@ -42,11 +42,11 @@
         """See the class."""
         self._note = note
         self._standstills_by_deployment: dict[str, _Standstill] = {}
-        self._passed_by_by_deployment: dict[str, frozenset[str]] = {}
+        self._skipped_by_deployment: dict[str, frozenset[str]] = {}
 
     def look(self, deployment: records_pb2.Deployment, wave: Wave) -> None:
         """Takes one round's wave; to be called for each round."""
-        self._tell_passed_by(deployment, frozenset(wave.passed_by))
+        self._tell_skipped(deployment, frozenset(wave.skipped))
         waited_for = frozenset(wave.waits_for)
         standstill = self._standstills_by_deployment.get(deployment.name)
         now = now_s()
@@ -67,14 +67,14 @@
             for_s=for_s,
         )
 
-    def _tell_passed_by(
-        self, deployment: records_pb2.Deployment, passed_by: frozenset[str]
+    def _tell_skipped(
+        self, deployment: records_pb2.Deployment, skipped: frozenset[str]
     ) -> None:
-        before = self._passed_by_by_deployment.get(deployment.name, frozenset())
-        self._passed_by_by_deployment[deployment.name] = passed_by
-        for target in sorted(passed_by - before):
+        before = self._skipped_by_deployment.get(deployment.name, frozenset())
+        self._skipped_by_deployment[deployment.name] = skipped
+        for target in sorted(skipped - before):
             self._note(
-                "rollout_passes_by",
+                "rollout_skips",
                 deployment=deployment.name,
                 version=deployment.version,
                 target=target,
--- a/damaskcroft/entry/main.py
+++ b/damaskcroft/entry/main.py
@@ -102,7 +102,7 @@
             OSError: the address can't be bound.
         """
         stop = stop_event()
-        parting_body = json.dumps(refusal_body(_CONNECTION_CLOSING, ""))
+        closing_body = json.dumps(refusal_body(_CONNECTION_CLOSING, ""))
         async with (
             background(
                 self._client.run,
@@ -114,7 +114,7 @@
             http_served(
                 self._settings.process.http_listen,
                 self._routes(),
-                parting_body=parting_body.encode(),
+                closing_body=closing_body.encode(),
             ),
         ):
             log_event("started", id=self._settings.process.name)
@@ -126,8 +126,8 @@
                 await asyncio.sleep(_STOP_POLL_S)
         log_event(
             "stopped",
-            idle_connections=metrics.connections_parted("idle"),
-            crossed_by_requests=metrics.connections_parted("crossed"),
+            idle_connections=metrics.idle_connections_closed("idle"),
+            crossed_by_requests=metrics.idle_connections_closed("crossed"),
         )
         self._channels.close()
 
--- a/damaskcroft/http1/__init__.py
+++ b/damaskcroft/http1/__init__.py
@@ -14,13 +14,13 @@
     NoAnswerError,
     TargetConnection,
 )
+from damaskcroft.http1._closing import LINGER_S, closing_answer
 from damaskcroft.http1._exchange import (
     Answer,
     CallerHandler,
     CallerLimits,
     CallerRequest,
 )
-from damaskcroft.http1._parting import PARTING_S, parting_answer
 from damaskcroft.http1._pool import ConnectionPool, Place
 from damaskcroft.http1._server import CallerConnections, callers_served
 
@@ -37,10 +37,10 @@
     "Head",
     "Headers",
     "NoAnswerError",
-    "PARTING_S",
+    "LINGER_S",
     "Place",
     "TargetConnection",
     "callers_served",
     "connect",
-    "parting_answer",
+    "closing_answer",
 ]
--- a/damaskcroft/http1/_parting.py
+++ b/damaskcroft/http1/_closing.py
@@ -14,16 +14,16 @@
 
 import h11
 
-__all__ = ["PARTING_S", "parting_answer"]
+__all__ = ["LINGER_S", "closing_answer"]
 
 _REQUEST_TIMEOUT = 408
 # How long a half-closed connection is read: a request that was on its way
 # arrives within that time also if its packet is lost twice in a row (RFC
 # 6298: 0.2 + 0.4 s).
-PARTING_S = 1.0
+LINGER_S = 1.0
 
 
-def parting_answer(
+def closing_answer(
     parser: h11.Connection, body: bytes = b"", content_type: bytes = b""
 ) -> bytes:
     """The bytes that end an idle connection with a promise: nothing ran.
--- a/damaskcroft/http1/_server.py
+++ b/damaskcroft/http1/_server.py
@@ -7,8 +7,8 @@
 import h11
 
 from damaskcroft.http1._channel import Channel, ChannelLostError
+from damaskcroft.http1._closing import LINGER_S, closing_answer
 from damaskcroft.http1._exchange import Answer, CallerHandler, CallerRequest
-from damaskcroft.http1._parting import PARTING_S, parting_answer
 from damaskcroft.http1._reader import RequestReader
 from damaskcroft.observe import log_warning, metrics
 
@@ -86,7 +86,7 @@
         reader = RequestReader(parser, channel, self._handler)
         while True:
             if not await self._request_comes(reader, channel):
-                await self._part(parser, channel)
+                await self._close_idle_one(parser, channel)
                 return
             answer = Answer(parser, channel, self._handler.is_stopping)
             request = await reader.read_request(answer)
@@ -122,15 +122,17 @@
         # Told to end in the moment in which a request came: it is answered.
         return channel.has_unread and await reader.wait_for_first_byte()
 
-    async def _part(self, parser: h11.Connection, channel: Channel) -> None:
-        """Ends an idle connection with a word, see `_parting`."""
+    async def _close_idle_one(
+        self, parser: h11.Connection, channel: Channel
+    ) -> None:
+        """Ends an idle connection with a word, see `_closing`."""
         if channel.ended:
             # The caller itself has closed it.
             return
-        channel.put(parting_answer(parser))
-        metrics.CONNECTIONS_PARTED.labels("idle").inc()
+        channel.put(closing_answer(parser))
+        metrics.IDLE_CONNECTIONS_CLOSED.labels("idle").inc()
         if await self._read_on(channel):
-            metrics.CONNECTIONS_PARTED.labels("crossed").inc()
+            metrics.IDLE_CONNECTIONS_CLOSED.labels("crossed").inc()
 
     async def _answer(
         self, request: CallerRequest, answer: Answer, channel: Channel
@@ -177,7 +179,7 @@
         channel.half_close()
         came = False
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(PARTING_S):
+            async with asyncio.timeout(LINGER_S):
                 while await channel.read():
                     came = True
         return came
--- a/damaskcroft/membership/_ledger.py
+++ b/damaskcroft/membership/_ledger.py
@@ -52,22 +52,18 @@
         self._term = -1
         self._led_since = float("inf")
 
-    def lead(self, term: int) -> bool:
-        """Begins a reign, unless it has begun; forgets what was before.
+    def lead(self, term: int) -> None:
+        """Begins to lead a term, if that is new; forgets what was before.
 
         To be called before anything else is asked or told under a term, by
         whoever comes first: a lease can't be waited out before it is counted.
-
-        Returns:
-            Whether the reign begins with this call.
         """
         if term == self._term:
-            return False
+            return
         self._term = term
         self.entries_by_id = {}
         self.lapsed_ids = set()
         self._led_since = self._clock_s()
-        return True
 
     def wait_for_predecessor_s(self, holder_id: str, incarnation: str) -> float:
         """How long another process may still hold the id's lease.
--- a/damaskcroft/observe/metrics.py
+++ b/damaskcroft/observe/metrics.py
@@ -16,7 +16,7 @@
     "BURST_YIELDS",
     "CLAIMS",
     "COMMIT_INDEX",
-    "CONNECTIONS_PARTED",
+    "IDLE_CONNECTIONS_CLOSED",
     "ELECTIONS",
     "FIRST_TOKEN_S",
     "GATE_REFUSALS",
@@ -33,7 +33,7 @@
     "TASK_FAILURES",
     "TOKEN_GAP_S",
     "WEIGHTS_WANTED",
-    "connections_parted",
+    "idle_connections_closed",
 ]
 
 _SECONDS = (
@@ -52,8 +52,8 @@
     ["kind", "reason"],
 )  # fmt: skip
 ANSWERS = Counter("damask_answers", "Whole answers given", ["kind"])
-CONNECTIONS_PARTED = Counter(
-    "damask_connections_parted",
+IDLE_CONNECTIONS_CLOSED = Counter(
+    "damask_idle_connections_closed",
     "Idle connections that we ended, and those that bytes crossed", ["how"],
 )  # fmt: skip
 LATE_DROPPED = Counter(
@@ -136,7 +136,7 @@
 )
 
 
-def connections_parted(how: str) -> int:
+def idle_connections_closed(how: str) -> int:
     """How many idle connections this process has ended, by their label."""
-    name = "damask_connections_parted_total"
+    name = "damask_idle_connections_closed_total"
     return int(REGISTRY.get_sample_value(name, {"how": how}) or 0)
--- a/damaskcroft/rpc/_channels.py
+++ b/damaskcroft/rpc/_channels.py
@@ -107,10 +107,7 @@
         TimeoutError: it is not back in time, or the library gave it up.
     """
     calling = asyncio.ensure_future(call)
-    # Nobody may be there to see how it ends.
-    calling.add_done_callback(
-        lambda ended: ended.cancelled() or ended.exception()
-    )
+    calling.add_done_callback(_outcome_seen)
     try:
         await asyncio.wait({calling}, timeout=timeout_s)
         if not calling.done() or calling.cancelled():
@@ -120,7 +117,7 @@
         calling.cancel()
 
 
-def _seen(ended: asyncio.Future) -> None:
+def _outcome_seen(ended: asyncio.Future) -> None:
     """Looks at how a call ended that nobody may be waiting for any more."""
     if not ended.cancelled():
         ended.exception()
--- a/damaskcroft/rpc/_http.py
+++ b/damaskcroft/rpc/_http.py
@@ -20,7 +20,7 @@
 _POLL_S = 0.01
 # Unused connections are kept for this long: what uvicorn takes by default.
 _IDLE_TIMEOUT_S = 5.0
-# For answers that are under way when the block ends; above `PARTING_S`, for
+# For answers that are under way when the block ends; above `LINGER_S`, for
 # which a connection is read after its last answer.
 _END_S = 2
 _T = TypeVar("_T")
@@ -60,9 +60,9 @@
     return bound
 
 
-def _connection_class(parting_body: bytes) -> type[KeptConnection]:
+def _connection_class(closing_body: bytes) -> type[KeptConnection]:
     # uvicorn makes connections itself and hands them no settings of ours.
-    return type("Connection", (KeptConnection,), {"parting_body": parting_body})
+    return type("Connection", (KeptConnection,), {"closing_body": closing_body})
 
 
 @contextlib.asynccontextmanager
@@ -71,7 +71,7 @@
     routes: list[Any],
     *,
     idle_timeout_s: float = _IDLE_TIMEOUT_S,
-    parting_body: bytes = b"",
+    closing_body: bytes = b"",
 ) -> AsyncIterator[Starlette]:
     """Serves `routes` and /metrics at `address` until the block ends.
 
@@ -79,7 +79,7 @@
         address: IP number and port.
         routes: what is served.
         idle_timeout_s: how long unused connections are kept.
-        parting_body: JSON for callers whose request crosses the end of an
+        closing_body: JSON for callers whose request crosses the end of an
             idle connection; its status says that nothing has run.
 
     Raises:
@@ -90,7 +90,7 @@
     config = uvicorn.Config(
         app,
         loop="asyncio",
-        http=_connection_class(parting_body),
+        http=_connection_class(closing_body),
         ws="none",
         lifespan="off",
         log_config=None,
--- a/damaskcroft/rpc/_kept_connections.py
+++ b/damaskcroft/rpc/_kept_connections.py
@@ -4,7 +4,7 @@
 idle ones when the server ends, and any after an answer that is its last. What
 a caller had sent meanwhile was then reset, or never answered, and the caller
 could not tell whether it had run; of 300 callers that sent once within 0.4 s
-around the stop of an entry, 5 and 6 were reset (two runs). `http1._parting`
+around the stop of an entry, 5 and 6 were reset (two runs). `http1._closing`
 says how a connection is ended instead; these classes do so below uvicorn.
 """
 
@@ -14,7 +14,7 @@
 
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
-from damaskcroft.http1 import PARTING_S, parting_answer
+from damaskcroft.http1 import LINGER_S, closing_answer
 from damaskcroft.observe import metrics
 
 __all__ = ["KeptConnection"]
@@ -40,7 +40,7 @@
             return
         self._ending = True
         loop = asyncio.get_running_loop()
-        loop.call_later(PARTING_S, self._transport.close)
+        loop.call_later(LINGER_S, self._transport.close)
         self._transport.resume_reading()
         with contextlib.suppress(OSError):
             # Reset by the caller meanwhile; the loop will tell so.
@@ -71,15 +71,15 @@
     """One caller's connection.
 
     Attributes:
-        parting_body: JSON of the answer that ends an idle connection.
+        closing_body: JSON of the answer that ends an idle connection.
     """
 
-    parting_body = b""
+    closing_body = b""
 
     def __init__(self, *args: Any, **options: Any):
         """See the library's class."""
         super().__init__(*args, **options)
-        self._parted = False
+        self._end_announced = False
 
     def connection_made(  # type: ignore[override]
         self, transport: asyncio.Transport
@@ -91,28 +91,28 @@
         """See asyncio.Protocol."""
         if not self.transport.is_closing():
             super().data_received(data)
-        elif self._parted:
-            self._parted = False
-            metrics.CONNECTIONS_PARTED.labels("crossed").inc()
+        elif self._end_announced:
+            self._end_announced = False
+            metrics.IDLE_CONNECTIONS_CLOSED.labels("crossed").inc()
 
     def shutdown(self) -> None:
         """Ends the connection once its answer, if any, has been given."""
-        self._part_if_idle()
+        self._announce_end_if_idle()
         super().shutdown()
 
     def timeout_keep_alive_handler(self) -> None:
         """Ends the connection, since nobody has used it for long."""
-        self._part_if_idle()
+        self._announce_end_if_idle()
         super().timeout_keep_alive_handler()
 
-    def _part_if_idle(self) -> None:
+    def _announce_end_if_idle(self) -> None:
         busy = self.cycle is not None and not self.cycle.response_complete
         if busy or self.transport.is_closing():
             return
-        kind = _JSON if self.parting_body else b""
-        promise = parting_answer(self.conn, self.parting_body, kind)
+        kind = _JSON if self.closing_body else b""
+        promise = closing_answer(self.conn, self.closing_body, kind)
         if not promise:
             return
-        self._parted = True
+        self._end_announced = True
         self.transport.write(promise)
-        metrics.CONNECTIONS_PARTED.labels("idle").inc()
+        metrics.IDLE_CONNECTIONS_CLOSED.labels("idle").inc()
