--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SEEDS ?= 10
 SEED ?= 0
 
-.PHONY: soak platform demo test check proto fuzz bench plots test-processes clean
+.PHONY: chase soak platform demo test check proto fuzz bench plots test-processes clean
 
 $(STAMP): pyproject.toml requirements.txt
 	test -x $(PY) || python3 -m venv $(VENV)
@@ -43,6 +43,10 @@
 soak: $(STAMP)
 	$(PY) -m damaskcroft.hosted.tests.soak --seeds $(SEEDS) --first $(SEED)
 
+# Versions rolled out while the leader of control is killed; SEED replays one.
+chase: $(STAMP)
+	$(PY) -m damaskcroft.standins.tests.chase --seed $(SEED)
+
 plots: $(STAMP)
 	$(PY) tools/plots.py
 
