--- a/damaskcroft/rpc/tests/test_channels.py
+++ b/damaskcroft/rpc/tests/test_channels.py
@@ -4,8 +4,12 @@
 connection, but calls go on using it until the close has ended; under TLS with
 a peer that is gone that takes half a minute. Each of them failed with
 `AttributeError: 'Connection' object has no attribute '_transport'`, which
-nobody who makes calls expects: a control node's election task ended by it, in
-silence, and so did the task that keeps an agent's lease.
+nobody who makes calls expects. It would have ended a control node's election
+task, and the task that keeps an agent's lease, in silence; neither was seen.
+
+And: a call that fails in the moment in which its task is cancelled hides the
+cancellation. That was seen, and kept control without a leader for a minute
+(consensus/tests/test_elections.py).
 """
 
 import asyncio
