Red: a new leader of control makes agents wait for their own leases

Cause: leases aren't replicated, so a new leader can't tell an agent that held its lease from one that has just taken over a slot, and makes both wait for a whole lease. The holder knows, and is not asked.

--- a/damaskcroft/control/tests/test_new_leader.py
+++ b/damaskcroft/control/tests/test_new_leader.py
@@ -35,6 +35,9 @@
         self.is_confirmed_leader = True
         self.leader_address = "leader"
 
+    async def confirm_leader(self, timeout_s):
+        return self.is_confirmed_leader
+
     async def propose(self, command):
         result = self.apply(command)
         return Committed(self.index, result)
@@ -50,8 +53,9 @@
 class HolderStream:
     """A holder that announces itself and renews, and what it is sent."""
 
-    def __init__(self, announcement, send_s=0.0):
+    def __init__(self, announcement, send_s=0.0, granted_revision=0):
         self.announcement = announcement
+        self.granted_revision = granted_revision
         self.sends = 0
         self.send_s = send_s
         self.sending = 0
@@ -61,7 +65,10 @@
     async def recv_message(self):
         self.sends += 1
         if self.sends == 1:
-            return control_pb2.HolderMessage(announce=self.announcement)
+            return control_pb2.HolderMessage(
+                announce=self.announcement,
+                granted_revision=self.granted_revision,
+            )
         await asyncio.sleep(0.1)
         renewal = control_pb2.Renewal(sequence=self.sends)
         return control_pb2.HolderMessage(renew=renewal)
@@ -97,11 +104,19 @@
             incarnation=incarnation,
         )
 
-    def hold(self, incarnation="one", send_s=0.0):
-        stream = HolderStream(self.announcement(incarnation), send_s)
+    def hold(self, incarnation="one", send_s=0.0, granted_revision=0):
+        stream = HolderStream(
+            self.announcement(incarnation), send_s, granted_revision
+        )
         self.tasks.append(asyncio.ensure_future(self.service.Hold(stream)))
         return stream
 
+    def announce(self, incarnation):
+        """Commits an announcement as an earlier leader did; its revision."""
+        announcement = self.announcement(incarnation)
+        self.leader.commit(control_pb2.Command(announce=announcement))
+        return self.leader.index
+
     async def stop(self):
         for task in self.tasks:
             task.cancel()
@@ -166,3 +181,45 @@
     stream = loop.run(scenario())
     assert len(stream.grants) > 3
     assert stream.most_at_once == 1
+
+
+def test_who_holds_a_lease_goes_on_under_a_new_leader(loop, control):
+    """An agent whose leader was killed keeps its lease with the next one.
+
+    Each change of leader let all agents' leases lapse for a second or two
+    (`waits_out_lease`, then `lease_lapsed`): the new leader made each of them
+    wait until its own lease of before had run out. Requests that must run
+    once were refused meanwhile.
+    """
+
+    async def scenario():
+        revision = control.announce("one")
+        stream = control.hold("one", granted_revision=revision)
+        await asyncio.sleep(0.3)
+        return stream.grants
+
+    grants = loop.run(scenario())
+    assert grants
+    assert grants[0].lease.announced_revision == 1
+
+
+@pytest.mark.parametrize("granted_since", ["nothing", "another process"])
+def test_who_may_meet_another_lease_waits_it_out(loop, control, granted_since):
+    async def scenario():
+        revision = control.announce("one")
+        if granted_since == "nothing":
+            # Announced to the last leader, which has granted nothing yet.
+            revision = 0
+        else:
+            # Another process had the slot, and the lease, in between.
+            control.announce("two")
+            control.announce("one")
+        stream = control.hold("one", granted_revision=revision)
+        await asyncio.sleep(LEASE_S - 0.1)
+        early = list(stream.grants)
+        await asyncio.sleep(0.5)
+        return early, stream.grants
+
+    early, late = loop.run(scenario())
+    assert not early
+    assert late
--- a/damaskcroft/membership/tests/test_client.py
+++ b/damaskcroft/membership/tests/test_client.py
@@ -24,13 +24,23 @@
 
 
 class Leader(control_grpc.ControlBase):
-    """Grants each renewal."""
+    """Grants each renewal; may end each stream after some grants."""
+
+    def __init__(self, grants_a_stream=10**6):
+        self.grants_a_stream = grants_a_stream
+        self.granted_revisions = []
 
     async def Hold(self, stream):  # noqa: N802
-        await stream.recv_message()
-        while (message := await stream.recv_message()) is not None:
+        hello = await stream.recv_message()
+        self.granted_revisions.append(hello.granted_revision)
+        for _ in range(self.grants_a_stream):
+            message = await stream.recv_message()
+            if message is None:
+                return
             grant = control_pb2.LeaseGrant(
-                sequence=message.renew.sequence, duration_ms=3000
+                sequence=message.renew.sequence,
+                duration_ms=3000,
+                announced_revision=7,
             )
             await stream.send_message(control_pb2.ControlMessage(lease=grant))
 
@@ -70,3 +80,26 @@
             return held
 
     assert loop.run(scenario())
+
+
+def test_a_holder_tells_the_next_leader_what_it_was_granted(loop):
+    async def scenario():
+        leader = Leader(grants_a_stream=2)
+        async with ChannelFor([leader]) as channel:
+            client = LeaseClient(
+                control_pb2.Announcement(id="agent-0", incarnation="one"),
+                ["a"],
+                Pool({"a": channel}),
+                RENEW_S,
+                lambda: control_pb2.TargetReport(),
+            )
+            running = asyncio.ensure_future(client.run())
+            await asyncio.sleep(5.0)
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
+        return leader.granted_revisions
+
+    first, *later = loop.run(scenario())
+    assert first == 0
+    assert later
+    assert set(later) == {7}
