Agents keep their leases when control's leader changes

Symptom: leases of all agents lapsed for a second or two after each change of leader, and requests that must run once were refused (18 answers of more than 20 in one run of test_entry_stopped_gracefully_finishes_its_answers).

Cause: leases aren't replicated, so a new leader made everybody wait for a whole lease, those included that hold it.

Change: a grant names the revision of the announcement that it is given to; a holder tells it to the next leader, which lets it go on if that announcement is still the last one committed for the id, confirmed by a majority first. Nobody else can then have been granted the lease, whatever the clocks say: a later process would have had to commit an announcement of its own before.

Ruled out: a holder that says "I hold it now": its word may arrive late, after another process was granted the lease.

Before: test_who_holds_a_lease_goes_on_under_a_new_leader and test_a_holder_tells_the_next_leader_what_it_was_granted failed. After: passed, with the checks on processes that must wait (never granted; another process in between) unchanged or new.

--- a/damaskcroft/control/_service.py
+++ b/damaskcroft/control/_service.py
@@ -45,7 +45,8 @@
         if not await self._announce(announcement):
             await self._send_not_leader(holder)
             return
-        await self._wait_for_predecessor(announcement)
+        if not await self._still_holds(announcement, first.granted_revision):
+            await self._wait_for_predecessor(announcement)
         pushing = asyncio.create_task(self._push_deltas(holder, announcement))
         try:
             await self._take_renewals(holder, announcement)
@@ -76,6 +77,23 @@
         await self._ledger.notify()
         return True
 
+    async def _still_holds(
+        self, announcement: control_pb2.Announcement, granted_revision: int
+    ) -> bool:
+        """Whether nobody else can have been granted the lease meanwhile.
+
+        An earlier leader granted it under an announcement, after whoever had
+        the id before had lost it. As long as that announcement is the last
+        one committed, nobody else can hold it; this process need not wait for
+        itself when the leader changes.
+        """
+        if not granted_revision:
+            return False
+        if not await self._replica.confirm_leader(_CONFIRM_TIMEOUT_S):
+            return False
+        known = self._state.holders.holders_by_id[announcement.id]
+        return known.revision == granted_revision
+
     async def _wait_for_predecessor(
         self, announcement: control_pb2.Announcement
     ) -> None:
@@ -112,6 +130,7 @@
             grant = control_pb2.LeaseGrant(
                 sequence=message.renew.sequence,
                 duration_ms=int(self._ledger.lease_s * 1000),
+                announced_revision=known.revision,
             )
             await stream.send(control_pb2.ControlMessage(lease=grant))
             if self._ledger.sequence != before:
--- a/damaskcroft/membership/_client.py
+++ b/damaskcroft/membership/_client.py
@@ -50,6 +50,8 @@
         self._report_now = asyncio.Event()
         self._sent_at_by_sequence: dict[int, float] = {}
         self._sequence = 0
+        # Of the announcement under which the lease was last granted.
+        self._granted_revision = 0
         self._next_address = 0
 
     def report_soon(self) -> None:
@@ -87,7 +89,10 @@
         async with stub.Hold.open() as stream:
             async with asyncio.timeout(self._patience_s):
                 await stream.send_message(
-                    control_pb2.HolderMessage(announce=self._announcement)
+                    control_pb2.HolderMessage(
+                        announce=self._announcement,
+                        granted_revision=self._granted_revision,
+                    )
                 )
             renewing = asyncio.create_task(self._renew_forever(stream))
             try:
@@ -141,6 +146,7 @@
         self._try_next_address()
 
     def _take_grant(self, grant: control_pb2.LeaseGrant) -> None:
+        self._granted_revision = grant.announced_revision
         sent_at = self._sent_at_by_sequence.pop(grant.sequence, None)
         if sent_at is not None:
             self.lease.grant(sent_at, grant.duration_ms / 1000)
--- a/damaskcroft/membership/_ledger.py
+++ b/damaskcroft/membership/_ledger.py
@@ -2,7 +2,7 @@
 
 Nothing here is committed. A new leader starts empty and, since its
 predecessor may have granted leases, treats every holder as holding one until
-a whole lease has passed.
+a whole lease has passed, or until the holder itself comes.
 """
 
 import asyncio
