Red: an origin that goes and returns is read by everybody at once

Two tests in virtual time, 18 agents in five regions behind an origin of 4.38 Mbit/s. With the origin away from 2.5 s to 8.5 s all agents miss the same 44 chunks; after its return each reads the first eight of them (Rescue.source gives ReadOutside once an agent's turn has come, and during the outage every turn comes), 144 reads share the link, each is cut after 1.5 s with all that had come.

--- a/damaskcroft/agent/tests/test_burst_over_links.py
+++ b/damaskcroft/agent/tests/test_burst_over_links.py
@@ -14,13 +14,26 @@
 WITHIN_S = 30.0
 
 
+# Eighteen agents in five regions behind a slow origin: a version takes an
+# agent's link 5.2 s, the origin's 4.3 s.
+SLOW_ORIGIN = FleetShape(
+    agents_by_region=(4, 4, 4, 3, 3),
+    agent_mbps=3.65,
+    origin_mbps=4.38,
+    between_mbps=13.5,
+    delay_s=0.001,
+    chunks=96,
+    chunk_bytes=24_576,
+)
+
+
 @pytest.fixture
 def play(loop):
     """Plays a burst; `events` are times and what is done to the fleet then."""
 
-    def run(seed, *events, before=lambda fleet: None):
+    def run(seed, *events, before=lambda fleet: None, shape=FleetShape()):
         async def scenario():
-            fleet = Fleet(FleetShape(), seed)
+            fleet = Fleet(shape, seed)
             before(fleet)
             doing = asyncio.create_task(carry_out(fleet))
             await fleet.bring_all(WITHIN_S)
@@ -114,3 +127,36 @@
 
     fleet = play(1, (7.0, widen), before=holders)
     assert fleet.whole_times()[-1] < 11.5
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_an_origin_that_returns_is_read_at_its_whole_rate(play, seed):
+    """Once the origin is back, what is missing takes as long as its link.
+
+    The origin goes with half of a version read. Everybody then misses the same
+    chunks. Before: as soon as it was back, each agent read the first eight of
+    them, so that none came within the patience of any, and what had come was
+    lost; for seconds no chunk came, and the fleet was whole after 22 s, 14 s
+    after the return.
+    """
+    back_at = 8.5
+    fleet = play(
+        seed, (2.5, origin_goes), (back_at, origin_returns), shape=SLOW_ORIGIN
+    )
+    # Half a version is 2.2 s of the origin's link.
+    assert half_of(fleet.whole_times()) < back_at + 3.5
+    assert len(fleet.read_outside) < 1.35 * fleet.shape.chunks
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_slow_origin_gives_its_first_chunks_at_once(play, seed):
+    """Agents' links fill from the start, whatever the number of agents.
+
+    Before: all agents read at once, so that all first chunks came after a
+    second or more, and links stayed empty meanwhile.
+    """
+    fleet = play(seed, shape=SLOW_ORIGIN)
+    first_at = min(at for at, _ in fleet.read_outside)
+    assert first_at < 0.5
+    # A quarter above what an agent's link takes, and hearing of the version.
+    assert half_of(fleet.whole_times()) < 1.25 * 5.2 + 0.3
