Chunks are read from outside by turns of the whole fleet

Cause: where bursts don't keep step (in_step=False), all agents read their shares at once and shared the origin's link, so that first chunks came late; and every agent's rescues read outside too, so that after an outage of the origin all read the same eight chunks, each cut after 1.5 s with what had come.

Change: only the first sixteen chunks that nobody is known to hold are read, each by its planned reader; what is late, by 1.5 times what chunks took lately, is taken over in turn; after a try in vain an agent leaves others' chunks alone for a time that grows with the number of agents; when the origin is back all readers begin anew. Rescues ask agents only. weights/_reading.py holds all of it now.

--- a/damaskcroft/weights/_burst.py
+++ b/damaskcroft/weights/_burst.py
@@ -30,7 +30,7 @@
 from damaskcroft.weights._pacer import Pacer
 from damaskcroft.weights._peers import PeerFailed, PeerNotYet, PeerSource
 from damaskcroft.weights._planner import Participant, Planner
-from damaskcroft.weights._reading import LateReading
+from damaskcroft.weights._reading import SharedReading
 from damaskcroft.weights._rescue import Rescuer
 from damaskcroft.weights._sources import Sources
 from damaskcroft.weights._store import ChunkStore, StagedVersion
@@ -170,13 +170,22 @@
         """Gets every missing chunk; returns when all are held."""
         self._copy_local(version)
         missing = version.missing()
-        own = [i for i in missing if self._parent(i) is None]
-        others = [i for i in missing if self._parent(i) is not None]
+        # Without steps anybody may read any chunk, and all are looked for.
+        own = [
+            i
+            for i in missing
+            if self._options.in_step and self._parent(i) is None
+        ]
+        others = [i for i in missing if i not in own]
         self._taken = set()
         indexes = collections.deque(others)
         fetcher = self._fetcher(version)
         rescuer = Rescuer(
-            version, fetcher, lambda: self._sources_of(version), self._rng
+            version,
+            fetcher,
+            lambda: self._sources_of(version),
+            self._rng,
+            reads_outside=self._options.in_step,
         )
         works = [
             self._read_outside(version, fetcher, own, others),
@@ -261,14 +270,13 @@
         others: list[int],
     ) -> None:
         """Reads this agent's chunks, then helps with those far off yet."""
+        if not self._options.in_step:
+            await self._read_shared(version, fetcher)
+            return
         indexes = iter(own)
         async with asyncio.TaskGroup() as group:
             for _ in range(self._options.parallel_outside):
                 group.create_task(self._read_own(version, fetcher, indexes))
-        if not self._options.in_step and self._planner is not None:
-            late = LateReading(version, fetcher, self._planner, self._suspects)
-            await late.run()
-            return
         budget_bytes = self._help_share * version.size_bytes
         for index in reversed(others):
             budget_bytes -= version.manifest.chunks[index].size_bytes
@@ -280,6 +288,20 @@
             while not version.held[index]:
                 await fetcher.from_outside(index)
 
+    async def _read_shared(
+        self, version: StagedVersion, fetcher: Fetcher
+    ) -> None:
+        reading = SharedReading(
+            version,
+            fetcher,
+            lambda: self._planner,
+            self._suspects,
+            self._rng,
+        )
+        async with asyncio.TaskGroup() as group:
+            for _ in range(self._options.parallel_outside):
+                group.create_task(reading.run())
+
     async def _read_own(
         self,
         version: StagedVersion,
@@ -293,8 +315,7 @@
         read when one some way before it has come round by the tree.
         """
         for index in indexes:
-            if self._options.in_step:
-                await self._wait_in_step(version, index - self._read_ahead)
+            await self._wait_in_step(version, index - self._read_ahead)
             while not version.held[index]:
                 await self._try(version, fetcher, index)
 
@@ -376,6 +397,10 @@
             wait_s = self._options.wait_s
             await fetcher.from_peer(index, parent, sources, wait_s)
             return
+        if not self._options.in_step:
+            # Read in turn with all others, or found with one of them.
+            await version.wait_for_chunk(index, _LOOK_EVERY_S)
+            return
         async with self._outside_slots:
             if not version.held[index]:
                 await fetcher.from_outside(index)
--- a/damaskcroft/weights/_rescue.py
+++ b/damaskcroft/weights/_rescue.py
@@ -63,11 +63,31 @@
 class Rescue:
     """Looks for overdue chunks of one version, and chooses their sources."""
 
-    __slots__ = ("_held_before", "_overdue_since", "_rng", "_version")
+    __slots__ = (
+        "_held_before",
+        "_overdue_since",
+        "_reads_outside",
+        "_rng",
+        "_version",
+    )
+
+    def __init__(
+        self,
+        version: StagedVersion,
+        rng: random.Random,
+        *,
+        reads_outside: bool,
+    ):
+        """Looks at nothing yet.
 
-    def __init__(self, version: StagedVersion, rng: random.Random):
-        """Looks at nothing yet."""
+        Args:
+            version: what is wanted.
+            rng: chooses among holders.
+            reads_outside: whether chunks are read from outside here; else
+                `SharedReading` alone does so.
+        """
         self._version = version
+        self._reads_outside = reads_outside
         self._rng = rng
         self._held_before = 0
         self._overdue_since: dict[int, float] = {}
@@ -118,6 +138,8 @@
         near = [h for h in holders if planner.domain_by_id[h] == own_domain]
         if holders:
             return AskHolder(self._rng.choice(near or holders))
+        if not self._reads_outside:
+            return Inquire()
         waited_s = now_s() - self._overdue_since.get(index, now_s())
         if waited_s >= planner.turn(index, frozenset(suspects)) * _TURN_S:
             return ReadOutside()
@@ -144,6 +166,7 @@
         fetcher: gets a chunk from one place.
         sources: whom there is to ask; None before anybody is known.
         rng: chooses among equals.
+        reads_outside: see `Rescue`.
     """
 
     __slots__ = (
@@ -163,13 +186,15 @@
         fetcher: Fetcher,
         sources: Callable[[], Sources | None],
         rng: random.Random,
+        *,
+        reads_outside: bool,
     ):
         """See the class."""
         self._version = version
         self._fetcher = fetcher
         self._sources = sources
         self._rng = rng
-        self._rescue = Rescue(version, rng)
+        self._rescue = Rescue(version, rng, reads_outside=reads_outside)
         self._slow = Suspects()
         self._running_by_index: dict[int, asyncio.Task[None]] = {}
         self._failure: BaseException | None = None
