Agents write of their own target alone; a silent receiver is one line

Logs grew with the square of the fleet: each of 26 agents wrote a line target_changed for each change of each target, 6,462 in 76 s of a small twin, 85 an agent in the 4 s in which 38 targets were added to 60 agents. Entries and control still write of all targets, an agent of its own.

burst_progress tells how many chunks anybody is known to hold, so that a slow origin is told from slow links.

Tests: test_an_agent_writes_of_its_own_target_alone, test_a_receiver_that_stands_ still_is_left_with_one_line.

--- a/damaskcroft/agent/_chunks.py
+++ b/damaskcroft/agent/_chunks.py
@@ -5,7 +5,7 @@
 
 from damaskcroft._generated import agent_pb2
 from damaskcroft.clock import now_s
-from damaskcroft.observe import metrics
+from damaskcroft.observe import log_event, metrics
 from damaskcroft.weights import (
     BurstCounts,
     ChunkStore,
@@ -72,6 +72,9 @@
             # Checked when it was written; the receiver checks it again.
             data = version.read_chunk(index)
             await self._send(stream, data, version, request.requester)
+        except TimeoutError:
+            metrics.BURST_RECEIVERS_SILENT.inc()
+            log_event("receiver_silent", peer=request.requester, index=index)
         finally:
             self._slots.release()
 
--- a/damaskcroft/agent/tests/test_chunks.py
+++ b/damaskcroft/agent/tests/test_chunks.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import hashlib
+import logging
 import socket
 
 from damaskcroft._generated import agent_pb2
@@ -136,3 +137,34 @@
                 filler.close()
 
     asyncio.run(asyncio.wait_for(scenario(), 30))
+
+
+class SilentReceiver:
+    """Asks for a chunk, then stands still."""
+
+    async def send_message(self, message): ...
+
+    async def recv_message(self):
+        await asyncio.Event().wait()
+
+
+def test_a_receiver_that_stands_still_is_left_with_one_line(loop, caplog):
+    """Before: a traceback for each chunk that was on its way to it."""
+    caplog.set_level(logging.INFO)
+    store = MemoryStore(10**6)
+    chunk = b"x" * CHUNK_BYTES
+    version = store.open_version(make_manifest([chunk]), set())
+    version.write_chunk(0, chunk)
+    server = ChunkServer(store, Pacer(1e9), 1, BurstCounts())
+    request = ask(version, 0)
+    request.requester = "agent-1"
+
+    async def scenario():
+        for _ in range(2):
+            async with asyncio.timeout(15.0):
+                await server.send_chunk(request, SilentReceiver())
+
+    loop.run(scenario())
+    lines = [r for r in caplog.messages if "receiver_silent" in r]
+    assert len(lines) == 2
+    assert "peer=agent-1 index=0" in lines[0]
--- a/damaskcroft/fleet/_view.py
+++ b/damaskcroft/fleet/_view.py
@@ -27,6 +27,11 @@
 class FleetView:
     """Merges what all control nodes say; each part only moves forward.
 
+    Args:
+        logs_target: whether changes of a target get a line in this process's
+            log. If each of many processes wrote of each target, logs would
+            grow with the square of the fleet.
+
     Attributes:
         configuration: the newest applied, or None after a fresh start.
         table: its routes and keys, or None.
@@ -41,8 +46,12 @@
         control_addresses: members of control, as last told.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        logs_target: Callable[[fleet_pb2.TargetState], bool] = lambda _: True,
+    ) -> None:
         """Creates a view that knows nothing."""
+        self._logs_target = logs_target
         self.configuration: fleet_pb2.Configuration | None = None
         self.table: RouteTable | None = None
         self.book = TargetBook()
@@ -172,15 +181,16 @@
     def _take_target(self, state: fleet_pb2.TargetState) -> bool:
         if not self.book.take(state):
             return False
-        log_event(
-            "target_changed",
-            id=state.id,
-            service=state.service,
-            address=state.address,
-            phase=fleet_pb2.TargetPhase.Name(state.phase),
-            born_ms=state.born_ms,
-            sequence=state.sequence,
-        )
+        if self._logs_target(state):
+            log_event(
+                "target_changed",
+                id=state.id,
+                service=state.service,
+                address=state.address,
+                phase=fleet_pb2.TargetPhase.Name(state.phase),
+                born_ms=state.born_ms,
+                sequence=state.sequence,
+            )
         return True
 
     def _take_agent(self, agent: fleet_pb2.AgentState) -> bool:
--- a/damaskcroft/fleet/tests/test_view.py
+++ b/damaskcroft/fleet/tests/test_view.py
@@ -1,6 +1,9 @@
 """What several control nodes say, merged at an entry."""
 
 import asyncio
+import logging
+
+import pytest
 
 from damaskcroft._generated import fleet_pb2
 from damaskcroft.fleet import FleetView
@@ -174,3 +177,26 @@
         assert views[1].changes == 1
 
     loop.run(scenario())
+
+
+@pytest.mark.parametrize("watcher", ["entry", "agent"])
+def test_an_agent_writes_of_its_own_target_alone(loop, caplog, watcher):
+    """Before: 26 agents wrote 6,462 lines of all targets in one minute."""
+    caplog.set_level(logging.INFO)
+    view = FleetView()
+    if watcher == "agent":
+        view = FleetView(logs_target=lambda state: state.address == "t-7:1")
+    targets = [
+        fleet_pb2.TargetState(
+            id=f"t-{n}", service="s", address=f"t-{n}:1", sequence=1
+        )
+        for n in range(20)
+    ]
+
+    async def scenario():
+        view.take(targets)
+
+    loop.run(scenario())
+    lines = [r for r in caplog.messages if "target_changed" in r]
+    assert len(lines) == (1 if watcher == "agent" else len(targets))
+    assert len(list(view.book.words())) == len(targets)
--- a/damaskcroft/hosted/agent.py
+++ b/damaskcroft/hosted/agent.py
@@ -47,7 +47,10 @@
     """
     stop = stop_event()
     channels = ChannelPool(Keys(None, None))
-    view = FleetView()
+    # Entries and control write of all targets.
+    view = FleetView(
+        logs_target=lambda state: state.address == settings.target_address
+    )
     peers = GrpcPeerSource(channels, _STALL_S)
     weights_s = settings.bounds.weights_s
     own = FleetAgent(
--- a/damaskcroft/observe/metrics.py
+++ b/damaskcroft/observe/metrics.py
@@ -12,6 +12,7 @@
     "ANSWER_WHOLE_S",
     "BURST_BYTES",
     "BURST_CHUNKS_CORRUPT",
+    "BURST_RECEIVERS_SILENT",
     "BURST_SOURCE_FAILURES",
     "BURST_YIELDS",
     "CLAIMS",
@@ -124,6 +125,10 @@
 BURST_CHUNKS_CORRUPT = Counter(
     "damask_burst_corrupt_chunks", "Chunks that failed their digest", ["source"]
 )
+BURST_RECEIVERS_SILENT = Counter(
+    "damask_burst_silent_receivers",
+    "Chunks that were no longer sent, since nobody asked for their next part",
+)
 BURST_SOURCE_FAILURES = Counter(
     "damask_burst_source_failures", "Chunk attempts that failed", ["reason"]
 )
--- a/damaskcroft/weights/_burst.py
+++ b/damaskcroft/weights/_burst.py
@@ -227,6 +227,7 @@
                 "burst_progress",
                 path=self._path,
                 held=version.held_count,
+                known=version.holdings.known_count,
                 missing=",".join(map(str, version.missing()[:_SHOWN])),
                 origin_bytes=self._counts.origin_bytes,
                 peer_bytes=self._counts.peer_bytes,
--- a/damaskcroft/weights/_holdings.py
+++ b/damaskcroft/weights/_holdings.py
@@ -39,6 +39,11 @@
         """Whether anybody is known to hold a chunk, also by hearsay."""
         return bool(self._known >> index & 1)
 
+    @property
+    def known_count(self) -> int:
+        """How many chunks anybody else is known to hold."""
+        return self._known.bit_count()
+
     def known(self) -> bytes:
         """A bit for each chunk that anybody is known to hold."""
         return _as_bytes(self._known)
