A holder's announcement is known where its revision is read

The type checker could not tell that a superseded holder includes one that isn't known; the three conditions stand in one place now. Behaviour as before.

--- a/damaskcroft/control/_service.py
+++ b/damaskcroft/control/_service.py
@@ -116,10 +116,11 @@
             if message is None:
                 return
             known = self._state.holders.holders_by_id.get(holder_id)
-            superseded = (
-                known is None or known.incarnation != announcement.incarnation
-            )
-            if superseded or not self._replica.is_confirmed_leader:
+            if (
+                known is None
+                or known.incarnation != announcement.incarnation
+                or not self._replica.is_confirmed_leader
+            ):
                 await self._send_not_leader(stream)
                 return
             self._ledger.lead(self._replica.term)
