--- a/damaskcroft/weights/_burst.py
+++ b/damaskcroft/weights/_burst.py
@@ -65,15 +65,12 @@
         in_step: whether outside reads keep in step with the trees. Not where
             the outside link has the rate of a few agents' links and may be
             lost at any moment: then what is read early is safe.
-        outside_bytes_s: rate of the outside link, which all agents share; 0 if
-            unknown.
     """
 
     parallel_fetches: int = 64
     parallel_outside: int = 2
     wait_s: float = 2.0
     in_step: bool = True
-    outside_bytes_s: float = 0.0
 
 
 class Burst:
@@ -301,7 +298,6 @@
             lambda: self._planner,
             self._suspects,
             self._rng,
-            self._options.outside_bytes_s,
         )
         async with asyncio.TaskGroup() as group:
             for _ in range(self._options.parallel_outside):
--- a/damaskcroft/weights/_reading.py
+++ b/damaskcroft/weights/_reading.py
@@ -52,20 +52,17 @@
         planner: knows who is to read what; None before anybody is known.
         suspects: agents that don't answer; their turns are left out.
         rng: spreads tries.
-        outside_bytes_s: rate of the source's link, which all share; 0 if
-            unknown.
     """
 
     __slots__ = (
         "_fetcher",
         "_has_failed",
         "_may_take_over_at",
-        "_outside_bytes_s",
         "_planner",
-        "_read_at",
         "_rng",
         "_suspects",
         "_took_s",
+        "_unread_since",
         "_version",
     )
 
@@ -76,7 +73,6 @@
         planner: Callable[[], Planner | None],
         suspects: Suspects,
         rng: random.Random,
-        outside_bytes_s: float = 0.0,
     ):
         """Reads nothing yet."""
         self._version = version
@@ -84,12 +80,11 @@
         self._planner = planner
         self._suspects = suspects
         self._rng = rng
-        self._outside_bytes_s = outside_bytes_s
         self._may_take_over_at = float("-inf")
         # Whether a read has failed since the last word of a chunk.
         self._has_failed = False
-        # The first chunks that nobody holds, and when each is to be read.
-        self._read_at: dict[int, float] = {}
+        # When each of the first chunks that nobody holds became one of them.
+        self._unread_since: dict[int, float] = {}
         self._took_s = collections.deque([_USUAL_READ_S], maxlen=_LAST_READ)
 
     async def run(self) -> None:
@@ -113,9 +108,9 @@
     def _look(self) -> None:
         """Notes which chunks may be read, and what became of those before."""
         now = now_s()
-        before = self._read_at
+        before = self._unread_since
         first = list(itertools.islice(self._unread(), _AT_ONCE))
-        took_s = [max(0.0, now - before[i]) for i in before.keys() - set(first)]
+        took_s = [now - before[i] for i in before.keys() - set(first)]
         if took_s:
             if self._has_failed:
                 # The source is back, and all readers begin anew.
@@ -123,31 +118,7 @@
                 self._has_failed = False
             else:
                 self._took_s.extend(took_s)
-        self._read_at = self._scheduled(first, before, now)
-
-    def _scheduled(
-        self, indexes: list[int], before: dict[int, float], now: float
-    ) -> dict[int, float]:
-        """When each chunk is to be read.
-
-        Those that become due together are read one after another, as fast as
-        the source's link carries them: the first come soon and the word of
-        them spreads while the next are read. Read together, all would come
-        late, and the link would be idle until the word of them had come.
-        """
-        read_at: dict[int, float] = {}
-        free_at = now
-        for index in indexes:
-            read_at[index] = before.get(index, free_at)
-            free_at = max(now, read_at[index] + self._link_s(index))
-        return read_at
-
-    def _link_s(self, index: int) -> float:
-        """What a chunk takes on the source's link."""
-        if not self._outside_bytes_s:
-            return 0.0
-        size_bytes = self._version.manifest.chunks[index].size_bytes
-        return size_bytes / self._outside_bytes_s
+        self._unread_since = {i: before.get(i, now) for i in first}
 
     def _late_s(self) -> float:
         """After how long without a chunk others than its reader may read it."""
@@ -162,7 +133,7 @@
 
     def _own(self, planner: Planner) -> Iterator[int]:
         suspects = self._suspects.now()
-        for index in self._due():
+        for index in self._to_read():
             if planner.parent(index, suspects) is None:
                 yield index
 
@@ -172,16 +143,15 @@
             return
         suspects = self._suspects.now()
         late_s = self._late_s()
-        for index in self._due():
+        for index in self._to_read():
             turn = planner.turn(index, suspects)
-            waited_s = now - self._read_at[index]
+            waited_s = now - self._unread_since[index]
             if waited_s >= late_s + turn * _TURN_S:
                 yield index
 
-    def _due(self) -> Iterator[int]:
-        now = now_s()
-        for index, read_at in self._read_at.items():
-            if read_at <= now and index not in self._fetcher.arrivals:
+    def _to_read(self) -> Iterator[int]:
+        for index in self._unread_since:
+            if index not in self._fetcher.arrivals:
                 yield index
 
     async def _take_over(self, index: int, planner: Planner) -> None:
