A just started entry lets requests wait for its first view

Cause: an entry without a configuration refused at once, with word to come back after about half a second.

Change: for three seconds after the first request that finds no view, requests wait for configuration and targets, a third of their time at most, as long as they may wait for a full target. Then they are refused, with word when to come back; an entry without a view for longer refuses at once, since another one may serve.

Ruled out: a longer Retry-After (callers return at times spread over what is left, later than needed, and one that is alone in having started sends them away for nothing).

--- a/damaskcroft/forwarding/_gate.py
+++ b/damaskcroft/forwarding/_gate.py
@@ -35,6 +35,15 @@
 # balancer needs two of its questions, a second apart, to send none. Where all
 # entries end at once it goes on sending, and what could be cut is refused.
 _STILL_TAKEN_S = 2.5
+# For so long after its first request an entry may be about to hear of
+# configuration and targets: after a loss of power control elects a leader and
+# targets announce themselves within two seconds. Later it has been cut off, and
+# another entry may serve whom this one refuses.
+_FIRST_VIEW_S = 3.0
+# Share of its time that a request waits for that: a caller told to come back
+# does so within a third of what it has left, and must then still be served.
+_FIRST_VIEW_SHARE = 0.33
+_LOOK_EVERY_S = 0.02
 _STATUS_BY_REASON = {
     "malformed": 400,
     "no_configuration": 503,
@@ -76,6 +85,9 @@
         self._view = view
         self._forwarder = forwarder
         self._rng = rng or random.Random()
+        self._has_had_view = False
+        # When a request first found nothing that it could be sent by.
+        self._view_wanted_since: float | None = None
         self._limits = CallerLimits()
         self._limits_version = 0
         self._stop: _Stop | None = None
@@ -113,6 +125,7 @@
         if call is None:
             await self._refuse("", Refused("malformed", Ran.NO), answer)
             return
+        await self._wait_for_first_view(call)
         made = self._job(call)
         if isinstance(made, Refused):
             await self._refuse(call.request_id, made, answer)
@@ -138,6 +151,28 @@
             case Refused():
                 await self._refuse(call.request_id, ending, answer, made)
 
+    async def _wait_for_first_view(self, call: Call) -> None:
+        """Lets a request wait for what an entry hears right after its start.
+
+        Where all entries start at once, as after a loss of power, callers that
+        were refused would meet another entry that knows no more.
+        """
+        if self._has_had_view:
+            return
+        if self._view_wanted_since is None:
+            self._view_wanted_since = now_s()
+        until = self._view_wanted_since + _FIRST_VIEW_S
+        if call.deadline_s is not None:
+            share_s = call.deadline_s * _FIRST_VIEW_SHARE
+            until = min(until, call.arrived_at + share_s)
+        while not self._has_view() and now_s() < until:
+            await asyncio.sleep(_LOOK_EVERY_S)
+        self._has_had_view = self._has_view()
+
+    def _has_view(self) -> bool:
+        has_targets = next(iter(self._view.book.believed()), None) is not None
+        return self._view.table is not None and has_targets
+
     def _job(self, call: Call) -> Job | Refused:
         table = self._view.table
         if table is None:
--- a/damaskcroft/forwarding/tests/test_forwarding.py
+++ b/damaskcroft/forwarding/tests/test_forwarding.py
@@ -513,7 +513,7 @@
 
     async def scenario():
         async with entry_before() as entry:
-            await asyncio.sleep(0.25)
+            assert (await entry.ask())[0] == 503
             asked_at = asyncio.get_running_loop().time()
             status, head, _ = await entry.ask()
             assert status == 503
