Manifests named by a digest are a module; one class for agents that know nothing

Burst._leave_unaware and Fetcher._leave_unaware had one shape with two bounds: UnawareAgents holds both. Behaviour as before; peer_unaware always tells the version's path now.

--- a/damaskcroft/weights/_burst.py
+++ b/damaskcroft/weights/_burst.py
@@ -17,18 +17,12 @@
 from damaskcroft.clock import now_s
 from damaskcroft.observe import log_event, metrics
 from damaskcroft.tasks import end_all
-from damaskcroft.weights._errors import ManifestError
-from damaskcroft.weights._fetcher import (
-    CORRUPT_SUSPECT_S,
-    SUSPECT_S,
-    BurstCounts,
-    Fetcher,
-)
+from damaskcroft.weights._fetcher import BurstCounts, Fetcher
 from damaskcroft.weights._gossip import Gossip
-from damaskcroft.weights._manifest import load_manifest
-from damaskcroft.weights._outside import OutsideData, OutsideSource
+from damaskcroft.weights._named_manifest import NamedManifest
+from damaskcroft.weights._outside import OutsideSource
 from damaskcroft.weights._pacer import Pacer
-from damaskcroft.weights._peers import PeerFailed, PeerNotYet, PeerSource
+from damaskcroft.weights._peers import PeerSource
 from damaskcroft.weights._planner import Participant, Planner
 from damaskcroft.weights._reading import SharedReading
 from damaskcroft.weights._rescue import Rescuer
@@ -44,7 +38,6 @@
 # A chunk that was late is asked for again after so many others: about as many
 # as come in the time that it was waited for.
 _PUT_BACK_PLACES = 16
-_MANIFEST_PAUSE_S = 0.1
 # How many chunks may be on their way between the outside link and the leaves
 # of the trees: some for each hop.
 _READ_AHEAD_PER_HOP = 4
@@ -136,35 +129,15 @@
         Raises:
             ManifestError: the outside source holds another one.
         """
-        asked_since: dict[str, float] = {}
-        while True:
-            parent = self._parent(0)
-            if parent is None:
-                content = await self._manifest_from_outside()
-                if content is not None:
-                    load_manifest(content, digest)
-                    return content
-            else:
-                content = await self._manifest_from_peer(parent, digest)
-                if content is not None:
-                    return content
-                self._leave_unaware(parent, asked_since)
-            await asyncio.sleep(_MANIFEST_PAUSE_S)
-
-    def _leave_unaware(
-        self, parent: Participant, asked_since: dict[str, float]
-    ) -> None:
-        """Looks elsewhere when an agent has had no manifest for long.
-
-        It may have no configuration, and may never hear of the version.
-        """
-        since = asked_since.setdefault(parent.id, now_s())
-        if now_s() - since < self._options.wait_s:
-            return
-        del asked_since[parent.id]
-        if parent.id not in self._suspects.now():
-            log_event("peer_unaware", peer=parent.id, path=self._path)
-        self._suspects.add(parent.id, self._options.wait_s)
+        named = NamedManifest(
+            self._path,
+            self._outside,
+            self._peers,
+            lambda: self._parent(0),
+            self._suspects,
+            self._options.wait_s,
+        )
+        return await named.fetch(digest)
 
     async def run(self, version: StagedVersion) -> None:
         """Gets every missing chunk; returns when all are held."""
@@ -406,34 +379,6 @@
             if not version.held[index]:
                 await fetcher.from_outside(index)
 
-    async def _manifest_from_outside(self) -> bytes | None:
-        for source in self._outside:
-            if source.closed_for_s > 0:
-                continue
-            outcome = await source.fetch_manifest(self._path)
-            if isinstance(outcome, OutsideData):
-                return outcome.data
-            metrics.BURST_SOURCE_FAILURES.labels(
-                f"{source.name}_{outcome.reason}"
-            ).inc()
-        return None
-
-    async def _manifest_from_peer(
-        self, parent: Participant, digest: str
-    ) -> bytes | None:
-        outcome = await self._peers.fetch_manifest(parent.address, digest)
-        if isinstance(outcome, PeerFailed):
-            self._suspects.add(parent.id, SUSPECT_S)
-            return None
-        if isinstance(outcome, PeerNotYet):
-            return None
-        try:
-            load_manifest(outcome.data, digest)
-        except ManifestError:
-            self._suspects.add(parent.id, CORRUPT_SUSPECT_S)
-            return None
-        return outcome.data
-
 
 def help_share(
     policy: records_pb2.BurstPolicy, copies_cap: float, agents: int
--- a/damaskcroft/weights/_fetcher.py
+++ b/damaskcroft/weights/_fetcher.py
@@ -6,7 +6,6 @@
 from collections.abc import Sequence
 
 from damaskcroft._generated import agent_pb2
-from damaskcroft.clock import now_s
 from damaskcroft.observe import log_event, metrics
 from damaskcroft.weights._arrivals import Arrivals
 from damaskcroft.weights._holdings import packed
@@ -23,6 +22,7 @@
 from damaskcroft.weights._sources import Sources
 from damaskcroft.weights._store import StagedVersion
 from damaskcroft.weights._suspects import Suspects
+from damaskcroft.weights._unaware import UnawareAgents
 
 __all__ = ["CORRUPT_SUSPECT_S", "SUSPECT_S", "BurstCounts", "Fetcher"]
 
@@ -32,8 +32,8 @@
 CORRUPT_SUSPECT_S = 300.0
 _MIN_PAUSE_S = 0.02
 _MAX_PAUSE_S = 1.0
-# An agent that knows nothing of a version for so long after it was first asked
-# is left out of its trees: several times what it takes all agents to hear.
+# How long agents may take to hear of a version: they do so within some tenths
+# of a second of each other.
 _HEARS_WITHIN_S = 0.4
 
 
@@ -76,7 +76,7 @@
         "_peers",
         "_rng",
         "_suspects",
-        "_unaware_since",
+        "_unaware",
         "_version",
         "arrivals",
     )
@@ -103,7 +103,9 @@
         self._counts = counts
         self._suspects = suspects
         self._rng = rng
-        self._unaware_since: dict[str, float] = {}
+        self._unaware = UnawareAgents(
+            suspects, path, _HEARS_WITHIN_S, SUSPECT_S
+        )
         self.arrivals = Arrivals(lambda: len(version.held) - version.held_count)
 
     async def from_peer(
@@ -149,7 +151,8 @@
                 version.holdings.note(peer.id, held, known)
                 await asyncio.sleep(_MIN_PAUSE_S)
             case PeerUnaware():
-                await self._leave_unaware(peer)
+                await asyncio.sleep(_MIN_PAUSE_S)
+                self._unaware.note(peer.id)
             case PeerFailed(reason=reason):
                 self._suspect(peer, reason)
 
@@ -182,19 +185,6 @@
             peer.id, _STALLED_SUSPECT_S if stalled else SUSPECT_S
         )
 
-    async def _leave_unaware(self, peer: Participant) -> None:
-        """Lets a peer that takes no part out, once it had time to hear of it.
-
-        Agents hear of a version within some tenths of a second of each other.
-        """
-        await asyncio.sleep(_MIN_PAUSE_S)
-        since = self._unaware_since.setdefault(peer.id, now_s())
-        if now_s() - since >= _HEARS_WITHIN_S:
-            del self._unaware_since[peer.id]
-            if peer.id not in self._suspects.now():
-                log_event("peer_unaware", peer=peer.id)
-            self._suspects.add(peer.id, SUSPECT_S)
-
     def _pause_s(self) -> float:
         """Until the first outside source is open again, spread a little."""
         wait_s = min(source.closed_for_s for source in self._outside)
