Agents take chunks over one after another, as long as a read takes apart

Hypothesis: reads in vain keep the origin from giving new chunks. In a small twin 26 agents had read 64 chunks for 43 distinct ones in the 2.4 s before the origin went, and some 75 for 53 in the 3.2 s after its return: a chunk that was late was taken over every 0.2 s by another agent, while each read and the word of it took 0.8 s and more; and the first chunks of a burst, which take longest, counted as late after 0.9 s.

Change: the next agent waits as long as the last chunks took; before any has come a chunk is late after 1.2 s.

--- a/damaskcroft/weights/_reading.py
+++ b/damaskcroft/weights/_reading.py
@@ -30,13 +30,13 @@
 # the word of one spreads, so that its link stays full.
 _AT_ONCE = 16
 # A chunk is late after this many times what the last ones took to be read, the
-# word of them included.
+# word of them included; before any has come, about so long.
 _LATE_TIMES = 1.5
 _LAST_READ = 16
-_USUAL_READ_S = 0.6
+_FIRST_READ_S = 0.8
 _MIN_LATE_S, _MAX_LATE_S = 0.4, 3.0
-# Between the agents that may take a chunk over.
-_TURN_S = 0.2
+# At least between the agents that may take a chunk over: rounds of gossip.
+_MIN_TURN_S = 0.2
 # After a try in vain an agent leaves others' chunks alone for this long, times
 # the number of agents.
 _RETRY_S_PER_AGENT = 0.2
@@ -85,7 +85,7 @@
         self._has_failed = False
         # When each of the first chunks that nobody holds became one of them.
         self._unread_since: dict[int, float] = {}
-        self._took_s = collections.deque([_USUAL_READ_S], maxlen=_LAST_READ)
+        self._took_s = collections.deque([_FIRST_READ_S], maxlen=_LAST_READ)
 
     async def run(self) -> None:
         """Reads a chunk at a time until every one is held here."""
@@ -143,10 +143,12 @@
             return
         suspects = self._suspects.now()
         late_s = self._late_s()
+        # Between those who may take a chunk over: what one of them takes.
+        turn_s = max(_MIN_TURN_S, statistics.fmean(self._took_s))
         for index in self._to_read():
             turn = planner.turn(index, suspects)
             waited_s = now - self._unread_since[index]
-            if waited_s >= late_s + turn * _TURN_S:
+            if waited_s >= late_s + turn * turn_s:
                 yield index
 
     def _to_read(self) -> Iterator[int]:
