Red: each agent's renewal wakes each watcher of each control node

While a version changes, 55 agents tell each second that they guard their targets, each to five control nodes, and each of these sends 96 watchers an update: 26,000 updates a second, as many decoded.

--- a/damaskcroft/control/tests/test_fleet_service.py
+++ b/damaskcroft/control/tests/test_fleet_service.py
@@ -244,3 +244,66 @@
         assert view.due_version("m", 0.9) == 2
 
     loop.run(scenario())
+
+
+class CountingStream(Stream):
+    """One that counts what it is sent."""
+
+    def __init__(self, view):
+        super().__init__(view)
+        self.sent = 0
+
+    async def send_message(self, update):
+        self.sent += 1
+        await super().send_message(update)
+
+
+def agent_word(number, sequence, **fields):
+    return fleet_pb2.AgentState(
+        address=f"10.0.0.{number}:1",
+        incarnation="one",
+        sequence=sequence,
+        **fields,
+    )
+
+
+def test_what_is_only_told_again_wakes_watchers_seldom(play):
+    """Before: 56 updates a second, one for each agent's renewal.
+
+    While a version changes each agent tells every second that it still guards
+    its target. With 55 agents, 96 watchers and five control nodes these were
+    26,000 updates a second, and as many decoded.
+    """
+
+    async def scenario(node):
+        watcher = CountingStream(FleetView())
+        node.watch(watcher)
+        for number in range(55):
+            node.view.take([], [agent_word(number, 1)])
+        await asyncio.sleep(1.0)
+        before = watcher.sent
+        for number in range(55):
+            node.view.take([], [agent_word(number, 2)])
+            await asyncio.sleep(1.0 / 55)
+        await asyncio.sleep(0.15)
+        known = watcher.view.agents_by_address.values()
+        return watcher.sent - before, {agent.sequence for agent in known}
+
+    sent, sequences = play(scenario)
+    assert sent <= 14
+    assert sequences == {2}
+
+
+def test_news_of_an_agent_are_told_at_once(play):
+    async def scenario(node):
+        watcher = CountingStream(FleetView())
+        node.watch(watcher)
+        node.view.take([], [agent_word(1, 1)])
+        await asyncio.sleep(0.3)
+        node.view.take([], [agent_word(1, 2)])
+        switching = agent_word(1, 3, phase=fleet_pb2.AGENT_SWITCHING)
+        node.view.take([], [switching])
+        await asyncio.sleep(0.01)
+        return watcher.view.agents_by_address["10.0.0.1:1"]
+
+    assert play(scenario).phase == fleet_pb2.AGENT_SWITCHING
