Renewals by their name; a wait for the first view is told

What said a word "told again" is a renewal, as leases have them: listeners, the gathered words and the tests are named so. A request that waited for an entry's first view leaves a line, so that its time is accounted for. Behaviour as before.

--- a/damaskcroft/control/_fleet_service.py
+++ b/damaskcroft/control/_fleet_service.py
@@ -103,10 +103,10 @@
         self._view = view
         self._control = control
         self._watchers: set[_Watcher] = set()
-        # Words that were only told again and are to go out together.
-        self._told_again_by_address: dict[str, fleet_pb2.AgentState] = {}
+        # The newest words that change nothing, until they go out together.
+        self._renewals_by_address: dict[str, fleet_pb2.AgentState] = {}
         self._started_at = now_s()
-        view.listen(self._spread, told_again=self._gather)
+        view.listen(self._spread, on_renewal=self._gather_renewals)
         state.listen(self._state_changed)
 
     def _state_changed(self) -> None:
@@ -184,22 +184,22 @@
             agents=self._view.agents_by_address.values(),
         )
 
-    def _gather(self, update: fleet_pb2.FleetUpdate) -> None:
-        """Takes words that were only told again; they go out together."""
-        if not self._told_again_by_address:
+    def _gather_renewals(self, update: fleet_pb2.FleetUpdate) -> None:
+        """Takes words that change nothing; they go out together."""
+        if not self._renewals_by_address:
             loop = asyncio.get_running_loop()
-            loop.call_later(RENEWALS_GATHERED_S, self._tell_gathered)
+            loop.call_later(RENEWALS_GATHERED_S, self._spread_renewals)
         for agent in update.agents:
-            self._told_again_by_address[agent.address] = agent
+            self._renewals_by_address[agent.address] = agent
 
-    def _tell_gathered(self) -> None:
-        agents = self._told_again_by_address.values()
+    def _spread_renewals(self) -> None:
+        agents = self._renewals_by_address.values()
         if agents:
             self._spread(fleet_pb2.FleetUpdate(agents=agents))
 
     def _spread(self, update: fleet_pb2.FleetUpdate) -> None:
         for agent in update.agents:
-            self._told_again_by_address.pop(agent.address, None)
+            self._renewals_by_address.pop(agent.address, None)
         for watcher in self._watchers:
             watcher.add(update)
 
--- a/damaskcroft/control/tests/test_fleet_service.py
+++ b/damaskcroft/control/tests/test_fleet_service.py
@@ -267,7 +267,7 @@
     )
 
 
-def test_what_is_only_told_again_wakes_watchers_seldom(play):
+def test_renewals_wake_watchers_seldom(play):
     """Before: 56 updates a second, one for each agent's renewal.
 
     While a version changes each agent tells every second that it still guards
--- a/damaskcroft/fleet/_view.py
+++ b/damaskcroft/fleet/_view.py
@@ -16,8 +16,8 @@
 # How often an agent tells again what it guards, while its target still holds
 # older weights: some words in the seconds between naming and switch.
 GUARD_RENEWED_S = 1.0
-# For how long a control node gathers words that are only told again, so that a
-# watcher isn't woken by each of them.
+# For how long a control node gathers renewals, so that a watcher isn't woken by
+# each of them.
 RENEWALS_GATHERED_S = 0.1
 # A guard that has not been told for so long is none: the agent may have ended
 # or stand still. Two words that don't come, and their way.
@@ -145,16 +145,16 @@
         return max((goal.version for goal in goals), default=0)
 
     def listen(
-        self, listener: Listener, told_again: Listener | None = None
+        self, listener: Listener, on_renewal: Listener | None = None
     ) -> None:
         """Calls `listener` with each change of targets or agents.
 
         Args:
             listener: hears of changes.
-            told_again: hears, in its stead, of agents' words that say what
+            on_renewal: hears, in its stead, of agents' words that say what
                 the ones before them said.
         """
-        self._listeners.append((listener, told_again or listener))
+        self._listeners.append((listener, on_renewal or listener))
 
     def apply_update(self, update: fleet_pb2.FleetUpdate) -> None:
         """Takes goals, targets and agents from a control node's update."""
@@ -183,15 +183,15 @@
             known = self.agents_by_address.get(agent.address)
             if self._take_agent(agent):
                 changed.agents.append(agent)
-                is_news = is_news or not _is_told_again(agent, known)
+                is_news = is_news or not _is_renewal(agent, known)
         if not changed.targets and not changed.agents:
             return
         self.changes += 1
-        for listener, told_again in self._listeners:
+        for listener, on_renewal in self._listeners:
             if is_news:
                 listener(changed)
             else:
-                told_again(changed)
+                on_renewal(changed)
 
     def doubt_target(self, target_id: str) -> None:
         """Takes note that another target answers at a target's address."""
@@ -269,7 +269,7 @@
         )
 
 
-def _is_told_again(
+def _is_renewal(
     agent: fleet_pb2.AgentState, known: fleet_pb2.AgentState | None
 ) -> bool:
     """Whether a word says what the one before it said."""
--- a/damaskcroft/forwarding/_gate.py
+++ b/damaskcroft/forwarding/_gate.py
@@ -161,6 +161,7 @@
             return
         if self._view_wanted_since is None:
             self._view_wanted_since = now_s()
+        began_at = now_s()
         until = self._view_wanted_since + _FIRST_VIEW_S
         if call.deadline_s is not None:
             share_s = call.deadline_s * _FIRST_VIEW_SHARE
@@ -168,6 +169,14 @@
         while not self._has_view() and now_s() < until:
             await asyncio.sleep(_LOOK_EVERY_S)
         self._has_had_view = self._has_view()
+        waited_s = now_s() - began_at
+        if waited_s >= _LOOK_EVERY_S:
+            log_event(
+                "waited_for_view",
+                request=call.request_id,
+                waited_s=waited_s,
+                came=self._has_had_view,
+            )
 
     def _has_view(self) -> bool:
         has_targets = next(iter(self._view.book.believed()), None) is not None
