Comments without figures and stories of trials

Places in weights/, agent/ and routing/ told how a value or a mechanism had been measured, on which fleet and with what result; commits and docs/design hold that. They keep the reason alone. Comments and docstrings only.

--- a/damaskcroft/agent/_fleet_stager.py
+++ b/damaskcroft/agent/_fleet_stager.py
@@ -423,9 +423,8 @@
     def _living_peers(self) -> list[fleet_pb2.AgentState]:
         """Other agents whose targets are there, or all if none is known.
 
-        An agent that ends says nothing. Of 18 planned readers four had left
-        with their targets in one change of versions; one chunk of 64 was with
-        nobody when the origin went, and no target served for 1.5 s.
+        An agent that ends says nothing. What it was to read would be with
+        nobody until others took it over, or longer if the origin is lost.
         """
         peers = self._own.peers()
         addresses = {state.address for state in self._view.book.believed()}
--- a/damaskcroft/routing/_placement.py
+++ b/damaskcroft/routing/_placement.py
@@ -33,9 +33,8 @@
 # below it, and answers of a full engine are quicker.
 _SLOW_S = 0.5
 # What a target told of its load holds for a while, since whoever ends is
-# replaced while a target is full: counted for less at once, each of four
-# entries sent a third too much to full targets. Held for a whole second, as
-# long as requests last, free slots were missed below that load.
+# replaced while a target is full. Held for as long as requests last, free
+# slots would be missed where it isn't.
 _REPORT_HOLDS_S = 0.75
 # Later it counts for half as much with each such time.
 _REPORT_HALF_LIFE_S = 0.5
--- a/damaskcroft/weights/_gossip.py
+++ b/damaskcroft/weights/_gossip.py
@@ -2,9 +2,10 @@
 
 Anti-entropy after Demers et al., "Epidemic Algorithms for Replicated Database
 Maintenance" (PODC 1987): each agent exchanges all that it knows with one other
-at random. A word reaches fourteen agents in about 0.4 s, where questions for
-chunks alone took over a second between regions, so that chunks were read from
-outside that others had. An exchange is some 300 bytes both ways.
+at random, so that a word reaches all in a number of rounds that grows with the
+logarithm of their number. Without it the word would come with answers to
+questions alone, later between regions than a chunk takes to be read from
+outside.
 """
 
 import asyncio
--- a/damaskcroft/weights/_outside.py
+++ b/damaskcroft/weights/_outside.py
@@ -67,9 +67,9 @@
             connections=_CONNECTIONS,
             connect_timeout_s=stall_s,
             read_timeout_s=_MAX_PATIENCE_S,
-            # All agents share the connections that a source takes: 48 for 23
-            # agents on one deployment. A new one costs a round trip of some
-            # milliseconds; a chunk takes 27 ms and more.
+            # All agents share the connections that a source takes, which may
+            # be fewer than agents. A new one costs a round trip, far less than
+            # a chunk takes.
             keeps_open=False,
         )
 
--- a/damaskcroft/weights/_rescue.py
+++ b/damaskcroft/weights/_rescue.py
@@ -25,7 +25,7 @@
 # No more at once than a link of 3.65 Mbit/s carries in the patience below.
 _MAX_RESCUED = 8
 # A chunk takes up to a second beside a full window of others; cut sooner, what
-# had come of it was lost, and one byte in fifteen came in vain.
+# has come of it is lost.
 _RESCUE_PATIENCE_S = 1.5
 # A holder that has not given a chunk in that time is left aside in looking for
 # overdue ones: others may read them outside meanwhile.
