Few agents before a quick origin read all at once, as they did

Cause: by their logs agents held at most 45 of 64 chunks when the origin went, 63 on the code before turns. The origin gives 38 chunks a second there; sixteen at once, and a word of each that takes a second in real processes, use half of that.

Change: turns are taken where the origin's link, as the configuration tells it, needs more than 0.5 s for a chunk to each agent; else agents read as before turns (weights/_late_reading.py, as it was). Ruled out: a larger window, in virtual time 60 of 64 chunks with frozen readers instead of 62.

In virtual time as before this commit for 18 and 54 agents behind a slow origin, and as before turns for 14 behind a quick one.

--- a/damaskcroft/agent/_fleet_stager.py
+++ b/damaskcroft/agent/_fleet_stager.py
@@ -35,6 +35,8 @@
 _LOOK_EVERY_S = 0.05
 _RETRY_S = 0.2
 _PLANNER = "latin"
+_MEGA = 1_000_000
+_BITS = 8
 # How often it is looked whether chunks have come that are to be put: a chunk
 # takes longer than this on any link in use.
 _PUT_EVERY_S = 0.02
@@ -306,7 +308,10 @@
             [source],
             self._peers,
             self._pacer,
-            self._options,
+            dataclasses.replace(
+                self._options,
+                outside_bytes_s=self._origin().origin_link_mbps * _MEGA / _BITS,
+            ),
             self.counts,
         )
         self._plan(burst)
@@ -356,11 +361,19 @@
         Raises:
             OSError: it names none.
         """
+        return self._make_source(self._origin().origin)
+
+    def _origin(self) -> fleet_pb2.Service:
+        """The service that gives weights.
+
+        Raises:
+            OSError: the configuration names none.
+        """
         table = self._view.table
         services = table.services_by_name.values() if table else ()
         for service in services:
             if service.origin:
-                return self._make_source(service.origin)
+                return service
         raise OSError("the configuration names no origin of weights")
 
     async def _take_from_target(self, version: StagedVersion) -> None:
--- a/damaskcroft/standins/virtual_links.py
+++ b/damaskcroft/standins/virtual_links.py
@@ -297,7 +297,10 @@
             [_LinkedOrigin(self._fleet, self.address)],  # type: ignore[list-item]
             _LinkedPeers(self._fleet, self.address),
             self._download,
-            self._fleet.shape.options,
+            dataclasses.replace(
+                self._fleet.shape.options,
+                outside_bytes_s=self._fleet.shape.origin_mbps * _MEGA / _BITS,
+            ),
             self.counts,
         )
         participants = [
--- a/damaskcroft/weights/_burst.py
+++ b/damaskcroft/weights/_burst.py
@@ -19,6 +19,7 @@
 from damaskcroft.tasks import end_all
 from damaskcroft.weights._fetcher import BurstCounts, Fetcher
 from damaskcroft.weights._gossip import Gossip
+from damaskcroft.weights._late_reading import LateReading
 from damaskcroft.weights._named_manifest import NamedManifest
 from damaskcroft.weights._outside import OutsideSource
 from damaskcroft.weights._pacer import Pacer
@@ -38,6 +39,9 @@
 # A chunk that was late is asked for again after so many others: about as many
 # as come in the time that it was waited for.
 _PUT_BACK_PLACES = 16
+# Agents may all read a chunk from outside at once if its link carries these in
+# that time: about what the word of a chunk takes to reach them.
+_AT_ONCE_S = 0.5
 # How many chunks may be on their way between the outside link and the leaves
 # of the trees: some for each hop.
 _READ_AHEAD_PER_HOP = 4
@@ -58,12 +62,15 @@
         in_step: whether outside reads keep in step with the trees. Not where
             the outside link has the rate of a few agents' links and may be
             lost at any moment: then what is read early is safe.
+        outside_bytes_s: rate of the outside link, which all agents share; 0
+            if unknown.
     """
 
     parallel_fetches: int = 64
     parallel_outside: int = 2
     wait_s: float = 2.0
     in_step: bool = True
+    outside_bytes_s: float = 0.0
 
 
 class Burst:
@@ -105,6 +112,8 @@
         self._help_share = 0.0
         self._read_ahead = _MIN_READ_AHEAD
         self._taken: set[int] = set()
+        # Whether chunks are read from outside by turns of the whole fleet.
+        self._by_turns = False
         self._suspects = Suspects()
         self._outside_slots = asyncio.Semaphore(options.parallel_outside)
         self._rng = random.Random(own_id)
@@ -143,11 +152,10 @@
         """Gets every missing chunk; returns when all are held."""
         self._copy_local(version)
         missing = version.missing()
-        # Without steps anybody may read any chunk, and all are looked for.
+        self._by_turns = self._needs_turns(version)
+        # By turns anybody may read any chunk, and all are looked for.
         own = [
-            i
-            for i in missing
-            if self._options.in_step and self._parent(i) is None
+            i for i in missing if not self._by_turns and self._parent(i) is None
         ]
         others = [i for i in missing if i not in own]
         self._taken = set()
@@ -158,7 +166,7 @@
             fetcher,
             lambda: self._sources_of(version),
             self._rng,
-            reads_outside=self._options.in_step,
+            reads_outside=not self._by_turns,
         )
         works = [
             self._read_outside(version, fetcher, own, others),
@@ -223,6 +231,15 @@
         on_their_way = self._read_ahead + _MIN_READ_AHEAD
         return min(self._options.parallel_fetches, on_their_way)
 
+    def _needs_turns(self, version: StagedVersion) -> bool:
+        """Whether all agents reading at once would get their chunks late."""
+        if self._options.in_step or self._planner is None:
+            return False
+        agents = len(self._planner.participants)
+        at_once_bytes = agents * version.manifest.chunks[0].size_bytes
+        carried_bytes = self._options.outside_bytes_s * _AT_ONCE_S
+        return carried_bytes > 0 and at_once_bytes > carried_bytes
+
     def _parent(self, index: int) -> Participant | None:
         if self._planner is None:
             return None
@@ -244,13 +261,17 @@
         others: list[int],
     ) -> None:
         """Reads this agent's chunks, then helps with those far off yet."""
-        if not self._options.in_step:
+        if self._by_turns:
             await self._read_shared(version, fetcher)
             return
         indexes = iter(own)
         async with asyncio.TaskGroup() as group:
             for _ in range(self._options.parallel_outside):
                 group.create_task(self._read_own(version, fetcher, indexes))
+        if not self._options.in_step and self._planner is not None:
+            late = LateReading(version, fetcher, self._planner, self._suspects)
+            await late.run()
+            return
         budget_bytes = self._help_share * version.size_bytes
         for index in reversed(others):
             budget_bytes -= version.manifest.chunks[index].size_bytes
@@ -289,7 +310,8 @@
         read when one some way before it has come round by the tree.
         """
         for index in indexes:
-            await self._wait_in_step(version, index - self._read_ahead)
+            if self._options.in_step:
+                await self._wait_in_step(version, index - self._read_ahead)
             while not version.held[index]:
                 await self._try(version, fetcher, index)
 
@@ -371,7 +393,7 @@
             wait_s = self._options.wait_s
             await fetcher.from_peer(index, parent, sources, wait_s)
             return
-        if not self._options.in_step:
+        if self._by_turns:
             # Read in turn with all others, or found with one of them.
             await version.wait_for_chunk(index, _LOOK_EVERY_S)
             return
