Revert "Few agents read a manifest outside; others get it once it is borne out"

Cause: who asked an agent that was gone waited for 1.5 s before anything else, and the second reading of the first readers is waited for by all others.

Conclusion: not kept as it is; docs/design/013 says what to try.

--- a/damaskcroft/agent/_chunks.py
+++ b/damaskcroft/agent/_chunks.py
@@ -96,14 +96,11 @@
         Args:
             digest: its name, or empty.
             path: where outside sources keep the version, if that is all
-                that the asking agent knows of it; given only once it is
-                borne out.
+                that the asking agent knows of it.
         """
         version = self._store.versions_by_digest.get(digest)
         if version is None and path:
             version = self._store.version_at(path)
-            if version is not None and not version.is_borne_out:
-                return b""
         return version.content if version is not None else b""
 
     async def _wait_for_slot(self, stream: Any) -> None:
--- a/damaskcroft/agent/_fleet_stager.py
+++ b/damaskcroft/agent/_fleet_stager.py
@@ -234,12 +234,7 @@
             return
         source = self._source()
         manifests = ManifestReader(
-            wanted.path,
-            source,
-            self._peers,
-            self._own.state.address,
-            self._own.peers,
-            self._rng,
+            wanted.path, source, self._peers, self._own.peers, self._rng
         )
         content = await manifests.first()
         version = self._store.open_version(content, set())
@@ -345,7 +340,6 @@
             )
             if not await confirming:
                 raise ManifestError("other readings of the manifest differ")
-            version.is_borne_out = True
             await fetching
             await putting
         finally:
--- a/damaskcroft/weights/_store.py
+++ b/damaskcroft/weights/_store.py
@@ -40,9 +40,6 @@
         self.held = bytearray(len(self.manifest.chunks))
         self.held_count = 0
         self.verified = False
-        # Whether the manifest is known to be right; one that a record names by
-        # its digest always is.
-        self.is_borne_out = False
         self.index_by_digest: dict[bytes, int] = {}
         for index, chunk in enumerate(self.manifest.chunks):
             self.index_by_digest.setdefault(chunk.digest, index)
