Red: a request that crashes targets goes on; rest and leaving in answers are not read

The soak's stand-in targets learn to crash under a body, to ask for rest, and to say that they leave; a crashed one refuses connections now, as a process that is gone does.

--- a/damaskcroft/hosted/tests/soak/_book.py
+++ b/damaskcroft/hosted/tests/soak/_book.py
@@ -3,11 +3,20 @@
 import collections
 import dataclasses
 import re
+import time
 
 from damaskcroft.hosted.tests.soak._target import EVENTS
 
 _NOT_RUN = (408, 421, 429, 503)
 _EVENT = re.compile(rb"id: (\d+)\ndata: (\S+)\n\n")
+# What the platform's rules call `contact_ms` and `drain_ms`, and what they
+# allow of each.
+CONTACT_S = 3.0
+DRAIN_S = 2.0
+_CRASHES_TO_KNOW = 3
+_MAX_TRIES_AFTER = 3
+_REST_BEGINS_S = 0.5
+_MAX_IN_REST = 2
 
 
 @dataclasses.dataclass(slots=True)
@@ -19,12 +28,55 @@
         status: 0 if the connection gave no answer.
         body: what came of it.
         complete: whether the answer ended as complete.
+        entry: address of the entry that it was sent to.
+        sent_at: when, by `time.monotonic`.
+        took_s: until the caller had its answer.
+        crashes_as: names what crashes its targets, the same for each copy;
+            empty for requests that crash none.
+        retry_after: that header of the answer.
     """
 
     kind: str
     status: int = 0
     body: bytes = b""
     complete: bool = False
+    entry: str = ""
+    sent_at: float = dataclasses.field(default_factory=time.monotonic)
+    took_s: float = 0.0
+    crashes_as: str = ""
+    retry_after: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that reached a target.
+
+    Attributes:
+        at: when, by `time.monotonic`.
+        request_id: which.
+        start: the start of the target that it is for.
+    """
+
+    at: float
+    request_id: str
+    start: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rest:
+    """A refusal in which a target asked an entry for rest.
+
+    Attributes:
+        at: when, by `time.monotonic`.
+        entry: whom it refused.
+        start: the start of the target.
+        for_s: how long it wants nothing.
+    """
+
+    at: float
+    entry: str
+    start: str
+    for_s: float
 
 
 class Book:
@@ -35,8 +87,103 @@
         self.runs_by_id = collections.defaultdict(list)
         self.acknowledged = 0
         self.broken = []
+        self.arrivals = []
+        self.rests = []
+        # When each start of a target first said to each entry that it leaves.
+        self.leaving_since = {}
+        # By what crashes targets: when, one time for each start.
+        self.crashes = collections.defaultdict(list)
+        # Spans in which an entry or control was disturbed.
+        self.disturbed = []
         self._seen_version_by_boot = collections.Counter()
 
+    # --- What targets tell ------------------------------------------------
+
+    def arrived(self, request_id, start):
+        """Called by a target that a request has reached."""
+        self.arrivals.append(Arrival(time.monotonic(), request_id, start))
+
+    def crashed(self, request_id, start):
+        """Called by a target that crashes under a request."""
+        del start
+        asked = self.asked_by_id[request_id]
+        self.crashes[asked.crashes_as].append(time.monotonic())
+
+    def asked_for_rest(self, request_id, start, for_s):
+        """Called by a target that refuses a request and asks for rest."""
+        entry = self.asked_by_id[request_id].entry
+        self.rests.append(Rest(time.monotonic(), entry, start, for_s))
+
+    def said_leaving(self, request_id, start):
+        """Called by a target that says in an answer that it leaves."""
+        entry = self.asked_by_id[request_id].entry
+        self.leaving_since.setdefault((entry, start), time.monotonic())
+
+    # --- Bounds on arrivals -----------------------------------------------
+
+    def tries_after_crashes(self, crashes_as):
+        """Arrivals of what had crashed three targets before, when known."""
+        crashes = sorted(self.crashes[crashes_as])
+        if len(crashes) < _CRASHES_TO_KNOW:
+            return []
+        known_at = crashes[_CRASHES_TO_KNOW - 1] + CONTACT_S
+        return [
+            arrival
+            for arrival in self.arrivals
+            if arrival.at > known_at
+            and self._of(arrival).crashes_as == crashes_as
+            and not self._is_disturbed(arrival.at)
+        ]
+
+    def arrivals_in_rest(self, rest):
+        """Arrivals from an entry while a target wanted nothing from it."""
+        return [
+            arrival
+            for arrival in self.arrivals
+            if arrival.start == rest.start
+            and self._of(arrival).entry == rest.entry
+            and rest.at + _REST_BEGINS_S < arrival.at < rest.at + rest.for_s
+            and not self._is_disturbed(arrival.at)
+        ]
+
+    def arrivals_after_leaving(self, entry, start):
+        """Arrivals that callers sent too late after a target's first word."""
+        since = self.leaving_since[entry, start]
+        return [
+            arrival
+            for arrival in self.arrivals
+            if arrival.start == start
+            and self._of(arrival).entry == entry
+            and self._of(arrival).sent_at > since + DRAIN_S
+            and not self._is_disturbed(arrival.at)
+        ]
+
+    def check_bounds(self):
+        """Breaks what arrived too often; to be called at the end."""
+        for crashes_as in list(self.crashes):
+            tries = self.tries_after_crashes(crashes_as)
+            if len(tries) > _MAX_TRIES_AFTER:
+                self._break(f"{crashes_as} came {len(tries)} times after")
+        for rest in self.rests:
+            found = self.arrivals_in_rest(rest)
+            if len(found) > _MAX_IN_REST:
+                self._break(f"{rest}: {len(found)} arrivals")
+        for entry, start in self.leaving_since:
+            found = self.arrivals_after_leaving(entry, start)
+            if found:
+                self._break(f"{start} was leaving and got {len(found)}")
+
+    def _of(self, arrival):
+        return self.asked_by_id.get(arrival.request_id) or Asked("safe")
+
+    def _is_disturbed(self, at):
+        """Whether an entry or control was disturbed shortly before."""
+        return any(
+            since <= at <= until + CONTACT_S for since, until in self.disturbed
+        )
+
+    # --- What callers get --------------------------------------------------
+
     def body(self, request_id):
         return f"answer to {request_id}, whole".encode()
 
@@ -46,6 +193,8 @@
         asked = self.asked_by_id.get(request_id)
         if asked is None:
             self._break(f"{request_id} ran and nobody asked it")
+        elif asked.crashes_as and asked.status in _NOT_RUN:
+            self._break(f"{request_id} ran after {asked.status}")
         elif asked.kind == "once" and len(self.runs_by_id[request_id]) > 1:
             self._break(f"{request_id} runs once, and ran again")
         elif asked.kind == "once" and asked.status in _NOT_RUN:
--- a/damaskcroft/hosted/tests/soak/_proxy.py
+++ b/damaskcroft/hosted/tests/soak/_proxy.py
@@ -24,12 +24,21 @@
         self.holds_to_target = False
         self.holds_to_entry = False
         self._writers = set()
+        self._server = None
 
     async def start(self, ip):
-        server = await asyncio.start_server(self._serve, ip, 0)
-        port = server.sockets[0].getsockname()[1]
+        """Listens; after `stop`, at the address that it had."""
+        _, _, port = self.address.rpartition(":")
+        self._server = await asyncio.start_server(
+            self._serve, ip, int(port or 0)
+        )
+        port = self._server.sockets[0].getsockname()[1]
         self.address = f"{ip}:{port}"
-        return server
+
+    def stop(self):
+        """Refuses connections, as an address at which nothing listens."""
+        self._server.close()
+        self.reset_all()
 
     def heal(self):
         self.delay_s = 0.0
--- a/damaskcroft/hosted/tests/soak/_target.py
+++ b/damaskcroft/hosted/tests/soak/_target.py
@@ -9,8 +9,12 @@
 from damaskcroft.hosted.tests.soak._proxy import Proxy
 
 EVENTS = 12
+# A target that begins to run a request with this in its body crashes.
+CRASHING = b"crashes whoever runs it"
 _EVENT_S = 0.03
 _WORK_S = 0.05
+_CRASHES_AFTER_S = 0.04
+_BACK_AFTER_S = 2.5
 _ANNOUNCE_S = 0.4
 _DRAIN_S = 2.0
 
@@ -34,6 +38,12 @@
         self._writers = set()
         self._state = "ready"
         self._sequence = 0
+        self._is_up = False
+        self._restarting = None
+        # How long it asks for rest in refusals; None while it serves.
+        self.rest_s = None
+        # Whether its answers say that it leaves.
+        self.says_leaving = False
 
     @property
     def id(self):
@@ -44,26 +54,51 @@
         return f"i-{self.name}-{self.boot}"
 
     async def start(self, port=0):
+        self._is_up = True
         self._server = await asyncio.start_server(self._serve, TARGET_IP, port)
         self.port = self._server.sockets[0].getsockname()[1]
         if self.proxy is None:
             self.proxy = Proxy(f"{TARGET_IP}:{self.port}")
-            await self.proxy.start(TARGET_IP)
+        await self.proxy.start(TARGET_IP)
         self.boot += 1
         self._state, self._sequence = "ready", 0
+        self.rest_s, self.says_leaving = None, False
         self._born_ms = time.time_ns() // 1_000_000
         self._announcing = asyncio.create_task(self._announce_forever())
 
     async def crash(self):
         """Ends without a word; whatever runs is cut."""
+        if not self._is_up:
+            return
+        self._is_up = False
         self._announcing.cancel()
         self._server.close()
         for writer in list(self._writers):
             writer.transport.abort()
-        self.proxy.reset_all()
+        self.proxy.stop()
 
     async def restart(self):
-        await self.start(self.port)
+        if not self._is_up:
+            await self.start(self.port)
+
+    async def stop(self):
+        """Ends, also if it is about to be back."""
+        if self._restarting is not None:
+            self._restarting.cancel()
+        await self.crash()
+
+    async def _crash_under(self, request_id):
+        """Crashes soon, and is back after some seconds."""
+        await asyncio.sleep(_CRASHES_AFTER_S)
+        if not self._is_up:
+            return
+        self.book.crashed(request_id, self._start_id)
+        await self.crash()
+        self._restarting = asyncio.create_task(self._back_later())
+
+    async def _back_later(self):
+        await asyncio.sleep(_BACK_AFTER_S)
+        await self.restart()
 
     async def leave(self):
         """Says that it leaves, serves on for a while, and ends."""
@@ -109,33 +144,56 @@
         lines = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
         head = dict(line.split(": ", 1) for line in lines[1:] if line)
         head = {name.lower(): value for name, value in head.items()}
-        await reader.readexactly(int(head.get("content-length", 0)))
+        asked = await reader.readexactly(int(head.get("content-length", 0)))
         request_id = head["request-id"]
+        self.book.arrived(request_id, self._start_id)
         if head.get("expect-instance") != self.id:
             writer.write(
                 b"HTTP/1.1 421 No\r\nNot-Executed: 1\r\n"
                 b"Content-Length: 0\r\n\r\n"
             )
             return True
+        if self.rest_s is not None:
+            self.book.asked_for_rest(request_id, self._start_id, self.rest_s)
+            writer.write(
+                b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n"
+                b"Retry-After: %g\r\nContent-Length: 0\r\n\r\n" % self.rest_s
+            )
+            return True
         self.book.ran(request_id, self._start_id)
+        if CRASHING in asked:
+            await self._crash_under(request_id)
+            return False
         if "/stream/" in lines[0]:
             return await self._stream(head, request_id, writer)
         await asyncio.sleep(_WORK_S)
         body = self.book.body(request_id)
         writer.write(
             b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: s\r\n"
-            b"Content-Length: %d\r\n\r\n%s"
-            % (request_id.encode(), len(body), body)
+            b"%sContent-Length: %d\r\n\r\n%s"
+            % (
+                request_id.encode(),
+                self._leaving_line(request_id),
+                len(body),
+                body,
+            )
         )
         await writer.drain()
         return True
 
+    def _leaving_line(self, request_id):
+        if not self.says_leaving:
+            return b""
+        self.book.said_leaving(request_id, self._start_id)
+        return b"Server-Leaving: 1\r\n"
+
     async def _stream(self, head, request_id, writer):
         first = int(head.get("last-event-id", 0)) + 1
         writer.write(
             b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: s\r\n"
-            b"Content-Type: text/event-stream\r\n"
-            b"Transfer-Encoding: chunked\r\n\r\n" % request_id.encode()
+            b"Content-Type: text/event-stream\r\n%s"
+            b"Transfer-Encoding: chunked\r\n\r\n"
+            % (request_id.encode(), self._leaving_line(request_id))
         )
         for number in range(first, EVENTS + 1):
             event = b"id: %d\ndata: %s\n\n" % (number, request_id.encode())
--- /dev/null
+++ b/damaskcroft/hosted/tests/test_crashing_requests.py
@@ -0,0 +1,37 @@
+"""A request that crashes whoever runs it, sent again and again."""
+
+import asyncio
+import collections
+
+from damaskcroft.hosted.tests.soak._book import CONTACT_S
+
+_TIMES = 24
+_EVERY_S = 0.4
+# Of other callers' requests: those that share two targets with it in a row.
+_MAX_LOST_SHARE = 0.02
+_AT_ONCE_S = 0.25
+
+
+def test_a_request_that_crashes_targets_is_held_by_the_whole_fleet(with_fleet):
+    async def scenario(fleet):
+        async with fleet.others_call() as others:
+            outcomes = []
+            for _ in range(_TIMES):
+                outcomes.append(await fleet.crash_some())
+                await asyncio.sleep(_EVERY_S)
+        crashes = sorted(fleet.book.crashes["crash"])
+        late = fleet.book.tries_after_crashes("crash")
+        print(f"crashes {len(crashes)} late arrivals {len(late)}")
+        print(f"others {collections.Counter(o.status for o in others)}")
+        assert crashes[-1] - crashes[0] < CONTACT_S
+        assert len(late) <= 3
+        lost = [o for o in others if o.status != 200]
+        assert len(lost) <= _MAX_LOST_SHARE * len(others)
+        assert fleet.book.broken == []
+        # Held before it runs: refused at once, as not run, and not soon again.
+        held = outcomes[-1]
+        assert held.status == 503
+        assert held.took_s < _AT_ONCE_S
+        assert float(held.retry_after) > 60
+
+    with_fleet(scenario)
