A request that crashes targets is known by the whole fleet, and refused

Symptom: one request, sent again and again under other ids, crashed one target after another; its caller got 502 each time, and other callers lost requests that shared targets with it.

Cause: what an entry learned from a lost attempt spoke of the target alone, stayed in that entry, and was gone for the next copy. A retry that is bounded for each request was unbounded over its copies.

Now a lost attempt whose target's process is gone (nothing listens at its address, or a later start has taken its place, and it had not announced that it leaves) makes what ran there suspects. Entries tell control, control tells all; the book merges in any order. Three starts that one request explains best quarantine it (four while as many crash without it). Suspects run one copy at a time at an entry, beside few others, and a whole answer clears them.

--- a/damaskcroft/control/_fleet_service.py
+++ b/damaskcroft/control/_fleet_service.py
@@ -37,14 +37,23 @@
 class _Watcher:
     """What one watcher has not been told yet."""
 
-    __slots__ = ("agents_by_address", "is_entry", "targets_by_key", "wake")
-
-    def __init__(self, is_entry: bool):
+    __slots__ = (
+        "agents_by_address",
+        "crashes_by_start",
+        "is_agent",
+        "is_entry",
+        "targets_by_key",
+        "wake",
+    )
+
+    def __init__(self, *, is_entry: bool, is_agent: bool):
         self.is_entry = is_entry
+        self.is_agent = is_agent
         # By id and service: another writer may name a target's id beside a
         # service of its own.
         self.targets_by_key: dict[tuple[str, str], fleet_pb2.TargetState] = {}
         self.agents_by_address: dict[str, fleet_pb2.AgentState] = {}
+        self.crashes_by_start: dict[str, fleet_pb2.TargetCrash] = {}
         self.wake = asyncio.Event()
 
     def add(self, update: fleet_pb2.FleetUpdate) -> None:
@@ -52,12 +61,17 @@
             self.targets_by_key[state.id, state.service] = state
         for agent in update.agents:
             self.agents_by_address[agent.address] = agent
+        if not self.is_agent:
+            for crash in update.crashes:
+                self.crashes_by_start[crash.start_id] = crash
         self.wake.set()
 
     def take(self, update: fleet_pb2.FleetUpdate) -> None:
         """Moves all that is new into an update."""
         update.targets.extend(self.targets_by_key.values())
         update.agents.extend(self.agents_by_address.values())
+        update.crashes.extend(self.crashes_by_start.values())
+        self.crashes_by_start.clear()
         self.targets_by_key.clear()
         self.agents_by_address.clear()
         self.wake.clear()
@@ -120,12 +134,12 @@
         if request is None:
             return
         is_agent = request.HasField("agent")
-        watcher = _Watcher(is_entry=request.is_entry)
+        watcher = _Watcher(is_entry=request.is_entry, is_agent=is_agent)
         self._watchers.add(watcher)
         log_event("watcher_joined", name=request.name)
         try:
-            if is_agent:
-                self._view.take([], [request.agent])
+            agents = [request.agent] if is_agent else []
+            self._view.take([], agents, request.crashes)
             await self._push(stream, watcher)
         finally:
             self._watchers.discard(watcher)
@@ -182,6 +196,7 @@
         return fleet_pb2.FleetUpdate(
             targets=[*self._view.book.words(), *ended],
             agents=self._view.agents_by_address.values(),
+            crashes=self._view.crashes.words(),
         )
 
     def _gather_renewals(self, update: fleet_pb2.FleetUpdate) -> None:
@@ -218,11 +233,28 @@
         await stream.send_message(reply)
 
     async def Relay(self, stream: Any) -> None:  # noqa: N802
-        """Takes announcements that another control node got."""
+        """Takes what another control node or an entry got to know."""
         request = await stream.recv_message()
-        self._view.take(request.targets, request.agents)
+        self._view.take(request.targets, request.agents, request.crashes)
         await stream.send_message(fleet_pb2.RelayReply())
 
+    async def Quarantine(self, stream: Any) -> None:  # noqa: N802
+        """Tells which requests are refused, and lets some run again."""
+        request = await stream.recv_message()
+        lifted = 0
+        for fingerprint in request.lift:
+            cleared = self._view.crashes.clear(fingerprint)
+            lifted += bool(cleared)
+            self._spread(fleet_pb2.FleetUpdate(crashes=cleared))
+        reply = fleet_pb2.QuarantineReply(lifted=lifted)
+        for quarantined in self._view.crashes.quarantined():
+            reply.requests.add(
+                fingerprint=quarantined.fingerprint,
+                start_ids=quarantined.start_ids,
+                left_s=quarantined.left_s,
+            )
+        await stream.send_message(reply)
+
     async def Forward(self, stream: Any) -> None:  # noqa: N802
         """Commits a command for a node that isn't the leader."""
         request = await stream.recv_message()
--- a/damaskcroft/fleet/__init__.py
+++ b/damaskcroft/fleet/__init__.py
@@ -1,6 +1,7 @@
 """A fleet whose targets announce themselves and whose routes are configured."""
 
 from damaskcroft.fleet._announcements import Unusable, checked, note_unusable
+from damaskcroft.fleet._crash_reporter import CrashReporter
 from damaskcroft.fleet._held import (
     agents_by_target_address,
     held_by,
@@ -23,6 +24,7 @@
     "RENEWALS_GATHERED_S",
     "UPDATE_EVERY_S",
     "Bounds",
+    "CrashReporter",
     "FleetView",
     "NodeSettings",
     "RouteTable",
--- a/damaskcroft/fleet/_targets.py
+++ b/damaskcroft/fleet/_targets.py
@@ -164,6 +164,21 @@
             word.heard = min(least, 1) - 1
         self._forget_derived()
 
+    def is_leaving(self, target_id: str, born_ms: int) -> bool:
+        """Whether a start of a target said that it ends, or has so ended.
+
+        Args:
+            target_id: the target's.
+            born_ms: when the start began; 0 if it doesn't tell.
+        """
+        ended_ms, _ = self._ended.get((target_id, _ANY_SERVICE), _BEFORE_ALL)
+        if born_ms <= ended_ms:
+            return True
+        state = self.newest(target_id)
+        if state is None or state.born_ms != born_ms:
+            return False
+        return state.phase != fleet_pb2.TARGET_READY
+
     def newest_born_ms(self, target_id: str) -> int:
         """The newest start of a target that is known; 0 if it tells none."""
         state = self.newest(target_id)
--- a/damaskcroft/fleet/_view.py
+++ b/damaskcroft/fleet/_view.py
@@ -8,6 +8,7 @@
 from damaskcroft.fleet._routes import RouteTable
 from damaskcroft.fleet._targets import TargetBook
 from damaskcroft.observe import log_event
+from damaskcroft.quarantine import CrashBook
 
 __all__ = ["GUARD_RENEWED_S", "RENEWALS_GATHERED_S", "FleetView"]
 
@@ -36,6 +37,8 @@
         logs_target: whether changes of a target get a line in this process's
             log. If each of many processes wrote of each target, logs would
             grow with the square of the fleet.
+        crashes: where crashes of targets are noted; by default a book of its
+            own.
 
     Attributes:
         configuration: the newest applied, or None after a fresh start.
@@ -49,13 +52,16 @@
             has recorded it; a goal goes before it.
         agents_by_address: where agents give pieces of weights.
         control_addresses: members of control, as last told.
+        crashes: targets that crashed, and under which requests.
     """
 
     def __init__(
         self,
         logs_target: Callable[[fleet_pb2.TargetState], bool] = lambda _: True,
+        crashes: CrashBook | None = None,
     ) -> None:
         """Creates a view that knows nothing."""
+        self.crashes = crashes if crashes is not None else CrashBook()
         self._logs_target = logs_target
         self.configuration: fleet_pb2.Configuration | None = None
         self.table: RouteTable | None = None
@@ -163,7 +169,7 @@
             self._take_goal(goal)
         for served in update.served:
             self._take_served(served)
-        self.take(update.targets, update.agents)
+        self.take(update.targets, update.agents, update.crashes)
         if update.control_addresses:
             self.control_addresses = tuple(update.control_addresses)
         if update.entries:
@@ -173,18 +179,20 @@
         self,
         targets: Iterable[fleet_pb2.TargetState],
         agents: Iterable[fleet_pb2.AgentState] = (),
+        crashes: Iterable[fleet_pb2.TargetCrash] = (),
     ) -> None:
-        """Takes announcements, in any order."""
+        """Takes announcements and crashes, in any order."""
         changed = fleet_pb2.FleetUpdate(
-            targets=[state for state in targets if self._take_target(state)]
+            targets=[state for state in targets if self._take_target(state)],
+            crashes=[crash for crash in crashes if self.crashes.take(crash)],
         )
-        is_news = bool(changed.targets)
+        is_news = bool(changed.targets or changed.crashes)
         for agent in agents:
             known = self.agents_by_address.get(agent.address)
             if self._take_agent(agent):
                 changed.agents.append(agent)
                 is_news = is_news or not _is_renewal(agent, known)
-        if not changed.targets and not changed.agents:
+        if not is_news and not changed.agents:
             return
         self.changes += 1
         for listener, on_renewal in self._listeners:
--- a/damaskcroft/forwarding/_attempt.py
+++ b/damaskcroft/forwarding/_attempt.py
@@ -17,7 +17,6 @@
 )
 
 __all__ = [
-    "TOO_LATE",
     "Answered",
     "Attempt",
     "Lost",
@@ -26,9 +25,6 @@
     "attempt",
 ]
 
-# Why nothing was sent over a connection that was had: no fault of the target.
-TOO_LATE = "too_late_for_its_weights"
-
 # Several round trips between regions, with a packet lost and sent again.
 _CONNECT_TIMEOUT_S = 0.5
 # A refusal's body explains itself; more than this isn't worth a connection.
@@ -37,9 +33,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NotSent:
-    """No byte of the request has left; it can't have run."""
+    """No byte of the request has left; it can't have run.
+
+    Attributes:
+        reason: why, also a counter's label.
+        unreachable: whether the target could not be connected to; else there
+            was a reason of our own, which doesn't speak against it.
+    """
 
     reason: str
+    unreachable: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,9 +55,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Lost:
-    """Sent, with no usable answer: it may have run."""
+    """Sent, with no usable answer: it may have run.
+
+    Attributes:
+        reason: how, also a counter's label.
+        cut: whether the connection ended, from the other side, before the
+            answer did.
+    """
 
     reason: str
+    cut: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,16 +81,16 @@
     __slots__ = (
         "_call",
         "_connection",
-        "_given_up",
         "_heard",
-        "_may_send",
         "_passing",
         "_place",
         "_pool",
+        "_why_not_send",
         "_wire",
         "begun",
         "connect_s",
         "finished",
+        "given_up",
     )
 
     def __init__(
@@ -91,7 +101,7 @@
         call: Call,
         passing: Passing,
         heard: Callable[[], None],
-        may_send: Callable[[float], bool],
+        why_not_send: Callable[[float], str | None],
     ):
         """Prepares an attempt; `begin` sends it.
 
@@ -102,12 +112,14 @@
             call: the caller's request.
             passing: what this attempt says beyond it.
             heard: called whenever something comes from the target.
-            may_send: asked right before the first byte is sent, with the
-                seconds that connecting took: much may have changed by then.
+            why_not_send: asked right before the first byte is sent, with
+                the seconds that connecting took: much may have changed by
+                then. None to send it.
         """
         self._heard = heard
-        self._may_send = may_send
-        self._given_up = ""
+        self._why_not_send = why_not_send
+        # Why it was ended from outside; empty while it wasn't.
+        self.given_up = ""
         self._wire = wire
         self._pool = pool
         self._place = place
@@ -131,12 +143,13 @@
                     self._place, _CONNECT_TIMEOUT_S
                 )
             except OSError as error:
-                return NotSent(_connect_reason(error))
+                return NotSent(_connect_reason(error), unreachable=True)
             self.connect_s = now_s() - began_at
         self._connection = connection
-        if not self._may_send(self.connect_s or 0.0):
+        why_not = self._why_not_send(self.connect_s or 0.0)
+        if why_not is not None:
             self.finished = True
-            return NotSent(TOO_LATE)
+            return NotSent(why_not)
         headers = self._wire.target_headers(self._call, self._passing)
         try:
             await connection.send(
@@ -144,7 +157,9 @@
             )
             head = await connection.read_head(self._is_ours)
         except NoAnswerError as error:
-            return Lost(self._given_up or _lost_reason(error, connection))
+            if self.given_up:
+                return Lost(self.given_up)
+            return Lost(_lost_reason(error, connection), cut=True)
         self._heard()
         self.begun = True
         facts = self._wire.facts(head)
@@ -169,7 +184,7 @@
     def give_up(self, reason: str) -> None:
         """Ends the attempt from outside; it counts as lost."""
         if self._connection is not None:
-            self._given_up = reason
+            self.given_up = reason
             self._connection.close()
 
     async def read_whole(self, max_bytes: int) -> tuple[bytes, bool]:
@@ -212,10 +227,10 @@
     call: Call,
     passing: Passing,
     heard: Callable[[], None],
-    may_send: Callable[[float], bool] = lambda _: True,
+    why_not_send: Callable[[float], str | None] = lambda _: None,
 ) -> AsyncIterator[Attempt]:
     """One attempt; whatever ends the block also ends the target's work."""
-    made = Attempt(wire, pool, place, call, passing, heard, may_send)
+    made = Attempt(wire, pool, place, call, passing, heard, why_not_send)
     try:
         yield made
     finally:
--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
+from damaskcroft._generated import fleet_pb2
 from damaskcroft.clock import now_s
 from damaskcroft.forwarding._attempt import (
-    TOO_LATE,
     Answered,
     Lost,
     NotRun,
@@ -26,12 +26,14 @@
 from damaskcroft.forwarding._relay import Relay, Sending
 from damaskcroft.forwarding._request_log import RequestLog
 from damaskcroft.forwarding._services import Services
+from damaskcroft.forwarding._suspects import STARTED_AGAIN, Suspects
 from damaskcroft.http1 import (
     Answer,
     ConnectionPool,
     Place,
 )
 from damaskcroft.observe import metrics
+from damaskcroft.quarantine import CrashBook
 from damaskcroft.routing import (
     AnswerDelays,
     Candidate,
@@ -54,6 +56,9 @@
 _MIN_LEFT_S = 0.03
 # How often silent targets are looked for; an eighth of what counts as silent.
 _LOOK_EVERY_S = 0.1
+# Why an attempt wasn't sent, or was ended, that says nothing of its target.
+_TOO_LATE = "too_late_for_its_weights"
+_QUARANTINED = "quarantined"
 
 
 class Forwarder:
@@ -70,19 +75,34 @@
         silence: SilenceWatch,
         delays: AnswerDelays,
         doubt: Callable[[str], None],
+        crashes: CrashBook,
+        tell_crashes: Callable[[Iterable[fleet_pb2.TargetCrash]], None],
     ):
         """Uses the entry's parts; see their classes.
 
-        `doubt` is told the id of a target at whose address another answers.
+        Args:
+            wire: how requests are written down.
+            services: which targets could run a request.
+            placer: chooses among them.
+            outliers: targets that failed.
+            connections: to targets.
+            retry_window: how many attempts may follow a first one.
+            silence: targets that say nothing.
+            delays: how soon targets answer.
+            doubt: told the id of a target at whose address another answers.
+            crashes: what the fleet knows of targets that crashed.
+            tell_crashes: tells the fleet what this entry has found out.
         """
+        self._suspects = Suspects(crashes, services, tell_crashes)
+        crashes.listen(self._give_up_quarantined)
         self._doubt = doubt
         self._delays = delays
         self._silence = silence
-        self._repeatable: set[Sending] = set()
+        self._running: set[Sending] = set()
         self._line = Line(
             self._choose,
             lambda candidate, ticket: placer.take(
-                candidate, ticket.prompt_tokens
+                candidate, ticket.prompt_tokens, is_suspect=ticket.is_suspect
             ),
             lambda ticket: services.may_serve_soon(
                 ticket.service, ticket.model
@@ -107,6 +127,7 @@
         while True:
             await asyncio.sleep(_LOOK_EVERY_S)
             self._line.serve()
+            self._suspects.look()
             for wait in self._line.newly_long():
                 reason = self._why_none(wait.reason, wait.ticket.service)
                 self._log.queued(wait, reason)
@@ -118,12 +139,14 @@
 
     def _give_up(self, silent: set[str]) -> None:
         outdated_by_kind: dict[tuple[str, str], set[str]] = {}
-        for running in list(self._repeatable):
+        for running in list(self._running):
+            if not running.job.is_repeatable:
+                continue
             if running.target.id in silent:
                 running.made.give_up("silent")
                 continue
             if self._services.has_started_again(running.target):
-                running.made.give_up("restarted")
+                running.made.give_up(STARTED_AGAIN)
                 continue
             if running.made.begun:
                 continue
@@ -133,6 +156,14 @@
             if running.target.id in outdated_by_kind[kind]:
                 running.made.give_up("version_due")
 
+    def _give_up_quarantined(self) -> None:
+        """Takes back what a target has not begun and should not begin."""
+        for running in list(self._running):
+            if running.made.begun:
+                continue
+            if self._suspects.quarantined_s(running.job, running.progress):
+                running.made.give_up(_QUARANTINED)
+
     async def forward(self, job: Job, answer: Answer) -> Ending:
         """Gives a target's answer to the caller, or says why there is none.
 
@@ -153,16 +184,17 @@
     async def _try_targets(
         self, job: Job, answer: Answer, progress: Progress
     ) -> Ending:
-        while True:
-            ending = self._why_stop(job, progress)
-            if ending is not None:
-                return ending
-            turn = await self._place(job, progress)
-            if not isinstance(turn, Turn):
-                return turn
-            ended = await self._try_one(job, answer, progress, turn)
-            if ended is not None:
-                return ended
+        async with self._suspects.one_at_a_time(job, progress):
+            while True:
+                ending = self._why_stop(job, progress)
+                if ending is not None:
+                    return ending
+                turn = await self._place(job, progress)
+                if not isinstance(turn, Turn):
+                    return turn
+                ended = await self._try_one(job, answer, progress, turn)
+                if ended is not None:
+                    return ended
 
     async def _place(self, job: Job, progress: Progress) -> Turn | Ending:
         """Takes a slot at a target.
@@ -181,6 +213,7 @@
             deadline_at=job.deadline_at,
             prompt_tokens=job.call.prompt_tokens,
             request_id=job.call.request_id,
+            is_suspect=self._suspects.is_suspect(job, progress),
         )
         outcome = await self._line.turn(ticket)
         progress.pace.queued_s = now_s() - job.call.arrived_at
@@ -210,7 +243,11 @@
         if progress.sent and not self._retry_window.spend():
             metrics.RETRIES.labels("no_budget").inc()
             return given_up("no_retry_budget", progress)
-        slot = self._placer.take(placed.candidate, prompt_tokens)
+        slot = self._placer.take(
+            placed.candidate,
+            prompt_tokens,
+            is_suspect=self._suspects.is_suspect(job, progress),
+        )
         return Turn(placed.candidate, slot)
 
     def _choose(self, ticket: LineTicket) -> Placement | None:
@@ -218,6 +255,9 @@
         return self._placer.choose(candidates, (), ticket.prompt_tokens)
 
     def _why_stop(self, job: Job, progress: Progress) -> Ending | None:
+        quarantined_s = self._suspects.quarantined_s(job, progress)
+        if quarantined_s:
+            return given_up(_QUARANTINED, progress, quarantined_s)
         if progress.unsent >= _MAX_UNSENT:
             return given_up("unreachable", progress)
         if progress.sent >= max(1, job.route.max_attempts):
@@ -254,8 +294,8 @@
                 job.call,
                 passing,
                 lambda: self._silence.heard(target.id),
-                lambda connect_s: self._services.may_begin(
-                    job.service, job.call.model, target.id, connect_s
+                lambda connect_s: self._why_not_send(
+                    job, progress, target, connect_s
                 ),
             ) as made:
                 sending = Sending(
@@ -270,19 +310,18 @@
             self._line.serve()
         if isinstance(outcome, NotSent | NotRun):
             progress.may_have_run = ran_before
+        if isinstance(outcome, Lost):
+            await self._suspects.lost(job, progress, target, outcome)
         return self._judge(job, progress, target, outcome)
 
     @contextlib.contextmanager
     def _watched(self, sending: Sending) -> Iterator[None]:
-        """Lets `run` end the attempt while it may go on elsewhere."""
-        if not sending.job.is_repeatable:
-            yield
-            return
-        self._repeatable.add(sending)
+        """Lets the attempt be ended while it runs."""
+        self._running.add(sending)
         try:
             yield
         finally:
-            self._repeatable.discard(sending)
+            self._running.discard(sending)
 
     async def _run(
         self, sending: Sending
@@ -304,11 +343,11 @@
         outcome: "NotSent | NotRun | Lost | Ending",
     ) -> Ending | None:
         match outcome:
-            case NotSent(reason=reason):
+            case NotSent(reason=reason, unreachable=unreachable):
                 progress.sent -= 1
                 progress.unsent += 1
                 progress.last = outcome
-                if reason != TOO_LATE:
+                if unreachable:
                     self._outliers.failed(target.id, certain=True)
             case NotRun(status=status, facts=facts):
                 progress.last = outcome
@@ -322,6 +361,8 @@
                 self._outliers.failed(target.id)
             case _:
                 self._outliers.succeeded(target.id)
+                if isinstance(outcome, Gave):
+                    self._suspects.answered(job, progress)
                 if isinstance(outcome, Gave) and outcome.is_failure:
                     reason = f"status_{outcome.status}"
                     self._log.failed(job, progress, target, reason)
@@ -334,6 +375,22 @@
 
     # --- Small questions -----------------------------------------------------
 
+    def _why_not_send(
+        self,
+        job: Job,
+        progress: Progress,
+        target: Candidate,
+        connect_s: float,
+    ) -> str | None:
+        """Why a request must not go to a target after all; None if it may."""
+        if self._suspects.quarantined_s(job, progress):
+            return _QUARANTINED
+        if not self._services.may_begin(
+            job.service, job.call.model, target.id, connect_s
+        ):
+            return _TOO_LATE
+        return None
+
     def _is_surprise(self, job: Job, target: Candidate) -> bool:
         """Whether a target said to be another one, and not to lack weights.
 
--- a/damaskcroft/forwarding/_gate.py
+++ b/damaskcroft/forwarding/_gate.py
@@ -227,7 +227,9 @@
         status = _status(refused)
         wait_s = None
         if status == _NOT_RUN_STATUS:
-            wait_s = self._retry_after_s(refused.foreseen_s)
+            wait_s = refused.returns_s
+            if wait_s is None:
+                wait_s = self._retry_after_s(refused.foreseen_s)
         metrics.REFUSALS.labels(refused.reason, refused.ran.value).inc()
         log_event(
             "refused",
--- a/damaskcroft/forwarding/_job.py
+++ b/damaskcroft/forwarding/_job.py
@@ -7,6 +7,7 @@
 from damaskcroft.clock import now_s
 from damaskcroft.forwarding._attempt import Lost, NotRun, NotSent
 from damaskcroft.forwarding._call import Call
+from damaskcroft.quarantine import fingerprint
 
 __all__ = [
     "SERVER_ERROR",
@@ -42,12 +43,15 @@
         ran: whether it may have run at a target.
         detail: what decided it, for the log.
         foreseen_s: when there should be room for it; 0 if unknown.
+        returns_s: when it is worth coming back, where that is known; None to
+            tell by `foreseen_s`.
     """
 
     reason: str
     ran: Ran
     detail: str = ""
     foreseen_s: float = 0.0
+    returns_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -92,6 +96,13 @@
     priority: int
     deadline_at: float
 
+    def fingerprint(self) -> bytes:
+        """What it has in common with its copies; hashes the whole body."""
+        call = self.call
+        return fingerprint(
+            self.customer, call.host, call.method, call.target, call.body
+        )
+
     @property
     def is_repeatable(self) -> bool:
         """Whether it may run more than once."""
@@ -154,12 +165,15 @@
         pace: how soon and how evenly the answer came.
         connect_s: what connecting for the last attempt took; None where a
             kept connection was used.
+        fingerprint: what it has in common with its copies, once it was asked
+            for; None before.
     """
 
     __slots__ = (
         "begun",
         "connect_s",
         "excluded",
+        "fingerprint",
         "last",
         "last_event_id",
         "may_have_run",
@@ -179,11 +193,14 @@
         self.last_event_id = call.last_event_id
         self.pace = Pace(call.arrived_at)
         self.connect_s: float | None = None
+        self.fingerprint: bytes | None = None
 
 
-def given_up(reason: str, progress: Progress) -> Ending:
+def given_up(
+    reason: str, progress: Progress, returns_s: float | None = None
+) -> Ending:
     """How a job ends that no target answered, or not to the end."""
     if progress.begun:
         return BrokenOff(reason)
     ran = Ran.MAYBE if progress.may_have_run else Ran.NO
-    return Refused(reason, ran, str(progress.last))
+    return Refused(reason, ran, str(progress.last), returns_s=returns_s)
--- a/damaskcroft/forwarding/_relay.py
+++ b/damaskcroft/forwarding/_relay.py
@@ -84,7 +84,7 @@
         try:
             body, complete = await made.read_whole(_WHOLE_BYTES)
         except CutShortError as error:
-            return Lost(f"cut_short: {error}")
+            return _lost(sending, f"cut_short: {error}")
         if head.status >= SERVER_ERROR and _may_repeat(sending):
             return Lost(f"status_{head.status}")
         headers = self._wire.answer_headers(head)
@@ -117,7 +117,7 @@
                     if event.id is not None:
                         progress.last_event_id = event.id
         except (CutShortError, ValueError) as error:
-            return Lost(f"stream_cut: {error}")
+            return _lost(sending, f"stream_cut: {error}")
         if splitter.rest:
             return Lost("stream_cut: ended within an event")
         await self._begin(sending, head)
@@ -137,6 +137,11 @@
         sending.progress.pace.given(now_s())
 
 
+def _lost(sending: Sending, reason: str) -> Lost:
+    """An answer that ended before its end."""
+    return Lost(reason, cut=not sending.made.given_up)
+
+
 def _is_old(event_id: int | None, progress: Progress) -> bool:
     if event_id is None or progress.last_event_id is None:
         return False
--- a/damaskcroft/forwarding/_services.py
+++ b/damaskcroft/forwarding/_services.py
@@ -120,6 +120,22 @@
             return False
         return start_id(state) != candidate.id != candidate.target_id
 
+    def is_leaving(self, candidate: Candidate) -> bool:
+        """Whether a start has announced that it ends, or has so ended."""
+        return self._view.book.is_leaving(
+            candidate.target_id, candidate.born_ms
+        )
+
+    def is_replaced(self, candidate: Candidate) -> bool:
+        """Whether another start answers at a start's address, or as it."""
+        if self.has_started_again(candidate):
+            return True
+        return any(
+            start_id(state) != candidate.id
+            for state in self._view.book.believed()
+            if state.address == candidate.address
+        )
+
     def should_hold(self, service: str, model: str, candidate_id: str) -> bool:
         """Whether a target is believed to hold a model whole right now.
 
@@ -296,4 +312,5 @@
             region=self._region_by_domain.get(state.failure_domain, ""),
             slots=state.slots or _USUAL_SLOTS,
             prompt_tokens_s=engine.prefill_tokens_per_s,
+            born_ms=state.born_ms,
         )
--- /dev/null
+++ b/damaskcroft/forwarding/_suspects.py
@@ -0,0 +1,111 @@
+"""What an entry does about requests that may crash their targets."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Callable, Iterable
+
+from damaskcroft._generated import fleet_pb2
+from damaskcroft.forwarding._attempt import Lost
+from damaskcroft.forwarding._job import Job, Progress
+from damaskcroft.forwarding._services import Services
+from damaskcroft.observe import log_event, metrics
+from damaskcroft.quarantine import Copies, CrashBook, CrashWatch, Loss
+from damaskcroft.routing import Candidate
+
+__all__ = ["STARTED_AGAIN", "Suspects"]
+
+# An attempt that was ended since its target has started again.
+STARTED_AGAIN = "restarted"
+# How long a suspect waits before its next attempt, to know whether its target
+# has crashed: some round trips between regions.
+_VERDICT_WITHIN_S = 0.1
+
+
+class Suspects:
+    """Requests that targets crashed under, as this entry knows them.
+
+    Args:
+        book: what the fleet knows.
+        services: whether a target left by plan, or was replaced.
+        tell: tells the fleet what this entry has found out.
+    """
+
+    def __init__(
+        self,
+        book: CrashBook,
+        services: Services,
+        tell: Callable[[Iterable[fleet_pb2.TargetCrash]], None],
+    ):
+        """See the class."""
+        self._book = book
+        self._tell = tell
+        self._copies = Copies(book)
+        self._watch = CrashWatch(
+            services.is_leaving,
+            services.is_replaced,
+            lambda crash: tell([crash]),
+        )
+
+    def look(self) -> None:
+        """Looks for crashes that show late; to be called often."""
+        self._watch.look()
+
+    def quarantined_s(self, job: Job, progress: Progress) -> float:
+        """For how long a request is refused; 0 if it isn't."""
+        if not self._book.has_suspects:
+            return 0.0
+        return self._book.quarantined_s(_fingerprint(job, progress))
+
+    def is_suspect(self, job: Job, progress: Progress) -> bool:
+        """Whether targets crashed under a request, and nothing cleared it."""
+        if not self._book.has_suspects:
+            return False
+        return self._book.is_suspect(_fingerprint(job, progress))
+
+    @contextlib.asynccontextmanager
+    async def one_at_a_time(
+        self, job: Job, progress: Progress
+    ) -> AsyncIterator[None]:
+        """Waits while a copy of a suspect is under way here."""
+        if not self._book.has_suspects:
+            yield
+            return
+        fingerprint = _fingerprint(job, progress)
+        async with self._copies.one_at_a_time(fingerprint):
+            yield
+
+    async def lost(
+        self, job: Job, progress: Progress, target: Candidate, lost: Lost
+    ) -> None:
+        """Takes note of a lost attempt.
+
+        A suspect waits for a moment until it is known whether its target has
+        crashed, so that its next attempt doesn't crash another one.
+        """
+        if not lost.cut and lost.reason != STARTED_AGAIN:
+            return
+        was_suspect = self.is_suspect(job, progress)
+        looked = self._watch.lost(
+            Loss(target, _fingerprint(job, progress), job.call.request_id)
+        )
+        if was_suspect and looked is not None:
+            await asyncio.wait([looked], timeout=_VERDICT_WITHIN_S)
+
+    def answered(self, job: Job, progress: Progress) -> None:
+        """A target gave its whole answer, so the request crashes none."""
+        if not self.is_suspect(job, progress):
+            return
+        fingerprint = _fingerprint(job, progress)
+        metrics.QUARANTINE.labels("cleared").inc()
+        log_event(
+            "suspect_cleared",
+            request=job.call.request_id,
+            fingerprint=fingerprint.hex(),
+        )
+        self._tell(self._book.clear(fingerprint))
+
+
+def _fingerprint(job: Job, progress: Progress) -> bytes:
+    if progress.fingerprint is None:
+        progress.fingerprint = job.fingerprint()
+    return progress.fingerprint
--- a/damaskcroft/forwarding/tests/fakes.py
+++ b/damaskcroft/forwarding/tests/fakes.py
@@ -269,6 +269,8 @@
         SilenceWatch(),
         delays,
         view.doubt_target,
+        view.crashes,
+        lambda crashes: view.take([], crashes=crashes),
     )
     watching = asyncio.create_task(forwarder.run())
     gate = EntryGate(wire, view, forwarder)
--- a/damaskcroft/hosted/control.py
+++ b/damaskcroft/hosted/control.py
@@ -89,7 +89,9 @@
         view,
         channels,
         [seed for seed in seeds if seed != settings.rpc_address],
-        lambda: fleet_pb2.WatchRequest(name=settings.name),
+        lambda: fleet_pb2.WatchRequest(
+            name=settings.name, crashes=view.crashes.words()
+        ),
         own_address=settings.rpc_address,
         without_configuration=True,
     )
--- a/damaskcroft/hosted/entry.py
+++ b/damaskcroft/hosted/entry.py
@@ -1,9 +1,15 @@
 """damask-entry on a machine that callers reach."""
 
 import asyncio
+import random
 
 from damaskcroft._generated import fleet_pb2
-from damaskcroft.fleet import FleetView, NodeSettings, Watcher
+from damaskcroft.fleet import (
+    CrashReporter,
+    FleetView,
+    NodeSettings,
+    Watcher,
+)
 from damaskcroft.forwarding import EntryGate, Forwarder, Services
 from damaskcroft.http1 import (
     CallerConnections,
@@ -13,6 +19,7 @@
 from damaskcroft.observe import log_event
 from damaskcroft.platform.ready_face import ready_routes
 from damaskcroft.platform.wire import PlatformWire
+from damaskcroft.quarantine import CrashBook
 from damaskcroft.routing import (
     AnswerDelays,
     Outliers,
@@ -43,13 +50,17 @@
     """
     stop = stop_event()
     channels = ChannelPool(Keys(None, None))
-    view = FleetView()
+    view = FleetView(crashes=CrashBook(random.random()))
+    seeds = [settings.rpc_address_at(seed) for seed in settings.seeds]
     watcher = Watcher(
         view,
         channels,
-        [settings.rpc_address_at(seed) for seed in settings.seeds],
-        lambda: fleet_pb2.WatchRequest(name=settings.name, is_entry=True),
+        seeds,
+        lambda: fleet_pb2.WatchRequest(
+            name=settings.name, is_entry=True, crashes=view.crashes.words()
+        ),
     )
+    crash_reporter = CrashReporter(view, channels, seeds)
     outliers = Outliers()
     delays = AnswerDelays()
     placer = Placer(
@@ -80,6 +91,8 @@
         SilenceWatch(),
         delays,
         view.doubt_target,
+        view.crashes,
+        crash_reporter.tell,
     )
     gate = EntryGate(wire, view, forwarder)
 
@@ -98,7 +111,7 @@
     async with (
         http_served(settings.ready_address, ready_routes(is_ready)),
         callers_served(settings.caller_address, gate) as callers,
-        background(watcher.run, forwarder.run, keep_clean),
+        background(watcher.run, forwarder.run, crash_reporter.run, keep_clean),
     ):
         log_event("started", role="entry", address=settings.caller_address)
         await stop.wait()
--- a/damaskcroft/hosted/tests/test_rest_and_leaving.py
+++ b/damaskcroft/hosted/tests/test_rest_and_leaving.py
@@ -1,4 +1,4 @@
-"""Targets that ask for rest, and targets that say only in answers they leave."""
+"""Targets that ask for rest, or that say only in answers that they leave."""
 
 import asyncio
 import collections
--- a/damaskcroft/observe/metrics.py
+++ b/damaskcroft/observe/metrics.py
@@ -27,10 +27,12 @@
     "LEASE_LAPSES",
     "ORDERS",
     "ORDER_HELD_UP_S",
+    "QUARANTINE",
     "QUEUE_WAIT_S",
     "REFUSALS",
     "RETRIES",
     "ROLLOUT_WAITS_S",
+    "TARGET_CRASHES",
     "TASK_FAILURES",
     "TOKEN_GAP_S",
     "WEIGHTS_WANTED",
@@ -48,6 +50,14 @@
     "damask_retries", "Attempts on another target, by the first's refusal",
     ["reason"],
 )  # fmt: skip
+TARGET_CRASHES = Counter(
+    "damask_target_crashes", "Targets that crashed under requests of this "
+    "entry, by what showed it", ["how"],
+)  # fmt: skip
+QUARANTINE = Counter(
+    "damask_quarantine", "Decisions on requests that crash targets",
+    ["decision"],
+)  # fmt: skip
 UNUSABLE_WORDS = Counter(
     "damask_unusable_words", "Words of targets that changed nothing, by fault",
     ["kind", "reason"],
--- /dev/null
+++ b/damaskcroft/quarantine/_book.py
@@ -0,0 +1,279 @@
+"""Which requests have crashed targets, and which are refused for it.
+
+A crash makes every request that ran on the target a suspect, since nobody can
+tell which of them caused it. A suspect that later runs to its end is cleared.
+One that three targets have crashed under, and that explains the crashes best,
+is quarantined; what it explains speaks against no other request.
+
+The book is soft state that only grows: starts of targets, the suspects of each,
+and those of them that were cleared. Entries and control nodes merge what they
+hear in any order (a two-phase set for each start; Shapiro et al., "A
+comprehensive study of Convergent and Commutative Replicated Data Types",
+2011), so that all of them come to the same verdict without a leader.
+"""
+
+import collections
+import dataclasses
+from collections.abc import Callable, Iterator
+
+from damaskcroft._generated import fleet_pb2
+from damaskcroft.clock import now_s
+from damaskcroft.observe import log_event, metrics
+
+__all__ = ["CrashBook", "Quarantined"]
+
+# Starts that end under a request before it is refused.
+_CRASHES = 3
+# While as many targets crash without it, chance may have led it to three.
+_CRASHES_AMONG_OTHERS = 4
+# From the last crash until it may be tried again, and by how much longer each
+# crash beyond those makes that: three tries in a day.
+_QUARANTINE_S = 600.0
+_QUARANTINE_FACTOR = 6
+_MAX_QUARANTINE_S = 7 * 24 * 3600.0
+# Each process has the quarantine end a little later than the next one, so that
+# a try by one of them is known before another makes its own.
+_END_SPREAD = 0.25
+# Starts kept; the planned fleet loses about 400 a day to all causes.
+_MAX_STARTS = 512
+# Of one start: several times the slots of a target.
+_MAX_SUSPECTS = 128
+_MS_IN_S = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Quarantined:
+    """A request that is refused.
+
+    Attributes:
+        fingerprint: which.
+        start_ids: starts of targets that crashed under it.
+        left_s: until it may be tried again.
+    """
+
+    fingerprint: bytes
+    start_ids: tuple[str, ...]
+    left_s: float
+
+
+class _Crash:
+    """One start of a target that crashed.
+
+    Attributes:
+        at: when, on this process's clock.
+        suspects: fingerprints of what ran there.
+        cleared: those of them that it no longer speaks against.
+    """
+
+    __slots__ = ("at", "cleared", "suspects")
+
+    def __init__(self, at: float):
+        self.at = at
+        # Ordered, so that every node drops the same ones first.
+        self.suspects: dict[bytes, None] = {}
+        self.cleared: set[bytes] = set()
+
+    @property
+    def open_suspects(self) -> list[bytes]:
+        return [s for s in self.suspects if s not in self.cleared]
+
+
+class CrashBook:
+    """Crashes by the start of the target that crashed.
+
+    Args:
+        spread: how much later than the next process this one lets a
+            quarantine end, from 0 to 1.
+    """
+
+    def __init__(self, spread: float = 0.0):
+        """Creates an empty book."""
+        self._end_factor = 1 + _END_SPREAD * spread
+        self._crashes_by_start: dict[str, _Crash] = {}
+        # Worked out after each change.
+        self._starts_by_suspect: dict[bytes, list[str]] = {}
+        self._quarantined_until: dict[bytes, float] = {}
+        self._listeners: list[Callable[[], None]] = []
+
+    def listen(self, listener: Callable[[], None]) -> None:
+        """Calls `listener` after each change of a verdict."""
+        self._listeners.append(listener)
+
+    # --- Merging ------------------------------------------------------------
+
+    def take(self, told: fleet_pb2.TargetCrash) -> bool:
+        """Merges what is known of one crash; whether anything was new."""
+        at = now_s() - told.age_ms / _MS_IN_S
+        crash = self._crashes_by_start.get(told.start_id)
+        if crash is None:
+            crash = self._crashes_by_start[told.start_id] = _Crash(at)
+        crash.at = min(crash.at, at)
+        before = len(crash.suspects), len(crash.cleared)
+        for suspect in told.suspects:
+            if len(crash.suspects) < _MAX_SUSPECTS:
+                crash.suspects[suspect] = None
+        crash.cleared.update(s for s in told.cleared if s in crash.suspects)
+        if (len(crash.suspects), len(crash.cleared)) == before:
+            return False
+        self._drop_oldest()
+        self._judge()
+        return True
+
+    def words(self) -> Iterator[fleet_pb2.TargetCrash]:
+        """All that is known, for whoever may know less."""
+        return (self._word(start) for start in self._crashes_by_start)
+
+    def clear(self, fingerprint: bytes) -> list[fleet_pb2.TargetCrash]:
+        """Takes all that is known back from a request.
+
+        Returns:
+            What others have to be told.
+        """
+        starts = list(self._starts_by_suspect.get(fingerprint, ()))
+        for start in starts:
+            self._crashes_by_start[start].cleared.add(fingerprint)
+        if starts:
+            self._judge()
+        return [self._word(start) for start in starts]
+
+    # --- Verdicts ------------------------------------------------------------
+
+    @property
+    def has_suspects(self) -> bool:
+        """Whether any request is under suspicion; costs nothing to ask."""
+        return bool(self._starts_by_suspect)
+
+    def is_suspect(self, fingerprint: bytes) -> bool:
+        """Whether targets crashed under a request and nothing cleared it."""
+        return fingerprint in self._starts_by_suspect
+
+    def quarantined_s(self, fingerprint: bytes) -> float:
+        """For how long a request is refused from now on; 0 if it isn't."""
+        until = self._quarantined_until.get(fingerprint)
+        return max(0.0, until - now_s()) if until is not None else 0.0
+
+    def quarantined(self) -> list[Quarantined]:
+        """All requests that are refused now, for operators."""
+        found = [
+            Quarantined(
+                fingerprint,
+                tuple(self._starts_by_suspect[fingerprint]),
+                self.quarantined_s(fingerprint),
+            )
+            for fingerprint in self._quarantined_until
+        ]
+        return [each for each in found if each.left_s > 0]
+
+    # --- Working them out -----------------------------------------------------
+
+    def _judge(self) -> None:
+        """Works every verdict out anew."""
+        open_by_start = {
+            start: crash.open_suspects
+            for start, crash in self._crashes_by_start.items()
+        }
+        self._starts_by_suspect = _starts_by_suspect(open_by_start)
+        guilty = self._guilty(open_by_start)
+        before = self._quarantined_until
+        self._quarantined_until = {
+            fingerprint: self._ends_at(fingerprint) for fingerprint in guilty
+        }
+        self._log_changes(before)
+        for listener in self._listeners:
+            listener()
+
+    def _guilty(self, open_by_start: dict[str, list[bytes]]) -> set[bytes]:
+        """Requests that explain crashes, those that explain most first."""
+        guilty: set[bytes] = set()
+        unexplained = dict(open_by_start)
+        while True:
+            counts = _starts_by_suspect(unexplained)
+            found = {
+                fingerprint: len(starts)
+                for fingerprint, starts in counts.items()
+                if len(starts) >= self._crashes_needed(starts, unexplained)
+            }
+            if not found:
+                return guilty
+            most = max(found.values())
+            worst = {f for f, count in found.items() if count == most}
+            guilty |= worst
+            unexplained = {
+                start: suspects
+                for start, suspects in unexplained.items()
+                if worst.isdisjoint(suspects)
+            }
+
+    def _crashes_needed(
+        self, starts: list[str], unexplained: dict[str, list[bytes]]
+    ) -> int:
+        """Crashes that make a request guilty, given the others meanwhile."""
+        times = [self._crashes_by_start[start].at for start in starts]
+        first, last = min(times), max(times)
+        others = sum(
+            first <= self._crashes_by_start[start].at <= last
+            for start in unexplained
+            if start not in starts
+        )
+        return _CRASHES if others < len(starts) else _CRASHES_AMONG_OTHERS
+
+    def _ends_at(self, fingerprint: bytes) -> float:
+        starts = self._starts_by_suspect[fingerprint]
+        last_at = max(self._crashes_by_start[start].at for start in starts)
+        beyond = max(0, len(starts) - _CRASHES_AMONG_OTHERS)
+        lasts_s = min(
+            _QUARANTINE_S * _QUARANTINE_FACTOR**beyond, _MAX_QUARANTINE_S
+        )
+        return last_at + lasts_s * self._end_factor
+
+    def _log_changes(self, before: dict[bytes, float]) -> None:
+        for fingerprint in self._quarantined_until.keys() - before.keys():
+            metrics.QUARANTINE.labels("begun").inc()
+            log_event(
+                "quarantine_begun",
+                fingerprint=fingerprint.hex(),
+                targets=",".join(self._starts_by_suspect[fingerprint]),
+                for_s=self.quarantined_s(fingerprint),
+            )
+        for fingerprint in before.keys() - self._quarantined_until.keys():
+            metrics.QUARANTINE.labels("lifted").inc()
+            log_event("quarantine_lifted", fingerprint=fingerprint.hex())
+
+    # --- Bounds ---------------------------------------------------------------
+
+    def _drop_oldest(self) -> None:
+        """Forgets old crashes, those of quarantined requests last."""
+        while len(self._crashes_by_start) > _MAX_STARTS:
+            kept_starts = {
+                start
+                for fingerprint in self._quarantined_until
+                for start in self._starts_by_suspect[fingerprint]
+            }
+            del self._crashes_by_start[
+                min(
+                    self._crashes_by_start,
+                    key=lambda start: (
+                        start in kept_starts,
+                        self._crashes_by_start[start].at,
+                    ),
+                )
+            ]
+
+    def _word(self, start: str) -> fleet_pb2.TargetCrash:
+        crash = self._crashes_by_start[start]
+        return fleet_pb2.TargetCrash(
+            start_id=start,
+            suspects=crash.suspects,
+            cleared=crash.cleared,
+            age_ms=int((now_s() - crash.at) * _MS_IN_S),
+        )
+
+
+def _starts_by_suspect(
+    suspects_by_start: dict[str, list[bytes]],
+) -> dict[bytes, list[str]]:
+    found: dict[bytes, list[str]] = collections.defaultdict(list)
+    for start, suspects in suspects_by_start.items():
+        for suspect in suspects:
+            found[suspect].append(start)
+    return dict(found)
--- /dev/null
+++ b/damaskcroft/quarantine/_evidence.py
@@ -0,0 +1,164 @@
+"""Whether a target crashed when its connections ended.
+
+A reset, a cut, a slow link and a planned stop end connections as well. That
+its process is gone is known where nothing listens at its address any more, or
+where a later start has taken its place, and it had not said that it leaves.
+"""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+
+from damaskcroft._generated import fleet_pb2
+from damaskcroft.clock import now_s
+from damaskcroft.http1 import connect
+from damaskcroft.observe import log_event, metrics
+from damaskcroft.routing import Candidate
+
+__all__ = ["CrashWatch", "Loss"]
+
+# A process that ends closes its connections one by one, before or after the
+# socket that it listens on; looked at several times, in seconds.
+_LOOK_AFTER_S = (0.0, 0.05, 0.2)
+_CONNECT_TIMEOUT_S = 0.5
+# Within which a target that crashed is back and has announced itself. Later it
+# may have ended for any reason.
+_BACK_WITHIN_S = 10.0
+_MS_IN_S = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Loss:
+    """A request whose connection ended before its answer.
+
+    Attributes:
+        target: the start of a target that it was sent to.
+        fingerprint: of the request.
+        request_id: its id, for the log.
+    """
+
+    target: Candidate
+    fingerprint: bytes
+    request_id: str
+
+
+class _Pending:
+    """A start of a target that may have crashed.
+
+    Attributes:
+        target: which.
+        since: loop time of the first loss.
+        suspects: fingerprints of the requests that were lost there.
+        is_crash: whether it is known to have crashed.
+        looked: done once its address has been looked at.
+    """
+
+    __slots__ = ("is_crash", "looked", "since", "suspects", "target")
+
+    def __init__(self, target: Candidate):
+        self.target = target
+        self.since = now_s()
+        self.suspects: set[bytes] = set()
+        self.is_crash = False
+        self.looked: asyncio.Task[None] | None = None
+
+
+class CrashWatch:
+    """Tells crashes from other ends of connections.
+
+    Args:
+        is_leaving: whether a start said that it ends, by plan.
+        is_replaced: whether a later start has taken a start's place.
+        crashed: told of each crash with the requests that ran there, and
+            again when it turns out that others did.
+    """
+
+    def __init__(
+        self,
+        is_leaving: Callable[[Candidate], bool],
+        is_replaced: Callable[[Candidate], bool],
+        crashed: Callable[[fleet_pb2.TargetCrash], None],
+    ):
+        """See the class."""
+        self._is_leaving = is_leaving
+        self._is_replaced = is_replaced
+        self._crashed = crashed
+        self._pending_by_start: dict[str, _Pending] = {}
+
+    def lost(self, loss: Loss) -> asyncio.Task[None] | None:
+        """Takes note of a lost request.
+
+        Returns:
+            Done once the target's address has been looked at; None for one
+            that was about to end anyhow.
+        """
+        target = loss.target
+        if self._is_leaving(target):
+            return None
+        pending = self._pending_by_start.get(target.id)
+        if pending is None:
+            pending = self._pending_by_start[target.id] = _Pending(target)
+        log_event(
+            "request_lost_with_connection",
+            request=loss.request_id,
+            target=target.id,
+            fingerprint=loss.fingerprint.hex(),
+        )
+        pending.suspects.add(loss.fingerprint)
+        if pending.is_crash:
+            self._tell(pending)
+        elif pending.looked is None:
+            pending.looked = asyncio.create_task(self._look_at(pending))
+        return pending.looked
+
+    def look(self) -> None:
+        """Looks for later starts; to be called often."""
+        for start_id, pending in list(self._pending_by_start.items()):
+            is_old = now_s() - pending.since > _BACK_WITHIN_S
+            if is_old or self._is_leaving(pending.target):
+                del self._pending_by_start[start_id]
+                continue
+            if not pending.is_crash and self._is_replaced(pending.target):
+                self._confirm(pending, "started_again")
+
+    async def _look_at(self, pending: _Pending) -> None:
+        """Looks whether anybody listens at a target's address."""
+        for after_s in _LOOK_AFTER_S:
+            await asyncio.sleep(after_s)
+            if pending.is_crash:
+                return
+            if await _is_refused(pending.target.address):
+                self._confirm(pending, "refuses_connections")
+                return
+
+    def _confirm(self, pending: _Pending, how: str) -> None:
+        pending.is_crash = True
+        metrics.TARGET_CRASHES.labels(how).inc()
+        log_event(
+            "target_crashed",
+            target=pending.target.id,
+            how=how,
+            suspects=",".join(sorted(s.hex() for s in pending.suspects)),
+        )
+        self._tell(pending)
+
+    def _tell(self, pending: _Pending) -> None:
+        self._crashed(
+            fleet_pb2.TargetCrash(
+                start_id=pending.target.id,
+                suspects=sorted(pending.suspects),
+                age_ms=int((now_s() - pending.since) * _MS_IN_S),
+            )
+        )
+
+
+async def _is_refused(address: str) -> bool:
+    """Whether nothing listens at an address; a silent one can't be told."""
+    try:
+        channel = await connect(address, _CONNECT_TIMEOUT_S)
+    except ConnectionRefusedError:
+        return True
+    except OSError:
+        return False
+    channel.abort()
+    return False
--- a/damaskcroft/routing/_line.py
+++ b/damaskcroft/routing/_line.py
@@ -60,6 +60,7 @@
         deadline_at: loop time of its final answer.
         prompt_tokens: length of its prompt.
         request_id: whose place it is, for logs.
+        is_suspect: whether a target has crashed under it.
     """
 
     service: str
@@ -70,6 +71,7 @@
     deadline_at: float
     prompt_tokens: int = 0
     request_id: str = ""
+    is_suspect: bool = False
 
     @property
     def in_time_until(self) -> float:
--- a/damaskcroft/routing/_placement.py
+++ b/damaskcroft/routing/_placement.py
@@ -53,6 +53,8 @@
         slots: requests that it runs at once.
         prompt_tokens_s: how fast it reads prompts; 0 where it reads none.
         target_id: the target's own id, which it may keep over a restart.
+        born_ms: when that start began, in Unix milliseconds; 0 where the
+            target doesn't tell.
     """
 
     id: str
@@ -62,15 +64,24 @@
     slots: int
     prompt_tokens_s: float = 0.0
     target_id: str = ""
+    born_ms: int = 0
 
 
 class _Load:
     """What this entry knows of one target's load."""
 
-    __slots__ = ("others", "outstanding", "told_at", "unread_tokens")
+    __slots__ = (
+        "others",
+        "outstanding",
+        "suspects",
+        "told_at",
+        "unread_tokens",
+    )
 
     def __init__(self) -> None:
         self.outstanding = 0
+        # Requests under way that other targets have crashed under.
+        self.suspects = 0
         self.unread_tokens = 0
         self.others = 0.0
         self.told_at = float("-inf")
@@ -79,11 +90,13 @@
 class Slot:
     """A request's place at a target, as its entry counts it."""
 
-    __slots__ = ("_is_taken", "_load", "_unread_tokens")
+    __slots__ = ("_is_suspect", "_is_taken", "_load", "_unread_tokens")
 
-    def __init__(self, load: _Load, prompt_tokens: int):
+    def __init__(self, load: _Load, prompt_tokens: int, is_suspect: bool):
         """Takes a place in `load`."""
         self._load = load
+        self._is_suspect = is_suspect
+        load.suspects += is_suspect
         self._unread_tokens = prompt_tokens
         self._is_taken = True
         load.outstanding += 1
@@ -107,6 +120,7 @@
         if self._is_taken:
             self._is_taken = False
             self._load.outstanding -= 1
+            self._load.suspects -= self._is_suspect
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -162,7 +176,8 @@
         """The best target, or None if every one is excluded.
 
         Targets that are put aside after failures come last, those without
-        room before them.
+        room before them. One that has a suspect request under way is avoided:
+        should it crash, few others are lost, and no second suspect with it.
 
         Args:
             candidates: all that could run the request.
@@ -192,9 +207,21 @@
         others = load.others * 0.5 ** (stale_s / _REPORT_HALF_LIFE_S)
         return (load.outstanding + others) / max(1, candidate.slots)
 
-    def take(self, candidate: Candidate, prompt_tokens: int = 0) -> Slot:
-        """Takes a place for a request that is about to be sent."""
-        return Slot(self._load(candidate.id), prompt_tokens)
+    def take(
+        self,
+        candidate: Candidate,
+        prompt_tokens: int = 0,
+        *,
+        is_suspect: bool = False,
+    ) -> Slot:
+        """Takes a place for a request that is about to be sent.
+
+        Args:
+            candidate: where to.
+            prompt_tokens: length of its prompt.
+            is_suspect: whether a target has crashed under it.
+        """
+        return Slot(self._load(candidate.id), prompt_tokens, is_suspect)
 
     def told(self, target_id: str, requests: int) -> None:
         """Takes a target's own word on how many requests it has."""
@@ -226,6 +253,8 @@
     ) -> tuple[float, ...]:
         aside = self._outliers.is_aside(candidate.id)
         without_room = not self._has_room(candidate, prompt_tokens)
+        load = self._loads_by_id.get(candidate.id)
+        beside_suspects = load is not None and load.suspects > 0
         slow = self._answer_delay_s(candidate.id) > _SLOW_S
         # Steps of a tenth, so that distance decides between equals.
         fullness = round(self.fullness(candidate), 1)
@@ -233,6 +262,7 @@
         return (
             aside,
             without_room,
+            beside_suspects,
             slow,
             fullness,
             distance,
