Verdicts on crashes weigh what crashed without the request; tests and a play

The number needed grows by one where three others crashed within 30 s before any of its own, by two where twelve did, and the first request to be known explains its crashes.

--- a/damaskcroft/quarantine/_book.py
+++ b/damaskcroft/quarantine/_book.py
@@ -14,6 +14,7 @@
 
 import collections
 import dataclasses
+import math
 from collections.abc import Callable, Iterator
 
 from damaskcroft._generated import fleet_pb2
@@ -22,12 +23,15 @@
 
 __all__ = ["CrashBook", "Quarantined"]
 
-# Starts that end under a request before it is refused.
+# Starts that crash under a request before it is refused.
 _CRASHES = 3
-# While as many targets crash without it, chance may have led it to three.
-_CRASHES_AMONG_OTHERS = 4
-# From the last crash until it may be tried again, and by how much longer each
-# crash beyond those makes that: three tries in a day.
+# Where targets crash without it, chance may have led it to three: by how many
+# others there were, so many more are needed.
+_MORE_BY_OTHERS = ((12, 2), (3, 1), (0, 0))
+# Others count that crashed so long before one of its own, or less.
+_OTHERS_WITHIN_S = 30.0
+# From the last crash until it may be tried again, and how many times as long
+# each try that crashes a target makes that: three tries in a day.
 _QUARANTINE_S = 600.0
 _QUARANTINE_FACTOR = 6
 _MAX_QUARANTINE_S = 7 * 24 * 3600.0
@@ -109,7 +113,7 @@
             crash = self._crashes_by_start[told.start_id] = _Crash(at)
         crash.at = min(crash.at, at)
         before = len(crash.suspects), len(crash.cleared)
-        for suspect in told.suspects:
+        for suspect in (*told.suspects, *told.cleared):
             if len(crash.suspects) < _MAX_SUSPECTS:
                 crash.suspects[suspect] = None
         crash.cleared.update(s for s in told.cleared if s in crash.suspects)
@@ -183,48 +187,60 @@
             listener()
 
     def _guilty(self, open_by_start: dict[str, list[bytes]]) -> set[bytes]:
-        """Requests that explain crashes, those that explain most first."""
+        """Requests that explain crashes; the first to be known goes first."""
         guilty: set[bytes] = set()
         unexplained = dict(open_by_start)
         while True:
-            counts = _starts_by_suspect(unexplained)
-            found = {
-                fingerprint: len(starts)
-                for fingerprint, starts in counts.items()
-                if len(starts) >= self._crashes_needed(starts, unexplained)
+            since = {
+                fingerprint: self._guilty_since(starts, unexplained)
+                for fingerprint, starts in _starts_by_suspect(
+                    unexplained
+                ).items()
             }
-            if not found:
+            first = min(since.values(), default=math.inf)
+            if math.isinf(first):
                 return guilty
-            most = max(found.values())
-            worst = {f for f, count in found.items() if count == most}
-            guilty |= worst
+            found = {f for f, at in since.items() if at == first}
+            guilty |= found
             unexplained = {
                 start: suspects
                 for start, suspects in unexplained.items()
-                if worst.isdisjoint(suspects)
+                if found.isdisjoint(suspects)
             }
 
-    def _crashes_needed(
+    def _guilty_since(
         self, starts: list[str], unexplained: dict[str, list[bytes]]
-    ) -> int:
-        """Crashes that make a request guilty, given the others meanwhile."""
-        times = [self._crashes_by_start[start].at for start in starts]
-        first, last = min(times), max(times)
-        others = sum(
-            first <= self._crashes_by_start[start].at <= last
+    ) -> float:
+        """When chance no longer explained the crashes; infinite while it may.
+
+        Args:
+            starts: what crashed under the request.
+            unexplained: all that crashed for no reason known yet.
+        """
+        if len(starts) < _CRASHES:
+            return math.inf
+        times = sorted(self._crashes_by_start[start].at for start in starts)
+        others = [
+            self._crashes_by_start[start].at
             for start in unexplained
             if start not in starts
-        )
-        return _CRASHES if others < len(starts) else _CRASHES_AMONG_OTHERS
+        ]
+        for count in range(_CRASHES, len(times) + 1):
+            near = _count_near(times[:count], others)
+            more = next(m for least, m in _MORE_BY_OTHERS if near >= least)
+            if count >= _CRASHES + more:
+                return times[count - 1]
+        return math.inf
 
     def _ends_at(self, fingerprint: bytes) -> float:
         starts = self._starts_by_suspect[fingerprint]
-        last_at = max(self._crashes_by_start[start].at for start in starts)
-        beyond = max(0, len(starts) - _CRASHES_AMONG_OTHERS)
+        times = sorted(self._crashes_by_start[start].at for start in starts)
+        first_end = times[_CRASHES - 1] + _QUARANTINE_S
+        tries = sum(at >= first_end for at in times)
         lasts_s = min(
-            _QUARANTINE_S * _QUARANTINE_FACTOR**beyond, _MAX_QUARANTINE_S
+            _QUARANTINE_S * _QUARANTINE_FACTOR**tries, _MAX_QUARANTINE_S
         )
-        return last_at + lasts_s * self._end_factor
+        return times[-1] + lasts_s * self._end_factor
 
     def _log_changes(self, before: dict[bytes, float]) -> None:
         for fingerprint in self._quarantined_until.keys() - before.keys():
@@ -277,3 +293,11 @@
         for suspect in suspects:
             found[suspect].append(start)
     return dict(found)
+
+
+def _count_near(times: list[float], others: list[float]) -> int:
+    """How many others crashed shortly before any of some times."""
+    return sum(
+        any(0 <= at - other <= _OTHERS_WITHIN_S for at in times)
+        for other in others
+    )
--- /dev/null
+++ b/damaskcroft/quarantine/tests/test_book.py
@@ -0,0 +1,237 @@
+"""Verdicts on requests, from crashes told in any order."""
+
+import asyncio
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from damaskcroft._generated import fleet_pb2
+from damaskcroft.quarantine import CrashBook, fingerprint
+from damaskcroft.quarantine._book import _MAX_STARTS
+from damaskcroft.quarantine.tests.plays import Play
+from damaskcroft.standins.virtual_time import VirtualTimeLoop
+
+HOUR_S = 3600.0
+
+
+def crash(start, *suspects, cleared=(), age_ms=0):
+    return fleet_pb2.TargetCrash(
+        start_id=start, suspects=suspects, cleared=cleared, age_ms=age_ms
+    )
+
+
+@pytest.fixture
+def book():
+    return CrashBook()
+
+
+@pytest.fixture
+def crashes_of_three(loop, book):
+    """A book that has seen three targets crash under b"bad"."""
+
+    async def scenario():
+        for n in range(3):
+            book.take(crash(f"t{n}", b"bad"))
+            await asyncio.sleep(1)
+
+    loop.run(scenario())
+    return book
+
+
+def names(book):
+    return {each.fingerprint for each in book.quarantined()}
+
+
+def test_the_third_start_decides_and_not_the_third_word(loop, book):
+    async def scenario():
+        for _ in range(5):
+            book.take(crash("t0", b"bad"))
+        book.take(crash("t1", b"bad"))
+        assert book.is_suspect(b"bad")
+        assert not book.quarantined_s(b"bad")
+        book.take(crash("t2", b"bad"))
+        assert book.quarantined_s(b"bad") > 60
+
+    loop.run(scenario())
+
+
+def test_two_entries_that_saw_two_and_one_know_three(loop):
+    async def scenario():
+        ours, theirs = CrashBook(), CrashBook()
+        ours.take(crash("t0", b"bad"))
+        ours.take(crash("t1", b"bad"))
+        theirs.take(crash("t2", b"bad", b"beside"))
+        for word in list(theirs.words()):
+            ours.take(word)
+        for word in list(ours.words()):
+            theirs.take(word)
+        assert names(ours) == names(theirs) == {b"bad"}
+
+    loop.run(scenario())
+
+
+def test_what_ran_beside_it_once_or_twice_stays_free(loop, book):
+    async def scenario():
+        for n, suspects in enumerate(("a b", "a", "c")):
+            book.take(crash(f"t{n}", b"bad", *suspects.encode().split()))
+            await asyncio.sleep(0.1)
+        book.take(crash("t3", b"a"))
+        assert names(book) == {b"bad"}
+        # Two of its three crashes are explained.
+        assert not book.quarantined_s(b"a")
+
+    loop.run(scenario())
+
+
+def test_a_whole_answer_clears_and_later_crashes_count_anew(loop, book):
+    async def scenario():
+        for n in range(2):
+            book.take(crash(f"t{n}", b"bad"))
+        told = book.clear(b"bad")
+        assert not book.is_suspect(b"bad")
+        other = CrashBook()
+        for word in told:
+            other.take(word)
+        other.take(crash("t2", b"bad"))
+        assert other.is_suspect(b"bad")
+        assert names(other) == set()
+
+    loop.run(scenario())
+
+
+def test_a_late_word_does_not_undo_a_clearance(loop, book):
+    async def scenario():
+        late = crash("t0", b"bad")
+        book.take(late)
+        book.clear(b"bad")
+        book.take(late)
+        assert not book.is_suspect(b"bad")
+
+    loop.run(scenario())
+
+
+@given(st.permutations(range(8)))
+def test_the_order_of_words_does_not_matter(order):
+    async def scenario():
+        words = [crash(f"t{n}", b"bad", b"x%d" % n) for n in range(4)]
+        words += [crash(f"t{n}", b"bad", cleared=[b"x0"]) for n in range(4)]
+        book, shuffled = CrashBook(), CrashBook()
+        for word in words:
+            book.take(word)
+        for n in order:
+            shuffled.take(words[n])
+        assert names(book) == names(shuffled) == {b"bad"}
+        for n in range(4):
+            name = b"x%d" % n
+            assert book.is_suspect(name) == shuffled.is_suspect(name)
+
+    loop = VirtualTimeLoop()
+    loop.run(scenario())
+    loop.close()
+
+
+def test_a_quarantine_ends_and_one_more_crash_makes_it_longer(
+    loop, crashes_of_three
+):
+    async def scenario():
+        book = crashes_of_three
+        tries = 0
+        ends_at = asyncio.get_running_loop().time() + 24 * HOUR_S
+        while asyncio.get_running_loop().time() < ends_at:
+            if not book.quarantined_s(b"bad"):
+                tries += 1
+                book.take(crash(f"again{tries}", b"bad"))
+                assert book.quarantined_s(b"bad")
+            await asyncio.sleep(60)
+        assert tries == 3
+
+    loop.run(scenario())
+
+
+def test_an_operator_lifts_it(loop, crashes_of_three):
+    async def scenario():
+        crashes_of_three.clear(b"bad")
+        assert names(crashes_of_three) == set()
+
+    loop.run(scenario())
+
+
+def test_what_is_kept_is_bounded_and_quarantines_stay(loop, crashes_of_three):
+    async def scenario():
+        book = crashes_of_three
+        for n in range(2 * _MAX_STARTS):
+            book.take(crash(f"s{n}", b"other %d" % n))
+            await asyncio.sleep(60)
+        assert len(list(book.words())) == _MAX_STARTS
+        book.take(crash("again", b"bad"))
+        assert names(book) == {b"bad"}
+
+    loop.run(scenario())
+
+
+def test_an_age_told_late_moves_the_crash_back(loop, book):
+    async def scenario():
+        for n in range(3):
+            book.take(crash(f"t{n}", b"bad", age_ms=300_000))
+        assert 200 < book.quarantined_s(b"bad") <= 300
+
+    loop.run(scenario())
+
+
+def test_customers_do_not_share_a_fingerprint():
+    def of(customer, body=b"x", path=b"/a"):
+        return fingerprint(customer, "h", b"POST", path, body)
+
+    assert of("a") == of("a")
+    assert len({of("a"), of("b"), of("a", b"y"), of("a", path=b"/b")}) == 4
+    assert fingerprint("a", "h", b"P", b"/ab", b"") != fingerprint(
+        "a", "h", b"P", b"/a", b"b"
+    )
+
+
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("crashes_s", [0.0, 0.2])
+def test_innocents_stay_free_and_the_cause_is_found(loop, crashes_s, seed):
+    """Forty sound requests a second at ten targets, each repeated when lost.
+
+    Beside one that crashes its targets, and beside a target that crashes by
+    itself every five seconds.
+    """
+
+    async def scenario():
+        book = CrashBook()
+        play = Play(book, seed, 40, crashes_s)
+        await play.run(30, asyncio.sleep, poison_every_s=0.4)
+        assert play.crashed_by_poison <= 4
+        assert names(book) == {b"poison"}
+        assert play.innocents == set()
+        assert play.served > 1000
+
+    loop.run(scenario())
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_plain_crashes_hold_nobody_back(loop, seed):
+    """Each of ten targets crashes by itself every ten seconds."""
+
+    async def scenario():
+        play = Play(CrashBook(), seed, 40, 1.0)
+        await play.run(40, asyncio.sleep)
+        assert play.lost > 100
+        assert play.innocents == set()
+
+    loop.run(scenario())
+
+
+def test_processes_let_a_quarantine_end_at_different_times(loop):
+    async def scenario():
+        books = [CrashBook(random.Random(n).random()) for n in range(5)]
+        for book in books:
+            for n in range(3):
+                book.take(crash(f"t{n}", b"bad"))
+        ends = {round(book.quarantined_s(b"bad")) for book in books}
+        assert len(ends) == 5
+
+    loop.run(scenario())
--- /dev/null
+++ b/damaskcroft/quarantine/tests/test_evidence.py
@@ -0,0 +1,117 @@
+"""Which ends of connections are crashes."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from damaskcroft.quarantine import CrashWatch, Loss
+from damaskcroft.routing import Candidate
+
+
+class Seen:
+    """A watch, what it is told of starts, and the crashes that it tells."""
+
+    def __init__(self):
+        self.leaving = set()
+        self.replaced = set()
+        self.crashes = []
+        self.watch = CrashWatch(
+            lambda target: target.id in self.leaving,
+            lambda target: target.id in self.replaced,
+            self.crashes.append,
+        )
+
+    async def lost(self, address, name=b"a", start="t@1"):
+        target = Candidate(start, address, "d", "r", 4)
+        looked = self.watch.lost(Loss(target, name, "r-1"))
+        if looked is not None:
+            await looked
+
+
+@pytest.fixture
+def seen():
+    return Seen()
+
+
+@contextlib.asynccontextmanager
+async def listening():
+    """An address at which connections are taken."""
+
+    async def serve(reader, writer):
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    try:
+        yield f"127.0.0.1:{port}", server
+    finally:
+        server.close()
+
+
+async def unused_address():
+    async with listening() as (address, _):
+        return address
+
+
+def test_a_process_that_is_gone_has_crashed(seen):
+    async def scenario():
+        await seen.lost(await unused_address())
+        assert [c.start_id for c in seen.crashes] == ["t@1"]
+        assert list(seen.crashes[0].suspects) == [b"a"]
+
+    asyncio.run(scenario())
+
+
+def test_a_reset_by_a_target_that_lives_is_no_crash(seen):
+    async def scenario():
+        async with listening() as (address, _):
+            await seen.lost(address)
+            seen.watch.look()
+            assert seen.crashes == []
+
+    asyncio.run(scenario())
+
+
+def test_a_listener_that_closes_a_little_later_is_seen(seen):
+    async def scenario():
+        async with listening() as (address, server):
+            asyncio.get_running_loop().call_later(0.02, server.close)
+            await seen.lost(address)
+        assert len(seen.crashes) == 1
+
+    asyncio.run(scenario())
+
+
+def test_a_target_that_announced_its_end_has_not_crashed(seen):
+    async def scenario():
+        seen.leaving.add("t@1")
+        await seen.lost(await unused_address())
+        seen.watch.look()
+        assert seen.crashes == []
+
+    asyncio.run(scenario())
+
+
+def test_a_later_start_in_its_place_shows_a_crash_as_well(seen):
+    async def scenario():
+        async with listening() as (address, _):
+            await seen.lost(address)
+            seen.replaced.add("t@1")
+            seen.watch.look()
+            seen.watch.look()
+            assert len(seen.crashes) == 1
+
+    asyncio.run(scenario())
+
+
+def test_all_that_was_lost_with_a_start_is_told_of_one_crash(seen):
+    async def scenario():
+        address = await unused_address()
+        await asyncio.gather(*(seen.lost(address, b"%d" % n) for n in range(3)))
+        await seen.lost(address, b"late")
+        assert {c.start_id for c in seen.crashes} == {"t@1"}
+        assert set(seen.crashes[-1].suspects) == {b"0", b"1", b"2", b"late"}
+
+    asyncio.run(scenario())
