Tests: a quarantine in flight, at both entries at once, over restarts, lifted

Two copies at once crash at most five targets; a restart of all control nodes, then of each entry, lets none of it run again.

--- a/damaskcroft/forwarding/tests/fakes.py
+++ b/damaskcroft/forwarding/tests/fakes.py
@@ -90,6 +90,7 @@
         self.held = []
         self.left = 0
         self.address = ""
+        self.server = None
 
     async def serve(self, reader, writer):
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
@@ -143,6 +144,15 @@
     async def silent_close(self, head, reader, writer):
         return False
 
+    async def dies(self, head, reader, writer):
+        """As a process that ends: its address refuses connections."""
+        self.server.close()
+        return False
+
+    async def streams_and_dies(self, head, reader, writer):
+        self.server.close()
+        return await self.stream(head, reader, writer, upto=3)
+
     async def cut_body(self, head, reader, writer):
         writer.write(
             b"HTTP/1.1 200 OK\r\nX-Seal: s\r\nContent-Length: 99\r\n\r\nabc"
@@ -244,6 +254,7 @@
     for target in targets:
         server = await asyncio.start_server(target.serve, "127.0.0.1", 0)
         servers.append(server)
+        target.server = server
         port = server.sockets[0].getsockname()[1]
         target.address = f"127.0.0.1:{port}"
         view.take(
--- a/damaskcroft/hosted/tests/fleet.py
+++ b/damaskcroft/hosted/tests/fleet.py
@@ -6,6 +6,7 @@
 import itertools
 import time
 
+from damaskcroft._generated import fleet_grpc, fleet_pb2
 from damaskcroft.hosted.tests.deployment import (
     CONTROL_IPS,
     ENTRY_IPS,
@@ -13,6 +14,7 @@
 )
 from damaskcroft.hosted.tests.soak._book import Asked, Book
 from damaskcroft.hosted.tests.soak._target import CRASHING, Target
+from damaskcroft.rpc import ChannelPool, Keys
 
 TARGETS = 10
 _DEADLINE_MS = 5000
@@ -64,9 +66,7 @@
             await self.deployment.start("control", ip)
         for ip in ENTRY_IPS:
             await self.deployment.start("entry", ip)
-        async with asyncio.timeout(30):
-            while not await self._is_configured():
-                await asyncio.sleep(0.1)
+        await self._until_configured()
         for target in self.targets:
             await target.start()
         async with asyncio.timeout(30):
@@ -122,6 +122,39 @@
             yield outcomes
             calling.cancel()
 
+    async def restart_control(self):
+        """Ends all control nodes at once, and starts them again."""
+        ends = (self.deployment.end("control", ip) for ip in CONTROL_IPS)
+        await asyncio.gather(*ends)
+        for ip in CONTROL_IPS:
+            await self.deployment.start("control", ip, first=False)
+        await self._until_configured()
+
+    async def restart_entries_in_turn(self):
+        for ip in ENTRY_IPS:
+            await self.deployment.end("entry", ip)
+            await self.deployment.start("entry", ip, first=False)
+            async with asyncio.timeout(30):
+                while (await self.ask(ip)).status != 200:
+                    await asyncio.sleep(0.1)
+
+    async def quarantine(self, lift=()):
+        """What an operator is told, at whichever control node."""
+        channels = ChannelPool(Keys(None, None))
+        address = f"{CONTROL_IPS[0]}:{self.deployment.rpc}"
+        stub = fleet_grpc.FleetStub(channels.channel(address))
+        try:
+            return await stub.Quarantine(
+                fleet_pb2.QuarantineRequest(lift=lift), timeout=5
+            )
+        finally:
+            channels.close()
+
+    async def _until_configured(self):
+        async with asyncio.timeout(30):
+            while not await self._is_configured():
+                await asyncio.sleep(0.1)
+
     async def _is_configured(self):
         status, _ = await self.deployment.operator(
             b"POST", "/api/config/put", _CONFIGURATION
--- a/damaskcroft/hosted/tests/test_crashing_requests.py
+++ b/damaskcroft/hosted/tests/test_crashing_requests.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 
+from damaskcroft.hosted.tests.deployment import ENTRY_IPS
 from damaskcroft.hosted.tests.soak._book import CONTACT_S
 
 _TIMES = 24
@@ -35,3 +36,42 @@
         assert float(held.retry_after) > 60
 
     with_fleet(scenario)
+
+
+def test_both_entries_at_once_and_restarts_do_not_let_it_go_on(with_fleet):
+    async def scenario(fleet):
+        async with fleet.others_call() as others:
+            for _ in range(4):
+                await asyncio.gather(*(fleet.crash_some() for _ in ENTRY_IPS))
+                await asyncio.sleep(_EVERY_S)
+        known = len(fleet.book.crashes["crash"])
+        for restart in (fleet.restart_control, fleet.restart_entries_in_turn):
+            await restart()
+            for _ in range(2 * len(ENTRY_IPS)):
+                assert (await fleet.crash_some()).status == 503
+        assert len(fleet.book.crashes["crash"]) == known
+        # At most two copies, each at two targets, are under way before any
+        # crash of theirs is known.
+        assert known <= 5
+        lost = [o for o in others if o.status != 200]
+        assert len(lost) <= _MAX_LOST_SHARE * len(others)
+
+    with_fleet(scenario)
+
+
+def test_an_operator_sees_it_and_lets_it_run_again(with_fleet):
+    async def scenario(fleet):
+        for _ in range(3):
+            await fleet.crash_some()
+            await asyncio.sleep(_EVERY_S)
+        (request,) = (await fleet.quarantine()).requests
+        assert len(request.start_ids) == 3
+        reply = await fleet.quarantine(lift=[request.fingerprint])
+        assert reply.lifted == 1
+        assert not reply.requests
+        crashes = len(fleet.book.crashes["crash"])
+        await asyncio.sleep(_EVERY_S)
+        await fleet.crash_some()
+        assert len(fleet.book.crashes["crash"]) > crashes
+
+    with_fleet(scenario)
