The soak: crashing requests, targets that rest, and leaving told in answers

Drawn beside the other faults from a generator of their own, so that each seed keeps the faults that it had. At the end, what has crashed eight targets must be refused by both entries.

--- a/damaskcroft/hosted/tests/soak/_book.py
+++ b/damaskcroft/hosted/tests/soak/_book.py
@@ -1,7 +1,9 @@
 """What callers, targets and the operator saw, and which promises it breaks."""
 
 import collections
+import contextlib
 import dataclasses
+import math
 import re
 import time
 
@@ -54,11 +56,13 @@
     Attributes:
         at: when, by `time.monotonic`.
         request_id: which.
-        start: the start of the target that it is for.
+        target: name of the target.
+        start: the start of it that was reached.
     """
 
     at: float
     request_id: str
+    target: str
     start: str
 
 
@@ -93,15 +97,17 @@
         self.leaving_since = {}
         # By what crashes targets: when, one time for each start.
         self.crashes = collections.defaultdict(list)
-        # Spans in which an entry or control was disturbed.
-        self.disturbed = []
+        # By whom (an entry, a target, control, or all): spans of disturbance.
+        self._disturbed = collections.defaultdict(list)
         self._seen_version_by_boot = collections.Counter()
 
     # --- What targets tell ------------------------------------------------
 
-    def arrived(self, request_id, start):
+    def arrived(self, request_id, target, start):
         """Called by a target that a request has reached."""
-        self.arrivals.append(Arrival(time.monotonic(), request_id, start))
+        self.arrivals.append(
+            Arrival(time.monotonic(), request_id, target, start)
+        )
 
     def crashed(self, request_id, start):
         """Called by a target that crashes under a request."""
@@ -119,6 +125,16 @@
         entry = self.asked_by_id[request_id].entry
         self.leaving_since.setdefault((entry, start), time.monotonic())
 
+    @contextlib.contextmanager
+    def disturbed(self, who):
+        """Notes that a machine, or its links, are disturbed meanwhile."""
+        span = [time.monotonic(), math.inf]
+        self._disturbed[who].append(span)
+        try:
+            yield
+        finally:
+            span[1] = time.monotonic()
+
     # --- Bounds on arrivals -----------------------------------------------
 
     def tries_after_crashes(self, crashes_as):
@@ -132,7 +148,7 @@
             for arrival in self.arrivals
             if arrival.at > known_at
             and self._of(arrival).crashes_as == crashes_as
-            and not self._is_disturbed(arrival.at)
+            and not self._is_disturbed(arrival)
         ]
 
     def arrivals_in_rest(self, rest):
@@ -143,7 +159,7 @@
             if arrival.start == rest.start
             and self._of(arrival).entry == rest.entry
             and rest.at + _REST_BEGINS_S < arrival.at < rest.at + rest.for_s
-            and not self._is_disturbed(arrival.at)
+            and not self._is_disturbed(arrival)
         ]
 
     def arrivals_after_leaving(self, entry, start):
@@ -155,7 +171,7 @@
             if arrival.start == start
             and self._of(arrival).entry == entry
             and self._of(arrival).sent_at > since + DRAIN_S
-            and not self._is_disturbed(arrival.at)
+            and not self._is_disturbed(arrival)
         ]
 
     def check_bounds(self):
@@ -176,10 +192,13 @@
     def _of(self, arrival):
         return self.asked_by_id.get(arrival.request_id) or Asked("safe")
 
-    def _is_disturbed(self, at):
-        """Whether an entry or control was disturbed shortly before."""
+    def _is_disturbed(self, arrival):
+        """Whether what it came by was disturbed, or had just been."""
+        entry = self._of(arrival).entry
         return any(
-            since <= at <= until + CONTACT_S for since, until in self.disturbed
+            since <= arrival.at <= until + CONTACT_S
+            for who in ("all", "control", entry, arrival.target)
+            for since, until in self._disturbed[who]
         )
 
     # --- What callers get --------------------------------------------------
--- a/damaskcroft/hosted/tests/soak/_faults.py
+++ b/damaskcroft/hosted/tests/soak/_faults.py
@@ -15,6 +15,12 @@
 _STARTED_AGAIN_S = 0.5
 # A control node that is back counts as whole after this long.
 _SETTLED_S = 4.0
+# Faults of requests and of what targets answer come beside these, drawn on
+# their own, so that a seed keeps the faults that it had.
+_ANSWER_KINDS = ("crashing request", "rest target", "leaving target")
+_ANSWER_GAP_S = (0.5, 3.0)
+_REST_S = 3
+_COPIES_EVERY_S = 0.3
 _KINDS = (
     "kill control", "pause control", "stop control", "wipe control",
     "tear log", "kill all control", "kill entry", "pause entry", "stop entry",
@@ -42,25 +48,34 @@
 
 def schedule(seed, seconds):
     """The faults of a seed, in order."""
-    rng = random.Random(seed)
+    faults = _drawn(random.Random(seed), seconds, _KINDS, _GAP_S)
+    faults += _drawn(
+        random.Random(f"{seed}/answers"), seconds, _ANSWER_KINDS, _ANSWER_GAP_S
+    )
+    return sorted(faults, key=lambda fault: fault.at_s)
+
+
+def _drawn(rng, seconds, kinds, gap_s):
     faults, at_s = [], 0.0
     while at_s < seconds:
         faults.append(
             Fault(
                 at_s,
-                rng.choice(_KINDS),
+                rng.choice(kinds),
                 rng.randrange(12),
                 rng.uniform(*_LASTS_S),
             )
         )
-        at_s += rng.uniform(*_GAP_S)
+        at_s += rng.uniform(*gap_s)
     return faults
 
 
 class Injector:
     """Carries faults out, several at once, and takes them back."""
 
-    def __init__(self, deployment, targets, journal):
+    def __init__(self, deployment, targets, journal, book, ask_crashing):
+        self._book = book
+        self._ask_crashing = ask_crashing
         self._deployment = deployment
         self._targets = targets
         self._journal = journal
@@ -76,6 +91,9 @@
                 group.create_task(self._inject(fault))
 
     async def _inject(self, fault):
+        if fault.kind == "crashing request":
+            await self._send_copies(fault)
+            return
         name, _, what = fault.kind.partition(" ")
         role = {"control": "control", "log": "control", "entry": "entry"}.get(
             what, "target"
@@ -94,12 +112,21 @@
             return
         self._busy |= set(who)
         self._journal(f"begins {fault} {who}")
+        disturbed = "control" if role == "control" else who[0]
         try:
-            await self._carry_out(fault, name, role, who)
+            with self._book.disturbed(disturbed):
+                await self._carry_out(fault, name, role, who)
         finally:
             self._busy -= set(who)
             self._journal(f"over {fault.kind} {who}")
 
+    async def _send_copies(self, fault):
+        """The same request again and again, whatever else happens."""
+        until = _now() + 2 * fault.for_s
+        while _now() < until:
+            await self._ask_crashing()
+            await asyncio.sleep(_COPIES_EVERY_S)
+
     def _may(self, fault, who):
         """No more disks are lost than may be: the others must be whole."""
         if fault.kind != "wipe control":
@@ -190,6 +217,18 @@
                 await asyncio.sleep(fault.for_s)
                 await target.restart()
                 return
+            case "rest target":
+                target.rest_s = _REST_S
+                await asyncio.sleep(fault.for_s)
+                target.rest_s = None
+                return
+            case "leaving target":
+                target.says_leaving = True
+                await asyncio.sleep(2 * fault.for_s)
+                await target.crash()
+                await asyncio.sleep(fault.for_s)
+                await target.restart()
+                return
             case "delay":
                 proxy.delay_s = 0.05 * (1 + fault.which)
             case "reset":
--- a/damaskcroft/hosted/tests/soak/_run.py
+++ b/damaskcroft/hosted/tests/soak/_run.py
@@ -11,9 +11,9 @@
     ENTRY_IPS,
     Deployment,
 )
-from damaskcroft.hosted.tests.soak._book import Asked, Book
+from damaskcroft.hosted.tests.soak._book import CONTACT_S, Asked, Book
 from damaskcroft.hosted.tests.soak._faults import Injector, schedule
-from damaskcroft.hosted.tests.soak._target import Target
+from damaskcroft.hosted.tests.soak._target import CRASHING, Target
 from damaskcroft.http1 import (
     CutShortError,
     NoAnswerError,
@@ -29,6 +29,9 @@
 # After the last fault, until everything must serve and tell the newest again.
 _RECOVERY_S = 12.0
 _MAX_REQUESTS_ON_ONE = 20
+# Of the request that crashes its targets: what is known to be enough, also
+# where targets were crashed beside it, and some crash was seen by nobody.
+_CRASHES_SURELY_KNOWN = 8
 # A change is acknowledged so long after it was put first, whatever fails
 # meanwhile: the longest run of faults that a majority is away for, and as much
 # again to recover.
@@ -52,7 +55,14 @@
             Target(f"t{n}", self.deployment, self.book, keeps_id=n % 2 == 0)
             for n in range(_TARGETS)
         ]
-        self.injector = Injector(self.deployment, self.targets, self.note)
+        self.injector = Injector(
+            self.deployment,
+            self.targets,
+            self.note,
+            self.book,
+            self._ask_crashing,
+        )
+        self._crashing_rng = random.Random(f"{seed}/crashing")
         self._ids = itertools.count(1)
         self._version = 0
         self._ending = False
@@ -82,10 +92,12 @@
             self._ending = True
             await asyncio.gather(*callers, operating)
             await self._check_recovered()
+            await self._check_quarantine()
+            self.book.check_bounds()
         finally:
             for target in self.targets:
                 if target.proxy is not None:
-                    await target.crash()
+                    await target.stop()
             await self.deployment.stop()
             # The proxies' tasks end with their connections.
             await asyncio.sleep(0.2)
@@ -183,16 +195,28 @@
             if path is None:
                 version = rng.randint(1, self._version)
                 kind, path = "safe", f"/v{version}/a"
-            status, is_last = await self._ask(connection, kind, path)
+            status, is_last = await self._ask(connection, kind, path, ip)
             if version and boot == f"{ip}/{self.injector.boots[ip]}":
                 self.book.saw_version(boot, version, status)
             if is_last:
                 return
             await asyncio.sleep(rng.uniform(0, 0.1))
 
-    async def _ask(self, connection, kind, path):
+    async def _ask_crashing(self, ip=""):
+        """One copy of the request that crashes its targets; its status."""
+        ip = ip or self._crashing_rng.choice(ENTRY_IPS)
         request_id = f"s{self.seed}-{next(self._ids)}"
-        asked = self.book.asked_by_id[request_id] = Asked(kind)
+        asked = Asked("safe", entry=ip, crashes_as="crash")
+        self.book.asked_by_id[request_id] = asked
+        asked.status, _, _ = await self.deployment.call(
+            ip, self.deployment.front, b"POST", _PATHS["safe"], CRASHING,
+            request_id=request_id, deadline_ms=_DEADLINE_MS,
+        )  # fmt: skip
+        return asked.status
+
+    async def _ask(self, connection, kind, path, entry):
+        request_id = f"s{self.seed}-{next(self._ids)}"
+        asked = self.book.asked_by_id[request_id] = Asked(kind, entry=entry)
         headers = [
             (b"host", b"h"), (b"request-id", request_id.encode()),
             (b"deadline-ms", b"%d" % _DEADLINE_MS),
@@ -225,6 +249,15 @@
             await asyncio.sleep(0.2)
         self.book.broken += missing
 
+    async def _check_quarantine(self):
+        """What has crashed enough targets is still refused everywhere."""
+        if len(self.book.crashes["crash"]) < _CRASHES_SURELY_KNOWN:
+            return
+        await asyncio.sleep(CONTACT_S)
+        statuses = [await self._ask_crashing(ip) for ip in 2 * ENTRY_IPS]
+        if statuses != [503] * len(statuses):
+            self.book.broken.append(f"not refused at the end: {statuses}")
+
     async def _missing(self):
         status, body = await self.deployment.operator(b"GET", "/api/config/get")
         if status != 200:
--- a/damaskcroft/hosted/tests/soak/_target.py
+++ b/damaskcroft/hosted/tests/soak/_target.py
@@ -146,7 +146,7 @@
         head = {name.lower(): value for name, value in head.items()}
         asked = await reader.readexactly(int(head.get("content-length", 0)))
         request_id = head["request-id"]
-        self.book.arrived(request_id, self._start_id)
+        self.book.arrived(request_id, self.name, self._start_id)
         if head.get("expect-instance") != self.id:
             writer.write(
                 b"HTTP/1.1 421 No\r\nNot-Executed: 1\r\n"
