Targets that ask for rest get it, and those that say they leave are left

Symptom: a target that refused a request with 503 and Retry-After got up to 45 requests from one entry in the 3 s that it had asked for; of 211 callers 51 were refused though seven of ten targets had room. A target that said in its answers that it leaves, and announced nothing, got requests later than 2 s after it.

Cause: no part of an entry read either header. A refusal that has not run told nothing of its target beyond its load.

Now an answer's rest and leaving hold for that start of the target at this entry. They are looked at where a target is chosen and again before the first byte leaves. Where all rest, a caller is refused at once with the time of the first one that is back, unless that comes within its wait. After a rest one request goes first. A leaving target is used for half of the drain time while it is the only one.

--- a/damaskcroft/forwarding/_call.py
+++ b/damaskcroft/forwarding/_call.py
@@ -68,6 +68,9 @@
         load: its load, or None.
         weights_version: version of the weights that answer, or 0.
         misdirected: the target is another one than the request is for.
+        rest_s: how long the target wants no request of this entry; None if
+            it doesn't ask for that.
+        leaving: the target is about to end.
     """
 
     request_id: str
@@ -77,6 +80,8 @@
     load: TargetLoad | None
     weights_version: int
     misdirected: bool = False
+    rest_s: float | None = None
+    leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 from collections.abc import Callable, Iterable, Iterator
 
 from damaskcroft._generated import fleet_pb2
@@ -36,6 +37,7 @@
 from damaskcroft.quarantine import CrashBook
 from damaskcroft.routing import (
     AnswerDelays,
+    BackPressure,
     Candidate,
     Line,
     LineTicket,
@@ -59,6 +61,9 @@
 # Why an attempt wasn't sent, or was ended, that says nothing of its target.
 _TOO_LATE = "too_late_for_its_weights"
 _QUARANTINED = "quarantined"
+_LEFT_ALONE = "target_wants_none"
+# Callers that were refused together return over so much more of their wait.
+_RETURNS_SPREAD = 0.5
 
 
 class Forwarder:
@@ -74,6 +79,7 @@
         retry_window: RetryWindow,
         silence: SilenceWatch,
         delays: AnswerDelays,
+        back_pressure: BackPressure,
         doubt: Callable[[str], None],
         crashes: CrashBook,
         tell_crashes: Callable[[Iterable[fleet_pb2.TargetCrash]], None],
@@ -89,12 +95,16 @@
             retry_window: how many attempts may follow a first one.
             silence: targets that say nothing.
             delays: how soon targets answer.
+            back_pressure: what targets ask for in their answers.
             doubt: told the id of a target at whose address another answers.
             crashes: what the fleet knows of targets that crashed.
             tell_crashes: tells the fleet what this entry has found out.
         """
-        self._suspects = Suspects(crashes, services, tell_crashes)
+        self._suspects = Suspects(
+            crashes, services, back_pressure, tell_crashes
+        )
         crashes.listen(self._give_up_quarantined)
+        self._back_pressure = back_pressure
         self._doubt = doubt
         self._delays = delays
         self._silence = silence
@@ -107,6 +117,7 @@
             lambda ticket: services.may_serve_soon(
                 ticket.service, ticket.model
             ),
+            lambda ticket: self._closed_s(ticket.service, ticket.model),
         )
         self._relay = Relay(wire, self._line.serve)
         self._wire = wire
@@ -223,7 +234,10 @@
             case Overloaded(reason=reason, waiting=waiting):
                 detail = f"{waiting} waiting"
                 reason = self._why_none(reason, job.service)
-                return Refused(reason, Ran.NO, detail, outcome.foreseen_s)
+                returns_s = self._returns_s(outcome.closed_s)
+                return Refused(
+                    reason, Ran.NO, detail, outcome.foreseen_s, returns_s
+                )
 
     def _why_none(self, reason: str, service: str) -> str:
         """Tells ready targets without the weights that are due from none."""
@@ -234,12 +248,14 @@
     def _place_again(self, job: Job, progress: Progress) -> Turn | Ending:
         prompt_tokens = job.call.prompt_tokens
         placed = self._placer.choose(
-            self._services.candidates(job.service, job.call.model),
+            self._candidates(job.service, job.call.model),
             progress.excluded,
             prompt_tokens,
         )
         if placed is None:
-            return given_up("no_target", progress)
+            closed_s = self._closed_s(job.service, job.call.model)
+            reason = "resting" if closed_s else "no_target"
+            return given_up(reason, progress, self._returns_s(closed_s))
         if progress.sent and not self._retry_window.spend():
             metrics.RETRIES.labels("no_budget").inc()
             return given_up("no_retry_budget", progress)
@@ -251,9 +267,46 @@
         return Turn(placed.candidate, slot)
 
     def _choose(self, ticket: LineTicket) -> Placement | None:
-        candidates = self._services.candidates(ticket.service, ticket.model)
+        candidates = self._candidates(ticket.service, ticket.model)
         return self._placer.choose(candidates, (), ticket.prompt_tokens)
 
+    def _candidates(self, service: str, model: str) -> list[Candidate]:
+        """Targets that could run a request and take one now.
+
+        One that says that it leaves is used while there is no other.
+        """
+        taking = [
+            candidate
+            for candidate in self._services.candidates(service, model)
+            if self._back_pressure.may_be_sent(candidate.id)
+        ]
+        staying = [
+            candidate
+            for candidate in taking
+            if not self._back_pressure.is_leaving(candidate.id)
+        ]
+        return staying or taking
+
+    def _closed_s(self, service: str, model: str) -> float:
+        """Until the first of a service's targets takes a request again."""
+        if self._candidates(service, model):
+            return 0.0
+        rests_s = (
+            self._back_pressure.rests_s(candidate.id)
+            for candidate in self._services.candidates(service, model)
+            if not self._back_pressure.is_leaving(candidate.id)
+        )
+        return min(rests_s, default=0.0)
+
+    def _returns_s(self, closed_s: float) -> float | None:
+        """When to come back to targets that rest; None if they don't.
+
+        Spread, since all that were refused meanwhile hear of the same end.
+        """
+        if not closed_s:
+            return None
+        return closed_s * (1 + _RETURNS_SPREAD * random.random())
+
     def _why_stop(self, job: Job, progress: Progress) -> Ending | None:
         quarantined_s = self._suspects.quarantined_s(job, progress)
         if quarantined_s:
@@ -330,9 +383,9 @@
             begun = await sending.made.begin()
             if not isinstance(begun, NotSent | Lost):
                 answered()
+                self._note_facts(sending.target, begun.facts)
         if not isinstance(begun, Answered):
             return begun
-        self._note_load(sending.target, begun.facts)
         return await self._relay.give(sending, begun)
 
     def _judge(
@@ -352,7 +405,6 @@
             case NotRun(status=status, facts=facts):
                 progress.last = outcome
                 reason = f"not_run_{status}"
-                self._note_load(target, facts)
                 if facts.misdirected and self._is_surprise(job, target):
                     self._outliers.failed(target.id, certain=True)
                     self._doubt(target.target_id)
@@ -385,6 +437,8 @@
         """Why a request must not go to a target after all; None if it may."""
         if self._suspects.quarantined_s(job, progress):
             return _QUARANTINED
+        if not self._back_pressure.may_be_sent(target.id):
+            return _LEFT_ALONE
         if not self._services.may_begin(
             job.service, job.call.model, target.id, connect_s
         ):
@@ -400,7 +454,14 @@
             job.service, job.call.model, target.id
         )
 
-    def _note_load(self, target: Candidate, facts: AnswerFacts) -> None:
+    def _note_facts(self, target: Candidate, facts: AnswerFacts) -> None:
+        """Takes what a target says of itself in the head of an answer."""
+        if facts.leaving:
+            self._back_pressure.leaving(target.id)
+        if facts.rest_s is not None:
+            self._back_pressure.rest(target.id, facts.rest_s)
+        elif not facts.not_run:
+            self._back_pressure.answered(target.id)
         if facts.load is not None:
             requests = facts.load.running + facts.load.waiting
             self._placer.told(target.id, requests)
--- a/damaskcroft/forwarding/_suspects.py
+++ b/damaskcroft/forwarding/_suspects.py
@@ -10,7 +10,7 @@
 from damaskcroft.forwarding._services import Services
 from damaskcroft.observe import log_event, metrics
 from damaskcroft.quarantine import Copies, CrashBook, CrashWatch, Loss
-from damaskcroft.routing import Candidate
+from damaskcroft.routing import BackPressure, Candidate
 
 __all__ = ["STARTED_AGAIN", "Suspects"]
 
@@ -26,7 +26,8 @@
 
     Args:
         book: what the fleet knows.
-        services: whether a target left by plan, or was replaced.
+        services: whether a target announced its end, or was replaced.
+        back_pressure: whether it said in an answer that it ends.
         tell: tells the fleet what this entry has found out.
     """
 
@@ -34,6 +35,7 @@
         self,
         book: CrashBook,
         services: Services,
+        back_pressure: BackPressure,
         tell: Callable[[Iterable[fleet_pb2.TargetCrash]], None],
     ):
         """See the class."""
@@ -41,7 +43,10 @@
         self._tell = tell
         self._copies = Copies(book)
         self._watch = CrashWatch(
-            services.is_leaving,
+            lambda target: (
+                services.is_leaving(target)
+                or back_pressure.is_leaving(target.id)
+            ),
             services.is_replaced,
             lambda crash: tell([crash]),
         )
--- a/damaskcroft/hosted/entry.py
+++ b/damaskcroft/hosted/entry.py
@@ -22,6 +22,7 @@
 from damaskcroft.quarantine import CrashBook
 from damaskcroft.routing import (
     AnswerDelays,
+    BackPressure,
     Outliers,
     Placer,
     RetryWindow,
@@ -63,20 +64,22 @@
     crash_reporter = CrashReporter(view, channels, seeds)
     outliers = Outliers()
     delays = AnswerDelays()
+    bounds = settings.bounds
+    back_pressure = BackPressure(bounds.drain_s)
     placer = Placer(
         settings.failure_domain,
         settings.region,
         outliers,
         answer_delay_s=delays.quickest_s,
+        takes_one=back_pressure.takes_one,
     )
     services = Services(
         view,
         settings.region_by_domain,
-        settings.bounds.weights_s,
+        bounds.weights_s,
         delays.foreseen_s,
     )
     connections = ConnectionPool()
-    bounds = settings.bounds
     retry_window = RetryWindow(
         bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_s
     )
@@ -90,6 +93,7 @@
         retry_window,
         SilenceWatch(),
         delays,
+        back_pressure,
         view.doubt_target,
         view.crashes,
         crash_reporter.tell,
@@ -106,6 +110,7 @@
             started_ids = view.book.start_ids()
             placer.forget_all_but(started_ids)
             delays.forget_all_but(started_ids)
+            back_pressure.forget_all_but(started_ids)
             retry_window.entries = placer.entries = view.entries
 
     async with (
--- a/damaskcroft/http1/__init__.py
+++ b/damaskcroft/http1/__init__.py
@@ -22,6 +22,7 @@
     CallerRequest,
 )
 from damaskcroft.http1._pool import ConnectionPool, Place
+from damaskcroft.http1._retry_after import retry_after_s
 from damaskcroft.http1._server import CallerConnections, callers_served
 
 __all__ = [
@@ -43,4 +44,5 @@
     "callers_served",
     "connect",
     "closing_answer",
+    "retry_after_s",
 ]
--- a/damaskcroft/observe/metrics.py
+++ b/damaskcroft/observe/metrics.py
@@ -32,6 +32,7 @@
     "REFUSALS",
     "RETRIES",
     "ROLLOUT_WAITS_S",
+    "TARGETS_LEFT_ALONE",
     "TARGET_CRASHES",
     "TASK_FAILURES",
     "TOKEN_GAP_S",
@@ -54,6 +55,10 @@
     "damask_target_crashes", "Targets that crashed under requests of this "
     "entry, by what showed it", ["how"],
 )  # fmt: skip
+TARGETS_LEFT_ALONE = Counter(
+    "damask_targets_left_alone", "Targets that asked in an answer for rest, "
+    "or said that they leave", ["why"],
+)  # fmt: skip
 QUARANTINE = Counter(
     "damask_quarantine", "Decisions on requests that crash targets",
     ["decision"],
--- a/damaskcroft/platform/wire.py
+++ b/damaskcroft/platform/wire.py
@@ -7,7 +7,7 @@
     TargetLoad,
     Wire,
 )
-from damaskcroft.http1 import CallerRequest, Head, Headers
+from damaskcroft.http1 import CallerRequest, Head, Headers, retry_after_s
 
 __all__ = ["PlatformWire"]
 
@@ -103,6 +103,8 @@
             load=_load(head.value(b"server-load")),
             weights_version=int(version) if version.isdecimal() else 0,
             misdirected=misdirected,
+            rest_s=_rest_s(head),
+            leaving=head.value(b"server-leaving") == "1",
         )
 
     def answer_headers(self, head: Head) -> Headers:
@@ -144,6 +146,12 @@
     return tuple(part.partition(":")[0] for part in parts)
 
 
+def _rest_s(head: Head) -> float | None:
+    if head.status != 503:
+        return None
+    return retry_after_s(head.value(b"retry-after"), head.value(b"date"))
+
+
 def _load(value: str) -> TargetLoad | None:
     numbers = value.split(",")
     if len(numbers) != 3 or not all(n.strip().isdecimal() for n in numbers):
--- a/damaskcroft/routing/__init__.py
+++ b/damaskcroft/routing/__init__.py
@@ -6,6 +6,7 @@
     NotGranted,
     Ticket,
 )
+from damaskcroft.routing._back_pressure import BackPressure
 from damaskcroft.routing._choice import TargetChooser
 from damaskcroft.routing._delays import AnswerDelays
 from damaskcroft.routing._line import (
@@ -25,6 +26,7 @@
 __all__ = [
     "Admission",
     "AnswerDelays",
+    "BackPressure",
     "Candidate",
     "Granted",
     "Line",
--- a/damaskcroft/routing/_line.py
+++ b/damaskcroft/routing/_line.py
@@ -99,14 +99,16 @@
 
     Attributes:
         reason: "overloaded" if all that could serve it were full, "no_target"
-            if none could serve it.
+            if none could serve it, "resting" if all want no request for now.
         waiting: how many waited for the service.
         foreseen_s: how long the line is at its present rate; 0 if unknown.
+        closed_s: until when no target takes anything; 0 if some does.
     """
 
     reason: str
     waiting: int
     foreseen_s: float = 0.0
+    closed_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -143,6 +145,8 @@
         take: takes a slot of a target for a ticket's request.
         may_come: whether a target that can't serve a ticket now may soon, as
             when its weights are about to change; worth waiting for.
+        closed_s: for how long no target that could serve a ticket takes any
+            request; 0 if there is one that does, or none at all.
     """
 
     def __init__(
@@ -150,8 +154,10 @@
         choose: Callable[[LineTicket], Placement | None],
         take: Callable[[Candidate, LineTicket], Slot],
         may_come: Callable[[LineTicket], bool] = lambda _: False,
+        closed_s: Callable[[LineTicket], float] = lambda _: 0.0,
     ):
         """Begins with nobody waiting."""
+        self._closed_s = closed_s
         self._may_come = may_come
         self._choose = choose
         self._take = take
@@ -164,11 +170,9 @@
         """Takes a slot, at once if one is free and nobody waits."""
         waiting = self._waiting_by_service.get(ticket.service, [])
         if not waiting:
-            placement = self._choose(ticket)
-            if placement is None and not self._may_come(ticket):
-                return Overloaded("no_target", 0)
-            if placement is not None and placement.has_room:
-                return self._given(ticket, placement)
+            outcome = self._outcome_now(ticket, 0)
+            if outcome is not None:
+                return outcome
         foreseen_s = self._foreseen_wait_s(ticket)
         if foreseen_s > ticket.waits_until - now_s():
             return self._refused(ticket, len(waiting), foreseen_s)
@@ -239,7 +243,12 @@
         placement = self._choose(ticket)
         if placement is not None and placement.has_room:
             return self._given(ticket, placement)
-        if placement is None and not self._may_come(ticket):
+        if placement is not None:
+            return None
+        closed_s = self._closed_s(ticket)
+        if closed_s and closed_s > ticket.waits_until - now_s():
+            return Overloaded("resting", waiting, closed_s=closed_s)
+        if not closed_s and not self._may_come(ticket):
             return Overloaded("no_target", waiting)
         return None
 
--- a/damaskcroft/routing/_placement.py
+++ b/damaskcroft/routing/_placement.py
@@ -148,6 +148,7 @@
         outliers: Outliers,
         rng: random.Random | None = None,
         answer_delay_s: Callable[[str], float] = lambda _: 0.0,
+        takes_one: Callable[[str], bool] = lambda _: False,
     ):
         """Chooses for an entry in a failure domain of a region.
 
@@ -157,7 +158,9 @@
             outliers: targets that failed.
             rng: decides between equals.
             answer_delay_s: how soon a target answers, by its id.
+            takes_one: whether a target takes one request at a time now.
         """
+        self._takes_one = takes_one
         self._answer_delay_s = answer_delay_s
         self._failure_domain = failure_domain
         self._region = region
@@ -242,7 +245,11 @@
         if self.fullness(candidate) >= FULL:
             return False
         load = self._loads_by_id.get(candidate.id)
-        if load is None or not load.unread_tokens:
+        if load is None:
+            return True
+        if load.outstanding and self._takes_one(candidate.id):
+            return False
+        if not load.unread_tokens:
             return True
         unread_tokens = load.unread_tokens + prompt_tokens
         most_tokens = candidate.prompt_tokens_s * _MAX_UNREAD_S
--- a/damaskcroft/weights/_outside.py
+++ b/damaskcroft/weights/_outside.py
@@ -13,6 +13,7 @@
 
 from damaskcroft._generated import records_pb2
 from damaskcroft.clock import now_s
+from damaskcroft.http1 import retry_after_s
 from damaskcroft.rpc import HTTP_ERRORS, make_http_client
 from damaskcroft.weights._manifest import MANIFEST_NAME
 
@@ -135,11 +136,12 @@
                 return b"".join(pieces)
 
     def _throttled(self, headers) -> OutsideFailed:
-        try:
-            wait_s = float(headers.get("Retry-After", _DEFAULT_RETRY_AFTER_S))
-        except ValueError:
+        wait_s = retry_after_s(
+            headers.get("Retry-After", ""), headers.get("Date", "")
+        )
+        if wait_s is None:
             wait_s = _DEFAULT_RETRY_AFTER_S
-        wait_s = min(max(wait_s, 0.0), _MAX_RETRY_AFTER_S)
+        wait_s = min(wait_s, _MAX_RETRY_AFTER_S)
         self._closed_until = now_s() + wait_s
         return self.failed("throttled", wait_s)
 
