--- a/damaskcroft/ctl/_causes.py
+++ b/damaskcroft/ctl/_causes.py
@@ -126,6 +126,12 @@
                 f" {last.process} has no such {what}; it heard control"
                 f" {fields.get('heard_s')} s before"
             )
+        case "quarantined":
+            detail = fields.get("detail", "")
+            ending = f"targets crashed under this request, {detail}{after}"
+            return _why_lost(own, ending)
+        case "resting":
+            return _why_lost(own, f"targets of {service} rest{after}")
         case "stopping":
             return f"the entry was about to end{after}"
     return _why_lost(own, f"refused as {reason}{after}")
--- a/damaskcroft/ctl/_client.py
+++ b/damaskcroft/ctl/_client.py
@@ -3,8 +3,16 @@
 import asyncio
 import dataclasses
 import time
+from collections.abc import AsyncIterator, Iterable
 
-from damaskcroft._generated import control_grpc, control_pb2
+import grpclib.client
+
+from damaskcroft._generated import (
+    control_grpc,
+    control_pb2,
+    fleet_grpc,
+    fleet_pb2,
+)
 from damaskcroft.rpc import CALL_ERRORS, ChannelPool
 
 _CALL_TIMEOUT_S = 6.0
@@ -65,12 +73,33 @@
                 return reply
         return NoAnswer(tuple(self._addresses))
 
-    async def _stubs(self):
-        """All replicas in turn, until patience ends."""
+    async def quarantine(
+        self, lift: Iterable[bytes] = ()
+    ) -> fleet_pb2.QuarantineReply | NoAnswer:
+        """Requests that the hosted fleet refuses; any node can tell.
+
+        Args:
+            lift: fingerprints of those that may run again.
+        """
+        request = fleet_pb2.QuarantineRequest(lift=lift)
+        async for channel in self._channels():
+            stub = fleet_grpc.FleetStub(channel)
+            try:
+                return await stub.Quarantine(request, timeout=_CALL_TIMEOUT_S)
+            except CALL_ERRORS:
+                continue
+        return NoAnswer(tuple(self._addresses))
+
+    async def _stubs(self) -> AsyncIterator[control_grpc.ControlStub]:
+        async for channel in self._channels():
+            yield control_grpc.ControlStub(channel)
+
+    async def _channels(self) -> AsyncIterator[grpclib.client.Channel]:
+        """To all replicas in turn, until patience ends."""
         give_up_at = time.monotonic() + self._patience_s
         while True:
             for address in self._addresses:
-                yield control_grpc.ControlStub(self._pool.channel(address))
+                yield self._pool.channel(address)
             if time.monotonic() > give_up_at:
                 return
             await asyncio.sleep(_PAUSE_S)
--- a/damaskcroft/ctl/_views.py
+++ b/damaskcroft/ctl/_views.py
@@ -5,7 +5,7 @@
 
 from google.protobuf import json_format
 
-from damaskcroft._generated import control_pb2, records_pb2
+from damaskcroft._generated import control_pb2, fleet_pb2, records_pb2
 from damaskcroft.membership import held_up_word
 from damaskcroft.records import InvalidRecord, deployment_for, parse_deployment
 
@@ -54,6 +54,20 @@
     return table(headings, sorted(rows))
 
 
+def quarantine_table(reply: fleet_pb2.QuarantineReply) -> str:
+    """Requests that are refused since targets crashed under them."""
+    rows = [
+        [
+            request.fingerprint.hex(),
+            f"{request.left_s:.0f}",
+            str(len(request.start_ids)),
+            ",".join(request.start_ids),
+        ]
+        for request in reply.requests
+    ]
+    return table(["FINGERPRINT", "LEFT_S", "CRASHES", "TARGETS"], rows)
+
+
 def status_text(reply: control_pb2.ReadReply) -> str:
     """Leader, what is in force, and every holder."""
     behind = [
--- a/damaskcroft/ctl/main.py
+++ b/damaskcroft/ctl/main.py
@@ -143,6 +143,30 @@
         print(line)
 
 
+@app.command()
+def quarantine(
+    settings: Settings,
+    lift: Annotated[
+        list[str] | None,
+        typer.Option(help="fingerprint of a request that may run again"),
+    ] = None,
+) -> None:
+    """Lists requests that are refused since targets crashed under them."""
+    try:
+        fingerprints = [bytes.fromhex(text) for text in lift or ()]
+    except ValueError as error:
+        _fail(f"--lift needs a fingerprint: {error}", _EXIT_USAGE)
+    reply = _with_client(
+        settings, lambda client: client.quarantine(fingerprints)
+    )
+    if isinstance(reply, NoAnswer):
+        tried = ", ".join(reply.tried)
+        _fail(f"no control node answered at {tried}", _EXIT_NO_LEADER)
+    print(_views.quarantine_table(reply))
+    if reply.lifted < len(fingerprints):
+        _fail("not all of them were known", _EXIT_REFUSED)
+
+
 @app.command()
 def why(
     request_id: str,
--- /dev/null
+++ b/damaskcroft/ctl/tests/test_quarantine.py
@@ -0,0 +1,39 @@
+"""What an operator is told of requests that crash targets."""
+
+import pytest
+
+from damaskcroft._generated import fleet_pb2
+from damaskcroft.ctl._log_lines import parsed
+from damaskcroft.ctl._views import quarantine_table
+from damaskcroft.ctl._why import story
+
+
+def test_each_request_is_a_line():
+    reply = fleet_pb2.QuarantineReply()
+    reply.requests.add(
+        fingerprint=b"\x01\xab", start_ids=["a@1", "b@2"], left_s=599.6
+    )
+    assert quarantine_table(reply).splitlines()[1].split() == [
+        "01ab", "600", "2", "a@1,b@2",
+    ]  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ("fields", "cause"),
+    [
+        (
+            'reason=quarantined ran=no detail="fingerprint 01ab"'
+            " retry_after_s=600",
+            "targets crashed under this request, fingerprint 01ab;"
+            " told to come back in 600 s",
+        ),
+        (
+            "reason=resting ran=no service=s retry_after_s=3.5",
+            "targets of s rest; told to come back in 3.5 s",
+        ),
+    ],
+)
+def test_the_cause_of_a_refusal_is_told(fields, cause):
+    line = f"time=2026-01-01T10:00:00.000 process=e event=refused {fields}"
+    way = story("r-1", parsed([f"{line} request=r-1"]))
+    assert way[-1] == f"cause: {cause}"
--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -27,7 +27,11 @@
 from damaskcroft.forwarding._relay import Relay, Sending
 from damaskcroft.forwarding._request_log import RequestLog
 from damaskcroft.forwarding._services import Services
-from damaskcroft.forwarding._suspects import STARTED_AGAIN, Suspects
+from damaskcroft.forwarding._suspects import (
+    QUARANTINED,
+    STARTED_AGAIN,
+    Suspects,
+)
 from damaskcroft.http1 import (
     Answer,
     ConnectionPool,
@@ -60,7 +64,6 @@
 _LOOK_EVERY_S = 0.1
 # Why an attempt wasn't sent, or was ended, that says nothing of its target.
 _TOO_LATE = "too_late_for_its_weights"
-_QUARANTINED = "quarantined"
 _LEFT_ALONE = "target_wants_none"
 # Callers that were refused together return over so much more of their wait.
 _RETURNS_SPREAD = 0.5
@@ -173,7 +176,7 @@
             if running.made.begun:
                 continue
             if self._suspects.quarantined_s(running.job, running.progress):
-                running.made.give_up(_QUARANTINED)
+                running.made.give_up(QUARANTINED)
 
     async def forward(self, job: Job, answer: Answer) -> Ending:
         """Gives a target's answer to the caller, or says why there is none.
@@ -310,7 +313,7 @@
     def _why_stop(self, job: Job, progress: Progress) -> Ending | None:
         quarantined_s = self._suspects.quarantined_s(job, progress)
         if quarantined_s:
-            return given_up(_QUARANTINED, progress, quarantined_s)
+            return self._suspects.refused(job, progress, quarantined_s)
         if progress.unsent >= _MAX_UNSENT:
             return given_up("unreachable", progress)
         if progress.sent >= max(1, job.route.max_attempts):
@@ -436,7 +439,7 @@
     ) -> str | None:
         """Why a request must not go to a target after all; None if it may."""
         if self._suspects.quarantined_s(job, progress):
-            return _QUARANTINED
+            return QUARANTINED
         if not self._back_pressure.may_be_sent(target.id):
             return _LEFT_ALONE
         if not self._services.may_begin(
--- a/damaskcroft/forwarding/_suspects.py
+++ b/damaskcroft/forwarding/_suspects.py
@@ -2,17 +2,27 @@
 
 import asyncio
 import contextlib
+import dataclasses
 from collections.abc import AsyncIterator, Callable, Iterable
 
 from damaskcroft._generated import fleet_pb2
 from damaskcroft.forwarding._attempt import Lost
-from damaskcroft.forwarding._job import Job, Progress
+from damaskcroft.forwarding._job import (
+    Ending,
+    Job,
+    Progress,
+    Refused,
+    given_up,
+)
 from damaskcroft.forwarding._services import Services
 from damaskcroft.observe import log_event, metrics
 from damaskcroft.quarantine import Copies, CrashBook, CrashWatch, Loss
 from damaskcroft.routing import BackPressure, Candidate
 
-__all__ = ["STARTED_AGAIN", "Suspects"]
+__all__ = ["QUARANTINED", "STARTED_AGAIN", "Suspects"]
+
+# Why a request is refused, isn't sent, or is taken back.
+QUARANTINED = "quarantined"
 
 # An attempt that was ended since its target has started again.
 STARTED_AGAIN = "restarted"
@@ -61,6 +71,21 @@
             return 0.0
         return self._book.quarantined_s(_fingerprint(job, progress))
 
+    def refused(
+        self, job: Job, progress: Progress, quarantined_s: float
+    ) -> Ending:
+        """How a quarantined request ends.
+
+        A caller that comes back before the end would be refused again.
+        """
+        ending = given_up(QUARANTINED, progress)
+        if not isinstance(ending, Refused):
+            return ending
+        detail = f"fingerprint {_fingerprint(job, progress).hex()}"
+        return dataclasses.replace(
+            ending, detail=detail, returns_s=quarantined_s
+        )
+
     def is_suspect(self, job: Job, progress: Progress) -> bool:
         """Whether targets crashed under a request, and nothing cleared it."""
         if not self._book.has_suspects:
