--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -278,9 +278,12 @@
 
         One that says that it leaves is used while there is no other.
         """
+        candidates = self._services.candidates(service, model)
+        if not self._back_pressure.is_any:
+            return candidates
         taking = [
             candidate
-            for candidate in self._services.candidates(service, model)
+            for candidate in candidates
             if self._back_pressure.may_be_sent(candidate.id)
         ]
         staying = [
--- a/damaskcroft/routing/_back_pressure.py
+++ b/damaskcroft/routing/_back_pressure.py
@@ -37,6 +37,11 @@
         self._half_open_ids: set[str] = set()
         self._leaving_since: dict[str, float] = {}
 
+    @property
+    def is_any(self) -> bool:
+        """Whether any target has asked for anything; costs nothing to ask."""
+        return bool(self._rests_until or self._leaving_since)
+
     def rest(self, target_id: str, for_s: float) -> None:
         """A target refused a request, and wants none for some seconds."""
         until = now_s() + min(for_s, _MAX_REST_S)
