Quarantine has a schema and a service of its own; Forwarder is split

Behaviour as before: the tests of forwarding pass unchanged but for how their entry is put together.

--- a/damaskcroft/_generated/fleet_grpc.py
+++ b/damaskcroft/_generated/fleet_grpc.py
@@ -9,6 +9,7 @@
 if typing.TYPE_CHECKING:
     import grpclib.server
 
+import damaskcroft._generated.quarantine_pb2
 import damaskcroft._generated.fleet_pb2
 
 
@@ -26,10 +27,6 @@
     async def Relay(self, stream: 'grpclib.server.Stream[damaskcroft._generated.fleet_pb2.RelayRequest, damaskcroft._generated.fleet_pb2.RelayReply]') -> None:
         pass
 
-    @abc.abstractmethod
-    async def Quarantine(self, stream: 'grpclib.server.Stream[damaskcroft._generated.fleet_pb2.QuarantineRequest, damaskcroft._generated.fleet_pb2.QuarantineReply]') -> None:
-        pass
-
     @abc.abstractmethod
     async def Forward(self, stream: 'grpclib.server.Stream[damaskcroft._generated.fleet_pb2.ForwardRequest, damaskcroft._generated.fleet_pb2.ForwardReply]') -> None:
         pass
@@ -58,12 +55,6 @@
                 damaskcroft._generated.fleet_pb2.RelayRequest,
                 damaskcroft._generated.fleet_pb2.RelayReply,
             ),
-            '/damaskcroft.Fleet/Quarantine': grpclib.const.Handler(
-                self.Quarantine,
-                grpclib.const.Cardinality.UNARY_UNARY,
-                damaskcroft._generated.fleet_pb2.QuarantineRequest,
-                damaskcroft._generated.fleet_pb2.QuarantineReply,
-            ),
             '/damaskcroft.Fleet/Forward': grpclib.const.Handler(
                 self.Forward,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -100,12 +91,6 @@
             damaskcroft._generated.fleet_pb2.RelayRequest,
             damaskcroft._generated.fleet_pb2.RelayReply,
         )
-        self.Quarantine = grpclib.client.UnaryUnaryMethod(
-            channel,
-            '/damaskcroft.Fleet/Quarantine',
-            damaskcroft._generated.fleet_pb2.QuarantineRequest,
-            damaskcroft._generated.fleet_pb2.QuarantineReply,
-        )
         self.Forward = grpclib.client.UnaryUnaryMethod(
             channel,
             '/damaskcroft.Fleet/Forward',
--- a/damaskcroft/control/__init__.py
+++ b/damaskcroft/control/__init__.py
@@ -8,6 +8,7 @@
 )
 from damaskcroft.control._fleet_service import FleetService
 from damaskcroft.control._fleet_state import FleetState
+from damaskcroft.control._quarantine_service import QuarantineService
 from damaskcroft.control._service_recorder import ServiceRecorder
 
 __all__ = [
@@ -16,6 +17,7 @@
     "FleetService",
     "FleetState",
     "Invalid",
+    "QuarantineService",
     "ServiceRecorder",
     "Unavailable",
 ]
--- a/damaskcroft/control/_fleet_service.py
+++ b/damaskcroft/control/_fleet_service.py
@@ -3,10 +3,10 @@
 import asyncio
 import contextlib
 import math
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import Any
 
-from damaskcroft._generated import fleet_grpc, fleet_pb2
+from damaskcroft._generated import fleet_grpc, fleet_pb2, quarantine_pb2
 from damaskcroft.clock import now_s
 from damaskcroft.consensus import Replica
 from damaskcroft.control._fleet_control import Accepted, FleetControl
@@ -53,7 +53,7 @@
         # service of its own.
         self.targets_by_key: dict[tuple[str, str], fleet_pb2.TargetState] = {}
         self.agents_by_address: dict[str, fleet_pb2.AgentState] = {}
-        self.crashes_by_start: dict[str, fleet_pb2.TargetCrash] = {}
+        self.crashes_by_start: dict[str, quarantine_pb2.TargetCrash] = {}
         self.wake = asyncio.Event()
 
     def add(self, update: fleet_pb2.FleetUpdate) -> None:
@@ -212,6 +212,12 @@
         if agents:
             self._spread(fleet_pb2.FleetUpdate(agents=agents))
 
+    async def tell_crashes(
+        self, crashes: Iterable[quarantine_pb2.TargetCrash]
+    ) -> None:
+        """Tells watchers what has become known of crashes here."""
+        self._spread(fleet_pb2.FleetUpdate(crashes=crashes))
+
     def _spread(self, update: fleet_pb2.FleetUpdate) -> None:
         for agent in update.agents:
             self._renewals_by_address.pop(agent.address, None)
@@ -238,23 +244,6 @@
         self._view.take(request.targets, request.agents, request.crashes)
         await stream.send_message(fleet_pb2.RelayReply())
 
-    async def Quarantine(self, stream: Any) -> None:  # noqa: N802
-        """Tells which requests are refused, and lets some run again."""
-        request = await stream.recv_message()
-        lifted = 0
-        for fingerprint in request.lift:
-            cleared = self._view.crashes.clear(fingerprint)
-            lifted += bool(cleared)
-            self._spread(fleet_pb2.FleetUpdate(crashes=cleared))
-        reply = fleet_pb2.QuarantineReply(lifted=lifted)
-        for quarantined in self._view.crashes.quarantined():
-            reply.requests.add(
-                fingerprint=quarantined.fingerprint,
-                start_ids=quarantined.start_ids,
-                left_s=quarantined.left_s,
-            )
-        await stream.send_message(reply)
-
     async def Forward(self, stream: Any) -> None:  # noqa: N802
         """Commits a command for a node that isn't the leader."""
         request = await stream.recv_message()
--- a/damaskcroft/control/tests/test_crashes.py
+++ b/damaskcroft/control/tests/test_crashes.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from damaskcroft._generated import fleet_pb2
+from damaskcroft._generated import fleet_pb2, quarantine_pb2
+from damaskcroft.control import QuarantineService
 from damaskcroft.control.tests.test_fleet_service import Node, Stream
 from damaskcroft.fleet import FleetView
 
@@ -27,7 +28,7 @@
 
 
 def crash(start, *suspects):
-    return fleet_pb2.TargetCrash(start_id=start, suspects=suspects)
+    return quarantine_pb2.TargetCrash(start_id=start, suspects=suspects)
 
 
 @pytest.fixture
@@ -101,8 +102,13 @@
         )
         known = [crash(f"t{n}", b"bad") for n in range(3)]
         await tell(node, *known)
-        call = Asking(None, fleet_pb2.QuarantineRequest(lift=[b"bad", b"x"]))
-        await node.service.Quarantine(call)
+        call = Asking(
+            None, quarantine_pb2.QuarantineRequest(lift=[b"bad", b"x"])
+        )
+        service = QuarantineService(
+            node.view.crashes, node.service.tell_crashes
+        )
+        await service.Review(call)
         assert (call.reply.lifted, len(call.reply.requests)) == (1, 0)
         await tell(node, *known)
         await asyncio.sleep(0.1)
--- a/damaskcroft/ctl/_client.py
+++ b/damaskcroft/ctl/_client.py
@@ -10,8 +10,8 @@
 from damaskcroft._generated import (
     control_grpc,
     control_pb2,
-    fleet_grpc,
-    fleet_pb2,
+    quarantine_grpc,
+    quarantine_pb2,
 )
 from damaskcroft.rpc import CALL_ERRORS, ChannelPool
 
@@ -75,17 +75,17 @@
 
     async def quarantine(
         self, lift: Iterable[bytes] = ()
-    ) -> fleet_pb2.QuarantineReply | NoAnswer:
-        """Requests that the hosted fleet refuses; any node can tell.
+    ) -> quarantine_pb2.QuarantineReply | NoAnswer:
+        """Requests that are refused since targets crashed under them.
 
         Args:
             lift: fingerprints of those that may run again.
         """
-        request = fleet_pb2.QuarantineRequest(lift=lift)
+        request = quarantine_pb2.QuarantineRequest(lift=lift)
         async for channel in self._channels():
-            stub = fleet_grpc.FleetStub(channel)
+            stub = quarantine_grpc.QuarantineStub(channel)
             try:
-                return await stub.Quarantine(request, timeout=_CALL_TIMEOUT_S)
+                return await stub.Review(request, timeout=_CALL_TIMEOUT_S)
             except CALL_ERRORS:
                 continue
         return NoAnswer(tuple(self._addresses))
--- a/damaskcroft/ctl/_views.py
+++ b/damaskcroft/ctl/_views.py
@@ -5,7 +5,7 @@
 
 from google.protobuf import json_format
 
-from damaskcroft._generated import control_pb2, fleet_pb2, records_pb2
+from damaskcroft._generated import control_pb2, quarantine_pb2, records_pb2
 from damaskcroft.membership import held_up_word
 from damaskcroft.records import InvalidRecord, deployment_for, parse_deployment
 
@@ -54,7 +54,7 @@
     return table(headings, sorted(rows))
 
 
-def quarantine_table(reply: fleet_pb2.QuarantineReply) -> str:
+def quarantine_table(reply: quarantine_pb2.QuarantineReply) -> str:
     """Requests that are refused since targets crashed under them."""
     rows = [
         [
--- a/damaskcroft/ctl/tests/test_quarantine.py
+++ b/damaskcroft/ctl/tests/test_quarantine.py
@@ -2,14 +2,14 @@
 
 import pytest
 
-from damaskcroft._generated import fleet_pb2
+from damaskcroft._generated import quarantine_pb2
 from damaskcroft.ctl._log_lines import parsed
 from damaskcroft.ctl._views import quarantine_table
 from damaskcroft.ctl._why import story
 
 
 def test_each_request_is_a_line():
-    reply = fleet_pb2.QuarantineReply()
+    reply = quarantine_pb2.QuarantineReply()
     reply.requests.add(
         fingerprint=b"\x01\xab", start_ids=["a@1", "b@2"], left_s=599.6
     )
--- a/damaskcroft/fleet/_crash_reporter.py
+++ b/damaskcroft/fleet/_crash_reporter.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Iterable
 
-from damaskcroft._generated import fleet_grpc, fleet_pb2
+from damaskcroft._generated import fleet_grpc, fleet_pb2, quarantine_pb2
 from damaskcroft.fleet._view import FleetView
 from damaskcroft.observe import log_event
 from damaskcroft.rpc import CALL_ERRORS, ChannelPool
@@ -36,7 +36,7 @@
         self._untold_starts: set[str] = set()
         self._wake = asyncio.Event()
 
-    def tell(self, crashes: Iterable[fleet_pb2.TargetCrash]) -> None:
+    def tell(self, crashes: Iterable[quarantine_pb2.TargetCrash]) -> None:
         """Notes crashes here, and tells them to control soon."""
         crashes = list(crashes)
         self._view.take([], crashes=crashes)
--- a/damaskcroft/fleet/_view.py
+++ b/damaskcroft/fleet/_view.py
@@ -3,7 +3,7 @@
 import math
 from collections.abc import Callable, Iterable
 
-from damaskcroft._generated import fleet_pb2
+from damaskcroft._generated import fleet_pb2, quarantine_pb2
 from damaskcroft.clock import now_s
 from damaskcroft.fleet._routes import RouteTable
 from damaskcroft.fleet._targets import TargetBook
@@ -179,7 +179,7 @@
         self,
         targets: Iterable[fleet_pb2.TargetState],
         agents: Iterable[fleet_pb2.AgentState] = (),
-        crashes: Iterable[fleet_pb2.TargetCrash] = (),
+        crashes: Iterable[quarantine_pb2.TargetCrash] = (),
     ) -> None:
         """Takes announcements and crashes, in any order."""
         changed = fleet_pb2.FleetUpdate(
--- a/damaskcroft/forwarding/__init__.py
+++ b/damaskcroft/forwarding/__init__.py
@@ -11,6 +11,7 @@
 from damaskcroft.forwarding._gate import EntryGate
 from damaskcroft.forwarding._job import BrokenOff, Gave, Job, Ran, Refused
 from damaskcroft.forwarding._services import Services
+from damaskcroft.forwarding._suspects import Suspects
 
 __all__ = [
     "AnswerFacts",
@@ -24,6 +25,7 @@
     "Ran",
     "Refused",
     "Services",
+    "Suspects",
     "TargetLoad",
     "Wire",
 ]
--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -1,11 +1,8 @@
 """Carries a caller's request to a target and the answer back, once."""
 
 import asyncio
-import contextlib
-import random
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable
 
-from damaskcroft._generated import fleet_pb2
 from damaskcroft.clock import now_s
 from damaskcroft.forwarding._attempt import (
     Answered,
@@ -14,6 +11,7 @@
     NotSent,
     attempt,
 )
+from damaskcroft.forwarding._availability import Availability, returns_s
 from damaskcroft.forwarding._call import AnswerFacts, Passing, Wire
 from damaskcroft.forwarding._job import (
     Ending,
@@ -26,10 +24,10 @@
 )
 from damaskcroft.forwarding._relay import Relay, Sending
 from damaskcroft.forwarding._request_log import RequestLog
+from damaskcroft.forwarding._running import Running
 from damaskcroft.forwarding._services import Services
 from damaskcroft.forwarding._suspects import (
     QUARANTINED,
-    STARTED_AGAIN,
     Suspects,
 )
 from damaskcroft.http1 import (
@@ -38,7 +36,6 @@
     Place,
 )
 from damaskcroft.observe import metrics
-from damaskcroft.quarantine import CrashBook
 from damaskcroft.routing import (
     AnswerDelays,
     BackPressure,
@@ -65,8 +62,6 @@
 # Why an attempt wasn't sent, or was ended, that says nothing of its target.
 _TOO_LATE = "too_late_for_its_weights"
 _LEFT_ALONE = "target_wants_none"
-# Callers that were refused together return over so much more of their wait.
-_RETURNS_SPREAD = 0.5
 
 
 class Forwarder:
@@ -83,9 +78,8 @@
         silence: SilenceWatch,
         delays: AnswerDelays,
         back_pressure: BackPressure,
+        suspects: Suspects,
         doubt: Callable[[str], None],
-        crashes: CrashBook,
-        tell_crashes: Callable[[Iterable[fleet_pb2.TargetCrash]], None],
     ):
         """Uses the entry's parts; see their classes.
 
@@ -99,19 +93,16 @@
             silence: targets that say nothing.
             delays: how soon targets answer.
             back_pressure: what targets ask for in their answers.
+            suspects: requests that targets crashed under.
             doubt: told the id of a target at whose address another answers.
-            crashes: what the fleet knows of targets that crashed.
-            tell_crashes: tells the fleet what this entry has found out.
         """
-        self._suspects = Suspects(
-            crashes, services, back_pressure, tell_crashes
-        )
-        crashes.listen(self._give_up_quarantined)
+        self._suspects = suspects
         self._back_pressure = back_pressure
+        self._availability = Availability(services, back_pressure)
         self._doubt = doubt
         self._delays = delays
         self._silence = silence
-        self._running: set[Sending] = set()
+        self._running = Running(services, suspects)
         self._line = Line(
             self._choose,
             lambda candidate, ticket: placer.take(
@@ -120,7 +111,9 @@
             lambda ticket: services.may_serve_soon(
                 ticket.service, ticket.model
             ),
-            lambda ticket: self._closed_s(ticket.service, ticket.model),
+            lambda ticket: self._availability.closed_s(
+                ticket.service, ticket.model
+            ),
         )
         self._relay = Relay(wire, self._line.serve)
         self._wire = wire
@@ -132,12 +125,7 @@
         self._log = RequestLog(services, placer, delays)
 
     async def run(self) -> None:
-        """Looks at silent targets and at who waits in line, in turn.
-
-        Attempts that may go on elsewhere end at silent targets, at those that
-        have started again, and at those whose weights are due to be gone
-        before they begin.
-        """
+        """Looks at silent targets and at who waits in line, in turn."""
         while True:
             await asyncio.sleep(_LOOK_EVERY_S)
             self._line.serve()
@@ -149,34 +137,7 @@
             for target_id in silent:
                 if not self._outliers.is_aside(target_id):
                     self._outliers.failed(target_id, certain=True)
-            self._give_up(set(silent))
-
-    def _give_up(self, silent: set[str]) -> None:
-        outdated_by_kind: dict[tuple[str, str], set[str]] = {}
-        for running in list(self._running):
-            if not running.job.is_repeatable:
-                continue
-            if running.target.id in silent:
-                running.made.give_up("silent")
-                continue
-            if self._services.has_started_again(running.target):
-                running.made.give_up(STARTED_AGAIN)
-                continue
-            if running.made.begun:
-                continue
-            kind = (running.job.service, running.job.call.model)
-            if kind not in outdated_by_kind:
-                outdated_by_kind[kind] = self._services.outdated_ids(*kind)
-            if running.target.id in outdated_by_kind[kind]:
-                running.made.give_up("version_due")
-
-    def _give_up_quarantined(self) -> None:
-        """Takes back what a target has not begun and should not begin."""
-        for running in list(self._running):
-            if running.made.begun:
-                continue
-            if self._suspects.quarantined_s(running.job, running.progress):
-                running.made.give_up(QUARANTINED)
+            self._running.give_up(set(silent))
 
     async def forward(self, job: Job, answer: Answer) -> Ending:
         """Gives a target's answer to the caller, or says why there is none.
@@ -237,9 +198,12 @@
             case Overloaded(reason=reason, waiting=waiting):
                 detail = f"{waiting} waiting"
                 reason = self._why_none(reason, job.service)
-                returns_s = self._returns_s(outcome.closed_s)
                 return Refused(
-                    reason, Ran.NO, detail, outcome.foreseen_s, returns_s
+                    reason,
+                    Ran.NO,
+                    detail,
+                    outcome.foreseen_s,
+                    returns_s(outcome.closed_s),
                 )
 
     def _why_none(self, reason: str, service: str) -> str:
@@ -251,14 +215,14 @@
     def _place_again(self, job: Job, progress: Progress) -> Turn | Ending:
         prompt_tokens = job.call.prompt_tokens
         placed = self._placer.choose(
-            self._candidates(job.service, job.call.model),
+            self._availability.candidates(job.service, job.call.model),
             progress.excluded,
             prompt_tokens,
         )
         if placed is None:
-            closed_s = self._closed_s(job.service, job.call.model)
+            closed_s = self._availability.closed_s(job.service, job.call.model)
             reason = "resting" if closed_s else "no_target"
-            return given_up(reason, progress, self._returns_s(closed_s))
+            return given_up(reason, progress, returns_s(closed_s))
         if progress.sent and not self._retry_window.spend():
             metrics.RETRIES.labels("no_budget").inc()
             return given_up("no_retry_budget", progress)
@@ -270,49 +234,9 @@
         return Turn(placed.candidate, slot)
 
     def _choose(self, ticket: LineTicket) -> Placement | None:
-        candidates = self._candidates(ticket.service, ticket.model)
+        candidates = self._availability.candidates(ticket.service, ticket.model)
         return self._placer.choose(candidates, (), ticket.prompt_tokens)
 
-    def _candidates(self, service: str, model: str) -> list[Candidate]:
-        """Targets that could run a request and take one now.
-
-        One that says that it leaves is used while there is no other.
-        """
-        candidates = self._services.candidates(service, model)
-        if not self._back_pressure.is_any:
-            return candidates
-        taking = [
-            candidate
-            for candidate in candidates
-            if self._back_pressure.may_be_sent(candidate.id)
-        ]
-        staying = [
-            candidate
-            for candidate in taking
-            if not self._back_pressure.is_leaving(candidate.id)
-        ]
-        return staying or taking
-
-    def _closed_s(self, service: str, model: str) -> float:
-        """Until the first of a service's targets takes a request again."""
-        if self._candidates(service, model):
-            return 0.0
-        rests_s = (
-            self._back_pressure.rests_s(candidate.id)
-            for candidate in self._services.candidates(service, model)
-            if not self._back_pressure.is_leaving(candidate.id)
-        )
-        return min(rests_s, default=0.0)
-
-    def _returns_s(self, closed_s: float) -> float | None:
-        """When to come back to targets that rest; None if they don't.
-
-        Spread, since all that were refused meanwhile hear of the same end.
-        """
-        if not closed_s:
-            return None
-        return closed_s * (1 + _RETURNS_SPREAD * random.random())
-
     def _why_stop(self, job: Job, progress: Progress) -> Ending | None:
         quarantined_s = self._suspects.quarantined_s(job, progress)
         if quarantined_s:
@@ -360,7 +284,7 @@
                 sending = Sending(
                     job, answer, progress, target, turn.slot, made
                 )
-                with self._watched(sending):
+                with self._running.watched(sending):
                     outcome = await self._run(sending)
                 progress.connect_s = made.connect_s
         finally:
@@ -373,15 +297,6 @@
             await self._suspects.lost(job, progress, target, outcome)
         return self._judge(job, progress, target, outcome)
 
-    @contextlib.contextmanager
-    def _watched(self, sending: Sending) -> Iterator[None]:
-        """Lets the attempt be ended while it runs."""
-        self._running.add(sending)
-        try:
-            yield
-        finally:
-            self._running.discard(sending)
-
     async def _run(
         self, sending: Sending
     ) -> "NotSent | NotRun | Lost | Ending":
--- a/damaskcroft/forwarding/_suspects.py
+++ b/damaskcroft/forwarding/_suspects.py
@@ -5,7 +5,7 @@
 import dataclasses
 from collections.abc import AsyncIterator, Callable, Iterable
 
-from damaskcroft._generated import fleet_pb2
+from damaskcroft._generated import quarantine_pb2
 from damaskcroft.forwarding._attempt import Lost
 from damaskcroft.forwarding._job import (
     Ending,
@@ -46,7 +46,7 @@
         book: CrashBook,
         services: Services,
         back_pressure: BackPressure,
-        tell: Callable[[Iterable[fleet_pb2.TargetCrash]], None],
+        tell: Callable[[Iterable[quarantine_pb2.TargetCrash]], None],
     ):
         """See the class."""
         self._book = book
@@ -61,6 +61,10 @@
             lambda crash: tell([crash]),
         )
 
+    def listen(self, listener: Callable[[], None]) -> None:
+        """Calls `listener` after each change of a verdict."""
+        self._book.listen(listener)
+
     def look(self) -> None:
         """Looks for crashes that show late; to be called often."""
         self._watch.look()
--- a/damaskcroft/forwarding/tests/fakes.py
+++ b/damaskcroft/forwarding/tests/fakes.py
@@ -11,6 +11,7 @@
     EntryGate,
     Forwarder,
     Services,
+    Suspects,
     Wire,
 )
 from damaskcroft.http1 import (
@@ -314,9 +315,13 @@
         SilenceWatch(),
         delays,
         back_pressure,
+        Suspects(
+            view.crashes,
+            services,
+            back_pressure,
+            lambda crashes: view.take([], crashes=crashes),
+        ),
         view.doubt_target,
-        view.crashes,
-        lambda crashes: view.take([], crashes=crashes),
     )
     watching = asyncio.create_task(forwarder.run())
     gate = EntryGate(wire, view, forwarder)
--- a/damaskcroft/forwarding/tests/test_quarantined.py
+++ b/damaskcroft/forwarding/tests/test_quarantined.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from damaskcroft._generated import fleet_pb2
+from damaskcroft._generated import fleet_pb2, quarantine_pb2
 from damaskcroft.forwarding.tests.fakes import (
     FakeTarget,
     configuration,
@@ -36,7 +36,7 @@
     entry.view.take(
         [],
         crashes=[
-            fleet_pb2.TargetCrash(start_id=f"x{n}", suspects=[asked])
+            quarantine_pb2.TargetCrash(start_id=f"x{n}", suspects=[asked])
             for n in range(count)
         ],
     )
@@ -186,7 +186,9 @@
             note_crashes(entry, 1)
             entry.view.take(
                 [],
-                crashes=[fleet_pb2.TargetCrash(start_id="y", suspects=[other])],
+                crashes=[
+                    quarantine_pb2.TargetCrash(start_id="y", suspects=[other])
+                ],
             )
             async with under_way(entry.ask("/a")), under_way(entry.ask("/b")):
                 await until(lambda: asked(*targets) == 2)
--- a/damaskcroft/hosted/control.py
+++ b/damaskcroft/hosted/control.py
@@ -16,6 +16,7 @@
     FleetControl,
     FleetService,
     FleetState,
+    QuarantineService,
     ServiceRecorder,
 )
 from damaskcroft.fleet import FleetView, NodeSettings, Watcher
@@ -98,7 +99,11 @@
     async with (
         grpc_served(
             settings.rpc_address,
-            [ReplicaService(replica), service],
+            [
+                ReplicaService(replica),
+                service,
+                QuarantineService(view.crashes, service.tell_crashes),
+            ],
             Keys(None, None),
         ),
         http_served(settings.control_address, control_routes(control)),
--- a/damaskcroft/hosted/entry.py
+++ b/damaskcroft/hosted/entry.py
@@ -10,7 +10,7 @@
     NodeSettings,
     Watcher,
 )
-from damaskcroft.forwarding import EntryGate, Forwarder, Services
+from damaskcroft.forwarding import EntryGate, Forwarder, Services, Suspects
 from damaskcroft.http1 import (
     CallerConnections,
     ConnectionPool,
@@ -94,9 +94,8 @@
         SilenceWatch(),
         delays,
         back_pressure,
+        Suspects(view.crashes, services, back_pressure, crash_reporter.tell),
         view.doubt_target,
-        view.crashes,
-        crash_reporter.tell,
     )
     gate = EntryGate(wire, view, forwarder)
 
--- a/damaskcroft/hosted/tests/fleet.py
+++ b/damaskcroft/hosted/tests/fleet.py
@@ -6,7 +6,7 @@
 import itertools
 import time
 
-from damaskcroft._generated import fleet_grpc, fleet_pb2
+from damaskcroft._generated import quarantine_grpc, quarantine_pb2
 from damaskcroft.hosted.tests.deployment import (
     CONTROL_IPS,
     ENTRY_IPS,
@@ -146,10 +146,10 @@
         """What an operator is told, at whichever control node."""
         channels = ChannelPool(Keys(None, None))
         address = f"{CONTROL_IPS[0]}:{self.deployment.rpc}"
-        stub = fleet_grpc.FleetStub(channels.channel(address))
+        stub = quarantine_grpc.QuarantineStub(channels.channel(address))
         try:
-            return await stub.Quarantine(
-                fleet_pb2.QuarantineRequest(lift=lift), timeout=5
+            return await stub.Review(
+                quarantine_pb2.QuarantineRequest(lift=lift), timeout=5
             )
         finally:
             channels.close()
--- a/damaskcroft/quarantine/__init__.py
+++ b/damaskcroft/quarantine/__init__.py
@@ -2,7 +2,7 @@
 
 from damaskcroft.quarantine._book import CrashBook, Quarantined
 from damaskcroft.quarantine._copies import Copies
-from damaskcroft.quarantine._evidence import CrashWatch, Loss
+from damaskcroft.quarantine._evidence import CrashWatch, Loss, is_gone
 from damaskcroft.quarantine._fingerprint import fingerprint
 
 __all__ = [
@@ -12,4 +12,5 @@
     "Loss",
     "Quarantined",
     "fingerprint",
+    "is_gone",
 ]
--- a/damaskcroft/quarantine/_book.py
+++ b/damaskcroft/quarantine/_book.py
@@ -17,7 +17,7 @@
 import math
 from collections.abc import Callable, Iterator
 
-from damaskcroft._generated import fleet_pb2
+from damaskcroft._generated import quarantine_pb2
 from damaskcroft.clock import now_s
 from damaskcroft.observe import log_event, metrics
 
@@ -98,6 +98,8 @@
         self._starts_by_suspect: dict[bytes, list[str]] = {}
         self._quarantined_until: dict[bytes, float] = {}
         self._listeners: list[Callable[[], None]] = []
+        # Counts changes, for whoever tells others.
+        self.changes = 0
 
     def listen(self, listener: Callable[[], None]) -> None:
         """Calls `listener` after each change of a verdict."""
@@ -105,7 +107,7 @@
 
     # --- Merging ------------------------------------------------------------
 
-    def take(self, told: fleet_pb2.TargetCrash) -> bool:
+    def take(self, told: quarantine_pb2.TargetCrash) -> bool:
         """Merges what is known of one crash; whether anything was new."""
         at = now_s() - told.age_ms / _MS_IN_S
         crash = self._crashes_by_start.get(told.start_id)
@@ -123,11 +125,11 @@
         self._judge()
         return True
 
-    def words(self) -> Iterator[fleet_pb2.TargetCrash]:
+    def words(self) -> Iterator[quarantine_pb2.TargetCrash]:
         """All that is known, for whoever may know less."""
         return (self._word(start) for start in self._crashes_by_start)
 
-    def clear(self, fingerprint: bytes) -> list[fleet_pb2.TargetCrash]:
+    def clear(self, fingerprint: bytes) -> list[quarantine_pb2.TargetCrash]:
         """Takes all that is known back from a request.
 
         Returns:
@@ -172,6 +174,7 @@
 
     def _judge(self) -> None:
         """Works every verdict out anew."""
+        self.changes += 1
         open_by_start = {
             start: crash.open_suspects
             for start, crash in self._crashes_by_start.items()
@@ -275,9 +278,9 @@
                 )
             ]
 
-    def _word(self, start: str) -> fleet_pb2.TargetCrash:
+    def _word(self, start: str) -> quarantine_pb2.TargetCrash:
         crash = self._crashes_by_start[start]
-        return fleet_pb2.TargetCrash(
+        return quarantine_pb2.TargetCrash(
             start_id=start,
             suspects=crash.suspects,
             cleared=crash.cleared,
--- a/damaskcroft/quarantine/_evidence.py
+++ b/damaskcroft/quarantine/_evidence.py
@@ -8,14 +8,18 @@
 import asyncio
 import dataclasses
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
-from damaskcroft._generated import fleet_pb2
+from damaskcroft._generated import quarantine_pb2
 from damaskcroft.clock import now_s
 from damaskcroft.http1 import connect
 from damaskcroft.observe import log_event, metrics
-from damaskcroft.routing import Candidate
 
-__all__ = ["CrashWatch", "Loss"]
+if TYPE_CHECKING:
+    # Routing reads what members of the fleet are told, crashes among it.
+    from damaskcroft.routing import Candidate
+
+__all__ = ["CrashWatch", "Loss", "is_gone"]
 
 # A process that ends closes its connections one by one, before or after the
 # socket that it listens on; looked at several times, in seconds.
@@ -37,7 +41,7 @@
         request_id: its id, for the log.
     """
 
-    target: Candidate
+    target: "Candidate"
     fingerprint: bytes
     request_id: str
 
@@ -55,7 +59,7 @@
 
     __slots__ = ("is_crash", "looked", "since", "suspects", "target")
 
-    def __init__(self, target: Candidate):
+    def __init__(self, target: "Candidate"):
         self.target = target
         self.since = now_s()
         self.suspects: set[bytes] = set()
@@ -75,9 +79,9 @@
 
     def __init__(
         self,
-        is_leaving: Callable[[Candidate], bool],
-        is_replaced: Callable[[Candidate], bool],
-        crashed: Callable[[fleet_pb2.TargetCrash], None],
+        is_leaving: Callable[["Candidate"], bool],
+        is_replaced: Callable[["Candidate"], bool],
+        crashed: Callable[[quarantine_pb2.TargetCrash], None],
     ):
         """See the class."""
         self._is_leaving = is_leaving
@@ -122,14 +126,9 @@
                 self._confirm(pending, "started_again")
 
     async def _look_at(self, pending: _Pending) -> None:
-        """Looks whether anybody listens at a target's address."""
-        for after_s in _LOOK_AFTER_S:
-            await asyncio.sleep(after_s)
-            if pending.is_crash:
-                return
-            if await _is_refused(pending.target.address):
-                self._confirm(pending, "refuses_connections")
-                return
+        gone = await is_gone(pending.target.address)
+        if gone and not pending.is_crash:
+            self._confirm(pending, "refuses_connections")
 
     def _confirm(self, pending: _Pending, how: str) -> None:
         pending.is_crash = True
@@ -144,7 +143,7 @@
 
     def _tell(self, pending: _Pending) -> None:
         self._crashed(
-            fleet_pb2.TargetCrash(
+            quarantine_pb2.TargetCrash(
                 start_id=pending.target.id,
                 suspects=sorted(pending.suspects),
                 age_ms=int((now_s() - pending.since) * _MS_IN_S),
@@ -152,6 +151,18 @@
         )
 
 
+async def is_gone(address: str) -> bool:
+    """Whether the process that listened at an address has ended.
+
+    To be asked when one of its connections has ended.
+    """
+    for after_s in _LOOK_AFTER_S:
+        await asyncio.sleep(after_s)
+        if await _is_refused(address):
+            return True
+    return False
+
+
 async def _is_refused(address: str) -> bool:
     """Whether nothing listens at an address; a silent one can't be told."""
     try:
--- a/damaskcroft/quarantine/tests/plays.py
+++ b/damaskcroft/quarantine/tests/plays.py
@@ -4,7 +4,7 @@
 import itertools
 import random
 
-from damaskcroft._generated import fleet_pb2
+from damaskcroft._generated import quarantine_pb2
 
 _TARGETS = 10
 _RUNS_S = 1.0
@@ -109,7 +109,7 @@
         start, self._starts[target] = self._starts[target], None
         lost, self._running[target] = self._running[target], set()
         self._book.take(
-            fleet_pb2.TargetCrash(
+            quarantine_pb2.TargetCrash(
                 start_id=start, suspects=sorted({name for name, _ in lost})
             )
         )
--- a/damaskcroft/quarantine/tests/test_book.py
+++ b/damaskcroft/quarantine/tests/test_book.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from damaskcroft._generated import fleet_pb2
+from damaskcroft._generated import quarantine_pb2
 from damaskcroft.quarantine import CrashBook, fingerprint
 from damaskcroft.quarantine._book import _MAX_STARTS
 from damaskcroft.quarantine.tests.plays import Play
@@ -17,7 +17,7 @@
 
 
 def crash(start, *suspects, cleared=(), age_ms=0):
-    return fleet_pb2.TargetCrash(
+    return quarantine_pb2.TargetCrash(
         start_id=start, suspects=suspects, cleared=cleared, age_ms=age_ms
     )
 
--- a/damaskcroft/quarantine/tests/test_copies.py
+++ b/damaskcroft/quarantine/tests/test_copies.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from damaskcroft._generated import fleet_pb2
+from damaskcroft._generated import quarantine_pb2
 from damaskcroft.quarantine import Copies, CrashBook
 
 
@@ -14,7 +14,7 @@
     book = CrashBook()
 
     async def scenario():
-        book.take(fleet_pb2.TargetCrash(start_id="t", suspects=[b"bad"]))
+        book.take(quarantine_pb2.TargetCrash(start_id="t", suspects=[b"bad"]))
 
     loop.run(scenario())
     return book
