The product's own interface holds calls that crash targets, and says unknown

What callers saw: a repeatable call was sent to up to four targets, each copy anew, whatever had crashed under it; and when every target had lost it, it was refused as 503 and not_run though it had run.

An agent whose target's connection ended looks whether anybody listens at its address, and names the start that is gone; entries tell the leader with their lease renewals, the leader tells all entries with the roster. A call is looked at on arrival, before each claim and before each attempt.

--- a/damaskcroft/agent/_runs.py
+++ b/damaskcroft/agent/_runs.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncGenerator, AsyncIterator, Callable
 
 from damaskcroft._generated import agent_pb2, control_pb2
+from damaskcroft.agent._crashes import TargetWatch
 from damaskcroft.agent._gate import Admitted, Gate, Refused
 from damaskcroft.agent._settler import Settler
 from damaskcroft.clock import now_s
@@ -32,6 +33,7 @@
         gate: admits each request.
         engine: the target.
         settler: records the outcomes of claimed runs.
+        target: tells whether the target has crashed.
         first_piece_seen: told each request's time to its first body piece,
             in seconds.
     """
@@ -41,12 +43,14 @@
         gate: Gate,
         engine: Engine,
         settler: Settler,
+        target: TargetWatch,
         first_piece_seen: Callable[[float], None],
     ):
         """See the class."""
         self._gate = gate
         self._engine = engine
         self._settler = settler
+        self._target = target
         self._first_piece_seen = first_piece_seen
         self._claimed_runs: set[asyncio.Task] = set()
 
@@ -143,7 +147,7 @@
                         )
                     )
                 case CallFailed():
-                    yield self._failed(agent_pb2.FAILED_TARGET_LOST)
+                    yield await self._lost()
                 case CallStarted() if begun.request_id not in (
                     "",
                     request.request_id,
@@ -152,6 +156,7 @@
                     metrics.LATE_DROPPED.labels("crossed_at_target").inc()
                     yield self._failed(agent_pb2.FAILED_TARGET_LOST)
                 case CallStarted():
+                    self._target.answers()
                     async for event in self._pass_on(
                         request, admitted, begun, started_at
                     ):
@@ -186,7 +191,7 @@
             async for piece in pieces:
                 yield self._event(body=piece)
         except ConnectionError:
-            yield self._failed(agent_pb2.FAILED_TARGET_LOST)
+            yield await self._lost()
             return
         yield self._event(end=True)
 
@@ -208,8 +213,18 @@
             )
         )
 
-    def _failed(self, reason: agent_pb2.FailureReason) -> agent_pb2.RunEvent:
-        return self._event(failed=agent_pb2.RunFailed(reason=reason))
+    async def _lost(self) -> agent_pb2.RunEvent:
+        """The end of a run whose connection ended before its answer."""
+        start = await self._target.crashed_start()
+        if not start:
+            return self._failed(agent_pb2.FAILED_TARGET_LOST)
+        return self._failed(agent_pb2.FAILED_TARGET_CRASHED, start)
+
+    def _failed(
+        self, reason: agent_pb2.FailureReason, target_start: str = ""
+    ) -> agent_pb2.RunEvent:
+        failed = agent_pb2.RunFailed(reason=reason, target_start=target_start)
+        return self._event(failed=failed)
 
     def _event(self, **kind) -> agent_pb2.RunEvent:
         return agent_pb2.RunEvent(outstanding=self._gate.outstanding, **kind)
--- a/damaskcroft/agent/main.py
+++ b/damaskcroft/agent/main.py
@@ -13,6 +13,7 @@
 from damaskcroft._generated import control_pb2, settings_pb2
 from damaskcroft.agent._activation import Activator
 from damaskcroft.agent._chunks import ChunkServer
+from damaskcroft.agent._crashes import TargetWatch
 from damaskcroft.agent._gate import Gate
 from damaskcroft.agent._runs import Runner
 from damaskcroft.agent._service import AgentService, ChunkService
@@ -90,6 +91,9 @@
             self._gate,
             self._engine,
             self._settler,
+            TargetWatch(
+                self._engine, f"{self._announcement.id}/{self._incarnation}"
+            ),
             self._guard.first_piece_seen,
         )
         folder = pathlib.Path(settings.process.data_folder) / "weights"
--- a/damaskcroft/control/_service.py
+++ b/damaskcroft/control/_service.py
@@ -2,9 +2,14 @@
 
 import asyncio
 import contextlib
+from collections.abc import Iterable
 from typing import Any
 
-from damaskcroft._generated import control_grpc, control_pb2
+from damaskcroft._generated import (
+    control_grpc,
+    control_pb2,
+    quarantine_pb2,
+)
 from damaskcroft.consensus import Committed, NotLeader
 from damaskcroft.control._proposer import Proposer
 from damaskcroft.control._reconciler import Reconciler
@@ -150,6 +155,7 @@
             delta.present.extend(lapsed - now_lapsed)
             if wants_reports:
                 delta.reports.extend(self._ledger.reports_since(sequence))
+                delta.crashes.extend(self._ledger.crashes_since(sequence))
             if _says_something(delta):
                 revision = delta.to_revision
                 lapsed = now_lapsed
@@ -168,6 +174,14 @@
                     )
                 )
 
+    async def tell_crashes(
+        self, crashes: Iterable[quarantine_pb2.TargetCrash]
+    ) -> None:
+        """Tells entries what has become known of crashes here."""
+        if crashes:
+            self._ledger.note_crashes()
+            await self._ledger.notify()
+
     async def _send_not_leader(self, stream: "_HolderStream") -> None:
         hint = control_pb2.NotLeader(leader=self._replica.leader_address)
         await stream.send(control_pb2.ControlMessage(not_leader=hint))
@@ -312,6 +326,7 @@
     return bool(
         delta.to_revision > delta.from_revision
         or delta.reports
+        or delta.crashes
         or delta.lapsed
         or delta.present
     )
--- a/damaskcroft/control/main.py
+++ b/damaskcroft/control/main.py
@@ -21,6 +21,7 @@
     format_disk,
 )
 from damaskcroft.control._proposer import Proposer
+from damaskcroft.control._quarantine_service import QuarantineService
 from damaskcroft.control._reconciler import Reconciler
 from damaskcroft.control._service import ControlService
 from damaskcroft.control._state import ControlState
@@ -79,9 +80,15 @@
     proposer = Proposer(replica, state)
     ledger = LeaseLedger(rules.lease_s)
     reconciler = Reconciler(proposer, ledger)
+    control = ControlService(proposer, ledger, reconciler)
     services = [
         ReplicaService(replica),
-        ControlService(proposer, ledger, reconciler),
+        control,
+        QuarantineService(
+            ledger.crashes,
+            control.tell_crashes,
+            lambda: replica.is_confirmed_leader,
+        ),
     ]
 
     async def ready(_: Request) -> Response:
--- a/damaskcroft/engines/_base.py
+++ b/damaskcroft/engines/_base.py
@@ -126,6 +126,10 @@
     async def unload(self, assignment: control_pb2.Assignment) -> OrderOutcome:
         """Orders that nothing be served."""
 
+    @abc.abstractmethod
+    async def is_gone(self) -> bool:
+        """Whether its process has ended; asked when a connection has."""
+
     @abc.abstractmethod
     def call(
         self, call: TargetCall, *, fresh_connection: bool
--- a/damaskcroft/engines/_http.py
+++ b/damaskcroft/engines/_http.py
@@ -26,6 +26,7 @@
 )
 from damaskcroft.membership import Lease
 from damaskcroft.observe import metrics
+from damaskcroft.quarantine import is_gone
 from damaskcroft.rpc import HTTP_ERRORS, make_http_client
 
 _CONFLICT = 409
@@ -39,6 +40,7 @@
 
     def __init__(self, address: str):
         """Names the target's IP number and port."""
+        self._address = address
         self._base_url = f"http://{address}"
         self._client = make_http_client(
             connections=_CONNECTIONS, connect_timeout_s=_CONNECT_TIMEOUT_S
@@ -79,6 +81,10 @@
         finally:
             await response.aclose()
 
+    async def is_gone(self) -> bool:
+        """See Engine."""
+        return await is_gone(self._address)
+
     async def close(self) -> None:
         """See Engine."""
         await self._client.aclose()
--- a/damaskcroft/entry/_dispatch.py
+++ b/damaskcroft/entry/_dispatch.py
@@ -32,6 +32,7 @@
     Refusal,
     refusal_response,
 )
+from damaskcroft.entry._suspects import Suspects
 from damaskcroft.membership import LeaseClient
 from damaskcroft.observe import metrics
 from damaskcroft.routing import (
@@ -111,6 +112,7 @@
         self._chooser = TargetChooser(self._outliers)
         self._budget = RetryBudget(retry_fraction)
         self._lapses = LapseWatch(client.roster)
+        self._suspects = Suspects(client)
         self.outstanding = 0
 
     async def run(self) -> None:
@@ -122,8 +124,9 @@
         arrived_at = now_s()
         deadline_at = arrived_at + call.deadline_s
         unknown = self._unknown(call)
-        if unknown is not None:
-            return final_of(refusal_response(unknown, call.request_id))
+        refusal = unknown or self._suspects.refusal(call, Ran.NOT_RUN)
+        if refusal is not None:
+            return final_of(refusal_response(refusal, call.request_id))
         self._budget.earn()
         ticket = Ticket(call.pool, call.customer, call.priority, deadline_at)
         granted = await self._admission.acquire(ticket)
@@ -135,7 +138,8 @@
         metrics.QUEUE_WAIT_S.labels(call.priority).observe(now_s() - arrived_at)
         slot = _Slot(self._admission, ticket)
         try:
-            outcome = await self._run(call, deadline_at)
+            async with self._suspects.one_at_a_time(call):
+                outcome = await self._run(call, deadline_at)
         except BaseException:
             slot.release()
             raise
@@ -161,7 +165,10 @@
         tried: set[str] = set()
         run_number = 0
         last: AttemptRefused | None = None
+        lost: AttemptLost | None = None
         for attempt in range(_MAX_ATTEMPTS):
+            if self._suspects.refusal(call, Ran.UNKNOWN):
+                break
             target = self._chooser.choose(
                 self._pools.pool(call.pool),
                 region=call.district,
@@ -186,6 +193,7 @@
                     self._outliers.succeeded(target.id)
                     return outcome
                 case AttemptLost(reason=reason):
+                    lost = outcome
                     self._outliers.failed(target.id)
                     metrics.RETRIES.labels(reason).inc()
                     if call.key or now_s() >= deadline_at:
@@ -200,14 +208,23 @@
                 break
             tried.add(target.id)
             await asyncio.sleep(_RETRY_PAUSE_S)
-        return await self._give_up(call, run_number, last)
+        return await self._give_up(call, run_number, last, lost)
 
     async def _give_up(
-        self, call: Call, run_number: int, last: AttemptRefused | None
+        self,
+        call: Call,
+        run_number: int,
+        last: AttemptRefused | None,
+        lost: AttemptLost | None,
     ) -> Refusal:
         if run_number:
             await self._claimant.settle_not_run(call, run_number)
-        ran = Ran.NOT_RUN
+        ran = Ran.NOT_RUN if lost is None else Ran.UNKNOWN
+        quarantined = self._suspects.refusal(call, ran)
+        if quarantined is not None:
+            return quarantined
+        if lost is not None:
+            return lost_refusal(lost.reason)
         if last is None:
             return Refusal("no_target", 503, ran, _RETRY_S)
         reason = agent_pb2.RefusalReason.Name(last.reason).lower()
@@ -227,7 +244,7 @@
         if remaining_ms <= 0:
             return AttemptRefused(agent_pb2.REFUSED_DEADLINE, _RETRY_S)
         request = _run_request(call, target, run_number, remaining_ms)
-        events = self._events(request, target, deadline_at)
+        events = self._events(call, request, target, deadline_at)
         try:
             first = await anext(events)
         except BaseException:
@@ -251,6 +268,7 @@
 
     async def _events(
         self,
+        call: Call,
         request: agent_pb2.RunRequest,
         target: Target,
         deadline_at: float,
@@ -269,6 +287,7 @@
                     if event is None:
                         return
                     self._chooser.told(target.id, event.outstanding)
+                    self._suspects.note(call, event)
                     yield event
         except TimeoutError:
             if now_s() < deadline_at:
--- a/damaskcroft/entry/tests/fakes.py
+++ b/damaskcroft/entry/tests/fakes.py
@@ -9,6 +9,7 @@
 from grpclib.testing import ChannelFor
 
 from damaskcroft._generated import control_grpc, control_pb2
+from damaskcroft.agent._crashes import TargetWatch
 from damaskcroft.agent._gate import Gate
 from damaskcroft.agent._runs import Runner
 from damaskcroft.agent._service import AgentService
@@ -67,11 +68,14 @@
             return
         self.journal.append((call.request_id, json.loads(call.body)["key"]))
         await asyncio.sleep(self.work_s)
-        if self.mode == "breaks":
+        if self.mode in ("breaks", "crashes"):
             yield CallFailed()
             return
         yield CallStarted(200, "text/plain", self._body(call), call.request_id)
 
+    async def is_gone(self):
+        return self.mode == "crashes"
+
     async def _body(self, call):
         yield f"answer to {json.loads(call.body)['key']}".encode()
         await asyncio.sleep(self.work_s)
@@ -106,7 +110,11 @@
         self.lease.grant(asyncio.get_running_loop().time(), 1e9)
         self.gate = Gate(self.lease, 8, incarnation, is_service=True)
         self.runner = Runner(
-            self.gate, engine, Settler(pool, [CONTROL]), lambda _: None
+            self.gate,
+            engine,
+            Settler(pool, [CONTROL]),
+            TargetWatch(engine, incarnation),
+            lambda _: None,
         )
         self.service = FreezableService(self)
 
@@ -170,6 +178,13 @@
         self.roster = Roster()
         self.leader_address = CONTROL
         self.lease = Lease()
+        self.heard = []
+
+    def report_soon(self):
+        """What the leader hears reaches every other entry."""
+        for other in self.heard:
+            for crash in self.roster.crashes.words():
+                other.roster.crashes.take(crash)
 
 
 class FreezableClaimant(Claimant):
@@ -234,6 +249,9 @@
             self.engines[name] = FakeEngine(name, self.journal)
             await self.start_agent(name)
         self.entries = [Entry(f"entry-{n}", self.pool) for n in range(2)]
+        clients = [entry.client for entry in self.entries]
+        for client in clients:
+            client.heard = [other for other in clients if other != client]
         await self.tell()
 
     async def open_door(self, address, service):
--- a/damaskcroft/membership/_client.py
+++ b/damaskcroft/membership/_client.py
@@ -103,6 +103,8 @@
                 await stream.cancel()
 
     async def _renew_forever(self, stream) -> None:
+        crashes = self.roster.crashes
+        told_changes = 0
         while True:
             self._report_now.clear()
             self._sequence += 1
@@ -116,6 +118,9 @@
                 applied_revision=self.roster.revision,
                 report=self._report(),
             )
+            if told_changes != crashes.changes:
+                told_changes = crashes.changes
+                renewal.crashes.extend(crashes.words())
             await stream.send_message(control_pb2.HolderMessage(renew=renewal))
             try:
                 async with asyncio.timeout(self._renew_every_s):
--- a/damaskcroft/membership/_ledger.py
+++ b/damaskcroft/membership/_ledger.py
@@ -6,10 +6,11 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
-from damaskcroft._generated import control_pb2
+from damaskcroft._generated import control_pb2, quarantine_pb2
 from damaskcroft.clock import now_s
+from damaskcroft.quarantine import CrashBook
 
 
 class HolderEntry:
@@ -49,6 +50,9 @@
         self.lapsed_ids: set[str] = set()
         self.sequence = 0
         self.changed = asyncio.Condition()
+        # Kept over terms: whatever was true of a crash stays so.
+        self.crashes = CrashBook()
+        self._crashes_sequence = 0
         self._term = -1
         self._led_since = float("inf")
 
@@ -102,6 +106,24 @@
             self.sequence += 1
             entry.sequence = self.sequence
         entry.report = renewal.report
+        self._take_crashes(renewal.crashes)
+
+    def _take_crashes(
+        self, crashes: Iterable[quarantine_pb2.TargetCrash]
+    ) -> None:
+        if any([self.crashes.take(crash) for crash in crashes]):
+            self.note_crashes()
+
+    def note_crashes(self) -> None:
+        """Lets entries be told of a change in the crashes."""
+        self.sequence += 1
+        self._crashes_sequence = self.sequence
+
+    def crashes_since(self, sequence: int) -> list[quarantine_pb2.TargetCrash]:
+        """All known crashes if any changed after a ledger sequence."""
+        if self._crashes_sequence <= sequence:
+            return []
+        return list(self.crashes.words())
 
     def release(self, holder_id: str, incarnation: str) -> None:
         """Ends a lease that its holder has given up."""
--- a/damaskcroft/membership/_roster.py
+++ b/damaskcroft/membership/_roster.py
@@ -7,6 +7,7 @@
 import asyncio
 
 from damaskcroft._generated import control_pb2, records_pb2
+from damaskcroft.quarantine import CrashBook
 
 
 class Roster:
@@ -20,6 +21,7 @@
         self.holders_by_id: dict[str, control_pb2.Announcement] = {}
         self.reports_by_id: dict[str, control_pb2.TargetReport] = {}
         self.lapsed_ids: set[str] = set()
+        self.crashes = CrashBook()
         self.changed = asyncio.Condition()
 
     @property
@@ -48,6 +50,8 @@
             self.holders_by_id[holder.id] = holder
         for report in delta.reports:
             self.reports_by_id[report.id] = report
+        for crash in delta.crashes:
+            self.crashes.take(crash)
         self.lapsed_ids.update(delta.lapsed)
         self.lapsed_ids.difference_update(delta.present)
         self.revision = delta.to_revision
--- /dev/null
+++ b/damaskcroft/membership/tests/test_crashes.py
@@ -0,0 +1,58 @@
+"""How one entry's word of a crash reaches the others through the leader."""
+
+import pytest
+
+from damaskcroft._generated import control_pb2, quarantine_pb2
+from damaskcroft.membership import LeaseLedger, Roster
+
+
+def renewal(*starts):
+    return control_pb2.Renewal(
+        crashes=[
+            quarantine_pb2.TargetCrash(start_id=start, suspects=[b"bad"])
+            for start in starts
+        ]
+    )
+
+
+@pytest.fixture
+def ledger(loop):
+    async def made():
+        return LeaseLedger(3.0)
+
+    return loop.run(made())
+
+
+def test_two_entries_words_make_three_for_whoever_asks(loop, ledger):
+    async def scenario():
+        ledger.renew("e1", "a", renewal("t1", "t2"))
+        before = ledger.sequence
+        assert ledger.crashes_since(before) == []
+        ledger.renew("e2", "b", renewal("t3"))
+        roster = Roster()
+        roster.apply(
+            control_pb2.RosterDelta(crashes=ledger.crashes_since(before))
+        )
+        assert roster.crashes.quarantined_s(b"bad")
+
+    loop.run(scenario())
+
+
+def test_what_is_known_is_not_told_again(loop, ledger):
+    async def scenario():
+        ledger.renew("e1", "a", renewal("t1"))
+        before = ledger.sequence
+        ledger.renew("e1", "a", renewal("t1"))
+        assert ledger.crashes_since(before) == []
+
+    loop.run(scenario())
+
+
+def test_a_new_leader_keeps_what_it_knew(loop, ledger):
+    async def scenario():
+        ledger.renew("e1", "a", renewal("t1", "t2", "t3"))
+        ledger.lead(2)
+        assert ledger.crashes.quarantined_s(b"bad")
+        assert ledger.crashes_since(-1)
+
+    loop.run(scenario())
