Suspicions end after an hour; a rest of no seconds is none

As long as anything is suspected each request's body is hashed, and a crash whose requests nobody repeats is never cleared: it kept that on until 512 others came. Crashes of requests that are or were quarantined stay.

--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -379,7 +379,7 @@
         """Takes what a target says of itself in the head of an answer."""
         if facts.leaving:
             self._back_pressure.leaving(target.id)
-        if facts.rest_s is not None:
+        if facts.rest_s:
             self._back_pressure.rest(target.id, facts.rest_s)
         elif not facts.not_run:
             self._back_pressure.answered(target.id)
--- a/damaskcroft/hosted/entry.py
+++ b/damaskcroft/hosted/entry.py
@@ -110,6 +110,7 @@
             placer.forget_all_but(started_ids)
             delays.forget_all_but(started_ids)
             back_pressure.forget_all_but(started_ids)
+            view.crashes.forget_old()
             retry_window.entries = placer.entries = view.entries
 
     async with (
--- a/damaskcroft/quarantine/_book.py
+++ b/damaskcroft/quarantine/_book.py
@@ -38,6 +38,9 @@
 # Each process has the quarantine end a little later than the next one, so that
 # a try by one of them is known before another makes its own.
 _END_SPREAD = 0.25
+# A crash is forgotten after this time, unless it speaks against a request that
+# is or was quarantined: each body is hashed as long as anything is suspected.
+_SUSPECTED_S = 3600.0
 # Starts kept; the planned fleet loses about 400 a day to all causes.
 _MAX_STARTS = 512
 # Of one start: several times the slots of a target.
@@ -127,6 +130,7 @@
 
     def words(self) -> Iterator[quarantine_pb2.TargetCrash]:
         """All that is known, for whoever may know less."""
+        self.forget_old()
         return (self._word(start) for start in self._crashes_by_start)
 
     def clear(self, fingerprint: bytes) -> list[quarantine_pb2.TargetCrash]:
@@ -260,24 +264,44 @@
 
     # --- Bounds ---------------------------------------------------------------
 
+    def forget_old(self) -> None:
+        """Drops crashes that have led to nothing; to be called at times."""
+        if not self._crashes_by_start:
+            return
+        since = now_s() - _SUSPECTED_S
+        kept = self._of_quarantined()
+        old = [
+            start
+            for start, crash in self._crashes_by_start.items()
+            if crash.at < since and start not in kept
+        ]
+        for start in old:
+            del self._crashes_by_start[start]
+        if old:
+            self._judge()
+
     def _drop_oldest(self) -> None:
-        """Forgets old crashes, those of quarantined requests last."""
+        """Drops what is too much, of quarantined requests last."""
         while len(self._crashes_by_start) > _MAX_STARTS:
-            kept_starts = {
-                start
-                for fingerprint in self._quarantined_until
-                for start in self._starts_by_suspect[fingerprint]
-            }
+            kept = self._of_quarantined()
             del self._crashes_by_start[
                 min(
                     self._crashes_by_start,
                     key=lambda start: (
-                        start in kept_starts,
+                        start in kept,
                         self._crashes_by_start[start].at,
                     ),
                 )
             ]
 
+    def _of_quarantined(self) -> set[str]:
+        """Starts that crashed under requests which are or were refused."""
+        return {
+            start
+            for fingerprint in self._quarantined_until
+            for start in self._starts_by_suspect[fingerprint]
+        }
+
     def _word(self, start: str) -> quarantine_pb2.TargetCrash:
         crash = self._crashes_by_start[start]
         return quarantine_pb2.TargetCrash(
