A target that reset a request and crashes later is looked at again

A look at its address that found it alive was the last one for ten seconds, so that a crash within them was known only once the target was back. The test failed before.

--- a/damaskcroft/quarantine/_evidence.py
+++ b/damaskcroft/quarantine/_evidence.py
@@ -51,7 +51,7 @@
 
     Attributes:
         target: which.
-        since: loop time of the first loss.
+        since: loop time of the first loss since it was last looked at.
         suspects: fingerprints of the requests that were lost there.
         is_crash: whether it is known to have crashed.
         looked: done once its address has been looked at.
@@ -111,7 +111,9 @@
         pending.suspects.add(loss.fingerprint)
         if pending.is_crash:
             self._tell(pending)
-        elif pending.looked is None:
+        elif pending.looked is None or pending.looked.done():
+            # It lived when it was looked at, and has lost another since.
+            pending.since = now_s()
             pending.looked = asyncio.create_task(self._look_at(pending))
         return pending.looked
 
--- a/damaskcroft/quarantine/tests/test_evidence.py
+++ b/damaskcroft/quarantine/tests/test_evidence.py
@@ -74,6 +74,17 @@
     asyncio.run(scenario())
 
 
+def test_a_target_that_reset_a_request_and_crashes_later_is_seen(seen):
+    async def scenario():
+        async with listening() as (address, server):
+            await seen.lost(address, b"a")
+            server.close()
+            await seen.lost(address, b"b")
+        assert [c.start_id for c in seen.crashes] == ["t@1"]
+
+    asyncio.run(scenario())
+
+
 def test_a_listener_that_closes_a_little_later_is_seen(seen):
     async def scenario():
         async with listening() as (address, server):
