Checks of arrivals in the soak excuse no target's own word; waits and starts bounded

The soak noted a target that rests or leaves as disturbed, so that its own checks of rest and leaving excused everything. A copy of a suspect waits no longer than its own time, on the own interface too. An agent numbers its target's starts by the requests sent since: one that crashed again before any answer counted as the same start.

--- a/damaskcroft/agent/_crashes.py
+++ b/damaskcroft/agent/_crashes.py
@@ -14,38 +14,38 @@
     Args:
         engine: the target.
         name: of this agent's process; no other process has it.
+
+    Attributes:
+        start: number of the present start; requests that are sent now run on
+            it.
     """
 
-    __slots__ = ("_crashes", "_engine", "_is_gone", "_looking", "_name")
+    __slots__ = ("_engine", "_looking", "_name", "start")
 
     def __init__(self, engine: Engine, name: str):
         """See the class."""
         self._engine = engine
         self._name = name
-        self._crashes = 0
-        self._is_gone = False
         self._looking = asyncio.Lock()
+        self.start = 1
 
-    def answers(self) -> None:
-        """Takes note that the target has begun an answer."""
-        self._is_gone = False
+    async def crashed(self, start: int) -> str:
+        """Names a start that has crashed; empty if it lives.
 
-    async def crashed_start(self) -> str:
-        """Names the start that has crashed; empty if the target lives.
+        To be asked when a connection has ended before its answer.
 
-        To be asked when a connection has ended before its answer. All that ran
-        on one start is given the same name.
+        Args:
+            start: number of the start that was present when the request was
+                sent.
         """
         async with self._looking:
-            if not self._is_gone:
-                self._is_gone = await self._engine.is_gone()
-                if not self._is_gone:
+            if start == self.start:
+                if not await self._engine.is_gone():
                     return ""
-                self._crashes += 1
+                self.start += 1
                 metrics.TARGET_CRASHES.labels("refuses_connections").inc()
-                log_event("target_crashed", target=self._start)
-            return self._start
+                log_event("target_crashed", target=self._named(start))
+        return self._named(start)
 
-    @property
-    def _start(self) -> str:
-        return f"{self._name}/{self._crashes}"
+    def _named(self, start: int) -> str:
+        return f"{self._name}/{start}"
--- a/damaskcroft/agent/_runs.py
+++ b/damaskcroft/agent/_runs.py
@@ -136,6 +136,7 @@
             admitted.manifest,
         )
         claimed = request.HasField("claim")
+        start = self._target.start
         started_at = now_s()
         async with self._engine.call(call, fresh_connection=claimed) as begun:
             match begun:
@@ -147,7 +148,7 @@
                         )
                     )
                 case CallFailed():
-                    yield await self._lost()
+                    yield await self._lost(start)
                 case CallStarted() if begun.request_id not in (
                     "",
                     request.request_id,
@@ -156,9 +157,8 @@
                     metrics.LATE_DROPPED.labels("crossed_at_target").inc()
                     yield self._failed(agent_pb2.FAILED_TARGET_LOST)
                 case CallStarted():
-                    self._target.answers()
                     async for event in self._pass_on(
-                        request, admitted, begun, started_at
+                        request, admitted, begun, started_at, start
                     ):
                         yield event
 
@@ -168,6 +168,7 @@
         admitted: Admitted,
         begun: CallStarted,
         started_at: float,
+        start: int,
     ) -> AsyncGenerator[agent_pb2.RunEvent, None]:
         head = agent_pb2.RunHead(
             status=begun.status,
@@ -191,7 +192,7 @@
             async for piece in pieces:
                 yield self._event(body=piece)
         except ConnectionError:
-            yield await self._lost()
+            yield await self._lost(start)
             return
         yield self._event(end=True)
 
@@ -213,12 +214,12 @@
             )
         )
 
-    async def _lost(self) -> agent_pb2.RunEvent:
+    async def _lost(self, start: int) -> agent_pb2.RunEvent:
         """The end of a run whose connection ended before its answer."""
-        start = await self._target.crashed_start()
-        if not start:
+        crashed = await self._target.crashed(start)
+        if not crashed:
             return self._failed(agent_pb2.FAILED_TARGET_LOST)
-        return self._failed(agent_pb2.FAILED_TARGET_CRASHED, start)
+        return self._failed(agent_pb2.FAILED_TARGET_CRASHED, crashed)
 
     def _failed(
         self, reason: agent_pb2.FailureReason, target_start: str = ""
--- a/damaskcroft/entry/_dispatch.py
+++ b/damaskcroft/entry/_dispatch.py
@@ -138,7 +138,7 @@
         metrics.QUEUE_WAIT_S.labels(call.priority).observe(now_s() - arrived_at)
         slot = _Slot(self._admission, ticket)
         try:
-            async with self._suspects.one_at_a_time(call):
+            async with self._suspects.one_at_a_time(call, deadline_at):
                 outcome = await self._run(call, deadline_at)
         except BaseException:
             slot.release()
--- a/damaskcroft/entry/_suspects.py
+++ b/damaskcroft/entry/_suspects.py
@@ -42,12 +42,12 @@
         return Refusal("quarantined", 502, ran)
 
     def one_at_a_time(
-        self, call: Call
+        self, call: Call, deadline_at: float
     ) -> contextlib.AbstractAsyncContextManager[None]:
         """Waits while a copy of a suspect is under way here."""
         if not self._book.has_suspects:
             return contextlib.nullcontext()
-        return self._copies.one_at_a_time(_fingerprint(call))
+        return self._copies.one_at_a_time(_fingerprint(call), deadline_at)
 
     def note(self, call: Call, event: agent_pb2.RunEvent) -> None:
         """Takes what an agent tells of a call's end."""
--- a/damaskcroft/entry/tests/test_crashing_calls.py
+++ b/damaskcroft/entry/tests/test_crashing_calls.py
@@ -67,3 +67,24 @@
         assert not world.entries[0].client.roster.crashes.has_suspects
 
     loop.run(scenario())
+
+
+def test_each_crash_of_one_target_counts_though_it_answered_nothing(
+    loop, world
+):
+    """A target that is back runs the same call first, and crashes again."""
+
+    async def scenario():
+        for name in list(world.agents)[1:]:
+            await world.kill_agent(name)
+        await world.tell()
+        (name,) = world.agents
+        engine = world.engines[name]
+        for _ in range(3):
+            engine.mode = "crashes"
+            await world.ask(0, "", body_key="b")
+        answer = await world.ask(0, "", body_key="b")
+        assert ran_word(answer) == "not_run"
+        assert len(world.journal) == 3
+
+    loop.run(scenario())
--- a/damaskcroft/forwarding/_suspects.py
+++ b/damaskcroft/forwarding/_suspects.py
@@ -105,7 +105,7 @@
             yield
             return
         fingerprint = _fingerprint(job, progress)
-        async with self._copies.one_at_a_time(fingerprint):
+        async with self._copies.one_at_a_time(fingerprint, job.deadline_at):
             yield
 
     async def lost(
--- a/damaskcroft/hosted/tests/soak/_faults.py
+++ b/damaskcroft/hosted/tests/soak/_faults.py
@@ -112,14 +112,19 @@
             return
         self._busy |= set(who)
         self._journal(f"begins {fault} {who}")
-        disturbed = "control" if role == "control" else who[0]
         try:
-            with self._book.disturbed(disturbed):
+            with self._noted(fault, role, who):
                 await self._carry_out(fault, name, role, who)
         finally:
             self._busy -= set(who)
             self._journal(f"over {fault.kind} {who}")
 
+    def _noted(self, fault, role, who):
+        """What targets say in answers disturbs nobody."""
+        if fault.kind in _ANSWER_KINDS:
+            return contextlib.nullcontext()
+        return self._book.disturbed("control" if role == "control" else who[0])
+
     async def _send_copies(self, fault):
         """The same request again and again, whatever else happens."""
         until = _now() + 2 * fault.for_s
--- a/damaskcroft/hosted/tests/test_soak.py
+++ b/damaskcroft/hosted/tests/test_soak.py
@@ -1,10 +1,18 @@
 """The soak, short: seeds that once failed, and one that stands for all."""
 
 import asyncio
+import time
 
 import pytest
 
-from damaskcroft.hosted.tests.soak._book import Asked, Book
+from damaskcroft.hosted.tests.soak._book import (
+    CONTACT_S,
+    DRAIN_S,
+    Arrival,
+    Asked,
+    Book,
+    Rest,
+)
 from damaskcroft.hosted.tests.soak._faults import schedule
 from damaskcroft.hosted.tests.soak._run import Soak
 
@@ -82,3 +90,60 @@
     assert book.broken == []
     book.saw_version("e/0", 2, 404)
     assert book.broken
+
+
+def arrival(book, request_id, at, sent_at=0.0, crashes_as=""):
+    book.asked_by_id[request_id] = Asked(
+        "safe", entry="e", sent_at=sent_at, crashes_as=crashes_as
+    )
+    book.arrivals.append(Arrival(at, request_id, "t", "t-1"))
+
+
+@pytest.mark.parametrize(("tries", "broken"), [(3, 0), (4, 1)])
+def test_tries_after_the_third_crash_are_found(tries, broken):
+    book = Book()
+    book.crashes["bad"] = [1.0, 2.0, 3.0]
+    for number in range(9):
+        arrival(book, f"early{number}", 3.0 + CONTACT_S, crashes_as="bad")
+    for number in range(tries):
+        arrival(book, f"late{number}", 3.1 + CONTACT_S, crashes_as="bad")
+    book.check_bounds()
+    assert len(book.broken) == broken
+
+
+@pytest.mark.parametrize(("arrivals", "broken"), [(2, 0), (3, 1)])
+def test_arrivals_in_a_rest_are_found(arrivals, broken):
+    book = Book()
+    book.rests.append(Rest(1.0, "e", "t-1", 3.0))
+    for at in (1.2, 4.1):
+        arrival(book, f"beside{at}", at)
+    for number in range(arrivals):
+        arrival(book, f"within{number}", 2.0)
+    book.check_bounds()
+    assert len(book.broken) == broken
+
+
+def test_arrivals_after_leaving_are_found_but_for_what_was_under_way():
+    book = Book()
+    book.leaving_since["e", "t-1"] = 1.0
+    arrival(book, "under way", 9.0, sent_at=1.0 + DRAIN_S)
+    book.check_bounds()
+    assert book.broken == []
+    arrival(book, "late", 9.0, sent_at=1.1 + DRAIN_S)
+    book.check_bounds()
+    assert len(book.broken) == 1
+
+
+def test_only_what_is_disturbed_is_excused():
+    book = Book()
+    book.leaving_since["e", "t-1"] = -10.0
+    with book.disturbed("another"):
+        arrival(book, "r", time.monotonic(), sent_at=time.monotonic())
+        book.check_bounds()
+    assert len(book.broken) == 1
+    with book.disturbed("e"):
+        book.broken.clear()
+        book.arrivals.clear()
+        arrival(book, "r", time.monotonic(), sent_at=time.monotonic())
+        book.check_bounds()
+    assert book.broken == []
--- a/damaskcroft/quarantine/_copies.py
+++ b/damaskcroft/quarantine/_copies.py
@@ -28,13 +28,18 @@
         self._ended_by_fingerprint: dict[bytes, asyncio.Event] = {}
 
     @contextlib.asynccontextmanager
-    async def one_at_a_time(self, fingerprint: bytes) -> AsyncIterator[None]:
-        """Waits while another copy of a suspect is under way."""
-        while self._book.is_suspect(fingerprint):
-            other = self._ended_by_fingerprint.get(fingerprint)
-            if other is None:
-                break
-            await other.wait()
+    async def one_at_a_time(
+        self, fingerprint: bytes, until: float
+    ) -> AsyncIterator[None]:
+        """Waits while another copy of a suspect is under way.
+
+        Args:
+            fingerprint: of the request.
+            until: loop time at which the request's own time is over.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(until):
+                await self._wait_for_others(fingerprint)
         if not self._book.is_suspect(fingerprint):
             yield
             return
@@ -42,5 +47,13 @@
         try:
             yield
         finally:
-            del self._ended_by_fingerprint[fingerprint]
+            if self._ended_by_fingerprint.get(fingerprint) is ended:
+                del self._ended_by_fingerprint[fingerprint]
             ended.set()
+
+    async def _wait_for_others(self, fingerprint: bytes) -> None:
+        while self._book.is_suspect(fingerprint):
+            other = self._ended_by_fingerprint.get(fingerprint)
+            if other is None:
+                return
+            await other.wait()
--- a/damaskcroft/quarantine/tests/test_copies.py
+++ b/damaskcroft/quarantine/tests/test_copies.py
@@ -27,7 +27,7 @@
 
         async def run(name):
             nonlocal under_way
-            async with copies.one_at_a_time(name):
+            async with copies.one_at_a_time(name, 1e9):
                 under_way += 1
                 most[name] = max(most.get(name, 0), under_way)
                 await asyncio.sleep(1)
@@ -46,7 +46,7 @@
         ended = []
 
         async def run(number):
-            async with copies.one_at_a_time(b"bad"):
+            async with copies.one_at_a_time(b"bad", 1e9):
                 await asyncio.sleep(1)
                 book.clear(b"bad")
                 ended.append(asyncio.get_running_loop().time())
@@ -62,7 +62,7 @@
         copies = Copies(book)
 
         async def run():
-            async with copies.one_at_a_time(b"bad"):
+            async with copies.one_at_a_time(b"bad", 1e9):
                 await asyncio.sleep(10)
 
         first = asyncio.create_task(run())
@@ -73,3 +73,19 @@
         await second
 
     loop.run(scenario())
+
+
+def test_nobody_waits_longer_than_its_own_time(loop, book):
+    async def scenario():
+        copies = Copies(book)
+
+        async def run(until):
+            async with copies.one_at_a_time(b"bad", until):
+                began_at = asyncio.get_running_loop().time()
+                await asyncio.sleep(10)
+            return began_at
+
+        outcomes = await asyncio.gather(*(run(until) for until in (20, 3)))
+        assert outcomes == [0, 3]
+
+    loop.run(scenario())
