Crashes count against a request only if they follow one another

What callers saw: the fleet refused for ten minutes a request that many of them send, after all targets had crashed at once while copies of it ran everywhere.

Cause: starts were counted, whether or not the earlier crashes were known when the request was sent again.

Each lost copy tells how many crashes in a row were known when it was sent, with its own; the longest such chain must reach the number needed too.

--- a/damaskcroft/entry/_dispatch.py
+++ b/damaskcroft/entry/_dispatch.py
@@ -32,7 +32,7 @@
     Refusal,
     refusal_response,
 )
-from damaskcroft.entry._suspects import Suspects
+from damaskcroft.entry._suspects import Suspects, WatchedCall
 from damaskcroft.membership import LeaseClient
 from damaskcroft.observe import metrics
 from damaskcroft.routing import (
@@ -124,7 +124,8 @@
         arrived_at = now_s()
         deadline_at = arrived_at + call.deadline_s
         unknown = self._unknown(call)
-        refusal = unknown or self._suspects.refusal(call, Ran.NOT_RUN)
+        watched = self._suspects.watched(call)
+        refusal = unknown or watched.refusal(Ran.NOT_RUN)
         if refusal is not None:
             return final_of(refusal_response(refusal, call.request_id))
         self._budget.earn()
@@ -138,8 +139,8 @@
         metrics.QUEUE_WAIT_S.labels(call.priority).observe(now_s() - arrived_at)
         slot = _Slot(self._admission, ticket)
         try:
-            async with self._suspects.one_at_a_time(call, deadline_at):
-                outcome = await self._run(call, deadline_at)
+            async with watched.one_at_a_time(deadline_at):
+                outcome = await self._run(watched, deadline_at)
         except BaseException:
             slot.release()
             raise
@@ -160,14 +161,15 @@
     # --- Attempts ------------------------------------------------------------
 
     async def _run(
-        self, call: Call, deadline_at: float
+        self, watched: WatchedCall, deadline_at: float
     ) -> Answering | Whole | ClaimAnswered | Refusal:
+        call = watched.call
         tried: set[str] = set()
         run_number = 0
         last: AttemptRefused | None = None
         lost: AttemptLost | None = None
         for attempt in range(_MAX_ATTEMPTS):
-            if self._suspects.refusal(call, Ran.UNKNOWN):
+            if watched.refusal(Ran.UNKNOWN):
                 break
             target = self._chooser.choose(
                 self._pools.pool(call.pool),
@@ -187,7 +189,9 @@
                 if isinstance(claimed, ClaimAnswered | Refusal):
                     return claimed
                 run_number = claimed.run_number
-            outcome = await self._attempt(call, target, run_number, deadline_at)
+            outcome = await self._attempt(
+                watched, target, run_number, deadline_at
+            )
             match outcome:
                 case Answering() | Whole():
                     self._outliers.succeeded(target.id)
@@ -208,19 +212,19 @@
                 break
             tried.add(target.id)
             await asyncio.sleep(_RETRY_PAUSE_S)
-        return await self._give_up(call, run_number, last, lost)
+        return await self._give_up(watched, run_number, last, lost)
 
     async def _give_up(
         self,
-        call: Call,
+        watched: WatchedCall,
         run_number: int,
         last: AttemptRefused | None,
         lost: AttemptLost | None,
     ) -> Refusal:
         if run_number:
-            await self._claimant.settle_not_run(call, run_number)
+            await self._claimant.settle_not_run(watched.call, run_number)
         ran = Ran.NOT_RUN if lost is None else Ran.UNKNOWN
-        quarantined = self._suspects.refusal(call, ran)
+        quarantined = watched.refusal(ran)
         if quarantined is not None:
             return quarantined
         if lost is not None:
@@ -238,13 +242,19 @@
             self._outliers.failed(target.id)
 
     async def _attempt(
-        self, call: Call, target: Target, run_number: int, deadline_at: float
+        self,
+        watched: WatchedCall,
+        target: Target,
+        run_number: int,
+        deadline_at: float,
     ) -> Answering | Whole | AttemptRefused | AttemptLost:
+        call = watched.call
+        watched.sending()
         remaining_ms = int((deadline_at - now_s()) * 1000)
         if remaining_ms <= 0:
             return AttemptRefused(agent_pb2.REFUSED_DEADLINE, _RETRY_S)
         request = _run_request(call, target, run_number, remaining_ms)
-        events = self._events(call, request, target, deadline_at)
+        events = self._events(watched, request, target, deadline_at)
         try:
             first = await anext(events)
         except BaseException:
@@ -268,7 +278,7 @@
 
     async def _events(
         self,
-        call: Call,
+        watched: WatchedCall,
         request: agent_pb2.RunRequest,
         target: Target,
         deadline_at: float,
@@ -287,7 +297,7 @@
                     if event is None:
                         return
                     self._chooser.told(target.id, event.outstanding)
-                    self._suspects.note(call, event)
+                    watched.note(event)
                     yield event
         except TimeoutError:
             if now_s() < deadline_at:
--- a/damaskcroft/entry/_suspects.py
+++ b/damaskcroft/entry/_suspects.py
@@ -9,7 +9,7 @@
 from damaskcroft.observe import log_event, metrics
 from damaskcroft.quarantine import Copies, fingerprint
 
-__all__ = ["Suspects"]
+__all__ = ["Suspects", "WatchedCall"]
 
 
 class Suspects:
@@ -21,20 +21,54 @@
 
     def __init__(self, client: LeaseClient):
         """See the class."""
-        self._client = client
-        self._book = client.roster.crashes
-        self._copies = Copies(self._book)
+        self.client = client
+        self.book = client.roster.crashes
+        self.copies = Copies(self.book)
 
-    def refusal(self, call: Call, ran: Ran) -> Refusal | None:
-        """How a quarantined call ends; None for any other.
+    def watched(self, call: Call) -> "WatchedCall":
+        """A call whose attempts are about to begin."""
+        return WatchedCall(self, call)
+
+
+class WatchedCall:
+    """One call, and how many crashes in a row were known when it was sent.
+
+    Args:
+        suspects: what the entry knows.
+        call: the call.
+    """
+
+    __slots__ = ("_chain", "_fingerprint", "_suspects", "call")
+
+    def __init__(self, suspects: Suspects, call: Call):
+        """See the class."""
+        self._suspects = suspects
+        self.call = call
+        self._chain = 0
+        self._fingerprint: bytes | None = None
+
+    @property
+    def fingerprint(self) -> bytes:
+        """What the call has in common with its copies; hashes the body once."""
+        if self._fingerprint is None:
+            self._fingerprint = fingerprint(
+                self.call.customer,
+                self.call.pool,
+                self.call.method.encode(),
+                self.call.path.encode(),
+                self.call.body,
+            )
+        return self._fingerprint
+
+    def refusal(self, ran: Ran) -> Refusal | None:
+        """How the call ends if it is quarantined; None if it isn't.
 
         Args:
-            call: the call.
             ran: whether an attempt of it may have run.
         """
-        if not self._book.has_suspects:
+        if not self._suspects.book.has_suspects:
             return None
-        left_s = self._book.quarantined_s(_fingerprint(call))
+        left_s = self._suspects.book.quarantined_s(self.fingerprint)
         if not left_s:
             return None
         if ran is Ran.NOT_RUN:
@@ -42,58 +76,58 @@
         return Refusal("quarantined", 502, ran)
 
     def one_at_a_time(
-        self, call: Call, deadline_at: float
+        self, deadline_at: float
     ) -> contextlib.AbstractAsyncContextManager[None]:
         """Waits while a copy of a suspect is under way here."""
-        if not self._book.has_suspects:
+        if not self._suspects.book.has_suspects:
             return contextlib.nullcontext()
-        return self._copies.one_at_a_time(_fingerprint(call), deadline_at)
+        return self._suspects.copies.one_at_a_time(
+            self.fingerprint, deadline_at
+        )
 
-    def note(self, call: Call, event: agent_pb2.RunEvent) -> None:
-        """Takes what an agent tells of a call's end."""
+    def sending(self) -> None:
+        """Takes note of what is known when the call is sent."""
+        if self._suspects.book.has_suspects:
+            known = self._suspects.book.chain(self.fingerprint)
+            self._chain = max(self._chain, known)
+
+    def note(self, event: agent_pb2.RunEvent) -> None:
+        """Takes what an agent tells of an attempt's end."""
         match event.WhichOneof("kind"):
             case "failed":
-                self._note_failed(call, event.failed)
+                self._note_failed(event.failed)
             case "whole" | "end":
-                self._note_answered(call)
+                self._note_answered()
 
-    def _note_failed(self, call: Call, failed: agent_pb2.RunFailed) -> None:
+    def _note_failed(self, failed: agent_pb2.RunFailed) -> None:
         if failed.reason != agent_pb2.FAILED_TARGET_CRASHED:
             return
-        suspect = _fingerprint(call)
+        self._chain += 1
         log_event(
             "request_lost_with_target",
-            request_id=call.request_id,
+            request_id=self.call.request_id,
             target=failed.target_start,
-            fingerprint=suspect.hex(),
+            fingerprint=self.fingerprint.hex(),
+        )
+        suspect = quarantine_pb2.Suspect(
+            fingerprint=self.fingerprint, chain=self._chain
         )
-        self._book.take(
+        self._suspects.book.take(
             quarantine_pb2.TargetCrash(
                 start_id=failed.target_start, suspects=[suspect]
             )
         )
-        self._client.report_soon()
+        self._suspects.client.report_soon()
 
-    def _note_answered(self, call: Call) -> None:
-        if not self._book.has_suspects:
+    def _note_answered(self) -> None:
+        if not self._suspects.book.has_suspects:
             return
-        suspect = _fingerprint(call)
-        if not self._book.clear(suspect):
+        if not self._suspects.book.clear(self.fingerprint):
             return
         metrics.QUARANTINE.labels("cleared").inc()
         log_event(
             "suspect_cleared",
-            request_id=call.request_id,
-            fingerprint=suspect.hex(),
+            request_id=self.call.request_id,
+            fingerprint=self.fingerprint.hex(),
         )
-        self._client.report_soon()
-
-
-def _fingerprint(call: Call) -> bytes:
-    return fingerprint(
-        call.customer,
-        call.pool,
-        call.method.encode(),
-        call.path.encode(),
-        call.body,
-    )
+        self._suspects.client.report_soon()
--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -264,6 +264,7 @@
             weights_version=0,
         )
         self._log.sent(job, progress, target)
+        self._suspects.sending(job, progress)
         place = Place(target.id, target.address)
         ran_before = progress.may_have_run
         progress.may_have_run = True
--- a/damaskcroft/forwarding/_job.py
+++ b/damaskcroft/forwarding/_job.py
@@ -167,10 +167,12 @@
             kept connection was used.
         fingerprint: what it has in common with its copies, once it was asked
             for; None before.
+        chain: how many crashes in a row were known of it when it was sent.
     """
 
     __slots__ = (
         "begun",
+        "chain",
         "connect_s",
         "excluded",
         "fingerprint",
@@ -194,6 +196,7 @@
         self.pace = Pace(call.arrived_at)
         self.connect_s: float | None = None
         self.fingerprint: bytes | None = None
+        self.chain = 0
 
 
 def given_up(
--- a/damaskcroft/forwarding/_suspects.py
+++ b/damaskcroft/forwarding/_suspects.py
@@ -108,6 +108,12 @@
         async with self._copies.one_at_a_time(fingerprint, job.deadline_at):
             yield
 
+    def sending(self, job: Job, progress: Progress) -> None:
+        """Takes note of what is known when a request is sent."""
+        if self._book.has_suspects:
+            known = self._book.chain(_fingerprint(job, progress))
+            progress.chain = max(progress.chain, known)
+
     async def lost(
         self, job: Job, progress: Progress, target: Candidate, lost: Lost
     ) -> None:
@@ -119,8 +125,14 @@
         if not lost.cut and lost.reason != STARTED_AGAIN:
             return
         was_suspect = self.is_suspect(job, progress)
+        progress.chain += 1
         looked = self._watch.lost(
-            Loss(target, _fingerprint(job, progress), job.call.request_id)
+            Loss(
+                target,
+                _fingerprint(job, progress),
+                job.call.request_id,
+                progress.chain,
+            )
         )
         if was_suspect and looked is not None:
             await asyncio.wait([looked], timeout=_VERDICT_WITHIN_S)
--- a/damaskcroft/hosted/tests/test_soak.py
+++ b/damaskcroft/hosted/tests/test_soak.py
@@ -24,6 +24,9 @@
     # again ended them, before their handlers stood.
     (411, 15.0),
     (414, 15.0),
+    # All targets crashed while callers sent one and the same request, which
+    # was quarantined.
+    (801, 15.0),
 ]
 
 
--- a/damaskcroft/quarantine/_book.py
+++ b/damaskcroft/quarantine/_book.py
@@ -2,8 +2,11 @@
 
 A crash makes every request that ran on the target a suspect, since nobody can
 tell which of them caused it. A suspect that later runs to its end is cleared.
-One that three targets have crashed under, and that explains the crashes best,
-is quarantined; what it explains speaks against no other request.
+One that three targets have crashed under, one after another, and that was the
+first to be known for it, is quarantined; what it explains speaks against no
+other request. Where many targets crash at once, as when power is lost, a
+request that many callers send runs on all of them: crashes follow one another
+only if the earlier ones were known when the request was sent again.
 
 The book is soft state that only grows: starts of targets, the suspects of each,
 and those of them that were cleared. Entries and control nodes merge what they
@@ -68,7 +71,8 @@
 
     Attributes:
         at: when, on this process's clock.
-        suspects: fingerprints of what ran there.
+        suspects: by the fingerprint of each request that ran there, its chain:
+            how many crashes followed one another up to this one.
         cleared: those of them that it no longer speaks against.
     """
 
@@ -76,8 +80,7 @@
 
     def __init__(self, at: float):
         self.at = at
-        # Ordered, so that every node drops the same ones first.
-        self.suspects: dict[bytes, None] = {}
+        self.suspects: dict[bytes, int] = {}
         self.cleared: set[bytes] = set()
 
     @property
@@ -117,12 +120,7 @@
         if crash is None:
             crash = self._crashes_by_start[told.start_id] = _Crash(at)
         crash.at = min(crash.at, at)
-        before = len(crash.suspects), len(crash.cleared)
-        for suspect in (*told.suspects, *told.cleared):
-            if len(crash.suspects) < _MAX_SUSPECTS:
-                crash.suspects[suspect] = None
-        crash.cleared.update(s for s in told.cleared if s in crash.suspects)
-        if (len(crash.suspects), len(crash.cleared)) == before:
+        if not _merge(crash, told):
             return False
         self._drop_oldest()
         self._judge()
@@ -157,6 +155,14 @@
         """Whether targets crashed under a request and nothing cleared it."""
         return fingerprint in self._starts_by_suspect
 
+    def chain(self, fingerprint: bytes) -> int:
+        """How many crashes in a row are known of a request; 0 for none."""
+        starts = self._starts_by_suspect.get(fingerprint, ())
+        return max(
+            (self._crashes_by_start[s].suspects[fingerprint] for s in starts),
+            default=0,
+        )
+
     def quarantined_s(self, fingerprint: bytes) -> float:
         """For how long a request is refused from now on; 0 if it isn't."""
         until = self._quarantined_until.get(fingerprint)
@@ -199,7 +205,9 @@
         unexplained = dict(open_by_start)
         while True:
             since = {
-                fingerprint: self._guilty_since(starts, unexplained)
+                fingerprint: self._guilty_since(
+                    fingerprint, starts, unexplained
+                )
                 for fingerprint, starts in _starts_by_suspect(
                     unexplained
                 ).items()
@@ -216,27 +224,39 @@
             }
 
     def _guilty_since(
-        self, starts: list[str], unexplained: dict[str, list[bytes]]
+        self,
+        fingerprint: bytes,
+        starts: list[str],
+        unexplained: dict[str, list[bytes]],
     ) -> float:
         """When chance no longer explained the crashes; infinite while it may.
 
         Args:
+            fingerprint: the request.
             starts: what crashed under the request.
             unexplained: all that crashed for no reason known yet.
         """
         if len(starts) < _CRASHES:
             return math.inf
-        times = sorted(self._crashes_by_start[start].at for start in starts)
+        crashes = sorted(
+            (self._crashes_by_start[start] for start in starts),
+            key=lambda crash: crash.at,
+        )
+        times = [crash.at for crash in crashes]
         others = [
             self._crashes_by_start[start].at
             for start in unexplained
             if start not in starts
         ]
-        for count in range(_CRASHES, len(times) + 1):
+        longest = 0
+        for count, crash in enumerate(crashes, 1):
+            longest = max(longest, crash.suspects[fingerprint])
+            if min(count, longest) < _CRASHES:
+                continue
             near = _count_near(times[:count], others)
             more = next(m for least, m in _MORE_BY_OTHERS if near >= least)
-            if count >= _CRASHES + more:
-                return times[count - 1]
+            if min(count, longest) >= _CRASHES + more:
+                return crash.at
         return math.inf
 
     def _ends_at(self, fingerprint: bytes) -> float:
@@ -306,12 +326,33 @@
         crash = self._crashes_by_start[start]
         return quarantine_pb2.TargetCrash(
             start_id=start,
-            suspects=crash.suspects,
+            suspects=[
+                quarantine_pb2.Suspect(fingerprint=fingerprint, chain=chain)
+                for fingerprint, chain in crash.suspects.items()
+            ],
             cleared=crash.cleared,
             age_ms=int((now_s() - crash.at) * _MS_IN_S),
         )
 
 
+def _merge(crash: _Crash, told: quarantine_pb2.TargetCrash) -> bool:
+    """Adds what is told of a crash to it; whether anything was new."""
+    is_new = False
+    for suspect in told.suspects:
+        known = crash.suspects.get(suspect.fingerprint)
+        if known is None and len(crash.suspects) >= _MAX_SUSPECTS:
+            continue
+        if known is None or suspect.chain > known:
+            crash.suspects[suspect.fingerprint] = suspect.chain
+            is_new = True
+    for fingerprint in told.cleared:
+        if fingerprint in crash.cleared:
+            continue
+        crash.cleared.add(fingerprint)
+        is_new = True
+    return is_new
+
+
 def _starts_by_suspect(
     suspects_by_start: dict[str, list[bytes]],
 ) -> dict[bytes, list[str]]:
--- a/damaskcroft/quarantine/_evidence.py
+++ b/damaskcroft/quarantine/_evidence.py
@@ -39,11 +39,14 @@
         target: the start of a target that it was sent to.
         fingerprint: of the request.
         request_id: its id, for the log.
+        chain: how many crashes in a row this one would make; see `Suspect` in
+            the schema.
     """
 
     target: "Candidate"
     fingerprint: bytes
     request_id: str
+    chain: int = 1
 
 
 class _Pending:
@@ -52,7 +55,7 @@
     Attributes:
         target: which.
         since: loop time of the first loss since it was last looked at.
-        suspects: fingerprints of the requests that were lost there.
+        suspects: chains of the requests that were lost there, by fingerprint.
         is_crash: whether it is known to have crashed.
         looked: done once its address has been looked at.
     """
@@ -62,7 +65,7 @@
     def __init__(self, target: "Candidate"):
         self.target = target
         self.since = now_s()
-        self.suspects: set[bytes] = set()
+        self.suspects: dict[bytes, int] = {}
         self.is_crash = False
         self.looked: asyncio.Task[None] | None = None
 
@@ -108,7 +111,8 @@
             target=target.id,
             fingerprint=loss.fingerprint.hex(),
         )
-        pending.suspects.add(loss.fingerprint)
+        known = pending.suspects.get(loss.fingerprint, 0)
+        pending.suspects[loss.fingerprint] = max(known, loss.chain)
         if pending.is_crash:
             self._tell(pending)
         elif pending.looked is None or pending.looked.done():
@@ -147,7 +151,10 @@
         self._crashed(
             quarantine_pb2.TargetCrash(
                 start_id=pending.target.id,
-                suspects=sorted(pending.suspects),
+                suspects=[
+                    quarantine_pb2.Suspect(fingerprint=fingerprint, chain=chain)
+                    for fingerprint, chain in sorted(pending.suspects.items())
+                ],
                 age_ms=int((now_s() - pending.since) * _MS_IN_S),
             )
         )
