--- a/damaskcroft/hosted/tests/soak/_target.py
+++ b/damaskcroft/hosted/tests/soak/_target.py
@@ -39,6 +39,8 @@
         self._state = "ready"
         self._sequence = 0
         self._is_up = False
+        # A fault may end it while another one starts it again.
+        self._changing = asyncio.Lock()
         self._restarting = None
         # How long it asks for rest in refusals; None while it serves.
         self.rest_s = None
@@ -54,7 +56,11 @@
         return f"i-{self.name}-{self.boot}"
 
     async def start(self, port=0):
-        self._is_up = True
+        async with self._changing:
+            if not self._is_up:
+                await self._start(port)
+
+    async def _start(self, port):
         self._server = await asyncio.start_server(self._serve, TARGET_IP, port)
         self.port = self._server.sockets[0].getsockname()[1]
         if self.proxy is None:
@@ -65,21 +71,22 @@
         self.rest_s, self.says_leaving = None, False
         self._born_ms = time.time_ns() // 1_000_000
         self._announcing = asyncio.create_task(self._announce_forever())
+        self._is_up = True
 
     async def crash(self):
         """Ends without a word; whatever runs is cut."""
-        if not self._is_up:
-            return
-        self._is_up = False
-        self._announcing.cancel()
-        self._server.close()
-        for writer in list(self._writers):
-            writer.transport.abort()
-        self.proxy.stop()
+        async with self._changing:
+            if not self._is_up:
+                return
+            self._is_up = False
+            self._announcing.cancel()
+            self._server.close()
+            for writer in list(self._writers):
+                writer.transport.abort()
+            self.proxy.stop()
 
     async def restart(self):
-        if not self._is_up:
-            await self.start(self.port)
+        await self.start(self.port)
 
     async def stop(self):
         """Ends, also if it is about to be back."""
