--- a/damaskcroft/control/_fleet_control.py
+++ b/damaskcroft/control/_fleet_control.py
@@ -13,6 +13,7 @@
     checked,
     configuration_faults,
     note_unusable,
+    relay,
 )
 from damaskcroft.observe import log_event
 from damaskcroft.rpc import CALL_ERRORS, ChannelPool
@@ -22,8 +23,6 @@
 # Operators turn to another node after a second without an answer.
 _COMMIT_TIMEOUT_S = 0.9
 _READ_TIMEOUT_S = 0.8
-# A target's call is answered within a second, and a second node may be asked.
-_RELAY_TIMEOUT_S = 0.4
 _APPLY_POLL_S = 0.005
 
 
@@ -188,20 +187,13 @@
         self._view.take([state])
         members = self._replica.member_addresses()
         others = [a for a in members if a != self._replica.address]
-        told = await asyncio.gather(*(self._relay(a, state) for a in others))
+        request = fleet_pb2.RelayRequest(targets=[state])
+        told = await asyncio.gather(
+            *(relay(self._channels, address, request) for address in others)
+        )
         counted = sum(told) + (self._replica.address in members)
         return counted > len(members) // 2
 
-    async def _relay(self, address: str, state: fleet_pb2.TargetState) -> bool:
-        stub = fleet_grpc.FleetStub(self._channels.channel(address))
-        request = fleet_pb2.RelayRequest(targets=[state])
-        try:
-            await stub.Relay(request, timeout=_RELAY_TIMEOUT_S)
-        except CALL_ERRORS as error:
-            log_event("relay_failed", address=address, reason=error)
-            return False
-        return True
-
     # --- The log ------------------------------------------------------------
 
     async def commit(
--- a/damaskcroft/fleet/__init__.py
+++ b/damaskcroft/fleet/__init__.py
@@ -8,6 +8,7 @@
     version_in_service,
     whole_versions,
 )
+from damaskcroft.fleet._relaying import relay
 from damaskcroft.fleet._routes import RouteTable, mark_interruptible
 from damaskcroft.fleet._settings import Bounds, NodeSettings
 from damaskcroft.fleet._targets import TargetBook, start_id
@@ -37,6 +38,7 @@
     "held_by",
     "mark_interruptible",
     "note_unusable",
+    "relay",
     "start_id",
     "version_in_service",
     "whole_versions",
--- a/damaskcroft/fleet/_crash_reporter.py
+++ b/damaskcroft/fleet/_crash_reporter.py
@@ -3,14 +3,14 @@
 import asyncio
 from collections.abc import Iterable
 
-from damaskcroft._generated import fleet_grpc, fleet_pb2, quarantine_pb2
+from damaskcroft._generated import fleet_pb2, quarantine_pb2
+from damaskcroft.fleet._relaying import relay
 from damaskcroft.fleet._view import FleetView
 from damaskcroft.observe import log_event
-from damaskcroft.rpc import CALL_ERRORS, ChannelPool
+from damaskcroft.rpc import ChannelPool
 
 __all__ = ["CrashReporter"]
 
-_CALL_TIMEOUT_S = 0.4
 _RETRY_S = 0.2
 
 
@@ -62,17 +62,6 @@
         )
         addresses = self._view.control_addresses or self._seeds
         told = await asyncio.gather(
-            *(self._tell_one(address, request) for address in addresses)
+            *(relay(self._channels, address, request) for address in addresses)
         )
         return any(told)
-
-    async def _tell_one(
-        self, address: str, request: fleet_pb2.RelayRequest
-    ) -> bool:
-        stub = fleet_grpc.FleetStub(self._channels.channel(address))
-        try:
-            await stub.Relay(request, timeout=_CALL_TIMEOUT_S)
-        except CALL_ERRORS as error:
-            log_event("relay_failed", address=address, reason=error)
-            return False
-        return True
--- a/damaskcroft/weights/_arrivals.py
+++ b/damaskcroft/weights/_arrivals.py
@@ -1,11 +1,9 @@
 """Which chunks of a version are on their way to this machine right now.
 
 A chunk may be asked for at several places, so that whoever has it first gives
-it; but only one transfer of it should use the link. Without this, one byte in
-seven came twice (14 agents, 64 chunks, measured in virtual time). A transfer
-that lasts long may come from behind a narrow link: then another one may begin
-beside it. Where none could, the last chunk of three new targets came 2 s after
-the others (a day with two narrow links).
+it; but only one transfer of it should use the link, or chunks come twice. A
+transfer that lasts long may come from behind a narrow link: then another one
+may begin beside it, so that the last chunks don't wait for that link.
 """
 
 import contextlib
