--- a/damaskcroft/fleet/_view.py
+++ b/damaskcroft/fleet/_view.py
@@ -184,7 +184,7 @@
         """Takes announcements and crashes, in any order."""
         changed = fleet_pb2.FleetUpdate(
             targets=[state for state in targets if self._take_target(state)],
-            crashes=[crash for crash in crashes if self.crashes.take(crash)],
+            crashes=self.crashes.take_all(crashes),
         )
         is_news = bool(changed.targets or changed.crashes)
         for agent in agents:
--- a/damaskcroft/membership/_ledger.py
+++ b/damaskcroft/membership/_ledger.py
@@ -111,7 +111,7 @@
     def _take_crashes(
         self, crashes: Iterable[quarantine_pb2.TargetCrash]
     ) -> None:
-        if any([self.crashes.take(crash) for crash in crashes]):
+        if self.crashes.take_all(crashes):
             self.note_crashes()
 
     def note_crashes(self) -> None:
--- a/damaskcroft/quarantine/_book.py
+++ b/damaskcroft/quarantine/_book.py
@@ -18,7 +18,7 @@
 import collections
 import dataclasses
 import math
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 from damaskcroft._generated import quarantine_pb2
 from damaskcroft.clock import now_s
@@ -115,16 +115,29 @@
 
     def take(self, told: quarantine_pb2.TargetCrash) -> bool:
         """Merges what is known of one crash; whether anything was new."""
+        return bool(self.take_all([told]))
+
+    def take_all(
+        self, told: Iterable[quarantine_pb2.TargetCrash]
+    ) -> list[quarantine_pb2.TargetCrash]:
+        """Merges what is known of crashes; verdicts are worked out once.
+
+        Returns:
+            Those that told anything new.
+        """
+        news = [crash for crash in told if self._merge(crash)]
+        if news:
+            self._drop_oldest()
+            self._judge()
+        return news
+
+    def _merge(self, told: quarantine_pb2.TargetCrash) -> bool:
         at = now_s() - told.age_ms / _MS_IN_S
         crash = self._crashes_by_start.get(told.start_id)
         if crash is None:
             crash = self._crashes_by_start[told.start_id] = _Crash(at)
         crash.at = min(crash.at, at)
-        if not _merge(crash, told):
-            return False
-        self._drop_oldest()
-        self._judge()
-        return True
+        return _merge(crash, told)
 
     def words(self) -> Iterator[quarantine_pb2.TargetCrash]:
         """All that is known, for whoever may know less."""
--- a/damaskcroft/quarantine/tests/test_book.py
+++ b/damaskcroft/quarantine/tests/test_book.py
@@ -277,3 +277,15 @@
         assert len(ends) == 5
 
     loop.run(scenario())
+
+
+def test_verdicts_are_worked_out_once_for_all_that_is_told(loop, book):
+    async def scenario():
+        changes = []
+        book.listen(lambda: changes.append(book.changes))
+        news = book.take_all([crash(f"t{n}", b"bad") for n in range(3)])
+        assert len(news) == 3
+        assert changes == [1]
+        assert book.take_all(news) == []
+
+    loop.run(scenario())
