--- a/damaskcroft/routing/_line.py
+++ b/damaskcroft/routing/_line.py
@@ -45,6 +45,7 @@
 # What is wanting for one request holds for others of its kind this long, since
 # many are refused in one moment: as often as the line is looked at anyhow.
 _WANTING_HOLDS_S = 0.1
+_RESTING = "resting"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -247,7 +248,7 @@
             return None
         closed_s = self._closed_s(ticket)
         if closed_s and closed_s > ticket.waits_until - now_s():
-            return Overloaded("resting", waiting, closed_s=closed_s)
+            return Overloaded(_RESTING, waiting, closed_s=closed_s)
         if not closed_s and not self._may_come(ticket):
             return Overloaded("no_target", waiting)
         return None
@@ -264,20 +265,25 @@
         self, ticket: LineTicket, waiting: int, foreseen_s: float
     ) -> Overloaded:
         reason = self._what_is_wanting(ticket)
-        return Overloaded(reason, waiting, foreseen_s)
+        closed_s = self._closed_s(ticket) if reason == _RESTING else 0.0
+        return Overloaded(reason, waiting, foreseen_s, closed_s)
 
     def _what_is_wanting(self, ticket: LineTicket) -> str:
-        """Room, or any target that can serve a ticket at all."""
+        """Room, a target that takes requests, or one that can serve at all."""
         now = now_s()
         if now - self._wanting_since >= _WANTING_HOLDS_S:
             self._wanting_by_kind.clear()
             self._wanting_since = now
         kind = (ticket.service, ticket.model)
         if kind not in self._wanting_by_kind:
-            found = self._choose(ticket)
-            self._wanting_by_kind[kind] = "overloaded" if found else "no_target"
+            self._wanting_by_kind[kind] = self._wanting_now(ticket)
         return self._wanting_by_kind[kind]
 
+    def _wanting_now(self, ticket: LineTicket) -> str:
+        if self._choose(ticket) is not None:
+            return "overloaded"
+        return _RESTING if self._closed_s(ticket) else "no_target"
+
     def _foreseen_wait_s(self, ticket: LineTicket) -> float:
         """How long those before a ticket will take, at the present rate."""
         now = now_s()
--- a/damaskcroft/routing/tests/test_line.py
+++ b/damaskcroft/routing/tests/test_line.py
@@ -19,6 +19,7 @@
 WORK_S = 1.0
 GOAL_S = 0.4
 DEADLINE_S = 6.0
+REST_AGAIN_S = 0.2
 FIRST_S = 0.1
 
 
@@ -350,3 +351,23 @@
         assert len(asked) == 2
 
     loop.run(scenario())
+
+
+def test_who_waits_for_targets_that_rest_again_is_told_when_they_are_back(
+    loop,
+):
+    async def scenario():
+        line = Line(
+            lambda _: None, lambda *_: None, closed_s=lambda _: REST_AGAIN_S
+        )
+        waiting = asyncio.create_task(line.turn(ticket(loop.time())))
+        await asyncio.sleep(0.3)
+        (wait,) = line.newly_long()
+        assert wait.reason == "resting"
+        await asyncio.sleep(DEADLINE_S * 0.33)
+        line.serve()
+        outcome = await waiting
+        assert outcome.reason == "resting"
+        assert outcome.closed_s == REST_AGAIN_S
+
+    loop.run(scenario())
