News of crashes alone rebuilds no tables of targets; one guard for nothing lifted

Each entry and control node worked its targets and agents out anew after a word of a crash, which changes neither. An operator's lift of an unknown request woke every watcher with an empty update; the service that answers it tells only what was cleared, so that the guard in the other face goes.

--- a/damaskcroft/control/_quarantine_service.py
+++ b/damaskcroft/control/_quarantine_service.py
@@ -39,7 +39,9 @@
         reply = quarantine_pb2.QuarantineReply()
         for fingerprint in request.lift:
             cleared = self._book.clear(fingerprint)
-            reply.lifted += bool(cleared)
+            if not cleared:
+                continue
+            reply.lifted += 1
             await self._tell(cleared)
         for quarantined in self._book.quarantined():
             reply.requests.add(
--- a/damaskcroft/control/_service.py
+++ b/damaskcroft/control/_service.py
@@ -178,9 +178,9 @@
         self, crashes: Iterable[quarantine_pb2.TargetCrash]
     ) -> None:
         """Tells entries what has become known of crashes here."""
-        if crashes:
-            self._ledger.note_crashes()
-            await self._ledger.notify()
+        del crashes  # The ledger has them, and tells all that it knows.
+        self._ledger.note_crashes()
+        await self._ledger.notify()
 
     async def _send_not_leader(self, stream: "_HolderStream") -> None:
         hint = control_pb2.NotLeader(leader=self._replica.leader_address)
--- a/damaskcroft/fleet/_view.py
+++ b/damaskcroft/fleet/_view.py
@@ -194,7 +194,8 @@
                 is_news = is_news or not _is_renewal(agent, known)
         if not is_news and not changed.agents:
             return
-        self.changes += 1
+        if changed.targets or changed.agents:
+            self.changes += 1
         for listener, on_renewal in self._listeners:
             if is_news:
                 listener(changed)
--- a/damaskcroft/forwarding/_suspects.py
+++ b/damaskcroft/forwarding/_suspects.py
@@ -82,13 +82,11 @@
 
         A caller that comes back before the end would be refused again.
         """
-        ending = given_up(QUARANTINED, progress)
+        ending = given_up(QUARANTINED, progress, quarantined_s)
         if not isinstance(ending, Refused):
             return ending
         detail = f"fingerprint {_fingerprint(job, progress).hex()}"
-        return dataclasses.replace(
-            ending, detail=detail, returns_s=quarantined_s
-        )
+        return dataclasses.replace(ending, detail=detail)
 
     def is_suspect(self, job: Job, progress: Progress) -> bool:
         """Whether targets crashed under a request, and nothing cleared it."""
