Requests that crash targets don't pass for each other's chance

Callers saw: where several such requests come at the same time, each goes on to its fourth or fifth crash, and the fleet is down for as long.

Cause: a third crash in a row is not enough where other targets crash within 30 s without the request (three ask for a fourth, twelve for a fifth). Crashes under a second such request counted as others. Crashes under any request that has three in a row are explained by it now and count as chance for nobody.

Evidence: test_requests_that_crash_targets_by_turns_are_held_at_their_third failed before (none of six held); test_chance_crashes_still_ask_for_more and the plays of innocents hold before and after.

--- a/damaskcroft/quarantine/_book.py
+++ b/damaskcroft/quarantine/_book.py
@@ -28,8 +28,8 @@
 
 # Starts that crash under a request before it is refused.
 _CRASHES = 3
-# Where targets crash without it, chance may have led it to three: by how many
-# others there were, so many more are needed.
+# Where targets crash for no known reason, chance may have led it to three: by
+# how many such crashes there were, so many more are needed.
 _MORE_BY_OTHERS = ((12, 2), (3, 1), (0, 0))
 # Others count that crashed so long before one of its own, or less.
 _OTHERS_WITHIN_S = 30.0
@@ -177,11 +177,8 @@
 
     def chain(self, fingerprint: bytes) -> int:
         """How many crashes in a row are known of a request; 0 for none."""
-        starts = self._starts_by_suspect.get(fingerprint, ())
-        return max(
-            (self._crashes_by_start[s].suspects[fingerprint] for s in starts),
-            default=0,
-        )
+        starts = self._starts_by_suspect.get(fingerprint, [])
+        return self._longest_chain(fingerprint, starts)
 
     def quarantined_s(self, fingerprint: bytes) -> float:
         """For how long a request is refused from now on; 0 if it isn't."""
@@ -224,13 +221,13 @@
         guilty: set[bytes] = set()
         unexplained = dict(open_by_start)
         while True:
+            starts_by_suspect = _starts_by_suspect(unexplained)
+            by_chance = unexplained.keys() - self._of_repeaters(
+                starts_by_suspect
+            )
             since = {
-                fingerprint: self._guilty_since(
-                    fingerprint, starts, unexplained
-                )
-                for fingerprint, starts in _starts_by_suspect(
-                    unexplained
-                ).items()
+                fingerprint: self._guilty_since(fingerprint, starts, by_chance)
+                for fingerprint, starts in starts_by_suspect.items()
             }
             first = min(since.values(), default=math.inf)
             if math.isinf(first):
@@ -243,18 +240,37 @@
                 if found.isdisjoint(suspects)
             }
 
+    def _of_repeaters(
+        self, starts_by_suspect: dict[bytes, list[str]]
+    ) -> set[str]:
+        """Starts under each request that has crashed enough in a row.
+
+        Several requests that crash targets must not pass for each other's
+        chance.
+        """
+        return {
+            start
+            for fingerprint, starts in starts_by_suspect.items()
+            if len(starts) >= _CRASHES
+            and self._longest_chain(fingerprint, starts) >= _CRASHES
+            for start in starts
+        }
+
+    def _longest_chain(self, fingerprint: bytes, starts: list[str]) -> int:
+        return max(
+            (self._crashes_by_start[s].suspects[fingerprint] for s in starts),
+            default=0,
+        )
+
     def _guilty_since(
-        self,
-        fingerprint: bytes,
-        starts: list[str],
-        unexplained: dict[str, list[bytes]],
+        self, fingerprint: bytes, starts: list[str], by_chance: set[str]
     ) -> float:
         """When chance no longer explained the crashes; infinite while it may.
 
         Args:
             fingerprint: the request.
             starts: what crashed under the request.
-            unexplained: all that crashed for no reason known yet.
+            by_chance: all that crashed for no reason known yet.
         """
         if len(starts) < _CRASHES:
             return math.inf
@@ -265,7 +281,7 @@
         times = [crash.at for crash in crashes]
         others = [
             self._crashes_by_start[start].at
-            for start in unexplained
+            for start in by_chance
             if start not in starts
         ]
         longest = 0
--- a/damaskcroft/quarantine/tests/test_book.py
+++ b/damaskcroft/quarantine/tests/test_book.py
@@ -289,3 +289,32 @@
         assert book.take_all(news) == []
 
     loop.run(scenario())
+
+
+def test_requests_that_crash_targets_by_turns_are_held_at_their_third(
+    loop, book
+):
+    async def scenario():
+        bad = [b"bad %d" % n for n in range(6)]
+        for chain in (1, 2, 3):
+            for n, name in enumerate(bad):
+                book.take(crash(f"t{n}-{chain}", name, b"beside", chain=chain))
+                book.clear(b"beside")
+                await asyncio.sleep(0.2)
+        assert names(book) == set(bad)
+
+    loop.run(scenario())
+
+
+def test_chance_crashes_still_ask_for_more(loop, book):
+    """A third crash in a row says little where many targets crash."""
+
+    async def scenario():
+        for n in range(12):
+            book.take(crash(f"other{n}", b"o%d" % n, chain=1))
+            if n in (3, 7, 11):
+                book.take(crash(f"t{n}", b"unlucky", chain=n // 4 + 1))
+            await asyncio.sleep(0.2)
+        assert names(book) == set()
+
+    loop.run(scenario())
