An answered failure clears no suspect

Callers saw (own stand-ins, three of ten targets answering 500): a request that crashes its targets got to its fifth crash, since a failing target's whole answer took back all that was known of it, over the whole fleet.

Cause: any whole answer counted as proof that the request crashes nothing. A target may fail before it runs what crashes. Both interfaces had it.

Evidence: test_a_failure_that_is_answered_clears_no_suspect and ..._no_call failed before.

--- a/damaskcroft/entry/_suspects.py
+++ b/damaskcroft/entry/_suspects.py
@@ -1,6 +1,7 @@
 """What an entry does about calls that may crash their targets."""
 
 import contextlib
+import http
 
 from damaskcroft._generated import agent_pb2, quarantine_pb2
 from damaskcroft.entry._calls import Call
@@ -38,13 +39,15 @@
         call: the call.
     """
 
-    __slots__ = ("_chain", "_fingerprint", "_suspects", "call")
+    __slots__ = ("_chain", "_fingerprint", "_status", "_suspects", "call")
 
     def __init__(self, suspects: Suspects, call: Call):
         """See the class."""
         self._suspects = suspects
         self.call = call
         self._chain = 0
+        # Of the answer that has begun.
+        self._status = 0
         self._fingerprint: bytes | None = None
 
     @property
@@ -96,8 +99,12 @@
         match event.WhichOneof("kind"):
             case "failed":
                 self._note_failed(event.failed)
-            case "whole" | "end":
-                self._note_answered()
+            case "head":
+                self._status = event.head.status
+            case "whole":
+                self._note_answered(event.whole.head.status)
+            case "end":
+                self._note_answered(self._status)
 
     def _note_failed(self, failed: agent_pb2.RunFailed) -> None:
         if failed.reason != agent_pb2.FAILED_TARGET_CRASHED:
@@ -119,8 +126,9 @@
         )
         self._suspects.client.report_soon()
 
-    def _note_answered(self) -> None:
-        if not self._suspects.book.has_suspects:
+    def _note_answered(self, status: int) -> None:
+        is_failure = status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
+        if is_failure or not self._suspects.book.has_suspects:
             return
         if not self._suspects.book.clear(self.fingerprint):
             return
--- a/damaskcroft/entry/tests/fakes.py
+++ b/damaskcroft/entry/tests/fakes.py
@@ -71,7 +71,10 @@
         if self.mode in ("breaks", "crashes"):
             yield CallFailed()
             return
-        yield CallStarted(200, "text/plain", self._body(call), call.request_id)
+        status = 500 if self.mode == "fails" else 200
+        yield CallStarted(
+            status, "text/plain", self._body(call), call.request_id
+        )
 
     async def is_gone(self):
         return self.mode == "crashes"
--- a/damaskcroft/entry/tests/test_crashing_calls.py
+++ b/damaskcroft/entry/tests/test_crashing_calls.py
@@ -58,6 +58,19 @@
     loop.run(scenario())
 
 
+def test_a_failure_that_is_answered_clears_no_call(loop, world):
+    async def scenario():
+        first, *others = world.engines.values()
+        first.mode = "crashes"
+        for engine in others:
+            engine.mode = "fails"
+        for _ in range(8):
+            await world.ask(0, "", body_key="b")
+        assert world.entries[0].client.roster.crashes.has_suspects
+
+    loop.run(scenario())
+
+
 def test_connections_that_break_at_living_targets_are_no_crash(loop, world):
     for engine in world.engines.values():
         engine.mode = "breaks"
--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -335,11 +335,11 @@
                 self._outliers.failed(target.id)
             case _:
                 self._outliers.succeeded(target.id)
-                if isinstance(outcome, Gave):
-                    self._suspects.answered(job, progress)
                 if isinstance(outcome, Gave) and outcome.is_failure:
                     reason = f"status_{outcome.status}"
                     self._log.failed(job, progress, target, reason)
+                elif isinstance(outcome, Gave):
+                    self._suspects.answered(job, progress)
                 return outcome
         self._log.failed(job, progress, target, reason)
         metrics.RETRIES.labels(reason.partition(":")[0]).inc()
--- a/damaskcroft/forwarding/_suspects.py
+++ b/damaskcroft/forwarding/_suspects.py
@@ -136,7 +136,11 @@
             await asyncio.wait([looked], timeout=_VERDICT_WITHIN_S)
 
     def answered(self, job: Job, progress: Progress) -> None:
-        """A target gave its whole answer, so the request crashes none."""
+        """A target gave its whole answer, so the request crashes none.
+
+        Not to be told of failures: the target may have failed before it ran
+        the part that crashes.
+        """
         if not self.is_suspect(job, progress):
             return
         fingerprint = _fingerprint(job, progress)
--- a/damaskcroft/forwarding/tests/test_quarantined.py
+++ b/damaskcroft/forwarding/tests/test_quarantined.py
@@ -123,6 +123,17 @@
     asyncio.run(scenario())
 
 
+def test_a_failure_that_is_answered_clears_no_suspect():
+    async def scenario():
+        target = FakeTarget("a", "fails")
+        async with entry_before(target, config=ONCE) as entry:
+            suspect = note_crashes(entry, 2)
+            assert (await entry.ask())[0] == 500
+            assert entry.view.crashes.is_suspect(suspect)
+
+    asyncio.run(scenario())
+
+
 def test_what_waits_for_a_slot_is_refused_when_its_turn_comes():
     async def scenario():
         target = FakeTarget("a", "whole")
