An answer of one service clears no crash of another's targets

A route may give shares of its requests to two services. A request that crashes the targets of one and runs to its end at the other was cleared by each answer of the other, over the whole fleet, and never held.

Cause: what a whole answer proves was taken for more than it is: it speaks of the service that gave it. Crashes tell their service now; an operator's lift takes everything back as before.

Evidence: test_an_answer_of_another_service_clears_no_suspect failed before. On the own interface the pool is part of what makes two calls the same, so it has no such case.

--- a/damaskcroft/forwarding/_suspects.py
+++ b/damaskcroft/forwarding/_suspects.py
@@ -127,6 +127,7 @@
         looked = self._watch.lost(
             Loss(
                 target,
+                job.service,
                 _fingerprint(job, progress),
                 job.call.request_id,
                 progress.chain,
@@ -150,7 +151,7 @@
             request=job.call.request_id,
             fingerprint=fingerprint.hex(),
         )
-        self._tell(self._book.clear(fingerprint))
+        self._tell(self._book.clear(fingerprint, job.service))
 
 
 def _fingerprint(job: Job, progress: Progress) -> bytes:
--- a/damaskcroft/forwarding/tests/test_quarantined.py
+++ b/damaskcroft/forwarding/tests/test_quarantined.py
@@ -40,9 +40,11 @@
     return asked
 
 
-def crash(start, asked, chain=1):
+def crash(start, asked, chain=1, service="s"):
     suspect = quarantine_pb2.Suspect(fingerprint=asked, chain=chain)
-    return quarantine_pb2.TargetCrash(start_id=start, suspects=[suspect])
+    return quarantine_pb2.TargetCrash(
+        start_id=start, suspects=[suspect], service=service
+    )
 
 
 async def until(check):
@@ -134,6 +136,21 @@
     asyncio.run(scenario())
 
 
+def test_an_answer_of_another_service_clears_no_suspect():
+    """A route's shares go to two services; the other one's targets crash."""
+
+    async def scenario():
+        target = FakeTarget("a", "whole")
+        async with entry_before(target, config=SAFE) as entry:
+            suspect = note_crashes(entry, 0)
+            words = [crash(f"x{n}", suspect, n + 1, "t") for n in range(2)]
+            entry.view.take([], crashes=words)
+            assert (await entry.ask())[0] == 200
+            assert entry.view.crashes.is_suspect(suspect)
+
+    asyncio.run(scenario())
+
+
 def test_what_waits_for_a_slot_is_refused_when_its_turn_comes():
     async def scenario():
         target = FakeTarget("a", "whole")
--- a/damaskcroft/quarantine/_book.py
+++ b/damaskcroft/quarantine/_book.py
@@ -74,12 +74,14 @@
         suspects: by the fingerprint of each request that ran there, its chain:
             how many crashes followed one another up to this one.
         cleared: those of them that it no longer speaks against.
+        service: which the target ran for; empty if unknown.
     """
 
-    __slots__ = ("at", "cleared", "suspects")
+    __slots__ = ("at", "cleared", "service", "suspects")
 
     def __init__(self, at: float):
         self.at = at
+        self.service = ""
         self.suspects: dict[bytes, int] = {}
         self.cleared: set[bytes] = set()
 
@@ -137,6 +139,7 @@
         if crash is None:
             crash = self._crashes_by_start[told.start_id] = _Crash(at)
         crash.at = min(crash.at, at)
+        crash.service = crash.service or told.service
         return _merge(crash, told)
 
     def words(self) -> Iterator[quarantine_pb2.TargetCrash]:
@@ -151,13 +154,26 @@
         known = (start for start in starts if start in self._crashes_by_start)
         return (self._word(start) for start in known)
 
-    def clear(self, fingerprint: bytes) -> list[quarantine_pb2.TargetCrash]:
-        """Takes all that is known back from a request.
+    def clear(
+        self, fingerprint: bytes, service: str = ""
+    ) -> list[quarantine_pb2.TargetCrash]:
+        """Takes what is known back from a request.
+
+        Args:
+            fingerprint: which.
+            service: where it has run to its end, which says nothing of
+                another one that a share of a route goes to; empty to take
+                everything back.
 
         Returns:
             What others have to be told.
         """
-        starts = list(self._starts_by_suspect.get(fingerprint, ()))
+        starts = [
+            start
+            for start in self._starts_by_suspect.get(fingerprint, ())
+            if self._crashes_by_start[start].service in ("", service)
+            or not service
+        ]
         for start in starts:
             self._crashes_by_start[start].cleared.add(fingerprint)
         if starts:
@@ -368,6 +384,7 @@
             ],
             cleared=crash.cleared,
             age_ms=int((now_s() - crash.at) * _MS_IN_S),
+            service=crash.service,
         )
 
 
--- a/damaskcroft/quarantine/_evidence.py
+++ b/damaskcroft/quarantine/_evidence.py
@@ -48,6 +48,7 @@
 
     Attributes:
         target: the start of a target that it was sent to.
+        service: which the target runs for.
         fingerprint: of the request.
         request_id: its id, for the log.
         chain: how many crashes in a row this one would make; see `Suspect` in
@@ -55,6 +56,7 @@
     """
 
     target: _StartT
+    service: str
     fingerprint: bytes
     request_id: str
     chain: int = 1
@@ -65,16 +67,25 @@
 
     Attributes:
         target: which.
+        service: which it runs for.
         since: loop time of the first loss since it was last looked at.
         suspects: chains of the requests that were lost there, by fingerprint.
         is_crash: whether it is known to have crashed.
         looked: done once its address has been looked at.
     """
 
-    __slots__ = ("is_crash", "looked", "since", "suspects", "target")
+    __slots__ = (
+        "is_crash",
+        "looked",
+        "service",
+        "since",
+        "suspects",
+        "target",
+    )
 
-    def __init__(self, target: _StartT):
+    def __init__(self, target: _StartT, service: str):
         self.target = target
+        self.service = service
         self.since = now_s()
         self.suspects: dict[bytes, int] = {}
         self.is_crash = False
@@ -115,7 +126,8 @@
             return None
         pending = self._pending_by_start.get(target.id)
         if pending is None:
-            pending = self._pending_by_start[target.id] = _Pending(target)
+            pending = _Pending(target, loss.service)
+            self._pending_by_start[target.id] = pending
         log_event(
             "request_lost_with_connection",
             request=loss.request_id,
@@ -167,6 +179,7 @@
                     for fingerprint, chain in sorted(pending.suspects.items())
                 ],
                 age_ms=int((now_s() - pending.since) * _MS_IN_S),
+                service=pending.service,
             )
         )
 
--- a/damaskcroft/quarantine/tests/test_evidence.py
+++ b/damaskcroft/quarantine/tests/test_evidence.py
@@ -24,7 +24,7 @@
 
     async def lost(self, address, name=b"a", start="t@1"):
         target = Candidate(start, address, "d", "r", 4)
-        looked = self.watch.lost(Loss(target, name, "r-1"))
+        looked = self.watch.lost(Loss(target, "s", name, "r-1"))
         if looked is not None:
             await looked
 
