--- a/damaskcroft/hosted/tests/soak/_book.py
+++ b/damaskcroft/hosted/tests/soak/_book.py
@@ -7,6 +7,7 @@
 import re
 import time
 
+from damaskcroft.hosted.tests.soak._limits import NamedLimits
 from damaskcroft.hosted.tests.soak._target import EVENTS
 
 _NOT_RUN = (408, 421, 429, 503)
@@ -95,6 +96,7 @@
         self.rests = []
         # When each start of a target first said to each entry that it leaves.
         self.leaving_since = {}
+        self.limits = NamedLimits(CONTACT_S)
         # By what crashes targets: when, one time for each start.
         self.crashes = collections.defaultdict(list)
         # By whom (an entry, a target, control, or all): spans of disturbance.
@@ -125,6 +127,11 @@
         entry = self.asked_by_id[request_id].entry
         self.leaving_since.setdefault((entry, start), time.monotonic())
 
+    def limit_told(self, request_id, start, limit):
+        """Called by a target with what its answer names as its limit."""
+        entry = self.asked_by_id[request_id].entry
+        self.limits.told(start, entry, limit, time.monotonic())
+
     @contextlib.contextmanager
     def disturbed(self, who):
         """Notes that a machine, or its links, are disturbed meanwhile."""
@@ -174,6 +181,15 @@
             and not self._is_disturbed(arrival)
         ]
 
+    def overruns(self):
+        """Windows in which a target got more than it had named."""
+        counted = [
+            (arrival.at, self._of(arrival).entry, arrival.start)
+            for arrival in self.arrivals
+            if not self._is_disturbed(arrival)
+        ]
+        return list(self.limits.overruns(counted))
+
     def check_bounds(self):
         """Breaks what arrived too often; to be called at the end."""
         for crashes_as in list(self.crashes):
@@ -189,6 +205,9 @@
             if found:
                 self._break(f"{start} was leaving and got {len(found)}")
 
+        for overrun in self.overruns():
+            self._break(str(overrun))
+
     def _of(self, arrival):
         return self.asked_by_id.get(arrival.request_id) or Asked("safe")
 
--- a/damaskcroft/hosted/tests/soak/_target.py
+++ b/damaskcroft/hosted/tests/soak/_target.py
@@ -46,6 +46,9 @@
         self.rest_s = None
         # Whether its answers say that it leaves.
         self.says_leaving = False
+        # What its answers name as its limit in requests a second; None for
+        # nothing.
+        self.limit = None
 
     @property
     def id(self):
@@ -68,7 +71,7 @@
         await self.proxy.start(TARGET_IP)
         self.boot += 1
         self._state, self._sequence = "ready", 0
-        self.rest_s, self.says_leaving = None, False
+        self.rest_s, self.says_leaving, self.limit = None, False, None
         self._born_ms = time.time_ns() // 1_000_000
         self._announcing = asyncio.create_task(self._announce_forever())
         self._is_up = True
@@ -154,6 +157,7 @@
         asked = await reader.readexactly(int(head.get("content-length", 0)))
         request_id = head["request-id"]
         self.book.arrived(request_id, self.name, self._start_id)
+        limit_line = self._limit_line(request_id)
         if head.get("expect-instance") != self.id:
             writer.write(
                 b"HTTP/1.1 421 No\r\nNot-Executed: 1\r\n"
@@ -164,7 +168,8 @@
             self.book.asked_for_rest(request_id, self._start_id, self.rest_s)
             writer.write(
                 b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n"
-                b"Retry-After: %g\r\nContent-Length: 0\r\n\r\n" % self.rest_s
+                b"%sRetry-After: %g\r\nContent-Length: 0\r\n\r\n"
+                % (limit_line, self.rest_s)
             )
             return True
         self.book.ran(request_id, self._start_id)
@@ -172,7 +177,7 @@
             await self._crash_under(request_id)
             return False
         if "/stream/" in lines[0]:
-            return await self._stream(head, request_id, writer)
+            return await self._stream(head, request_id, writer, limit_line)
         await asyncio.sleep(_WORK_S)
         body = self.book.body(request_id)
         writer.write(
@@ -180,7 +185,7 @@
             b"%sContent-Length: %d\r\n\r\n%s"
             % (
                 request_id.encode(),
-                self._leaving_line(request_id),
+                self._leaving_line(request_id) + limit_line,
                 len(body),
                 body,
             )
@@ -188,19 +193,28 @@
         await writer.drain()
         return True
 
+    def _limit_line(self, request_id):
+        self.book.limit_told(request_id, self._start_id, self.limit)
+        if self.limit is None:
+            return b""
+        return b"Server-Limit: %s\r\n" % str(self.limit).encode("latin-1")
+
     def _leaving_line(self, request_id):
         if not self.says_leaving:
             return b""
         self.book.said_leaving(request_id, self._start_id)
         return b"Server-Leaving: 1\r\n"
 
-    async def _stream(self, head, request_id, writer):
+    async def _stream(self, head, request_id, writer, limit_line):
         first = int(head.get("last-event-id", 0)) + 1
         writer.write(
             b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: s\r\n"
             b"Content-Type: text/event-stream\r\n%s"
             b"Transfer-Encoding: chunked\r\n\r\n"
-            % (request_id.encode(), self._leaving_line(request_id))
+            % (
+                request_id.encode(),
+                self._leaving_line(request_id) + limit_line,
+            )
         )
         for number in range(first, EVENTS + 1):
             event = b"id: %d\ndata: %s\n\n" % (number, request_id.encode())
--- /dev/null
+++ b/damaskcroft/hosted/tests/test_rate_limits.py
@@ -0,0 +1,46 @@
+"""Targets that name how many requests a second they take from all entries."""
+
+import asyncio
+import collections
+
+import pytest
+
+from damaskcroft.hosted.tests.soak._book import CONTACT_S
+from damaskcroft.hosted.tests.soak._limits import WINDOW_S
+
+_LASTS_S = CONTACT_S + 3 * WINDOW_S
+# While the others have room, callers shall hardly notice.
+_MAX_LOST_SHARE = 0.02
+
+
+def arrivals_since(fleet, target, at):
+    return sum(
+        arrival.target == target.name and arrival.at >= at
+        for arrival in fleet.book.arrivals
+    )
+
+
+def report(fleet, others):
+    arrivals = collections.Counter(a.target for a in fleet.book.arrivals)
+    print(f"arrivals {dict(arrivals)}, overruns {fleet.book.overruns()}")
+    print(f"others {collections.Counter(o.status for o in others)}")
+
+
+@pytest.mark.parametrize("limits", [(1, 2.5, 0.5), (0,), (2,) * 10])
+def test_targets_get_what_they_named_from_all_entries_together(
+    with_fleet, limits
+):
+    async def scenario(fleet):
+        limited = fleet.targets[: len(limits)]
+        async with fleet.others_call() as others:
+            for target, limit in zip(limited, limits, strict=True):
+                target.limit = limit
+            await asyncio.sleep(_LASTS_S)
+        report(fleet, others)
+        assert fleet.book.overruns() == []
+        if len(limits) == len(fleet.targets):
+            return
+        lost = [o for o in others if o.status != 200]
+        assert len(lost) <= _MAX_LOST_SHARE * len(others)
+
+    with_fleet(scenario)
