Entries keep together to the rate that a target names

Callers noticed nothing; targets in need got more than they take (record: 29 and 23 requests in 4 s where 15 and 11 are allowed).

Cause: no part of the code read the limit that a target names in its answers for all senders together, and no entry knows what the others send. The class of fault: back pressure that is meant for a fleet and kept, if at all, by each sender for itself.

Now: an answer's limit is a word of soft state (limits/_book.py) that entries tell control and control tells all, ordered by a logical clock. A limit is split among few entries, the same ones wherever it is worked out (rendezvous hashing); the others send elsewhere. A limited target without a token is no candidate for first tries, second attempts and resumed streams alike, and it is looked at again before the first byte. Callers wait for a token only if it comes in time, else they are refused at once with when to come back. After a limit's end a target gets twice as much each half second.

--- a/damaskcroft/_generated/fleet_grpc.py
+++ b/damaskcroft/_generated/fleet_grpc.py
@@ -9,6 +9,7 @@
 if typing.TYPE_CHECKING:
     import grpclib.server
 
+import damaskcroft._generated.limits_pb2
 import damaskcroft._generated.quarantine_pb2
 import damaskcroft._generated.fleet_pb2
 
--- a/damaskcroft/control/_fleet_service.py
+++ b/damaskcroft/control/_fleet_service.py
@@ -1,6 +1,7 @@
 """The gRPC face of a fleet's control node: watchers and other nodes."""
 
 import asyncio
+import collections
 import contextlib
 import math
 from collections.abc import Iterable, Iterator
@@ -18,7 +19,6 @@
     mark_interruptible,
 )
 from damaskcroft.observe import log_event
-from damaskcroft.quarantine import CrashBook
 
 __all__ = ["FleetService"]
 
@@ -45,9 +45,11 @@
     __slots__ = (
         "agents_by_address",
         "crashed_starts",
+        "entries_told",
         "hurry",
         "is_agent",
         "is_entry",
+        "limited_starts",
         "targets_by_key",
         "wake",
     )
@@ -62,6 +64,9 @@
         # Each report tells the requests of one entry; what is sent is what
         # this node has merged of them.
         self.crashed_starts: set[str] = set()
+        self.limited_starts: set[str] = set()
+        # The entries that it was told last; None before.
+        self.entries_told: list[str] | None = None
         self.wake = asyncio.Event()
         # Set beside `wake` by news that can't wait.
         self.hurry = asyncio.Event()
@@ -73,21 +78,34 @@
             self.agents_by_address[agent.address] = agent
         if not self.is_agent:
             self.crashed_starts.update(c.start_id for c in update.crashes)
+            self.limited_starts.update(w.start_id for w in update.limits)
         if _takes_out(update):
             self.hurry.set()
         self.wake.set()
 
-    def take(self, update: fleet_pb2.FleetUpdate, crashes: CrashBook) -> None:
+    def take(self, update: fleet_pb2.FleetUpdate, view: FleetView) -> None:
         """Moves all that is new into an update."""
         update.targets.extend(self.targets_by_key.values())
         update.agents.extend(self.agents_by_address.values())
-        update.crashes.extend(crashes.words_of(self.crashed_starts))
+        update.crashes.extend(view.crashes.words_of(self.crashed_starts))
+        update.limits.extend(view.limits.words_of(self.limited_starts))
         self.crashed_starts.clear()
+        self.limited_starts.clear()
         self.targets_by_key.clear()
         self.agents_by_address.clear()
         self.wake.clear()
         self.hurry.clear()
 
+    def take_entries(
+        self, update: fleet_pb2.FleetUpdate, names: list[str]
+    ) -> None:
+        """Puts the names of all entries into an update after a change."""
+        if self.is_agent or names == self.entries_told:
+            return
+        self.entries_told = names
+        update.entry_names.names.extend(names)
+        update.entry_names.SetInParent()
+
 
 def _takes_out(update: fleet_pb2.FleetUpdate) -> bool:
     """Whether a target is to get no more requests."""
@@ -138,8 +156,10 @@
         self._watchers: set[_Watcher] = set()
         # By whether routes are left out.
         self._reply_by_kind: dict[bool, fleet_pb2.ConfigurationReply] = {}
-        # Watchers that are entries.
+        # Watchers that are entries; one that starts again may be there twice.
         self._entries = 0
+        self._streams_by_entry: collections.Counter[str] = collections.Counter()
+        self._entry_names: list[str] = []
         # The newest words that change nothing, until they go out together.
         self._renewals_by_address: dict[str, fleet_pb2.AgentState] = {}
         self._started_at = now_s()
@@ -159,17 +179,31 @@
         is_agent = request.HasField("agent")
         watcher = _Watcher(is_entry=request.is_entry, is_agent=is_agent)
         self._watchers.add(watcher)
-        self._entries += watcher.is_entry
+        self._count_entry(watcher, request.name, 1)
         log_event("watcher_joined", name=request.name)
         try:
             agents = [request.agent] if is_agent else []
-            self._view.take([], agents, request.crashes)
+            self._view.take([], agents, request.crashes, request.limits)
             await self._push(stream, watcher)
         finally:
             self._watchers.discard(watcher)
-            self._entries -= watcher.is_entry
+            self._count_entry(watcher, request.name, -1)
             log_event("watcher_left", name=request.name)
 
+    def _count_entry(self, watcher: _Watcher, name: str, change: int) -> None:
+        """Counts the stream of an entry, and tells watchers who is there."""
+        if not watcher.is_entry:
+            return
+        self._entries += change
+        self._streams_by_entry[name] += change
+        names = sorted(+self._streams_by_entry)
+        if names == self._entry_names:
+            return
+        self._entry_names = names
+        for each in self._watchers:
+            if not each.is_agent:
+                each.wake.set()
+
     async def _push(self, stream: Any, watcher: _Watcher) -> None:
         watcher.add(self._everything())
         told = _ToldGoals()
@@ -180,7 +214,8 @@
                 control_addresses=self._replica.member_addresses(),
                 entries=self._entries,
             )
-            watcher.take(update, self._view.crashes)
+            watcher.take(update, self._view)
+            watcher.take_entries(update, self._entry_names)
             update.goals.extend(g for g in self._goals() if told.take(g))
             for served in self._state.served():
                 if served.model not in told_served:
@@ -225,6 +260,7 @@
             targets=[*self._view.book.words(), *ended],
             agents=self._view.agents_by_address.values(),
             crashes=self._view.crashes.words(),
+            limits=self._view.limits.words(),
         )
 
     def _gather_renewals(self, update: fleet_pb2.FleetUpdate) -> None:
@@ -277,7 +313,9 @@
     async def Relay(self, stream: Any) -> None:  # noqa: N802
         """Takes what another control node or an entry got to know."""
         request = await stream.recv_message()
-        self._view.take(request.targets, request.agents, request.crashes)
+        self._view.take(
+            request.targets, request.agents, request.crashes, request.limits
+        )
         await stream.send_message(fleet_pb2.RelayReply())
 
     async def Forward(self, stream: Any) -> None:  # noqa: N802
--- a/damaskcroft/control/tests/test_fleet_service.py
+++ b/damaskcroft/control/tests/test_fleet_service.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from damaskcroft._generated import fleet_pb2, quarantine_pb2
+from damaskcroft._generated import fleet_pb2, limits_pb2, quarantine_pb2
 from damaskcroft.consensus import Committed
 from damaskcroft.control import FleetControl, FleetService, FleetState
 from damaskcroft.fleet import FleetView
@@ -15,11 +15,12 @@
 class Stream:
     """One watcher's stream, which hands each update to a view."""
 
-    def __init__(self, view):
+    def __init__(self, view, name="e"):
         self.view = view
+        self.name = name
 
     async def recv_message(self):
-        return fleet_pb2.WatchRequest(name="e", is_entry=True)
+        return fleet_pb2.WatchRequest(name=self.name, is_entry=True)
 
     async def send_message(self, update):
         self.view.apply_update(update)
@@ -416,3 +417,36 @@
         assert [n for n in names if not view.crashes.is_suspect(n)] == []
 
     play(scenario)
+
+
+def test_entries_hear_of_each_other_and_of_who_left(play):
+    async def scenario(node):
+        view = FleetView()
+        watching = node.watch(Stream(view, "a"))
+        other = node.watch(Stream(FleetView(), "b"))
+        await asyncio.sleep(0.2)
+        assert view.entry_names.names() == {"a", "b"}
+        other.cancel()
+        await asyncio.sleep(5)
+        assert view.entry_names.names() == {"a"}
+        watching.cancel()
+
+    play(scenario)
+
+
+def test_a_limit_that_one_entry_heard_of_reaches_the_others(play):
+    async def scenario(node):
+        view, later = FleetView(), FleetView()
+        watching = node.watch(Stream(view, "a"))
+        await asyncio.sleep(0.01)
+        word = limits_pb2.NamedLimit(start_id="t@1", rate_s=2, revision=1)
+        node.view.take([], limits=[word])
+        await asyncio.sleep(0.1)
+        assert view.limits.rate_s("t@1") == 2
+        joining = node.watch(Stream(later, "b"))
+        await asyncio.sleep(0.1)
+        assert later.limits.rate_s("t@1") == 2
+        watching.cancel()
+        joining.cancel()
+
+    play(scenario)
--- a/damaskcroft/fleet/__init__.py
+++ b/damaskcroft/fleet/__init__.py
@@ -1,7 +1,6 @@
 """A fleet whose targets announce themselves and whose routes are configured."""
 
 from damaskcroft.fleet._announcements import Unusable, checked, note_unusable
-from damaskcroft.fleet._crash_reporter import CrashReporter
 from damaskcroft.fleet._held import (
     agents_by_target_address,
     held_by,
@@ -10,6 +9,7 @@
     whole_versions,
 )
 from damaskcroft.fleet._relaying import relay
+from damaskcroft.fleet._reporter import Reporter
 from damaskcroft.fleet._routes import RouteTable, mark_interruptible
 from damaskcroft.fleet._settings import Bounds, NodeSettings
 from damaskcroft.fleet._targets import TargetBook, start_id
@@ -26,9 +26,9 @@
     "RENEWALS_GATHERED_S",
     "UPDATE_EVERY_S",
     "Bounds",
-    "CrashReporter",
     "FleetView",
     "NodeSettings",
+    "Reporter",
     "RouteTable",
     "TargetBook",
     "Unusable",
--- a/damaskcroft/fleet/_view.py
+++ b/damaskcroft/fleet/_view.py
@@ -3,10 +3,12 @@
 import math
 from collections.abc import Callable, Iterable
 
-from damaskcroft._generated import fleet_pb2, quarantine_pb2
+from damaskcroft._generated import fleet_pb2, limits_pb2, quarantine_pb2
 from damaskcroft.clock import now_s
+from damaskcroft.fleet._entry_names import EntryNames
 from damaskcroft.fleet._routes import RouteTable
 from damaskcroft.fleet._targets import TargetBook
+from damaskcroft.limits import LimitBook
 from damaskcroft.observe import log_event
 from damaskcroft.quarantine import CrashBook
 from damaskcroft.tasks import Signal
@@ -57,6 +59,8 @@
         agents_by_address: where agents give pieces of weights.
         control_addresses: members of control, as last told.
         crashes: targets that crashed, and under which requests.
+        limits: targets that named how many requests a second they take.
+        entry_names: all entries of the fleet.
         wishes: given when what should serve changes: the configuration, a
             goal, its time of acceptance, a record of service.
     """
@@ -68,6 +72,8 @@
     ) -> None:
         """Creates a view that knows nothing."""
         self.crashes = crashes if crashes is not None else CrashBook()
+        self.limits = LimitBook()
+        self.entry_names = EntryNames()
         self.wishes = Signal()
         self._logs_target = logs_target
         self.configuration: fleet_pb2.Configuration | None = None
@@ -191,14 +197,25 @@
         """
         self._listeners.append((listener, on_renewal or listener))
 
-    def apply_update(self, update: fleet_pb2.FleetUpdate) -> None:
-        """Takes goals, targets and agents from a control node's update."""
+    def apply_update(
+        self, update: fleet_pb2.FleetUpdate, teller: str = ""
+    ) -> None:
+        """Takes goals, targets and agents from a control node's update.
+
+        Args:
+            update: what it tells.
+            teller: address of the control node.
+        """
         self._heard_at = now_s()
+        if update.HasField("entry_names"):
+            self.entry_names.told(teller, update.entry_names.names)
+        else:
+            self.entry_names.heard(teller)
         for goal in update.goals:
             self._take_goal(goal)
         for served in update.served:
             self._take_served(served)
-        self.take(update.targets, update.agents, update.crashes)
+        self.take(update.targets, update.agents, update.crashes, update.limits)
         if update.control_addresses:
             self.control_addresses = tuple(update.control_addresses)
         if update.entries:
@@ -209,13 +226,15 @@
         targets: Iterable[fleet_pb2.TargetState],
         agents: Iterable[fleet_pb2.AgentState] = (),
         crashes: Iterable[quarantine_pb2.TargetCrash] = (),
+        limits: Iterable[limits_pb2.NamedLimit] = (),
     ) -> None:
-        """Takes announcements and crashes, in any order."""
+        """Takes announcements, crashes and limits, in any order."""
         changed = fleet_pb2.FleetUpdate(
             targets=[state for state in targets if self._take_target(state)],
             crashes=self.crashes.take_all(crashes),
+            limits=self.limits.take_all(limits),
         )
-        is_news = bool(changed.targets or changed.crashes)
+        is_news = bool(changed.targets or changed.crashes or changed.limits)
         for agent in agents:
             known = self.agents_by_address.get(agent.address)
             if self._take_agent(agent):
--- a/damaskcroft/fleet/_watch.py
+++ b/damaskcroft/fleet/_watch.py
@@ -102,13 +102,16 @@
                     update = await stream.recv_message()
                 if update is None:
                     return
-                await self._take(update, stub)
+                await self._take(address, update, stub)
                 yield
 
     async def _take(
-        self, update: fleet_pb2.FleetUpdate, stub: fleet_grpc.FleetStub
+        self,
+        address: str,
+        update: fleet_pb2.FleetUpdate,
+        stub: fleet_grpc.FleetStub,
     ) -> None:
-        self._view.apply_update(update)
+        self._view.apply_update(update, address)
         self._follow(update.control_addresses)
         if self._without_configuration:
             return
--- /dev/null
+++ b/damaskcroft/fleet/tests/test_entry_names.py
@@ -0,0 +1,58 @@
+"""Which entries there are, from control nodes that see some of them."""
+
+import asyncio
+
+import pytest
+
+from damaskcroft.fleet import FleetView
+
+
+@pytest.fixture
+def names():
+    return FleetView().entry_names
+
+
+def test_all_that_any_node_tells_count(loop, names):
+    async def scenario():
+        names.told("c1", ["a", "b"])
+        names.told("c2", ["b", "c"])
+        assert names.names() == {"a", "b", "c"}
+
+    loop.run(scenario())
+
+
+def test_a_node_that_starts_again_and_sees_few_takes_none_away(loop, names):
+    async def scenario():
+        names.told("c1", ["a", "b", "c"])
+        names.told("c1", [])
+        assert names.names() == {"a", "b", "c"}
+        await asyncio.sleep(1)
+        names.told("c1", ["a", "b", "c"])
+        await asyncio.sleep(10)
+        names.heard("c1")
+        assert names.names() == {"a", "b", "c"}
+
+    loop.run(scenario())
+
+
+def test_an_entry_that_is_gone_leaves_after_a_while(loop, names):
+    async def scenario():
+        names.told("c1", ["a", "b"])
+        names.told("c1", ["a"])
+        await asyncio.sleep(4)
+        names.heard("c1")
+        assert names.names() == {"a"}
+
+    loop.run(scenario())
+
+
+def test_a_node_that_is_gone_is_believed_for_a_while_only(loop, names):
+    async def scenario():
+        names.told("c1", ["a", "b"])
+        names.told("c2", ["a"])
+        for _ in range(8):
+            await asyncio.sleep(0.5)
+            names.heard("c2")
+        assert names.names() == {"a"}
+
+    loop.run(scenario())
--- a/damaskcroft/forwarding/_call.py
+++ b/damaskcroft/forwarding/_call.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from damaskcroft.http1 import CallerRequest, Head, Headers
+from damaskcroft.limits import LimitWord, Unnamed
 
 __all__ = ["AnswerFacts", "Call", "Passing", "TargetLoad", "Wire"]
 
@@ -71,6 +72,7 @@
         rest_s: how long the target wants no request of this entry; None if
             it doesn't ask for that.
         leaving: the target is about to end.
+        limit: how many requests a second it takes from all senders.
     """
 
     request_id: str
@@ -82,6 +84,7 @@
     misdirected: bool = False
     rest_s: float | None = None
     leaving: bool = False
+    limit: LimitWord = Unnamed()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -35,6 +35,7 @@
     ConnectionPool,
     Place,
 )
+from damaskcroft.limits import Named, RateLimits
 from damaskcroft.observe import metrics
 from damaskcroft.routing import (
     AnswerDelays,
@@ -48,6 +49,7 @@
     RequestQueue,
     RetryWindow,
     SilenceWatch,
+    Slot,
     SlotTaken,
 )
 
@@ -62,6 +64,7 @@
 # Why an attempt wasn't sent, or was ended, that says nothing of its target.
 _TOO_LATE = "too_late_for_its_weights"
 _LEFT_ALONE = "target_wants_none"
+_RATE_LIMITED = "rate_limited"
 
 
 class Forwarder:
@@ -78,6 +81,7 @@
         silence: SilenceWatch,
         delays: AnswerDelays,
         back_pressure: BackPressure,
+        limits: RateLimits,
         suspects: Suspects,
         doubt: Callable[[str], None],
     ):
@@ -93,26 +97,28 @@
             silence: targets that say nothing.
             delays: how soon targets answer.
             back_pressure: what targets ask for in their answers.
+            limits: how many requests a second targets take.
             suspects: requests that targets crashed under.
             doubt: told the id of a target at whose address another answers.
         """
         self._suspects = suspects
         self._back_pressure = back_pressure
-        self._availability = Availability(services, back_pressure)
+        self._limits = limits
+        self._availability = Availability(services, back_pressure, limits)
         self._doubt = doubt
         self._delays = delays
         self._silence = silence
         self._running = Running(services, suspects)
         self._queue = RequestQueue(
             self._choose,
-            lambda candidate, ticket: placer.take(
+            lambda candidate, ticket: self._take(
                 candidate, ticket.prompt_tokens, is_suspect=ticket.is_suspect
             ),
             lambda ticket: services.may_serve_soon(
                 ticket.service, ticket.model
             ),
-            lambda ticket: self._availability.closed_s(
-                ticket.service, ticket.model
+            lambda ticket, before: self._availability.closed(
+                ticket.service, ticket.model, before
             ),
         )
         self._relay = Relay(wire, self._queue.serve)
@@ -203,7 +209,7 @@
                     Ran.NO,
                     detail,
                     outcome.foreseen_s,
-                    returns_s(outcome.closed_s),
+                    returns_s(outcome.returns_s),
                 )
 
     def _why_none(self, reason: str, service: str) -> str:
@@ -220,19 +226,31 @@
             prompt_tokens,
         )
         if placed is None:
-            closed_s = self._availability.closed_s(job.service, job.call.model)
-            reason = "resting" if closed_s else "no_target"
-            return given_up(reason, progress, returns_s(closed_s))
+            closed = self._availability.closed(job.service, job.call.model, 0)
+            if closed is None:
+                return given_up("no_target", progress)
+            return given_up(
+                closed.reason, progress, returns_s(closed.returns_s)
+            )
         if progress.sent and not self._retry_window.spend():
             metrics.RETRIES.labels("no_budget").inc()
             return given_up("no_retry_budget", progress)
-        slot = self._placer.take(
+        slot = self._take(
             placed.candidate,
             prompt_tokens,
             is_suspect=self._suspects.is_suspect(job, progress),
         )
         return SlotTaken(placed.candidate, slot)
 
+    def _take(
+        self, candidate: Candidate, prompt_tokens: int, *, is_suspect: bool
+    ) -> Slot:
+        """Takes a place at a target for a request that is about to be sent."""
+        self._limits.sending(candidate.id)
+        return self._placer.take(
+            candidate, prompt_tokens, is_suspect=is_suspect
+        )
+
     def _choose(self, ticket: QueueTicket) -> Placement | None:
         candidates = self._availability.candidates(ticket.service, ticket.model)
         return self._placer.choose(candidates, (), ticket.prompt_tokens)
@@ -254,6 +272,7 @@
     ) -> Ending | None:
         """One attempt; None if another target may be tried."""
         target = taken.candidate
+        taken_at = now_s()
         progress.excluded.add(target.id)
         passing = Passing(
             target_id=target.target_id,
@@ -279,7 +298,7 @@
                 passing,
                 lambda: self._silence.heard(target.id),
                 lambda connect_s: self._why_not_send(
-                    job, progress, target, connect_s
+                    job, progress, target, taken_at, connect_s
                 ),
             ) as made:
                 sending = Sending(
@@ -301,11 +320,12 @@
     async def _run(
         self, sending: Sending
     ) -> "NotSent | NotRun | Lost | Ending":
+        sent_at = now_s()
         with self._delays.timed(sending.target.id) as answered:
             begun = await sending.made.begin()
             if not isinstance(begun, NotSent | Lost):
                 answered()
-                self._note_facts(sending.target, begun.facts)
+                self._note_facts(sending.target, begun.facts, sent_at)
         if not isinstance(begun, Answered):
             return begun
         return await self._relay.give(sending, begun)
@@ -354,6 +374,7 @@
         job: Job,
         progress: Progress,
         target: Candidate,
+        taken_at: float,
         connect_s: float,
     ) -> str | None:
         """Why a request must not go to a target after all; None if it may."""
@@ -361,6 +382,8 @@
             return QUARANTINED
         if not self._back_pressure.may_be_sent(target.id):
             return _LEFT_ALONE
+        if not self._limits.may_still_be_sent(target.id, taken_at):
+            return _RATE_LIMITED
         if not self._services.may_begin(
             job.service, job.call.model, target.id, connect_s
         ):
@@ -376,8 +399,15 @@
             job.service, job.call.model, target.id
         )
 
-    def _note_facts(self, target: Candidate, facts: AnswerFacts) -> None:
+    def _note_facts(
+        self, target: Candidate, facts: AnswerFacts, sent_at: float
+    ) -> None:
         """Takes what a target says of itself in the head of an answer."""
+        # That a limit has ended needs the word of the target itself, not of
+        # whoever refused a request at its address.
+        if facts.sealed or isinstance(facts.limit, Named):
+            if not facts.misdirected:
+                self._limits.answered(target.id, facts.limit, sent_at)
         if facts.leaving:
             self._back_pressure.leaving(target.id)
         if facts.rest_s:
--- a/damaskcroft/forwarding/tests/fakes.py
+++ b/damaskcroft/forwarding/tests/fakes.py
@@ -19,6 +19,7 @@
     callers_served,
     retry_after_s,
 )
+from damaskcroft.limits import RateLimits, limit_named
 from damaskcroft.routing import (
     AnswerDelays,
     BackPressure,
@@ -77,6 +78,7 @@
             misdirected=head.status == 421,
             rest_s=retry_after_s(head.value(b"x-rest")),
             leaving=bool(head.value(b"x-leaving")),
+            limit=limit_named(head.values(b"x-limit")),
         )
 
     def answer_headers(self, head):
@@ -101,6 +103,8 @@
         self.server = None
         # How long it asks for rest, in the mode `rests`.
         self.rest = "1"
+        # What its whole answers name as its limit; None for nothing.
+        self.limit = None
 
     async def serve(self, reader, writer):
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
@@ -126,6 +130,7 @@
         writer.write(
             b"HTTP/1.1 " + status + b"\r\nX-Id: " + head["x-id"].encode()
             + (b"\r\nX-Seal: " + seal if seal else b"")
+            + (b"\r\nX-Limit: " + self.limit if self.limit else b"")
             + b"\r\nContent-Length: %d\r\n\r\n" % len(body) + body
         )  # fmt: skip
         await writer.drain()
@@ -273,7 +278,7 @@
             answer = await reader.read()
         writer.close()
         head, _, body = answer.partition(b"\r\n\r\n")
-        return int(head.split()[1]), head.decode().lower(), body
+        return int(head.split()[1]), head.decode("latin-1").lower(), body
 
 
 @contextlib.asynccontextmanager
@@ -301,7 +306,19 @@
         )  # fmt: skip
     outliers = Outliers()
     back_pressure = BackPressure(drain_s)
-    placer = Placer("d", "r", outliers, takes_one=back_pressure.takes_one)
+    limits = RateLimits(
+        view.limits,
+        "e",
+        frozenset,
+        lambda limits: view.take([], limits=limits),
+    )
+    placer = Placer(
+        "d",
+        "r",
+        outliers,
+        takes_one=back_pressure.takes_one,
+        is_spared=limits.is_spared,
+    )
     wire = PlainWire()
     delays = AnswerDelays()
     services = Services(view, {}, weights_s, delays.foreseen_s)
@@ -315,6 +332,7 @@
         SilenceWatch(),
         delays,
         back_pressure,
+        limits,
         Suspects(
             view.crashes,
             services,
--- a/damaskcroft/hosted/control.py
+++ b/damaskcroft/hosted/control.py
@@ -91,7 +91,9 @@
         channels,
         [seed for seed in seeds if seed != settings.rpc_address],
         lambda: fleet_pb2.WatchRequest(
-            name=settings.name, crashes=view.crashes.words()
+            name=settings.name,
+            crashes=view.crashes.words(),
+            limits=view.limits.words(),
         ),
         own_address=settings.rpc_address,
         without_configuration=True,
--- a/damaskcroft/hosted/entry.py
+++ b/damaskcroft/hosted/entry.py
@@ -5,9 +5,9 @@
 
 from damaskcroft._generated import fleet_pb2
 from damaskcroft.fleet import (
-    CrashReporter,
     FleetView,
     NodeSettings,
+    Reporter,
     Watcher,
 )
 from damaskcroft.forwarding import EntryGate, Forwarder, Services, Suspects
@@ -16,6 +16,7 @@
     ConnectionPool,
     callers_served,
 )
+from damaskcroft.limits import RateLimits
 from damaskcroft.observe import log_event
 from damaskcroft.platform.ready_face import ready_routes
 from damaskcroft.platform.wire import PlatformWire
@@ -58,10 +59,16 @@
         channels,
         seeds,
         lambda: fleet_pb2.WatchRequest(
-            name=settings.name, is_entry=True, crashes=view.crashes.words()
+            name=settings.name,
+            is_entry=True,
+            crashes=view.crashes.words(),
+            limits=view.limits.words(),
         ),
     )
-    crash_reporter = CrashReporter(view, channels, seeds)
+    reporter = Reporter(view, channels, seeds)
+    limits = RateLimits(
+        view.limits, settings.name, view.entry_names.names, reporter.tell_limits
+    )
     outliers = Outliers()
     delays = AnswerDelays()
     bounds = settings.bounds
@@ -72,6 +79,7 @@
         outliers,
         answer_delay_s=delays.quickest_s,
         takes_one=back_pressure.takes_one,
+        is_spared=limits.is_spared,
     )
     services = Services(
         view,
@@ -94,7 +102,8 @@
         SilenceWatch(),
         delays,
         back_pressure,
-        Suspects(view.crashes, services, back_pressure, crash_reporter.tell),
+        limits,
+        Suspects(view.crashes, services, back_pressure, reporter.tell_crashes),
         view.doubt_target,
     )
     gate = EntryGate(wire, view, forwarder)
@@ -110,13 +119,15 @@
             placer.forget_all_but(started_ids)
             delays.forget_all_but(started_ids)
             back_pressure.forget_all_but(started_ids)
+            limits.forget_all_but(started_ids)
+            view.limits.forget_all_but(started_ids)
             view.crashes.forget_old()
             retry_window.entries = placer.entries = view.entries
 
     async with (
         http_served(settings.ready_address, ready_routes(is_ready)),
         callers_served(settings.caller_address, gate) as callers,
-        background(watcher.run, forwarder.run, crash_reporter.run, keep_clean),
+        background(watcher.run, forwarder.run, reporter.run, keep_clean),
     ):
         log_event("started", role="entry", address=settings.caller_address)
         await stop.wait()
--- a/damaskcroft/http1/_head.py
+++ b/damaskcroft/http1/_head.py
@@ -32,6 +32,14 @@
                 return value.decode("latin-1")
         return ""
 
+    def values(self, name: bytes) -> list[str]:
+        """The values of all headers of a name, which is in lower case."""
+        return [
+            value.decode("latin-1")
+            for known, value in self.headers
+            if known == name
+        ]
+
 
 def is_interim(status: int) -> bool:
     """Whether the answer itself is still to come (RFC 9110, 15.2)."""
--- /dev/null
+++ b/damaskcroft/limits/tests/test_named.py
@@ -0,0 +1,32 @@
+"""What the values of a limit's header mean."""
+
+import pytest
+
+from damaskcroft.limits import Named, Unnamed, Unreadable, limit_named
+
+
+@pytest.mark.parametrize(
+    ("value", "rate_s"),
+    [("2", 2.0), ("1.8", 1.8), ("0", 0.0), ("0.05", 0.05), (" 3 ", 3.0)],
+)
+def test_decimal_numbers_are_limits(value, rate_s):
+    assert limit_named([value]) == Named(rate_s)
+
+
+def test_without_a_header_none_is_named():
+    assert limit_named([]) == Unnamed()
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        "", "-1", "+1", "nan", "inf", "abc", "1e400", "1e3", "1, 2", "0x2",
+        "9" * 300, "\u0661", "1_0", ".5", "5.", "\xff",
+    ],
+)  # fmt: skip
+def test_what_is_no_decimal_number_is_no_word(value):
+    assert isinstance(limit_named([value]), Unreadable)
+
+
+def test_two_headers_are_no_word():
+    assert isinstance(limit_named(["1", "2"]), Unreadable)
--- a/damaskcroft/observe/metrics.py
+++ b/damaskcroft/observe/metrics.py
@@ -33,7 +33,9 @@
     "RETRIES",
     "ROLLOUT_WAITS_S",
     "TARGETS_LEFT_ALONE",
+    "TARGETS_LIMITED",
     "TARGET_CRASHES",
+    "TARGET_LIMIT_CHANGES",
     "TASK_FAILURES",
     "TOKEN_GAP_S",
     "WEIGHTS_WANTED",
@@ -59,6 +61,14 @@
     "damask_targets_left_alone", "Targets that asked in an answer for rest, "
     "or said that they leave", ["why"],
 )  # fmt: skip
+TARGETS_LIMITED = Gauge(
+    "damask_targets_limited", "Targets that name a limit of requests a second, "
+    "or did some seconds ago",
+)  # fmt: skip
+TARGET_LIMIT_CHANGES = Counter(
+    "damask_target_limit_changes", "Limits that targets named or lifted",
+    ["change"],
+)  # fmt: skip
 QUARANTINE = Counter(
     "damask_quarantine", "Decisions on requests that crash targets",
     ["decision"],
--- a/damaskcroft/platform/wire.py
+++ b/damaskcroft/platform/wire.py
@@ -8,6 +8,7 @@
     Wire,
 )
 from damaskcroft.http1 import CallerRequest, Head, Headers, retry_after_s
+from damaskcroft.limits import limit_named
 
 __all__ = ["PlatformWire"]
 
@@ -105,6 +106,7 @@
             misdirected=misdirected,
             rest_s=_rest_s(head),
             leaving=head.value(b"server-leaving") == "1",
+            limit=limit_named(head.values(b"server-limit")),
         )
 
     def answer_headers(self, head: Head) -> Headers:
--- a/damaskcroft/routing/__init__.py
+++ b/damaskcroft/routing/__init__.py
@@ -6,6 +6,7 @@
 from damaskcroft.routing._outliers import Outliers
 from damaskcroft.routing._placement import Candidate, Placement, Placer, Slot
 from damaskcroft.routing._queue import (
+    Closed,
     LongWait,
     Overloaded,
     QueueTicket,
@@ -20,6 +21,7 @@
     "AnswerDelays",
     "BackPressure",
     "Candidate",
+    "Closed",
     "Granted",
     "RequestQueue",
     "QueueTicket",
--- a/damaskcroft/routing/_placement.py
+++ b/damaskcroft/routing/_placement.py
@@ -149,6 +149,7 @@
         rng: random.Random | None = None,
         answer_delay_s: Callable[[str], float] = lambda _: 0.0,
         takes_one: Callable[[str], bool] = lambda _: False,
+        is_spared: Callable[[str], bool] = lambda _: False,
     ):
         """Chooses for an entry in a failure domain of a region.
 
@@ -159,7 +160,9 @@
             rng: decides between equals.
             answer_delay_s: how soon a target answers, by its id.
             takes_one: whether a target takes one request at a time now.
+            is_spared: whether other targets with room go before one.
         """
+        self._is_spared = is_spared
         self._takes_one = takes_one
         self._answer_delay_s = answer_delay_s
         self._failure_domain = failure_domain
@@ -179,8 +182,9 @@
         """The best target, or None if every one is excluded.
 
         Targets that are put aside after failures come last, those without
-        room before them. One that has a suspect request under way is avoided:
-        should it crash, few others are lost, and no second suspect with it.
+        room before them, then those to be spared. One that has a suspect
+        request under way is avoided: should it crash, few others are lost, and
+        no second suspect with it.
 
         Args:
             candidates: all that could run the request.
@@ -269,6 +273,7 @@
         return (
             aside,
             without_room,
+            self._is_spared(candidate.id),
             beside_suspects,
             slow,
             fullness,
--- a/damaskcroft/routing/_queue.py
+++ b/damaskcroft/routing/_queue.py
@@ -17,6 +17,7 @@
 from damaskcroft.routing._placement import Candidate, Placement, Slot
 
 __all__ = [
+    "Closed",
     "LongWait",
     "Overloaded",
     "QueueTicket",
@@ -51,7 +52,6 @@
 # What is wanting for one request holds for others of its kind this long, since
 # many are refused in one moment: as often as the queue is looked at anyhow.
 _SHORTAGE_HOLDS_S = 0.1
-_RESTING = "resting"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -100,22 +100,39 @@
     slot: Slot
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Closed:
+    """No target that could serve a request takes one now.
+
+    Attributes:
+        reason: "resting" if they asked for that, "rate_limited" if they get as
+            many a second as they take.
+        room_s: until one takes the request from here; infinite where only
+            other entries send.
+        returns_s: when its caller should come back, to whichever entry.
+    """
+
+    reason: str
+    room_s: float
+    returns_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Overloaded:
     """No slot in time; the request was sent to nobody.
 
     Attributes:
         reason: "overloaded" if all that could serve it were full, "no_target"
-            if none could serve it, "resting" if all want no request for now.
+            if none could serve it, or as `Closed` has it.
         waiting: how many waited for the service.
         foreseen_s: how long the queue is at its present rate; 0 if unknown.
-        closed_s: until when no target takes anything; 0 if some does.
+        returns_s: when its caller should come back; 0 if unknown.
     """
 
     reason: str
     waiting: int
     foreseen_s: float = 0.0
-    closed_s: float = 0.0
+    returns_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -152,8 +169,8 @@
         take: takes a slot of a target for a ticket's request.
         may_come: whether a target that can't serve a ticket now may soon, as
             when its weights are about to change; worth waiting for.
-        closed_s: for how long no target that could serve a ticket takes any
-            request; 0 if there is one that does, or none at all.
+        closed: why no target that could serve a ticket takes it, given how
+            many go before it; None if there is one that does, or none at all.
     """
 
     def __init__(
@@ -161,10 +178,12 @@
         choose: Callable[[QueueTicket], Placement | None],
         take: Callable[[Candidate, QueueTicket], Slot],
         may_come: Callable[[QueueTicket], bool] = lambda _: False,
-        closed_s: Callable[[QueueTicket], float] = lambda _: 0.0,
+        closed: Callable[
+            [QueueTicket, int], Closed | None
+        ] = lambda ticket, before: None,
     ):
         """Begins with nobody waiting."""
-        self._closed_s = closed_s
+        self._closed = closed
         self._may_come = may_come
         self._choose = choose
         self._take = take
@@ -181,6 +200,9 @@
             if outcome is not None:
                 return outcome
         foreseen_s = self._foreseen_wait_s(ticket)
+        closed = self._closed(ticket, self._count_before(ticket))
+        if closed is not None:
+            foreseen_s = max(foreseen_s, closed.room_s)
         if foreseen_s > ticket.waits_until - now_s():
             return self._refused(ticket, len(waiting), foreseen_s)
         joined = _Waiting(ticket)
@@ -252,12 +274,14 @@
             return self._given(ticket, placement)
         if placement is not None:
             return None
-        closed_s = self._closed_s(ticket)
-        if closed_s and closed_s > ticket.waits_until - now_s():
-            return Overloaded(_RESTING, waiting, closed_s=closed_s)
-        if not closed_s and not self._may_come(ticket):
+        closed = self._closed(ticket, 0)
+        if closed is None:
+            if self._may_come(ticket):
+                return None
             return Overloaded("no_target", waiting)
-        return None
+        if closed.room_s <= ticket.waits_until - now_s():
+            return None
+        return Overloaded(closed.reason, waiting, returns_s=closed.returns_s)
 
     def _given(self, ticket: QueueTicket, placement: Placement) -> SlotTaken:
         slot = self._take(placement.candidate, ticket)
@@ -270,9 +294,12 @@
     def _refused(
         self, ticket: QueueTicket, waiting: int, foreseen_s: float
     ) -> Overloaded:
-        reason = self._shortage(ticket)
-        closed_s = self._closed_s(ticket) if reason == _RESTING else 0.0
-        return Overloaded(reason, waiting, foreseen_s, closed_s)
+        closed = self._closed(ticket, self._count_before(ticket))
+        if closed is not None:
+            return Overloaded(
+                closed.reason, waiting, foreseen_s, closed.returns_s
+            )
+        return Overloaded(self._shortage(ticket), waiting, foreseen_s)
 
     def _shortage(self, ticket: QueueTicket) -> str:
         """Room, a target that takes requests, or one that can serve at all."""
@@ -288,22 +315,27 @@
     def _shortage_now(self, ticket: QueueTicket) -> str:
         if self._choose(ticket) is not None:
             return "overloaded"
-        return _RESTING if self._closed_s(ticket) else "no_target"
+        closed = self._closed(ticket, 0)
+        return closed.reason if closed is not None else "no_target"
 
     def _foreseen_wait_s(self, ticket: QueueTicket) -> float:
         """How long those before a ticket will take, at the present rate."""
         now = now_s()
-        rank = _rank(ticket, now)
-        before = sum(
-            _rank(joined.ticket, now) <= rank
-            for joined in self._waiting_by_service.get(ticket.service, [])
-        )
         given_at = self._given_at_by_service.get(ticket.service, ())
         recent = [at for at in given_at if at >= now - _RATE_WINDOW_S]
         if len(recent) < _MIN_GIVEN:
             return 0.0
         span_s = max(now - recent[0], _MIN_SPAN_S)
-        return before * span_s / len(recent)
+        return self._count_before(ticket) * span_s / len(recent)
+
+    def _count_before(self, ticket: QueueTicket) -> int:
+        """How many go before a ticket."""
+        now = now_s()
+        rank = _rank(ticket, now)
+        return sum(
+            _rank(joined.ticket, now) <= rank
+            for joined in self._waiting_by_service.get(ticket.service, [])
+        )
 
 
 def _rank(ticket: QueueTicket, now: float) -> tuple[float, ...]:
--- a/damaskcroft/routing/tests/test_queue.py
+++ b/damaskcroft/routing/tests/test_queue.py
@@ -7,6 +7,7 @@
 
 from damaskcroft.routing import (
     Candidate,
+    Closed,
     Outliers,
     Overloaded,
     Placer,
@@ -349,8 +350,9 @@
     loop,
 ):
     async def scenario():
+        closed = Closed("resting", REST_AGAIN_S, REST_AGAIN_S)
         queue = RequestQueue(
-            lambda _: None, lambda *_: None, closed_s=lambda _: REST_AGAIN_S
+            lambda _: None, lambda *_: None, closed=lambda *_: closed
         )
         waiting = asyncio.create_task(queue.take_slot(ticket(loop.time())))
         await asyncio.sleep(0.3)
@@ -360,6 +362,6 @@
         queue.serve()
         outcome = await waiting
         assert outcome.reason == "resting"
-        assert outcome.closed_s == REST_AGAIN_S
+        assert outcome.returns_s == REST_AGAIN_S
 
     loop.run(scenario())
