Agents keep the rate that their targets name

On the product's own interface an agent is the only sender to its target, so it keeps the whole of a named rate (X-Rate-Limit), with the same reading, book and bucket as entries on the platform. Who gets no token is refused as not run, with when to come back; entries leave such a target alone until then.

The soak's targets name limits that change, an entry is added and ended beside the others, and the book checks each window.

--- a/damaskcroft/agent/_gate.py
+++ b/damaskcroft/agent/_gate.py
@@ -8,12 +8,15 @@
 import collections
 import contextlib
 import dataclasses
+import math
 from collections.abc import Iterator
 
 from damaskcroft._generated import agent_pb2
+from damaskcroft.agent._target_limit import TargetLimit
 from damaskcroft.membership import Lease
 from damaskcroft.observe import metrics
 
+_MS = 1000  # In a second.
 _RETRY_SOON_MS = 50
 _RETRY_LATER_MS = 1000
 _MAX_RUNS_REMEMBERED = 100_000
@@ -55,12 +58,20 @@
         slots: how many requests the target runs at once.
         incarnation: this agent process.
         is_service: the target is a plain service, with no version.
+        limit: the rate that the target names; None to keep to none.
     """
 
     def __init__(
-        self, lease: Lease, slots: int, incarnation: str, *, is_service: bool
+        self,
+        lease: Lease,
+        slots: int,
+        incarnation: str,
+        *,
+        is_service: bool,
+        limit: TargetLimit | None = None,
     ):
         """Creates a gate with nothing behind it yet."""
+        self._limit = limit
         self._lease = lease
         self._slots = slots
         self._incarnation = incarnation
@@ -87,6 +98,8 @@
             return refused
         if request.HasField("claim"):
             self._remember(request.claim.run_number, ran=True)
+        if self._limit is not None:
+            self._limit.sending()
         return Admitted(self.manifest, self.version, self.fencing)
 
     @contextlib.contextmanager
@@ -155,6 +168,10 @@
         # priority.
         if request.priority > 1 and self.outstanding >= self._slots:
             return Refused(agent_pb2.REFUSED_BUSY, _RETRY_SOON_MS)
+        wait_s = self._limit.wait_s() if self._limit is not None else 0.0
+        if wait_s:
+            wait_ms = math.ceil(wait_s * _MS)
+            return Refused(agent_pb2.REFUSED_RATE_LIMITED, wait_ms)
         return None
 
     def _claim_refusal(self, claim: agent_pb2.RunClaim) -> Refused | None:
--- a/damaskcroft/agent/_runs.py
+++ b/damaskcroft/agent/_runs.py
@@ -7,6 +7,7 @@
 from damaskcroft.agent._crashes import TargetWatch
 from damaskcroft.agent._gate import Admitted, Gate, Refused
 from damaskcroft.agent._settler import Settler
+from damaskcroft.agent._target_limit import TargetLimit
 from damaskcroft.clock import now_s
 from damaskcroft.engines import (
     CallFailed,
@@ -34,6 +35,7 @@
         engine: the target.
         settler: records the outcomes of claimed runs.
         target: tells whether the target has crashed.
+        limit: the rate that it names.
         first_piece_seen: told each request's time to its first body piece,
             in seconds.
     """
@@ -44,6 +46,7 @@
         engine: Engine,
         settler: Settler,
         target: TargetWatch,
+        limit: TargetLimit,
         first_piece_seen: Callable[[float], None],
     ):
         """See the class."""
@@ -51,6 +54,7 @@
         self._engine = engine
         self._settler = settler
         self._target = target
+        self._limit = limit
         self._first_piece_seen = first_piece_seen
         self._claimed_runs: set[asyncio.Task] = set()
 
@@ -157,6 +161,7 @@
                     metrics.LATE_DROPPED.labels("crossed_at_target").inc()
                     yield self._failed(agent_pb2.FAILED_TARGET_LOST)
                 case CallStarted():
+                    self._limit.answered(begun.limit, start, started_at)
                     async for event in self._pass_on(
                         request, admitted, begun, started_at, start
                     ):
--- a/damaskcroft/agent/main.py
+++ b/damaskcroft/agent/main.py
@@ -20,6 +20,7 @@
 from damaskcroft.agent._service import AgentService
 from damaskcroft.agent._settler import Settler
 from damaskcroft.agent._staging import Stager
+from damaskcroft.agent._target_limit import TargetLimit
 from damaskcroft.agent._yielding import LiveGuard
 from damaskcroft.engines import (
     Engine,
@@ -75,11 +76,16 @@
             self._report,
         )
         self._engine = _make_engine(settings.target, self._client.lease)
+        watch = TargetWatch(
+            self._engine, f"{self._announcement.id}/{self._incarnation}"
+        )
+        limit = TargetLimit(watch)
         self._gate = Gate(
             self._client.lease,
             settings.target.slots,
             self._incarnation,
             is_service=bool(settings.target.service),
+            limit=limit,
         )
         burst = settings.burst
         self._download = Pacer(burst.link_bytes_s)
@@ -92,9 +98,8 @@
             self._gate,
             self._engine,
             self._settler,
-            TargetWatch(
-                self._engine, f"{self._announcement.id}/{self._incarnation}"
-            ),
+            watch,
+            limit,
             self._guard.first_piece_seen,
         )
         folder = pathlib.Path(settings.process.data_folder) / "weights"
--- a/damaskcroft/engines/_base.py
+++ b/damaskcroft/engines/_base.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator
 
 from damaskcroft._generated import control_pb2
+from damaskcroft.limits import LimitWord, Unnamed
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,12 +87,14 @@
         body: the body's pieces as they come; ends only when it is whole.
             Raises ConnectionError if the connection breaks before.
         request_id: which request the target says that it answers.
+        limit: how many requests a second it takes from all senders.
     """
 
     status: int
     content_type: str
     body: AsyncIterator[bytes]
     request_id: str
+    limit: LimitWord = Unnamed()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/damaskcroft/engines/_http.py
+++ b/damaskcroft/engines/_http.py
@@ -24,12 +24,15 @@
     OrderRefused,
     TargetCall,
 )
+from damaskcroft.limits import LimitWord, limit_named
 from damaskcroft.membership import Lease
 from damaskcroft.observe import metrics
 from damaskcroft.quarantine import is_gone
 from damaskcroft.rpc import HTTP_ERRORS, make_http_client
 
 _CONFLICT = 409
+# Requests a second that the target takes from all senders together.
+_LIMIT_HEADER = "X-Rate-Limit"
 _CONNECT_TIMEOUT_S = 2.0
 _STATE_TIMEOUT_S = 5.0
 _CONNECTIONS = 256
@@ -77,6 +80,7 @@
                 response.headers.get("Content-Type", ""),
                 _pieces(response),
                 response.headers.get("X-Request-Id", ""),
+                _limit(response),
             )
         finally:
             await response.aclose()
@@ -230,6 +234,11 @@
     return headers
 
 
+def _limit(response: aiosonic.HttpResponse) -> LimitWord:
+    value = response.headers.get(_LIMIT_HEADER)
+    return limit_named([] if value is None else [value])
+
+
 async def _pieces(response: aiosonic.HttpResponse) -> AsyncIterator[bytes]:
     try:
         async for piece in response.iter_bytes():
--- a/damaskcroft/entry/_dispatch.py
+++ b/damaskcroft/entry/_dispatch.py
@@ -204,7 +204,7 @@
                         return lost_refusal(reason)
                 case AttemptRefused(reason=reason):
                     last = outcome
-                    self._note_refused(target, reason)
+                    self._note_refused(target, outcome)
                     if reason in _RUN_TAKEN_OVER:
                         run_number = 0
                         continue
@@ -234,12 +234,13 @@
         reason = agent_pb2.RefusalReason.Name(last.reason).lower()
         return Refusal(reason, 503, ran, last.retry_after_s)
 
-    def _note_refused(
-        self, target: Target, reason: agent_pb2.RefusalReason
-    ) -> None:
+    def _note_refused(self, target: Target, refused: AttemptRefused) -> None:
+        reason = refused.reason
         metrics.RETRIES.labels(agent_pb2.RefusalReason.Name(reason)).inc()
         if reason == agent_pb2.REFUSED_TARGET_UNREACHABLE:
             self._outliers.failed(target.id)
+        if reason == agent_pb2.REFUSED_RATE_LIMITED:
+            self._chooser.leave_alone(target.id, refused.retry_after_s)
 
     async def _attempt(
         self,
--- a/damaskcroft/entry/tests/fakes.py
+++ b/damaskcroft/entry/tests/fakes.py
@@ -14,6 +14,7 @@
 from damaskcroft.agent._runs import Runner
 from damaskcroft.agent._service import AgentService
 from damaskcroft.agent._settler import Settler
+from damaskcroft.agent._target_limit import TargetLimit
 from damaskcroft.control._state import ControlState
 from damaskcroft.engines import (
     CallFailed,
@@ -24,6 +25,7 @@
 from damaskcroft.entry._calls import Call
 from damaskcroft.entry._claims import Claimant
 from damaskcroft.entry._dispatch import Dispatcher
+from damaskcroft.limits import Unnamed
 from damaskcroft.membership import Lease, Roster
 from damaskcroft.routing import Admission, PoolTable
 
@@ -60,6 +62,7 @@
         self.journal = journal
         self.mode = "well"
         self.work_s = 0.05
+        self.limit = Unnamed()
 
     @contextlib.asynccontextmanager
     async def call(self, call, *, fresh_connection):
@@ -73,7 +76,11 @@
             return
         status = 500 if self.mode == "fails" else 200
         yield CallStarted(
-            status, "text/plain", self._body(call), call.request_id
+            status,
+            "text/plain",
+            self._body(call),
+            call.request_id,
+            self.limit,
         )
 
     async def is_gone(self):
@@ -111,12 +118,17 @@
         self.thawed.set()
         self.lease = Lease()
         self.lease.grant(asyncio.get_running_loop().time(), 1e9)
-        self.gate = Gate(self.lease, 8, incarnation, is_service=True)
+        watch = TargetWatch(engine, incarnation)
+        limit = TargetLimit(watch)
+        self.gate = Gate(
+            self.lease, 8, incarnation, is_service=True, limit=limit
+        )
         self.runner = Runner(
             self.gate,
             engine,
             Settler(pool, [CONTROL]),
-            TargetWatch(engine, incarnation),
+            watch,
+            limit,
             lambda _: None,
         )
         self.service = FreezableService(self)
--- a/damaskcroft/hosted/tests/deployment.py
+++ b/damaskcroft/hosted/tests/deployment.py
@@ -15,6 +15,8 @@
 CONTROL_IPS = [f"{_PREFIX}.{number}" for number in (11, 12, 13)]
 ENTRY_IP = f"{_PREFIX}.14"
 ENTRY_IPS = [ENTRY_IP, f"{_PREFIX}.16"]
+# Of an entry that is added while the others run.
+ADDED_ENTRY_IP = f"{_PREFIX}.17"
 TARGET_IP = f"{_PREFIX}.15"
 _PORTS = ports()
 ROUTE = {
--- a/damaskcroft/hosted/tests/soak/_faults.py
+++ b/damaskcroft/hosted/tests/soak/_faults.py
@@ -6,7 +6,11 @@
 import random
 import signal
 
-from damaskcroft.hosted.tests.deployment import CONTROL_IPS, ENTRY_IPS
+from damaskcroft.hosted.tests.deployment import (
+    ADDED_ENTRY_IP,
+    CONTROL_IPS,
+    ENTRY_IPS,
+)
 
 # Between two faults; they last longer, so that they overlap.
 _GAP_S = (0.1, 1.2)
@@ -19,6 +23,11 @@
 # their own, so that a seed keeps the faults that it had.
 _ANSWER_KINDS = ("crashing request", "rest target", "leaving target")
 _ANSWER_GAP_S = (0.5, 3.0)
+_LIMIT_KINDS = ("limit target", "limit target", "add entry")
+_LIMIT_GAP_S = (1.0, 4.0)
+# What a target names by turns, as long as it does.
+_LIMITS = (1, 0.4, 2.5, 0, 6, "nan", 0.2)
+_LIMIT_LASTS = 4
 _REST_S = 3
 _COPIES_EVERY_S = 0.3
 _KINDS = (
@@ -52,6 +61,9 @@
     faults += _drawn(
         random.Random(f"{seed}/answers"), seconds, _ANSWER_KINDS, _ANSWER_GAP_S
     )
+    faults += _drawn(
+        random.Random(f"{seed}/limits"), seconds, _LIMIT_KINDS, _LIMIT_GAP_S
+    )
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
@@ -81,7 +93,9 @@
         self._journal = journal
         self._busy = set()
         self._whole_since = dict.fromkeys(CONTROL_IPS, 0.0)
-        self.boots = dict.fromkeys(ENTRY_IPS, 0)
+        self.boots = dict.fromkeys((*ENTRY_IPS, ADDED_ENTRY_IP), 0)
+        # The entry beside the others, while there is one.
+        self.added = ""
 
     async def play(self, faults):
         began_at = _now()
@@ -99,6 +113,8 @@
             what, "target"
         )
         ips = {"control": CONTROL_IPS, "entry": ENTRY_IPS}.get(role)
+        if fault.kind == "add entry":
+            ips = [ADDED_ENTRY_IP]
         if fault.kind == "kill all control":
             role, who = "control", CONTROL_IPS
         elif fault.kind == "hup all":
@@ -120,8 +136,8 @@
             self._journal(f"over {fault.kind} {who}")
 
     def _noted(self, fault, role, who):
-        """What targets say in answers disturbs nobody."""
-        if fault.kind in _ANSWER_KINDS:
+        """What targets say in answers, and an entry more, disturb nobody."""
+        if fault.kind in (*_ANSWER_KINDS, *_LIMIT_KINDS):
             return contextlib.nullcontext()
         return self._book.disturbed("control" if role == "control" else who[0])
 
@@ -152,9 +168,19 @@
             await asyncio.sleep(fault.for_s)
             process.send_signal(signal.SIGCONT)
             self._whole_since[who[0]] = _now()
+        elif name == "add":
+            await self._add_entry(fault, who[0])
         else:
             await self._end_and_start(fault, name, role, who)
 
+    async def _add_entry(self, fault, ip):
+        """Starts an entry beside the others, and ends it by plan."""
+        await self._deployment.start("entry", ip, first=False)
+        self.added = ip
+        await asyncio.sleep(_LIMIT_LASTS * fault.for_s)
+        self.added = ""
+        await self._deployment.end("entry", ip, signal.SIGTERM)
+
     async def _hang_up_all(self):
         for process in self._deployment.processes.values():
             if process.returncode is None:
@@ -234,6 +260,14 @@
                 await asyncio.sleep(fault.for_s)
                 await target.restart()
                 return
+            case "limit target":
+                for number in range(_LIMIT_LASTS):
+                    target.limit = _LIMITS[
+                        (fault.which + number) % len(_LIMITS)
+                    ]
+                    await asyncio.sleep(fault.for_s)
+                target.limit = None
+                return
             case "delay":
                 proxy.delay_s = 0.05 * (1 + fault.which)
             case "reset":
--- a/damaskcroft/hosted/tests/soak/_run.py
+++ b/damaskcroft/hosted/tests/soak/_run.py
@@ -171,6 +171,8 @@
         rng = random.Random(f"{self.seed}/{number}")
         while not self._ending:
             ip = rng.choice(ENTRY_IPS)
+            if self.injector.added and number % 3 == 0:
+                ip = self.injector.added
             try:
                 channel = await connect(f"{ip}:{self.deployment.front}", 1.0)
             except OSError:
--- a/damaskcroft/limits/_paced.py
+++ b/damaskcroft/limits/_paced.py
@@ -64,7 +64,7 @@
         book: LimitBook,
         own_name: str,
         entries: Callable[[], frozenset[str]],
-        tell: Callable[[Iterable[limits_pb2.NamedLimit]], None],
+        tell: Callable[[Iterable[limits_pb2.NamedLimit]], object],
     ):
         """See the class."""
         self._book = book
--- a/damaskcroft/routing/_choice.py
+++ b/damaskcroft/routing/_choice.py
@@ -10,6 +10,7 @@
 import random
 from collections.abc import Collection
 
+from damaskcroft.clock import now_s
 from damaskcroft.routing._outliers import Outliers
 from damaskcroft.routing._pools import Pool, Target
 
@@ -30,6 +31,7 @@
         self._rng = rng or random.Random()
         self._own_by_id: dict[str, int] = {}
         self._told_by_id: dict[str, int] = {}
+        self._left_alone_until: dict[str, float] = {}
 
     def choose(
         self,
@@ -55,7 +57,12 @@
             if target.id not in excluded
             and (not manifest or target.manifest == manifest)
         ]
-        sound = [t for t in able if not self._outliers.is_aside(t.id)]
+        sound = [
+            target
+            for target in able
+            if not self._outliers.is_aside(target.id)
+            and now_s() >= self._left_alone_until.get(target.id, 0.0)
+        ]
         # With all of them aside, trying one is better than refusing.
         candidates = sound or able
         near = [t for t in candidates if t.region == region]
@@ -69,6 +76,10 @@
         drawn = self._rng.sample(candidates, min(2, len(candidates)))
         return min(drawn, key=self._relative_load)
 
+    def leave_alone(self, target_id: str, for_s: float) -> None:
+        """Leaves a target aside that takes no request for some seconds."""
+        self._left_alone_until[target_id] = now_s() + for_s
+
     def started(self, target_id: str) -> None:
         """Counts a request sent to a target."""
         self._own_by_id[target_id] = self._own_by_id.get(target_id, 0) + 1
