Operators list the limits that targets name

damaskctl limits asks a control node; damaskctl why tells a refusal for want of a token. Tests with real processes: a limit outlasts restarts of control and of all entries, and is gone from the list once it is lifted, with the target back at its share.

--- a/damaskcroft/control/__init__.py
+++ b/damaskcroft/control/__init__.py
@@ -8,6 +8,7 @@
 )
 from damaskcroft.control._fleet_service import FleetService
 from damaskcroft.control._fleet_state import FleetState
+from damaskcroft.control._limits_service import LimitsService
 from damaskcroft.control._quarantine_service import QuarantineService
 from damaskcroft.control._service_recorder import ServiceRecorder
 
@@ -17,6 +18,7 @@
     "FleetService",
     "FleetState",
     "Invalid",
+    "LimitsService",
     "QuarantineService",
     "ServiceRecorder",
     "Unavailable",
--- a/damaskcroft/ctl/_causes.py
+++ b/damaskcroft/ctl/_causes.py
@@ -132,6 +132,9 @@
             return _why_lost(own, ending)
         case "resting":
             return _why_lost(own, f"targets of {service} rest{after}")
+        case "rate_limited":
+            ending = f"targets of {service} get all that they take{after}"
+            return _why_lost(own, ending)
         case "stopping":
             return f"the entry was about to end{after}"
     return _why_lost(own, f"refused as {reason}{after}")
--- a/damaskcroft/ctl/_client.py
+++ b/damaskcroft/ctl/_client.py
@@ -10,6 +10,8 @@
 from damaskcroft._generated import (
     control_grpc,
     control_pb2,
+    limits_grpc,
+    limits_pb2,
     quarantine_grpc,
     quarantine_pb2,
 )
@@ -90,6 +92,18 @@
                 continue
         return NoAnswer(tuple(self._addresses))
 
+    async def limits(self) -> limits_pb2.LimitsReply | NoAnswer:
+        """Targets that name how many requests a second they take."""
+        async for channel in self._channels():
+            stub = limits_grpc.LimitsStub(channel)
+            try:
+                return await stub.Review(
+                    limits_pb2.LimitsRequest(), timeout=_CALL_TIMEOUT_S
+                )
+            except CALL_ERRORS:
+                continue
+        return NoAnswer(tuple(self._addresses))
+
     async def _stubs(self) -> AsyncIterator[control_grpc.ControlStub]:
         async for channel in self._channels():
             yield control_grpc.ControlStub(channel)
--- a/damaskcroft/ctl/_views.py
+++ b/damaskcroft/ctl/_views.py
@@ -5,7 +5,12 @@
 
 from google.protobuf import json_format
 
-from damaskcroft._generated import control_pb2, quarantine_pb2, records_pb2
+from damaskcroft._generated import (
+    control_pb2,
+    limits_pb2,
+    quarantine_pb2,
+    records_pb2,
+)
 from damaskcroft.membership import held_up_word
 from damaskcroft.records import InvalidRecord, deployment_for, parse_deployment
 
@@ -68,6 +73,12 @@
     return table(["FINGERPRINT", "LEFT_S", "CRASHES", "TARGETS"], rows)
 
 
+def limits_table(reply: limits_pb2.LimitsReply) -> str:
+    """Targets that name how many requests a second they take."""
+    rows = [[limit.start_id, f"{limit.rate_s:g}"] for limit in reply.limits]
+    return table(["TARGET", "REQUESTS_S"], sorted(rows))
+
+
 def status_text(reply: control_pb2.ReadReply) -> str:
     """Leader, what is in force, and every holder."""
     behind = [
--- a/damaskcroft/ctl/main.py
+++ b/damaskcroft/ctl/main.py
@@ -167,6 +167,16 @@
         _fail("not all of them were known", _EXIT_REFUSED)
 
 
+@app.command()
+def limits(settings: Settings) -> None:
+    """Lists targets that name how many requests a second they take."""
+    reply = _with_client(settings, lambda client: client.limits())
+    if isinstance(reply, NoAnswer):
+        tried = ", ".join(reply.tried)
+        _fail(f"no control node answered at {tried}", _EXIT_NO_LEADER)
+    print(_views.limits_table(reply))
+
+
 @app.command()
 def why(
     request_id: str,
--- a/damaskcroft/ctl/tests/test_quarantine.py
+++ b/damaskcroft/ctl/tests/test_quarantine.py
@@ -31,6 +31,10 @@
             "reason=resting ran=no service=s retry_after_s=3.5",
             "targets of s rest; told to come back in 3.5 s",
         ),
+        (
+            "reason=rate_limited ran=no service=s retry_after_s=2",
+            "targets of s get all that they take; told to come back in 2 s",
+        ),
     ],
 )
 def test_the_cause_of_a_refusal_is_told(fields, cause):
--- a/damaskcroft/hosted/control.py
+++ b/damaskcroft/hosted/control.py
@@ -16,6 +16,7 @@
     FleetControl,
     FleetService,
     FleetState,
+    LimitsService,
     QuarantineService,
     ServiceRecorder,
 )
@@ -105,6 +106,7 @@
                 ReplicaService(replica),
                 service,
                 QuarantineService(view.crashes, service.tell_crashes),
+                LimitsService(view.limits),
             ],
             Keys(None, None),
         ),
--- a/damaskcroft/hosted/tests/fleet.py
+++ b/damaskcroft/hosted/tests/fleet.py
@@ -6,7 +6,12 @@
 import itertools
 import time
 
-from damaskcroft._generated import quarantine_grpc, quarantine_pb2
+from damaskcroft._generated import (
+    limits_grpc,
+    limits_pb2,
+    quarantine_grpc,
+    quarantine_pb2,
+)
 from damaskcroft.hosted.tests.deployment import (
     CONTROL_IPS,
     ENTRY_IPS,
@@ -150,6 +155,16 @@
         finally:
             channels.close()
 
+    async def limits(self):
+        """What an operator is told of limits, at whichever control node."""
+        channels = ChannelPool(Keys(None, None))
+        address = f"{CONTROL_IPS[0]}:{self.deployment.rpc}"
+        stub = limits_grpc.LimitsStub(channels.channel(address))
+        try:
+            return await stub.Review(limits_pb2.LimitsRequest(), timeout=5)
+        finally:
+            channels.close()
+
     async def _until_configured(self):
         async with asyncio.timeout(30):
             while not await self._is_configured():
--- a/damaskcroft/hosted/tests/soak/_target.py
+++ b/damaskcroft/hosted/tests/soak/_target.py
@@ -54,6 +54,11 @@
     def id(self):
         return f"i-{self.name}" if self._keeps_id else self._start_id
 
+    @property
+    def start_id(self):
+        """This start, as entries name it."""
+        return f"{self.id}@{self._born_ms}" if self._keeps_id else self.id
+
     @property
     def _start_id(self):
         return f"i-{self.name}-{self.boot}"
--- a/damaskcroft/hosted/tests/test_rate_limits.py
+++ b/damaskcroft/hosted/tests/test_rate_limits.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import time
 
 import pytest
 
@@ -44,3 +45,37 @@
         assert len(lost) <= _MAX_LOST_SHARE * len(others)
 
     with_fleet(scenario)
+
+
+def test_a_limit_outlasts_restarts_of_entries_and_control(with_fleet):
+    """Nobody comes back with what it had not sent before."""
+
+    async def scenario(fleet):
+        fleet.targets[0].limit = 0.5
+        async with fleet.others_call() as others:
+            await asyncio.sleep(CONTACT_S)
+            await fleet.restart_control()
+            await fleet.restart_entries_in_turn()
+            await asyncio.sleep(2 * WINDOW_S)
+        report(fleet, others)
+        assert fleet.book.overruns() == []
+
+    with_fleet(scenario)
+
+
+def test_operators_see_a_limit_until_it_is_lifted(with_fleet):
+    async def scenario(fleet):
+        target = fleet.targets[0]
+        target.limit = 2
+        async with fleet.others_call():
+            await asyncio.sleep(2)
+            (limit,) = (await fleet.limits()).limits
+            assert (limit.start_id, limit.rate_s) == (target.start_id, 2)
+            target.limit = None
+            lifted_at = time.monotonic()
+            await asyncio.sleep(2 * WINDOW_S)
+            assert not (await fleet.limits()).limits
+        # An equal share of 25 a second, from ten targets, is 2.5.
+        assert arrivals_since(fleet, target, lifted_at + WINDOW_S) > WINDOW_S
+
+    with_fleet(scenario)
