--- a/damaskcroft/control/_fleet_service.py
+++ b/damaskcroft/control/_fleet_service.py
@@ -65,8 +65,8 @@
         # this node has merged of them.
         self.crashed_starts: set[str] = set()
         self.limited_starts: set[str] = set()
-        # The entries that it was told last; None before.
-        self.entries_told: list[str] | None = None
+        # The entries that it was told of; None before.
+        self.entries_told: frozenset[str] | None = None
         self.wake = asyncio.Event()
         # Set beside `wake` by news that can't wait.
         self.hurry = asyncio.Event()
@@ -97,14 +97,16 @@
         self.hurry.clear()
 
     def take_entries(
-        self, update: fleet_pb2.FleetUpdate, names: list[str]
+        self, update: fleet_pb2.FleetUpdate, names: frozenset[str]
     ) -> None:
-        """Puts the names of all entries into an update after a change."""
-        if self.is_agent or names == self.entries_told:
+        """Puts into an update which entries came and left; all at first."""
+        told = self.entries_told
+        if self.is_agent or names == told:
             return
         self.entries_told = names
-        update.entry_names.names.extend(names)
-        update.entry_names.SetInParent()
+        update.entry_names.whole = told is None
+        update.entry_names.joined.extend(names - (told or frozenset()))
+        update.entry_names.left.extend((told or frozenset()) - names)
 
 
 def _takes_out(update: fleet_pb2.FleetUpdate) -> bool:
@@ -159,7 +161,7 @@
         # Watchers that are entries; one that starts again may be there twice.
         self._entries = 0
         self._streams_by_entry: collections.Counter[str] = collections.Counter()
-        self._entry_names: list[str] = []
+        self._entry_names: frozenset[str] = frozenset()
         # The newest words that change nothing, until they go out together.
         self._renewals_by_address: dict[str, fleet_pb2.AgentState] = {}
         self._started_at = now_s()
@@ -196,7 +198,7 @@
             return
         self._entries += change
         self._streams_by_entry[name] += change
-        names = sorted(+self._streams_by_entry)
+        names = frozenset(+self._streams_by_entry)
         if names == self._entry_names:
             return
         self._entry_names = names
--- a/damaskcroft/fleet/_entry_names.py
+++ b/damaskcroft/fleet/_entry_names.py
@@ -1,8 +1,8 @@
 """Which entries the fleet has, as control nodes tell their watchers."""
 
 import math
-from collections.abc import Iterable
 
+from damaskcroft._generated import fleet_pb2
 from damaskcroft.clock import now_s
 
 __all__ = ["EntryNames"]
@@ -42,14 +42,15 @@
         self._gathered: frozenset[str] = frozenset()
         self._gathered_until = -math.inf
 
-    def told(self, node: str, names: Iterable[str]) -> None:
-        """A control node tells all the entries that follow it."""
-        now = now_s()
-        before = self._told_by_node.get(node)
-        told = self._told_by_node[node] = _Told(frozenset(names))
-        if before is not None:
-            gone = before.names - told.names
-            self._gone_at.update(dict.fromkeys(gone, now))
+    def told(self, node: str, told: fleet_pb2.EntryNames) -> None:
+        """A control node tells which entries follow it, or what changed."""
+        known = self._told_by_node.get(node)
+        before = known.names if known is not None else frozenset()
+        names = frozenset(told.joined)
+        if not told.whole:
+            names = names | before - frozenset(told.left)
+        self._told_by_node[node] = _Told(names)
+        self._gone_at.update(dict.fromkeys(before - names, now_s()))
         self._gathered_until = -math.inf
 
     def heard(self, node: str) -> None:
--- a/damaskcroft/fleet/_view.py
+++ b/damaskcroft/fleet/_view.py
@@ -208,7 +208,7 @@
         """
         self._heard_at = now_s()
         if update.HasField("entry_names"):
-            self.entry_names.told(teller, update.entry_names.names)
+            self.entry_names.told(teller, update.entry_names)
         else:
             self.entry_names.heard(teller)
         for goal in update.goals:
--- a/damaskcroft/hosted/tests/test_rate_limits.py
+++ b/damaskcroft/hosted/tests/test_rate_limits.py
@@ -10,6 +10,10 @@
 from damaskcroft.hosted.tests.soak._limits import WINDOW_S
 
 _LASTS_S = CONTACT_S + 3 * WINDOW_S
+# Of a limit that is no longer named: until each entry has tried the target, and
+# from then until it gets as much as the others.
+_TRIED_WITHIN_S = 3.0
+_RAMP_S = 4.0
 # While the others have room, callers shall hardly notice.
 _MAX_LOST_SHARE = 0.02
 
@@ -72,10 +76,12 @@
             (limit,) = (await fleet.limits()).limits
             assert (limit.start_id, limit.rate_s) == (target.start_id, 2)
             target.limit = None
+            await asyncio.sleep(_TRIED_WITHIN_S)
+            assert not (await fleet.limits()).limits
+            await asyncio.sleep(_RAMP_S)
             lifted_at = time.monotonic()
             await asyncio.sleep(2 * WINDOW_S)
-            assert not (await fleet.limits()).limits
         # An equal share of 25 a second, from ten targets, is 2.5.
-        assert arrivals_since(fleet, target, lifted_at + WINDOW_S) > WINDOW_S
+        assert arrivals_since(fleet, target, lifted_at) > 2 * WINDOW_S
 
     with_fleet(scenario)
