Entries take turns to send copies of a suspect request

Callers saw: copies that reach several entries at the same moment crash a target each, over and over until three crashes in a row are known; each takes others' requests with it. At 350 entries that would be 350 targets a round.

Cause: copies ran one at a time at each entry, for a whole request. A second attempt, made when the first had just made it a suspect, was not held back at all.

Now each attempt of a suspect waits for a turn of the whole fleet, granted by the control node that rendezvous hashing ranks first, and by the next one if that is away; a turn ends with its stream. Who waits goes on at once when the request is cleared, and is refused when it is quarantined. After a crash the turn is held for as long as news take, so that the next copy's chain counts it.

Not for the own interface yet, whose entries take turns each for itself.

--- a/damaskcroft/_generated/quarantine_grpc.py
+++ b/damaskcroft/_generated/quarantine_grpc.py
@@ -38,3 +38,31 @@
             damaskcroft._generated.quarantine_pb2.QuarantineRequest,
             damaskcroft._generated.quarantine_pb2.QuarantineReply,
         )
+
+
+class TurnsBase(abc.ABC):
+
+    @abc.abstractmethod
+    async def Take(self, stream: 'grpclib.server.Stream[damaskcroft._generated.quarantine_pb2.TurnRequest, damaskcroft._generated.quarantine_pb2.TurnGranted]') -> None:
+        pass
+
+    def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
+        return {
+            '/damaskcroft.Turns/Take': grpclib.const.Handler(
+                self.Take,
+                grpclib.const.Cardinality.STREAM_STREAM,
+                damaskcroft._generated.quarantine_pb2.TurnRequest,
+                damaskcroft._generated.quarantine_pb2.TurnGranted,
+            ),
+        }
+
+
+class TurnsStub:
+
+    def __init__(self, channel: grpclib.client.Channel) -> None:
+        self.Take = grpclib.client.StreamStreamMethod(
+            channel,
+            '/damaskcroft.Turns/Take',
+            damaskcroft._generated.quarantine_pb2.TurnRequest,
+            damaskcroft._generated.quarantine_pb2.TurnGranted,
+        )
--- a/damaskcroft/control/__init__.py
+++ b/damaskcroft/control/__init__.py
@@ -11,6 +11,7 @@
 from damaskcroft.control._limits_service import LimitsService
 from damaskcroft.control._quarantine_service import QuarantineService
 from damaskcroft.control._service_recorder import ServiceRecorder
+from damaskcroft.control._turns_service import TurnsService
 
 __all__ = [
     "Accepted",
@@ -21,5 +22,6 @@
     "LimitsService",
     "QuarantineService",
     "ServiceRecorder",
+    "TurnsService",
     "Unavailable",
 ]
--- a/damaskcroft/entry/tests/test_crashing_calls.py
+++ b/damaskcroft/entry/tests/test_crashing_calls.py
@@ -1,5 +1,7 @@
 """Calls that are lost with their targets, and those that crash them."""
 
+import asyncio
+
 from damaskcroft.entry.tests.fakes import ran_word
 
 
@@ -64,6 +66,9 @@
         first.mode = "crashes"
         for engine in others:
             engine.mode = "fails"
+        async with asyncio.timeout(600):
+            while not world.entries[0].client.roster.crashes.has_suspects:
+                await world.ask(0, "", body_key="b")
         for _ in range(8):
             await world.ask(0, "", body_key="b")
         assert world.entries[0].client.roster.crashes.has_suspects
--- a/damaskcroft/fleet/__init__.py
+++ b/damaskcroft/fleet/__init__.py
@@ -13,6 +13,7 @@
 from damaskcroft.fleet._routes import RouteTable, mark_interruptible
 from damaskcroft.fleet._settings import Bounds, NodeSettings
 from damaskcroft.fleet._targets import TargetBook, start_id
+from damaskcroft.fleet._turns import TurnTaker
 from damaskcroft.fleet._validation import configuration_faults
 from damaskcroft.fleet._view import (
     GUARD_RENEWED_S,
@@ -31,6 +32,7 @@
     "Reporter",
     "RouteTable",
     "TargetBook",
+    "TurnTaker",
     "Unusable",
     "Watcher",
     "agents_by_target_address",
--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -165,17 +165,23 @@
     async def _try_targets(
         self, job: Job, answer: Answer, progress: Progress
     ) -> Ending:
-        async with self._suspects.one_at_a_time(job, progress):
-            while True:
-                ending = self._why_stop(job, progress)
-                if ending is not None:
-                    return ending
-                taken = await self._place(job, progress)
-                if not isinstance(taken, SlotTaken):
-                    return taken
-                ended = await self._try_one(job, answer, progress, taken)
-                if ended is not None:
-                    return ended
+        while True:
+            async with self._suspects.one_at_a_time(job, progress):
+                ended = await self._try_next(job, answer, progress)
+            if ended is not None:
+                return ended
+
+    async def _try_next(
+        self, job: Job, answer: Answer, progress: Progress
+    ) -> Ending | None:
+        """Places a job and tries it once; None if it may be tried again."""
+        ending = self._why_stop(job, progress)
+        if ending is not None:
+            return ending
+        taken = await self._place(job, progress)
+        if not isinstance(taken, SlotTaken):
+            return taken
+        return await self._try_one(job, answer, progress, taken)
 
     async def _place(self, job: Job, progress: Progress) -> SlotTaken | Ending:
         """Takes a slot at a target.
--- a/damaskcroft/forwarding/_suspects.py
+++ b/damaskcroft/forwarding/_suspects.py
@@ -16,7 +16,7 @@
 )
 from damaskcroft.forwarding._services import Services
 from damaskcroft.observe import log_event, metrics
-from damaskcroft.quarantine import Copies, CrashBook, CrashWatch, Loss
+from damaskcroft.quarantine import Copies, CrashBook, CrashWatch, HoldTurn, Loss
 from damaskcroft.routing import BackPressure, Candidate
 
 __all__ = ["QUARANTINED", "STARTED_AGAIN", "Suspects"]
@@ -29,6 +29,8 @@
 # How long a suspect waits before its next attempt, to know whether its target
 # has crashed: some round trips between regions.
 _VERDICT_WITHIN_S = 0.1
+# Until all entries know of a crash: control gathers news for half of that.
+_NEWS_SPREADS_S = 0.1
 
 
 class Suspects:
@@ -39,6 +41,8 @@
         services: whether a target announced its end, or was replaced.
         back_pressure: whether it said in an answer that it ends.
         tell: tells the fleet what this entry has found out.
+        hold_turn: keeps other entries from sending copies meanwhile; None
+            where there is no way to.
     """
 
     def __init__(
@@ -47,11 +51,12 @@
         services: Services,
         back_pressure: BackPressure,
         tell: Callable[[Iterable[quarantine_pb2.TargetCrash]], None],
+        hold_turn: HoldTurn | None = None,
     ):
         """See the class."""
         self._book = book
         self._tell = tell
-        self._copies = Copies(book)
+        self._copies = Copies(book, hold_turn)
         self._watch: CrashWatch[Candidate] = CrashWatch(
             lambda target: (
                 services.is_leaving(target)
@@ -98,7 +103,7 @@
     async def one_at_a_time(
         self, job: Job, progress: Progress
     ) -> AsyncIterator[None]:
-        """Waits while a copy of a suspect is under way here."""
+        """Waits while a copy of a suspect is under way."""
         if not self._book.has_suspects:
             yield
             return
@@ -135,6 +140,8 @@
         )
         if was_suspect and looked is not None:
             await asyncio.wait([looked], timeout=_VERDICT_WITHIN_S)
+            # Whoever sends the next copy shall know that one more crashed.
+            await asyncio.sleep(_NEWS_SPREADS_S)
 
     def answered(self, job: Job, progress: Progress) -> None:
         """A target gave its whole answer, so the request crashes none.
--- a/damaskcroft/hosted/control.py
+++ b/damaskcroft/hosted/control.py
@@ -19,6 +19,7 @@
     LimitsService,
     QuarantineService,
     ServiceRecorder,
+    TurnsService,
 )
 from damaskcroft.fleet import FleetView, NodeSettings, Watcher
 from damaskcroft.observe import log_event
@@ -107,6 +108,7 @@
                 service,
                 QuarantineService(view.crashes, service.tell_crashes),
                 LimitsService(view.limits),
+                TurnsService(),
             ],
             Keys(None, None),
         ),
--- a/damaskcroft/hosted/entry.py
+++ b/damaskcroft/hosted/entry.py
@@ -8,6 +8,7 @@
     FleetView,
     NodeSettings,
     Reporter,
+    TurnTaker,
     Watcher,
 )
 from damaskcroft.forwarding import EntryGate, Forwarder, Services, Suspects
@@ -103,7 +104,13 @@
         delays,
         back_pressure,
         limits,
-        Suspects(view.crashes, services, back_pressure, reporter.tell_crashes),
+        Suspects(
+            view.crashes,
+            services,
+            back_pressure,
+            reporter.tell_crashes,
+            TurnTaker(view, channels, seeds).hold,
+        ),
         view.doubt_target,
     )
     gate = EntryGate(wire, view, forwarder)
--- a/damaskcroft/hosted/tests/test_crashing_requests.py
+++ b/damaskcroft/hosted/tests/test_crashing_requests.py
@@ -11,6 +11,7 @@
 # Of other callers' requests: those that share two targets with it in a row.
 _MAX_LOST_SHARE = 0.02
 _AT_ONCE_S = 0.25
+_AT_ONCE = 12
 # Several such requests beside each other, one copy of each a second.
 _KINDS = 6
 _KIND_EVERY_S = 1.0
@@ -64,6 +65,21 @@
     with_fleet(scenario)
 
 
+def test_copies_at_all_entries_at_once_crash_one_target_at_a_time(with_fleet):
+    """Once a first crash is known: what was under way then may crash too."""
+
+    async def scenario(fleet):
+        await fleet.crash_some()
+        await asyncio.sleep(_EVERY_S)
+        known = len(fleet.book.crashes["crash"])
+        copies = (fleet.crash_some() for _ in range(_AT_ONCE))
+        outcomes = await asyncio.gather(*copies)
+        print(collections.Counter(o.status for o in outcomes))
+        assert len(fleet.book.crashes["crash"]) <= max(known, 2) + 1
+
+    with_fleet(scenario)
+
+
 def test_several_such_requests_at_once_are_each_held(with_fleet):
     async def scenario(fleet):
         names = [f"crash {n}" for n in range(_KINDS)]
--- a/damaskcroft/quarantine/tests/test_copies.py
+++ b/damaskcroft/quarantine/tests/test_copies.py
@@ -5,7 +5,34 @@
 import pytest
 
 from damaskcroft._generated import quarantine_pb2
-from damaskcroft.quarantine import Copies, CrashBook
+from damaskcroft.quarantine import Copies, CrashBook, Turns
+
+
+class Fleet:
+    """Entries that take turns at one node; all know the same book."""
+
+    def __init__(self, book, entries):
+        self.turns = Turns()
+        self.book = book
+        self.copies = [Copies(book, self.hold) for _ in range(entries)]
+        self.under_way = self.most = 0
+        self.ran = []
+
+    async def hold(self, fingerprint, for_s, granted):
+        async with self.turns.taken(fingerprint):
+            granted()
+            await asyncio.sleep(for_s)
+
+    async def run(self, copies, until=1e9):
+        async with copies.one_at_a_time(b"bad", until):
+            self.under_way += 1
+            self.most = max(self.most, self.under_way)
+            await asyncio.sleep(1)
+            self.under_way -= 1
+            self.ran.append(asyncio.get_running_loop().time())
+
+    async def run_all(self):
+        await asyncio.gather(*(self.run(copies) for copies in self.copies))
 
 
 @pytest.fixture
@@ -90,3 +117,69 @@
         assert outcomes == [0, 3]
 
     loop.run(scenario())
+
+
+def test_entries_take_turns(loop, book):
+    async def scenario():
+        fleet = Fleet(book, 5)
+        await fleet.run_all()
+        assert fleet.most == 1
+        assert fleet.ran == [1, 2, 3, 4, 5]
+
+    loop.run(scenario())
+
+
+def test_no_entry_waits_for_its_turn_once_the_request_is_cleared(loop, book):
+    async def scenario():
+        fleet = Fleet(book, 5)
+        running = asyncio.create_task(fleet.run_all())
+        await asyncio.sleep(1.5)
+        book.clear(b"bad")
+        await running
+        assert fleet.ran == [1, 2, 2.5, 2.5, 2.5]
+
+    loop.run(scenario())
+
+
+def test_no_entry_waits_for_its_turn_once_the_request_is_refused(loop, book):
+    async def scenario():
+        fleet = Fleet(book, 3)
+        running = asyncio.create_task(fleet.run_all())
+        await asyncio.sleep(0.5)
+        for n in range(3):
+            suspect = quarantine_pb2.Suspect(fingerprint=b"bad", chain=n + 1)
+            book.take(
+                quarantine_pb2.TargetCrash(start_id=f"{n}", suspects=[suspect])
+            )
+        # Each looks at the verdict before it sends.
+        await running
+        assert fleet.ran == [1, 1.5, 1.5]
+
+    loop.run(scenario())
+
+
+def test_without_a_node_that_grants_turns_a_copy_goes_at_once(loop, book):
+    async def scenario():
+        async def hold(fingerprint, for_s, granted):
+            del fingerprint, for_s
+            await asyncio.sleep(0.1)
+            granted()
+
+        fleet = Fleet(book, 0)
+        await fleet.run(Copies(book, hold))
+        assert fleet.ran == [1.1]
+
+    loop.run(scenario())
+
+
+def test_a_turn_that_is_given_up_goes_to_the_next(loop, book):
+    async def scenario():
+        fleet = Fleet(book, 2)
+        first = asyncio.create_task(fleet.run(fleet.copies[0]))
+        await asyncio.sleep(0.5)
+        second = asyncio.create_task(fleet.run(fleet.copies[1]))
+        first.cancel()
+        await second
+        assert fleet.ran == [1.5]
+
+    loop.run(scenario())
