Targets that refuse connections don't end a request's search

Callers saw: a request refused at once (503, 4 ms) though six of ten targets had room, right after four had crashed. Targets that have just lost all their work look emptiest, so a request tries them first; after four it was given up as unreachable.

Now only targets that could not be connected to in time count to four; a refused connection costs next to nothing, and up to 64 are passed over. Evidence: test_many_targets_that_refuse_connections_hide_no_good_one failed before (503).

--- a/damaskcroft/forwarding/_attempt.py
+++ b/damaskcroft/forwarding/_attempt.py
@@ -39,10 +39,12 @@
         reason: why, also a counter's label.
         unreachable: whether the target could not be connected to; else there
             was a reason of our own, which doesn't speak against it.
+        at_once: whether it refused the connection, which takes no time.
     """
 
     reason: str
     unreachable: bool = False
+    at_once: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -143,7 +145,7 @@
                     self._place, _CONNECT_TIMEOUT_S
                 )
             except OSError as error:
-                return NotSent(_connect_reason(error), unreachable=True)
+                return _not_connected(error)
             self.connect_s = now_s() - began_at
         self._connection = connection
         why_not = self._why_not_send(self.connect_s or 0.0)
@@ -237,10 +239,10 @@
         made.close()
 
 
-def _connect_reason(error: OSError) -> str:
+def _not_connected(error: OSError) -> NotSent:
     if isinstance(error, TimeoutError | asyncio.TimeoutError):
-        return "connect_timeout"
-    return "connect_refused"
+        return NotSent("connect_timeout", unreachable=True)
+    return NotSent("connect_refused", unreachable=True, at_once=True)
 
 
 def _lost_reason(error: NoAnswerError, connection: TargetConnection) -> str:
--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -55,8 +55,11 @@
 
 __all__ = ["Forwarder"]
 
-# Targets that could not even be connected to, before a request is given up.
+# Targets that could not be connected to in time, before a request is given up.
 _MAX_UNSENT = 4
+# Those that refuse connections cost next to nothing, and many do where a rack
+# has ended: targets that have just lost all their work look emptiest.
+_MAX_REFUSED = 64
 # Least time that is worth sending a request for.
 _MIN_LEFT_S = 0.03
 # How often silent targets are looked for; an eighth of what counts as silent.
@@ -189,7 +192,7 @@
         A job that was tried already, or whose answer has begun, doesn't wait
         in the queue again.
         """
-        if progress.sent or progress.unsent:
+        if progress.sent or progress.unsent or progress.refused:
             return self._place_again(job, progress)
         ticket = QueueTicket(
             service=job.service,
@@ -265,7 +268,7 @@
         quarantined_s = self._suspects.quarantined_s(job, progress)
         if quarantined_s:
             return self._suspects.refused(job, progress, quarantined_s)
-        if progress.unsent >= _MAX_UNSENT:
+        if progress.unsent >= _MAX_UNSENT or progress.refused >= _MAX_REFUSED:
             return given_up("unreachable", progress)
         if progress.sent >= max(1, job.route.max_attempts):
             return given_up("attempts_used", progress)
@@ -346,7 +349,8 @@
         match outcome:
             case NotSent(reason=reason, unreachable=unreachable):
                 progress.sent -= 1
-                progress.unsent += 1
+                progress.refused += outcome.at_once
+                progress.unsent += not outcome.at_once
                 progress.last = outcome
                 if unreachable:
                     self._outliers.failed(target.id, certain=True)
--- a/damaskcroft/forwarding/_job.py
+++ b/damaskcroft/forwarding/_job.py
@@ -156,7 +156,8 @@
 
     Attributes:
         sent: targets that it was sent to.
-        unsent: targets that could not be connected to.
+        unsent: targets that it was not sent to, after some time.
+        refused: targets that refused its connection at once.
         excluded: ids of targets that it shall not be sent to again.
         last: how the last attempt failed.
         may_have_run: whether any target may have run it.
@@ -180,6 +181,7 @@
         "last_event_id",
         "may_have_run",
         "pace",
+        "refused",
         "sent",
         "unsent",
     )
@@ -188,6 +190,7 @@
         """Nothing was tried yet."""
         self.sent = 0
         self.unsent = 0
+        self.refused = 0
         self.excluded: set[str] = set()
         self.last: NotSent | NotRun | Lost | None = None
         self.may_have_run = False
--- a/damaskcroft/forwarding/tests/test_forwarding.py
+++ b/damaskcroft/forwarding/tests/test_forwarding.py
@@ -150,6 +150,24 @@
     asyncio.run(scenario())
 
 
+def test_many_targets_that_refuse_connections_hide_no_good_one():
+    """Targets that have just crashed look emptiest, and are tried first."""
+
+    async def scenario():
+        dead = [FakeTarget(f"dead {n}", "whole") for n in range(8)]
+        good = FakeTarget("good", "whole")
+        async with entry_before(*dead, good, config=SAFE) as entry:
+            for target in dead:
+                target.server.close()
+            (busy,) = [c for c in entry.candidates() if c.id == "good"]
+            slot = entry.placer.take(busy)
+            status, _, body = await entry.ask()
+            slot.give_back()
+            assert (status, body) == (200, b"good")
+
+    asyncio.run(scenario())
+
+
 def test_a_hanging_target_is_given_up_at_the_routes_timeout():
     async def scenario():
         target = FakeTarget("a", "hangs")
