A repeat that was not sent uses up no budget

Callers saw: 502 no_retry_budget after a first attempt was lost with its target and the second target refused the connection. The budget bounds arrivals beyond the first; a repeat that never left used it up, and the next one found none left. What was not sent is given back.

Evidence: test_a_repeat_that_was_not_sent_uses_up_no_budget failed before (502).

--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -351,6 +351,8 @@
                 progress.sent -= 1
                 progress.refused += outcome.at_once
                 progress.unsent += not outcome.at_once
+                if progress.sent:
+                    self._retry_window.give_back()
                 progress.last = outcome
                 if unreachable:
                     self._outliers.failed(target.id, certain=True)
--- a/damaskcroft/forwarding/tests/test_forwarding.py
+++ b/damaskcroft/forwarding/tests/test_forwarding.py
@@ -168,6 +168,25 @@
     asyncio.run(scenario())
 
 
+def test_a_repeat_that_was_not_sent_uses_up_no_budget():
+    async def scenario():
+        cut, dead = FakeTarget("cut", "silent_close"), FakeTarget("dead", "")
+        good = FakeTarget("good", "whole")
+        async with entry_before(
+            cut, dead, good, config=SAFE, ratio=0.0, extra=1.5
+        ) as entry:
+            dead.server.close()
+            held = [entry.placer.take(c) for c in entry.candidates()[2:]]
+            held += [entry.placer.take(c) for c in entry.candidates()[1:]]
+            status, _, body = await entry.ask()
+            for slot in held:
+                slot.give_back()
+            assert (status, body) == (200, b"good")
+            assert asked(cut, dead, good) == 2
+
+    asyncio.run(scenario())
+
+
 def test_a_hanging_target_is_given_up_at_the_routes_timeout():
     async def scenario():
         target = FakeTarget("a", "hangs")
--- a/damaskcroft/routing/_retry_window.py
+++ b/damaskcroft/routing/_retry_window.py
@@ -51,6 +51,11 @@
         self._repeats.append(now)
         return True
 
+    def give_back(self) -> None:
+        """Takes back the last repeat, which was not sent."""
+        if self._repeats:
+            self._repeats.pop()
+
 
 def _forget_before(times: collections.deque[float], limit: float) -> None:
     while times and times[0] < limit:
