Who can't be in time is refused while a queue stands

Cause: those went first who were about to be late. A request counted as still in time until 0.12 s before its goal, while engines needed 0.4 s to begin an answer, so at entries the median wait of what came late was 0.2 s: each was sent when it was too late, and made the next one late (what earliest-deadline-first does past saturation).

The time kept back for the target is measured (three quarters of the last answers, two seconds, at most 0.6 of the goal). Where requests are late in the queue for a second, who can't be in time is refused at once and told when to come back (as CoDel drops what a standing queue holds). Requests without a goal wait as before.

A trial that foresaw what others leave from arrivals and slots given refused callers below capacity (its test failed) and was dropped.

--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -124,7 +124,7 @@
                 ticket.service, ticket.model, before
             ),
         )
-        self._relay = Relay(wire, self._queue.serve)
+        self._relay = Relay(wire, self._queue.serve, self._queue.first_answered)
         self._wire = wire
         self._services = services
         self._placer = placer
@@ -311,7 +311,13 @@
                 ),
             ) as made:
                 sending = Sending(
-                    job, answer, progress, target, taken.slot, made
+                    job,
+                    answer,
+                    progress,
+                    target,
+                    taken.slot,
+                    made,
+                    taken_at,
                 )
                 with self._running.watched(sending):
                     outcome = await self._run(sending)
--- a/damaskcroft/forwarding/_relay.py
+++ b/damaskcroft/forwarding/_relay.py
@@ -36,6 +36,7 @@
         target: where it is sent.
         slot: its place there.
         made: the attempt.
+        sent_at: loop time at which it was sent.
     """
 
     job: Job
@@ -44,6 +45,7 @@
     target: Candidate
     slot: Slot
     made: Attempt
+    sent_at: float
 
 
 class Relay:
@@ -53,11 +55,19 @@
         wire: how headers are written down.
         room_made: called when a target has read a prompt, and so has room for
             another one.
+        first_given: told the service of the first of an answer, and how long
+            its target took.
     """
 
-    def __init__(self, wire: Wire, room_made: Callable[[], None]):
+    def __init__(
+        self,
+        wire: Wire,
+        room_made: Callable[[], None],
+        first_given: Callable[[str, float], None],
+    ):
         """See the class."""
         self._wire = wire
+        self._first_given = first_given
         self._room_made = room_made
 
     async def give(
@@ -132,6 +142,9 @@
         await sending.answer.begin(head.status, headers)
 
     def _note_given(self, sending: Sending) -> None:
+        if sending.progress.pace.first_s is None:
+            took_s = now_s() - sending.sent_at
+            self._first_given(sending.job.service, took_s)
         if sending.slot.read():
             self._room_made()
         sending.progress.pace.given(now_s())
--- a/damaskcroft/routing/_queue.py
+++ b/damaskcroft/routing/_queue.py
@@ -11,9 +11,11 @@
 import asyncio
 import collections
 import dataclasses
+import math
 from collections.abc import Callable
 
 from damaskcroft.clock import now_s
+from damaskcroft.routing._first_answers import FirstAnswers
 from damaskcroft.routing._placement import Candidate, Placement, Slot
 
 __all__ = [
@@ -28,10 +30,11 @@
 # Share of its time that a request waits here at most. A caller comes back
 # within a third of what it has left, and must then still be served.
 _WAIT_SHARE = 0.33
-# From a target's slot to the first of its answer, at a loaded target: some
-# steps of a batch and the reading of a usual prompt. Only separates those who
-# may still be in time from those who can't.
-_FIRST_ANSWER_S = 0.12
+# Share of a goal that is kept back for the target at most: where targets take
+# longer than the goal, somebody must still go first.
+_MAX_FIRST_SHARE = 0.6
+# A queue in which some are always late for so long doesn't pass by itself.
+_STANDS_AFTER_S = 1.0
 # Over which the rate at which slots are given is measured, to foresee how long
 # a wait is; a pause of some tenths of a second, as when versions change, is not
 # taken for a lower rate.
@@ -63,7 +66,7 @@
         model: which model, or empty.
         priority: 0 is the most urgent.
         arrived_at: loop time of its arrival.
-        goal_s: an answer within this time is in time.
+        goal_s: an answer within this time is in time; 0 for no goal.
         deadline_at: loop time of its final answer.
         prompt_tokens: length of its prompt.
         request_id: whose place it is, for logs.
@@ -80,11 +83,6 @@
     request_id: str = ""
     is_suspect: bool = False
 
-    @property
-    def in_time_until(self) -> float:
-        """Until when it must be sent to be answered in time."""
-        return self.arrived_at + self.goal_s - _FIRST_ANSWER_S
-
     @property
     def waits_until(self) -> float:
         """When it is told to come back."""
@@ -189,8 +187,20 @@
         self._take = take
         self._waiting_by_service: dict[str, list[_Waiting]] = {}
         self._given_at_by_service: dict[str, collections.deque[float]] = {}
+        # Since when some request has waited that can't be in time any more,
+        # without a moment at which nobody waited.
+        self._late_since_by_service: dict[str, float] = {}
         self._shortage_by_kind: dict[tuple[str, str], str] = {}
         self._shortage_since = float("-inf")
+        self._first_answers = FirstAnswers()
+
+    def first_answered(self, service: str, took_s: float) -> None:
+        """Takes how long a target took to begin its answer; see FirstAnswers.
+
+        A fixed time would let those go first who are about to be late: the
+        more there are, the later all of them come.
+        """
+        self._first_answers.note(service, took_s)
 
     async def take_slot(self, ticket: QueueTicket) -> SlotTaken | Overloaded:
         """Takes a slot, at once if one is free and nobody waits."""
@@ -203,7 +213,8 @@
         closed = self._closed(ticket, self._count_before(ticket))
         if closed is not None:
             foreseen_s = max(foreseen_s, closed.room_s)
-        if foreseen_s > ticket.waits_until - now_s():
+        now = now_s()
+        if foreseen_s > self._waits_until(ticket, now) - now:
             return self._refused(ticket, len(waiting), foreseen_s)
         joined = _Waiting(ticket)
         waiting = self._waiting_by_service.setdefault(ticket.service, [])
@@ -231,6 +242,7 @@
             self._serve(waiting)
             if not waiting:
                 del self._waiting_by_service[service]
+                self._late_since_by_service.pop(service, None)
 
     def newly_long(self) -> list[LongWait]:
         """Who has waited for long since this was asked last; each once."""
@@ -247,7 +259,7 @@
 
     def _serve(self, waiting: list[_Waiting]) -> None:
         now = now_s()
-        waiting.sort(key=lambda joined: _rank(joined.ticket, now))
+        waiting.sort(key=lambda joined: self._rank(joined.ticket, now))
         while waiting:
             joined = waiting[0]
             outcome = self._outcome_now(joined.ticket, len(waiting))
@@ -256,8 +268,9 @@
             waiting.pop(0)
             if not joined.outcome.done():
                 joined.outcome.set_result(outcome)
+        self._note_late(waiting, now)
         for joined in list(waiting):
-            if now >= joined.ticket.waits_until:
+            if now >= self._waits_until(joined.ticket, now):
                 foreseen_s = self._foreseen_wait_s(joined.ticket)
                 waiting.remove(joined)
                 if not joined.outcome.done():
@@ -265,6 +278,25 @@
                         self._refused(joined.ticket, len(waiting), foreseen_s)
                     )
 
+    def _note_late(self, waiting: list[_Waiting], now: float) -> None:
+        """Notes whether some wait in vain, and since when."""
+        for service in {joined.ticket.service for joined in waiting}:
+            if any(self._is_late(joined.ticket, now) for joined in waiting):
+                self._late_since_by_service.setdefault(service, now)
+
+    def _waits_until(self, ticket: QueueTicket, now: float) -> float:
+        """When a ticket is told to come back.
+
+        While more come than targets carry, nobody waits who can't be in time:
+        the work on it would make another one late (as CoDel drops what a
+        standing queue holds; Nichols and Jacobson, "Controlling Queue Delay",
+        2012).
+        """
+        late_since = self._late_since_by_service.get(ticket.service, math.inf)
+        if now - late_since < _STANDS_AFTER_S:
+            return ticket.waits_until
+        return min(ticket.waits_until, self._in_time_until(ticket))
+
     def _outcome_now(
         self, ticket: QueueTicket, waiting: int
     ) -> SlotTaken | Overloaded | None:
@@ -326,19 +358,33 @@
         if len(recent) < _MIN_GIVEN:
             return 0.0
         span_s = max(now - recent[0], _MIN_SPAN_S)
-        return self._count_before(ticket) * span_s / len(recent)
+        rate_s = len(recent) / span_s
+        return self._count_before(ticket) / rate_s
 
     def _count_before(self, ticket: QueueTicket) -> int:
         """How many go before a ticket."""
         now = now_s()
-        rank = _rank(ticket, now)
+        rank = self._rank(ticket, now)
         return sum(
-            _rank(joined.ticket, now) <= rank
+            self._rank(joined.ticket, now) <= rank
             for joined in self._waiting_by_service.get(ticket.service, [])
         )
 
-
-def _rank(ticket: QueueTicket, now: float) -> tuple[float, ...]:
-    """Urgent kinds first, then who may be in time, then who came first."""
-    late = now > ticket.in_time_until
-    return (ticket.priority, late, ticket.arrived_at)
+    def _rank(self, ticket: QueueTicket, now: float) -> tuple[float, ...]:
+        """Urgent kinds, then who may be in time, then who came first."""
+        late = self._is_late(ticket, now)
+        return (ticket.priority, late, ticket.arrived_at)
+
+    def _is_late(self, ticket: QueueTicket, now: float) -> bool:
+        """Whether a ticket's answer would come after its goal."""
+        return now > self._in_time_until(ticket)
+
+    def _in_time_until(self, ticket: QueueTicket) -> float:
+        """Until when a ticket must be sent to be answered in time."""
+        if not ticket.goal_s:
+            return ticket.waits_until
+        first_answer_s = min(
+            self._first_answers.usual_s(ticket.service),
+            _MAX_FIRST_SHARE * ticket.goal_s,
+        )
+        return ticket.arrived_at + ticket.goal_s - first_answer_s
--- a/damaskcroft/routing/tests/test_queue.py
+++ b/damaskcroft/routing/tests/test_queue.py
@@ -365,3 +365,31 @@
         assert outcome.returns_s == REST_AGAIN_S
 
     loop.run(scenario())
+
+
+def test_who_goes_first_follows_from_what_targets_take_to_begin(loop):
+    """Targets take 0.2 s of a goal of 0.4 s: after 0.2 s it is too late."""
+
+    async def scenario():
+        targets = Targets(1)
+        slots = [(await targets.asking(loop)).slot for _ in range(SLOTS)]
+        for _ in range(20):
+            targets.queue.first_answered("s", 0.2)
+        served = []
+
+        async def wait(name):
+            await targets.queue.take_slot(ticket(loop.time()))
+            served.append(name)
+
+        old = asyncio.create_task(wait("old"))
+        await asyncio.sleep(0.22)
+        new = asyncio.create_task(wait("new"))
+        await asyncio.sleep(0.01)
+        for slot in slots[:2]:
+            slot.give_back()
+            targets.queue.serve()
+            await asyncio.sleep(0.01)
+        await asyncio.gather(old, new)
+        assert served == ["new", "old"]
+
+    loop.run(scenario())
