--- a/damaskcroft/quarantine/_book.py
+++ b/damaskcroft/quarantine/_book.py
@@ -15,24 +15,21 @@
 2011), so that all of them come to the same verdict without a leader.
 """
 
-import collections
 import dataclasses
-import math
 from collections.abc import Callable, Iterable, Iterator
 
 from damaskcroft._generated import quarantine_pb2
 from damaskcroft.clock import now_s
 from damaskcroft.observe import log_event, metrics
+from damaskcroft.quarantine._verdicts import (
+    CRASHES,
+    Crash,
+    Verdicts,
+    longest_chain,
+)
 
 __all__ = ["CrashBook", "Quarantined"]
 
-# Starts that crash under a request before it is refused.
-_CRASHES = 3
-# Where targets crash for no known reason, chance may have led it to three: by
-# how many such crashes there were, so many more are needed.
-_MORE_BY_OTHERS = ((12, 2), (3, 1), (0, 0))
-# Others count that crashed so long before one of its own, or less.
-_OTHERS_WITHIN_S = 30.0
 # From the last crash until it may be tried again, and how many times as long
 # each try that crashes a target makes that: three tries in a day.
 _QUARANTINE_S = 600.0
@@ -66,30 +63,6 @@
     left_s: float
 
 
-class _Crash:
-    """One start of a target that crashed.
-
-    Attributes:
-        at: when, on this process's clock.
-        suspects: by the fingerprint of each request that ran there, its chain:
-            how many crashes followed one another up to this one.
-        cleared: those of them that it no longer speaks against.
-        service: which the target ran for; empty if unknown.
-    """
-
-    __slots__ = ("at", "cleared", "service", "suspects")
-
-    def __init__(self, at: float):
-        self.at = at
-        self.service = ""
-        self.suspects: dict[bytes, int] = {}
-        self.cleared: set[bytes] = set()
-
-    @property
-    def open_suspects(self) -> list[bytes]:
-        return [s for s in self.suspects if s not in self.cleared]
-
-
 class CrashBook:
     """Crashes by the start of the target that crashed.
 
@@ -101,7 +74,7 @@
     def __init__(self, spread: float = 0.0):
         """Creates an empty book."""
         self._end_factor = 1 + _END_SPREAD * spread
-        self._crashes_by_start: dict[str, _Crash] = {}
+        self._crashes_by_start: dict[str, Crash] = {}
         # Worked out after each change.
         self._starts_by_suspect: dict[bytes, list[str]] = {}
         self._quarantined_until: dict[bytes, float] = {}
@@ -137,7 +110,7 @@
         at = now_s() - told.age_ms / _MS_IN_S
         crash = self._crashes_by_start.get(told.start_id)
         if crash is None:
-            crash = self._crashes_by_start[told.start_id] = _Crash(at)
+            crash = self._crashes_by_start[told.start_id] = Crash(at)
         crash.at = min(crash.at, at)
         crash.service = crash.service or told.service
         return _merge(crash, told)
@@ -194,7 +167,7 @@
     def chain(self, fingerprint: bytes) -> int:
         """How many crashes in a row are known of a request; 0 for none."""
         starts = self._starts_by_suspect.get(fingerprint, [])
-        return self._longest_chain(fingerprint, starts)
+        return longest_chain(self._crashes_by_start, fingerprint, starts)
 
     def quarantined_s(self, fingerprint: bytes) -> float:
         """For how long a request is refused from now on; 0 if it isn't."""
@@ -218,103 +191,21 @@
     def _judge(self) -> None:
         """Works every verdict out anew."""
         self.changes += 1
-        open_by_start = {
-            start: crash.open_suspects
-            for start, crash in self._crashes_by_start.items()
-        }
-        self._starts_by_suspect = _starts_by_suspect(open_by_start)
-        guilty = self._guilty(open_by_start)
+        verdicts = Verdicts(self._crashes_by_start)
+        self._starts_by_suspect = verdicts.starts_by_suspect()
         before = self._quarantined_until
         self._quarantined_until = {
-            fingerprint: self._ends_at(fingerprint) for fingerprint in guilty
+            fingerprint: self._ends_at(fingerprint)
+            for fingerprint in verdicts.guilty()
         }
         self._log_changes(before)
         for listener in self._listeners:
             listener()
 
-    def _guilty(self, open_by_start: dict[str, list[bytes]]) -> set[bytes]:
-        """Requests that explain crashes; the first to be known goes first."""
-        guilty: set[bytes] = set()
-        unexplained = dict(open_by_start)
-        while True:
-            starts_by_suspect = _starts_by_suspect(unexplained)
-            by_chance = unexplained.keys() - self._of_repeaters(
-                starts_by_suspect
-            )
-            since = {
-                fingerprint: self._guilty_since(fingerprint, starts, by_chance)
-                for fingerprint, starts in starts_by_suspect.items()
-            }
-            first = min(since.values(), default=math.inf)
-            if math.isinf(first):
-                return guilty
-            found = {f for f, at in since.items() if at == first}
-            guilty |= found
-            unexplained = {
-                start: suspects
-                for start, suspects in unexplained.items()
-                if found.isdisjoint(suspects)
-            }
-
-    def _of_repeaters(
-        self, starts_by_suspect: dict[bytes, list[str]]
-    ) -> set[str]:
-        """Starts under each request that has crashed enough in a row.
-
-        Several requests that crash targets must not pass for each other's
-        chance.
-        """
-        return {
-            start
-            for fingerprint, starts in starts_by_suspect.items()
-            if len(starts) >= _CRASHES
-            and self._longest_chain(fingerprint, starts) >= _CRASHES
-            for start in starts
-        }
-
-    def _longest_chain(self, fingerprint: bytes, starts: list[str]) -> int:
-        return max(
-            (self._crashes_by_start[s].suspects[fingerprint] for s in starts),
-            default=0,
-        )
-
-    def _guilty_since(
-        self, fingerprint: bytes, starts: list[str], by_chance: set[str]
-    ) -> float:
-        """When chance no longer explained the crashes; infinite while it may.
-
-        Args:
-            fingerprint: the request.
-            starts: what crashed under the request.
-            by_chance: all that crashed for no reason known yet.
-        """
-        if len(starts) < _CRASHES:
-            return math.inf
-        crashes = sorted(
-            (self._crashes_by_start[start] for start in starts),
-            key=lambda crash: crash.at,
-        )
-        times = [crash.at for crash in crashes]
-        others = [
-            self._crashes_by_start[start].at
-            for start in by_chance
-            if start not in starts
-        ]
-        longest = 0
-        for count, crash in enumerate(crashes, 1):
-            longest = max(longest, crash.suspects[fingerprint])
-            if min(count, longest) < _CRASHES:
-                continue
-            near = _count_near(times[:count], others)
-            more = next(m for least, m in _MORE_BY_OTHERS if near >= least)
-            if min(count, longest) >= _CRASHES + more:
-                return crash.at
-        return math.inf
-
     def _ends_at(self, fingerprint: bytes) -> float:
         starts = self._starts_by_suspect[fingerprint]
         times = sorted(self._crashes_by_start[start].at for start in starts)
-        first_end = times[_CRASHES - 1] + _QUARANTINE_S
+        first_end = times[CRASHES - 1] + _QUARANTINE_S
         tries = sum(at >= first_end for at in times)
         lasts_s = min(
             _QUARANTINE_S * _QUARANTINE_FACTOR**tries, _MAX_QUARANTINE_S
@@ -388,7 +279,7 @@
         )
 
 
-def _merge(crash: _Crash, told: quarantine_pb2.TargetCrash) -> bool:
+def _merge(crash: Crash, told: quarantine_pb2.TargetCrash) -> bool:
     """Adds what is told of a crash to it; whether anything was new."""
     is_new = False
     for suspect in told.suspects:
@@ -404,21 +295,3 @@
         crash.cleared.add(fingerprint)
         is_new = True
     return is_new
-
-
-def _starts_by_suspect(
-    suspects_by_start: dict[str, list[bytes]],
-) -> dict[bytes, list[str]]:
-    found: dict[bytes, list[str]] = collections.defaultdict(list)
-    for start, suspects in suspects_by_start.items():
-        for suspect in suspects:
-            found[suspect].append(start)
-    return dict(found)
-
-
-def _count_near(times: list[float], others: list[float]) -> int:
-    """How many others crashed shortly before any of some times."""
-    return sum(
-        any(0 <= at - other <= _OTHERS_WITHIN_S for at in times)
-        for other in others
-    )
