--- a/damaskcroft/routing/__init__.py
+++ b/damaskcroft/routing/__init__.py
@@ -5,16 +5,16 @@
 from damaskcroft.routing._delays import AnswerDelays
 from damaskcroft.routing._outliers import Outliers
 from damaskcroft.routing._placement import Candidate, Placement, Placer, Slot
-from damaskcroft.routing._queue import (
+from damaskcroft.routing._queue import RequestQueue
+from damaskcroft.routing._retry_window import RetryWindow
+from damaskcroft.routing._silence import SilenceWatch
+from damaskcroft.routing._tickets import (
     Closed,
     LongWait,
     Overloaded,
     QueueTicket,
-    RequestQueue,
     SlotTaken,
 )
-from damaskcroft.routing._retry_window import RetryWindow
-from damaskcroft.routing._silence import SilenceWatch
 
 __all__ = [
     "Admission",
--- a/damaskcroft/routing/_queue.py
+++ b/damaskcroft/routing/_queue.py
@@ -10,32 +10,25 @@
 
 import asyncio
 import collections
-import dataclasses
-import math
 from collections.abc import Callable
 
 from damaskcroft.clock import now_s
 from damaskcroft.routing._first_answers import FirstAnswers
 from damaskcroft.routing._placement import Candidate, Placement, Slot
+from damaskcroft.routing._standing import LateSpan
+from damaskcroft.routing._tickets import (
+    Closed,
+    LongWait,
+    Overloaded,
+    QueueTicket,
+    SlotTaken,
+)
+
+__all__ = ["RequestQueue"]
 
-__all__ = [
-    "Closed",
-    "LongWait",
-    "Overloaded",
-    "QueueTicket",
-    "RequestQueue",
-    "SlotTaken",
-]
-
-# Share of its time that a request waits here at most. A caller comes back
-# within a third of what it has left, and must then still be served.
-_WAIT_SHARE = 0.33
 # Share of a goal that is kept back for the target at most: where targets take
 # longer than the goal, somebody must still go first.
 _MAX_FIRST_SHARE = 0.6
-# A queue in which some are late for so long, without a pause of as long,
-# doesn't end by itself.
-_STANDS_AFTER_S = 1.0
 # Over which the rate at which slots are given is measured, to foresee how long
 # a wait is; a pause of some tenths of a second, as when versions change, is not
 # taken for a lower rate.
@@ -58,97 +51,6 @@
 _SHORTAGE_HOLDS_S = 0.1
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class QueueTicket:
-    """What a request's place in the queue depends on.
-
-    Attributes:
-        service: whose targets it needs.
-        model: which model, or empty.
-        priority: 0 is the most urgent.
-        arrived_at: loop time of its arrival.
-        goal_s: an answer within this time is in time; 0 for no goal.
-        deadline_at: loop time of its final answer.
-        prompt_tokens: length of its prompt.
-        request_id: whose place it is, for logs.
-        is_suspect: whether a target has crashed under it.
-    """
-
-    service: str
-    model: str
-    priority: int
-    arrived_at: float
-    goal_s: float
-    deadline_at: float
-    prompt_tokens: int = 0
-    request_id: str = ""
-    is_suspect: bool = False
-
-    @property
-    def waits_until(self) -> float:
-        """When it is told to come back."""
-        time_s = self.deadline_at - self.arrived_at
-        return self.arrived_at + time_s * _WAIT_SHARE
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SlotTaken:
-    """A slot was taken at a target for the request."""
-
-    candidate: Candidate
-    slot: Slot
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Closed:
-    """No target that could serve a request takes one now.
-
-    Attributes:
-        reason: "resting" if they asked for that, "rate_limited" if they get as
-            many a second as they take.
-        room_s: until one takes the request from here; infinite where only
-            other entries send.
-        returns_s: when its caller should come back, to whichever entry.
-    """
-
-    reason: str
-    room_s: float
-    returns_s: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Overloaded:
-    """No slot in time; the request was sent to nobody.
-
-    Attributes:
-        reason: "overloaded" if all that could serve it were full, "no_target"
-            if none could serve it, or as `Closed` has it.
-        waiting: how many waited for the service.
-        foreseen_s: how long the queue is at its present rate; 0 if unknown.
-        returns_s: when its caller should come back; 0 if unknown.
-    """
-
-    reason: str
-    waiting: int
-    foreseen_s: float = 0.0
-    returns_s: float = 0.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class LongWait:
-    """A request that has waited for a notable time, and waits on.
-
-    Attributes:
-        ticket: its place.
-        reason: what it waits for, in the words of `Overloaded`.
-        waiting: how many wait for the service.
-    """
-
-    ticket: QueueTicket
-    reason: str
-    waiting: int
-
-
 class _Waiting:
     __slots__ = ("is_told", "outcome", "ticket")
 
@@ -160,26 +62,6 @@
         )
 
 
-class _LateSpan:
-    """The time in which some waited who couldn't be in time any more."""
-
-    __slots__ = ("_seen_at", "_since")
-
-    def __init__(self) -> None:
-        self._since = self._seen_at = -math.inf
-
-    def note(self, now: float) -> None:
-        """Somebody waits in vain now."""
-        if now - self._seen_at > _STANDS_AFTER_S:
-            self._since = now
-        self._seen_at = now
-
-    def stands(self, now: float) -> bool:
-        """Whether that lasts, and has lasted for some time."""
-        lasts = now - self._seen_at <= _STANDS_AFTER_S
-        return lasts and now - self._since >= _STANDS_AFTER_S
-
-
 class RequestQueue:
     """Gives out slots of full services.
 
@@ -208,7 +90,7 @@
         self._take = take
         self._waiting_by_service: dict[str, list[_Waiting]] = {}
         self._given_at_by_service: dict[str, collections.deque[float]] = {}
-        self._late_by_service: dict[str, _LateSpan] = {}
+        self._late_by_service: dict[str, LateSpan] = {}
         self._shortage_by_kind: dict[tuple[str, str], str] = {}
         self._shortage_since = float("-inf")
         self._first_answers = FirstAnswers()
@@ -304,7 +186,7 @@
             if self._is_late(joined.ticket, now)
         }
         for service in late:
-            self._late_by_service.setdefault(service, _LateSpan()).note(now)
+            self._late_by_service.setdefault(service, LateSpan()).note(now)
 
     def _waits_until(self, ticket: QueueTicket, now: float) -> float:
         """When a ticket is told to come back.
