What an entry has unread follows first events alone; a queue stands for want of room

- Each entry's part was a share by the number of entries.
Callers are spread unevenly, so a busy entry held prompts back while engines had room for them.
Its part begins with all engines and falls in proportion to how much of their goal first events take.
- While no target could serve, as when versions change, those in the queue became late, which counted as a standing queue; they were refused just before targets were back.
Only want of room counts.

The platform's reading of the limit's header has a test of its own.

--- a/damaskcroft/platform/tests/test_wire.py
+++ b/damaskcroft/platform/tests/test_wire.py
@@ -4,6 +4,7 @@
 
 from damaskcroft.forwarding import Passing, TargetLoad
 from damaskcroft.http1 import CallerRequest, Head
+from damaskcroft.limits import Named, Unnamed, Unreadable
 from damaskcroft.platform.wire import PlatformWire
 
 
@@ -96,3 +97,13 @@
     assert facts(server_load="busy").load is None
     assert facts(response_seal="x").sealed
     assert facts(weight_versions="2").weights_version == 2
+
+
+def test_a_limit_for_all_senders_is_read_from_each_answer():
+    assert facts().limit == Unnamed()
+    assert facts(server_limit="1.8").limit == Named(1.8)
+    assert facts(503, not_executed="1", server_limit="0").limit == Named(0.0)
+    assert isinstance(facts(server_limit="").limit, Unreadable)
+    twice = [(b"server-limit", b"1"), (b"server-limit", b"2")]
+    answer = PlatformWire().facts(Head(200, twice))
+    assert isinstance(answer.limit, Unreadable)
--- a/damaskcroft/routing/_placement.py
+++ b/damaskcroft/routing/_placement.py
@@ -24,6 +24,11 @@
 # A target with this many requests for each slot is full: more would wait
 # there, in the order in which they came.
 FULL = 1.0
+# Prompts that may be unread at one engine, as the time that it takes to read
+# them, over all entries: with the steps between which they are read, first
+# events come within a third of a second then.
+_MAX_UNREAD_S = 0.12
+
 # A target whose quickest answers take this long is behind a narrow link, or on
 # a slow machine: others with room go before it. Goals for first events are
 # below it, and answers of a full engine are quicker.
@@ -191,9 +196,8 @@
         best = None
         best_rank: tuple[float, ...] = ()
         readable_tokens = 0.0
-        unread_s = self._unread_bound.unread_s
         for candidate in candidates:
-            readable_tokens += candidate.prompt_tokens_s * unread_s
+            readable_tokens += candidate.prompt_tokens_s * _MAX_UNREAD_S
             if candidate.id in excluded:
                 continue
             rank = self._rank(candidate, prompt_tokens)
@@ -221,7 +225,7 @@
         )
         if not unread_tokens:
             return True
-        part_tokens = readable_tokens / max(1, self.entries)
+        part_tokens = readable_tokens * self._unread_bound.part
         return unread_tokens + prompt_tokens <= part_tokens
 
     def fullness(self, candidate: Candidate) -> float:
@@ -280,7 +284,7 @@
         if not load.unread_tokens:
             return True
         unread_tokens = load.unread_tokens + prompt_tokens
-        most_tokens = candidate.prompt_tokens_s * self._unread_bound.unread_s
+        most_tokens = candidate.prompt_tokens_s * _MAX_UNREAD_S
         return unread_tokens <= most_tokens / max(1, self.entries)
 
     def _rank(
--- a/damaskcroft/routing/_queue.py
+++ b/damaskcroft/routing/_queue.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import collections
+import enum
 from collections.abc import Callable
 
 from damaskcroft.clock import now_s
@@ -62,6 +63,15 @@
         )
 
 
+class _Waits(enum.Enum):
+    """What the first in the queue waits for."""
+
+    FOR_ROOM = enum.auto()
+    # One that may soon take requests again, after which those who are late by
+    # it are still to be served.
+    FOR_TARGET = enum.auto()
+
+
 class RequestQueue:
     """Gives out slots of full services.
 
@@ -108,7 +118,7 @@
         waiting = self._waiting_by_service.get(ticket.service, [])
         if not waiting:
             outcome = self._outcome_now(ticket, 0)
-            if outcome is not None:
+            if not isinstance(outcome, _Waits):
                 return outcome
         foreseen_s = self._foreseen_wait_s(ticket)
         closed = self._closed(ticket, self._count_before(ticket))
@@ -163,12 +173,13 @@
         while waiting:
             joined = waiting[0]
             outcome = self._outcome_now(joined.ticket, len(waiting))
-            if outcome is None:
+            if outcome is _Waits.FOR_ROOM:
+                self._note_late(waiting, now)
+            if isinstance(outcome, _Waits):
                 break
             waiting.pop(0)
             if not joined.outcome.done():
                 joined.outcome.set_result(outcome)
-        self._note_late(waiting, now)
         for joined in list(waiting):
             if now >= self._waits_until(joined.ticket, now):
                 foreseen_s = self._foreseen_wait_s(joined.ticket)
@@ -203,20 +214,20 @@
 
     def _outcome_now(
         self, ticket: QueueTicket, waiting: int
-    ) -> SlotTaken | Overloaded | None:
-        """What the first in the queue is told now; None if it waits on."""
+    ) -> SlotTaken | Overloaded | _Waits:
+        """What the first in the queue is told now, or what it waits for."""
         placement = self._choose(ticket)
         if placement is not None and placement.has_room:
             return self._given(ticket, placement)
         if placement is not None:
-            return None
+            return _Waits.FOR_ROOM
         closed = self._closed(ticket, 0)
         if closed is None:
             if self._may_come(ticket):
-                return None
+                return _Waits.FOR_TARGET
             return Overloaded("no_target", waiting)
         if closed.room_s <= ticket.waits_until - now_s():
-            return None
+            return _Waits.FOR_TARGET
         return Overloaded(closed.reason, waiting, returns_s=closed.returns_s)
 
     def _given(self, ticket: QueueTicket, placement: Placement) -> SlotTaken:
--- a/damaskcroft/routing/_unread_bound.py
+++ b/damaskcroft/routing/_unread_bound.py
@@ -1,11 +1,12 @@
 """How much unread text engines may have, by how late their answers begin.
 
-Engines read prompts between the steps of what they write, so how long some
-unread text takes depends on their load. The bound follows the first events that
-callers get: it falls by a share while these take more of their goal than they
-should and rises slowly while they take less (additive increase, multiplicative
-decrease; Chiu and Jain, "Analysis of the Increase and Decrease Algorithms for
-Congestion Avoidance in Computer Networks", 1989).
+Engines read prompts between the steps of what they write, and many entries send
+to them, so how long some unread text takes depends on their load. What an entry
+may have unread over all engines follows the first events that its callers get:
+it falls in proportion while these take more of their goal than they should and
+rises slowly while they take less (additive increase, multiplicative decrease;
+Chiu and Jain, "Analysis of the Increase and Decrease Algorithms for Congestion
+Avoidance in Computer Networks", 1989).
 """
 
 import statistics
@@ -14,11 +15,12 @@
 
 __all__ = ["UnreadBound"]
 
-# As the time that reading takes at best, over all entries.
-_MOST_S = 0.12
-_LEAST_S = 0.02
-_RISES_BY_S = 0.01
-_FALLS_TO = 0.8
+# Of what all engines may have unread. Entries whose callers are many need more
+# than others.
+_MOST = 1.0
+_LEAST = 0.02
+_RISES_BY = 0.03
+_FALLS_TO_AT_LEAST = 0.5
 # Of their goal, first events shall take no more than this at engines: the rest
 # is for waiting in the queue and for chance.
 _GOAL_SHARE = 0.5
@@ -31,15 +33,15 @@
     """The bound of one entry.
 
     Attributes:
-        unread_s: text that may be unread at each engine over all entries, as
-            the time in seconds that reading it takes at best.
+        part: what this entry may have unread, as a share of what all engines
+            may have.
     """
 
-    __slots__ = ("_changed_at", "_shares", "unread_s")
+    __slots__ = ("_changed_at", "_shares", "part")
 
     def __init__(self) -> None:
         """Begins with the highest bound."""
-        self.unread_s = _MOST_S
+        self.part = _MOST
         self._shares: list[float] = []
         self._changed_at = 0.0
 
@@ -57,9 +59,11 @@
         is_due = now - self._changed_at >= _EVERY_S
         if not is_due or len(self._shares) < _MIN_ANSWERS:
             return
-        if statistics.median(self._shares) > _GOAL_SHARE:
-            self.unread_s = max(_LEAST_S, self.unread_s * _FALLS_TO)
+        median = statistics.median(self._shares)
+        if median > _GOAL_SHARE:
+            falls_to = max(_GOAL_SHARE / median, _FALLS_TO_AT_LEAST)
+            self.part = max(_LEAST, self.part * falls_to)
         else:
-            self.unread_s = min(_MOST_S, self.unread_s + _RISES_BY_S)
+            self.part = min(_MOST, self.part + _RISES_BY)
         self._shares.clear()
         self._changed_at = now
