--- a/damaskcroft/routing/_queue.py
+++ b/damaskcroft/routing/_queue.py
@@ -5,7 +5,7 @@
 first come, first served, so that under such a load every answer comes late.
 Here whoever can still be answered in time goes first; those who can't any
 more wait for the room that is left, and are told when to come back before
-most of their time is gone.
+most of their time is gone, or at once where such a queue doesn't pass.
 """
 
 import asyncio
@@ -120,13 +120,14 @@
             outcome = self._outcome_now(ticket, 0)
             if not isinstance(outcome, _Waits):
                 return outcome
-        foreseen_s = self._foreseen_wait_s(ticket)
-        closed = self._closed(ticket, self._count_before(ticket))
+        before = self._count_before(ticket)
+        foreseen_s = self._foreseen_wait_s(ticket.service, before)
+        closed = self._closed(ticket, before)
         if closed is not None:
             foreseen_s = max(foreseen_s, closed.room_s)
         now = now_s()
         if foreseen_s > self._waits_until(ticket, now) - now:
-            return self._refused(ticket, len(waiting), foreseen_s)
+            return self._refused(ticket, len(waiting))
         joined = _Waiting(ticket)
         waiting = self._waiting_by_service.setdefault(ticket.service, [])
         waiting.append(joined)
@@ -182,21 +183,15 @@
                 joined.outcome.set_result(outcome)
         for joined in list(waiting):
             if now >= self._waits_until(joined.ticket, now):
-                foreseen_s = self._foreseen_wait_s(joined.ticket)
                 waiting.remove(joined)
                 if not joined.outcome.done():
-                    joined.outcome.set_result(
-                        self._refused(joined.ticket, len(waiting), foreseen_s)
-                    )
+                    refused = self._refused(joined.ticket, len(waiting))
+                    joined.outcome.set_result(refused)
 
     def _note_late(self, waiting: list[_Waiting], now: float) -> None:
-        """Notes whether some wait in vain, and since when."""
-        late = {
-            joined.ticket.service
-            for joined in waiting
-            if self._is_late(joined.ticket, now)
-        }
-        for service in late:
+        """Notes whether some of a service's queue wait in vain."""
+        if any(self._is_late(joined.ticket, now) for joined in waiting):
+            service = waiting[0].ticket.service
             self._late_by_service.setdefault(service, LateSpan()).note(now)
 
     def _waits_until(self, ticket: QueueTicket, now: float) -> float:
@@ -238,10 +233,10 @@
         given_at.append(now_s())
         return SlotTaken(placement.candidate, slot)
 
-    def _refused(
-        self, ticket: QueueTicket, waiting: int, foreseen_s: float
-    ) -> Overloaded:
-        closed = self._closed(ticket, self._count_before(ticket))
+    def _refused(self, ticket: QueueTicket, waiting: int) -> Overloaded:
+        before = self._count_before(ticket)
+        foreseen_s = self._foreseen_wait_s(ticket.service, before)
+        closed = self._closed(ticket, before)
         if closed is not None:
             return Overloaded(
                 closed.reason, waiting, foreseen_s, closed.returns_s
@@ -265,16 +260,15 @@
         closed = self._closed(ticket, 0)
         return closed.reason if closed is not None else "no_target"
 
-    def _foreseen_wait_s(self, ticket: QueueTicket) -> float:
+    def _foreseen_wait_s(self, service: str, before: int) -> float:
         """How long those before a ticket will take, at the present rate."""
         now = now_s()
-        given_at = self._given_at_by_service.get(ticket.service, ())
+        given_at = self._given_at_by_service.get(service, ())
         recent = [at for at in given_at if at >= now - _RATE_WINDOW_S]
         if len(recent) < _MIN_GIVEN:
             return 0.0
         span_s = max(now - recent[0], _MIN_SPAN_S)
-        rate_s = len(recent) / span_s
-        return self._count_before(ticket) / rate_s
+        return before * span_s / len(recent)
 
     def _count_before(self, ticket: QueueTicket) -> int:
         """How many go before a ticket."""
