--- a/damaskcroft/hosted/tests/soak/_faults.py
+++ b/damaskcroft/hosted/tests/soak/_faults.py
@@ -108,6 +108,9 @@
         if fault.kind == "crashing request":
             await self._send_copies(fault)
             return
+        if fault.kind == "limit target":
+            await self._name_limits(fault)
+            return
         name, _, what = fault.kind.partition(" ")
         role = {"control": "control", "log": "control", "entry": "entry"}.get(
             what, "target"
@@ -137,7 +140,7 @@
 
     def _noted(self, fault, role, who):
         """What targets say in answers, and an entry more, disturb nobody."""
-        if fault.kind in (*_ANSWER_KINDS, *_LIMIT_KINDS):
+        if fault.kind in (*_ANSWER_KINDS, "add entry"):
             return contextlib.nullcontext()
         return self._book.disturbed("control" if role == "control" else who[0])
 
@@ -148,6 +151,14 @@
             await self._ask_crashing()
             await asyncio.sleep(_COPIES_EVERY_S)
 
+    async def _name_limits(self, fault):
+        """One target names limits that change, whatever else happens to it."""
+        target = self._targets[fault.which % len(self._targets)]
+        for number in range(_LIMIT_LASTS):
+            target.limit = _LIMITS[(fault.which + number) % len(_LIMITS)]
+            await asyncio.sleep(fault.for_s)
+        target.limit = None
+
     def _may(self, fault, who):
         """No more disks are lost than may be: the others must be whole."""
         if fault.kind != "wipe control":
@@ -260,14 +271,6 @@
                 await asyncio.sleep(fault.for_s)
                 await target.restart()
                 return
-            case "limit target":
-                for number in range(_LIMIT_LASTS):
-                    target.limit = _LIMITS[
-                        (fault.which + number) % len(_LIMITS)
-                    ]
-                    await asyncio.sleep(fault.for_s)
-                target.limit = None
-                return
             case "delay":
                 proxy.delay_s = 0.05 * (1 + fault.which)
             case "reset":
