--- a/damaskcroft/control/_fleet_service.py
+++ b/damaskcroft/control/_fleet_service.py
@@ -198,7 +198,8 @@
             return
         self._entries += change
         self._streams_by_entry[name] += change
-        names = frozenset(+self._streams_by_entry)
+        self._streams_by_entry += collections.Counter()  # Drops the zeros.
+        names = frozenset(self._streams_by_entry)
         if names == self._entry_names:
             return
         self._entry_names = names
--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -431,9 +431,9 @@
         """Takes what a target says of itself in the head of an answer."""
         # That a limit has ended needs the word of the target itself, not of
         # whoever refused a request at its address.
-        if facts.sealed or isinstance(facts.limit, Named):
-            if not facts.misdirected:
-                self._limits.answered(target.id, facts.limit, sent_at)
+        tells_limit = facts.sealed or isinstance(facts.limit, Named)
+        if tells_limit and not facts.misdirected:
+            self._limits.answered(target.id, facts.limit, sent_at)
         if facts.leaving:
             self._back_pressure.leaving(target.id)
         if facts.rest_s:
