The check of named limits is checked

Test code alone: the soak's book finds an arrival too many in a window and excuses what came before contact, from an entry not told, or after the limit's end.

--- a/damaskcroft/hosted/tests/test_soak.py
+++ b/damaskcroft/hosted/tests/test_soak.py
@@ -14,6 +14,7 @@
     Rest,
 )
 from damaskcroft.hosted.tests.soak._faults import schedule
+from damaskcroft.hosted.tests.soak._limits import NamedLimits
 from damaskcroft.hosted.tests.soak._run import Soak
 
 # Seed and seconds of faults. Each seed that ever failed is added here, with a
@@ -150,3 +151,26 @@
         arrival(book, "r", time.monotonic(), sent_at=time.monotonic())
         book.check_bounds()
     assert book.broken == []
+
+
+@pytest.mark.parametrize(("arrivals", "overruns"), [(11, 0), (12, 1)])
+def test_arrivals_above_a_limit_are_found(arrivals, overruns):
+    limits = NamedLimits(CONTACT_S)
+    limits.told("t-1", "e", 1, 10.0)
+    begun_at = 10.0 + CONTACT_S
+    # What an entry sends that has not been told is its own.
+    counted = [(begun_at, "untold", "t-1")] * 9
+    counted += [(begun_at + 0.3 * n, "e", "t-1") for n in range(arrivals)]
+    assert len(list(limits.overruns(counted))) == overruns
+
+
+def test_a_limit_counts_until_it_is_lifted_and_from_contact_on():
+    limits = NamedLimits(CONTACT_S)
+    limits.told("t-1", "e", 0, 10.0)
+    early = [(11.0, "e", "t-1")] * 50
+    assert list(limits.overruns(early)) == []
+    limits.told("t-1", "e", None, 30.0)
+    lifted = [(31.0, "e", "t-1")] * 50
+    assert list(limits.overruns(lifted)) == []
+    between = [(20.0, "e", "t-1")] * 6
+    assert len(list(limits.overruns(between))) == 1
