An entry asks the next node for a turn when one ends its stream without a word

Found by reading: where the first control node ended the stream before it had granted the turn, nobody was asked any more and nobody told the copy to go on; it waited until its own deadline. The next node is asked, and where none grants one the copy goes on, as with nodes that can't be reached.

test_a_copy_goes_on_whatever_node_ends_its_stream failed before in two of its four cases.

--- a/damaskcroft/fleet/_turns.py
+++ b/damaskcroft/fleet/_turns.py
@@ -50,7 +50,7 @@
         for address in self._ranked(fingerprint):
             try:
                 await self._hold_at(address, fingerprint, for_s, granted)
-                return
+                log_event("turn_failed", address=address, reason="ended")
             except CALL_ERRORS as error:
                 log_event("turn_failed", address=address, reason=error)
         granted()
@@ -62,6 +62,7 @@
         for_s: float,
         granted: Callable[[], None],
     ) -> None:
+        """Holds a turn of one node; returns if that ends the stream first."""
         stub = quarantine_grpc.TurnsStub(self._channels.channel(address))
         request = quarantine_pb2.TurnRequest(
             fingerprint=fingerprint, for_ms=int(for_s * _MS_IN_S)
