damaskctl asks for a review in one way

quarantine and limits had the same loop over control nodes and the same words where none answers, copied when limits came. No behaviour changes.

--- a/damaskcroft/ctl/_client.py
+++ b/damaskcroft/ctl/_client.py
@@ -3,7 +3,8 @@
 import asyncio
 import dataclasses
 import time
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable
+from typing import Any
 
 import grpclib.client
 
@@ -84,21 +85,21 @@
             lift: fingerprints of those that may run again.
         """
         request = quarantine_pb2.QuarantineRequest(lift=lift)
-        async for channel in self._channels():
-            stub = quarantine_grpc.QuarantineStub(channel)
-            try:
-                return await stub.Review(request, timeout=_CALL_TIMEOUT_S)
-            except CALL_ERRORS:
-                continue
-        return NoAnswer(tuple(self._addresses))
+        return await self._reviewed(quarantine_grpc.QuarantineStub, request)
 
     async def limits(self) -> limits_pb2.LimitsReply | NoAnswer:
         """Targets that name how many requests a second they take."""
+        request = limits_pb2.LimitsRequest()
+        return await self._reviewed(limits_grpc.LimitsStub, request)
+
+    async def _reviewed(
+        self, stub_type: Callable[[grpclib.client.Channel], Any], request: Any
+    ) -> Any:
+        """The first replica's answer to a service's Review, or NoAnswer."""
         async for channel in self._channels():
-            stub = limits_grpc.LimitsStub(channel)
             try:
-                return await stub.Review(
-                    limits_pb2.LimitsRequest(), timeout=_CALL_TIMEOUT_S
+                return await stub_type(channel).Review(
+                    request, timeout=_CALL_TIMEOUT_S
                 )
             except CALL_ERRORS:
                 continue
--- a/damaskcroft/ctl/main.py
+++ b/damaskcroft/ctl/main.py
@@ -160,8 +160,7 @@
         settings, lambda client: client.quarantine(fingerprints)
     )
     if isinstance(reply, NoAnswer):
-        tried = ", ".join(reply.tried)
-        _fail(f"no control node answered at {tried}", _EXIT_NO_LEADER)
+        _fail_unanswered(reply)
     print(_views.quarantine_table(reply))
     if reply.lifted < len(fingerprints):
         _fail("not all of them were known", _EXIT_REFUSED)
@@ -172,8 +171,7 @@
     """Lists targets that name how many requests a second they take."""
     reply = _with_client(settings, lambda client: client.limits())
     if isinstance(reply, NoAnswer):
-        tried = ", ".join(reply.tried)
-        _fail(f"no control node answered at {tried}", _EXIT_NO_LEADER)
+        _fail_unanswered(reply)
     print(_views.limits_table(reply))
 
 
@@ -296,6 +294,11 @@
     return 0
 
 
+def _fail_unanswered(reply: NoAnswer) -> Any:
+    tried = ", ".join(reply.tried)
+    _fail(f"no control node answered at {tried}", _EXIT_NO_LEADER)
+
+
 def _fail(message: str, status: int) -> Any:
     print(message, file=sys.stderr)
     raise SystemExit(status)
