Connections made while a server stops listening are answered

Cause: closing a listening socket resets what the kernel holds for it, and asyncio's Server refuses, without a word, a connection that it accepted in the step before it was closed (_attach asserts that its sockets are open).

With a caller that connects right after each look of the event loop, both faces reset it each time (the two new tests, red before).

Change: before a server closes, the loop stops accepting, takes in what it has accepted, and then what the kernel still holds, right before the close. The new connections get the 408 that says that nothing has run. The hosted entry's face ended such connections outright; it gives them a moment now.

Not covered: a handshake whose last packet is under way when the socket closes.

--- a/damaskcroft/http1/__init__.py
+++ b/damaskcroft/http1/__init__.py
@@ -20,6 +20,7 @@
     CallerRequest,
 )
 from damaskcroft.http1._head import Head, Headers
+from damaskcroft.http1._listening import stop_listening
 from damaskcroft.http1._pool import ConnectionPool, Place
 from damaskcroft.http1._retry_after import retry_after_s
 from damaskcroft.http1._server import CallerConnections, callers_served
@@ -44,4 +45,5 @@
     "connect",
     "closing_answer",
     "retry_after_s",
+    "stop_listening",
 ]
--- a/damaskcroft/http1/_server.py
+++ b/damaskcroft/http1/_server.py
@@ -9,6 +9,7 @@
 from damaskcroft.http1._channel import Channel, ChannelLostError
 from damaskcroft.http1._closing import LINGER_S, closing_answer
 from damaskcroft.http1._exchange import Answer, CallerHandler, CallerRequest
+from damaskcroft.http1._listening import stop_listening
 from damaskcroft.http1._reader import RequestReader
 from damaskcroft.observe import log_warning, metrics
 
@@ -17,6 +18,8 @@
 # Between two interim answers that show whether a caller that has ended its
 # side still listens; one round trip, so that a reset has come back.
 _PROBE_PAUSE_S = 0.1
+# For callers that connected while the server ended, to read that nothing ran.
+_LAST_WORD_S = 0.2
 # Queue of connections that the kernel holds for us.
 _BACKLOG = 512
 
@@ -48,7 +51,12 @@
             waiting.cancel()
 
     async def close(self) -> None:
-        """Ends everything at once."""
+        """Ends everything, at once but for a last word to who waits."""
+        # Connections made just now begin to wait for a request.
+        await asyncio.sleep(0)
+        self.close_idle()
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=_LAST_WORD_S)
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -217,5 +225,5 @@
     try:
         yield connections
     finally:
-        server.close()
+        await stop_listening(server, connections.accept)
         await connections.close()
--- a/damaskcroft/http1/tests/test_closing.py
+++ b/damaskcroft/http1/tests/test_closing.py
@@ -11,6 +11,7 @@
 import asyncio
 
 from damaskcroft.http1.tests.test_server import WHOLE, settled
+from damaskcroft.standins.late_callers import LateCallers
 
 PROMISE = b"HTTP/1.1 408"
 
@@ -99,6 +100,24 @@
     run(scenario())
 
 
+def test_connections_made_while_a_server_stops_listening_are_answered(served):
+    callers = LateCallers(WHOLE)
+
+    async def scenario():
+        async with served() as (handler, _, connections):
+            host, _, port = connections.address.rpartition(":")
+            callers.place = host, int(port)
+            await asyncio.sleep(0)
+        return len(handler.requests)
+
+    with asyncio.Runner(loop_factory=callers.new_loop) as runner:
+        runs = runner.run(scenario())
+    outcomes = callers.outcomes()
+    assert outcomes
+    assert set(outcomes) <= {"200", "408"}
+    assert outcomes.count("200") == runs
+
+
 async def kept_busy(call, handler):
     caller = await call()
     await caller.send(WHOLE)
--- a/damaskcroft/rpc/_http.py
+++ b/damaskcroft/rpc/_http.py
@@ -14,6 +14,7 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
+from damaskcroft.http1 import stop_listening
 from damaskcroft.rpc._channels import split_address
 from damaskcroft.rpc._kept_connections import KeptConnection
 
@@ -44,6 +45,21 @@
         self.should_exit = True
         self._ending.set()
 
+    async def shutdown(
+        self, sockets: list[socket.socket] | None = None
+    ) -> None:
+        """See the library's class; each connection made until now ends so."""
+        for server in self.servers:
+            await stop_listening(server, self._make_connection)
+        await super().shutdown(sockets)
+
+    def _make_connection(self) -> asyncio.Protocol:
+        return self.config.http_protocol_class(  # type: ignore[call-arg, return-value]
+            config=self.config,
+            server_state=self.server_state,
+            app_state=self.lifespan.state,
+        )
+
     async def main_loop(self) -> None:
         """Renews the Date header once a second until told to end."""
         while not await self.on_tick(0):
--- a/damaskcroft/rpc/tests/test_kept_connections.py
+++ b/damaskcroft/rpc/tests/test_kept_connections.py
@@ -19,6 +19,7 @@
 from starlette.routing import Route
 
 from damaskcroft.rpc import http_served
+from damaskcroft.standins.late_callers import LateCallers
 from damaskcroft.standins.loopback import free_address
 
 REQUEST = b"POST /work HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
@@ -134,6 +135,22 @@
     assert asyncio.run(scenario()) == ({b"408"}, 0)
 
 
+def test_connections_made_while_a_server_stops_listening_are_answered(server):
+    callers = LateCallers(REQUEST)
+
+    async def scenario():
+        async with server.serve():
+            callers.place = server.place
+        return server.runs
+
+    with asyncio.Runner(loop_factory=callers.new_loop) as runner:
+        runs = runner.run(scenario())
+    outcomes = callers.outcomes()
+    assert outcomes
+    assert set(outcomes) <= {"200", "408"}
+    assert outcomes.count("200") == runs
+
+
 def test_an_idle_connection_ends_with_a_promise_that_nothing_ran(server):
     async def scenario():
         async with server.serve(idle_timeout_s=0.1, closing_body=b"{}"):
