Suspects of different entries are sent to different targets

Evidence, the failing run's logs: f-41 (crashes) at one entry and f-44 at the other lost t1 at 23.139; both sent again at once, both to t5, which ended at 23.181. Neither was a suspect yet when it was sent: the first look at t1's address told of the crash 1 ms later. And where entries don't see each other's suspects, each chooses the emptiest target, which is the same one.

Change: a request that was lost and may be sent again waits for the first look, a round trip, 0.05 s at most; so it goes as a suspect, one copy at a time. Each target belongs to one entry, by a hash of its id over all entries' names, and suspects go to their entry's own first. Weighed: turns of the fleet for each target (streams of innocent suspects would wait for each other), a third attempt (more than the route allows), choosing at random (one pair in n targets).

Tests: routing/tests/test_placement.py and test_what_is_lost_with_its_target_is_a_suspect_at_its_next_attempt, red before.

--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -229,10 +229,12 @@
 
     def _place_again(self, job: Job, progress: Progress) -> SlotTaken | Ending:
         prompt_tokens = job.call.prompt_tokens
+        is_suspect = self._suspects.is_suspect(job, progress)
         placed = self._placer.choose(
             self._availability.candidates(job.service, job.call.model),
             progress.excluded,
             prompt_tokens,
+            is_suspect=is_suspect,
         )
         if placed is None:
             closed = self._availability.closed(job.service, job.call.model, 0)
@@ -245,9 +247,7 @@
             metrics.RETRIES.labels("no_budget").inc()
             return given_up("no_retry_budget", progress)
         slot = self._take(
-            placed.candidate,
-            prompt_tokens,
-            is_suspect=self._suspects.is_suspect(job, progress),
+            placed.candidate, prompt_tokens, is_suspect=is_suspect
         )
         return SlotTaken(placed.candidate, slot)
 
@@ -262,7 +262,9 @@
 
     def _choose(self, ticket: QueueTicket) -> Placement | None:
         candidates = self._availability.candidates(ticket.service, ticket.model)
-        return self._placer.choose(candidates, (), ticket.prompt_tokens)
+        return self._placer.choose(
+            candidates, (), ticket.prompt_tokens, is_suspect=ticket.is_suspect
+        )
 
     def _why_stop(self, job: Job, progress: Progress) -> Ending | None:
         quarantined_s = self._suspects.quarantined_s(job, progress)
@@ -270,7 +272,7 @@
             return self._suspects.refused(job, progress, quarantined_s)
         if progress.unsent >= _MAX_UNSENT or progress.refused >= _MAX_REFUSED:
             return given_up("unreachable", progress)
-        if progress.sent >= max(1, job.route.max_attempts):
+        if not job.has_attempt_after(progress):
             return given_up("attempts_used", progress)
         if job.left_s < _MIN_LEFT_S:
             return given_up("deadline", progress)
--- a/damaskcroft/forwarding/_job.py
+++ b/damaskcroft/forwarding/_job.py
@@ -108,6 +108,10 @@
         """Whether it may run more than once."""
         return self.route.idempotent or self.route.resumable
 
+    def has_attempt_after(self, progress: "Progress") -> bool:
+        """Whether its route lets it be sent to one more target."""
+        return progress.sent < max(1, self.route.max_attempts)
+
     @property
     def left_s(self) -> float:
         """How long it may still take; below 0 when its time is over."""
--- a/damaskcroft/forwarding/_suspects.py
+++ b/damaskcroft/forwarding/_suspects.py
@@ -29,6 +29,9 @@
 # How long a suspect waits before its next attempt, to know whether its target
 # has crashed: some round trips between regions.
 _VERDICT_WITHIN_S = 0.1
+# How long any other lost request waits before its next attempt, to be sent as a
+# suspect then: a round trip between regions.
+_FIRST_LOOK_WITHIN_S = 0.05
 # Until all entries know of a crash: control gathers news for half of that.
 _NEWS_SPREADS_S = 0.1
 
@@ -122,8 +125,9 @@
     ) -> None:
         """Takes note of a lost attempt.
 
-        A suspect waits for a moment until it is known whether its target has
-        crashed, so that its next attempt doesn't crash another one.
+        It waits for a moment until it is known whether its target has crashed,
+        so that its next attempt doesn't crash another one, and isn't lost
+        beside a request that does.
         """
         if not lost.cut and lost.reason != STARTED_AGAIN:
             return
@@ -138,10 +142,14 @@
                 progress.chain,
             )
         )
-        if was_suspect and looked is not None:
+        if looked is None:
+            return
+        if was_suspect:
             await asyncio.wait([looked], timeout=_VERDICT_WITHIN_S)
             # Whoever sends the next copy shall know that one more crashed.
             await asyncio.sleep(_NEWS_SPREADS_S)
+        elif job.is_repeatable and job.has_attempt_after(progress):
+            await asyncio.wait([looked], timeout=_FIRST_LOOK_WITHIN_S)
 
     def answered(self, job: Job, progress: Progress) -> None:
         """A target gave its whole answer, so the request crashes none.
--- a/damaskcroft/forwarding/tests/test_quarantined.py
+++ b/damaskcroft/forwarding/tests/test_quarantined.py
@@ -222,3 +222,27 @@
                     assert [asked(target) for target in targets] == [1, 1, 1]
 
     asyncio.run(scenario())
+
+
+def test_what_is_lost_with_its_target_is_a_suspect_at_its_next_attempt():
+    async def scenario():
+        modes = ["dies", "hangs"]
+        targets = [FakeTarget(name) for name in "abc"]
+        for target in targets:
+            target.modes = modes
+        async with entry_before(*targets, config=SAFE) as entry:
+            async with under_way(entry.ask("/a")):
+                await until(lambda: asked(*targets) == 2)
+                (free,) = [t for t in targets if not asked(t)]
+                (candidate,) = [
+                    c for c in entry.candidates() if c.target_id == free.name
+                ]
+                slots = [entry.placer.take(candidate) for _ in range(2)]
+                # Fuller, but no suspect runs there.
+                async with under_way(entry.ask("/b")):
+                    await until(lambda: asked(*targets) == 3)
+                    assert asked(free) == 1
+                for slot in slots:
+                    slot.give_back()
+
+    asyncio.run(scenario())
--- a/damaskcroft/hosted/entry.py
+++ b/damaskcroft/hosted/entry.py
@@ -26,6 +26,7 @@
     AnswerDelays,
     BackPressure,
     Outliers,
+    PartedTargets,
     Placer,
     RetryWindow,
     SilenceWatch,
@@ -81,6 +82,7 @@
         answer_delay_s=delays.quickest_s,
         takes_one=back_pressure.takes_one,
         is_spared=limits.is_spared,
+        is_own=PartedTargets(settings.name, view.entry_names.names).is_own,
     )
     services = Services(
         view,
--- a/damaskcroft/routing/__init__.py
+++ b/damaskcroft/routing/__init__.py
@@ -4,6 +4,7 @@
 from damaskcroft.routing._back_pressure import BackPressure
 from damaskcroft.routing._delays import AnswerDelays
 from damaskcroft.routing._outliers import Outliers
+from damaskcroft.routing._parted_targets import PartedTargets
 from damaskcroft.routing._placement import Candidate, Placement, Placer, Slot
 from damaskcroft.routing._queue import RequestQueue
 from damaskcroft.routing._retry_window import RetryWindow
@@ -29,6 +30,7 @@
     "NotGranted",
     "Outliers",
     "Overloaded",
+    "PartedTargets",
     "Placement",
     "Placer",
     "Pool",
--- /dev/null
+++ b/damaskcroft/routing/_parted_targets.py
@@ -0,0 +1,39 @@
+"""Which targets an entry sends suspect requests to first.
+
+Entries that each choose the emptiest target choose the same one. Should one
+of two suspects there crash it, the other has lost its last attempt. So each
+target belongs to one of the entries, by its id: no message is needed, and two
+entries that know different names only choose as if there were no parts.
+"""
+
+import zlib
+from collections.abc import Callable
+
+__all__ = ["PartedTargets"]
+
+
+class PartedTargets:
+    """The targets of a fleet, parted among its entries.
+
+    Args:
+        own_name: the entry's.
+        names: of all entries; may lack its own.
+    """
+
+    __slots__ = ("_all_names", "_names", "_own_name", "_place")
+
+    def __init__(self, own_name: str, names: Callable[[], frozenset[str]]):
+        """See the class."""
+        self._own_name = own_name
+        self._names = names
+        self._all_names = frozenset({own_name})
+        # Its own among all names.
+        self._place = 0
+
+    def is_own(self, target_id: str) -> bool:
+        """Whether a target is this entry's to send suspects to."""
+        names = self._names() | {self._own_name}
+        if names != self._all_names:
+            self._all_names = names
+            self._place = sorted(names).index(self._own_name)
+        return zlib.crc32(target_id.encode()) % len(names) == self._place
--- a/damaskcroft/routing/_placement.py
+++ b/damaskcroft/routing/_placement.py
@@ -151,6 +151,7 @@
         answer_delay_s: Callable[[str], float] = lambda _: 0.0,
         takes_one: Callable[[str], bool] = lambda _: False,
         is_spared: Callable[[str], bool] = lambda _: False,
+        is_own: Callable[[str], bool] = lambda _: True,
     ):
         """Chooses for an entry in a failure domain of a region.
 
@@ -162,8 +163,10 @@
             answer_delay_s: how soon a target answers, by its id.
             takes_one: whether a target takes one request at a time now.
             is_spared: whether other targets with room go before one.
+            is_own: whether no other entry sends suspects to a target first.
         """
         self._is_spared = is_spared
+        self._is_own = is_own
         self._unread_bound = UnreadBound()
         self._takes_one = takes_one
         self._answer_delay_s = answer_delay_s
@@ -180,6 +183,8 @@
         candidates: Iterable[Candidate],
         excluded: Collection[str],
         prompt_tokens: int = 0,
+        *,
+        is_suspect: bool = False,
     ) -> Placement | None:
         """The best target, or None if every one is excluded.
 
@@ -192,6 +197,7 @@
             candidates: all that could run the request.
             excluded: ids of those that it shall not be sent to.
             prompt_tokens: length of its prompt.
+            is_suspect: whether a target has crashed under it.
         """
         best = None
         best_rank: tuple[float, ...] = ()
@@ -200,7 +206,7 @@
             readable_tokens += candidate.prompt_tokens_s * _MAX_UNREAD_S
             if candidate.id in excluded:
                 continue
-            rank = self._rank(candidate, prompt_tokens)
+            rank = self._rank(candidate, prompt_tokens, is_suspect)
             if best is None or rank < best_rank:
                 best, best_rank = candidate, rank
         if best is None:
@@ -288,12 +294,13 @@
         return unread_tokens <= most_tokens / max(1, self.entries)
 
     def _rank(
-        self, candidate: Candidate, prompt_tokens: int
+        self, candidate: Candidate, prompt_tokens: int, is_suspect: bool
     ) -> tuple[float, ...]:
         aside = self._outliers.is_aside(candidate.id)
         without_room = not self._has_room(candidate, prompt_tokens)
         load = self._loads_by_id.get(candidate.id)
         beside_suspects = load is not None and load.suspects > 0
+        is_others = is_suspect and not self._is_own(candidate.id)
         slow = self._answer_delay_s(candidate.id) > _SLOW_S
         # Steps of a tenth, so that distance decides between equals.
         fullness = round(self.fullness(candidate), 1)
@@ -303,6 +310,7 @@
             without_room,
             self._is_spared(candidate.id),
             beside_suspects,
+            is_others,
             slow,
             fullness,
             distance,
--- a/damaskcroft/routing/tests/test_placement.py
+++ b/damaskcroft/routing/tests/test_placement.py
@@ -7,6 +7,7 @@
     Candidate,
     Outliers,
     Overloaded,
+    PartedTargets,
     Placer,
     QueueTicket,
     RequestQueue,
@@ -49,6 +50,36 @@
     loop.run(scenario())
 
 
+def test_suspects_of_several_entries_are_sent_to_different_targets(loop):
+    async def scenario():
+        names = frozenset(f"e{n}" for n in range(3))
+        targets = [candidate(f"t{n}") for n in range(20)]
+        chosen = []
+        for name in sorted(names):
+            parted = PartedTargets(name, lambda: names)
+            placer = Placer(
+                "d", "r", Outliers(), random.Random(1), is_own=parted.is_own
+            )
+            for _ in range(3):
+                target = placer.choose(targets, (), is_suspect=True).candidate
+                placer.take(target, is_suspect=True)
+                chosen.append(target.id)
+        assert len(set(chosen)) == len(chosen)
+
+    loop.run(scenario())
+
+
+def test_suspects_go_to_targets_of_others_where_their_own_have_no_room(loop):
+    async def scenario():
+        own, other = candidate("own"), candidate("other")
+        placer = Placer("d", "r", Outliers(), is_own=lambda id_: id_ == "own")
+        placer.told("own", 10)
+        chosen = placer.choose([own, other], (), is_suspect=True)
+        assert chosen.candidate is other
+
+    loop.run(scenario())
+
+
 def test_a_target_put_aside_comes_last(loop):
     async def scenario():
         outliers = Outliers()
