Parts of an entry's decisions can be put together differently

So that a model without a network can compare ways on the same arrivals; nothing changes in the entry. Tests of routing and forwarding pass.

--- a/damaskcroft/forwarding/_gate.py
+++ b/damaskcroft/forwarding/_gate.py
@@ -18,19 +18,11 @@
     Headers,
 )
 from damaskcroft.observe import log_event, metrics
+from damaskcroft.routing import return_after_s
 
 __all__ = ["EntryGate"]
 
 _MS = 1000  # In a second.
-# How soon a refused caller may come back where nothing better is known: long
-# enough that a request under way (about a second) has ended.
-_RETRY_AFTER_S = 0.65
-# A line may be shorter by then than foreseen, as others leave it too; callers
-# wait for no more than a third of their time, two seconds where they have six.
-_MAX_RETRY_AFTER_S = 2.0
-# Callers that were refused together return spread over half to one and a half
-# times that time.
-_RETRY_SPREAD = 0.5
 # After it was told to end, an entry takes every request for this long: the
 # balancer needs two of its questions, a second apart, to send none. Where all
 # entries end at once it goes on sending, and what could be cut is refused.
@@ -229,7 +221,7 @@
         if status == _NOT_RUN_STATUS:
             wait_s = refused.returns_s
             if wait_s is None:
-                wait_s = self._retry_after_s(refused.foreseen_s)
+                wait_s = return_after_s(refused.foreseen_s, self._rng)
         metrics.REFUSALS.labels(refused.reason, refused.ran.value).inc()
         log_event(
             "refused",
@@ -247,12 +239,6 @@
         headers = self._wire.refusal_headers(request_id, wait_s)
         await answer.give(status, headers, b"")
 
-    def _retry_after_s(self, foreseen_s: float) -> float:
-        """When there should be room again, spread over some time."""
-        wait_s = max(_RETRY_AFTER_S, min(foreseen_s, _MAX_RETRY_AFTER_S))
-        spread = 1 + _RETRY_SPREAD * (2 * self._rng.random() - 1)
-        return min(wait_s * spread, _MAX_RETRY_AFTER_S)
-
 
 def _status(refused: Refused) -> int:
     fixed = _STATUS_BY_REASON.get(refused.reason)
--- a/damaskcroft/forwarding/tests/test_forwarding.py
+++ b/damaskcroft/forwarding/tests/test_forwarding.py
@@ -1,14 +1,13 @@
 """A request's way: what is repeated, what isn't, and what callers hear."""
 
 import asyncio
-import random
 
 import pytest
 from prometheus_client import REGISTRY
 
 from damaskcroft._generated import fleet_pb2
 from damaskcroft.fleet import TargetBook
-from damaskcroft.forwarding import EntryGate, _gate
+from damaskcroft.forwarding import _gate
 from damaskcroft.forwarding.tests.fakes import (
     EVENTS,
     FakeTarget,
@@ -384,15 +383,6 @@
     asyncio.run(scenario())
 
 
-def test_refused_callers_return_when_there_should_be_room_and_not_at_once():
-    gate = EntryGate(None, None, None, random.Random(1))
-    unknown = [gate._retry_after_s(0.0) for _ in range(200)]
-    assert 0.3 < min(unknown) < 0.4 and 0.9 < max(unknown) < 1.0
-    long = [gate._retry_after_s(1.4) for _ in range(200)]
-    assert 0.7 <= min(long) < 0.8 and 1.9 < max(long) <= 2.0
-    assert max(gate._retry_after_s(60.0) for _ in range(200)) == 2.0
-
-
 def test_who_answers_at_an_address_holds_it():
     """An entry asked for a target that had ended, and never the one there.
 
--- a/damaskcroft/routing/__init__.py
+++ b/damaskcroft/routing/__init__.py
@@ -8,6 +8,7 @@
 from damaskcroft.routing._placement import Candidate, Placement, Placer, Slot
 from damaskcroft.routing._queue import RequestQueue
 from damaskcroft.routing._retry_window import RetryWindow
+from damaskcroft.routing._return_times import return_after_s
 from damaskcroft.routing._silence import SilenceWatch
 from damaskcroft.routing._tickets import (
     Closed,
@@ -16,6 +17,7 @@
     QueueTicket,
     SlotTaken,
 )
+from damaskcroft.routing._unread_bound import UnreadBound
 
 __all__ = [
     "Admission",
@@ -43,6 +45,8 @@
     "TargetChooser",
     "Ticket",
     "SlotTaken",
+    "UnreadBound",
+    "return_after_s",
 ]
 
 # Of the product's own interface alone.
--- a/damaskcroft/routing/_placement.py
+++ b/damaskcroft/routing/_placement.py
@@ -152,6 +152,7 @@
         takes_one: Callable[[str], bool] = lambda _: False,
         is_spared: Callable[[str], bool] = lambda _: False,
         is_own: Callable[[str], bool] = lambda _: True,
+        unread_bound: UnreadBound | None = None,
     ):
         """Chooses for an entry in a failure domain of a region.
 
@@ -164,10 +165,12 @@
             takes_one: whether a target takes one request at a time now.
             is_spared: whether other targets with room go before one.
             is_own: whether no other entry sends suspects to a target first.
+            unread_bound: what engines may have unread; by default one that
+                follows first events.
         """
         self._is_spared = is_spared
         self._is_own = is_own
-        self._unread_bound = UnreadBound()
+        self._unread_bound = unread_bound or UnreadBound()
         self._takes_one = takes_one
         self._answer_delay_s = answer_delay_s
         self._failure_domain = failure_domain
--- a/damaskcroft/routing/_queue.py
+++ b/damaskcroft/routing/_queue.py
@@ -82,6 +82,8 @@
             when its weights are about to change; worth waiting for.
         closed: why no target that could serve a ticket takes it, given how
             many go before it; None if there is one that does, or none at all.
+        refuses_late: whether those who can't be in time are refused at once
+            while a queue stands.
     """
 
     def __init__(
@@ -92,8 +94,11 @@
         closed: Callable[
             [QueueTicket, int], Closed | None
         ] = lambda ticket, before: None,
+        *,
+        refuses_late: bool = True,
     ):
         """Begins with nobody waiting."""
+        self._refuses_late = refuses_late
         self._closed = closed
         self._may_come = may_come
         self._choose = choose
@@ -203,7 +208,8 @@
         2012).
         """
         span = self._late_by_service.get(ticket.service)
-        if span is None or not span.stands(now):
+        stands = span is not None and span.stands(now)
+        if not stands or not self._refuses_late:
             return ticket.waits_until
         return min(ticket.waits_until, self._in_time_until(ticket))
 
--- /dev/null
+++ b/damaskcroft/routing/tests/test_return_times.py
@@ -0,0 +1,14 @@
+"""When refused callers are told to come back."""
+
+import random
+
+from damaskcroft.routing import return_after_s
+
+
+def test_refused_callers_return_when_there_should_be_room_and_not_at_once():
+    rng = random.Random(1)
+    unknown = [return_after_s(0.0, rng) for _ in range(200)]
+    assert 0.3 < min(unknown) < 0.4 and 0.9 < max(unknown) < 1.0
+    long = [return_after_s(1.4, rng) for _ in range(200)]
+    assert 0.7 <= min(long) < 0.8 and 1.9 < max(long) <= 2.0
+    assert max(return_after_s(60.0, rng) for _ in range(200)) == 2.0
