Targets that were not heard of are taken to be as full as the others

Hypothesis, from the model: where 15 entries share 20 engines, each hears of one engine about once in two seconds; after three quarters of a second it looks emptier than it is, and each entry sends there.

Change: what a target told decays towards the mean of those that were heard of within a second, not towards nothing, but not above 0.95 of its slots, or nobody would try it again. What is known of loads has a module of its own.

Tests: two in routing/tests/test_placement.py.

--- a/damaskcroft/routing/_placement.py
+++ b/damaskcroft/routing/_placement.py
@@ -1,9 +1,5 @@
 """Which target of a service a request is sent to.
 
-Written for targets that many entries share: each entry knows what it has
-sent itself, and what the others have sent only from the load that targets
-tell in their answers. Both together estimate how full a target is.
-
 An engine reads prompts one after another, before their first tokens, and
 between the tokens of all that it is writing. On heavy days requests were late
 for prompts that waited before theirs in the engine, not for want of slots. So
@@ -17,10 +13,15 @@
 from collections.abc import Callable, Collection, Iterable
 
 from damaskcroft.routing._outliers import Outliers
+from damaskcroft.routing._target_loads import TargetLoad, TargetLoads
 from damaskcroft.routing._unread_bound import UnreadBound
 
 __all__ = ["Candidate", "Placement", "Placer", "Slot"]
 
+# Place in a target's rank.
+_WITHOUT_ROOM = 1
+# Of a target that nothing was sent to and that has told nothing.
+_UNKNOWN = TargetLoad()
 # A target with this many requests for each slot is full: more would wait
 # there, in the order in which they came.
 FULL = 1.0
@@ -33,12 +34,6 @@
 # a slow machine: others with room go before it. Goals for first events are
 # below it, and answers of a full engine are quicker.
 _SLOW_S = 0.5
-# What a target told of its load holds for a while, since whoever ends is
-# replaced while a target is full. Held for as long as requests last, free
-# slots would be missed where it isn't.
-_REPORT_HOLDS_S = 0.75
-# Later it counts for half as much with each such time.
-_REPORT_HALF_LIFE_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,32 +63,12 @@
     born_ms: int = 0
 
 
-class _Load:
-    """What this entry knows of one target's load."""
-
-    __slots__ = (
-        "others",
-        "outstanding",
-        "suspects",
-        "told_at",
-        "unread_tokens",
-    )
-
-    def __init__(self) -> None:
-        self.outstanding = 0
-        # Requests under way that other targets have crashed under.
-        self.suspects = 0
-        self.unread_tokens = 0
-        self.others = 0.0
-        self.told_at = float("-inf")
-
-
 class Slot:
     """A request's place at a target, as its entry counts it."""
 
     __slots__ = ("_is_suspect", "_is_taken", "_load", "_unread_tokens")
 
-    def __init__(self, load: _Load, prompt_tokens: int, is_suspect: bool):
+    def __init__(self, load: TargetLoad, prompt_tokens: int, is_suspect: bool):
         """Takes a place in `load`."""
         self._load = load
         self._is_suspect = is_suspect
@@ -177,7 +152,7 @@
         self._region = region
         self._outliers = outliers
         self._rng = rng or random.Random()
-        self._loads_by_id: dict[str, _Load] = {}
+        self._loads = TargetLoads()
         # How many entries share the targets.
         self.entries = 1
 
@@ -202,22 +177,32 @@
             prompt_tokens: length of its prompt.
             is_suspect: whether a target has crashed under it.
         """
+        candidates = list(candidates)
+        now = asyncio.get_running_loop().time()
+        usual = self._loads.usual_fullness(
+            ((each.id, each.slots) for each in candidates), now
+        )
         best = None
         best_rank: tuple[float, ...] = ()
-        readable_tokens = 0.0
+        best_fullness = readable_tokens = 0.0
         for candidate in candidates:
             readable_tokens += candidate.prompt_tokens_s * _MAX_UNREAD_S
             if candidate.id in excluded:
                 continue
-            rank = self._rank(candidate, prompt_tokens, is_suspect)
+            load = self._loads.find(candidate.id) or _UNKNOWN
+            fullness = load.fullness(candidate.slots, usual, now)
+            has_room = fullness < FULL and self._has_room(
+                candidate, load, prompt_tokens
+            )
+            rank = self._rank(candidate, load, fullness, has_room, is_suspect)
             if best is None or rank < best_rank:
-                best, best_rank = candidate, rank
+                best, best_rank, best_fullness = candidate, rank, fullness
         if best is None:
             return None
-        has_room = self._has_room(best, prompt_tokens) and self._has_part_left(
+        has_room = not best_rank[_WITHOUT_ROOM] and self._has_part_left(
             readable_tokens, prompt_tokens
         )
-        return Placement(best, self.fullness(best), has_room)
+        return Placement(best, best_fullness, has_room)
 
     def _has_part_left(
         self, readable_tokens: float, prompt_tokens: int
@@ -229,9 +214,7 @@
         """
         if not readable_tokens:
             return True
-        unread_tokens = sum(
-            load.unread_tokens for load in self._loads_by_id.values()
-        )
+        unread_tokens = self._loads.unread_tokens
         if not unread_tokens:
             return True
         part_tokens = readable_tokens * self._unread_bound.part
@@ -239,13 +222,9 @@
 
     def fullness(self, candidate: Candidate) -> float:
         """Estimated requests at a target for each of its slots."""
-        load = self._loads_by_id.get(candidate.id)
-        if load is None:
-            return 0.0
-        age_s = asyncio.get_running_loop().time() - load.told_at
-        stale_s = max(0.0, age_s - _REPORT_HOLDS_S)
-        others = load.others * 0.5 ** (stale_s / _REPORT_HALF_LIFE_S)
-        return (load.outstanding + others) / max(1, candidate.slots)
+        load = self._loads.find(candidate.id) or _UNKNOWN
+        now = asyncio.get_running_loop().time()
+        return load.fullness(candidate.slots, 0.0, now)
 
     def take(
         self,
@@ -261,7 +240,7 @@
             prompt_tokens: length of its prompt.
             is_suspect: whether a target has crashed under it.
         """
-        return Slot(self._load(candidate.id), prompt_tokens, is_suspect)
+        return Slot(self._loads.of(candidate.id), prompt_tokens, is_suspect)
 
     def first_answered(self, took_s: float, goal_s: float) -> None:
         """Takes how long an engine needed to begin; see UnreadBound.note."""
@@ -269,25 +248,16 @@
 
     def told(self, target_id: str, requests: int) -> None:
         """Takes a target's own word on how many requests it has."""
-        load = self._load(target_id)
-        load.others = max(0, requests - load.outstanding)
-        load.told_at = asyncio.get_running_loop().time()
+        self._loads.told(target_id, requests)
 
     def forget_all_but(self, target_ids: Collection[str]) -> None:
         """Drops what is known of targets that are gone."""
-        for target_id in list(self._loads_by_id):
-            if target_id not in target_ids:
-                del self._loads_by_id[target_id]
+        self._loads.forget_all_but(target_ids)
 
-    def _load(self, target_id: str) -> _Load:
-        return self._loads_by_id.setdefault(target_id, _Load())
-
-    def _has_room(self, candidate: Candidate, prompt_tokens: int) -> bool:
-        if self.fullness(candidate) >= FULL:
-            return False
-        load = self._loads_by_id.get(candidate.id)
-        if load is None:
-            return True
+    def _has_room(
+        self, candidate: Candidate, load: TargetLoad, prompt_tokens: int
+    ) -> bool:
+        """Whether a target that isn't full may be sent a prompt now."""
         if load.outstanding and self._takes_one(candidate.id):
             return False
         if not load.unread_tokens:
@@ -297,26 +267,23 @@
         return unread_tokens <= most_tokens / max(1, self.entries)
 
     def _rank(
-        self, candidate: Candidate, prompt_tokens: int, is_suspect: bool
+        self,
+        candidate: Candidate,
+        load: TargetLoad,
+        fullness: float,
+        has_room: bool,
+        is_suspect: bool,
     ) -> tuple[float, ...]:
-        aside = self._outliers.is_aside(candidate.id)
-        without_room = not self._has_room(candidate, prompt_tokens)
-        load = self._loads_by_id.get(candidate.id)
-        beside_suspects = load is not None and load.suspects > 0
-        is_others = is_suspect and not self._is_own(candidate.id)
-        slow = self._answer_delay_s(candidate.id) > _SLOW_S
-        # Steps of a tenth, so that distance decides between equals.
-        fullness = round(self.fullness(candidate), 1)
-        distance = self._distance(candidate)
         return (
-            aside,
-            without_room,
+            self._outliers.is_aside(candidate.id),
+            not has_room,
             self._is_spared(candidate.id),
-            beside_suspects,
-            is_others,
-            slow,
-            fullness,
-            distance,
+            load.suspects > 0,
+            is_suspect and not self._is_own(candidate.id),
+            self._answer_delay_s(candidate.id) > _SLOW_S,
+            # Steps of a tenth, so that distance decides between equals.
+            round(fullness, 1),
+            self._distance(candidate),
             self._rng.random(),
         )
 
--- a/damaskcroft/routing/tests/test_placement.py
+++ b/damaskcroft/routing/tests/test_placement.py
@@ -50,6 +50,33 @@
     loop.run(scenario())
 
 
+def test_targets_not_heard_of_are_taken_to_be_as_full_as_others(loop):
+    async def scenario():
+        placer = make_placer()
+        heard = [candidate(f"t{n}") for n in range(3)]
+        unheard = candidate("u")
+        for target in heard:
+            placer.told(target.id, 6)
+        placer.told(heard[0].id, 4)
+        assert placer.choose([*heard, unheard], ()).candidate is heard[0]
+
+    loop.run(scenario())
+
+
+def test_targets_not_heard_of_are_tried_while_all_others_are_full(loop):
+    async def scenario():
+        placer = make_placer()
+        heard = [candidate(f"t{n}") for n in range(3)]
+        unheard = candidate("u")
+        for target in heard:
+            placer.told(target.id, 15)
+        chosen = placer.choose([*heard, unheard], ())
+        assert chosen.candidate is unheard
+        assert chosen.has_room
+
+    loop.run(scenario())
+
+
 def test_suspects_of_several_entries_are_sent_to_different_targets(loop):
     async def scenario():
         names = frozenset(f"e{n}" for n in range(3))
