Nine in ten of those sent at the last moment are in time

Hypothesis: past saturation work is spent on answers that are late. What three quarters of answers take was kept back of a goal, and at most 0.6 of the goal; engines take 0.6 to 0.9 of it then, so a quarter and more of those that had waited were late.

Change: what nine in ten take is kept back, up to 0.9 of the goal.

Ruled out: newest first in a standing queue gives as much in the model, but who is refused hears so 0.1 to 0.14 s later, none at once (57 in 100 before). Test: the second case of test_who_goes_first_follows..., red before.

--- a/damaskcroft/routing/_first_answers.py
+++ b/damaskcroft/routing/_first_answers.py
@@ -14,8 +14,9 @@
 _MIN_KNOWN = 8
 _UNKNOWN_S = 0.12
 _KEPT = 64
-# Of those sent at the last moment so many are in time.
-_SHARE_IN_TIME = 0.75
+# Of those sent at the last moment so many are in time: work on the others is
+# lost to some that could be.
+_SHARE_IN_TIME = 0.9
 # For how long one answer to the question is given again.
 _HOLDS_S = 0.05
 
--- a/damaskcroft/routing/_queue.py
+++ b/damaskcroft/routing/_queue.py
@@ -29,7 +29,7 @@
 
 # Share of a goal that is kept back for the target at most: where targets take
 # longer than the goal, somebody must still go first.
-_MAX_FIRST_SHARE = 0.6
+_MAX_FIRST_SHARE = 0.9
 # Over which the rate at which slots are given is measured, to foresee how long
 # a wait is; a pause of some tenths of a second, as when versions change, is not
 # taken for a lower rate.
--- a/damaskcroft/routing/tests/test_queue.py
+++ b/damaskcroft/routing/tests/test_queue.py
@@ -367,14 +367,23 @@
     loop.run(scenario())
 
 
-def test_who_goes_first_follows_from_what_targets_take_to_begin(loop):
-    """Targets take 0.2 s of a goal of 0.4 s: after 0.2 s it is too late."""
-
+@pytest.mark.parametrize(
+    ("took_s", "waited_s"),
+    [
+        # Of a goal of 0.4 s, 0.2 s are left for waiting.
+        ([0.2] * 20, 0.22),
+        # One answer in six takes 0.3 s.
+        ([0.1] * 17 + [0.3] * 3, 0.12),
+    ],
+)
+def test_who_goes_first_follows_from_what_targets_take_to_begin(
+    loop, took_s, waited_s
+):
     async def scenario():
         targets = Targets(1)
         slots = [(await targets.asking(loop)).slot for _ in range(SLOTS)]
-        for _ in range(20):
-            targets.queue.first_answered("s", 0.2)
+        for each_s in took_s:
+            targets.queue.first_answered("s", each_s)
         served = []
 
         async def wait(name):
@@ -382,7 +391,7 @@
             served.append(name)
 
         old = asyncio.create_task(wait("old"))
-        await asyncio.sleep(0.22)
+        await asyncio.sleep(waited_s)
         new = asyncio.create_task(wait("new"))
         await asyncio.sleep(0.01)
         for slot in slots[:2]:
