--- a/damaskcroft/experiments/_entry.py
+++ b/damaskcroft/experiments/_entry.py
@@ -17,9 +17,11 @@
     SlotTaken,
 )
 
-__all__ = ["Answer", "ModelEntry"]
+__all__ = ["Answer", "ModelEntry", "ticket_of"]
 
 _SERVICE = "s"
+# Entries and engines stand in so many failure domains, one after another.
+_DOMAINS = 3
 # As the entry's own loop does.
 _LOOK_EVERY_S = 0.1
 
@@ -68,15 +70,15 @@
         self._engines_by_id = engines_by_id
         self._policy = policy
         self._rng = rng
-        self._placer = policy.placer(f"d{number % 3}", rng)
+        self._placer = policy.placer(_domain(number), rng)
         self._placer.entries = fleet.entries
         self._queue = policy.queue(self._choose, self._take)
         self._candidates = [
             Candidate(
                 engine_id,
                 engine_id,
-                f"d{place % 3}",
-                f"d{place % 3}",
+                _domain(place),
+                _domain(place),
                 fleet.engine.slots,
                 fleet.engine.read_tokens_s,
             )
@@ -137,6 +139,10 @@
         return self._placer.take(candidate, ticket.prompt_tokens)
 
 
+def _domain(number: int) -> str:
+    return f"d{number % _DOMAINS}"
+
+
 def ticket_of(
     priority: int, goal_s: float, deadline_s: float, prompt_tokens: int
 ) -> QueueTicket:
--- a/damaskcroft/experiments/_figures.py
+++ b/damaskcroft/experiments/_figures.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import enum
+from collections.abc import Callable
 
 __all__ = ["Figures", "Outcome", "Tried"]
 
@@ -53,20 +54,19 @@
 
     def between(self, since: float, until: float) -> "Figures":
         """Tries that were sent in some time."""
-        found = Figures()
-        found.tries = [t for t in self.tries if since <= t.at < until]
-        return found
+        return self._where(lambda tried: since <= tried.at < until)
 
     def of_kind(self, kind: str) -> "Figures":
         """Tries of a kind of request."""
-        found = Figures()
-        found.tries = [t for t in self.tries if t.kind == kind]
-        return found
+        return self._where(lambda tried: tried.kind == kind)
 
     def of_entry(self, entry: int) -> "Figures":
         """Tries that one entry got."""
+        return self._where(lambda tried: tried.entry == entry)
+
+    def _where(self, holds: Callable[[Tried], bool]) -> "Figures":
         found = Figures()
-        found.tries = [t for t in self.tries if t.entry == entry]
+        found.tries = [tried for tried in self.tries if holds(tried)]
         return found
 
     def share(self, outcome: Outcome) -> float:
--- a/damaskcroft/experiments/tests/test_saturation.py
+++ b/damaskcroft/experiments/tests/test_saturation.py
@@ -7,10 +7,11 @@
     FleetShape,
     LoadShape,
     Outcome,
+    mean_row,
     play,
+    profile,
     saturation_per_s,
 )
-from damaskcroft.experiments.__main__ import profile, row
 
 FLEET = FleetShape()
 SEED = 1
@@ -21,7 +22,7 @@
     """What the standing policy gives at some loads, one seed."""
     standing = POLICIES_BY_NAME["standing"]
     return {
-        times: row("standing", standing, FLEET, times, 1)
+        times: mean_row("standing", standing, FLEET, times, 1)
         for times in (1.0, 1.3, 2.0)
     }
 
@@ -29,8 +30,8 @@
 def test_without_rules_a_third_more_makes_answers_late():
     """The fault that the model has to show: goodput falls past saturation."""
     plain = POLICIES_BY_NAME["plain"]
-    full = row("plain", plain, FLEET, 1.0, 1)
-    beyond = row("plain", plain, FLEET, 1.3, 1)
+    full = mean_row("plain", plain, FLEET, 1.0, 1)
+    beyond = mean_row("plain", plain, FLEET, 1.3, 1)
     assert full.in_time > 0.75
     assert beyond.in_time_per_s < 0.6 * full.in_time_per_s
     assert beyond.late > beyond.in_time
