Turns after an outage need agents that know each other; what was tried

An agent that knows no others would have waited for them instead of trying the origin again; the hosted agent always knows itself, so nothing showed it.

--- a/damaskcroft/weights/_burst.py
+++ b/damaskcroft/weights/_burst.py
@@ -241,9 +241,13 @@
         on_their_way = self._read_ahead + _MIN_READ_AHEAD
         return min(self._options.parallel_fetches, on_their_way)
 
+    def _may_take_turns(self) -> bool:
+        """Whether agents tell each other what they hold, and who they are."""
+        return not self._options.in_step and self._planner is not None
+
     def _needs_turns(self, version: StagedVersion) -> bool:
         """Whether all agents reading at once would get their chunks late."""
-        if self._options.in_step or self._planner is None:
+        if self._planner is None or not self._may_take_turns():
             return False
         agents = len(self._planner.participants)
         at_once_bytes = agents * version.manifest.chunks[0].size_bytes
@@ -277,7 +281,7 @@
         """
         if not self._by_turns:
             planned = self._read_planned(version, fetcher, own, list(indexes))
-            if self._options.in_step:
+            if not self._may_take_turns():
                 await planned
                 return
             if await _ends_before(planned, fetcher.outside_failed):
