Turns after an outage only where all agents' reads would collide

The first form took turns after a single failed read. Cause: turns leave late chunks to one agent after another, and of a chunk or two each agent reads its own copy sooner. Now agents go over to turns if reads have failed for a second and the outside link takes more than half a second to give all that nobody holds to each agent.

--- a/damaskcroft/weights/_burst.py
+++ b/damaskcroft/weights/_burst.py
@@ -11,7 +11,7 @@
 import collections
 import dataclasses
 import random
-from collections.abc import Coroutine, Iterator
+from collections.abc import Callable, Coroutine, Iterator
 from typing import Any
 
 from damaskcroft._generated import records_pb2
@@ -247,12 +247,23 @@
 
     def _needs_turns(self, version: StagedVersion) -> bool:
         """Whether all agents reading at once would get their chunks late."""
-        if self._planner is None or not self._may_take_turns():
-            return False
+        return self._may_take_turns() and not self._are_carried(version, 1)
+
+    def _would_collide(self, version: StagedVersion) -> bool:
+        """Whether all agents would be late by reading what nobody holds."""
+        unread = sum(
+            not version.holdings.is_known(index) for index in version.missing()
+        )
+        return not self._are_carried(version, unread)
+
+    def _are_carried(self, version: StagedVersion, chunks: int) -> bool:
+        """Whether the outside link soon carries so many to each agent."""
+        if self._planner is None or not self._options.outside_bytes_s:
+            return True
         agents = len(self._planner.participants)
-        at_once_bytes = agents * version.manifest.chunks[0].size_bytes
+        chunk_bytes = version.manifest.chunks[0].size_bytes
         carried_bytes = self._options.outside_bytes_s * _AT_ONCE_S
-        return carried_bytes > 0 and at_once_bytes > carried_bytes
+        return chunks * agents * chunk_bytes <= carried_bytes
 
     def _parent(self, index: int) -> Participant | None:
         if self._planner is None:
@@ -284,7 +295,13 @@
             if not self._may_take_turns():
                 await planned
                 return
-            if await _ends_before(planned, fetcher.outside_failed):
+            if await _ends_before(
+                planned,
+                lambda: (
+                    fetcher.outside_failed.is_set()
+                    and self._would_collide(version)
+                ),
+            ):
                 return
             log_event("outside_read_by_turns", path=self._path)
             self._by_turns = True
@@ -441,21 +458,19 @@
 
 
 async def _ends_before(
-    work: Coroutine[Any, Any, None], event: asyncio.Event
+    work: Coroutine[Any, Any, None], is_over: Callable[[], bool]
 ) -> bool:
-    """Whether work ends before an event, which ends it otherwise."""
+    """Whether work ends before a condition holds, which ends it otherwise."""
     working = asyncio.create_task(work)
-    waiting = asyncio.create_task(event.wait())
     try:
-        await asyncio.wait(
-            {working, waiting}, return_when=asyncio.FIRST_COMPLETED
-        )
-        if not working.done():
-            return False
+        while not working.done():
+            if is_over():
+                return False
+            await asyncio.wait({working}, timeout=_LOOK_EVERY_S)
         working.result()
         return True
     finally:
-        await end_all([working, waiting])
+        await end_all([working])
 
 
 def help_share(
--- a/damaskcroft/weights/_fetcher.py
+++ b/damaskcroft/weights/_fetcher.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 
 from damaskcroft._generated import agent_pb2
+from damaskcroft.clock import now_s
 from damaskcroft.observe import log_event, metrics
 from damaskcroft.weights._arrivals import Arrivals
 from damaskcroft.weights._holdings import packed
@@ -32,6 +33,8 @@
 CORRUPT_SUSPECT_S = 300.0
 _MIN_PAUSE_S = 0.02
 _MAX_PAUSE_S = 1.0
+# For so long no read succeeds before an outside source counts as away.
+_AWAY_S = 1.0
 # How long agents may take to hear of a version: they do so within some tenths
 # of a second of each other.
 _HEARS_WITHIN_S = 0.4
@@ -54,8 +57,8 @@
 
     Attributes:
         arrivals: what is being transferred now.
-        outside_failed: set once a read has failed at every outside source
-            that was asked.
+        outside_failed: set once no read from outside has succeeded for a
+            while, though some were tried.
 
     Args:
         own_id: this agent.
@@ -71,6 +74,7 @@
 
     __slots__ = (
         "_counts",
+        "_failing_since",
         "_outside",
         "_own_id",
         "_pacer",
@@ -111,6 +115,7 @@
         )
         self.arrivals = Arrivals(lambda: len(version.held) - version.held_count)
         self.outside_failed = asyncio.Event()
+        self._failing_since: float | None = None
 
     async def from_peer(
         self, index: int, peer: Participant, sources: Sources, wait_s: float
@@ -174,6 +179,7 @@
                 )
             if isinstance(outcome, OutsideData):
                 await self._pacer.pass_bytes(len(outcome.data))
+                self._failing_since = None
                 self._take(index, outcome.data, source.name, "")
                 return
             has_failed = True
@@ -181,9 +187,17 @@
                 f"{source.name}_{outcome.reason}"
             ).inc()
         if has_failed:
-            self.outside_failed.set()
+            self._note_failure()
         await asyncio.sleep(self._pause_s())
 
+    def _note_failure(self) -> None:
+        """A single read may fail for want of a connection, or be cut."""
+        now = now_s()
+        if self._failing_since is None:
+            self._failing_since = now
+        if now - self._failing_since >= _AWAY_S:
+            self.outside_failed.set()
+
     def _suspect(self, peer: Participant, reason: str) -> None:
         metrics.BURST_SOURCE_FAILURES.labels(reason).inc()
         if peer.id not in self._suspects.now():
