An origin counts as away only as long as reads of it fail

Found on reading the change: once set, the flag outlived the outage, so that a later shortage could have taken turns without one. It follows the last reads now. A server that can't keep its listening sockets for want of descriptors ends as before, with a line. Tests of weights, agent, http1 and rpc pass.

--- a/damaskcroft/http1/_listening.py
+++ b/damaskcroft/http1/_listening.py
@@ -24,8 +24,13 @@
         make_protocol: of a connection; those made meanwhile get one too.
     """
     loop = asyncio.get_running_loop()
-    # Keeps the kernel's queues when the server closes its own sockets.
-    kept = [listening.dup() for listening in server.sockets]
+    # Keep the kernel's queues when the server closes its own sockets.
+    kept: list[socket.socket] = []
+    try:
+        kept.extend(listening.dup() for listening in server.sockets)
+    except OSError as error:
+        # No descriptor is left: what the kernel holds is reset.
+        log_warning("listening_not_kept", reason=error)
     for listening in server.sockets:
         loop.remove_reader(listening.fileno())
     # In the next step the server takes in what the loop has accepted.
--- a/damaskcroft/weights/_burst.py
+++ b/damaskcroft/weights/_burst.py
@@ -298,8 +298,7 @@
             if await _ends_before(
                 planned,
                 lambda: (
-                    fetcher.outside_failed.is_set()
-                    and self._would_collide(version)
+                    fetcher.outside_is_away and self._would_collide(version)
                 ),
             ):
                 return
--- a/damaskcroft/weights/_fetcher.py
+++ b/damaskcroft/weights/_fetcher.py
@@ -57,8 +57,6 @@
 
     Attributes:
         arrivals: what is being transferred now.
-        outside_failed: set once no read from outside has succeeded for a
-            while, though some were tried.
 
     Args:
         own_id: this agent.
@@ -74,6 +72,7 @@
 
     __slots__ = (
         "_counts",
+        "_failed_at",
         "_failing_since",
         "_outside",
         "_own_id",
@@ -85,7 +84,6 @@
         "_unaware",
         "_version",
         "arrivals",
-        "outside_failed",
     )
 
     def __init__(
@@ -114,8 +112,9 @@
             suspects, path, _HEARS_WITHIN_S, SUSPECT_S
         )
         self.arrivals = Arrivals(lambda: len(version.held) - version.held_count)
-        self.outside_failed = asyncio.Event()
+        # Reads from outside have failed since then; None after one that didn't.
         self._failing_since: float | None = None
+        self._failed_at = 0.0
 
     async def from_peer(
         self, index: int, peer: Participant, sources: Sources, wait_s: float
@@ -190,13 +189,20 @@
             self._note_failure()
         await asyncio.sleep(self._pause_s())
 
+    @property
+    def outside_is_away(self) -> bool:
+        """Whether reads from outside have only failed for a while.
+
+        A single one may fail for want of a connection, or be cut.
+        """
+        if self._failing_since is None:
+            return False
+        return self._failed_at - self._failing_since >= _AWAY_S
+
     def _note_failure(self) -> None:
-        """A single read may fail for want of a connection, or be cut."""
-        now = now_s()
+        self._failed_at = now_s()
         if self._failing_since is None:
-            self._failing_since = now
-        if now - self._failing_since >= _AWAY_S:
-            self.outside_failed.set()
+            self._failing_since = self._failed_at
 
     def _suspect(self, peer: Participant, reason: str) -> None:
         metrics.BURST_SOURCE_FAILURES.labels(reason).inc()
