Names of entries are gathered once for all targets of a choice

Found on reading the change: each target that is ranked for a suspect made a set of all entries' names anew, 350 names for each of 3,900 targets at the planned size. The names are worked out again only when another object tells them.

--- a/damaskcroft/routing/_parted_targets.py
+++ b/damaskcroft/routing/_parted_targets.py
@@ -22,23 +22,26 @@
         names: of all entries; may lack its own.
     """
 
-    __slots__ = ("_all_names", "_names", "_own_name", "_place")
+    __slots__ = ("_count", "_names", "_own_name", "_place", "_told_names")
 
     def __init__(self, own_name: str, names: Callable[[], frozenset[str]]):
         """See the class."""
         self._own_name = own_name
         self._names = names
-        self._all_names = frozenset({own_name})
-        # Its own among all names.
-        self._place = 0
+        self._told_names: frozenset[str] = frozenset()
+        # How many entries there are, and the place of this one among them.
+        self._count, self._place = 1, 0
 
     def is_own(self, target_id: str) -> bool:
         """Whether a target is this entry's to send suspects to."""
-        names = self._names() | {self._own_name}
-        if names != self._all_names:
-            self._all_names = names
-            self._place = sorted(names).index(self._own_name)
-        return _number(target_id) % len(names) == self._place
+        names = self._names()
+        # Asked for each target; the same names are usually the same object.
+        if names is not self._told_names:
+            self._told_names = names
+            everyone = sorted(names | {self._own_name})
+            self._count = len(everyone)
+            self._place = everyone.index(self._own_name)
+        return _number(target_id) % self._count == self._place
 
 
 def _number(target_id: str) -> int:
