Connections that have ended are read until their callers close them

Callers saw: a request sent on a pooled connection more than a second after the entry had ended it with a 408 got a reset (ConnectionDisconnected). They couldn't tell whether it had run, although the 408 lay in their buffer.

Cause: an ended connection was closed for good after one second. Bytes that come then are answered by a reset, and a reader that waits with a timeout (aiosonic's and others' default) yields to the event loop, which delivers the reset before it looks at what it has buffered. Libraries pool connections for 5 to 60 s and many don't look before they send. The same happened at any time after 5 s without use.

Evidence: the three tests named test_a_library_that_pools_connections_reads_that_nothing_ran (both faces; at a stop and after the idle timeout) were red before with the library's ConnectionDisconnected.

Change: a half-closed connection is read until its caller closes it, for a minute at most; of more than 256 the oldest is closed first. The hosted entry's wait is bounded by the platform's grace as before. What is left open is counted (how="expired", connections_left_open).

Weighed: closing sooner makes stops shorter where callers never look, and loses their requests; a longer idle timeout moves the fault without ending it.

--- a/damaskcroft/entry/main.py
+++ b/damaskcroft/entry/main.py
@@ -115,6 +115,7 @@
                 self._settings.process.http_listen,
                 self._routes(),
                 closing_body=closing_body.encode(),
+                end_s=self._settings.stop.linger_s,
             ),
         ):
             log_event("started", id=self._settings.process.name)
--- a/damaskcroft/http1/__init__.py
+++ b/damaskcroft/http1/__init__.py
@@ -12,7 +12,7 @@
     NoAnswerError,
     TargetConnection,
 )
-from damaskcroft.http1._closing import LINGER_S, closing_answer
+from damaskcroft.http1._closing import Lingering, closing_answer
 from damaskcroft.http1._exchange import (
     Answer,
     CallerHandler,
@@ -38,7 +38,7 @@
     "Head",
     "Headers",
     "NoAnswerError",
-    "LINGER_S",
+    "Lingering",
     "Place",
     "TargetConnection",
     "callers_served",
--- a/damaskcroft/http1/_closing.py
+++ b/damaskcroft/http1/_closing.py
@@ -8,19 +8,72 @@
 A 408 with `Connection: close` can be sent on a connection that waits for a
 request (RFC 9110, 15.5.9): whoever has sent one meanwhile takes it for the
 answer, and it says truly that the request has not run. The connection is then
-half closed and read until the caller has closed its own side, or for a while,
-so that no reset overtakes the answer (RFC 9112, 9.6).
+half closed and read until the caller has closed its own side, so that no reset
+overtakes the answer (RFC 9112, 9.6). Many client libraries don't look at a
+pooled connection before they send, so that may last as long as they pool it.
 """
 
+import asyncio
+import dataclasses
+from collections.abc import Callable, Hashable
+
 import h11
 
-__all__ = ["LINGER_S", "closing_answer"]
+from damaskcroft.observe import metrics
+
+__all__ = ["Lingering", "closing_answer"]
 
 _REQUEST_TIMEOUT = 408
-# How long a half-closed connection is read: a request that was on its way
-# arrives within that time also if its packet is lost twice in a row (RFC
-# 6298: 0.2 + 0.4 s).
-LINGER_S = 1.0
+# Client libraries commonly pool an idle connection for a minute.
+_LINGER_S = 60.0
+# Bounds the descriptors and memory of connections that nobody closes.
+_MAX_LINGERING = 256
+
+
+class Lingering:
+    """Half-closed connections that are read until their callers close them.
+
+    Each is closed after a while; the oldest sooner if there are too many.
+    """
+
+    def __init__(self) -> None:
+        """Starts without any."""
+        # In the order in which they were half closed.
+        self._ends_by_connection: dict[Hashable, _End] = {}
+
+    def begin(self, connection: Hashable, close: Callable[[], None]) -> None:
+        """Keeps a connection that has just been half closed.
+
+        Args:
+            connection: to be named to `done` once it is closed.
+            close: called, once at most, when it was kept for long enough.
+        """
+        if len(self._ends_by_connection) >= _MAX_LINGERING:
+            self._close(next(iter(self._ends_by_connection)))
+        timer = asyncio.get_running_loop().call_later(
+            _LINGER_S, self._close, connection
+        )
+        self._ends_by_connection[connection] = _End(close, timer)
+
+    def done(self, connection: Hashable) -> None:
+        """Forgets a connection that is closed, if it was kept."""
+        end = self._ends_by_connection.pop(connection, None)
+        if end is not None:
+            end.timer.cancel()
+
+    def _close(self, connection: Hashable) -> None:
+        end = self._ends_by_connection[connection]
+        self.done(connection)
+        metrics.IDLE_CONNECTIONS_CLOSED.labels("expired").inc()
+        end.close()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _End:
+    """How and when a lingering connection is closed."""
+
+    close: Callable[[], None]
+    timer: asyncio.TimerHandle
 
 
 def closing_answer(
--- a/damaskcroft/http1/_server.py
+++ b/damaskcroft/http1/_server.py
@@ -7,7 +7,7 @@
 import h11
 
 from damaskcroft.http1._channel import Channel, ChannelLostError
-from damaskcroft.http1._closing import LINGER_S, closing_answer
+from damaskcroft.http1._closing import Lingering, closing_answer
 from damaskcroft.http1._exchange import Answer, CallerHandler, CallerRequest
 from damaskcroft.http1._listening import stop_listening
 from damaskcroft.http1._reader import RequestReader
@@ -38,6 +38,7 @@
         self._tasks: set[asyncio.Task] = set()
         # Waits for the first byte of a next request, by connection.
         self._waits_by_channel: dict[Channel, asyncio.Task[bool]] = {}
+        self._lingering = Lingering()
         self.answering = 0
         self.address = ""
 
@@ -187,11 +188,24 @@
         channel.half_close()
         came = False
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(LINGER_S):
+            async with self._kept_open(channel):
                 while await channel.read():
                     came = True
         return came
 
+    @contextlib.asynccontextmanager
+    async def _kept_open(self, channel: Channel) -> AsyncIterator[None]:
+        """Ends the block by TimeoutError once a connection lingers too long."""
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(None) as bound:
+            self._lingering.begin(
+                channel, lambda: bound.reschedule(loop.time())
+            )
+            try:
+                yield
+            finally:
+                self._lingering.done(channel)
+
 
 class _AcceptedChannel(Channel):
     """Tells when it is connected."""
--- a/damaskcroft/http1/tests/test_closing.py
+++ b/damaskcroft/http1/tests/test_closing.py
@@ -10,6 +10,9 @@
 
 import asyncio
 
+import aiosonic
+
+from damaskcroft.http1 import Lingering
 from damaskcroft.http1.tests.test_server import WHOLE, settled
 from damaskcroft.standins.late_callers import LateCallers
 
@@ -61,6 +64,50 @@
     run(scenario())
 
 
+def test_a_library_that_pools_connections_reads_that_nothing_ran(run, served):
+    # Against a reset that the library meets before it looks at its buffer.
+    async def scenario():
+        async with served() as (handler, _, connections):
+            url = f"http://{connections.address}/work"
+            async with aiosonic.HTTPClient() as client:
+                await client.post(url, data=b"body")
+                connections.close_idle()
+                await asyncio.sleep(1.5)
+                response = await client.post(url, data=b"body")
+            assert response.status_code == 408
+            assert len(handler.requests) == 1
+
+    run(scenario())
+
+
+def test_connections_that_nobody_closes_do_not_linger_for_ever(loop):
+    closed = []
+
+    async def scenario():
+        lingering = Lingering()
+        for number in range(3):
+            lingering.begin(number, lambda number=number: closed.append(number))
+        lingering.done(1)
+        await asyncio.sleep(3600)
+
+    loop.run_until_complete(scenario())
+    assert closed == [0, 2]
+
+
+def test_the_oldest_of_too_many_lingering_connections_is_closed(loop):
+    closed = []
+
+    async def scenario():
+        lingering = Lingering()
+        for number in range(1000):
+            lingering.begin(number, lambda number=number: closed.append(number))
+        return list(closed)
+
+    early = loop.run_until_complete(scenario())
+    assert early == list(range(len(early)))
+    assert 500 < len(early) < 1000
+
+
 def test_a_request_that_crosses_the_idle_timeout_has_not_run(run, served):
     async def scenario():
         async with served() as (handler, call, connections):
--- a/damaskcroft/rpc/_http.py
+++ b/damaskcroft/rpc/_http.py
@@ -14,7 +14,8 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from damaskcroft.http1 import stop_listening
+from damaskcroft.http1 import Lingering, stop_listening
+from damaskcroft.observe import log_event
 from damaskcroft.rpc._channels import split_address
 from damaskcroft.rpc._kept_connections import KeptConnection
 
@@ -23,9 +24,9 @@
 _DATE_EVERY_S = 1.0
 # Unused connections are kept for this long: what uvicorn takes by default.
 _IDLE_TIMEOUT_S = 5.0
-# For answers that are under way when the block ends; above `LINGER_S`, for
-# which a connection is read after its last answer.
-_END_S = 2
+# For answers that are under way when the block ends, and for callers to close
+# connections that have ended.
+_END_S = 2.0
 _T = TypeVar("_T")
 
 
@@ -52,6 +53,9 @@
         for server in self.servers:
             await stop_listening(server, self._make_connection)
         await super().shutdown(sockets)
+        left_open = len(self.server_state.connections)
+        if left_open:
+            log_event("connections_left_open", count=left_open)
 
     def _make_connection(self) -> asyncio.Protocol:
         return self.config.http_protocol_class(  # type: ignore[call-arg, return-value]
@@ -100,7 +104,8 @@
 
 def _connection_class(closing_body: bytes) -> type[KeptConnection]:
     # uvicorn makes connections itself and hands them no settings of ours.
-    return type("Connection", (KeptConnection,), {"closing_body": closing_body})
+    members = {"closing_body": closing_body, "lingering": Lingering()}
+    return type("Connection", (KeptConnection,), members)
 
 
 @contextlib.asynccontextmanager
@@ -110,6 +115,7 @@
     *,
     idle_timeout_s: float = _IDLE_TIMEOUT_S,
     closing_body: bytes = b"",
+    end_s: float = _END_S,
 ) -> AsyncIterator[Starlette]:
     """Serves `routes` and /metrics at `address` until the block ends.
 
@@ -119,6 +125,8 @@
         idle_timeout_s: how long unused connections are kept.
         closing_body: JSON for callers whose request crosses the end of an
             idle connection; its status says that nothing has run.
+        end_s: longest wait, at the end of the block, for answers under way
+            and for callers to close their connections.
 
     Raises:
         OSError: the address cannot be bound.
@@ -134,7 +142,7 @@
         log_config=None,
         access_log=False,
         timeout_keep_alive=idle_timeout_s,  # type: ignore[arg-type]
-        timeout_graceful_shutdown=_END_S,
+        timeout_graceful_shutdown=end_s,  # type: ignore[arg-type]
     )
     server = _Server(config)
     task = asyncio.create_task(server.serve([listening]))
--- a/damaskcroft/rpc/_kept_connections.py
+++ b/damaskcroft/rpc/_kept_connections.py
@@ -2,10 +2,9 @@
 
 The library closes outright: a connection that has been idle for too long, all
 idle ones when the server ends, and any after an answer that is its last. What
-a caller had sent meanwhile was then reset, or never answered, and the caller
-could not tell whether it had run; of 300 callers that sent once within 0.4 s
-around the stop of an entry, 5 and 6 were reset (two runs). `http1._closing`
-says how a connection is ended instead; these classes do so below uvicorn.
+a caller had sent meanwhile would be reset, or never answered, and the caller
+could not tell whether it had run. `http1._closing` says how a connection is
+ended instead; these classes do so below uvicorn.
 """
 
 import asyncio
@@ -15,7 +14,7 @@
 import h11
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-from damaskcroft.http1 import LINGER_S, closing_answer
+from damaskcroft.http1 import Lingering, closing_answer
 from damaskcroft.observe import metrics
 
 __all__ = ["KeptConnection"]
@@ -30,9 +29,10 @@
     reason to reset the connection before the caller has read its answer.
     """
 
-    def __init__(self, transport: asyncio.Transport):
+    def __init__(self, transport: asyncio.Transport, lingering: Lingering):
         super().__init__()
         self._transport = transport
+        self._lingering = lingering
         self._ending = False
 
     def close(self) -> None:
@@ -40,13 +40,16 @@
         if self.is_closing():
             return
         self._ending = True
-        loop = asyncio.get_running_loop()
-        loop.call_later(LINGER_S, self._transport.close)
+        self._lingering.begin(self, self._transport.close)
         self._transport.resume_reading()
         with contextlib.suppress(OSError):
             # Reset by the caller meanwhile; the loop will tell so.
             self._transport.write_eof()
 
+    def lost(self) -> None:
+        """Takes note that the connection is gone."""
+        self._lingering.done(self)
+
     def is_closing(self) -> bool:
         return self._ending or self._transport.is_closing()
 
@@ -73,9 +76,11 @@
 
     Attributes:
         closing_body: JSON of the answer that ends an idle connection.
+        lingering: shared by all connections of a server.
     """
 
     closing_body = b""
+    lingering: Lingering
 
     def __init__(self, *args: Any, **options: Any):
         """See the library's class."""
@@ -86,7 +91,13 @@
         self, transport: asyncio.Transport
     ) -> None:
         """See asyncio.Protocol."""
-        super().connection_made(_ReadingOn(transport))
+        self._reading_on = _ReadingOn(transport, self.lingering)
+        super().connection_made(self._reading_on)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """See asyncio.Protocol."""
+        self._reading_on.lost()
+        super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
         """See asyncio.Protocol."""
--- a/damaskcroft/rpc/tests/test_kept_connections.py
+++ b/damaskcroft/rpc/tests/test_kept_connections.py
@@ -13,6 +13,7 @@
 import asyncio
 import socket
 
+import aiosonic
 import pytest
 import uvicorn
 from starlette.responses import PlainTextResponse
@@ -26,6 +27,8 @@
 # Callers that send at moments spread over the whole end of the server.
 CALLERS = 60
 END_S = 0.3
+# After the end of a connection; client libraries pool them for longer.
+LATE_S = 1.5
 
 
 class Served:
@@ -169,6 +172,42 @@
     assert answer.endswith(b"{}")
 
 
+@pytest.mark.parametrize("idle_timeout_s", [60.0, 0.1])
+def test_a_library_that_pools_connections_reads_that_nothing_ran(
+    server, idle_timeout_s
+):
+    # Against a reset that the library meets before it looks at its buffer.
+    async def scenario():
+        async with aiosonic.HTTPClient() as client:
+            async with server.serve(idle_timeout_s=idle_timeout_s):
+                url = f"http://{server.address}/work"
+                await client.post(url, data=b"body")
+                asking = asyncio.create_task(asks_late(client, url))
+                if idle_timeout_s < LATE_S:
+                    await asking
+            return await asking
+
+    async def asks_late(client, url):
+        await asyncio.sleep(LATE_S)
+        response = await client.post(url, data=b"body")
+        return response.status_code
+
+    assert asyncio.run(scenario()) == 408
+    assert server.runs == 1
+
+
+def test_the_end_waits_only_so_long_for_callers_to_close(server):
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        async with server.serve(end_s=0.3):
+            caller = await Caller.connected(server.place)
+            began_at = loop.time()
+        caller.sock.close()
+        return loop.time() - began_at
+
+    assert 0.3 <= asyncio.run(scenario()) < 1.0
+
+
 def test_a_part_of_a_request_at_the_end_is_told_as_not_run(server):
     async def scenario():
         async with server.serve():
--- a/damaskcroft/standins/load.py
+++ b/damaskcroft/standins/load.py
@@ -232,7 +232,7 @@
     log_warning(
         "request_lost",
         url=url,
-        sent_at=sent_at,
+        sent_at=f"{sent_at:.3f}",
         after_s=time.time() - sent_at,
         reused=getattr(error, "reused_connection", None),
         notes=getattr(error, "__notes__", []),
