An answer begun before a server ends is followed by the promise that nothing ran

Callers saw: an answer whose head went out before the server was told to end, without Connection: close, and whose end came after it. The caller keeps the connection; its next request got the end of the connection without a byte.

Cause: the library ends such a connection with its answer, and only idle ones were told. At an entry this meets answers that don't count as running (health, metrics) and all answers of agents' and control's HTTP addresses; counted calls end before.

Evidence: test_an_answer_begun_before_the_end_is_followed_by_the_promise, red before (nothing after the last chunk).

--- a/damaskcroft/rpc/_kept_connections.py
+++ b/damaskcroft/rpc/_kept_connections.py
@@ -86,6 +86,7 @@
         """See the library's class."""
         super().__init__(*args, **options)
         self._end_announced = False
+        self._ends_after_answer = False
 
     def connection_made(  # type: ignore[override]
         self, transport: asyncio.Transport
@@ -109,9 +110,19 @@
 
     def shutdown(self) -> None:
         """Ends the connection once its answer, if any, has been given."""
+        if self._has_promised_to_keep():
+            self._ends_after_answer = True
+            return
         self._announce_end_if_idle()
         super().shutdown()
 
+    def on_response_complete(self) -> None:
+        """Goes on to the next request, or ends the connection."""
+        super().on_response_complete()
+        if self._ends_after_answer:
+            self._announce_end_if_idle()
+            self.transport.close()
+
     def timeout_keep_alive_handler(self) -> None:
         """Ends the connection, since nobody has used it for long."""
         self._announce_end_if_idle()
@@ -127,6 +138,13 @@
         self.transport.write(promise)
         metrics.IDLE_CONNECTIONS_CLOSED.labels("idle").inc()
 
+    def _has_promised_to_keep(self) -> bool:
+        """Whether an answer is under way whose head names no end."""
+        cycle = self.cycle
+        if cycle is None or cycle.response_complete:
+            return False
+        return cycle.response_started and cycle.keep_alive
+
     def _is_busy(self) -> bool:
         """Whether a request is being read or answered.
 
--- a/damaskcroft/rpc/tests/test_kept_connections.py
+++ b/damaskcroft/rpc/tests/test_kept_connections.py
@@ -16,7 +16,7 @@
 import aiosonic
 import pytest
 import uvicorn
-from starlette.responses import PlainTextResponse
+from starlette.responses import PlainTextResponse, StreamingResponse
 from starlette.routing import Route
 
 from damaskcroft.rpc import http_served
@@ -208,6 +208,37 @@
     assert 0.3 <= asyncio.run(scenario()) < 1.0
 
 
+def test_an_answer_begun_before_the_end_is_followed_by_the_promise(server):
+    # Against an end without a word after a head that promised to keep on.
+    async def scenario():
+        goes_on = asyncio.Event()
+
+        async def parts(_):
+            async def body():
+                yield b"do"
+                await goes_on.wait()
+                yield b"ne"
+
+            return StreamingResponse(body())
+
+        routes = [Route("/work", parts, methods=["POST"])]
+        async with http_served(server.address, routes):
+            sock = socket.create_connection(server.place)
+            sock.setblocking(False)
+            caller = Caller(sock)
+            await caller.send(REQUEST)
+            head = await caller.received(b"do\r\n")
+            assert b"connection: close" not in head.lower()
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.3, goes_on.set)
+        return await caller.received()
+
+    rest = asyncio.run(scenario())
+    whole, _, promise = rest.partition(b"0\r\n\r\n")
+    assert whole.endswith(b"ne\r\n")
+    assert promise.startswith(b"HTTP/1.1 408")
+
+
 def test_a_part_of_a_request_at_the_end_is_told_as_not_run(server):
     async def scenario():
         async with server.serve():
