Our own HTTP clients look at a kept connection before they send on it

Callers saw: where an agent's target, an origin or an engine ended an idle connection, the agent's next call on it met a 408 or a reset; a claimed call is then told as unknown.

Cause: the library reuses a pooled connection unless we have closed it ourselves; bytes and an end that came meanwhile are not looked at.

Evidence: test_no_call_is_sent_on_a_connection_whose_server_has_ended_it; without the look its second call gets the 408 (its other case asserts that), with it 200 on a new connection. What crosses the look is still told by the server's 408.

The load's callers don't look, as before (checks_kept=False), so the tests see what such callers get.

--- a/damaskcroft/rpc/_http_client.py
+++ b/damaskcroft/rpc/_http_client.py
@@ -1,6 +1,7 @@
 """HTTP clients that let go of what they no longer want."""
 
 import time
+from urllib.parse import ParseResult
 
 import aiosonic
 from aiosonic.connection import Connection
@@ -33,6 +34,21 @@
         return time.monotonic() - self.last_released_time
 
 
+class _CheckedConnection(_ClosingConnection):
+    """Isn't used again once its server has ended it, or has said anything."""
+
+    def reuse(self, urlparsed: ParseResult, verify: bool) -> bool:
+        """See the library's class."""
+        return super().reuse(urlparsed, verify) and self._is_silent()
+
+    def _is_silent(self) -> bool:
+        reader = self.reader
+        if reader is None or reader.at_eof():
+            return False
+        # There is no public way to see what a reader has buffered.
+        return not reader._buffer  # type: ignore[attr-defined]
+
+
 class _SingleUseConnection(_ClosingConnection):
     """Closes once its call's response has been read."""
 
@@ -50,6 +66,7 @@
     max_requests: int | None = None,
     max_idle_ms: int = 2000,
     keeps_open: bool = True,
+    checks_kept: bool = True,
 ) -> aiosonic.HTTPClient:
     """Creates a client; nothing is connected yet.
 
@@ -62,6 +79,8 @@
         keeps_open: whether connections stay open between two calls. They
             count at a server whose number is bounded, also while nobody uses
             them, and after their machine has gone.
+        checks_kept: whether a connection that its server has ended is left
+            alone; many callers' libraries send on it.
     """
     timeouts = Timeouts(
         sock_connect=connect_timeout_s,
@@ -76,8 +95,14 @@
     connector = TCPConnector(
         pool_configs={":default": config},
         timeouts=timeouts,
-        connection_cls=(
-            _ClosingConnection if keeps_open else _SingleUseConnection
-        ),
+        connection_cls=_connection_class(keeps_open, checks_kept),
     )
     return aiosonic.HTTPClient(connector)
+
+
+def _connection_class(
+    keeps_open: bool, checks_kept: bool
+) -> type[_ClosingConnection]:
+    if not keeps_open:
+        return _SingleUseConnection
+    return _CheckedConnection if checks_kept else _ClosingConnection
--- /dev/null
+++ b/damaskcroft/rpc/tests/test_http_client.py
@@ -0,0 +1,38 @@
+"""Our own calls over connections that their server has ended meanwhile."""
+
+import asyncio
+
+import pytest
+from starlette.responses import PlainTextResponse
+from starlette.routing import Route
+
+from damaskcroft.rpc import http_served, make_http_client
+from damaskcroft.standins.loopback import free_address
+
+
+async def _work(_):
+    return PlainTextResponse("done")
+
+
+@pytest.mark.parametrize("looks", [True, False])
+def test_no_call_is_sent_on_a_connection_whose_server_has_ended_it(looks):
+    # Against calls that a stopping or idle server can only answer by 408.
+    async def scenario():
+        address = free_address()
+        routes = [Route("/work", _work, methods=["POST"])]
+        client = make_http_client(
+            connections=1, connect_timeout_s=1, checks_kept=looks
+        )
+        async with client, http_served(address, routes, idle_timeout_s=0.1):
+            statuses = []
+            for _ in range(2):
+                response = await client.post(
+                    f"http://{address}/work", data=b"body"
+                )
+                await response.content()
+                statuses.append(response.status_code)
+                await asyncio.sleep(0.3)
+            await client.aclose()
+        return statuses
+
+    assert asyncio.run(scenario()) == [200, 200 if looks else 408]
--- a/damaskcroft/standins/load.py
+++ b/damaskcroft/standins/load.py
@@ -90,7 +90,10 @@
         self.counts = LoadCounts()
         self._stopping = asyncio.Event()
         self._client = make_http_client(
-            connections=plan.workers * 2, connect_timeout_s=2, max_idle_ms=1000
+            connections=plan.workers * 2,
+            connect_timeout_s=2,
+            max_idle_ms=1000,
+            checks_kept=False,
         )
         self._patience_s = plan.deadline_ms / 1000 + 5
 
