Callers of every habit over the stop of both entries, as tests

On the hosted entry only requests with a body show it: their second write meets the reset before the answer is read.

--- a/damaskcroft/hosted/tests/conftest.py
+++ b/damaskcroft/hosted/tests/conftest.py
@@ -6,6 +6,7 @@
 import pytest
 
 from damaskcroft.hosted.tests.fleet import Fleet
+from damaskcroft.hosted.tests.one_target import serving
 
 _WITHIN_S = 120
 
@@ -28,3 +29,15 @@
             await scenario(fleet)
 
     return lambda scenario: asyncio.run(play(scenario))
+
+
+@pytest.fixture
+def play(tmp_path):
+    def run(scenario):
+        async def within():
+            async with serving(tmp_path) as (deployment, gate, asked):
+                await scenario(deployment, gate, asked)
+
+        asyncio.run(asyncio.wait_for(within(), 120))
+
+    return run
--- /dev/null
+++ b/damaskcroft/hosted/tests/test_stopping_entry.py
@@ -0,0 +1,36 @@
+"""Callers of every habit while a hosted entry stops."""
+
+import collections
+import signal
+
+import pytest
+
+from damaskcroft.hosted.tests.deployment import ENTRY_IP
+from damaskcroft.standins.stopping_callers import Question, StoppingCallers
+
+EACH = 20
+# Past the moment at which a stopping entry ends idle connections.
+OVER_S = 6.0
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_no_request_is_lost_while_an_entry_stops(play, seed):
+    # Against requests that get a reset or no byte when an entry ends.
+    async def scenario(deployment, gate, asked):
+        question = Question(
+            "POST",
+            "/a/b",
+            lambda number: {"Host": "h", "Request-Id": f"{seed}-{number}"},
+            b"body",
+        )
+        address = f"{ENTRY_IP}:{deployment.front}"
+        callers = StoppingCallers(address, question, EACH, seed)
+        entry = deployment.processes["entry-14"]
+        async with callers.sending(OVER_S) as outcomes:
+            entry.send_signal(signal.SIGTERM)
+        assert await entry.wait() == 0
+        print(collections.Counter(outcomes))
+        lost = [o for o in outcomes if not o.rpartition(" ")[2].isdigit()]
+        assert lost == []
+
+    play(scenario)
--- /dev/null
+++ b/damaskcroft/standins/tests/test_stopping_entry.py
@@ -0,0 +1,56 @@
+"""Callers of every habit while an entry stops, which isn't always run."""
+
+import asyncio
+import collections
+import json
+import random
+import signal
+
+import pytest
+
+from damaskcroft.standins.stopping_callers import Question, StoppingCallers
+from damaskcroft.standins.tests.conftest import MODEL
+
+EACH = 20
+OVER_S = 3.2
+PAUSED_OVER_S = 1.5
+BODY = json.dumps({"model": MODEL, "prompt": "p", "max_tokens": 2}).encode()
+
+
+def headers_of(_):
+    return {"Content-Type": "application/json", "Damask-Customer": "notary"}
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_no_request_is_lost_while_an_entry_stops(site, seed):
+    # Against requests that get a reset or no byte when an entry ends.
+    site.deploy("1")
+
+    async def scenario():
+        question = Question("POST", "/v1/completions", headers_of, BODY)
+        address = site.fleet.http_by_name["entry-1"]
+        callers = StoppingCallers(address, question, EACH, seed)
+        async with callers.sending(OVER_S) as outcomes:
+            stopping = asyncio.create_task(
+                asyncio.to_thread(site.fleet.terminate, "entry-1")
+            )
+            await pauses(site.fleet.processes_by_name["entry-1"], seed)
+        assert await stopping == 0
+        return outcomes
+
+    outcomes = asyncio.run(scenario())
+    print(collections.Counter(outcomes))
+    lost = [o for o in outcomes if not o.rpartition(" ")[2].isdigit()]
+    assert lost == []
+
+
+async def pauses(process, seed):
+    """Stops and continues a process, as a busy machine does."""
+    rng = random.Random(seed)
+    loop = asyncio.get_running_loop()
+    until = loop.time() + PAUSED_OVER_S
+    while loop.time() < until:
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(rng.choice((0.03, 0.1, 0.3)))
+        process.send_signal(signal.SIGCONT)
+        await asyncio.sleep(rng.uniform(0.02, 0.3))
