A request that meets a fault of ours is answered by 500 and counted, on both faces

Callers saw, on the hosted face: the connection ended without an answer when the handler raised, at any time; the same word as a request lost at a stop, and no metric told them apart. The other face answered 500 and counted nothing.

Change: 500 with Connection: close if no byte of an answer is out (whether the request ran isn't known); answer_failed and damask_http_faults on both.

Evidence: test_a_fault_of_the_handler_is_answered got no byte before; test_a_fault_of_a_route_is_answered_and_counted counted nothing.

--- a/damaskcroft/http1/_server.py
+++ b/damaskcroft/http1/_server.py
@@ -20,6 +20,8 @@
 _PROBE_PAUSE_S = 0.1
 # For callers that connected while the server ended, to read that nothing ran.
 _LAST_WORD_S = 0.2
+# Whether the request has run isn't known.
+_FAULT = 500
 # Queue of connections that the kernel holds for us.
 _BACKLOG = 512
 
@@ -147,7 +149,7 @@
         self, request: CallerRequest, answer: Answer, channel: Channel
     ) -> None:
         self.answering += 1
-        working = asyncio.create_task(self._handler.handle(request, answer))
+        working = asyncio.create_task(self._handle(request, answer))
         try:
             await asyncio.wait(
                 {working, channel.when_ended},
@@ -162,6 +164,18 @@
             await asyncio.gather(working, return_exceptions=True)
             self.answering -= 1
 
+    async def _handle(self, request: CallerRequest, answer: Answer) -> None:
+        """Answers a request; a fault of ours is answered too."""
+        try:
+            await self._handler.handle(request, answer)
+        except ChannelLostError:
+            raise
+        except Exception as error:
+            metrics.HTTP_FAULTS.labels(type(error).__name__).inc()
+            log_warning("answer_failed", reason=repr(error))
+            if not answer.begun:
+                await answer.give(_FAULT, [(b"connection", b"close")], b"")
+
     async def _answer_half_closed(
         self, working: asyncio.Task, answer: Answer, channel: Channel
     ) -> None:
--- a/damaskcroft/http1/tests/test_server.py
+++ b/damaskcroft/http1/tests/test_server.py
@@ -159,3 +159,21 @@
             assert_only_a_promise(await idle.rest())
 
     run(scenario())
+
+
+def test_a_fault_of_the_handler_is_answered(run, served):
+    # Against a connection that ends without a word on its request.
+    async def scenario():
+        async with served() as (handler, call, _):
+
+            async def fails(request, answer):
+                raise KeyError("fault")
+
+            handler.handle = fails
+            caller = await call()
+            await caller.send(WHOLE)
+            answer = await caller.rest()
+            assert answer.startswith(b"HTTP/1.1 500")
+            assert b"connection: close" in answer.lower()
+
+    run(scenario())
--- a/damaskcroft/observe/metrics.py
+++ b/damaskcroft/observe/metrics.py
@@ -17,6 +17,7 @@
     "BURST_YIELDS",
     "CLAIMS",
     "COMMIT_INDEX",
+    "HTTP_FAULTS",
     "IDLE_CONNECTIONS_CLOSED",
     "ELECTIONS",
     "FIRST_TOKEN_S",
@@ -78,6 +79,9 @@
     ["kind", "reason"],
 )  # fmt: skip
 ANSWERS = Counter("damask_answers", "Whole answers given", ["kind"])
+HTTP_FAULTS = Counter(
+    "damask_http_faults", "Requests that met a fault of ours", ["error"]
+)
 IDLE_CONNECTIONS_CLOSED = Counter(
     "damask_idle_connections_closed",
     "Idle connections that we ended, and those that bytes crossed", ["how"],
--- a/damaskcroft/rpc/_http.py
+++ b/damaskcroft/rpc/_http.py
@@ -15,7 +15,7 @@
 from starlette.routing import Route
 
 from damaskcroft.http1 import Lingering, stop_listening
-from damaskcroft.observe import log_event
+from damaskcroft.observe import log_event, log_warning, metrics
 from damaskcroft.rpc._channels import split_address
 from damaskcroft.rpc._kept_connections import KeptConnection
 
@@ -84,6 +84,12 @@
     )
 
 
+async def _count_fault(_: Request, error: Exception) -> Response:
+    metrics.HTTP_FAULTS.labels(type(error).__name__).inc()
+    log_warning("answer_failed", reason=repr(error))
+    return Response(status_code=500, headers={"Connection": "close"})
+
+
 def _bound(address: str) -> socket.socket:
     """A socket that holds the address.
 
@@ -131,7 +137,10 @@
     Raises:
         OSError: the address cannot be bound.
     """
-    app = Starlette(routes=[*routes, Route("/metrics", _metrics)])
+    app = Starlette(
+        routes=[*routes, Route("/metrics", _metrics)],
+        exception_handlers={Exception: _count_fault},
+    )
     listening = _bound(address)
     config = uvicorn.Config(
         app,
--- a/damaskcroft/rpc/tests/test_http.py
+++ b/damaskcroft/rpc/tests/test_http.py
@@ -2,7 +2,10 @@
 
 import asyncio
 
+from starlette.routing import Route
+
 from damaskcroft.http1 import TargetConnection, connect
+from damaskcroft.observe import metrics
 from damaskcroft.rpc import http_served
 from damaskcroft.standins.loopback import own_network, ports
 
@@ -46,3 +49,25 @@
         assert loop.time() - ending_at < 0.5
 
     asyncio.run(scenario())
+
+
+def test_a_fault_of_a_route_is_answered_and_counted():
+    # Against a connection that ends without a word on its request.
+    async def fails(_):
+        raise KeyError("fault")
+
+    async def scenario():
+        before = faults()
+        async with http_served(ADDRESS, [Route("/fails", fails)]):
+            connection = TargetConnection(await connect(ADDRESS, 1), "", "")
+            await connection.send(b"GET", b"/fails", [(b"host", b"h")], b"")
+            head = await connection.read_head(lambda _: True)
+            connection.close()
+        assert head.status == 500
+        assert head.value(b"connection") == "close"
+        assert faults() == before + 1
+
+    def faults():
+        return metrics.HTTP_FAULTS.labels("KeyError")._value.get()
+
+    asyncio.run(scenario())
