A crash right after a start is not counted as the crash before it

Cause (one of two): a target that comes back at its address is reached before its new start is announced, under the name of the start that crashed. A second crash there was merged into the first one: it counted once for two requests, and as soon as one of them was found guilty, the other's crash was explained by it, though it was another one.

Evidence, a failed run's log: t4@...614039 crashed at 16.177 under 046e, and again at 18.69 under f9e9 and 3858; f9e9 was quarantined by it at 18.837, and 046e, whose crash it had been, needed a fourth.

Change: a loss on a connection that was opened after the start is known to have crashed is a loss of the start that took its place, named START/later until it is announced. test_a_loss_after_a_crash_is_of_the_start_that_took_its_place, red before.

--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -331,7 +331,10 @@
         if isinstance(outcome, NotSent | NotRun):
             progress.may_have_run = ran_before
         if isinstance(outcome, Lost):
-            await self._suspects.lost(job, progress, target, outcome)
+            connecting_at = taken_at if progress.connect_s is not None else None
+            await self._suspects.lost(
+                job, progress, target, outcome, connecting_at
+            )
         return self._judge(job, progress, target, outcome)
 
     async def _run(
--- a/damaskcroft/forwarding/_suspects.py
+++ b/damaskcroft/forwarding/_suspects.py
@@ -76,6 +76,7 @@
             ),
             services.is_replaced,
             lambda crash: tell([crash]),
+            book.crashed_at,
         )
 
     def listen(self, listener: Callable[[], None]) -> None:
@@ -130,13 +131,26 @@
             progress.chain = max(progress.chain, known)
 
     async def lost(
-        self, job: Job, progress: Progress, target: Candidate, lost: Lost
+        self,
+        job: Job,
+        progress: Progress,
+        target: Candidate,
+        lost: Lost,
+        connecting_at: float | None = None,
     ) -> None:
         """Takes note of a lost attempt.
 
         It waits for a moment until it is known whether its target has crashed,
         so that its next attempt doesn't crash another one, and isn't lost
         beside a request that does.
+
+        Args:
+            job: the request.
+            progress: what became of it so far.
+            target: where it was sent.
+            lost: how the attempt ended.
+            connecting_at: when a connection was opened for it; None where a
+                kept one was used.
         """
         if not lost.cut and lost.reason != STARTED_AGAIN:
             return
@@ -150,6 +164,7 @@
                 job.call.request_id,
                 progress.chain,
                 self._recent_answers.has(_fingerprint(job, progress)),
+                connecting_at,
             )
         )
         if looked is None:
--- a/damaskcroft/quarantine/_book.py
+++ b/damaskcroft/quarantine/_book.py
@@ -165,6 +165,11 @@
         """Whether targets crashed under a request and nothing cleared it."""
         return fingerprint in self._starts_by_suspect
 
+    def crashed_at(self, start_id: str) -> float | None:
+        """When a start crashed; None for one that isn't known to have."""
+        crash = self._crashes_by_start.get(start_id)
+        return crash.at if crash is not None else None
+
     def chain(self, fingerprint: bytes) -> int:
         """How many crashes in a row are known of a request; 0 for none."""
         starts = self._starts_by_suspect.get(fingerprint, [])
--- a/damaskcroft/quarantine/_evidence.py
+++ b/damaskcroft/quarantine/_evidence.py
@@ -24,6 +24,9 @@
 # Within which a target that crashed is back and has announced itself. Later it
 # may have ended for any reason.
 _BACK_WITHIN_S = 10.0
+# Ends the name of a start that took the place of one that crashed, and that
+# nobody has announced yet.
+_LATER = "/later"
 _MS_IN_S = 1000
 
 
@@ -54,6 +57,8 @@
         chain: how many crashes in a row this one would make; see `Suspect` in
             the schema.
         was_answered: whether it had run to its end shortly before.
+        connecting_at: loop time at which a connection was opened for it; None
+            where a kept one was used.
     """
 
     target: _StartT
@@ -62,13 +67,15 @@
     request_id: str
     chain: int = 1
     was_answered: bool = False
+    connecting_at: float | None = None
 
 
 class _Pending(Generic[_StartT]):
     """A start of a target that may have crashed.
 
     Attributes:
-        target: which.
+        start_id: its name.
+        target: which, or the start whose place it took.
         service: which it runs for.
         since: loop time of the first loss since it was last looked at.
         suspects: the requests that were lost there, by fingerprint.
@@ -81,11 +88,13 @@
         "looked",
         "service",
         "since",
+        "start_id",
         "suspects",
         "target",
     )
 
-    def __init__(self, target: _StartT, service: str):
+    def __init__(self, start_id: str, target: _StartT, service: str):
+        self.start_id = start_id
         self.target = target
         self.service = service
         self.since = now_s()
@@ -102,6 +111,8 @@
         is_replaced: whether a later start has taken a start's place.
         crashed: told of each crash with the requests that ran there, and
             again when it turns out that others did.
+        crashed_at: loop time at which a start crashed, by its name; None for
+            one that is not known to have.
     """
 
     def __init__(
@@ -109,11 +120,13 @@
         is_leaving: Callable[[_StartT], bool],
         is_replaced: Callable[[_StartT], bool],
         crashed: Callable[[quarantine_pb2.TargetCrash], None],
+        crashed_at: Callable[[str], float | None] = lambda _: None,
     ):
         """See the class."""
         self._is_leaving = is_leaving
         self._is_replaced = is_replaced
         self._crashed = crashed
+        self._crashed_at = crashed_at
         self._pending_by_start: dict[str, _Pending[_StartT]] = {}
 
     def lost(self, loss: Loss[_StartT]) -> asyncio.Task[None] | None:
@@ -126,14 +139,15 @@
         target = loss.target
         if self._is_leaving(target):
             return None
-        pending = self._pending_by_start.get(target.id)
+        start_id = self._start_reached(loss)
+        pending = self._pending_by_start.get(start_id)
         if pending is None:
-            pending = _Pending(target, loss.service)
-            self._pending_by_start[target.id] = pending
+            pending = _Pending(start_id, target, loss.service)
+            self._pending_by_start[start_id] = pending
         log_event(
             "request_lost_with_connection",
             request=loss.request_id,
-            target=target.id,
+            target=start_id,
             fingerprint=loss.fingerprint.hex(),
         )
         suspect = pending.suspects.setdefault(
@@ -150,6 +164,21 @@
             pending.looked = asyncio.create_task(self._look_at(pending))
         return pending.looked
 
+    def _start_reached(self, loss: Loss[_StartT]) -> str:
+        """The start that a request was lost with.
+
+        A connection that was opened after a start had crashed reached one that
+        took its place, at the same address.
+        """
+        start_id = loss.target.id
+        if loss.connecting_at is None:
+            return start_id
+        while (crashed_at := self._crashed_at(start_id)) is not None:
+            if loss.connecting_at <= crashed_at:
+                break
+            start_id += _LATER
+        return start_id
+
     def look(self) -> None:
         """Looks for later starts; to be called often."""
         for start_id, pending in list(self._pending_by_start.items()):
@@ -157,7 +186,10 @@
             if is_old or self._is_leaving(pending.target):
                 del self._pending_by_start[start_id]
                 continue
-            if not pending.is_crash and self._is_replaced(pending.target):
+            is_announced = start_id == pending.target.id
+            if pending.is_crash or not is_announced:
+                continue
+            if self._is_replaced(pending.target):
                 self._confirm(pending, "started_again")
 
     async def _look_at(self, pending: _Pending[_StartT]) -> None:
@@ -170,7 +202,7 @@
         metrics.TARGET_CRASHES.labels(how).inc()
         log_event(
             "target_crashed",
-            target=pending.target.id,
+            target=pending.start_id,
             how=how,
             suspects=",".join(sorted(s.hex() for s in pending.suspects)),
         )
@@ -179,7 +211,7 @@
     def _tell(self, pending: _Pending[_StartT]) -> None:
         self._crashed(
             quarantine_pb2.TargetCrash(
-                start_id=pending.target.id,
+                start_id=pending.start_id,
                 suspects=[
                     suspect for _, suspect in sorted(pending.suspects.items())
                 ],
--- a/damaskcroft/quarantine/tests/test_evidence.py
+++ b/damaskcroft/quarantine/tests/test_evidence.py
@@ -16,15 +16,18 @@
         self.leaving = set()
         self.replaced = set()
         self.crashes = []
+        self.crashed_at_by_start = {}
         self.watch = CrashWatch(
             lambda target: target.id in self.leaving,
             lambda target: target.id in self.replaced,
             self.crashes.append,
+            self.crashed_at_by_start.get,
         )
 
-    async def lost(self, address, name=b"a", start="t@1"):
+    async def lost(self, address, name=b"a", start="t@1", connecting_at=None):
         target = Candidate(start, address, "d", "r", 4)
-        looked = self.watch.lost(Loss(target, "s", name, "r-1"))
+        loss = Loss(target, "s", name, "r-1", connecting_at=connecting_at)
+        looked = self.watch.lost(loss)
         if looked is not None:
             await looked
 
@@ -130,3 +133,23 @@
         assert names(seen.crashes[-1]) == {b"0", b"1", b"2", b"late"}
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("connecting_at", "start_ids"),
+    [(None, ["t@1"]), (1.0, ["t@1"]), (3.0, ["t@1/later"])],
+)
+def test_a_loss_after_a_crash_is_of_the_start_that_took_its_place(
+    seen, connecting_at, start_ids
+):
+    # Against two crashes counted as one, and explained by either's requests.
+    async def scenario():
+        seen.crashed_at_by_start["t@1"] = 2.0
+        address = await unused_address()
+        await seen.lost(address, connecting_at=connecting_at)
+        assert [c.start_id for c in seen.crashes] == start_ids
+        seen.replaced.add("t@1")
+        seen.watch.look()
+        assert [c.start_id for c in seen.crashes] == start_ids
+
+    asyncio.run(scenario())
