--- a/damaskcroft/consensus/_replica.py
+++ b/damaskcroft/consensus/_replica.py
@@ -17,6 +17,7 @@
 from damaskcroft.consensus._applier import Applier
 from damaskcroft.consensus._disk import Disk
 from damaskcroft.consensus._hard_state import HardStateFile
+from damaskcroft.consensus._joining import Joiner
 from damaskcroft.consensus._log import DurableLog
 from damaskcroft.consensus._members import (
     find_member,
@@ -175,7 +176,7 @@
         self._started_at = now_s()
         self._spawn(self._elect_forever)
         self._spawn(self._applier.run)
-        self._spawn(self._join_whenever_left_out)
+        self._spawn(self._make_joiner().run)
 
     async def stop(self) -> None:
         """Ends all tasks; nothing more is sent or written."""
@@ -644,12 +645,6 @@
             self.log.config(), self._options.id, self._hard.incarnation
         )
 
-    def _is_member(self) -> bool:
-        member = find_member(self.log.config(), self._options.id)
-        return (
-            member is not None and member.incarnation == self._hard.incarnation
-        )
-
     def _config_change_pending(self) -> bool:
         return self.log.config_entry()[0] > self.commit_index
 
@@ -716,37 +711,16 @@
         except OSError as error:
             self._note_disk_failure(error)
 
-    async def _join_whenever_left_out(self) -> None:
-        """Asks to be taken in while no leader counts this replica.
-
-        That is so with an empty disk, on a new machine, and after the others
-        have dropped it.
-        """
-        timeout_s = self._options.election_timeout_s
-        member = consensus_pb2.Voter(
-            id=self._options.id,
-            address=self._options.address,
-            incarnation=self.incarnation,
-        )
-        request = consensus_pb2.JoinRequest(member=member)
-        while True:
-            silence_s = now_s() - max(self._heard_at, self._started_at)
-            left_out = not self._is_member() or silence_s > 2 * timeout_s
-            if left_out and not self.is_leader:
-                await self._ask_to_join(request)
-            await asyncio.sleep(timeout_s)
-
-    async def _ask_to_join(self, request: consensus_pb2.JoinRequest) -> None:
-        known = {m.address for m in self.log.config().members}
-        known.update(self._options.first_members.values())
-        known.discard(self._options.address)
-        await asyncio.gather(
-            *(self._transport.join(address, request) for address in known),
-            return_exceptions=True,
+    def _make_joiner(self) -> Joiner:
+        return Joiner(
+            self._options,
+            self._transport,
+            self.log,
+            self.incarnation,
+            lambda: self.is_leader,
+            lambda: max(self._heard_at, self._started_at),
         )
 
-    # --- Committing and applying -------------------------------------------
-
     # --- Disk and tasks ------------------------------------------------------
 
     def _note_disk_failure(self, error: OSError) -> None:
