Connections that are read on don't hold up a hosted entry, nor push each other out

Found in reading the change: a hosted entry waited for callers to close until 0.4 s before the end of its grace, and then up to two seconds for the address that tells whether it is ready, so that the platform would kill it; and of more than 256 connections that a stop ends at once, all but the last 256 would be closed at once, in place of a second later as before.

Now what only waits for callers is left a second earlier, the ready address ends within 0.2 s, and no connection is closed for want of room in its first second.

--- a/damaskcroft/hosted/entry.py
+++ b/damaskcroft/hosted/entry.py
@@ -44,6 +44,10 @@
 _NOTICE_S = 3.5
 # Kept back from the time that the platform gives, to end before its SIGKILL.
 _SPARE_S = 0.4
+# Of what is left, kept back from waiting for callers to close connections.
+_LINGER_SPARE_S = 1.0
+# At the end, for whoever asks whether the entry is ready.
+_READY_END_S = 0.2
 
 
 async def serve(settings: NodeSettings) -> None:
@@ -134,7 +138,9 @@
             retry_window.entries = placer.entries = view.entries
 
     async with (
-        http_served(settings.ready_address, ready_routes(is_ready)),
+        http_served(
+            settings.ready_address, ready_routes(is_ready), end_s=_READY_END_S
+        ),
         callers_served(settings.caller_address, gate) as callers,
         background(watcher.run, forwarder.run, reporter.run, keep_clean),
     ):
@@ -153,6 +159,10 @@
     loop = asyncio.get_running_loop()
     began_at = loop.time()
     while callers.open_count and loop.time() - began_at < within_s:
-        if loop.time() - began_at > min(_NOTICE_S, within_s / 2):
+        lasted_s = loop.time() - began_at
+        if lasted_s > min(_NOTICE_S, within_s / 2):
             callers.close_idle()
+        if callers.are_all_told and lasted_s > within_s - _LINGER_SPARE_S:
+            log_event("connections_left_open", count=callers.open_count)
+            return
         await asyncio.sleep(_POLL_S)
--- a/damaskcroft/hosted/tests/test_stopping_entry.py
+++ b/damaskcroft/hosted/tests/test_stopping_entry.py
@@ -1,5 +1,6 @@
 """Callers of every habit while a hosted entry stops."""
 
+import asyncio
 import collections
 import signal
 
@@ -11,6 +12,8 @@
 EACH = 20
 # Past the moment at which a stopping entry ends idle connections.
 OVER_S = 6.0
+# Of the deployment's settings.
+GRACE_S = 8.0
 
 
 @pytest.mark.parametrize("seed", [1, 2])
@@ -34,3 +37,22 @@
         assert lost == []
 
     play(scenario)
+
+
+def test_callers_that_close_nothing_do_not_hold_up_an_entry(play):
+    # Against an entry that the platform has to kill at the end of its grace.
+    async def scenario(deployment, gate, asked):
+        loop = asyncio.get_running_loop()
+        opened = [
+            await asyncio.open_connection(ENTRY_IP, port)
+            for port in (deployment.front, deployment.ready)
+        ]
+        entry = deployment.processes["entry-14"]
+        entry.send_signal(signal.SIGTERM)
+        told_at = loop.time()
+        assert await entry.wait() == 0
+        assert loop.time() - told_at < GRACE_S
+        for _, writer in opened:
+            writer.close()
+
+    play(scenario)
--- a/damaskcroft/http1/_closing.py
+++ b/damaskcroft/http1/_closing.py
@@ -28,12 +28,16 @@
 _LINGER_S = 60.0
 # Bounds the descriptors and memory of connections that nobody closes.
 _MAX_LINGERING = 256
+# Kept for so long in any case: a request that was on its way arrives within
+# that time also if its packet is lost twice in a row (RFC 6298: 0.2 + 0.4 s).
+_LEAST_LINGER_S = 1.0
 
 
 class Lingering:
     """Half-closed connections that are read until their callers close them.
 
-    Each is closed after a while; the oldest sooner if there are too many.
+    Each is closed after a minute; of too many the oldest is closed sooner, but
+    not within its first second: a server that stops ends all at once.
     """
 
     def __init__(self) -> None:
@@ -48,12 +52,10 @@
             connection: to be named to `done` once it is closed.
             close: called, once at most, when it was kept for long enough.
         """
-        if len(self._ends_by_connection) >= _MAX_LINGERING:
-            self._close(next(iter(self._ends_by_connection)))
-        timer = asyncio.get_running_loop().call_later(
-            _LINGER_S, self._close, connection
-        )
-        self._ends_by_connection[connection] = _End(close, timer)
+        loop = asyncio.get_running_loop()
+        self._make_room(loop.time() - _LEAST_LINGER_S)
+        timer = loop.call_later(_LINGER_S, self._close, connection)
+        self._ends_by_connection[connection] = _End(loop.time(), close, timer)
 
     def done(self, connection: Hashable) -> None:
         """Forgets a connection that is closed, if it was kept."""
@@ -61,6 +63,17 @@
         if end is not None:
             end.timer.cancel()
 
+    def __len__(self) -> int:
+        return len(self._ends_by_connection)
+
+    def _make_room(self, since: float) -> None:
+        """Closes the oldest, if they are too many and began before a time."""
+        while len(self._ends_by_connection) >= _MAX_LINGERING:
+            oldest = next(iter(self._ends_by_connection))
+            if self._ends_by_connection[oldest].began_at > since:
+                return
+            self._close(oldest)
+
     def _close(self, connection: Hashable) -> None:
         end = self._ends_by_connection[connection]
         self.done(connection)
@@ -70,8 +83,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _End:
-    """How and when a lingering connection is closed."""
+    """A lingering connection: since when, and how and when it is closed."""
 
+    began_at: float
     close: Callable[[], None]
     timer: asyncio.TimerHandle
 
--- a/damaskcroft/http1/_server.py
+++ b/damaskcroft/http1/_server.py
@@ -64,6 +64,11 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    @property
+    def are_all_told(self) -> bool:
+        """Whether each open connection only waits for its caller's end."""
+        return len(self._lingering) == len(self._tasks)
+
     @property
     def open_count(self) -> int:
         """How many connections are open."""
--- a/damaskcroft/quarantine/_verdicts.py
+++ b/damaskcroft/quarantine/_verdicts.py
@@ -11,8 +11,8 @@
 # Where targets crash for no known reason, chance may have led it to three: by
 # how many such crashes there were, so many more are needed.
 _MORE_BY_OTHERS = ((12, 2), (3, 1), (0, 0))
-# More for a request that was answered shortly before any of its crashes: it has
-# to be lost by chance as often again.
+# More for a request that was answered shortly before any of its crashes, since
+# most of them are then others' doing.
 _MORE_IF_ANSWERED = 5
 # Others count that crashed so long before one of its own, or less.
 _OTHERS_WITHIN_S = 30.0
@@ -142,7 +142,7 @@
             if min(count, longest) < least:
                 continue
             near = _count_near(times[:count], others)
-            more = next(m for count_, m in _MORE_BY_OTHERS if near >= count_)
+            more = next(m for most, m in _MORE_BY_OTHERS if near >= most)
             if min(count, longest) >= least + more:
                 return crash.at
         return math.inf
