--- a/damaskcroft/http1/_server.py
+++ b/damaskcroft/http1/_server.py
@@ -49,12 +49,12 @@
         return _AcceptedChannel(self._start)
 
     def close_idle(self) -> None:
-        """Ends connections that wait for a request, each with a word."""
+        """Ends connections that wait for a request, each by a 408."""
         for waiting in self._waits_by_channel.values():
             waiting.cancel()
 
     async def close(self) -> None:
-        """Ends everything, at once but for a last word to who waits."""
+        """Ends everything; idle callers get a moment to read a 408."""
         # Connections made just now begin to wait for a request.
         await asyncio.sleep(0)
         self.close_idle()
@@ -141,7 +141,7 @@
     async def _close_idle_one(
         self, parser: h11.Connection, channel: Channel
     ) -> None:
-        """Ends an idle connection with a word, see `_closing`."""
+        """Ends an idle connection by a 408, see `_closing`."""
         if channel.ended:
             # The caller itself has closed it.
             return
--- a/damaskcroft/rpc/_kept_connections.py
+++ b/damaskcroft/rpc/_kept_connections.py
@@ -22,7 +22,7 @@
 _JSON = b"application/json"
 
 
-class _ReadingOn(asyncio.Transport):
+class _LingeringTransport(asyncio.Transport):
     """A transport whose close ends only our own direction at first.
 
     Bytes that come later are read and dropped, so that the kernel has no
@@ -92,12 +92,14 @@
         self, transport: asyncio.Transport
     ) -> None:
         """See asyncio.Protocol."""
-        self._reading_on = _ReadingOn(transport, self.lingering)
-        super().connection_made(self._reading_on)
+        self._lingering_transport = _LingeringTransport(
+            transport, self.lingering
+        )
+        super().connection_made(self._lingering_transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """See asyncio.Protocol."""
-        self._reading_on.lost()
+        self._lingering_transport.lost()
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
