--- a/damaskcroft/hosted/tests/test_stopping_entry.py
+++ b/damaskcroft/hosted/tests/test_stopping_entry.py
@@ -7,7 +7,10 @@
 import pytest
 
 from damaskcroft.hosted.tests.deployment import ENTRY_IP
-from damaskcroft.standins.stopping_callers import Question, StoppingCallers
+from damaskcroft.standins.stopping_callers import (
+    RequestTemplate,
+    StoppingCallers,
+)
 
 EACH = 20
 # Past the moment at which a stopping entry ends idle connections.
@@ -20,14 +23,14 @@
 def test_no_request_is_lost_while_an_entry_stops(play, seed):
     # Against requests that get a reset or no byte when an entry ends.
     async def scenario(deployment, gate, asked):
-        question = Question(
+        template = RequestTemplate(
             "POST",
             "/a/b",
             lambda number: {"Host": "h", "Request-Id": f"{seed}-{number}"},
             b"body",
         )
         address = f"{ENTRY_IP}:{deployment.front}"
-        callers = StoppingCallers(address, question, EACH, seed)
+        callers = StoppingCallers(address, template, EACH, seed)
         entry = deployment.processes["entry-14"]
         async with callers.sending(OVER_S) as outcomes:
             entry.send_signal(signal.SIGTERM)
--- a/damaskcroft/standins/stopping_callers.py
+++ b/damaskcroft/standins/stopping_callers.py
@@ -13,7 +13,7 @@
 
 from damaskcroft.rpc import HTTP_ERRORS
 
-__all__ = ["Question", "StoppingCallers"]
+__all__ = ["RequestTemplate", "StoppingCallers"]
 
 _ANSWER_TIMEOUT_S = 10.0
 # Time between a connection and its request, or between two parts of that.
@@ -24,7 +24,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Question:
+class RequestTemplate:
     """What each caller asks.
 
     Attributes:
@@ -60,13 +60,13 @@
     """
 
     def __init__(
-        self, address: str, question: Question, each: int, seed: int = 1
+        self, address: str, template: RequestTemplate, each: int, seed: int = 1
     ):
         """Nobody connects before `sending`."""
         host, _, port = address.rpartition(":")
         self._place = host, int(port)
-        self._url = f"http://{address}{question.path}"
-        self._question = question
+        self._url = f"http://{address}{template.path}"
+        self._template = template
         self._each = each
         self._rng = random.Random(seed)
         pool = PoolConfig(size=each, max_conn_idle_ms=60_000)
@@ -133,7 +133,7 @@
 
     async def _kept(self) -> socket.socket:
         sock = await self._connected()
-        raw = self._question.raw(0)
+        raw = self._template.raw(0)
         await asyncio.get_running_loop().sock_sendall(sock, raw)
         await _status(sock)
         return sock
@@ -142,7 +142,7 @@
         self, sock: socket.socket, number: int, habit: str, pause_s: float
     ) -> str:
         loop = asyncio.get_running_loop()
-        raw = self._question.raw(number)
+        raw = self._template.raw(number)
         with contextlib.closing(sock):
             try:
                 await asyncio.sleep(pause_s)
@@ -156,13 +156,13 @@
                 return type(error).__name__
 
     async def _ask_library(self, number: int) -> str:
-        question = self._question
+        template = self._template
         try:
             response = await self._library.request(
                 self._url,
-                method=question.method,
-                headers=question.headers_of(number),
-                data=question.body or None,
+                method=template.method,
+                headers=template.headers_of(number),
+                data=template.body or None,
             )
             await response.content()
         except ConnectionRefusedError:
--- a/damaskcroft/standins/tests/test_stopping_entry.py
+++ b/damaskcroft/standins/tests/test_stopping_entry.py
@@ -8,7 +8,10 @@
 
 import pytest
 
-from damaskcroft.standins.stopping_callers import Question, StoppingCallers
+from damaskcroft.standins.stopping_callers import (
+    RequestTemplate,
+    StoppingCallers,
+)
 from damaskcroft.standins.tests.conftest import MODEL
 
 EACH = 20
@@ -27,9 +30,9 @@
     site.deploy("1")
 
     async def scenario():
-        question = Question("POST", "/v1/completions", headers_of, BODY)
+        template = RequestTemplate("POST", "/v1/completions", headers_of, BODY)
         address = site.fleet.http_by_name["entry-1"]
-        callers = StoppingCallers(address, question, EACH, seed)
+        callers = StoppingCallers(address, template, EACH, seed)
         async with callers.sending(OVER_S) as outcomes:
             stopping = asyncio.create_task(
                 asyncio.to_thread(site.fleet.terminate, "entry-1")
