Whoever holds a turn ends when it is cancelled, also as its call fails

Callers saw: an entry that was told to stop never ended; the platform has to kill it.

Cause: the RPC library turns a cancellation that meets a failure of the call into that failure. The task that holds a turn took it for the failure of one node and asked the next one; told once only, since whoever awaited its end was itself cancelled, it was left over, and the event loop's own end waits for each task without a bound.

Change: after a failure the task looks whether it was cancelled. test_whoever_is_cancelled_as_a_call_fails_asks_nobody_else, red before: the task waited at the next node. The same elsewhere: the other loops over nodes are ended by end_all, which tells them three times; commands and claims use `called`, which keeps a cancellation apart.

--- a/damaskcroft/fleet/_turns.py
+++ b/damaskcroft/fleet/_turns.py
@@ -52,6 +52,7 @@
                 await self._hold_at(address, fingerprint, for_s, granted)
                 log_event("turn_failed", address=address, reason="ended")
             except CALL_ERRORS as error:
+                _raise_if_cancelled()
                 log_event("turn_failed", address=address, reason=error)
         granted()
 
@@ -86,3 +87,17 @@
             return hashlib.blake2b(content, digest_size=_DIGEST_BYTES).digest()
 
         return sorted(addresses, key=weight)
+
+
+def _raise_if_cancelled() -> None:
+    """Ends a task that was told to end.
+
+    The library turns a cancellation that meets a failure of the call into that
+    failure.
+
+    Raises:
+        asyncio.CancelledError: the running task was cancelled.
+    """
+    task = asyncio.current_task()
+    if task is not None and task.cancelling():
+        raise asyncio.CancelledError
--- a/damaskcroft/fleet/tests/test_turns.py
+++ b/damaskcroft/fleet/tests/test_turns.py
@@ -9,6 +9,7 @@
 from damaskcroft._generated import quarantine_grpc
 from damaskcroft.control import TurnsService
 from damaskcroft.fleet import FleetView, TurnTaker
+from damaskcroft.rpc import ChannelPool, Keys
 
 
 class EndingService(quarantine_grpc.TurnsBase):
@@ -60,3 +61,31 @@
         assert await granted_by(*(service() for service in services))
 
     asyncio.run(scenario())
+
+
+def test_whoever_is_cancelled_as_a_call_fails_asks_nobody_else(
+    loop, monkeypatch
+):
+    # Against entries that never end: the task went on at the next node.
+    asked = []
+
+    async def fails_when_cancelled(self, address, *_):
+        asked.append(address)
+        try:
+            await asyncio.Event().wait()
+        except asyncio.CancelledError as error:
+            raise ConnectionError("Connection lost") from error
+
+    monkeypatch.setattr(TurnTaker, "_hold_at", fails_when_cancelled)
+
+    async def scenario():
+        channels = ChannelPool(Keys(None, None))
+        taker = TurnTaker(FleetView(), channels, ["a:1", "b:1", "c:1"])
+        holding = asyncio.create_task(taker.hold(b"bad", 1.0, lambda: None))
+        await asyncio.sleep(0.1)
+        holding.cancel()
+        await asyncio.wait([holding], timeout=5)
+        assert holding.cancelled()
+        assert len(asked) == 1
+
+    loop.run(scenario())
