Requests of several crashes in a row don't run beside each other

Cause, by its log: the first request of the run crashed t0 at 45.32, t1 at 45.72 and t0's next start at 47.97; each time the request that all callers send ran beside it, and no entry had answered that one yet, so nothing told the two apart: both were quarantined by the same three crashes.

Change: a request with two crashes in a row takes a turn that all such requests of the fleet share, before its next copy is sent; it waits for two seconds at most, since sound requests may take their time. The first that is answered is cleared, the first that crashes alone is found. test_requests_of_several_crashes_do_not_run_beside_each_other, red before at one and two entries.

Weighed: the same for all suspects (a rack that ends makes fifty sound requests suspects, which would go one by one).

--- a/damaskcroft/quarantine/_copies.py
+++ b/damaskcroft/quarantine/_copies.py
@@ -2,11 +2,14 @@
 
 Should it crash targets, it crashes one at a time; should it be innocent, the
 first copy that ends clears it, and the others go on at once.
+
+Suspects of several crashes in a row don't run beside each other either: where
+few targets are left, two that were lost with the same ones can't be told apart.
 """
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 
 from damaskcroft.clock import now_s
 from damaskcroft.quarantine._book import CrashBook
@@ -14,6 +17,13 @@
 
 __all__ = ["Copies", "HoldTurn"]
 
+# So many crashes in a row make a request wait for others that have as many.
+_SEVERAL = 2
+# For so long at most, since sound requests may take their time.
+_SEVERAL_WAIT_S = 2.0
+# Names the turn that they share.
+_SEVERAL_TURN = b"several crashes in a row"
+
 # Waits for this entry's turn among those of the fleet and holds it until
 # cancelled: the fingerprint, for how many seconds at most, and what to call
 # once it has come.
@@ -35,7 +45,7 @@
         """See the class."""
         self._book = book
         self._hold_turn = hold_turn
-        # Suspects with a copy of this entry under way.
+        # Suspects with a copy of this entry under way, and the shared turn.
         self._under_way: set[bytes] = set()
         # Given when a copy has ended, a turn has come, or a verdict changed.
         self._changed = Signal()
@@ -57,19 +67,51 @@
         if not self._waits(fingerprint):
             yield
             return
-        self._under_way.add(fingerprint)
-        try:
-            async with self._turn(fingerprint, until):
+        with self._held_here(fingerprint):
+            async with self._turn(fingerprint, fingerprint, until, until):
+                async with self._apart(fingerprint, until):
+                    yield
+
+    @contextlib.asynccontextmanager
+    async def _apart(
+        self, fingerprint: bytes, until: float
+    ) -> AsyncIterator[None]:
+        """Waits a while for other requests with several crashes in a row."""
+        if self._book.chain(fingerprint) < _SEVERAL:
+            yield
+            return
+        soon = min(until, now_s() + _SEVERAL_WAIT_S)
+        await self._wait_while(
+            lambda: _SEVERAL_TURN in self._under_way, fingerprint, soon
+        )
+        with self._held_here(_SEVERAL_TURN):
+            async with self._turn(_SEVERAL_TURN, fingerprint, soon, until):
                 yield
+
+    @contextlib.contextmanager
+    def _held_here(self, key: bytes) -> Iterator[None]:
+        """Keeps a key under way at this entry, unless another one does."""
+        is_first = key not in self._under_way
+        self._under_way.add(key)
+        try:
+            yield
         finally:
-            self._under_way.discard(fingerprint)
-            self._changed.give()
+            if is_first:
+                self._under_way.discard(key)
+                self._changed.give()
 
     @contextlib.asynccontextmanager
     async def _turn(
-        self, fingerprint: bytes, until: float
+        self, key: bytes, fingerprint: bytes, wait_until: float, until: float
     ) -> AsyncIterator[None]:
-        """Waits for this entry's turn in the fleet, and holds it."""
+        """Waits for this entry's turn in the fleet, and holds it.
+
+        Args:
+            key: names the turn.
+            fingerprint: of the request.
+            wait_until: loop time at which it goes on without a turn.
+            until: loop time at which the request's own time is over.
+        """
         if self._hold_turn is None:
             yield
             return
@@ -80,12 +122,10 @@
             self._changed.give()
 
         left_s = max(0.0, until - now_s())
-        holding = asyncio.ensure_future(
-            self._hold_turn(fingerprint, left_s, come)
-        )
+        holding = asyncio.ensure_future(self._hold_turn(key, left_s, come))
         try:
             await self._wait_while(
-                lambda: not granted.is_set(), fingerprint, until
+                lambda: not granted.is_set(), fingerprint, wait_until
             )
             yield
         finally:
--- a/damaskcroft/quarantine/tests/test_copies.py
+++ b/damaskcroft/quarantine/tests/test_copies.py
@@ -23,8 +23,8 @@
             granted()
             await asyncio.sleep(for_s)
 
-    async def run(self, copies, until=1e9):
-        async with copies.one_at_a_time(b"bad", until):
+    async def run(self, copies, until=1e9, name=b"bad"):
+        async with copies.one_at_a_time(name, until):
             self.under_way += 1
             self.most = max(self.most, self.under_way)
             await asyncio.sleep(1)
@@ -183,3 +183,54 @@
         assert fleet.ran == [1.5]
 
     loop.run(scenario())
+
+
+@pytest.mark.parametrize(("chain", "most"), [(1, 2), (2, 1)])
+@pytest.mark.parametrize("entries", [1, 2])
+def test_requests_of_several_crashes_do_not_run_beside_each_other(
+    loop, entries, chain, most
+):
+    # Against a sound request refused for the crashes of one beside it.
+    async def scenario():
+        book = CrashBook()
+        for name in (b"bad", b"sound"):
+            suspect = quarantine_pb2.Suspect(fingerprint=name, chain=chain)
+            book.take(
+                quarantine_pb2.TargetCrash(start_id="t", suspects=[suspect])
+            )
+        fleet = Fleet(book, entries)
+        places = (fleet.copies[0], fleet.copies[-1])
+        await asyncio.gather(
+            *(
+                fleet.run(copies, name=name)
+                for copies, name in zip(places, (b"bad", b"sound"), strict=True)
+            )
+        )
+        assert fleet.most == most
+
+    loop.run(scenario())
+
+
+def test_a_request_of_several_crashes_waits_only_so_long_for_others(loop):
+    async def scenario():
+        book = CrashBook()
+        for name in (b"bad", b"sound"):
+            suspect = quarantine_pb2.Suspect(fingerprint=name, chain=2)
+            book.take(
+                quarantine_pb2.TargetCrash(start_id="t", suspects=[suspect])
+            )
+        copies = Copies(book)
+        loop = asyncio.get_running_loop()
+
+        async def run_for_long():
+            async with copies.one_at_a_time(b"bad", 1e9):
+                await asyncio.sleep(30)
+
+        running = asyncio.create_task(run_for_long())
+        await asyncio.sleep(0)
+        began_at = loop.time()
+        async with copies.one_at_a_time(b"sound", 1e9):
+            assert loop.time() - began_at < 5
+        await running
+
+    loop.run(scenario())
