Each caller's connection that ends without a whole answer is told

Callers lost streams of sound targets, and the log named "connection reset" at those targets: the entry had closed the connections itself, and logged what its own closing looked like. An attempt that was given up now ends for the reason for which it was given up, also in the middle of a stream; one given up since its target has started again then counts as a crash there too, as it did before the answer's head.

No decision changes.

--- a/damaskcroft/forwarding/_attempt.py
+++ b/damaskcroft/forwarding/_attempt.py
@@ -63,10 +63,12 @@
         reason: how, also a counter's label.
         cut: whether the connection ended, from the other side, before the
             answer did.
+        given_up: whether the entry ended the attempt.
     """
 
     reason: str
     cut: bool = False
+    given_up: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -159,9 +161,7 @@
             )
             head = await connection.read_head(self._is_ours)
         except NoAnswerError as error:
-            if self.given_up:
-                return Lost(self.given_up)
-            return Lost(_lost_reason(error, connection), cut=True)
+            return self.lost(_lost_reason(error, connection))
         self._heard()
         self.begun = True
         facts = self._wire.facts(head)
@@ -183,6 +183,17 @@
         self.finished = not part
         return part
 
+    def lost(self, reason: str) -> Lost:
+        """How the attempt ended before its answer did.
+
+        Args:
+            reason: what the connection told; an attempt that was given up ends
+                for that, whatever its own closing looked like.
+        """
+        if self.given_up:
+            return Lost(self.given_up, given_up=True)
+        return Lost(reason, cut=True)
+
     def give_up(self, reason: str) -> None:
         """Ends the attempt from outside; it counts as lost."""
         if self._connection is not None:
--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -14,6 +14,9 @@
 from damaskcroft.forwarding._availability import Availability, returns_s
 from damaskcroft.forwarding._call import AnswerFacts, Passing, Wire
 from damaskcroft.forwarding._job import (
+    DEADLINE,
+    BrokenOff,
+    EndedBy,
     Ending,
     Gave,
     Job,
@@ -32,6 +35,7 @@
 )
 from damaskcroft.http1 import (
     Answer,
+    ChannelLostError,
     ConnectionPool,
     Place,
 )
@@ -131,7 +135,7 @@
         self._outliers = outliers
         self._connections = connections
         self._retry_window = retry_window
-        self._log = RequestLog(services, placer, delays)
+        self._log = RequestLog(services, placer, delays, silence, retry_window)
 
     async def run(self) -> None:
         """Looks at silent targets and at who waits in the queue."""
@@ -160,11 +164,25 @@
             async with asyncio.timeout_at(job.deadline_at):
                 ending = await self._try_targets(job, answer, progress)
         except TimeoutError:
-            ending = given_up("deadline", progress)
-        if isinstance(ending, Gave):
-            self._log.answered(job, progress, ending.status)
+            ending = given_up(DEADLINE, progress)
+        except (asyncio.CancelledError, ChannelLostError):
+            self._note_cut(job, progress, answer)
+            raise
+        match ending:
+            case Gave(status=status):
+                self._log.answered(job, progress, status)
+            case BrokenOff(reason=reason, ended_by=ended_by):
+                self._log.unanswered(job, progress, answer, ended_by, reason)
         return ending
 
+    def _note_cut(self, job: Job, progress: Progress, answer: Answer) -> None:
+        """The caller's connection is gone, by the caller or by our own end."""
+        if answer.caller_has_ended:
+            ended_by, reason = EndedBy.CALLER, "caller_left"
+        else:
+            ended_by, reason = EndedBy.ENTRY, "entry_ended"
+        self._log.unanswered(job, progress, answer, ended_by, reason)
+
     async def _try_targets(
         self, job: Job, answer: Answer, progress: Progress
     ) -> Ending:
@@ -275,7 +293,7 @@
         if not job.has_attempt_after(progress):
             return given_up("attempts_used", progress)
         if job.left_s < _MIN_LEFT_S:
-            return given_up("deadline", progress)
+            return given_up(DEADLINE, progress)
         return None
 
     async def _try_one(
@@ -285,6 +303,7 @@
         target = taken.candidate
         taken_at = now_s()
         progress.excluded.add(target.id)
+        progress.target_id = target.id
         passing = Passing(
             target_id=target.target_id,
             customer=job.customer,
--- a/damaskcroft/forwarding/_gate.py
+++ b/damaskcroft/forwarding/_gate.py
@@ -9,7 +9,14 @@
 from damaskcroft.fleet import FleetView
 from damaskcroft.forwarding._call import Call, Wire
 from damaskcroft.forwarding._forwarder import Forwarder
-from damaskcroft.forwarding._job import BrokenOff, Gave, Job, Ran, Refused
+from damaskcroft.forwarding._job import (
+    DEADLINE,
+    BrokenOff,
+    Gave,
+    Job,
+    Ran,
+    Refused,
+)
 from damaskcroft.http1 import (
     Answer,
     CallerHandler,
@@ -126,20 +133,12 @@
             ending = await self._forwarder.forward(made, answer)
         except asyncio.CancelledError:
             metrics.REFUSALS.labels("caller_left", Ran.MAYBE.value).inc()
-            log_event(
-                "caller_left",
-                request=call.request_id,
-                after_s=now_s() - call.arrived_at,
-            )
             raise
         match ending:
             case Gave():
                 metrics.ANSWERS.labels(made.service).inc()
             case BrokenOff(reason=reason):
                 metrics.REFUSALS.labels(reason, Ran.MAYBE.value).inc()
-                log_event(
-                    "answer_broken_off", request=call.request_id, reason=reason
-                )
             case Refused():
                 await self._refuse(call.request_id, ending, answer, made)
 
@@ -246,7 +245,7 @@
         return fixed
     if refused.ran is Ran.NO:
         return _NOT_RUN_STATUS
-    return _LATE_STATUS if refused.reason == "deadline" else _LOST_STATUS
+    return _LATE_STATUS if refused.reason == DEADLINE else _LOST_STATUS
 
 
 def _priority(
--- a/damaskcroft/forwarding/_job.py
+++ b/damaskcroft/forwarding/_job.py
@@ -10,8 +10,10 @@
 from damaskcroft.quarantine import fingerprint
 
 __all__ = [
+    "DEADLINE",
     "SERVER_ERROR",
     "BrokenOff",
+    "EndedBy",
     "Ending",
     "Gave",
     "Job",
@@ -19,10 +21,13 @@
     "Progress",
     "Ran",
     "Refused",
+    "broken_off",
     "given_up",
 ]
 
 
+# The request's time is over.
+DEADLINE = "deadline"
 # HTTP statuses from here on are failures of whoever answers (RFC 9110).
 SERVER_ERROR = 500
 
@@ -66,11 +71,25 @@
         return self.status >= SERVER_ERROR
 
 
+class EndedBy(enum.Enum):
+    """Who ended a caller's connection before its answer was whole."""
+
+    CALLER = "caller"
+    TARGET = "target"
+    ENTRY = "entry"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class BrokenOff:
-    """A target's answer had begun and could not be finished."""
+    """A target's answer had begun and could not be finished.
+
+    Attributes:
+        reason: a fixed word, or what the target's connection told.
+        ended_by: whether it was the target or this entry.
+    """
 
     reason: str
+    ended_by: EndedBy
 
 
 Ending = Gave | Refused | BrokenOff
@@ -166,6 +185,8 @@
         last: how the last attempt failed.
         may_have_run: whether any target may have run it.
         begun: whether the caller has got the head of an answer.
+        events: how many events of a stream the caller has got.
+        target_id: the target that it was sent to last; empty before.
         last_event_id: the last event that the caller has.
         pace: how soon and how evenly the answer came.
         connect_s: what connecting for the last attempt took; None where a
@@ -179,6 +200,7 @@
         "begun",
         "chain",
         "connect_s",
+        "events",
         "excluded",
         "fingerprint",
         "last",
@@ -187,6 +209,7 @@
         "pace",
         "refused",
         "sent",
+        "target_id",
         "unsent",
     )
 
@@ -199,6 +222,8 @@
         self.last: NotSent | NotRun | Lost | None = None
         self.may_have_run = False
         self.begun = False
+        self.events = 0
+        self.target_id = ""
         self.last_event_id = call.last_event_id
         self.pace = Pace(call.arrived_at)
         self.connect_s: float | None = None
@@ -211,6 +236,19 @@
 ) -> Ending:
     """How a job ends that no target answered, or not to the end."""
     if progress.begun:
-        return BrokenOff(reason)
+        return BrokenOff(reason, _ended_by(reason, progress.last))
     ran = Ran.MAYBE if progress.may_have_run else Ran.NO
     return Refused(reason, ran, str(progress.last), returns_s=returns_s)
+
+
+def broken_off(lost: Lost) -> BrokenOff:
+    """How a job ends whose answer can't be asked for again."""
+    return BrokenOff(lost.reason, _ended_by(lost.reason, lost))
+
+
+def _ended_by(reason: str, last: NotSent | NotRun | Lost | None) -> EndedBy:
+    if reason == DEADLINE or last is None:
+        return EndedBy.ENTRY
+    if isinstance(last, Lost) and last.given_up:
+        return EndedBy.ENTRY
+    return EndedBy.TARGET
--- a/damaskcroft/forwarding/_relay.py
+++ b/damaskcroft/forwarding/_relay.py
@@ -9,11 +9,11 @@
 from damaskcroft.forwarding._events import EventSplitter
 from damaskcroft.forwarding._job import (
     SERVER_ERROR,
-    BrokenOff,
     Ending,
     Gave,
     Job,
     Progress,
+    broken_off,
 )
 from damaskcroft.http1 import Answer, CutShortError, Head
 from damaskcroft.routing import Candidate, Slot
@@ -94,7 +94,7 @@
         try:
             body, complete = await made.read_whole(_WHOLE_BYTES)
         except CutShortError as error:
-            return _lost(sending, f"cut_short: {error}")
+            return made.lost(f"cut_short: {error}")
         if head.status >= SERVER_ERROR and _may_repeat(sending):
             return Lost(f"status_{head.status}")
         headers = self._wire.answer_headers(head)
@@ -108,7 +108,7 @@
             while part := await made.read_part():
                 await answer.part(part)
         except CutShortError as error:
-            return BrokenOff(f"cut_short: {error}")
+            return broken_off(made.lost(f"cut_short: {error}"))
         await answer.end()
         return Gave(head.status)
 
@@ -123,11 +123,12 @@
                         continue
                     await self._begin(sending, head)
                     await answer.part(event.data)
+                    progress.events += 1
                     self._note_given(sending)
                     if event.id is not None:
                         progress.last_event_id = event.id
         except (CutShortError, ValueError) as error:
-            return _lost(sending, f"stream_cut: {error}")
+            return sending.made.lost(f"stream_cut: {error}")
         if splitter.rest:
             return Lost("stream_cut: ended within an event")
         await self._begin(sending, head)
@@ -150,11 +151,6 @@
         sending.progress.pace.given(now_s())
 
 
-def _lost(sending: Sending, reason: str) -> Lost:
-    """An answer that ended before its end."""
-    return Lost(reason, cut=not sending.made.given_up)
-
-
 def _is_old(event_id: int | None, progress: Progress) -> bool:
     if event_id is None or progress.last_event_id is None:
         return False
--- a/damaskcroft/forwarding/_request_log.py
+++ b/damaskcroft/forwarding/_request_log.py
@@ -1,10 +1,18 @@
 """Lines and histograms of what becomes of a request at an entry."""
 
 from damaskcroft.clock import now_s
-from damaskcroft.forwarding._job import Job, Progress
+from damaskcroft.forwarding._job import EndedBy, Job, Progress
 from damaskcroft.forwarding._services import Services
+from damaskcroft.http1 import Answer
 from damaskcroft.observe import log_event, metrics
-from damaskcroft.routing import AnswerDelays, Candidate, LongWait, Placer
+from damaskcroft.routing import (
+    AnswerDelays,
+    Candidate,
+    LongWait,
+    Placer,
+    RetryWindow,
+    SilenceWatch,
+)
 
 __all__ = ["RequestLog"]
 
@@ -16,12 +24,21 @@
         services: which targets could run it.
         placer: how full they are.
         delays: how soon they answer.
+        silence: how long they have said nothing.
+        retry_window: how many attempts may follow.
     """
 
     def __init__(
-        self, services: Services, placer: Placer, delays: AnswerDelays
+        self,
+        services: Services,
+        placer: Placer,
+        delays: AnswerDelays,
+        silence: SilenceWatch,
+        retry_window: RetryWindow,
     ):
         """See the class."""
+        self._silence = silence
+        self._retry_window = retry_window
         self._services = services
         self._placer = placer
         self._delays = delays
@@ -78,6 +95,39 @@
             connect_s=progress.connect_s,
         )
 
+    def unanswered(
+        self,
+        job: Job,
+        progress: Progress,
+        answer: Answer,
+        ended_by: EndedBy,
+        reason: str,
+    ) -> None:
+        """The caller's connection ends before its answer is whole."""
+        metrics.UNANSWERED.labels(
+            ended_by.value, reason.partition(":")[0]
+        ).inc()
+        left = ended_by is EndedBy.CALLER
+        log_event(
+            "caller_left" if left else "answer_broken_off",
+            request=job.call.request_id,
+            ended_by=ended_by.value,
+            reason=reason,
+            after_s=now_s() - job.call.arrived_at,
+            left_s=job.left_s,
+            route=job.route.name,
+            repeatable=job.is_repeatable,
+            streaming=job.route.streaming,
+            target=progress.target_id,
+            may_have_run=progress.may_have_run,
+            events=progress.events,
+            attempts=progress.sent,
+            max_attempts=job.route.max_attempts,
+            budget=self._retry_window.left,
+            silent_s=self._silence.silent_s(progress.target_id),
+            state="stopping" if answer.is_last else "serving",
+        )
+
     def answered(self, job: Job, progress: Progress, status: int) -> None:
         """A target's answer was given whole."""
         pace = progress.pace
--- a/damaskcroft/forwarding/tests/fakes.py
+++ b/damaskcroft/forwarding/tests/fakes.py
@@ -225,6 +225,10 @@
             await writer.drain()
         return False
 
+    async def stream_hangs(self, head, reader, writer):
+        await self.stream(head, reader, writer, upto=3)
+        return await self.hangs(head, reader, writer)
+
     async def stream_cut(self, head, reader, writer):
         return await self.stream(head, reader, writer, upto=3)
 
--- a/damaskcroft/http1/_exchange.py
+++ b/damaskcroft/http1/_exchange.py
@@ -74,6 +74,16 @@
         self.begun = False
         self.ended = False
 
+    @property
+    def caller_has_ended(self) -> bool:
+        """Whether the caller has closed its side of the connection."""
+        return self._channel.ended
+
+    @property
+    def is_last(self) -> bool:
+        """Whether the connection ends after this answer."""
+        return self._closing()
+
     async def give(self, status: int, headers: Headers, body: bytes) -> None:
         """Gives a whole answer.
 
--- a/damaskcroft/observe/metrics.py
+++ b/damaskcroft/observe/metrics.py
@@ -39,6 +39,7 @@
     "TARGET_LIMIT_CHANGES",
     "TASK_FAILURES",
     "TOKEN_GAP_S",
+    "UNANSWERED",
     "WEIGHTS_WANTED",
     "idle_connections_closed",
 ]
@@ -47,6 +48,10 @@
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10,
 )  # fmt: skip
 
+UNANSWERED = Counter(
+    "damask_unanswered", "Requests read whole whose callers' connections ended "
+    "before the answer was whole", ["ended_by", "reason"],
+)  # fmt: skip
 REFUSALS = Counter(
     "damask_refusals", "Requests refused to callers", ["reason", "ran"]
 )
--- a/damaskcroft/routing/_retry_window.py
+++ b/damaskcroft/routing/_retry_window.py
@@ -42,15 +42,21 @@
     def spend(self) -> bool:
         """Takes one repeat if the window has room for it."""
         now = asyncio.get_running_loop().time()
-        _forget_before(self._requests, now - self._window_s)
-        _forget_before(self._repeats, now - self._window_s)
-        allowed = self._ratio * len(self._requests)
-        allowed += self._extra / max(1, self.entries)
-        if len(self._repeats) + 1 > allowed * _USED_SHARE:
+        if self.left < 1:
             return False
         self._repeats.append(now)
         return True
 
+    @property
+    def left(self) -> float:
+        """How many repeats the window has room for now."""
+        since = asyncio.get_running_loop().time() - self._window_s
+        _forget_before(self._requests, since)
+        _forget_before(self._repeats, since)
+        allowed = self._ratio * len(self._requests)
+        allowed += self._extra / max(1, self.entries)
+        return allowed * _USED_SHARE - len(self._repeats)
+
     def give_back(self) -> None:
         """Takes back the last repeat, which was not sent."""
         if self._repeats:
