An attempt at a silent target is ended only for an answer of another

Callers of sound targets that paused for more than 0.8 s lost their streams: with two targets that both paused for 1.0, 1.6 or 3.0 s in the middle, 12 of 12 connections ended after four events; before the head 12 of 12 got 502 with seconds left.

Cause: whoever watches for silence ended each attempt at a silent target that might be repeated, without a look at whether there was anything to put in its place: an attempt of its route, room in the shared retry budget, another target. Where there was none, the answer was lost. Where another target refused the request or was silent too, it was lost as well.

Now a second attempt begins beside the first: where attempts, time and budget are left, at a target that is neither tried, nor silent, nor put aside. Whichever target is heard first goes on and the other attempt is ended; a refusal or failure of the second leaves the first as it was. No event comes twice: what an ended attempt had already read is dropped. Requests under which targets have crashed get no second attempt beside the first. Whether a request may have run is counted by attempts, as two may be under way.

--- a/damaskcroft/forwarding/_attempt.py
+++ b/damaskcroft/forwarding/_attempt.py
@@ -95,6 +95,7 @@
         "connect_s",
         "finished",
         "given_up",
+        "is_sent",
     )
 
     def __init__(
@@ -130,6 +131,8 @@
         self._call = call
         self._passing = passing
         self._connection: TargetConnection | None = None
+        # Whether any byte of the request may have left.
+        self.is_sent = False
         # Whether the answer came whole, so that the connection may be kept.
         self.finished = False
         # Whether the target has begun to answer.
@@ -155,6 +158,7 @@
             self.finished = True
             return NotSent(why_not)
         headers = self._wire.target_headers(self._call, self._passing)
+        self.is_sent = True
         try:
             await connection.send(
                 self._call.method, self._call.target, headers, self._call.body
@@ -162,6 +166,9 @@
             head = await connection.read_head(self._is_ours)
         except NoAnswerError as error:
             return self.lost(_lost_reason(error, connection))
+        if self.given_up:
+            # What had come before the connection was closed.
+            return self.lost(self.given_up)
         self._heard()
         self.begun = True
         facts = self._wire.facts(head)
@@ -179,6 +186,9 @@
         """
         assert self._connection is not None, "begin comes first"
         part = await self._connection.read_part()
+        if self.given_up:
+            # What had come before the connection was closed.
+            raise CutShortError(self.given_up)
         self._heard()
         self.finished = not part
         return part
--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -13,6 +13,7 @@
 )
 from damaskcroft.forwarding._availability import Availability, returns_s
 from damaskcroft.forwarding._call import AnswerFacts, Passing, Wire
+from damaskcroft.forwarding._hedge import Hedge, hedged
 from damaskcroft.forwarding._job import (
     DEADLINE,
     BrokenOff,
@@ -25,7 +26,11 @@
     Refused,
     given_up,
 )
-from damaskcroft.forwarding._relay import Relay, Sending
+from damaskcroft.forwarding._relay import (
+    Relay,
+    Sending,
+    why_not_instead,
+)
 from damaskcroft.forwarding._request_log import RequestLog
 from damaskcroft.forwarding._running import Running
 from damaskcroft.forwarding._services import Services
@@ -150,7 +155,8 @@
             for target_id in silent:
                 if not self._outliers.is_aside(target_id):
                     self._outliers.failed(target_id, certain=True)
-            self._running.give_up(set(silent))
+            self._hedge(set(silent))
+            self._running.give_up_lost()
 
     async def forward(self, job: Job, answer: Answer) -> Ending:
         """Gives a target's answer to the caller, or says why there is none.
@@ -204,6 +210,56 @@
             return taken
         return await self._try_one(job, answer, progress, taken)
 
+    def _hedge(self, silent_ids: set[str]) -> None:
+        """Sends what waits for silent targets to others, beside them."""
+        if not silent_ids:
+            return
+        for waiting in self._running.at(silent_ids):
+            taken = self._place_beside(
+                waiting.job, waiting.progress, silent_ids
+            )
+            if taken is not None:
+                self._begin_beside(waiting, taken)
+
+    def _begin_beside(self, waiting: Sending, taken: SlotTaken) -> None:
+        second = waiting.hedge.begin(
+            self._try_one(
+                waiting.job,
+                waiting.answer,
+                waiting.progress,
+                taken,
+                waiting.hedge,
+            )
+        )
+        # Also if it is cancelled before it has begun.
+        second.add_done_callback(lambda _: taken.slot.give_back())
+
+    def _place_beside(
+        self, job: Job, progress: Progress, silent_ids: set[str]
+    ) -> SlotTaken | None:
+        """Takes a slot for a second attempt, where one may be of use.
+
+        Copies of what crashes targets never run beside each other.
+        """
+        if self._suspects.is_suspect(job, progress):
+            return None
+        if self._why_stop(job, progress) is not None:
+            return None
+        others = [
+            candidate
+            for candidate in self._availability.candidates(
+                job.service, job.call.model
+            )
+            if candidate.id not in silent_ids
+            and not self._outliers.is_aside(candidate.id)
+        ]
+        prompt_tokens = job.call.prompt_tokens
+        placed = self._placer.choose(others, progress.excluded, prompt_tokens)
+        if placed is None or not self._retry_window.spend():
+            return None
+        slot = self._take(placed.candidate, prompt_tokens, is_suspect=False)
+        return SlotTaken(placed.candidate, slot)
+
     async def _place(self, job: Job, progress: Progress) -> SlotTaken | Ending:
         """Takes a slot at a target.
 
@@ -297,7 +353,39 @@
         return None
 
     async def _try_one(
-        self, job: Job, answer: Answer, progress: Progress, taken: SlotTaken
+        self,
+        job: Job,
+        answer: Answer,
+        progress: Progress,
+        taken: SlotTaken,
+        instead_of: Hedge | None = None,
+    ) -> Ending | None:
+        """One attempt, and whatever begins beside it.
+
+        Args:
+            job: what is sent.
+            answer: where the caller's answer goes.
+            progress: what became of the job so far.
+            taken: where it is sent.
+            instead_of: the attempt at a silent target that goes on until this
+                one is answered.
+
+        Returns:
+            None if another target may be tried.
+        """
+        async with hedged(instead_of) as hedge:
+            ending = await self._attempt(job, answer, progress, taken, hedge)
+            if ending is None:
+                return await hedge.ending()
+            return ending
+
+    async def _attempt(
+        self,
+        job: Job,
+        answer: Answer,
+        progress: Progress,
+        taken: SlotTaken,
+        hedge: Hedge,
     ) -> Ending | None:
         """One attempt; None if another target may be tried."""
         target = taken.candidate
@@ -315,8 +403,7 @@
         self._log.sent(job, progress, target)
         self._suspects.sending(job, progress)
         place = Place(target.id, target.address)
-        ran_before = progress.may_have_run
-        progress.may_have_run = True
+        progress.runs += 1
         progress.sent += 1
         self._silence.sent(target.id)
         try:
@@ -326,11 +413,12 @@
                 place,
                 job.call,
                 passing,
-                lambda: self._silence.heard(target.id),
+                lambda: self._heard(target, hedge),
                 lambda connect_s: self._why_not_send(
                     job, progress, target, taken_at, connect_s
                 ),
             ) as made:
+                hedge.first = made
                 sending = Sending(
                     job,
                     answer,
@@ -338,17 +426,22 @@
                     target,
                     taken.slot,
                     made,
+                    hedge,
                     taken_at,
                 )
                 with self._running.watched(sending):
                     outcome = await self._run(sending)
                 progress.connect_s = made.connect_s
+        except asyncio.CancelledError:
+            if not made.is_sent:
+                self._note_unsent(progress)
+            raise
         finally:
             taken.slot.give_back()
             self._silence.ended(target.id)
             self._queue.serve()
-        if isinstance(outcome, NotSent | NotRun):
-            progress.may_have_run = ran_before
+        if isinstance(outcome, NotRun):
+            progress.runs -= 1
         if isinstance(outcome, Lost):
             connecting_at = taken_at if progress.connect_s is not None else None
             await self._suspects.lost(
@@ -367,6 +460,11 @@
                 self._note_facts(sending.target, begun.facts, sent_at)
         if not isinstance(begun, Answered):
             return begun
+        if sending.hedge.is_second:
+            why_not = why_not_instead(sending, begun)
+            if why_not is not None:
+                return Lost(why_not)
+            sending.hedge.answers()
         return await self._relay.give(sending, begun)
 
     def _judge(
@@ -378,11 +476,9 @@
     ) -> Ending | None:
         match outcome:
             case NotSent(reason=reason, unreachable=unreachable):
-                progress.sent -= 1
+                self._note_unsent(progress)
                 progress.refused += outcome.at_once
                 progress.unsent += not outcome.at_once
-                if progress.sent:
-                    self._retry_window.give_back()
                 progress.last = outcome
                 if unreachable:
                     self._outliers.failed(target.id, certain=True)
@@ -409,6 +505,17 @@
             return given_up("lost", progress)
         return None
 
+    def _heard(self, target: Candidate, hedge: Hedge) -> None:
+        self._silence.heard(target.id)
+        hedge.first_heard()
+
+    def _note_unsent(self, progress: Progress) -> None:
+        """Takes back what was noted of an attempt that has sent nothing."""
+        progress.runs -= 1
+        progress.sent -= 1
+        if progress.sent:
+            self._retry_window.give_back()
+
     # --- Small questions -----------------------------------------------------
 
     def _why_not_send(
--- a/damaskcroft/forwarding/_job.py
+++ b/damaskcroft/forwarding/_job.py
@@ -183,7 +183,7 @@
         refused: targets that refused its connection at once.
         excluded: ids of targets that it shall not be sent to again.
         last: how the last attempt failed.
-        may_have_run: whether any target may have run it.
+        runs: targets that may have run it.
         begun: whether the caller has got the head of an answer.
         events: how many events of a stream the caller has got.
         target_id: the target that it was sent to last; empty before.
@@ -205,9 +205,9 @@
         "fingerprint",
         "last",
         "last_event_id",
-        "may_have_run",
         "pace",
         "refused",
+        "runs",
         "sent",
         "target_id",
         "unsent",
@@ -220,7 +220,7 @@
         self.refused = 0
         self.excluded: set[str] = set()
         self.last: NotSent | NotRun | Lost | None = None
-        self.may_have_run = False
+        self.runs = 0
         self.begun = False
         self.events = 0
         self.target_id = ""
@@ -230,6 +230,11 @@
         self.fingerprint: bytes | None = None
         self.chain = 0
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether any target may have run it."""
+        return self.runs > 0
+
 
 def given_up(
     reason: str, progress: Progress, returns_s: float | None = None
--- a/damaskcroft/forwarding/_relay.py
+++ b/damaskcroft/forwarding/_relay.py
@@ -7,6 +7,7 @@
 from damaskcroft.forwarding._attempt import Answered, Attempt, Lost
 from damaskcroft.forwarding._call import Wire
 from damaskcroft.forwarding._events import EventSplitter
+from damaskcroft.forwarding._hedge import Hedge
 from damaskcroft.forwarding._job import (
     SERVER_ERROR,
     Ending,
@@ -18,7 +19,7 @@
 from damaskcroft.http1 import Answer, CutShortError, Head
 from damaskcroft.routing import Candidate, Slot
 
-__all__ = ["Relay", "Sending"]
+__all__ = ["Relay", "Sending", "why_not_instead"]
 
 # Answers up to this size are read whole before the caller gets any of it, so
 # that one that is cut short can still be asked for elsewhere.
@@ -36,6 +37,7 @@
         target: where it is sent.
         slot: its place there.
         made: the attempt.
+        hedge: what may be tried beside it.
         sent_at: loop time at which it was sent.
     """
 
@@ -45,6 +47,7 @@
     target: Candidate
     slot: Slot
     made: Attempt
+    hedge: Hedge
     sent_at: float
 
 
@@ -151,6 +154,19 @@
         sending.progress.pace.given(now_s())
 
 
+def why_not_instead(sending: Sending, answered: Answered) -> str | None:
+    """Why an answer can't take the place of a silent target's; None if it can.
+
+    The silent one may still give a better one.
+    """
+    status = answered.head.status
+    if 200 <= status < 300:
+        return None if answered.facts.sealed else "unsealed"
+    if status >= SERVER_ERROR or sending.progress.begun:
+        return f"status_{status}"
+    return None
+
+
 def _is_old(event_id: int | None, progress: Progress) -> bool:
     if event_id is None or progress.last_event_id is None:
         return False
--- a/damaskcroft/forwarding/_running.py
+++ b/damaskcroft/forwarding/_running.py
@@ -40,19 +40,26 @@
         finally:
             self._sendings.discard(sending)
 
-    def give_up(self, silent_ids: Collection[str]) -> None:
-        """Ends attempts that may go on elsewhere and won't end well here.
+    def at(self, target_ids: Collection[str]) -> list[Sending]:
+        """Attempts at some targets that may have a second one beside them."""
+        return [
+            running
+            for running in self._sendings
+            if running.target.id in target_ids
+            and running.job.is_repeatable
+            and running.hedge.may_begin
+        ]
 
-        They end at silent targets, at those that have started again, and at
-        those whose weights are due to be gone before they begin.
+    def give_up_lost(self) -> None:
+        """Ends attempts that may go on elsewhere and can't end well here.
+
+        They end at targets that have started again, and at those whose weights
+        are due to be gone before they begin.
         """
         outdated_by_kind: dict[tuple[str, str], set[str]] = {}
         for running in list(self._sendings):
             if not running.job.is_repeatable:
                 continue
-            if running.target.id in silent_ids:
-                running.made.give_up("silent")
-                continue
             if self._services.has_started_again(running.target):
                 running.made.give_up(STARTED_AGAIN)
                 continue
--- a/damaskcroft/forwarding/tests/fakes.py
+++ b/damaskcroft/forwarding/tests/fakes.py
@@ -103,6 +103,8 @@
         self.server = None
         # How long it asks for rest, in the mode `rests`.
         self.rest = "1"
+        # How long it says nothing, in modes that pause.
+        self.pause_s = 1.3
         # What its whole answers name as its limit; None for nothing.
         self.limit = None
 
@@ -206,7 +208,9 @@
         self.left += 1
         return False
 
-    async def stream(self, head, reader, writer, upto=EVENTS, tail=b""):
+    async def stream(
+        self, head, reader, writer, upto=EVENTS, tail=b"", pause_after=None
+    ):
         first = int(head.get("x-last", 0)) + 1
         writer.write(
             b"HTTP/1.1 200 OK\r\nX-Seal: " + self.name.encode()
@@ -216,7 +220,7 @@
             event = b"id: %d\ndata: %d\n\n" % (number, number)
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
-            await asyncio.sleep(0)
+            await asyncio.sleep(self.pause_s if number == pause_after else 0)
         if upto == EVENTS:
             writer.write(b"0\r\n\r\n")
             return True
@@ -225,6 +229,25 @@
             await writer.drain()
         return False
 
+    async def pauses(self, head, reader, writer):
+        await asyncio.sleep(self.pause_s)
+        return await self.whole(head, reader, writer)
+
+    async def stream_after_a_pause(self, head, reader, writer):
+        await asyncio.sleep(self.pause_s)
+        return await self.stream(head, reader, writer)
+
+    async def stream_pauses(self, head, reader, writer):
+        return await self.stream(head, reader, writer, pause_after=3)
+
+    async def stream_fails(self, head, reader, writer):
+        return await self.fails(head, reader, writer)
+
+    async def stream_dies_late(self, head, reader, writer):
+        await self.stream(head, reader, writer, upto=3)
+        await asyncio.sleep(self.pause_s)
+        return False
+
     async def stream_hangs(self, head, reader, writer):
         await self.stream(head, reader, writer, upto=3)
         return await self.hangs(head, reader, writer)
--- /dev/null
+++ b/damaskcroft/forwarding/tests/test_silent_targets.py
@@ -0,0 +1,159 @@
+"""Requests at targets that say nothing for a while, and then go on or don't."""
+
+import asyncio
+
+import pytest
+
+from damaskcroft.forwarding.tests.fakes import (
+    EVENTS,
+    FakeTarget,
+    configuration,
+    entry_before,
+    event_ids,
+    route,
+    unchunked,
+)
+
+ALL_IDS = list(range(1, EVENTS + 1))
+
+
+def config(max_attempts=2, **fields):
+    return configuration(
+        1, route(timeout_ms=5000, max_attempts=max_attempts, **fields)
+    )
+
+
+def stream_config(max_attempts=2):
+    return config(max_attempts, streaming=True, resumable=True)
+
+
+async def ask(entry, first):
+    """What a caller gets whose request goes to one target first."""
+    others = [c for c in entry.candidates() if c.id != first.name]
+    held = [entry.placer.take(c) for c in others]
+    asking = asyncio.create_task(entry.ask(x_deadline="4"))
+    async with asyncio.timeout(10):
+        while not first.heads:
+            await asyncio.sleep(0.01)
+    for slot in held:
+        slot.give_back()
+    return await asking
+
+
+def assert_whole(answer):
+    status, _, body = answer
+    payload, complete = unchunked(body)
+    assert (status, event_ids(payload), complete) == (200, ALL_IDS, True)
+
+
+@pytest.mark.parametrize("mode", ["stream_pauses", "stream_after_a_pause"])
+@pytest.mark.parametrize("max_attempts", [1, 2])
+def test_a_stream_is_not_cut_while_its_only_target_pauses(mode, max_attempts):
+    async def scenario():
+        target = FakeTarget("a", mode)
+        async with entry_before(
+            target, config=stream_config(max_attempts)
+        ) as entry:
+            assert_whole(await entry.ask(x_deadline="4"))
+            assert len(target.heads) == 1
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("mode", ["stream_pauses", "stream_after_a_pause"])
+def test_a_stream_is_not_cut_while_all_targets_pause(mode):
+    async def scenario():
+        targets = FakeTarget("a", mode), FakeTarget("b", mode)
+        async with entry_before(*targets, config=stream_config()) as entry:
+            assert_whole(await entry.ask(x_deadline="4"))
+
+    asyncio.run(scenario())
+
+
+def test_a_stream_is_not_cut_for_a_repeat_that_the_budget_forbids():
+    async def scenario():
+        silent, other = FakeTarget("a", "stream_pauses"), FakeTarget("b", "")
+        async with entry_before(
+            silent, other, config=stream_config(), ratio=0.0, extra=0.0
+        ) as entry:
+            assert_whole(await ask(entry, silent))
+            assert other.heads == []
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    "mode", ["not_run", "stream_fails", "unsealed", "silent_close", "hangs"]
+)
+def test_a_stream_is_not_cut_for_a_target_that_gives_no_better(mode):
+    async def scenario():
+        silent, other = FakeTarget("a", "stream_pauses"), FakeTarget("b", mode)
+        async with entry_before(silent, other, config=stream_config()) as entry:
+            assert_whole(await ask(entry, silent))
+            assert len(other.heads) == 1
+
+    asyncio.run(scenario())
+
+
+def test_a_request_is_not_failed_while_its_only_target_pauses():
+    async def scenario():
+        target = FakeTarget("a", "pauses")
+        safe = config(idempotent=True)
+        async with entry_before(target, config=safe) as entry:
+            status, _, body = await entry.ask(x_deadline="4")
+            assert (status, body, len(target.heads)) == (200, b"a", 1)
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("mode", ["stream_hangs", "hangs"])
+def test_a_stream_leaves_a_target_that_stays_silent(mode):
+    async def scenario():
+        silent, other = FakeTarget("a", mode), FakeTarget("b", "stream")
+        async with entry_before(silent, other, config=stream_config()) as entry:
+            assert_whole(await ask(entry, silent))
+            async with asyncio.timeout(1):
+                while not silent.left:
+                    await asyncio.sleep(0.01)
+
+    asyncio.run(scenario())
+
+
+def test_a_third_target_is_asked_while_two_stay_silent():
+    async def scenario():
+        silent = FakeTarget("a", "stream_hangs")
+        others = FakeTarget("b", "hangs"), FakeTarget("c", "hangs")
+        for other in others:
+            other.modes = others[0].modes
+        others[0].modes[:] = ["hangs", "stream"]
+        async with entry_before(
+            silent, *others, config=stream_config(max_attempts=3)
+        ) as entry:
+            assert_whole(await ask(entry, silent))
+            assert [len(other.heads) for other in others] == [1, 1]
+
+    asyncio.run(scenario())
+
+
+def test_a_target_that_speaks_again_first_ends_the_attempt_beside_it():
+    async def scenario():
+        silent, other = FakeTarget("a", "stream_pauses"), FakeTarget("b", "")
+        other.modes, other.pause_s = ["stream_after_a_pause"], 3.0
+        async with entry_before(silent, other, config=stream_config()) as entry:
+            assert_whole(await ask(entry, silent))
+            assert len(other.heads) == 1
+            assert all(
+                entry.placer.fullness(c) == 0 for c in entry.candidates()
+            )
+
+    asyncio.run(scenario())
+
+
+def test_an_attempt_beside_a_target_that_dies_goes_on():
+    async def scenario():
+        silent, other = FakeTarget("a", "stream_dies_late"), FakeTarget("b", "")
+        other.modes, other.pause_s = ["stream_after_a_pause"], 1.0
+        async with entry_before(silent, other, config=stream_config()) as entry:
+            assert_whole(await ask(entry, silent))
+
+    asyncio.run(scenario())
