A head that can't be written is answered all the same

A caller whose answer's head was refused by the parser got no byte: the answer counted as begun before its head was accepted, so that the fault wasn't answered and the connection ended. No target's answer is known to cause it.

The answer counts as begun only once the head was accepted; the handler's fault is then answered with 500. test_a_head_that_cannot_be_written_is_answered failed before with an empty answer.

--- a/damaskcroft/http1/_exchange.py
+++ b/damaskcroft/http1/_exchange.py
@@ -113,11 +113,13 @@
         self._channel.put(self._parser.send(processing) or b"")
 
     def _head(self, status: int, headers: Headers) -> bytes:
-        self.begun = True
         if self._closing():
             headers = [*headers, (b"connection", b"close")]
         response = h11.Response(status_code=status, headers=headers)
-        return self._parser.send(response) or b""
+        data = self._parser.send(response) or b""
+        # Not before: a head that was refused leaves room for another one.
+        self.begun = True
+        return data
 
 
 class CallerHandler(abc.ABC):
--- a/damaskcroft/http1/tests/test_server.py
+++ b/damaskcroft/http1/tests/test_server.py
@@ -177,3 +177,20 @@
             assert b"connection: close" in answer.lower()
 
     run(scenario())
+
+
+def test_a_head_that_cannot_be_written_is_answered(run, served):
+    # Against a connection that ends without a word on its request.
+    async def scenario():
+        async with served() as (handler, call, _):
+
+            async def begins_wrongly(request, answer):
+                await answer.begin(200, [(b"x-a", b"a\nb")])
+
+            handler.handle = begins_wrongly
+            caller = await call()
+            await caller.send(WHOLE)
+            answer = await caller.rest()
+            assert answer.startswith(b"HTTP/1.1 500")
+
+    run(scenario())
