A cancellation that nobody asked for is answered and logged

A caller whose request waited for something that was cancelled, though neither the caller nor the entry had ended the request, lost its connection without an answer, and no log line told so: a task that ends as cancelled counts as one that was told to end. Nothing is known to cancel what a request waits for.

Only a task that was itself told to end ends so; any other cancellation is a fault of ours, answered with 500, counted and logged. test_a_cancellation_that_nobody_asked_for_is_answered failed before with an empty answer.

--- a/damaskcroft/http1/_server.py
+++ b/damaskcroft/http1/_server.py
@@ -175,11 +175,14 @@
             await self._handler.handle(request, answer)
         except ChannelLostError:
             raise
+        except asyncio.CancelledError as error:
+            task = asyncio.current_task()
+            if task is None or task.cancelling():
+                raise
+            # Nobody cancelled this request, only something that it waited for.
+            await _answer_fault(answer, error)
         except Exception as error:
-            metrics.HTTP_FAULTS.labels(type(error).__name__).inc()
-            log_warning("answer_failed", reason=repr(error))
-            if not answer.begun:
-                await answer.give(_FAULT, [(b"connection", b"close")], b"")
+            await _answer_fault(answer, error)
 
     async def _answer_half_closed(
         self, working: asyncio.Task, answer: Answer, channel: Channel
@@ -226,6 +229,13 @@
                 self._lingering.done(channel)
 
 
+async def _answer_fault(answer: Answer, error: BaseException) -> None:
+    metrics.HTTP_FAULTS.labels(type(error).__name__).inc()
+    log_warning("answer_failed", reason=repr(error))
+    if not answer.begun:
+        await answer.give(_FAULT, [(b"connection", b"close")], b"")
+
+
 class _AcceptedChannel(Channel):
     """Tells when it is connected."""
 
--- a/damaskcroft/http1/tests/test_server.py
+++ b/damaskcroft/http1/tests/test_server.py
@@ -194,3 +194,22 @@
             assert answer.startswith(b"HTTP/1.1 500")
 
     run(scenario())
+
+
+def test_a_cancellation_that_nobody_asked_for_is_answered(run, served):
+    # Against a connection that ends without a word on its request.
+    async def scenario():
+        async with served() as (handler, call, _):
+
+            async def waits_for_what_is_cancelled(request, answer):
+                waited_for = asyncio.get_running_loop().create_future()
+                waited_for.cancel()
+                await waited_for
+
+            handler.handle = waits_for_what_is_cancelled
+            caller = await call()
+            await caller.send(WHOLE)
+            answer = await caller.rest()
+            assert answer.startswith(b"HTTP/1.1 500")
+
+    run(scenario())
