A CONNECT with a path is refused unread

A caller that sent CONNECT with a path got no byte, once a target had answered with success: the request was passed on, and the parser, which expects a tunnel after that head, refused the rest of the answer (LocalProtocolError, answer_failed in the log), so that the connection ended.

Such a target is no authority (RFC 9110, 9.3.6), and what asks for a tunnel at an origin's place is refused with 400 before it is passed on. test_a_request_to_connect_is_refused_unread failed before with an empty answer.

--- a/damaskcroft/http1/_reader.py
+++ b/damaskcroft/http1/_reader.py
@@ -130,4 +130,8 @@
         return 400, "two_framings"
     if not head.target.startswith(b"/") and head.target != b"*":
         return 400, "bad_target"
+    if head.method == b"CONNECT":
+        # Its target names an authority (RFC 9110, 9.3.6), and after a success
+        # the parser takes what follows for a tunnel.
+        return 400, "bad_target"
     return None
--- a/damaskcroft/http1/tests/test_server.py
+++ b/damaskcroft/http1/tests/test_server.py
@@ -213,3 +213,16 @@
             assert answer.startswith(b"HTTP/1.1 500")
 
     run(scenario())
+
+
+def test_a_request_to_connect_is_refused_unread(run, served):
+    # Against a success after which the parser can write no body.
+    async def scenario():
+        async with served() as (handler, call, _):
+            caller = await call()
+            await caller.send(WHOLE.replace(b"POST", b"CONNECT"))
+            answer = await caller.rest()
+            assert answer.startswith(b"HTTP/1.1 400")
+            assert handler.requests == []
+
+    run(scenario())
