A caller that speaks HTTP/1.0 gets no interim answer

A caller that speaks HTTP/1.0 and ends its side after its request got a 102 and took it for its answer: interim answers tell whether a half-closed caller still listens, and HTTP/1.0 has none (RFC 9110, 15.2).

Such a caller is sent nothing before its answer; whether it has left shows with the answer. test_a_caller_that_speaks_http_1_0_gets_no_interim_answer failed before: the first status was 102.

--- a/damaskcroft/http1/_exchange.py
+++ b/damaskcroft/http1/_exchange.py
@@ -107,8 +107,12 @@
     def interim(self) -> None:
         """Says that the request is being worked on (RFC 2518, 10.1).
 
-        A caller that has closed its connection answers with a reset.
+        A caller that has closed its connection answers with a reset. One that
+        speaks HTTP/1.0 is told nothing: it knows no interim answers (RFC 9110,
+        15.2) and would take this one for the whole.
         """
+        if self._parser.their_http_version == b"1.0":
+            return
         processing = h11.InformationalResponse(status_code=102, headers=[])
         self._channel.put(self._parser.send(processing) or b"")
 
--- a/damaskcroft/http1/tests/test_server.py
+++ b/damaskcroft/http1/tests/test_server.py
@@ -226,3 +226,21 @@
             assert handler.requests == []
 
     run(scenario())
+
+
+def test_a_caller_that_speaks_http_1_0_gets_no_interim_answer(run, served):
+    # Such a caller takes an interim answer for the whole one.
+    async def scenario():
+        async with served() as (handler, call, _):
+            handler.gate.clear()
+            caller = await call()
+            await caller.send(WHOLE.replace(b"HTTP/1.1", b"HTTP/1.0"))
+            caller.writer.write_eof()
+            await settled(lambda: handler.requests)
+            await asyncio.sleep(0.15)
+            handler.gate.set()
+            answer = await caller.rest()
+            assert answer.split()[1] == b"200"
+            assert answer.endswith(b"got body")
+
+    run(scenario())
