--- a/damaskcroft/http1/tests/test_server.py
+++ b/damaskcroft/http1/tests/test_server.py
@@ -177,3 +177,70 @@
             assert b"connection: close" in answer.lower()
 
     run(scenario())
+
+
+def test_a_head_that_cannot_be_written_is_answered(run, served):
+    # Against a connection that ends without a word on its request.
+    async def scenario():
+        async with served() as (handler, call, _):
+
+            async def begins_wrongly(request, answer):
+                await answer.begin(200, [(b"x-a", b"a\nb")])
+
+            handler.handle = begins_wrongly
+            caller = await call()
+            await caller.send(WHOLE)
+            answer = await caller.rest()
+            assert answer.startswith(b"HTTP/1.1 500")
+
+    run(scenario())
+
+
+def test_a_cancellation_that_nobody_asked_for_is_answered(run, served):
+    # Against a connection that ends without a word on its request.
+    async def scenario():
+        async with served() as (handler, call, _):
+
+            async def waits_for_what_is_cancelled(request, answer):
+                waited_for = asyncio.get_running_loop().create_future()
+                waited_for.cancel()
+                await waited_for
+
+            handler.handle = waits_for_what_is_cancelled
+            caller = await call()
+            await caller.send(WHOLE)
+            answer = await caller.rest()
+            assert answer.startswith(b"HTTP/1.1 500")
+
+    run(scenario())
+
+
+def test_a_request_to_connect_is_refused_unread(run, served):
+    # Against a success after which the parser can write no body.
+    async def scenario():
+        async with served() as (handler, call, _):
+            caller = await call()
+            await caller.send(WHOLE.replace(b"POST", b"CONNECT"))
+            answer = await caller.rest()
+            assert answer.startswith(b"HTTP/1.1 400")
+            assert handler.requests == []
+
+    run(scenario())
+
+
+def test_a_caller_that_speaks_http_1_0_gets_no_interim_answer(run, served):
+    # Such a caller takes an interim answer for the whole one.
+    async def scenario():
+        async with served() as (handler, call, _):
+            handler.gate.clear()
+            caller = await call()
+            await caller.send(WHOLE.replace(b"HTTP/1.1", b"HTTP/1.0"))
+            caller.writer.write_eof()
+            await settled(lambda: handler.requests)
+            await asyncio.sleep(0.15)
+            handler.gate.set()
+            answer = await caller.rest()
+            assert answer.split()[1] == b"200"
+            assert answer.endswith(b"got body")
+
+    run(scenario())
