Give each request a final answer before an entry ends

Callers of a stopping entry whose requests were at work at the end lost their connections without a status: nothing but a route's own time ended a request, and an entry took requests of 6 s until 2.5 s after the word to end, with 7.6 s in all. The entry also had no more than 0.4 s of its grace period left once its last request had been cut.

A second before the end of the grace period all that is still pending now gets 504, or 503 if it was passed on to nobody. A request that comes after the word to end has that moment for its deadline, which its target is told too; one that came before is bounded in the gate. A stream that has begun ends without its end, as before, and is logged as broken off.

What waits in the queue since before the word to end gets 504 too, since the gate can't tell whether it was passed on.

--- a/damaskcroft/forwarding/_gate.py
+++ b/damaskcroft/forwarding/_gate.py
@@ -9,7 +9,14 @@
 from damaskcroft.fleet import FleetView
 from damaskcroft.forwarding._call import Call, Wire
 from damaskcroft.forwarding._forwarder import Forwarder
-from damaskcroft.forwarding._job import BrokenOff, Gave, Job, Ran, Refused
+from damaskcroft.forwarding._job import (
+    BrokenOff,
+    Ending,
+    Gave,
+    Job,
+    Ran,
+    Refused,
+)
 from damaskcroft.http1 import (
     Answer,
     CallerHandler,
@@ -45,21 +52,23 @@
 _NOT_RUN_STATUS = 503
 _LOST_STATUS = 502
 _LATE_STATUS = 504
+# Why requests end whose time was over, for themselves or for the entry.
+_LATE_REASONS = frozenset(["deadline", "stopping"])
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Stop:
-    """When an entry was told to end, and when it will."""
+    """When an entry was told to end, and when it gives its last answers."""
 
     since: float
-    ends_at: float
+    last_answers_at: float
 
     def comes_before(self, route: fleet_pb2.Route) -> bool:
-        """Whether a request that comes now may be cut by the end."""
+        """Whether a request that comes now may miss the last answers."""
         now = now_s()
         if now - self.since < _STILL_TAKEN_S:
             return False
-        return now + route.timeout_ms / _MS > self.ends_at
+        return now + route.timeout_ms / _MS > self.last_answers_at
 
 
 class EntryGate(CallerHandler):
@@ -83,6 +92,8 @@
         self._limits = CallerLimits()
         self._limits_version = 0
         self._stop: _Stop | None = None
+        # Of requests that are being forwarded.
+        self._bounds: set[asyncio.Timeout] = set()
 
     def is_stopping(self) -> bool:
         """See CallerHandler."""
@@ -92,10 +103,13 @@
         """Takes note that this entry ends soon.
 
         Args:
-            within_s: until what has not been answered is cut.
+            within_s: until each request gets its final answer, whatever has
+                become of it.
         """
         now = now_s()
         self._stop = _Stop(now, now + within_s)
+        for bound in self._bounds:
+            bound.reschedule(self._stop.last_answers_at)
 
     def limits(self) -> CallerLimits:
         """See CallerHandler."""
@@ -123,7 +137,7 @@
             await self._refuse(call.request_id, made, answer)
             return
         try:
-            ending = await self._forwarder.forward(made, answer)
+            ending = await self._forward(made, answer)
         except asyncio.CancelledError:
             metrics.REFUSALS.labels("caller_left", Ran.MAYBE.value).inc()
             log_event(
@@ -143,6 +157,25 @@
             case Refused():
                 await self._refuse(call.request_id, ending, answer, made)
 
+    async def _forward(self, job: Job, answer: Answer) -> Ending:
+        """Forwards a job, but no longer than until the last answers.
+
+        One that comes after the word to end has that for its deadline.
+        """
+        try:
+            async with asyncio.timeout(None) as bound:
+                self._bounds.add(bound)
+                try:
+                    return await self._forwarder.forward(job, answer)
+                finally:
+                    self._bounds.discard(bound)
+        except TimeoutError:
+            if not bound.expired():
+                raise
+            if answer.begun:
+                return BrokenOff("stopping")
+            return Refused("stopping", Ran.MAYBE)
+
     async def _wait_for_first_view(self, call: Call) -> None:
         """Lets a request wait for what an entry hears right after its start.
 
@@ -193,13 +226,16 @@
         timeout_s = route.timeout_ms / _MS
         if call.deadline_s is not None:
             timeout_s = min(timeout_s, call.deadline_s)
+        deadline_at = call.arrived_at + timeout_s
+        if self._stop is not None:
+            deadline_at = min(deadline_at, self._stop.last_answers_at)
         return Job(
             call=call,
             route=route,
             service=self._pick_service(route),
             customer=customer.name if customer else "",
             priority=_priority(route, customer),
-            deadline_at=call.arrived_at + timeout_s,
+            deadline_at=deadline_at,
         )
 
     def _pick_service(self, route: fleet_pb2.Route) -> str:
@@ -246,7 +282,7 @@
         return fixed
     if refused.ran is Ran.NO:
         return _NOT_RUN_STATUS
-    return _LATE_STATUS if refused.reason == "deadline" else _LOST_STATUS
+    return _LATE_STATUS if refused.reason in _LATE_REASONS else _LOST_STATUS
 
 
 def _priority(
--- a/damaskcroft/hosted/entry.py
+++ b/damaskcroft/hosted/entry.py
@@ -42,10 +42,14 @@
 # open for as long as the balancer may take to notice: two of its questions, a
 # second apart, and one for good measure.
 _NOTICE_S = 3.5
+# What can't be answered in full is told so this long before the platform's
+# SIGKILL, so that callers have read it and the process has ended by then,
+# beside other busy processes too.
+_LAST_ANSWERS_S = 1.0
 # Kept back from the time that the platform gives, to end before its SIGKILL.
-_SPARE_S = 0.4
+_SPARE_S = 0.8
 # Of what is left, kept back from waiting for callers to close connections.
-_LINGER_SPARE_S = 1.0
+_LINGER_SPARE_S = 0.6
 # At the end, for whoever asks whether the entry is ready.
 _READY_END_S = 0.2
 
@@ -146,7 +150,7 @@
     ):
         log_event("started", role="entry", address=settings.caller_address)
         await stop.wait()
-        gate.stop(bounds.grace_s - _SPARE_S)
+        gate.stop(bounds.grace_s - _LAST_ANSWERS_S)
         log_event("stopping", role="entry", answering=callers.answering)
         await _drain(callers, bounds.grace_s - _SPARE_S)
         log_event("drained", answering=callers.answering)
