Refuse late what a stopping entry can't finish, take what it can

Afterwards it refused by the route's time alone, also requests whose callers' deadlines fitted.

In these 2.5 s a request is now refused if the longest answer that its route gave of late would not fit, and the caller goes elsewhere; later if neither the route's time nor the caller's deadline fits.

What a shorter deadline does has a test of its own.

--- a/damaskcroft/forwarding/_gate.py
+++ b/damaskcroft/forwarding/_gate.py
@@ -7,6 +7,7 @@
 from damaskcroft._generated import fleet_pb2
 from damaskcroft.clock import now_s
 from damaskcroft.fleet import FleetView
+from damaskcroft.forwarding._answer_times import AnswerTimes
 from damaskcroft.forwarding._call import Call, Wire
 from damaskcroft.forwarding._forwarder import Forwarder
 from damaskcroft.forwarding._job import (
@@ -30,10 +31,14 @@
 __all__ = ["EntryGate"]
 
 _MS = 1000  # In a second.
-# After it was told to end, an entry takes every request for this long: the
-# balancer needs two of its questions, a second apart, to send none. Where all
-# entries end at once it goes on sending, and what could be cut is refused.
+# After it was told to end, an entry takes for this long what others of its
+# route would have left time for: the balancer needs two of its questions, a
+# second apart, to send none. Where all entries end at once it goes on sending,
+# and what could be cut by its own time is refused.
 _STILL_TAKEN_S = 2.5
+# A request may take so much longer than others of its route, on a machine that
+# has grown busier.
+_SLOWER_S = 0.3
 # For so long after its first request an entry may be about to hear of
 # configuration and targets: after a loss of power control elects a leader and
 # targets announce themselves within two seconds. Later it has been cut off, and
@@ -63,12 +68,18 @@
     since: float
     last_answers_at: float
 
-    def comes_before(self, route: fleet_pb2.Route) -> bool:
-        """Whether a request that comes now may miss the last answers."""
+    def comes_before(self, timeout_s: float, usual_s: float) -> bool:
+        """Whether a request that comes now may miss the last answers.
+
+        Args:
+            timeout_s: when it will be over in any case.
+            usual_s: what the longest like it have taken.
+        """
         now = now_s()
+        needed_s = timeout_s
         if now - self.since < _STILL_TAKEN_S:
-            return False
-        return now + route.timeout_ms / _MS > self.last_answers_at
+            needed_s = min(timeout_s, usual_s + _SLOWER_S)
+        return now + needed_s > self.last_answers_at
 
 
 class EntryGate(CallerHandler):
@@ -91,6 +102,7 @@
         self._view_wanted_since: float | None = None
         self._limits = CallerLimits()
         self._limits_version = 0
+        self._answer_times = AnswerTimes()
         self._stop: _Stop | None = None
         # Of requests that are being forwarded.
         self._bounds: set[asyncio.Timeout] = set()
@@ -148,6 +160,8 @@
             raise
         match ending:
             case Gave():
+                took_s = now_s() - call.arrived_at
+                self._answer_times.took(made.route.name, took_s)
                 metrics.ANSWERS.labels(made.service).inc()
             case BrokenOff(reason=reason):
                 metrics.REFUSALS.labels(reason, Ran.MAYBE.value).inc()
@@ -221,11 +235,12 @@
             if customer is None:
                 detail = f"version {table.version}"
                 return Refused("unknown_key", Ran.NO, detail)
-        if self._stop is not None and self._stop.comes_before(route):
-            return Refused("stopping", Ran.NO)
         timeout_s = route.timeout_ms / _MS
         if call.deadline_s is not None:
             timeout_s = min(timeout_s, call.deadline_s)
+        usual_s = self._answer_times.longest_s(route.name)
+        if self._stop and self._stop.comes_before(timeout_s, usual_s):
+            return Refused("stopping", Ran.NO)
         deadline_at = call.arrived_at + timeout_s
         if self._stop is not None:
             deadline_at = min(deadline_at, self._stop.last_answers_at)
--- a/damaskcroft/forwarding/tests/test_stopping.py
+++ b/damaskcroft/forwarding/tests/test_stopping.py
@@ -124,3 +124,32 @@
         assert not body.endswith(b"0\r\n\r\n")
 
     at_the_end(target, scenario, streaming=True)
+
+
+def test_what_would_be_cut_by_its_routes_usual_time_is_refused(at_the_end):
+    # Against streams that are taken although they can't be finished.
+    target = SlowTarget("slow", pause_s=WITHIN_S)
+
+    async def scenario(entry):
+        assert (await entry.ask(x_deadline="4"))[0] == 200
+        entry.gate.stop(WITHIN_S)
+        status, head, _ = await answered(entry.ask(x_deadline="4"))
+        assert status == 503
+        assert "retry-after" in head
+        assert len(target.heads) == 1
+
+    at_the_end(target, scenario)
+
+
+def test_a_callers_own_deadline_lets_a_request_be_taken(at_the_end):
+    # Against refusals of what is over before the end in any case.
+    target = SlowTarget("slow", "whole", pause_s=WITHIN_S)
+
+    async def scenario(entry):
+        assert (await entry.ask(x_deadline="4"))[0] == 200
+        entry.gate.stop(4 * WITHIN_S)
+        await asyncio.sleep(WITHIN_S)
+        assert (await entry.ask(x_deadline="4"))[0] == 503
+        assert (await entry.ask(x_deadline="1"))[0] == 200
+
+    at_the_end(target, scenario)
