Don't let a reader of metrics hold up the end of a hosted program

It now waits for 0.2 s, as the readiness address does.

Tests started the programs without a metrics address; they now start them with one, as deployed. test_callers_that_close_nothing_do_not_hold_up_an_entry keeps a connection to it, and failed before (9.27 s of 8 s).

--- a/damaskcroft/hosted/process.py
+++ b/damaskcroft/hosted/process.py
@@ -14,6 +14,8 @@
 __all__ = ["run_hosted"]
 
 _EXIT_BAD_SETTINGS = 2
+# At the end, for whoever reads metrics: the platform may end the process soon.
+_METRICS_END_S = 0.2
 
 
 def run_hosted(
@@ -59,7 +61,8 @@
     if not metrics_port:
         await serve(settings)
         return
-    async with http_served(f"{settings.ip}:{metrics_port}", []):
+    metrics_address = f"{settings.ip}:{metrics_port}"
+    async with http_served(metrics_address, [], end_s=_METRICS_END_S):
         await serve(settings)
 
 
--- a/damaskcroft/hosted/tests/deployment.py
+++ b/damaskcroft/hosted/tests/deployment.py
@@ -54,8 +54,8 @@
 
     def __init__(self, folder):
         self.folder = folder
-        self.rpc, self.control, self.front, self.ready = (
-            free_port() for _ in range(4)
+        self.rpc, self.control, self.front, self.ready, self.metrics = (
+            free_port() for _ in range(5)
         )
         self.processes = {}
 
@@ -86,6 +86,7 @@
         )  # fmt: skip
         process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "damaskcroft.hosted", role,
+            "--metrics-port", str(self.metrics),
             env={"DAMASKCROFT_NODE_FILE": str(file)},
             stdout=(self.folder / f"{name}.log").open("a"),
             stderr=(self.folder / f"{name}.err").open("a"),
--- a/damaskcroft/hosted/tests/test_stopping_entry.py
+++ b/damaskcroft/hosted/tests/test_stopping_entry.py
@@ -48,7 +48,7 @@
         loop = asyncio.get_running_loop()
         opened = [
             await asyncio.open_connection(ENTRY_IP, port)
-            for port in (deployment.front, deployment.ready)
+            for port in (deployment.front, deployment.ready, deployment.metrics)
         ]
         entry = deployment.processes["entry-14"]
         entry.send_signal(signal.SIGTERM)
