Sync the name of a new data folder before anything is promised

Operators would see control come up empty after a loss of power soon after its first start, with no leader ever elected: each replica draws a new incarnation, and none of them counts.

A replica's log lies in a folder that the process creates. Files in it and their names were synced, the name of the folder itself was not, so a file system may drop it with all that it holds. The folders that were created are now synced into theirs, once in a process, before its first file lasts. A log file whose name could not be synced is no longer kept open as if it had been.

Evidence: a stand-in for the file system that keeps after a loss of power only what was synced.

--- a/damaskcroft/consensus/_disk.py
+++ b/damaskcroft/consensus/_disk.py
@@ -33,12 +33,15 @@
 class FolderDisk(Disk):
     """Files directly below one folder."""
 
-    __slots__ = ("_folder", "_handles_by_name")
+    __slots__ = ("_folder", "_handles_by_name", "_unsynced_parents")
 
     def __init__(self, folder: pathlib.Path):
         """Uses `folder`, which is created if it is missing."""
+        missing = [p for p in (folder, *folder.parents) if not p.exists()]
         folder.mkdir(parents=True, exist_ok=True)
         self._folder = folder
+        # An earlier process may have ended before it synced the last one.
+        self._unsynced_parents = {folder.parent, *(p.parent for p in missing)}
         self._handles_by_name: dict[str, int] = {}
 
     def read(self, name: str) -> bytes | None:
@@ -93,8 +96,12 @@
             return handle
         flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT
         handle = os.open(self._folder / name, flags, 0o600)
+        try:
+            self._sync_folder()
+        except OSError:
+            os.close(handle)
+            raise
         self._handles_by_name[name] = handle
-        self._sync_folder()
         return handle
 
     def _forget(self, name: str) -> None:
@@ -103,8 +110,16 @@
             os.close(handle)
 
     def _sync_folder(self) -> None:
-        handle = os.open(self._folder, os.O_RDONLY)
-        try:
-            os.fsync(handle)
-        finally:
-            os.close(handle)
+        """Makes names last: those in the folder and, once, its own."""
+        _sync_names(self._folder)
+        for parent in list(self._unsynced_parents):
+            _sync_names(parent)
+            self._unsynced_parents.discard(parent)
+
+
+def _sync_names(folder: pathlib.Path) -> None:
+    handle = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(handle)
+    finally:
+        os.close(handle)
--- a/damaskcroft/consensus/tests/conftest.py
+++ b/damaskcroft/consensus/tests/conftest.py
@@ -1,6 +1,9 @@
+import random
+
 import pytest
 
 from damaskcroft.consensus.tests.fakes import Cluster
+from damaskcroft.consensus.tests.power import Folders
 
 
 @pytest.fixture
@@ -11,3 +14,12 @@
     yield made
     for replica in made.replicas.values():
         loop.run(replica.stop())
+
+
+@pytest.fixture
+def folders(tmp_path, monkeypatch):
+    """Folders that keep after a loss of power only what was synced."""
+    made = Folders(tmp_path, random.Random(0))
+    made.patch(monkeypatch)
+    yield made
+    made.close()
--- a/damaskcroft/consensus/tests/fakes.py
+++ b/damaskcroft/consensus/tests/fakes.py
@@ -175,13 +175,16 @@
         self.replicas = {}
         self.machines = {}
         for member in MEMBERS:
-            self.disks[member] = FakeDisk(self.rng)
+            self.disks[member] = self.empty_disk(member)
             format_disk(self.disks[member], MEMBERS)
             self.start(member)
 
+    def empty_disk(self, member):
+        return FakeDisk(self.rng)
+
     def add(self, member):
         """Starts a replica on a new machine, with an empty disk."""
-        self.disks[member] = FakeDisk(self.rng)
+        self.disks[member] = self.empty_disk(member)
         self.start(member)
 
     def start(self, member):
@@ -216,7 +219,7 @@
     def lose_disk(self, member):
         if member in self.replicas:
             self.crash(member)
-        self.disks[member] = FakeDisk(self.rng)
+        self.disks[member] = self.empty_disk(member)
 
     def leaders(self):
         return [r for r in self.replicas.values() if r.is_leader]
