Take a later term also from the refusal of a pre-vote

Operators would see control without a leader for good, and no configuration read back, after all control nodes had gone down during an election and one had lost its disk: `election_not_won reason=no_pre_vote` on one node each second, `vote_refused reason=old_term` and `reason=log_behind` on the two.

With two voters left each needs the other. The one whose log is older may have moved on to the next term before it went down. It refuses a pre-vote for that term as one that has passed, and is refused itself for its log. The one with the newer log read of the later term in each refusal and ignored it, so it stood for the same term for ever. It now takes the term, as from any other answer, and stands for the one after it.

A pre-vote that is granted never carries a later term, and the terms that refusals carry were reached by elections that a majority allowed, so who is cut off still raises no term.

Evidence: the new test failed before.

--- a/damaskcroft/consensus/_replica.py
+++ b/damaskcroft/consensus/_replica.py
@@ -388,7 +388,9 @@
             reply = await self._transport.vote(voter.address, request)
         except PeerUnreachableError:
             return False
-        if reply.term > self.term and not request.pre_vote:
+        if reply.term > self.term:
+            # Also after a pre-vote: a voter may have moved on without us, and
+            # only a candidate of a later term than its own can win it over.
             async with self._lock:
                 self._meet_term(reply.term)
             return False
--- a/damaskcroft/consensus/tests/test_elections.py
+++ b/damaskcroft/consensus/tests/test_elections.py
@@ -23,6 +23,9 @@
 
 import pytest
 
+from damaskcroft.consensus import DurableLog
+from damaskcroft.consensus._hard_state import HardStateFile
+
 ELECTED_WITHIN_S = 5.0
 
 
@@ -146,3 +149,22 @@
             loop.pass_time(ELECTED_WITHIN_S)
             assert len(cluster.leaders()) == 1
     assert not [t for t in caplog.messages if "event=leader_cut_off" in t]
+
+
+def test_the_newest_log_wins_though_the_other_voter_is_a_term_ahead(
+    cluster, loop
+):
+    """Neither of two was ever elected, and the third had lost its disk."""
+    newest = leader_name(cluster)
+    other, gone = (m for m in cluster.replicas if m != newest)
+    cluster.crash(gone)
+    cluster.crash(other)
+    loop.run(cluster.propose_briefly(cluster.replicas[newest], "newest"))
+    cluster.crash(newest, kept_share=1.0)
+    disk = cluster.disks[other]
+    stood = HardStateFile(disk, DurableLog(disk))
+    stood.save(stood.term + 1, other)
+    for member in (newest, other):
+        cluster.start(member)
+    loop.pass_time(ELECTED_WITHIN_S)
+    assert leader_name(cluster) == newest
