Ask the leader of which others tell to take a replica in

Operators would see a replacement of a control node that never counts: with one of the first members gone and a later one leading, a node that knows only the first members asked these once in an election timeout, and none of them leads. The next loss of a disk is then one too many.

Whoever doesn't lead answers with the leader's address; the joining replica read neither that nor why others did not answer. It now asks there too, and logs who did not answer (`join_unanswered`).

Evidence: of the two variants of the new test the one with a node on a new machine failed before. An emptied member was taken back before too, since the leader itself went on to send to its address.

--- a/damaskcroft/consensus/_joining.py
+++ b/damaskcroft/consensus/_joining.py
@@ -9,6 +9,7 @@
 from damaskcroft.consensus._members import find_member
 from damaskcroft.consensus._setup import ReplicaOptions
 from damaskcroft.consensus._transport import Transport
+from damaskcroft.observe import log_event
 
 __all__ = ["Joiner"]
 
@@ -71,8 +72,23 @@
     async def _ask(self, request: consensus_pb2.JoinRequest) -> None:
         known = {m.address for m in self._log.config().members}
         known.update(self._options.first_members.values())
-        known.discard(self._options.address)
-        await asyncio.gather(
-            *(self._transport.join(address, request) for address in known),
+        leaders = await self._ask_all(request, known)
+        # The leader may have joined later than all that are known here.
+        await self._ask_all(request, leaders - known)
+
+    async def _ask_all(
+        self, request: consensus_pb2.JoinRequest, addresses: set[str]
+    ) -> set[str]:
+        """Asks at each address; gives those of the leaders they tell of."""
+        others = sorted(addresses - {self._options.address})
+        replies = await asyncio.gather(
+            *(self._transport.join(address, request) for address in others),
             return_exceptions=True,
         )
+        leaders = set()
+        for address, reply in zip(others, replies, strict=True):
+            if isinstance(reply, BaseException):
+                log_event("join_unanswered", address=address, reason=reply)
+            elif reply.leader:
+                leaders.add(reply.leader)
+        return leaders
--- a/damaskcroft/consensus/tests/test_members.py
+++ b/damaskcroft/consensus/tests/test_members.py
@@ -110,3 +110,27 @@
     loop.pass_time(SETTLED_S)
     values = [value for _, value in cluster.machines[follower].applied]
     assert values == ["by two", "by all"]
+
+
+@pytest.mark.parametrize("emptied", [False, True])
+def test_whoever_knows_only_first_members_joins_a_later_leader(
+    cluster, loop, emptied
+):
+    """A replacement asked the first members for ever and was never taken in."""
+    lose(cluster, "a")
+    cluster.add("new")
+    loop.pass_time(SETTLED_S)
+    while not cluster.replicas["new"].is_leader:
+        leader = cluster.leader().leader_id
+        cluster.crash(leader)
+        loop.pass_time(SETTLED_S)
+        cluster.start(leader)
+        loop.pass_time(SETTLED_S)
+    joining = "b" if emptied else "newer"
+    if emptied:
+        cluster.lose_disk(joining)
+        cluster.start(joining)
+    else:
+        cluster.add(joining)
+    loop.pass_time(SETTLED_S)
+    assert cluster.is_voting(joining)
