--- a/damaskcroft/consensus/_log.py
+++ b/damaskcroft/consensus/_log.py
@@ -47,6 +47,7 @@
         self._has_torn_tail = False
         self.snapshot = _read_snapshot(disk)
         self._read_entries()
+        self._finish_reset()
         self.synced_index = self.last_index
 
     @property
@@ -176,12 +177,11 @@
             keep: how many covered entries stay, for followers just behind.
             keep_bytes: how many bytes of covered entries stay at most.
         """
-        self._store_snapshot(snapshot)
         first = max(
             snapshot.index + 1 - keep,
             self._first_within(snapshot.index, keep_bytes),
         )
-        self._rewrite([e for e in self._entries if e.index >= first])
+        self._store(snapshot, [e for e in self._entries if e.index >= first])
 
     def _first_within(self, last_index: int, max_bytes: int) -> int:
         """The first of the entries up to an index that fit into a size."""
@@ -196,12 +196,10 @@
 
     def reset_to(self, snapshot: consensus_pb2.Snapshot) -> None:
         """Replaces everything by a leader's snapshot."""
-        self._store_snapshot(snapshot)
+        tail = []
         if self.term_at(snapshot.index) == snapshot.term:
             tail = [e for e in self._entries if e.index > snapshot.index]
-        else:
-            tail = []
-        self._rewrite(tail)
+        self._store(snapshot, tail)
 
     def _keep(self, entry: consensus_pb2.LogEntry, size_bytes: int) -> None:
         """Takes an entry that is on the disk into memory."""
@@ -211,21 +209,31 @@
         if entry.HasField("config"):
             self._configs.append((entry.index, entry.config))
 
-    def _store_snapshot(self, snapshot: consensus_pb2.Snapshot) -> None:
+    def _store(
+        self,
+        snapshot: consensus_pb2.Snapshot,
+        entries: list[consensus_pb2.LogEntry],
+    ) -> None:
+        """Swaps snapshot and entries, in an order that survives a crash.
+
+        Memory follows only once the disk has taken both: a log that ends
+        before its snapshot has a gap that nothing may be appended to.
+        """
+        frames = [_frames.framed(e.SerializeToString()) for e in entries]
         content = _frames.framed(snapshot.SerializeToString())
         self._disk.replace(SNAPSHOT_NAME, content)
+        self._disk.replace(LOG_NAME, b"".join(frames))
         self.snapshot = snapshot
+        self._forget_entries()
+        for entry, frame in zip(entries, frames, strict=True):
+            self._keep(entry, len(frame))
+        self.synced_index = self.last_index
 
-    def _rewrite(self, entries: list[consensus_pb2.LogEntry]) -> None:
-        frames = [_frames.framed(e.SerializeToString()) for e in entries]
-        self._disk.replace(LOG_NAME, b"".join(frames))
+    def _forget_entries(self) -> None:
         self._entries = []
         self._offsets = []
         self._configs = []
         self._size_bytes = 0
-        for entry, frame in zip(entries, frames, strict=True):
-            self._keep(entry, len(frame))
-        self.synced_index = self.last_index
 
     def _read_entries(self) -> None:
         content = self._disk.read(LOG_NAME) or b""
@@ -237,6 +245,18 @@
                 return
             self._keep(entry, _frames.HEADER_BYTES + len(payload or b""))
 
+    def _finish_reset(self) -> None:
+        """Drops a log that its snapshot was to replace as the process ended."""
+        index, term = self.snapshot.index, self.snapshot.term
+        if self.first_index > index:
+            return
+        position = index - self.first_index
+        held = self._entries[position : position + 1]
+        if held and held[0].term == term:
+            return
+        self._disk.truncate(LOG_NAME, 0)
+        self._forget_entries()
+
     def _follows(self, entry: consensus_pb2.LogEntry) -> bool:
         if not self._entries:
             # Compaction may keep entries that the snapshot covers.
--- a/damaskcroft/consensus/tests/test_log.py
+++ b/damaskcroft/consensus/tests/test_log.py
@@ -82,6 +82,63 @@
         DurableLog(FolderDisk(folder))
 
 
+class StoppingDisk(FolderDisk):
+    """Takes nothing more once a file is to be replaced."""
+
+    def __init__(self, folder, stops_at):
+        super().__init__(folder)
+        self.stops_at = stops_at
+
+    def replace(self, name, content):
+        if name == self.stops_at:
+            raise OSError("stopped")
+        super().replace(name, content)
+
+
+@pytest.fixture(params=["longer, of another term", "shorter"])
+def reset_midway(request, folder):
+    """A log whose snapshot was replaced when its disk took nothing more."""
+    log = DurableLog(StoppingDisk(folder, "log"))
+    index = 4 if request.param.startswith("longer") else 9
+    with pytest.raises(OSError):
+        log.reset_to(consensus_pb2.Snapshot(index=index, term=2, state=b"x"))
+    return log, folder, index
+
+
+def test_what_follows_a_snapshot_is_kept_after_a_stop_before_its_log(
+    reset_midway,
+):
+    """Entries taken after such a stop were unreadable or of two logs."""
+    _, folder, index = reset_midway
+    log = DurableLog(FolderDisk(folder))
+    assert (log.last_index, log.last_term) == (index, 2)
+    log.append([entry(index + 1, term=2)])
+    asyncio.run(log.sync())
+    reopened = DurableLog(FolderDisk(folder))
+    assert reopened.first_index == reopened.last_index == index + 1
+    assert reopened.entry(index + 1).term == 2
+
+
+def test_a_log_that_its_disk_did_not_replace_goes_on_as_it_was(reset_midway):
+    """It went on from a snapshot that lay beyond its last entry."""
+    log, folder, _ = reset_midway
+    assert (log.last_index, log.snapshot.index) == (6, 0)
+    log.append([entry(7)])
+    asyncio.run(log.sync())
+    assert log.entry(7).index == 7
+
+
+@pytest.mark.parametrize("term, last_index", [(1, 6), (2, 3)])
+def test_a_snapshot_keeps_only_entries_that_go_on_from_it(
+    folder, term, last_index
+):
+    """Entries of a former leader were kept behind a later one's snapshot."""
+    log = DurableLog(FolderDisk(folder))
+    log.reset_to(consensus_pb2.Snapshot(index=3, term=term, state=b"x"))
+    assert log.last_index == last_index
+    assert DurableLog(FolderDisk(folder)).last_index == last_index
+
+
 def test_a_folder_is_formatted_only_once(tmp_path):
     format_disk(FolderDisk(tmp_path), MEMBERS)
     with pytest.raises(NotFormattedError):
