Let a replica vote that hasn't heard yet that it is a voter

Operators would see control without a leader for good when a node lost its disk, and all others power, just after an emptied or a new node had been made a voter: `election_not_won reason=no_pre_vote` on one node each second, `vote_refused reason=no_voter` on another.

A replica counts as a voter from the entry that says so, which others may hold before it does. If the leader that sent it is gone, the rest need that replica's vote, and it refused for being a learner by its own log; the entry could only come from the leader that they couldn't elect.

A replica now answers whoever's log is new enough, as in Raft. That an emptied disk doesn't count with the votes of its former self is kept where it was decided already: candidates count answers of the incarnations in their member list.

--- a/damaskcroft/consensus/_replica.py
+++ b/damaskcroft/consensus/_replica.py
@@ -399,9 +399,11 @@
     def _vote_refusal(
         self, request: consensus_pb2.VoteRequest
     ) -> VoteRefusal | None:
-        """Why a vote is not granted; None if it is."""
-        if not self._is_voter():
-            return VoteRefusal.NO_VOTER
+        """Why a vote is not granted; None if it is.
+
+        Whether it counts is for the candidate to say, by its member list and
+        our incarnation: ours may end before the entry that made us a voter.
+        """
         if self.state == _LEADER:
             return VoteRefusal.LEADS
         # Keep to a living leader, whoever else stands (dissertation, 4.2.3).
--- a/damaskcroft/consensus/_votes.py
+++ b/damaskcroft/consensus/_votes.py
@@ -12,7 +12,6 @@
 class VoteRefusal(enum.Enum):
     """Why a replica gives a candidate no vote, as logs have it."""
 
-    NO_VOTER = "no_voter"
     LEADS = "leads"
     HEARS_LEADER = "hears_leader"
     JUST_STARTED = "just_started"
--- a/damaskcroft/consensus/tests/test_members.py
+++ b/damaskcroft/consensus/tests/test_members.py
@@ -3,7 +3,7 @@
 import pytest
 
 from damaskcroft.consensus import Committed, DiskFailed
-from damaskcroft.consensus.tests.fakes import MEMBERS
+from damaskcroft.consensus.tests.fakes import MEMBERS, address_of
 
 SETTLED_S = 8.0
 
@@ -134,3 +134,22 @@
         cluster.add(joining)
     loop.pass_time(SETTLED_S)
     assert cluster.is_voting(joining)
+
+
+def test_a_new_voter_that_has_not_heard_of_it_gives_its_vote(cluster, loop):
+    """Three of four were left, one of them still a learner by its own log."""
+    leader = cluster.leader()
+    promote = leader._append_config
+
+    def cut_off_then_promote(config):
+        cluster.network.cuts.add((leader.address, address_of("new")))
+        promote(config)
+
+    leader._append_config = cut_off_then_promote
+    cluster.add("new")
+    loop.pass_time(1.0)
+    assert cluster.is_voting("new")
+    lose(cluster, leader.leader_id)
+    cluster.network.cuts.clear()
+    loop.pass_time(SETTLED_S)
+    assert accepted(cluster, "by three")
