The soak judges requests that ended without a whole answer

Each run of a request now has its target, its begin and its end; a request that a target began and that got no answer, half of one, or a 502 or 504 with time left, breaks a promise. It is excused if its entry or a target that ran it was disturbed from the contact time before it was sent to its end, if its time budget was reached, if a target broke it off, or if a target was still at work on it in the last part of a stopping entry's grace. Stops, changed settings and targets that leave excuse nothing by themselves.

--- a/damaskcroft/hosted/tests/soak/_book.py
+++ b/damaskcroft/hosted/tests/soak/_book.py
@@ -7,6 +7,7 @@
 import re
 import time
 
+from damaskcroft.hosted.tests.soak._answers import AnswersOwed, Run
 from damaskcroft.hosted.tests.soak._limits import NamedLimits
 from damaskcroft.hosted.tests.soak._target import EVENTS
 
@@ -33,7 +34,8 @@
         complete: whether the answer ended as complete.
         entry: address of the entry that it was sent to.
         sent_at: when, by `time.monotonic`.
-        took_s: until the caller had its answer.
+        budget_s: the caller's time budget, and its route's timeout.
+        took_s: until the caller had all that it will get.
         crashes_as: names what crashes its targets, the same for each copy;
             empty for requests that crash none.
         retry_after: that header of the answer.
@@ -45,10 +47,16 @@
     complete: bool = False
     entry: str = ""
     sent_at: float = dataclasses.field(default_factory=time.monotonic)
-    took_s: float = 0.0
+    budget_s: float = math.inf
+    took_s: float = math.inf
     crashes_as: str = ""
     retry_after: str = ""
 
+    @property
+    def ended_at(self):
+        """When the caller had all that it will get; infinite before."""
+        return self.sent_at + self.took_s
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Arrival:
@@ -97,6 +105,7 @@
         # When each start of a target first said to each entry that it leaves.
         self.leaving_since = {}
         self.limits = NamedLimits(CONTACT_S)
+        self.owed = AnswersOwed(CONTACT_S)
         # By what crashes targets: when, one time for each start.
         self.crashes = collections.defaultdict(list)
         # By whom (an entry, a target, control, or all): spans of disturbance.
@@ -132,11 +141,26 @@
         entry = self.asked_by_id[request_id].entry
         self.limits.told(start, entry, limit, time.monotonic())
 
+    def cut_off(self, start):
+        """Called by a target that ends and breaks off all its answers."""
+        self.owed.cut_off(start, time.monotonic())
+
+    def stopping(self, entry):
+        """Called before an entry is asked to end."""
+        self.owed.stopping(entry, time.monotonic())
+
     @contextlib.contextmanager
-    def disturbed(self, who):
-        """Notes that a machine, or its links, are disturbed meanwhile."""
+    def disturbed(self, who, *, planned=False):
+        """Notes that a machine, or its links, are disturbed meanwhile.
+
+        Args:
+            who: which.
+            planned: whether callers are still owed their answers.
+        """
         span = [time.monotonic(), math.inf]
         self._disturbed[who].append(span)
+        if not planned:
+            self.owed.disturbed(who, span)
         try:
             yield
         finally:
@@ -191,7 +215,7 @@
         return list(self.limits.overruns(counted))
 
     def check_bounds(self):
-        """Breaks what arrived too often; to be called at the end."""
+        """Breaks what arrived too often or got no answer; for the end."""
         for crashes_as in list(self.crashes):
             tries = self.tries_after_crashes(crashes_as)
             if len(tries) > _MAX_TRIES_AFTER:
@@ -207,6 +231,8 @@
 
         for overrun in self.overruns():
             self._break(str(overrun))
+        for what in self.owed.breaches(self.asked_by_id, self.runs_by_id):
+            self._break(what)
 
     def _of(self, arrival):
         return self.asked_by_id.get(arrival.request_id) or Asked("safe")
@@ -225,9 +251,19 @@
     def body(self, request_id):
         return f"answer to {request_id}, whole".encode()
 
-    def ran(self, request_id, target_id):
+    @contextlib.contextmanager
+    def running(self, request_id, target, start):
+        """Held by a target while it works on a request."""
+        run = self.ran(request_id, target, start)
+        try:
+            yield
+        finally:
+            run.ended_at = time.monotonic()
+
+    def ran(self, request_id, target, start):
         """Called by a target that begins to work on a request."""
-        self.runs_by_id[request_id].append(target_id)
+        run = Run(target, start, time.monotonic())
+        self.runs_by_id[request_id].append(run)
         asked = self.asked_by_id.get(request_id)
         if asked is None:
             self._break(f"{request_id} ran and nobody asked it")
@@ -237,10 +273,12 @@
             self._break(f"{request_id} runs once, and ran again")
         elif asked.kind == "once" and asked.status in _NOT_RUN:
             self._break(f"{request_id} ran after {asked.status}")
+        return run
 
     def answered(self, request_id):
         """Called once a caller has all that it will get."""
         asked = self.asked_by_id[request_id]
+        asked.took_s = time.monotonic() - asked.sent_at
         runs = self.runs_by_id.get(request_id, [])
         if asked.kind == "once" and asked.status in _NOT_RUN and runs:
             self._break(f"{request_id} got {asked.status} and ran at {runs}")
--- a/damaskcroft/hosted/tests/soak/_faults.py
+++ b/damaskcroft/hosted/tests/soak/_faults.py
@@ -30,6 +30,8 @@
 _LIMIT_LASTS = 4
 _REST_S = 3
 _COPIES_EVERY_S = 0.3
+# Beside these, callers are owed their answers.
+_PLANNED_KINDS = ("stop control", "stop entry", "hup all", "leave target")
 _KINDS = (
     "kill control", "pause control", "stop control", "wipe control",
     "tear log", "kill all control", "kill entry", "pause entry", "stop entry",
@@ -142,7 +144,10 @@
         """What targets say in answers, and an entry more, disturb nobody."""
         if fault.kind in (*_ANSWER_KINDS, "add entry"):
             return contextlib.nullcontext()
-        return self._book.disturbed("control" if role == "control" else who[0])
+        return self._book.disturbed(
+            "control" if role == "control" else who[0],
+            planned=fault.kind in _PLANNED_KINDS,
+        )
 
     async def _send_copies(self, fault):
         """The same request again and again, whatever else happens."""
@@ -190,6 +195,7 @@
         self.added = ip
         await asyncio.sleep(_LIMIT_LASTS * fault.for_s)
         self.added = ""
+        self._book.stopping(ip)
         await self._deployment.end("entry", ip, signal.SIGTERM)
 
     async def _hang_up_all(self):
@@ -221,6 +227,8 @@
 
     async def _end_and_start(self, fault, name, role, who):
         how = signal.SIGTERM if name == "stop" else signal.SIGKILL
+        if role == "entry" and name == "stop":
+            self._book.stopping(who[0])
         await asyncio.gather(
             *(self._deployment.end(role, ip, how) for ip in who)
         )
--- a/damaskcroft/hosted/tests/soak/_run.py
+++ b/damaskcroft/hosted/tests/soak/_run.py
@@ -218,7 +218,9 @@
 
     async def _ask(self, connection, kind, path, entry):
         request_id = f"s{self.seed}-{next(self._ids)}"
-        asked = self.book.asked_by_id[request_id] = Asked(kind, entry=entry)
+        asked = self.book.asked_by_id[request_id] = Asked(
+            kind, entry=entry, budget_s=_DEADLINE_MS / 1000
+        )
         headers = [
             (b"host", b"h"), (b"request-id", request_id.encode()),
             (b"deadline-ms", b"%d" % _DEADLINE_MS),
--- a/damaskcroft/hosted/tests/soak/_target.py
+++ b/damaskcroft/hosted/tests/soak/_target.py
@@ -87,6 +87,7 @@
             if not self._is_up:
                 return
             self._is_up = False
+            self.book.cut_off(self._start_id)
             self._announcing.cancel()
             self._server.close()
             for writer in list(self._writers):
@@ -177,12 +178,15 @@
                 % (limit_line, self.rest_s)
             )
             return True
-        self.book.ran(request_id, self._start_id)
-        if CRASHING in asked:
-            await self._crash_under(request_id)
-            return False
-        if "/stream/" in lines[0]:
-            return await self._stream(head, request_id, writer, limit_line)
+        with self.book.running(request_id, self.name, self._start_id):
+            if CRASHING in asked:
+                await self._crash_under(request_id)
+                return False
+            if "/stream/" in lines[0]:
+                return await self._stream(head, request_id, writer, limit_line)
+            return await self._answer_whole(request_id, writer, limit_line)
+
+    async def _answer_whole(self, request_id, writer, limit_line):
         await asyncio.sleep(_WORK_S)
         body = self.book.body(request_id)
         writer.write(
--- a/damaskcroft/hosted/tests/test_soak.py
+++ b/damaskcroft/hosted/tests/test_soak.py
@@ -55,9 +55,9 @@
 def test_a_second_run_is_found():
     book = Book()
     asked(book, "once", 0)
-    book.ran("r", "a")
+    book.ran("r", "t", "a")
     assert book.broken == []
-    book.ran("r", "b")
+    book.ran("r", "t", "b")
     assert len(book.broken) == 1
 
 
@@ -65,7 +65,7 @@
 def test_a_refusal_of_what_ran_is_found(ran_first):
     book = Book()
     asked(book, "once", 0 if ran_first else 503)
-    book.ran("r", "a")
+    book.ran("r", "t", "a")
     book.asked_by_id["r"].status = 503
     book.answered("r")
     assert book.broken
