Targets of the soak pause, beside all faults and beside planned work

A sound target also falls silent: it waits for another, or its machine is busy. The soak had no such fault. From seed 2100 on one target or all of them send nothing of any answer for 0.5 to 4 s, before heads and within streams, and go on; requests have time for the longest pause and one more try. Even seeds play this beside all faults, odd ones beside stops, changed settings, configurations and targets that leave, which excuse no answer. Pauses are drawn on their own: the schedules of seeds 0 to 2099 are the same as before, compared one by one.

Seed 2101 at 12 s is part of the tests and fails on this code, 3 of 3 plays: entries end streams midway and answer 502 after 0.8 to 1.3 s of 6 s while all targets pause.

--- a/damaskcroft/hosted/tests/soak/_faults.py
+++ b/damaskcroft/hosted/tests/soak/_faults.py
@@ -29,6 +29,14 @@
 _LIMITS = (1, 0.4, 2.5, 0, 6, "nan", 0.2)
 _LIMIT_LASTS = 4
 _REST_S = 3
+# Targets pause from this seed on, by turns beside all other faults and beside
+# planned work alone, which excuses no answer.
+PAUSES_FROM_SEED = 2100
+_PAUSE_KINDS = ("pause target", "pause all targets")
+_PAUSE_LASTS_S = (0.5, 4.0)
+# An answer that a pause held up is whole before the next one.
+_PAUSE_GAP_S = (1.0, 3.0)
+_PLANNED_GAP_S = (0.5, 3.0)
 _COPIES_EVERY_S = 0.3
 # Beside these, callers are owed their answers.
 _PLANNED_KINDS = ("stop control", "stop entry", "hup all", "leave target")
@@ -59,6 +67,37 @@
 
 def schedule(seed, seconds):
     """The faults of a seed, in order."""
+    faults = _pauses(seed, seconds) if has_pauses(seed) else []
+    if has_pauses(seed) and seed % 2:
+        faults += _drawn(
+            random.Random(seed), seconds, _PLANNED_KINDS, _PLANNED_GAP_S
+        )
+    else:
+        faults += _unplanned(seed, seconds)
+    return sorted(faults, key=lambda fault: fault.at_s)
+
+
+def has_pauses(seed):
+    """Whether targets pause in the schedule of a seed."""
+    return seed >= PAUSES_FROM_SEED
+
+
+def _pauses(seed, seconds):
+    rng = random.Random(f"{seed}/pauses")
+    faults, at_s = [], rng.uniform(*_PAUSE_GAP_S)
+    while at_s < seconds:
+        fault = Fault(
+            at_s,
+            rng.choice(_PAUSE_KINDS),
+            rng.randrange(12),
+            rng.uniform(*_PAUSE_LASTS_S),
+        )
+        faults.append(fault)
+        at_s += fault.for_s + rng.uniform(*_PAUSE_GAP_S)
+    return faults
+
+
+def _unplanned(seed, seconds):
     faults = _drawn(random.Random(seed), seconds, _KINDS, _GAP_S)
     faults += _drawn(
         random.Random(f"{seed}/answers"), seconds, _ANSWER_KINDS, _ANSWER_GAP_S
@@ -66,7 +105,7 @@
     faults += _drawn(
         random.Random(f"{seed}/limits"), seconds, _LIMIT_KINDS, _LIMIT_GAP_S
     )
-    return sorted(faults, key=lambda fault: fault.at_s)
+    return faults
 
 
 def _drawn(rng, seconds, kinds, gap_s):
@@ -113,6 +152,9 @@
         if fault.kind == "limit target":
             await self._name_limits(fault)
             return
+        if fault.kind in _PAUSE_KINDS:
+            await self._pause_targets(fault)
+            return
         name, _, what = fault.kind.partition(" ")
         role = {"control": "control", "log": "control", "entry": "entry"}.get(
             what, "target"
@@ -164,6 +206,19 @@
             await asyncio.sleep(fault.for_s)
         target.limit = None
 
+    async def _pause_targets(self, fault):
+        """Sound targets send nothing, whatever else happens to them."""
+        targets = [self._targets[fault.which % len(self._targets)]]
+        if fault.kind == "pause all targets":
+            targets = self._targets
+        names = [target.name for target in targets]
+        self._journal(f"begins {fault} {names}")
+        with contextlib.ExitStack() as paused:
+            for target in targets:
+                paused.enter_context(target.paused())
+            await asyncio.sleep(fault.for_s)
+        self._journal(f"over {fault.kind} {names}")
+
     def _may(self, fault, who):
         """No more disks are lost than may be: the others must be whole."""
         if fault.kind != "wipe control":
--- a/damaskcroft/hosted/tests/soak/_run.py
+++ b/damaskcroft/hosted/tests/soak/_run.py
@@ -12,7 +12,7 @@
     Deployment,
 )
 from damaskcroft.hosted.tests.soak._book import CONTACT_S, Asked, Book
-from damaskcroft.hosted.tests.soak._faults import Injector, schedule
+from damaskcroft.hosted.tests.soak._faults import Injector, has_pauses, schedule
 from damaskcroft.hosted.tests.soak._target import CRASHING, Target
 from damaskcroft.http1 import (
     CutShortError,
@@ -25,7 +25,11 @@
 _TARGETS = 3
 _CALLERS = 6
 _DEADLINE_MS = 3000
-_PATIENCE_S = 8.0
+# Where targets pause: the longest pause, and as much as a request takes that is
+# sent once more.
+_DEADLINE_WITH_PAUSES_MS = 6000
+# Callers wait this much longer, to see what comes late.
+_PATIENCE_S = 5.0
 # After the last fault, until everything must serve and tell the newest again.
 _RECOVERY_S = 12.0
 _MAX_REQUESTS_ON_ONE = 20
@@ -50,6 +54,9 @@
         self.seed = seed
         self.folder = folder
         self.book = Book()
+        self._deadline_ms = (
+            _DEADLINE_WITH_PAUSES_MS if has_pauses(seed) else _DEADLINE_MS
+        )
         self.deployment = Deployment(folder)
         self.targets = [
             Target(f"t{n}", self.deployment, self.book, keeps_id=n % 2 == 0)
@@ -114,7 +121,7 @@
                 "kind": {"once": "unsafe", "safe": "safe"}.get(
                     kind, "streaming"
                 ),
-                "resumable": kind == "stream", "timeout_ms": _DEADLINE_MS,
+                "resumable": kind == "stream", "timeout_ms": self._deadline_ms,
                 "service": "s", "max_attempts": 2 if kind != "once" else 1,
             }
             for kind in _PATHS
@@ -212,23 +219,23 @@
         self.book.asked_by_id[request_id] = asked
         asked.status, _, _ = await self.deployment.call(
             ip, self.deployment.front, b"POST", _PATHS["safe"], CRASHING,
-            request_id=request_id, deadline_ms=_DEADLINE_MS,
+            request_id=request_id, deadline_ms=self._deadline_ms,
         )  # fmt: skip
         return asked.status
 
     async def _ask(self, connection, kind, path, entry):
         request_id = f"s{self.seed}-{next(self._ids)}"
         asked = self.book.asked_by_id[request_id] = Asked(
-            kind, entry=entry, budget_s=_DEADLINE_MS / 1000
+            kind, entry=entry, budget_s=self._deadline_ms / 1000
         )
         headers = [
             (b"host", b"h"), (b"request-id", request_id.encode()),
-            (b"deadline-ms", b"%d" % _DEADLINE_MS),
+            (b"deadline-ms", b"%d" % self._deadline_ms),
         ]  # fmt: skip
         body = b"" if kind == "safe" else b"x" * 300
         method = b"GET" if kind == "safe" else b"POST"
         try:
-            async with asyncio.timeout(_PATIENCE_S):
+            async with asyncio.timeout(asked.budget_s + _PATIENCE_S):
                 await connection.send(method, path.encode(), headers, body)
                 head = await connection.read_head(lambda _: True)
                 while part := await connection.read_part():
--- a/damaskcroft/hosted/tests/soak/_target.py
+++ b/damaskcroft/hosted/tests/soak/_target.py
@@ -42,6 +42,9 @@
         # A fault may end it while another one starts it again.
         self._changing = asyncio.Lock()
         self._restarting = None
+        # Cleared while its answers pause.
+        self._going_on = asyncio.Event()
+        self._going_on.set()
         # How long it asks for rest in refusals; None while it serves.
         self.rest_s = None
         # Whether its answers say that it leaves.
@@ -97,6 +100,18 @@
     async def restart(self):
         await self.start(self.port)
 
+    @contextlib.contextmanager
+    def paused(self):
+        """Sends nothing of any answer meanwhile; all of them go on after.
+
+        It takes requests and announces itself all the while.
+        """
+        self._going_on.clear()
+        try:
+            yield
+        finally:
+            self._going_on.set()
+
     async def stop(self):
         """Ends, also if it is about to be back."""
         if self._restarting is not None:
@@ -188,6 +203,7 @@
 
     async def _answer_whole(self, request_id, writer, limit_line):
         await asyncio.sleep(_WORK_S)
+        await self._going_on.wait()
         body = self.book.body(request_id)
         writer.write(
             b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: s\r\n"
@@ -216,6 +232,7 @@
 
     async def _stream(self, head, request_id, writer, limit_line):
         first = int(head.get("last-event-id", 0)) + 1
+        await self._going_on.wait()
         writer.write(
             b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: s\r\n"
             b"Content-Type: text/event-stream\r\n%s"
@@ -230,6 +247,7 @@
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
             await asyncio.sleep(_EVENT_S)
+            await self._going_on.wait()
         writer.write(b"0\r\n\r\n")
         await writer.drain()
         return True
--- a/damaskcroft/hosted/tests/test_soak.py
+++ b/damaskcroft/hosted/tests/test_soak.py
@@ -1,6 +1,7 @@
 """The soak, short: seeds that once failed, and one that stands for all."""
 
 import asyncio
+import itertools
 import time
 
 import pytest
@@ -13,7 +14,11 @@
     Book,
     Rest,
 )
-from damaskcroft.hosted.tests.soak._faults import schedule
+from damaskcroft.hosted.tests.soak._faults import (
+    PAUSES_FROM_SEED,
+    has_pauses,
+    schedule,
+)
 from damaskcroft.hosted.tests.soak._limits import NamedLimits
 from damaskcroft.hosted.tests.soak._run import Soak
 
@@ -28,6 +33,8 @@
     # All targets crashed while callers sent one and the same request, which
     # was quarantined.
     (801, 15.0),
+    # Entries ended answers of targets that only paused.
+    (2101, 12.0),
 ]
 
 
@@ -45,6 +52,41 @@
     assert schedule(5, 30) != schedule(6, 30)
 
 
+@pytest.mark.parametrize("seed", [2, 801, PAUSES_FROM_SEED - 1])
+def test_earlier_seeds_keep_targets_that_never_pause(seed):
+    # Against a change that plays another schedule under an old seed.
+    assert not has_pauses(seed)
+    assert pauses_in(schedule(seed, 60)) == []
+
+
+@pytest.mark.parametrize("seed", range(PAUSES_FROM_SEED, PAUSES_FROM_SEED + 4))
+def test_a_request_meets_one_pause_within_its_time(seed):
+    # Against pauses in a row that leave a sound target no time to answer.
+    pauses = pauses_in(schedule(seed, 60))
+    assert len(pauses) > 5
+    assert {fault.kind for fault in pauses} == {
+        "pause target",
+        "pause all targets",
+    }
+    assert all(0.5 <= fault.for_s <= 4.0 for fault in pauses)
+    for fault, following in itertools.pairwise(pauses):
+        assert following.at_s - fault.at_s - fault.for_s > 0.99
+
+
+def test_planned_work_alone_stands_beside_pauses_of_odd_seeds():
+    # Against a judge that finds every request excused by some disturbance.
+    odd = {fault.kind for fault in schedule(PAUSES_FROM_SEED + 1, 60)}
+    even = {fault.kind for fault in schedule(PAUSES_FROM_SEED, 60)}
+    planned = {"stop control", "stop entry", "hup all", "leave target"}
+    assert odd - {"pause target", "pause all targets"} == planned
+    assert even > odd
+
+
+def pauses_in(faults):
+    kinds = ("pause target", "pause all targets")
+    return [fault for fault in faults if fault.kind in kinds]
+
+
 # --- The checks themselves ----------------------------------------------------
 
 
