The soak tells how many requests nothing excused

A judge that finds every request excused finds nothing. Runs report how many requests were owed a whole answer, and the short seed with planned work alone wants a hundred.

--- a/damaskcroft/hosted/tests/soak/_answers.py
+++ b/damaskcroft/hosted/tests/soak/_answers.py
@@ -64,6 +64,21 @@
         """Notes that a start of a target broke off all its answers."""
         self._cuts_by_start[start].append(at)
 
+    def owed(self, asked_by_id, runs_by_id):
+        """Ids of the requests that nothing excuses, in the order sent.
+
+        Args:
+            asked_by_id: requests as their callers saw them.
+            runs_by_id: the runs of each.
+        """
+        return [
+            request_id
+            for request_id, asked in asked_by_id.items()
+            if runs_by_id.get(request_id)
+            and not math.isinf(asked.ended_at)
+            and not self._is_excused(asked, runs_by_id[request_id])
+        ]
+
     def breaches(self, asked_by_id, runs_by_id):
         """What callers should have had and didn't get, a line each.
 
@@ -71,13 +86,12 @@
             asked_by_id: requests as their callers saw them.
             runs_by_id: the runs of each.
         """
-        for request_id, asked in asked_by_id.items():
-            runs = runs_by_id.get(request_id)
-            if not runs or math.isinf(asked.ended_at):
-                continue
+        for request_id in self.owed(asked_by_id, runs_by_id):
+            asked = asked_by_id[request_id]
             what = _shortfall(asked)
-            if what and not self._is_excused(asked, runs):
-                yield f"{request_id} {what}: {_told(asked, runs)}"
+            if what:
+                ran = _told(asked, runs_by_id[request_id])
+                yield f"{request_id} {what}: {ran}"
 
     def _is_excused(self, asked, runs):
         return (
--- a/damaskcroft/hosted/tests/soak/_book.py
+++ b/damaskcroft/hosted/tests/soak/_book.py
@@ -323,9 +323,14 @@
     def _break(self, what):
         self.broken.append(what)
 
+    def owed_ids(self):
+        """Of the requests that nothing excuses from a whole answer."""
+        return self.owed.owed(self.asked_by_id, self.runs_by_id)
+
     def summary(self):
-        """Requests by status, for the report."""
+        """Requests by status, and how many were owed an answer."""
         counts = collections.Counter(
             asked.status for asked in self.asked_by_id.values()
         )
-        return " ".join(f"{s}:{n}" for s, n in sorted(counts.items()))
+        by_status = " ".join(f"{s}:{n}" for s, n in sorted(counts.items()))
+        return f"{by_status} owed:{len(self.owed_ids())}"
--- a/damaskcroft/hosted/tests/test_soak.py
+++ b/damaskcroft/hosted/tests/test_soak.py
@@ -22,6 +22,8 @@
 from damaskcroft.hosted.tests.soak._limits import NamedLimits
 from damaskcroft.hosted.tests.soak._run import Soak
 
+# Requests that nothing excuses, so that the judge has something to find.
+_MIN_OWED = 100
 # Seed and seconds of faults. Each seed that ever failed is added here, with a
 # line on its cause.
 SEEDS = [
@@ -45,6 +47,9 @@
     assert broken == []
     answered = [a for a in soak.book.asked_by_id.values() if a.status == 200]
     assert len(answered) > 20
+    # Where planned work stands alone, little excuses an answer.
+    if has_pauses(seed) and seed % 2:
+        assert len(soak.book.owed_ids()) > _MIN_OWED
 
 
 def test_a_seed_names_one_schedule():
