--- a/damaskcroft/hosted/tests/soak/_run.py
+++ b/damaskcroft/hosted/tests/soak/_run.py
@@ -22,12 +22,15 @@
 )
 
 _PATHS = {"once": "/once/a", "safe": "/safe/a", "stream": "/stream/a"}
+_KINDS_BY_PATH = {path: kind for kind, path in _PATHS.items()}
 _TARGETS = 3
 _CALLERS = 6
 _DEADLINE_MS = 3000
 # Where targets pause: the longest pause, and as much as a request takes that is
 # sent once more.
 _DEADLINE_WITH_PAUSES_MS = 6000
+# When nothing is disturbed any more.
+_DEADLINE_AT_END_MS = 1000
 # Callers wait this much longer, to see what comes late.
 _PATIENCE_S = 5.0
 # After the last fault, until everything must serve and tell the newest again.
@@ -277,11 +280,21 @@
             yield "another configuration is read than was acknowledged last"
         for ip in ENTRY_IPS:
             for path in (*_PATHS.values(), f"/v{self._version}/a"):
-                request_id = f"s{self.seed}-{next(self._ids)}"
-                self.book.asked_by_id[request_id] = Asked("safe")
-                status, _, _ = await self.deployment.call(
-                    ip, self.deployment.front, b"GET", path,
-                    request_id=request_id, deadline_ms=1000,
-                )  # fmt: skip
+                status = await self._ask_alone(path, ip)
                 if status != 200:
                     yield f"{ip} answers {path} with {status}"
+
+    async def _ask_alone(self, path, entry):
+        """A request on its own connection; its status."""
+        request_id = f"s{self.seed}-{next(self._ids)}"
+        kind = _KINDS_BY_PATH.get(path, "safe")
+        asked = self.book.asked_by_id[request_id] = Asked(
+            kind, entry=entry, budget_s=_DEADLINE_AT_END_MS / 1000
+        )
+        asked.status, _, asked.body = await self.deployment.call(
+            entry, self.deployment.front, b"GET", path,
+            request_id=request_id, deadline_ms=_DEADLINE_AT_END_MS,
+        )  # fmt: skip
+        asked.complete = asked.status != 0
+        self.book.answered(request_id)
+        return asked.status
