--- a/damaskcroft/forwarding/_attempt.py
+++ b/damaskcroft/forwarding/_attempt.py
@@ -63,10 +63,12 @@
         reason: how, also a counter's label.
         cut: whether the connection ended, from the other side, before the
             answer did.
+        given_up: whether the entry ended the attempt.
     """
 
     reason: str
     cut: bool = False
+    given_up: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -93,6 +95,7 @@
         "connect_s",
         "finished",
         "given_up",
+        "is_sent",
     )
 
     def __init__(
@@ -128,6 +131,8 @@
         self._call = call
         self._passing = passing
         self._connection: TargetConnection | None = None
+        # Whether any byte of the request may have left.
+        self.is_sent = False
         # Whether the answer came whole, so that the connection may be kept.
         self.finished = False
         # Whether the target has begun to answer.
@@ -153,15 +158,17 @@
             self.finished = True
             return NotSent(why_not)
         headers = self._wire.target_headers(self._call, self._passing)
+        self.is_sent = True
         try:
             await connection.send(
                 self._call.method, self._call.target, headers, self._call.body
             )
             head = await connection.read_head(self._is_ours)
         except NoAnswerError as error:
-            if self.given_up:
-                return Lost(self.given_up)
-            return Lost(_lost_reason(error, connection), cut=True)
+            return self.lost(_lost_reason(error, connection))
+        if self.given_up:
+            # What had come before the connection was closed.
+            return self.lost(self.given_up)
         self._heard()
         self.begun = True
         facts = self._wire.facts(head)
@@ -179,10 +186,24 @@
         """
         assert self._connection is not None, "begin comes first"
         part = await self._connection.read_part()
+        if self.given_up:
+            # What had come before the connection was closed.
+            raise CutShortError(self.given_up)
         self._heard()
         self.finished = not part
         return part
 
+    def lost(self, reason: str) -> Lost:
+        """How the attempt ended before its answer did.
+
+        Args:
+            reason: what the connection told; an attempt that was given up ends
+                for that, whatever its own closing looked like.
+        """
+        if self.given_up:
+            return Lost(self.given_up, given_up=True)
+        return Lost(reason, cut=True)
+
     def give_up(self, reason: str) -> None:
         """Ends the attempt from outside; it counts as lost."""
         if self._connection is not None:
--- a/damaskcroft/forwarding/_relay.py
+++ b/damaskcroft/forwarding/_relay.py
@@ -7,18 +7,19 @@
 from damaskcroft.forwarding._attempt import Answered, Attempt, Lost
 from damaskcroft.forwarding._call import Wire
 from damaskcroft.forwarding._events import EventSplitter
+from damaskcroft.forwarding._hedge import Hedge
 from damaskcroft.forwarding._job import (
     SERVER_ERROR,
-    BrokenOff,
     Ending,
     Gave,
     Job,
     Progress,
+    broken_off,
 )
 from damaskcroft.http1 import Answer, CutShortError, Head
 from damaskcroft.routing import Candidate, Slot
 
-__all__ = ["Relay", "Sending"]
+__all__ = ["Relay", "Sending", "why_not_instead"]
 
 # Answers up to this size are read whole before the caller gets any of it, so
 # that one that is cut short can still be asked for elsewhere.
@@ -36,6 +37,7 @@
         target: where it is sent.
         slot: its place there.
         made: the attempt.
+        hedge: what may be tried beside it.
         sent_at: loop time at which it was sent.
     """
 
@@ -45,6 +47,7 @@
     target: Candidate
     slot: Slot
     made: Attempt
+    hedge: Hedge
     sent_at: float
 
 
@@ -94,7 +97,7 @@
         try:
             body, complete = await made.read_whole(_WHOLE_BYTES)
         except CutShortError as error:
-            return _lost(sending, f"cut_short: {error}")
+            return made.lost(f"cut_short: {error}")
         if head.status >= SERVER_ERROR and _may_repeat(sending):
             return Lost(f"status_{head.status}")
         headers = self._wire.answer_headers(head)
@@ -108,7 +111,7 @@
             while part := await made.read_part():
                 await answer.part(part)
         except CutShortError as error:
-            return BrokenOff(f"cut_short: {error}")
+            return broken_off(made.lost(f"cut_short: {error}"))
         await answer.end()
         return Gave(head.status)
 
@@ -123,11 +126,12 @@
                         continue
                     await self._begin(sending, head)
                     await answer.part(event.data)
+                    progress.events += 1
                     self._note_given(sending)
                     if event.id is not None:
                         progress.last_event_id = event.id
         except (CutShortError, ValueError) as error:
-            return _lost(sending, f"stream_cut: {error}")
+            return sending.made.lost(f"stream_cut: {error}")
         if splitter.rest:
             return Lost("stream_cut: ended within an event")
         await self._begin(sending, head)
@@ -150,9 +154,17 @@
         sending.progress.pace.given(now_s())
 
 
-def _lost(sending: Sending, reason: str) -> Lost:
-    """An answer that ended before its end."""
-    return Lost(reason, cut=not sending.made.given_up)
+def why_not_instead(sending: Sending, answered: Answered) -> str | None:
+    """Why an answer can't take the place of a silent target's; None if it can.
+
+    The silent one may still give a better one.
+    """
+    status = answered.head.status
+    if 200 <= status < 300:
+        return None if answered.facts.sealed else "unsealed"
+    if status >= SERVER_ERROR or sending.progress.begun:
+        return f"status_{status}"
+    return None
 
 
 def _is_old(event_id: int | None, progress: Progress) -> bool:
