--- a/damaskcroft/hosted/tests/test_soak.py
+++ b/damaskcroft/hosted/tests/test_soak.py
@@ -1,6 +1,7 @@
 """The soak, short: seeds that once failed, and one that stands for all."""
 
 import asyncio
+import itertools
 import time
 
 import pytest
@@ -13,10 +14,16 @@
     Book,
     Rest,
 )
-from damaskcroft.hosted.tests.soak._faults import schedule
+from damaskcroft.hosted.tests.soak._faults import (
+    PAUSES_FROM_SEED,
+    has_pauses,
+    schedule,
+)
 from damaskcroft.hosted.tests.soak._limits import NamedLimits
 from damaskcroft.hosted.tests.soak._run import Soak
 
+# Requests that nothing excuses, so that the judge has something to find.
+_MIN_OWED = 100
 # Seed and seconds of faults. Each seed that ever failed is added here, with a
 # line on its cause.
 SEEDS = [
@@ -28,6 +35,8 @@
     # All targets crashed while callers sent one and the same request, which
     # was quarantined.
     (801, 15.0),
+    # Entries ended answers of targets that only paused.
+    (2101, 12.0),
 ]
 
 
@@ -38,6 +47,9 @@
     assert broken == []
     answered = [a for a in soak.book.asked_by_id.values() if a.status == 200]
     assert len(answered) > 20
+    # Where planned work stands alone, little excuses an answer.
+    if has_pauses(seed) and seed % 2:
+        assert len(soak.book.owed_ids()) > _MIN_OWED
 
 
 def test_a_seed_names_one_schedule():
@@ -45,6 +57,41 @@
     assert schedule(5, 30) != schedule(6, 30)
 
 
+@pytest.mark.parametrize("seed", [2, 801, PAUSES_FROM_SEED - 1])
+def test_earlier_seeds_keep_targets_that_never_pause(seed):
+    # Against a change that plays another schedule under an old seed.
+    assert not has_pauses(seed)
+    assert pauses_in(schedule(seed, 60)) == []
+
+
+@pytest.mark.parametrize("seed", range(PAUSES_FROM_SEED, PAUSES_FROM_SEED + 4))
+def test_a_request_meets_one_pause_within_its_time(seed):
+    # Against pauses in a row that leave a sound target no time to answer.
+    pauses = pauses_in(schedule(seed, 60))
+    assert len(pauses) > 5
+    assert {fault.kind for fault in pauses} == {
+        "pause target",
+        "pause all targets",
+    }
+    assert all(0.5 <= fault.for_s <= 4.0 for fault in pauses)
+    for fault, following in itertools.pairwise(pauses):
+        assert following.at_s - fault.at_s - fault.for_s > 0.99
+
+
+def test_planned_work_alone_stands_beside_pauses_of_odd_seeds():
+    # Against a judge that finds every request excused by some disturbance.
+    odd = {fault.kind for fault in schedule(PAUSES_FROM_SEED + 1, 60)}
+    even = {fault.kind for fault in schedule(PAUSES_FROM_SEED, 60)}
+    planned = {"stop control", "stop entry", "hup all", "leave target"}
+    assert odd - {"pause target", "pause all targets"} == planned
+    assert even > odd
+
+
+def pauses_in(faults):
+    kinds = ("pause target", "pause all targets")
+    return [fault for fault in faults if fault.kind in kinds]
+
+
 # --- The checks themselves ----------------------------------------------------
 
 
@@ -55,9 +102,9 @@
 def test_a_second_run_is_found():
     book = Book()
     asked(book, "once", 0)
-    book.ran("r", "a")
+    book.ran("r", "t", "a")
     assert book.broken == []
-    book.ran("r", "b")
+    book.ran("r", "t", "b")
     assert len(book.broken) == 1
 
 
@@ -65,7 +112,7 @@
 def test_a_refusal_of_what_ran_is_found(ran_first):
     book = Book()
     asked(book, "once", 0 if ran_first else 503)
-    book.ran("r", "a")
+    book.ran("r", "t", "a")
     book.asked_by_id["r"].status = 503
     book.answered("r")
     assert book.broken
