Sync what a killed process had written before it is acknowledged

Operators would lose a change that was confirmed: a control node is killed while its disk syncs, for seconds where the disk stalls, is back within a second and acknowledges the entry that it finds in its log; the leader counts it, and confirms. If power is lost before anything else is written there, and the leader's disk with it, nobody has the entry.

A replica took all that it read at its start for synced. After a kill the kernel has the end of the log, but the disk need not.

Nothing new is written at a start, so a disk that fails doesn't keep a replica from starting.

--- a/damaskcroft/consensus/_log.py
+++ b/damaskcroft/consensus/_log.py
@@ -48,7 +48,8 @@
         self.snapshot = _read_snapshot(disk)
         self._read_entries()
         self._finish_reset()
-        self.synced_index = self.last_index
+        # A process that was killed may have left the rest to the kernel only.
+        self.synced_index = self.snapshot.index
 
     @property
     def first_index(self) -> int:
