Begin a change of members before another one can begin

Operators could see a control node that was taken in and at once forgotten when two asked in the same moment, as after a loss of power, and it waited for its next try. Worse, two changes from one list may be under way together, where Raft allows one.

Whether a change was pending was looked up one turn of the event loop before the entry was appended. It is now appended in the same turn.

Evidence: the new test failed before: both were told that they were accepted, and one of them was in the list.

--- a/damaskcroft/consensus/_replica.py
+++ b/damaskcroft/consensus/_replica.py
@@ -510,7 +510,9 @@
         return entry.index
 
     async def _append_and_wait(self, entry: consensus_pb2.LogEntry) -> Outcome:
-        index = self._append(entry)
+        return await self._outcome_of(self._append(entry))
+
+    async def _outcome_of(self, index: int) -> Outcome:
         async with self._applier.outcome_of(index, self.term) as outcome:
             return await outcome
 
@@ -654,16 +656,14 @@
 
     async def _change_member(self, member: consensus_pb2.Voter) -> Outcome:
         config = with_member(self.log.config(), member)
-        waiting = asyncio.ensure_future(
-            self._append_and_wait(consensus_pb2.LogEntry(config=config))
-        )
-        await asyncio.sleep(0)
-        self._start_peers()
         try:
-            return await waiting
+            # Without a wait, or another change could begin from the same list.
+            index = self._append(consensus_pb2.LogEntry(config=config))
         except OSError as error:
             self._note_disk_failure(error)
             return DiskFailed(str(error))
+        self._start_peers()
+        return await self._outcome_of(index)
 
     def _promote_learners(self) -> None:
         """Makes a learner a voter once it holds all that is committed."""
--- a/damaskcroft/consensus/tests/test_members.py
+++ b/damaskcroft/consensus/tests/test_members.py
@@ -1,7 +1,10 @@
 """Members that are replaced, dropped and taken back; disks that fail."""
 
+import asyncio
+
 import pytest
 
+from damaskcroft._generated import consensus_pb2
 from damaskcroft.consensus import Committed, DiskFailed
 from damaskcroft.consensus.tests.fakes import MEMBERS, address_of
 
@@ -153,3 +156,24 @@
     cluster.network.cuts.clear()
     loop.pass_time(SETTLED_S)
     assert accepted(cluster, "by three")
+
+
+def test_two_that_join_at_once_are_taken_in_one_after_the_other(cluster, loop):
+    """Each list was made from the same one, so the second undid the first."""
+    leader = cluster.leader()
+    requests = [
+        consensus_pb2.JoinRequest(
+            member=consensus_pb2.Voter(
+                id=name, address=address_of(name), incarnation=name
+            )
+        )
+        for name in ("d", "e")
+    ]
+
+    async def join():
+        return await asyncio.gather(*map(leader.handle_join, requests))
+
+    replies = loop.run(join())
+    assert [reply.accepted for reply in replies] == [True, False]
+    learners = [m.id for m in leader.log.config().members if m.learner]
+    assert learners == ["d"]
