Bound how long a closing server waits for work that was cancelled

A server that ends cancels what is left and waited for it without a bound, so one request whose work overhears its cancellation kept the process of an entry until it was killed. It now waits for 0.1 s and logs how many connections were held up.

--- a/damaskcroft/http1/_server.py
+++ b/damaskcroft/http1/_server.py
@@ -20,6 +20,8 @@
 _PROBE_PAUSE_S = 0.1
 # For callers that connected while the server ended, to read that nothing ran.
 _LAST_WORD_S = 0.2
+# For connections that were cut, to clean up.
+_CUT_S = 0.1
 # Whether the request has run isn't known.
 _FAULT = 500
 # Queue of connections that the kernel holds for us.
@@ -60,9 +62,13 @@
         self.close_idle()
         if self._tasks:
             await asyncio.wait(self._tasks, timeout=_LAST_WORD_S)
-        for task in list(self._tasks):
+        for task in self._tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if not self._tasks:
+            return
+        _, left = await asyncio.wait(self._tasks, timeout=_CUT_S)
+        if left:
+            log_warning("connections_held_up", count=len(left))
 
     @property
     def are_all_told(self) -> bool:
--- a/damaskcroft/http1/tests/test_closing.py
+++ b/damaskcroft/http1/tests/test_closing.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import contextlib
 
 import aiosonic
 import pytest
@@ -153,6 +154,18 @@
     run(scenario())
 
 
+def test_work_that_does_not_end_holds_up_no_close(run, served):
+    # Against an entry that its platform kills while it waits for such work.
+    async def scenario():
+        async with served() as (handler, call, _):
+            handler.gate = DeafGate()
+            await kept_busy(call, handler)
+            closed_at = asyncio.get_running_loop().time()
+        assert asyncio.get_running_loop().time() - closed_at < 1.0
+
+    run(scenario())
+
+
 def test_connections_made_while_a_server_stops_listening_are_answered(served):
     callers = LateCallers(WHOLE)
 
@@ -171,6 +184,17 @@
     assert outcomes.count("200") == runs
 
 
+class DeafGate:
+    """Waits for three seconds, however often it is cancelled."""
+
+    async def wait(self):
+        loop = asyncio.get_running_loop()
+        until = loop.time() + 3.0
+        while loop.time() < until:
+            with contextlib.suppress(asyncio.CancelledError):
+                await asyncio.sleep(until - loop.time())
+
+
 async def kept_busy(call, handler):
     caller = await call()
     await caller.send(WHOLE)
