Bound how long a stopping entry waits for its background tasks

Tasks that overhear their cancellation held up the end of an entry for up to 6 s after its last answer, three times two seconds, with less than a second of the grace period left. An entry now waits three times 0.1 s, and logs the tasks that it leaves, as before.

test_work_that_hears_no_word_holds_its_block_up_no_longer_than_told, by its bound, which could not be named before.

--- a/damaskcroft/hosted/entry.py
+++ b/damaskcroft/hosted/entry.py
@@ -50,6 +50,8 @@
 _SPARE_S = 0.8
 # Of what is left, kept back from waiting for callers to close connections.
 _LINGER_SPARE_S = 0.6
+# At the end, for background tasks, after each word to end.
+_BACKGROUND_END_S = 0.1
 # At the end, for whoever asks whether the entry is ready.
 _READY_END_S = 0.2
 
@@ -146,7 +148,13 @@
             settings.ready_address, ready_routes(is_ready), end_s=_READY_END_S
         ),
         callers_served(settings.caller_address, gate) as callers,
-        background(watcher.run, forwarder.run, reporter.run, keep_clean),
+        background(
+            watcher.run,
+            forwarder.run,
+            reporter.run,
+            keep_clean,
+            end_s=_BACKGROUND_END_S,
+        ),
     ):
         log_event("started", role="entry", address=settings.caller_address)
         await stop.wait()
--- a/damaskcroft/tasks.py
+++ b/damaskcroft/tasks.py
@@ -104,13 +104,20 @@
 
 
 @contextlib.asynccontextmanager
-async def background(*works: Work) -> AsyncIterator[None]:
-    """Keeps work up beside the block, and ends it with the block."""
+async def background(
+    *works: Work, end_s: float = _END_S
+) -> AsyncIterator[None]:
+    """Keeps work up beside the block, and ends it with the block.
+
+    Args:
+        *works: begin again when they fail.
+        end_s: see `end_all`.
+    """
     tasks = [asyncio.create_task(kept_up(work)) for work in works]
     try:
         yield
     finally:
-        await end_all(tasks)
+        await end_all(tasks, end_s)
 
 
 async def cancelled(task: asyncio.Task | None) -> None:
@@ -128,15 +135,20 @@
     _note_failure(task)
 
 
-async def end_all(tasks: Iterable[asyncio.Task]) -> None:
-    """Cancels tasks and waits for them, but not for ever."""
+async def end_all(tasks: Iterable[asyncio.Task], end_s: float = _END_S) -> None:
+    """Cancels tasks and waits for them, but not for ever.
+
+    Args:
+        tasks: told three times at most.
+        end_s: wait after each time.
+    """
     waiting = set(tasks)
     for _ in range(_TRIES):
         if not waiting:
             return
         for task in waiting:
             task.cancel()
-        done, waiting = await asyncio.wait(waiting, timeout=_END_S)
+        done, waiting = await asyncio.wait(waiting, timeout=end_s)
         for task in done:
             _note_failure(task)
     for task in waiting:
--- a/damaskcroft/tests/test_tasks.py
+++ b/damaskcroft/tests/test_tasks.py
@@ -59,6 +59,24 @@
     loop.run(scenario())
 
 
+def test_work_that_hears_no_word_holds_its_block_up_no_longer_than_told(loop):
+    # Against a program that its platform kills while it waits for such work.
+    async def scenario():
+        async def never():
+            while True:
+                try:
+                    await asyncio.sleep(100)
+                except asyncio.CancelledError:
+                    continue
+
+        async with background(never, end_s=0.1):
+            await asyncio.sleep(1.0)
+            ended_at = loop.time()
+        assert loop.time() - ended_at < 0.5
+
+    loop.run(scenario())
+
+
 def test_what_failed_before_is_told_and_not_raised(loop):
     async def scenario():
         async def fails():
