End a hosted program by itself where its last steps are stuck

From the moment of SIGTERM a timer now ends the process 0.3 s before the end of its grace period, if it is still there then. It logs `end_forced` with the tasks that are left, waits shortly for the log, and leaves by the exit call with status 4. The signal is handled by run_hosted, for entries, control and agents alike; programs get its event.

--- a/damaskcroft/hosted/agent.py
+++ b/damaskcroft/hosted/agent.py
@@ -1,5 +1,6 @@
 """damask-agent on a machine beside a target."""
 
+import asyncio
 import functools
 
 from damaskcroft._generated import fleet_pb2
@@ -15,7 +16,7 @@
 from damaskcroft.observe import log_event
 from damaskcroft.platform.engine import PlatformEngine
 from damaskcroft.platform.origin import PlatformOrigin
-from damaskcroft.rpc import ChannelPool, Keys, grpc_served, stop_event
+from damaskcroft.rpc import ChannelPool, Keys, grpc_served
 from damaskcroft.tasks import background
 from damaskcroft.units import bytes_per_s
 from damaskcroft.weights import (
@@ -38,13 +39,12 @@
 _PARALLEL_UPLOADS = 8
 
 
-async def serve(settings: NodeSettings) -> None:
-    """Runs one agent until SIGTERM.
+async def serve(settings: NodeSettings, stop: asyncio.Event) -> None:
+    """Runs one agent until `stop` is set.
 
     Raises:
         OSError: an address can't be bound.
     """
-    stop = stop_event()
     channels = ChannelPool(Keys(None, None))
     # Entries and control write of all targets.
     view = FleetView(
--- a/damaskcroft/hosted/control.py
+++ b/damaskcroft/hosted/control.py
@@ -1,5 +1,6 @@
 """damask-control on a machine with a disk."""
 
+import asyncio
 import contextlib
 
 from damaskcroft._generated import fleet_pb2
@@ -29,7 +30,6 @@
     Keys,
     grpc_served,
     http_served,
-    stop_event,
 )
 from damaskcroft.tasks import background
 
@@ -47,15 +47,14 @@
 _ANNOUNCEMENTS_TO_SETTLE = 2
 
 
-async def serve(settings: NodeSettings) -> None:
-    """Runs one control node until SIGTERM.
+async def serve(settings: NodeSettings, stop: asyncio.Event) -> None:
+    """Runs one control node until `stop` is set.
 
     Raises:
         OSError: an address can't be bound, or the disk can't be used.
     """
     if settings.data_folder is None:
         raise OSError("control needs a data folder")
-    stop = stop_event()
     seeds = [settings.rpc_address_at(seed) for seed in settings.seeds]
     disk = FolderDisk(settings.data_folder / "log")
     if settings.first_start and settings.rpc_address in seeds:
--- a/damaskcroft/hosted/entry.py
+++ b/damaskcroft/hosted/entry.py
@@ -31,7 +31,7 @@
     RetryWindow,
     SilenceWatch,
 )
-from damaskcroft.rpc import ChannelPool, Keys, http_served, stop_event
+from damaskcroft.rpc import ChannelPool, Keys, http_served
 from damaskcroft.tasks import background
 
 __all__ = ["serve"]
@@ -56,13 +56,12 @@
 _READY_END_S = 0.2
 
 
-async def serve(settings: NodeSettings) -> None:
-    """Runs one entry until SIGTERM, then ends gracefully.
+async def serve(settings: NodeSettings, stop: asyncio.Event) -> None:
+    """Runs one entry until `stop` is set, then ends gracefully.
 
     Raises:
         OSError: an address can't be bound.
     """
-    stop = stop_event()
     channels = ChannelPool(Keys(None, None))
     view = FleetView(crashes=CrashBook(random.random()))
     seeds = [settings.rpc_address_at(seed) for seed in settings.seeds]
--- a/damaskcroft/hosted/process.py
+++ b/damaskcroft/hosted/process.py
@@ -1,33 +1,42 @@
 """What every hosted program does around its own work."""
 
 import asyncio
+import os
 import signal
 import sys
 from collections.abc import Awaitable, Callable
 
 from damaskcroft.clock import run
 from damaskcroft.fleet import NodeSettings
-from damaskcroft.observe import log_event, start_logs
+from damaskcroft.observe import end_logs, log_event, log_warning, start_logs
 from damaskcroft.platform.settings import SettingsFileError, load_node_settings
-from damaskcroft.rpc import http_served, start_failure_logged
+from damaskcroft.rpc import http_served, start_failure_logged, stop_event
 
 __all__ = ["run_hosted"]
 
 _EXIT_BAD_SETTINGS = 2
+_EXIT_FORCED = 4
 # At the end, for whoever reads metrics: the platform may end the process soon.
 _METRICS_END_S = 0.2
+# A process that is still there so long before its platform's SIGKILL ends at
+# once: at a program's end asyncio waits for tasks and threads without a bound.
+_FORCED_END_S = 0.3
+_LAST_LINES_S = 0.1
+# Tasks that are named when an end is forced.
+_MOST_NAMED = 5
 
 
 def run_hosted(
     role: str,
-    serve: Callable[[NodeSettings], Awaitable[None]],
+    serve: Callable[[NodeSettings, asyncio.Event], Awaitable[None]],
     metrics_port: int,
 ) -> None:
     """Runs a program from the platform's settings to its end.
 
     Args:
         role: the program's name.
-        serve: its work; returns when it has ended gracefully.
+        serve: its work, given an event that SIGTERM sets; returns when it
+            has ended gracefully.
         metrics_port: where metrics are served; 0 for nowhere.
 
     Raises:
@@ -53,17 +62,39 @@
 
 
 async def _run(
-    serve: Callable[[NodeSettings], Awaitable[None]],
+    serve: Callable[[NodeSettings, asyncio.Event], Awaitable[None]],
     settings: NodeSettings,
     metrics_port: int,
 ) -> None:
-    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, _reload)
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGHUP, _reload)
+    stop = stop_event()
+
+    def bound_end(_: asyncio.Task) -> None:
+        if not stop.is_set():
+            return
+        within_s = settings.bounds.grace_s - _FORCED_END_S
+        loop.call_later(within_s, _end_now)
+
+    # Called back, since a task would be cancelled before the last steps.
+    stopping = asyncio.create_task(stop.wait())
+    stopping.add_done_callback(bound_end)
     if not metrics_port:
-        await serve(settings)
+        await serve(settings, stop)
         return
     metrics_address = f"{settings.ip}:{metrics_port}"
     async with http_served(metrics_address, [], end_s=_METRICS_END_S):
-        await serve(settings)
+        await serve(settings, stop)
+
+
+def _end_now() -> None:
+    """Ends a process whose last steps take too long."""
+    left = [str(task.get_coro()) for task in asyncio.all_tasks()]
+    log_warning(
+        "end_forced", tasks=len(left), named=", ".join(left[:_MOST_NAMED])
+    )
+    end_logs(_LAST_LINES_S)
+    os._exit(_EXIT_FORCED)
 
 
 def _reload() -> None:
--- a/damaskcroft/hosted/tests/test_suspended.py
+++ b/damaskcroft/hosted/tests/test_suspended.py
@@ -72,8 +72,8 @@
     """
     due = []
 
-    async def serve(settings):
-        del settings
+    async def serve(settings, stop):
+        del settings, stop
         view = FleetView()
         goal = fleet_pb2.WeightGoal(model="m", version=2, age_ms=3100)
         view.apply_update(fleet_pb2.FleetUpdate(goals=[goal]))
--- a/damaskcroft/observe/__init__.py
+++ b/damaskcroft/observe/__init__.py
@@ -1,6 +1,11 @@
 """Logs and metrics: what operators watch."""
 
 from damaskcroft.observe import metrics
-from damaskcroft.observe._logs import log_event, log_warning, start_logs
+from damaskcroft.observe._logs import (
+    end_logs,
+    log_event,
+    log_warning,
+    start_logs,
+)
 
-__all__ = ["log_event", "log_warning", "metrics", "start_logs"]
+__all__ = ["end_logs", "log_event", "log_warning", "metrics", "start_logs"]
--- a/damaskcroft/observe/_logs.py
+++ b/damaskcroft/observe/_logs.py
@@ -15,6 +15,8 @@
 
 _NEEDS_QUOTES = frozenset(' "=\n\t')
 _budget = LineBudget()
+# None until logs are started.
+_writer: LineWriter | None = None
 
 
 class _Handler(standard_logging.Handler):
@@ -30,6 +32,7 @@
 
 def start_logs(process: str) -> None:
     """Sends events to standard output, each with the process's name."""
+    global _writer
     # Settings come from INI files; the library waits for flags otherwise.
     flags.FLAGS.mark_as_parsed()
     logging.set_verbosity(logging.INFO)
@@ -38,6 +41,7 @@
         datefmt="%Y-%m-%dT%H:%M:%S",
     )
     writer = LineWriter(told_dropped=lambda count: _dropped(formatter, count))
+    _writer = writer
     atexit.register(writer.close)
     handler = _Handler(writer)
     handler.setFormatter(formatter)
@@ -50,6 +54,12 @@
         standard_logging.getLogger(name).setLevel(standard_logging.ERROR)
 
 
+def end_logs(within_s: float) -> None:
+    """Waits for the last lines, where the process ends without `atexit`."""
+    if _writer is not None:
+        _writer.close(within_s)
+
+
 def log_event(event: str, **fields: object) -> None:
     """Logs one event.
 
--- a/damaskcroft/observe/_writer.py
+++ b/damaskcroft/observe/_writer.py
@@ -60,11 +60,11 @@
         if not self._waiting.is_set():
             self._waiting.set()
 
-    def close(self) -> None:
+    def close(self, within_s: float = _LAST_S) -> None:
         """Waits a little for the last lines to be written."""
         self._closed.set()
         self._waiting.set()
-        self._thread.join(_LAST_S)
+        self._thread.join(within_s)
 
     def _run(self) -> None:
         while not (self._closed.is_set() and not self._lines):
