Judge a route by its answers only once slow ones could have ended

An entry stopped a few seconds after its start had seen quick answers only, and took requests of up to 5.5 s until 2.5 s after SIGTERM, though it could not finish them: beside 30 busy processes, in ten stops of an entry that had served for two seconds, at least 11 streams sent 1.2 to 2.4 s after SIGTERM were cut at the end. (Others of the 44 that ended early had reached their own deadline of 6 s.)

The longest answer of late now counts once the route was seen for as long as its time allows; until then that time counts.

The tests of the gate now name what answers have usually taken.

--- a/damaskcroft/forwarding/_answer_times.py
+++ b/damaskcroft/forwarding/_answer_times.py
@@ -11,23 +11,41 @@
 class AnswerTimes:
     """The longest answers of each route, from arrival to the last byte."""
 
-    __slots__ = ("_began_at", "_earlier_by_route", "_longest_by_route")
+    __slots__ = (
+        "_began_at",
+        "_earlier_by_route",
+        "_longest_by_route",
+        "_since_by_route",
+    )
 
     def __init__(self) -> None:
         """Knows of no answer."""
         self._longest_by_route: dict[str, float] = {}
         self._earlier_by_route: dict[str, float] = {}
+        # When the first request came whose answer is known.
+        self._since_by_route: dict[str, float] = {}
         self._began_at = now_s()
 
     def took(self, route: str, seconds: float) -> None:
-        """Takes note of an answer that has ended."""
+        """Takes note of a whole answer that has just ended."""
         self._forget_old()
+        self._since_by_route.setdefault(route, now_s() - seconds)
         if seconds > self._longest_by_route.get(route, 0.0):
             self._longest_by_route[route] = seconds
 
-    def longest_s(self, route: str) -> float:
-        """What the longest answer of late took; 0 if there was none."""
+    def longest_s(self, route: str, timeout_s: float) -> float:
+        """How long an answer may take, by the longest of late.
+
+        Args:
+            route: its name.
+            timeout_s: when any of its answers is over. This is returned until
+                the route was seen for as long, since only the quick answers
+                are known by then.
+        """
         self._forget_old()
+        since = self._since_by_route.get(route)
+        if since is None or now_s() - since < timeout_s:
+            return timeout_s
         return max(
             self._longest_by_route.get(route, 0.0),
             self._earlier_by_route.get(route, 0.0),
@@ -40,4 +58,9 @@
         is_recent = now - self._began_at < 2 * _WINDOW_S
         self._earlier_by_route = self._longest_by_route if is_recent else {}
         self._longest_by_route = {}
+        self._since_by_route = {
+            route: since
+            for route, since in self._since_by_route.items()
+            if route in self._earlier_by_route
+        }
         self._began_at = now
--- a/damaskcroft/forwarding/_gate.py
+++ b/damaskcroft/forwarding/_gate.py
@@ -31,9 +31,9 @@
 __all__ = ["EntryGate"]
 
 _MS = 1000  # In a second.
-# After it was told to end, an entry takes for this long what others of its
-# route would have left time for: the balancer needs two of its questions, a
-# second apart, to send none. Where all entries end at once it goes on sending,
+# After it was told to end, an entry takes for this long what there is time for
+# by others of its route: the balancer needs two of its questions, a second
+# apart, to send none. Where all entries end at once it goes on sending,
 # and what could be cut by its own time is refused.
 _STILL_TAKEN_S = 2.5
 # A request may take so much longer than others of its route, on a machine that
@@ -238,7 +238,7 @@
         timeout_s = route.timeout_ms / _MS
         if call.deadline_s is not None:
             timeout_s = min(timeout_s, call.deadline_s)
-        usual_s = self._answer_times.longest_s(route.name)
+        usual_s = self._answer_times.longest_s(route.name, timeout_s)
         if self._stop and self._stop.comes_before(timeout_s, usual_s):
             return Refused("stopping", Ran.NO)
         deadline_at = call.arrived_at + timeout_s
--- a/damaskcroft/forwarding/tests/test_stopping.py
+++ b/damaskcroft/forwarding/tests/test_stopping.py
@@ -5,6 +5,7 @@
 import pytest
 
 from damaskcroft.forwarding import _gate
+from damaskcroft.forwarding._answer_times import AnswerTimes
 from damaskcroft.forwarding.tests.fakes import (
     FakeTarget,
     configuration,
@@ -38,10 +39,13 @@
 
 @pytest.fixture
 def at_the_end(monkeypatch):
-    """Runs a scenario with an entry whose first stop takes all requests."""
+    """Runs a scenario with an entry whose answers have taken `usual_s`."""
     monkeypatch.setattr(_gate, "_STILL_TAKEN_S", WITHIN_S / 2)
+    monkeypatch.setattr(_gate, "_SLOWER_S", 0.1)
 
-    def run(target, scenario, **fields):
+    def run(target, scenario, usual_s=0.0, **fields):
+        if usual_s is not None:
+            monkeypatch.setattr(AnswerTimes, "longest_s", lambda *_: usual_s)
         fields = dict(timeout_ms=4000, max_attempts=1) | fields
 
         async def within():
@@ -126,7 +130,10 @@
     at_the_end(target, scenario, streaming=True)
 
 
-def test_what_would_be_cut_by_its_routes_usual_time_is_refused(at_the_end):
+@pytest.mark.parametrize("usual_s", [WITHIN_S, None])
+def test_what_would_be_cut_by_its_routes_usual_time_is_refused(
+    at_the_end, usual_s
+):
     # Against streams that are taken although they can't be finished.
     target = SlowTarget("slow", pause_s=WITHIN_S)
 
@@ -138,15 +145,25 @@
         assert "retry-after" in head
         assert len(target.heads) == 1
 
-    at_the_end(target, scenario)
+    at_the_end(target, scenario, usual_s)
+
+
+def test_what_fits_by_its_routes_usual_time_is_taken(at_the_end):
+    # Against refusals of quick requests while the balancer still sends them.
+    target = SlowTarget("slow", pause_s=WITHIN_S / 5)
+
+    async def scenario(entry):
+        entry.gate.stop(WITHIN_S)
+        assert (await entry.ask(x_deadline="4"))[0] == 200
+
+    at_the_end(target, scenario, WITHIN_S / 5)
 
 
 def test_a_callers_own_deadline_lets_a_request_be_taken(at_the_end):
     # Against refusals of what is over before the end in any case.
-    target = SlowTarget("slow", "whole", pause_s=WITHIN_S)
+    target = SlowTarget("whole")
 
     async def scenario(entry):
-        assert (await entry.ask(x_deadline="4"))[0] == 200
         entry.gate.stop(4 * WITHIN_S)
         await asyncio.sleep(WITHIN_S)
         assert (await entry.ask(x_deadline="4"))[0] == 503
