Wait less at the end for a log that nobody reads

A process whose log's reader had stopped reading took a second more to end, which is longer than what an entry has left of its grace period after its last answers. It now waits for 0.4 s.

--- a/damaskcroft/observe/_writer.py
+++ b/damaskcroft/observe/_writer.py
@@ -19,8 +19,9 @@
 _GATHER_S = 0.05
 # Tells of lines that were dropped, where nobody gives it another form.
 _TOLD_DROPPED = "event=log_lines_dropped count={}"
-# At its end a process waits for its last lines for this long.
-_LAST_S = 1.0
+# At its end a process waits for its last lines for this long; the platform may
+# end it soon.
+_LAST_S = 0.4
 
 
 class LineWriter:
--- a/damaskcroft/observe/tests/test_logs.py
+++ b/damaskcroft/observe/tests/test_logs.py
@@ -108,3 +108,18 @@
     assert {line.process for line in told} == {"p-1"}
     floods = sum(line.event == "flood" for line in lines)
     assert floods + sum(line.number("count") for line in told) == 20_000
+
+
+def test_a_reader_that_stops_reading_does_not_hold_up_the_end():
+    # Against a process that its platform kills while it waits for its reader.
+    process = subprocess.Popen(
+        [sys.executable, "-c", FLOODING],
+        stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=subprocess.PIPE,
+        text=True,
+    )  # fmt: skip
+    with process:
+        assert process.stderr.readline() == "written\n"
+        told_at = time.monotonic()
+        process.stdin.close()
+        process.wait(10)
+        assert time.monotonic() - told_at < 0.95
