--- a/damaskcroft/hosted/entry.py
+++ b/damaskcroft/hosted/entry.py
@@ -31,7 +31,7 @@
     RetryWindow,
     SilenceWatch,
 )
-from damaskcroft.rpc import ChannelPool, Keys, http_served, stop_event
+from damaskcroft.rpc import ChannelPool, Keys, http_served
 from damaskcroft.tasks import background
 
 __all__ = ["serve"]
@@ -50,17 +50,18 @@
 _SPARE_S = 0.8
 # Of what is left, kept back from waiting for callers to close connections.
 _LINGER_SPARE_S = 0.6
+# At the end, for background tasks, after each word to end.
+_BACKGROUND_END_S = 0.1
 # At the end, for whoever asks whether the entry is ready.
 _READY_END_S = 0.2
 
 
-async def serve(settings: NodeSettings) -> None:
-    """Runs one entry until SIGTERM, then ends gracefully.
+async def serve(settings: NodeSettings, stop: asyncio.Event) -> None:
+    """Runs one entry until `stop` is set, then ends gracefully.
 
     Raises:
         OSError: an address can't be bound.
     """
-    stop = stop_event()
     channels = ChannelPool(Keys(None, None))
     view = FleetView(crashes=CrashBook(random.random()))
     seeds = [settings.rpc_address_at(seed) for seed in settings.seeds]
@@ -146,7 +147,13 @@
             settings.ready_address, ready_routes(is_ready), end_s=_READY_END_S
         ),
         callers_served(settings.caller_address, gate) as callers,
-        background(watcher.run, forwarder.run, reporter.run, keep_clean),
+        background(
+            watcher.run,
+            forwarder.run,
+            reporter.run,
+            keep_clean,
+            end_s=_BACKGROUND_END_S,
+        ),
     ):
         log_event("started", role="entry", address=settings.caller_address)
         await stop.wait()
--- a/damaskcroft/observe/_writer.py
+++ b/damaskcroft/observe/_writer.py
@@ -19,8 +19,9 @@
 _GATHER_S = 0.05
 # Tells of lines that were dropped, where nobody gives it another form.
 _TOLD_DROPPED = "event=log_lines_dropped count={}"
-# At its end a process waits for its last lines for this long.
-_LAST_S = 1.0
+# At its end a process waits for its last lines for this long; the platform may
+# end it soon.
+_LAST_S = 0.4
 
 
 class LineWriter:
@@ -60,11 +61,11 @@
         if not self._waiting.is_set():
             self._waiting.set()
 
-    def close(self) -> None:
+    def close(self, within_s: float = _LAST_S) -> None:
         """Waits a little for the last lines to be written."""
         self._closed.set()
         self._waiting.set()
-        self._thread.join(_LAST_S)
+        self._thread.join(within_s)
 
     def _run(self) -> None:
         while not (self._closed.is_set() and not self._lines):
