The soak judges requests that an entry held and dropped

A request that no target began, and whose connection ends later than 0.2 s after it was sent without a byte, is lost as well; before that it may have crossed the close. It is excused as the others, by its entry alone.

--- a/damaskcroft/hosted/tests/soak/_answers.py
+++ b/damaskcroft/hosted/tests/soak/_answers.py
@@ -1,4 +1,4 @@
-"""Which requests that a target began should have had a whole answer."""
+"""Which requests should have had a whole answer."""
 
 import collections
 import dataclasses
@@ -10,6 +10,8 @@
 # it was asked for that targets still work on in the last part of the grace.
 _SENT_UNTIL_S = 3.0
 _LAST_PART = 1 / 6
+# A request that no target began may cross the close of its connection.
+_CROSSING_S = 0.2
 # Answers that an entry makes itself if it gives a request up.
 _GIVEN_UP = (502, 504)
 
@@ -67,6 +69,9 @@
     def owed(self, asked_by_id, runs_by_id):
         """Ids of the requests that nothing excuses, in the order sent.
 
+        These are requests that a target began, and those that no target began
+        whose callers were held and got nothing.
+
         Args:
             asked_by_id: requests as their callers saw them.
             runs_by_id: the runs of each.
@@ -74,9 +79,9 @@
         return [
             request_id
             for request_id, asked in asked_by_id.items()
-            if runs_by_id.get(request_id)
-            and not math.isinf(asked.ended_at)
-            and not self._is_excused(asked, runs_by_id[request_id])
+            if not math.isinf(asked.took_s)
+            and (runs_by_id.get(request_id) or _was_held(asked))
+            and not self._is_excused(asked, runs_by_id.get(request_id, []))
         ]
 
     def breaches(self, asked_by_id, runs_by_id):
@@ -90,7 +95,7 @@
             asked = asked_by_id[request_id]
             what = _shortfall(asked)
             if what:
-                ran = _told(asked, runs_by_id[request_id])
+                ran = _told(asked, runs_by_id.get(request_id, []))
                 yield f"{request_id} {what}: {ran}"
 
     def _is_excused(self, asked, runs):
@@ -132,6 +137,11 @@
         )
 
 
+def _was_held(asked):
+    """Whether a caller without an answer waited for one."""
+    return not asked.status and asked.took_s > _CROSSING_S
+
+
 def _shortfall(asked):
     """What is wrong with an answer; nothing if it is whole."""
     if not asked.status:
@@ -150,5 +160,6 @@
     )
     return (
         f"{asked.kind} to {asked.entry}, status {asked.status}, sent at "
-        f"{asked.sent_at:.3f}, ended at {asked.ended_at:.3f}, ran at {ran}"
+        f"{asked.sent_at:.3f}, ended at {asked.ended_at:.3f}, "
+        f"ran at {ran or 'no target'}"
     )
--- a/damaskcroft/hosted/tests/test_soak_answers.py
+++ b/damaskcroft/hosted/tests/test_soak_answers.py
@@ -62,8 +62,22 @@
     assert breaches(owed, asked(status, complete=True), run()) == []
 
 
-def test_what_no_target_began_is_not_owed(owed):
-    # Against a judge that counts requests that crossed an entry's close.
+@pytest.mark.parametrize(("held_s", "found"), [(0.1, 0), (0.3, 1)])
+def test_what_no_target_began_is_owed_once_it_was_held(owed, held_s, found):
+    # Against a judge that counts requests that crossed an entry's close, and
+    # one that forgets requests that an entry took and dropped.
+    assert len(breaches(owed, asked(ended_at=SENT_AT + held_s))) == found
+
+
+@pytest.mark.parametrize("status", [429, 502, 503, 504])
+def test_refusals_of_what_no_target_began_are_no_breach(owed, status):
+    # Against a judge that takes an entry without a target for a loss.
+    assert breaches(owed, asked(status, complete=True)) == []
+
+
+def test_a_disturbed_entry_excuses_what_no_target_began(owed):
+    # Against a judge that counts connections to an entry that was killed.
+    owed.disturbed("e", [SENT_AT, SENT_AT + 1])
     assert breaches(owed, asked()) == []
 
 
