--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -1,7 +1,8 @@
 """Carries a caller's request to a target and the answer back, once."""
 
 import asyncio
-from collections.abc import Callable
+import contextlib
+from collections.abc import AsyncIterator, Callable
 
 from damaskcroft.clock import now_s
 from damaskcroft.forwarding._attempt import (
@@ -121,6 +122,8 @@
         self._delays = delays
         self._silence = silence
         self._running = Running(services, suspects)
+        # Of jobs that are under way.
+        self._bounds: set[asyncio.Timeout] = set()
         self._queue = RequestQueue(
             self._choose,
             lambda candidate, ticket: self._take(
@@ -167,9 +170,11 @@
         self._retry_window.earn()
         progress = Progress(job.call)
         try:
-            async with asyncio.timeout_at(job.deadline_at):
+            async with self._bounded(job.deadline_at) as bound:
                 ending = await self._try_targets(job, answer, progress)
         except TimeoutError:
+            if not bound.expired():
+                raise
             ending = given_up(DEADLINE, progress)
         except (asyncio.CancelledError, ChannelLostError):
             self._note_cut(job, progress, answer)
@@ -181,6 +186,25 @@
                 self._log.unanswered(job, progress, answer, ended_by, reason)
         return ending
 
+    def end_by(self, ends_at: float) -> None:
+        """Gives each job that is under way its final answer by a loop time."""
+        for bound in self._bounds:
+            until = bound.when()
+            if until is None or until > ends_at:
+                bound.reschedule(ends_at)
+
+    @contextlib.asynccontextmanager
+    async def _bounded(
+        self, deadline_at: float
+    ) -> AsyncIterator[asyncio.Timeout]:
+        """Ends the block by TimeoutError at a deadline, or by `end_by`."""
+        async with asyncio.timeout_at(deadline_at) as bound:
+            self._bounds.add(bound)
+            try:
+                yield bound
+            finally:
+                self._bounds.discard(bound)
+
     def _note_cut(self, job: Job, progress: Progress, answer: Answer) -> None:
         """The caller's connection is gone, by the caller or by our own end."""
         if answer.caller_has_ended:
