Whichever of two attempts has something to give goes on

A review of the attempts beside silent targets showed by tests what callers could still lose. Either attempt was ended for the head of the other: for a head without an event, half a body, a late refusal or a failure. Half of a large answer was cut for one that could not replace it, and a stream was joined to a large refusal. A caller that read slowly made its target look silent, and got an event twice. A caller that had closed its connection got a second attempt. Requests under which a target had crashed waited for silent targets to their deadlines, and a second attempt could hang on a kept connection that was as silent as the first, or, cancelled before it had begun, cost budget.

Now an attempt ends the others at the moment at which it has something for the caller: an event, or a whole body. One whose answer is no stream and has begun has no second beside it, nor one that waits for its caller. An event counts as given before the caller has read it. A second attempt takes its place and budget once it runs, on a connection of its own. Suspects leave a silent target first, where another is there. Targets that were put aside are asked where no other is.

--- a/damaskcroft/forwarding/_attempt.py
+++ b/damaskcroft/forwarding/_attempt.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterator
 
 from damaskcroft.clock import now_s
 from damaskcroft.forwarding._call import AnswerFacts, Call, Passing, Wire
@@ -83,6 +83,7 @@
     """A request that is being sent to one target."""
 
     __slots__ = (
+        "_anew",
         "_call",
         "_connection",
         "_heard",
@@ -96,6 +97,7 @@
         "finished",
         "given_up",
         "is_sent",
+        "is_waiting",
     )
 
     def __init__(
@@ -107,6 +109,7 @@
         passing: Passing,
         heard: Callable[[], None],
         why_not_send: Callable[[float], str | None],
+        anew: bool,
     ):
         """Prepares an attempt; `begin` sends it.
 
@@ -120,7 +123,10 @@
             why_not_send: asked right before the first byte is sent, with
                 the seconds that connecting took: much may have changed by
                 then. None to send it.
+            anew: whether on a new connection: kept ones may be as silent as
+                the one that made it needed.
         """
+        self._anew = anew
         self._heard = heard
         self._why_not_send = why_not_send
         # Why it was ended from outside; empty while it wasn't.
@@ -133,6 +139,8 @@
         self._connection: TargetConnection | None = None
         # Whether any byte of the request may have left.
         self.is_sent = False
+        # Whether it waits for the target now, and not for the caller.
+        self.is_waiting = False
         # Whether the answer came whole, so that the connection may be kept.
         self.finished = False
         # Whether the target has begun to answer.
@@ -142,7 +150,7 @@
 
     async def begin(self) -> NotSent | NotRun | Lost | Answered:
         """Sends the request and reads the head of its answer."""
-        connection = self._pool.idle(self._place)
+        connection = None if self._anew else self._pool.idle(self._place)
         began_at = now_s()
         if connection is None:
             try:
@@ -163,7 +171,8 @@
             await connection.send(
                 self._call.method, self._call.target, headers, self._call.body
             )
-            head = await connection.read_head(self._is_ours)
+            with self._waiting():
+                head = await connection.read_head(self._is_ours)
         except NoAnswerError as error:
             return self.lost(_lost_reason(error, connection))
         if self.given_up:
@@ -185,7 +194,8 @@
             CutShortError: the body ended before its end.
         """
         assert self._connection is not None, "begin comes first"
-        part = await self._connection.read_part()
+        with self._waiting():
+            part = await self._connection.read_part()
         if self.given_up:
             # What had come before the connection was closed.
             raise CutShortError(self.given_up)
@@ -204,6 +214,14 @@
             return Lost(self.given_up, given_up=True)
         return Lost(reason, cut=True)
 
+    @contextlib.contextmanager
+    def _waiting(self) -> Iterator[None]:
+        self.is_waiting = True
+        try:
+            yield
+        finally:
+            self.is_waiting = False
+
     def give_up(self, reason: str) -> None:
         """Ends the attempt from outside; it counts as lost."""
         if self._connection is not None:
@@ -251,9 +269,11 @@
     passing: Passing,
     heard: Callable[[], None],
     why_not_send: Callable[[float], str | None] = lambda _: None,
+    *,
+    anew: bool = False,
 ) -> AsyncIterator[Attempt]:
     """One attempt; whatever ends the block also ends the target's work."""
-    made = Attempt(wire, pool, place, call, passing, heard, why_not_send)
+    made = Attempt(wire, pool, place, call, passing, heard, why_not_send, anew)
     try:
         yield made
     finally:
--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -14,7 +14,7 @@
 )
 from damaskcroft.forwarding._availability import Availability, returns_s
 from damaskcroft.forwarding._call import AnswerFacts, Passing, Wire
-from damaskcroft.forwarding._hedge import Hedge, hedged
+from damaskcroft.forwarding._hedge import SILENT, Hedge, hedged
 from damaskcroft.forwarding._job import (
     DEADLINE,
     BrokenOff,
@@ -239,50 +239,50 @@
         if not silent_ids:
             return
         for waiting in self._running.at(silent_ids):
-            taken = self._place_beside(
-                waiting.job, waiting.progress, silent_ids
-            )
-            if taken is not None:
-                self._begin_beside(waiting, taken)
-
-    def _begin_beside(self, waiting: Sending, taken: SlotTaken) -> None:
-        second = waiting.hedge.begin(
-            self._try_one(
-                waiting.job,
-                waiting.answer,
-                waiting.progress,
-                taken,
-                waiting.hedge,
-            )
+            if self._choose_beside(waiting, silent_ids) is None:
+                continue
+            if self._suspects.is_suspect(waiting.job, waiting.progress):
+                # Copies of what crashes targets never run beside each other.
+                waiting.made.give_up(SILENT)
+                continue
+            waiting.hedge.begin(self._try_beside(waiting, silent_ids))
+
+    async def _try_beside(
+        self, waiting: Sending, silent_ids: set[str]
+    ) -> Ending | None:
+        """A second attempt; None if there is none, or it gives no answer."""
+        placed = self._choose_beside(waiting, silent_ids)
+        if placed is None or not self._retry_window.spend():
+            return None
+        slot = self._take(
+            placed.candidate, waiting.job.call.prompt_tokens, is_suspect=False
+        )
+        return await self._try_one(
+            waiting.job,
+            waiting.answer,
+            waiting.progress,
+            SlotTaken(placed.candidate, slot),
+            waiting.hedge,
         )
-        # Also if it is cancelled before it has begun.
-        second.add_done_callback(lambda _: taken.slot.give_back())
-
-    def _place_beside(
-        self, job: Job, progress: Progress, silent_ids: set[str]
-    ) -> SlotTaken | None:
-        """Takes a slot for a second attempt, where one may be of use.
 
-        Copies of what crashes targets never run beside each other.
-        """
-        if self._suspects.is_suspect(job, progress):
-            return None
+    def _choose_beside(
+        self, waiting: Sending, silent_ids: set[str]
+    ) -> Placement | None:
+        """Where a second attempt may be of use; None if nowhere."""
+        job, progress = waiting.job, waiting.progress
         if self._why_stop(job, progress) is not None:
             return None
-        others = [
-            candidate
-            for candidate in self._availability.candidates(
-                job.service, job.call.model
-            )
-            if candidate.id not in silent_ids
-            and not self._outliers.is_aside(candidate.id)
-        ]
-        prompt_tokens = job.call.prompt_tokens
-        placed = self._placer.choose(others, progress.excluded, prompt_tokens)
-        if placed is None or not self._retry_window.spend():
+        if waiting.answer.caller_has_ended:
+            # It may have left: only what is written to it would tell.
             return None
-        slot = self._take(placed.candidate, prompt_tokens, is_suspect=False)
-        return SlotTaken(placed.candidate, slot)
+        if self._retry_window.left < 1:
+            return None
+        return self._placer.choose(
+            self._availability.candidates(job.service, job.call.model),
+            progress.excluded | silent_ids,
+            job.call.prompt_tokens,
+            is_suspect=self._suspects.is_suspect(job, progress),
+        )
 
     async def _place(self, job: Job, progress: Progress) -> SlotTaken | Ending:
         """Takes a slot at a target.
@@ -437,10 +437,11 @@
                 place,
                 job.call,
                 passing,
-                lambda: self._heard(target, hedge),
+                lambda: self._silence.heard(target.id),
                 lambda connect_s: self._why_not_send(
                     job, progress, target, taken_at, connect_s
                 ),
+                anew=hedge.is_second,
             ) as made:
                 hedge.first = made
                 sending = Sending(
@@ -488,7 +489,6 @@
             why_not = why_not_instead(sending, begun)
             if why_not is not None:
                 return Lost(why_not)
-            sending.hedge.answers()
         return await self._relay.give(sending, begun)
 
     def _judge(
@@ -529,10 +529,6 @@
             return given_up("lost", progress)
         return None
 
-    def _heard(self, target: Candidate, hedge: Hedge) -> None:
-        self._silence.heard(target.id)
-        hedge.first_heard()
-
     def _note_unsent(self, progress: Progress) -> None:
         """Takes back what was noted of an attempt that has sent nothing."""
         progress.runs -= 1
--- a/damaskcroft/forwarding/_hedge.py
+++ b/damaskcroft/forwarding/_hedge.py
@@ -21,7 +21,7 @@
 
 
 class Hedge:
-    """Two attempts of one job, of which whichever is heard first goes on.
+    """Two attempts of one job, of which whichever has an answer goes on.
 
     Attributes:
         first: the attempt that may have a second beside it; None before it
@@ -41,12 +41,22 @@
         self._second: asyncio.Task[Ending | None] | None = None
         self._is_awaited = False
 
+    @property
+    def is_second(self) -> bool:
+        """Whether the first attempt is itself a second one of another hedge."""
+        return self._instead_of is not None
+
+    @property
+    def is_running(self) -> bool:
+        """Whether a second attempt is under way."""
+        return self._second is not None and not self._second.done()
+
     @property
     def may_begin(self) -> bool:
-        """Whether the first attempt waits for a target, without a second."""
-        if self.first is None or not self.first.is_sent:
+        """Whether the first attempt waits for its target, without a second."""
+        if self.first is None or not self.first.is_waiting:
             return False
-        return self._second is None or self._second.done()
+        return not self.is_running
 
     def begin(
         self, trial: Coroutine[Any, Any, Ending | None]
@@ -56,18 +66,10 @@
         self._second = asyncio.create_task(trial)
         return self._second
 
-    def first_heard(self) -> None:
-        """The first target speaks: nothing else is needed."""
+    def takes_over(self) -> None:
+        """The first attempt is about to answer the caller: others are ended."""
         if self._second is not None:
             self._second.cancel()
-
-    @property
-    def is_second(self) -> bool:
-        """Whether the first attempt is itself a second one of another hedge."""
-        return self._instead_of is not None
-
-    def answers(self) -> None:
-        """The first attempt is answered: those that it is beside are ended."""
         outer = self._instead_of
         while outer is not None:
             if outer.first is not None:
--- a/damaskcroft/forwarding/_relay.py
+++ b/damaskcroft/forwarding/_relay.py
@@ -100,11 +100,12 @@
             return made.lost(f"cut_short: {error}")
         if head.status >= SERVER_ERROR and _may_repeat(sending):
             return Lost(f"status_{head.status}")
+        sending.hedge.takes_over()
         headers = self._wire.answer_headers(head)
         if complete:
             await answer.give(head.status, headers, body)
             return Gave(head.status)
-        sending.progress.begun = True
+        sending.progress.begun = sending.progress.is_tied = True
         await answer.begin(head.status, headers)
         await answer.part(body)
         try:
@@ -122,14 +123,17 @@
         try:
             while part := await sending.made.read_part():
                 for event in splitter.feed(part):
+                    if sending.made.given_up:
+                        return sending.made.lost("stream_cut")
                     if _is_old(event.id, progress):
                         continue
                     await self._begin(sending, head)
-                    await answer.part(event.data)
-                    progress.events += 1
-                    self._note_given(sending)
+                    # Also while the caller reads slowly: it is as good as sent.
                     if event.id is not None:
                         progress.last_event_id = event.id
+                    progress.events += 1
+                    await answer.part(event.data)
+                    self._note_given(sending)
         except (CutShortError, ValueError) as error:
             return sending.made.lost(f"stream_cut: {error}")
         if splitter.rest:
@@ -139,6 +143,7 @@
         return Gave(head.status)
 
     async def _begin(self, sending: Sending, head: Head) -> None:
+        sending.hedge.takes_over()
         if sending.progress.begun:
             return
         sending.progress.begun = True
@@ -155,7 +160,7 @@
 
 
 def why_not_instead(sending: Sending, answered: Answered) -> str | None:
-    """Why an answer can't take the place of a silent target's; None if it can.
+    """Why an answer can't take the place of a silent target's; None if it may.
 
     The silent one may still give a better one.
     """
@@ -178,4 +183,6 @@
     job = sending.job
     if not job.is_repeatable:
         return False
+    if sending.hedge.is_running:
+        return True
     return sending.progress.sent < job.route.max_attempts
--- a/damaskcroft/forwarding/_running.py
+++ b/damaskcroft/forwarding/_running.py
@@ -47,6 +47,7 @@
             for running in self._sendings
             if running.target.id in target_ids
             and running.job.is_repeatable
+            and not running.progress.is_tied
             and running.hedge.may_begin
         ]
 
