Play consensus through losses of one disk and of all power

The replicas' own disk code runs on real folders; the stand-in notes what each file and each folder held when it was last synced.

--- a/damaskcroft/consensus/tests/power.py
+++ b/damaskcroft/consensus/tests/power.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import os
 import pathlib
 
@@ -65,8 +66,10 @@
         self.handle_by_inode = {}
         self.content_by_inode = {}
         self.names_by_folder = {}
-        # May raise.
-        self.before_sync = lambda: None
+        # A sync that is under way at a kill need not be carried out.
+        self.kills_by_machine = collections.Counter()
+        # Gets the name of the file or folder; may raise.
+        self.before_sync = lambda name: None
         self.boots = 0
 
     def patch(self, monkeypatch):
@@ -76,8 +79,8 @@
         monkeypatch.setattr(asyncio, "to_thread", self.sync_slowly)
 
     def sync(self, handle):
-        self.before_sync()
         path = path_of(handle)
+        self.before_sync(path.name)
         if not path.is_dir():
             self.keep(handle, content_of(handle))
             return
@@ -88,10 +91,14 @@
     async def sync_slowly(self, work, handle):
         """Only what was written before the call is sure to be kept."""
         del work
-        self.before_sync()
+        self.before_sync(path_of(handle).name)
         content = content_of(handle)
         before = self.content_by_inode.get(os.fstat(handle).st_ino)
+        machine = path_of(handle).relative_to(self.root).parts[0]
+        kills = self.kills_by_machine[machine]
         await asyncio.sleep(MAX_SYNC_S * self.rng.random())
+        if self.kills_by_machine[machine] > kills:
+            raise PowerLostError("the process is gone")
         if self.content_by_inode.get(os.fstat(handle).st_ino) is before:
             self.keep(handle, content)
 
@@ -173,6 +180,7 @@
         self.removed = set()
         self.wiped = set()
         self.syncs_left = None
+        self.dark_at_name = None
         self.is_dark = False
         folders.before_sync = self.count_sync
         super().__init__(loop, seed, snapshot_entries)
@@ -185,27 +193,30 @@
     def disk_of(self, member):
         return PowerDisk(self.folder_by_member[member] / "log")
 
-    def lose_power(self, syncs, wiped):
+    def lose_power(self, syncs, wiped, name=None):
         """All machines go dark before one of the next syncs of any of them.
 
         Args:
             syncs: how many syncs are still made.
             wiped: members whose disks are lost in the same moment.
+            name: counts only syncs of files of this name.
         """
+        self.dark_at_name = name
         self.syncs_left = syncs
         self.wiped = wiped
 
-    def count_sync(self):
+    def count_sync(self, name):
         if self.is_dark:
             raise PowerLostError("dark")
-        if self.syncs_left is None:
+        if self.syncs_left is None or self.dark_at_name not in (None, name):
             return
         self.syncs_left -= 1
         if self.syncs_left < 0:
             self.go_dark()
             raise PowerLostError("dark")
 
-    def go_dark(self):
+    def go_dark(self, kept_share=None):
+        """Now; some of what wasn't synced is kept, or a given share of it."""
         self.is_dark = True
         self.syncs_left = None
         addresses = list(self.network.replicas_by_address)
@@ -217,7 +228,7 @@
             self.folder_by_member[member] = (
                 self.folders.empty(member)
                 if member in self.wiped
-                else self.folders.after_power_loss(member, folder)
+                else self.folders.after_power_loss(member, folder, kept_share)
             )
 
     def power_up(self):
@@ -239,10 +250,18 @@
         replica = self.replicas.pop(member)
         del self.network.replicas_by_address[address_of(member)]
         self.disks[member].dead = True
+        self.folders.kills_by_machine[self.folder_by_member[member].name] += 1
         self.loop.run(replica.stop())
         self.disks[member].close()
         self.disks[member] = self.disk_of(member)
 
+    def stop(self):
+        """Leaves the loop to whoever made it."""
+        for replica in self.replicas.values():
+            self.loop.run(replica.stop())
+        for disk in self.disks.values():
+            disk.close()
+
     def remove(self, member):
         """A machine that is gone for good."""
         self.crash(member)
