Bound how long the end of a gRPC server waits for its calls

An agent or a control node that ends cancels the calls that it is answering and waited for them without a bound. A call that overhears its cancellation kept the program.

--- a/damaskcroft/rpc/_server.py
+++ b/damaskcroft/rpc/_server.py
@@ -1,5 +1,6 @@
 """Serving gRPC for the length of a block."""
 
+import asyncio
 import contextlib
 from collections.abc import AsyncIterator, Sequence
 from typing import Any
@@ -7,11 +8,14 @@
 from grpclib.config import Configuration
 from grpclib.server import Server
 
+from damaskcroft.observe import log_warning
 from damaskcroft.rpc._channels import split_address
 from damaskcroft.rpc._keys import Keys
 
 _CONNECTION_WINDOW_BYTES = 8 * 1024 * 1024
 _STREAM_WINDOW_BYTES = 4 * 1024 * 1024
+# For calls that were cancelled at the end of the block, to end.
+_END_S = 2.0
 
 
 @contextlib.asynccontextmanager
@@ -20,7 +24,7 @@
 ) -> AsyncIterator[Server]:
     """Serves `services` at `address` until the block ends.
 
-    Calls still running then are cancelled.
+    Calls still running then are cancelled, and waited for, but not for ever.
     """
     config = Configuration(
         http2_connection_window_size=_CONNECTION_WINDOW_BYTES,
@@ -33,4 +37,8 @@
         yield server
     finally:
         server.close()
-        await server.wait_closed()
+        try:
+            async with asyncio.timeout(_END_S):
+                await server.wait_closed()
+        except TimeoutError:
+            log_warning("calls_held_up", address=address)
--- a/damaskcroft/rpc/tests/test_channels.py
+++ b/damaskcroft/rpc/tests/test_channels.py
@@ -13,6 +13,7 @@
 """
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -106,3 +107,34 @@
         return asyncio.get_running_loop().time() - began_at
 
     assert asyncio.run(scenario()) < 2
+
+
+class HeldUp(Peer):
+    """Goes on for five seconds when it is cancelled."""
+
+    def __init__(self):
+        self.called = asyncio.Event()
+
+    async def Exchange(self, stream):  # noqa: N802
+        self.called.set()
+        until = asyncio.get_running_loop().time() + 5.0
+        while asyncio.get_running_loop().time() < until:
+            with contextlib.suppress(asyncio.CancelledError):
+                await asyncio.sleep(0.1)
+
+
+def test_a_call_that_goes_on_when_cancelled_does_not_hold_up_the_end(address):
+    # Against a program that waits at its end for a call without a bound.
+    async def scenario():
+        pool, peer = ChannelPool(OPEN), HeldUp()
+        async with grpc_served(address, [peer], OPEN):
+            stub = agent_grpc.ChunksStub(pool.channel(address))
+            async with stub.Exchange.open() as stream:
+                await stream.send_request()
+                await peer.called.wait()
+                await stream.cancel()
+            told_at = asyncio.get_running_loop().time()
+        pool.close()
+        assert asyncio.get_running_loop().time() - told_at < 3.5
+
+    asyncio.run(scenario())
