--- a/damaskcroft/hosted/process.py
+++ b/damaskcroft/hosted/process.py
@@ -1,29 +1,29 @@
 """What every hosted program does around its own work."""
 
 import asyncio
-import os
 import signal
 import sys
 from collections.abc import Awaitable, Callable
 
 from damaskcroft.clock import run
 from damaskcroft.fleet import NodeSettings
-from damaskcroft.observe import end_logs, log_event, log_warning, start_logs
+from damaskcroft.observe import log_event, start_logs
 from damaskcroft.platform.settings import SettingsFileError, load_node_settings
-from damaskcroft.rpc import http_served, start_failure_logged, stop_event
+from damaskcroft.rpc import (
+    end_now,
+    http_served,
+    start_failure_logged,
+    stop_event,
+)
 
 __all__ = ["run_hosted"]
 
 _EXIT_BAD_SETTINGS = 2
-_EXIT_FORCED = 4
 # At the end, for whoever reads metrics: the platform may end the process soon.
 _METRICS_END_S = 0.2
 # A process that is still there so long before its platform's SIGKILL ends at
 # once: at a program's end asyncio waits for tasks and threads without a bound.
 _FORCED_END_S = 0.3
-_LAST_LINES_S = 0.1
-# Tasks that are named when an end is forced.
-_MOST_NAMED = 5
 
 
 def run_hosted(
@@ -74,7 +74,7 @@
         if not stop.is_set():
             return
         within_s = settings.bounds.grace_s - _FORCED_END_S
-        loop.call_later(within_s, _end_now)
+        loop.call_later(within_s, end_now)
 
     # Called back, since a task would be cancelled before the last steps.
     stopping = asyncio.create_task(stop.wait())
@@ -87,16 +87,6 @@
         await serve(settings, stop)
 
 
-def _end_now() -> None:
-    """Ends a process whose last steps take too long."""
-    left = [str(task.get_coro()) for task in asyncio.all_tasks()]
-    log_warning(
-        "end_forced", tasks=len(left), named=", ".join(left[:_MOST_NAMED])
-    )
-    end_logs(_LAST_LINES_S)
-    os._exit(_EXIT_FORCED)
-
-
 def _reload() -> None:
     """Reads changed settings.
 
--- a/damaskcroft/rpc/__init__.py
+++ b/damaskcroft/rpc/__init__.py
@@ -9,7 +9,11 @@
 )
 from damaskcroft.rpc._http import CallerLeft, http_served, unless_caller_leaves
 from damaskcroft.rpc._keys import Keys, KeysError, load_keys
-from damaskcroft.rpc._process import start_failure_logged, stop_event
+from damaskcroft.rpc._process import (
+    end_now,
+    start_failure_logged,
+    stop_event,
+)
 from damaskcroft.rpc._server import grpc_served
 
 __all__ = [
@@ -20,6 +24,7 @@
     "Keys",
     "KeysError",
     "called",
+    "end_now",
     "grpc_served",
     "http_served",
     "load_keys",
--- a/damaskcroft/rpc/_daemon.py
+++ b/damaskcroft/rpc/_daemon.py
@@ -1,5 +1,6 @@
 """What every daemon does around its own work: settings, logs, keys."""
 
+import asyncio
 import pathlib
 from collections.abc import Awaitable, Callable
 from typing import Any, TypeVar
@@ -10,8 +11,10 @@
 from damaskcroft.config import settings_or_exit
 from damaskcroft.observe import start_logs
 from damaskcroft.rpc._keys import Keys, KeysError, load_keys
-from damaskcroft.rpc._process import start_failure_logged
+from damaskcroft.rpc._process import end_now, start_failure_logged
 
+# For what a program leaves at its end: tasks and threads that don't end.
+_LAST_STEPS_S = 10.0
 _SettingsT = TypeVar("_SettingsT", bound=Message)
 
 
@@ -51,4 +54,7 @@
 
 
 async def _awaited(work: Awaitable[None]) -> None:
-    await work
+    try:
+        await work
+    finally:
+        asyncio.get_running_loop().call_later(_LAST_STEPS_S, end_now)
