Let no caller keep an entry of the product's own from ending

An entry that stops waited for its answers without a bound: one caller that reads no further kept it, since a call's deadline ends its work but not the sending of its answer. It now waits until 2 s after the last deadline of its calls, logs `answers_held_up`, and closes connections as before.

The wait has moved to a class of its own with tests in virtual time; test_a_caller_that_reads_no_further_does_not_keep_an_entry could not end by the old loop. Not shown with processes.

--- a/damaskcroft/entry/main.py
+++ b/damaskcroft/entry/main.py
@@ -23,6 +23,7 @@
     refusal_body,
     refusal_response,
 )
+from damaskcroft.entry._running import RunningCalls
 from damaskcroft.membership import LeaseClient
 from damaskcroft.observe import log_event, metrics
 from damaskcroft.routing import Admission, PoolTable
@@ -38,7 +39,6 @@
 from damaskcroft.tasks import background
 
 _STOP_RETRY_S = 1.0
-_STOP_POLL_S = 0.05
 # Between saying "not ready" and the last accepted connection, so that the
 # balancer has seen it.
 _BALANCER_NOTICE_S = 0.5
@@ -93,7 +93,7 @@
             process.region, rules.default_deadline_s, rules.max_body_bytes
         )
         self._stopping = False
-        self._running = 0
+        self._running = RunningCalls()
 
     async def serve(self) -> None:
         """Runs until SIGTERM or SIGINT, then ends gracefully.
@@ -121,10 +121,9 @@
             log_event("started", id=self._settings.process.name)
             await stop.wait()
             self._stopping = True
-            log_event("stopping", running=self._running)
+            log_event("stopping", running=self._running.count)
             await asyncio.sleep(_BALANCER_NOTICE_S)
-            while self._running:
-                await asyncio.sleep(_STOP_POLL_S)
+            await self._running.finish()
         log_event(
             "stopped",
             idle_connections=metrics.idle_connections_closed("idle"),
@@ -160,13 +159,13 @@
             refusal = Refusal("stopping", 503, Ran.NOT_RUN, _STOP_RETRY_S)
             response = refusal_response(refusal, call.request_id)
             return self._tracked(final_of(response))
-        self._begin()
+        self._running.begin(call.deadline_s)
         try:
             final = await self._answer_unless_left(request, call)
         except BaseException:
-            self._end()
+            self._running.end()
             raise
-        return self._tracked(final, self._end)
+        return self._tracked(final, self._running.end)
 
     async def _answer_unless_left(self, request: Request, call: Call) -> Final:
         """Cancels a call whose caller has gone.
@@ -187,14 +186,6 @@
     ) -> Response:
         return _Tracked(final, lambda: self._stopping, ended)
 
-    def _begin(self) -> None:
-        self._running += 1
-        metrics.ADMISSION_OUTSTANDING.set(self._running)
-
-    def _end(self) -> None:
-        self._running -= 1
-        metrics.ADMISSION_OUTSTANDING.set(self._running)
-
     async def _healthy(self, _: Request) -> Response:
         return JSONResponse({"healthy": True})
 
