A connection counts as open until its last answer has left

A caller that reads slowly, or behind a slow link, got half of its last answer from a stopping entry: the entry's connection counted as ended while up to 64 KB of the answer were still queued in the process, and the process ended with its last connection.

The connection's task now ends when the kernel has taken everything, within the idle timeout of the caller's limits; a caller that reads nothing for so long is logged (answer_unread) and closed as before. test_an_answer_leaves_whole_before_its_connection_has_ended failed before: no connection was open any more while the answer was unread.

--- a/damaskcroft/http1/_channel.py
+++ b/damaskcroft/http1/_channel.py
@@ -142,6 +142,15 @@
         if self.lost:
             raise ChannelLostError("connection lost")
 
+    async def flush(self) -> None:
+        """Waits until the kernel has all that was put; nothing follows it.
+
+        Raises:
+            ChannelLostError: the connection is gone.
+        """
+        self.transport.set_write_buffer_limits(high=0)
+        await self.drain()
+
     def half_close(self) -> None:
         """Ends our own direction after what was put; reading goes on."""
         if self.lost or self.transport.is_closing():
--- a/damaskcroft/http1/_server.py
+++ b/damaskcroft/http1/_server.py
@@ -88,6 +88,7 @@
     async def _serve(self, channel: Channel) -> None:
         try:
             await self._serve_requests(channel)
+            await self._flush(channel)
         except ChannelLostError:
             # The caller is gone; whatever it wanted was cancelled.
             return
@@ -201,6 +202,18 @@
                 return_when=asyncio.FIRST_COMPLETED,
             )
 
+    async def _flush(self, channel: Channel) -> None:
+        """Keeps a connection open until its last answer has left.
+
+        What the kernel hasn't taken is lost when the process ends.
+        """
+        limits = self._handler.limits()
+        try:
+            async with asyncio.timeout(limits.idle_timeout_s):
+                await channel.flush()
+        except TimeoutError:
+            log_warning("answer_unread", waited_s=limits.idle_timeout_s)
+
     async def _read_on(self, channel: Channel) -> bool:
         """Lets the last answer reach a caller that is still sending.
 
--- a/damaskcroft/http1/tests/test_server.py
+++ b/damaskcroft/http1/tests/test_server.py
@@ -1,11 +1,15 @@
 """What callers get for what they send, down to single bytes."""
 
 import asyncio
+import contextlib
 import socket
 import struct
 
 import pytest
 
+from damaskcroft.http1 import Channel
+from damaskcroft.http1.tests.conftest import RawCaller
+
 HEAD = b"POST /a/b HTTP/1.1\r\nHost: h\r\n"
 WHOLE = HEAD + b"Content-Length: 4\r\n\r\nbody"
 
@@ -244,3 +248,75 @@
             assert answer.endswith(b"got body")
 
     run(scenario())
+
+
+@pytest.fixture
+def small_buffers(monkeypatch):
+    """The kernel takes little of what a connection sends."""
+    connected = Channel.connection_made
+
+    def connection_made(channel, transport):
+        connected(channel, transport)
+        transport.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, 16 * 1024
+        )
+
+    monkeypatch.setattr(Channel, "connection_made", connection_made)
+
+
+@contextlib.asynccontextmanager
+async def slow_caller(connections):
+    """A caller that reads nothing yet, and has little room for it."""
+    host, _, port = connections.address.rpartition(":")
+    with socket.socket() as connected:
+        connected.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4 * 1024)
+        connected.connect((host, int(port)))
+        reader, writer = await asyncio.open_connection(sock=connected)
+        writer.transport.pause_reading()
+        yield RawCaller(reader, writer)
+        writer.close()
+
+
+@pytest.mark.usefixtures("small_buffers")
+def test_an_answer_leaves_whole_before_its_connection_has_ended(run, served):
+    # Against half an answer where the process ends with the last connection.
+    async def scenario():
+        async with served() as (handler, _, connections):
+
+            async def answers_at_length(request, answer):
+                handler.requests.append(request)
+                await answer.give(200, [], b"x" * 60_000)
+
+            handler.handle = answers_at_length
+            handler.stopping = True
+            async with slow_caller(connections) as caller:
+                await caller.send(WHOLE)
+                await settled(lambda: handler.requests)
+                await asyncio.sleep(0.05)
+                assert connections.open_count == 1
+                caller.writer.transport.resume_reading()
+                answer = await caller.rest()
+                assert answer.endswith(b"x" * 60_000)
+                await settled(lambda: connections.open_count == 0)
+
+    run(scenario())
+
+
+@pytest.mark.usefixtures("small_buffers")
+def test_a_caller_that_never_reads_is_let_go(run, served):
+    # Against a connection that is kept for ever for its last bytes.
+    async def scenario():
+        async with served() as (handler, _, connections):
+
+            async def answers_at_length(request, answer):
+                handler.requests.append(request)
+                await answer.give(200, [], b"x" * 60_000)
+
+            handler.handle = answers_at_length
+            handler.stopping = True
+            async with slow_caller(connections) as caller:
+                await caller.send(WHOLE)
+                await settled(lambda: handler.requests)
+                await settled(lambda: connections.open_count == 0)
+
+    run(scenario())
