--- a/damaskcroft/forwarding/_attempt.py
+++ b/damaskcroft/forwarding/_attempt.py
@@ -148,6 +148,11 @@
         # What connecting took; None for a kept connection, or before it.
         self.connect_s: float | None = None
 
+    @property
+    def is_open(self) -> bool:
+        """Whether its target may still answer."""
+        return self._connection is not None and not self.given_up
+
     async def begin(self) -> NotSent | NotRun | Lost | Answered:
         """Sends the request and reads the head of its answer."""
         connection = None if self._anew else self._pool.idle(self._place)
--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -122,6 +122,7 @@
         self._delays = delays
         self._silence = silence
         self._running = Running(services, suspects)
+        self._silent_ids: set[str] = set()
         # Of jobs that are under way.
         self._bounds: set[asyncio.Timeout] = set()
         self._queue = RequestQueue(
@@ -154,13 +155,20 @@
             for wait in self._queue.newly_long():
                 reason = self._why_none(wait.reason, wait.ticket.service)
                 self._log.queued(wait, reason)
-            silent = self._silence.silent_ids()
-            for target_id in silent:
-                if not self._outliers.is_aside(target_id):
-                    self._outliers.failed(target_id, certain=True)
-            self._hedge(set(silent))
+            self._look_at_silence(set(self._silence.silent_ids()))
             self._running.give_up_lost()
 
+    def _look_at_silence(self, silent_ids: set[str]) -> None:
+        """Puts silent targets aside until they are heard, and hedges."""
+        for target_id in self._silent_ids - silent_ids:
+            if self._silence.has_work(target_id):
+                self._outliers.succeeded(target_id)
+        self._silent_ids = silent_ids
+        for target_id in silent_ids:
+            if not self._outliers.is_aside(target_id):
+                self._outliers.failed(target_id, certain=True)
+        self._hedge(silent_ids)
+
     async def forward(self, job: Job, answer: Answer) -> Ending:
         """Gives a target's answer to the caller, or says why there is none.
 
@@ -243,7 +251,9 @@
                 continue
             if self._suspects.is_suspect(waiting.job, waiting.progress):
                 # Copies of what crashes targets never run beside each other.
-                waiting.made.give_up(SILENT)
+                if self._retry_window.spend():
+                    waiting.progress.is_paid = True
+                    waiting.made.give_up(SILENT)
                 continue
             waiting.hedge.begin(self._try_beside(waiting, silent_ids))
 
@@ -277,9 +287,11 @@
             return None
         if self._retry_window.left < 1:
             return None
+        candidates = self._availability.candidates(job.service, job.call.model)
+        excluded_ids = progress.excluded | silent_ids
         return self._placer.choose(
-            self._availability.candidates(job.service, job.call.model),
-            progress.excluded | silent_ids,
+            candidates,
+            excluded_ids,
             job.call.prompt_tokens,
             is_suspect=self._suspects.is_suspect(job, progress),
         )
@@ -341,7 +353,7 @@
             return given_up(
                 closed.reason, progress, returns_s(closed.returns_s)
             )
-        if progress.sent and not self._retry_window.spend():
+        if progress.sent and not self._pay(progress):
             metrics.RETRIES.labels("no_budget").inc()
             return given_up("no_retry_budget", progress)
         slot = self._take(
@@ -349,6 +361,13 @@
         )
         return SlotTaken(placed.candidate, slot)
 
+    def _pay(self, progress: Progress) -> bool:
+        """Takes a repeat from the budget, unless that was done already."""
+        if progress.is_paid:
+            progress.is_paid = False
+            return True
+        return self._retry_window.spend()
+
     def _take(
         self, candidate: Candidate, prompt_tokens: int, *, is_suspect: bool
     ) -> Slot:
@@ -397,13 +416,13 @@
         Returns:
             None if another target may be tried.
         """
-        async with hedged(instead_of) as hedge:
-            ending = await self._attempt(job, answer, progress, taken, hedge)
+        with hedged(instead_of) as hedge:
+            ending = await self._send(job, answer, progress, taken, hedge)
             if ending is None:
                 return await hedge.ending()
             return ending
 
-    async def _attempt(
+    async def _send(
         self,
         job: Job,
         answer: Answer,
@@ -443,7 +462,7 @@
                 ),
                 anew=hedge.is_second,
             ) as made:
-                hedge.first = made
+                hedge.attempt = made
                 sending = Sending(
                     job,
                     answer,
@@ -485,7 +504,7 @@
                 self._note_facts(sending.target, begun.facts, sent_at)
         if not isinstance(begun, Answered):
             return begun
-        if sending.hedge.is_second:
+        if sending.hedge.stands_beside:
             why_not = why_not_instead(sending, begun)
             if why_not is not None:
                 return Lost(why_not)
--- a/damaskcroft/forwarding/_hedge.py
+++ b/damaskcroft/forwarding/_hedge.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Coroutine
+from collections.abc import Coroutine, Iterator
 from typing import Any
 
 from damaskcroft.forwarding._attempt import Attempt
@@ -21,31 +21,36 @@
 
 
 class Hedge:
-    """Two attempts of one job, of which whichever has an answer goes on.
+    """An attempt, and a second one beside it.
 
     Attributes:
-        first: the attempt that may have a second beside it; None before it
-            is made.
+        attempt: the one that may have a second beside it; None before it is
+            made.
     """
 
-    __slots__ = ("_instead_of", "_is_awaited", "_second", "first")
+    __slots__ = ("_instead_of", "_is_awaited", "_second", "attempt")
 
     def __init__(self, instead_of: "Hedge | None" = None):
         """Has no second attempt yet.
 
         Args:
-            instead_of: where the first attempt is itself a second one.
+            instead_of: where the attempt is itself a second one.
         """
-        self.first: Attempt | None = None
+        self.attempt: Attempt | None = None
         self._instead_of = instead_of
         self._second: asyncio.Task[Ending | None] | None = None
         self._is_awaited = False
 
     @property
     def is_second(self) -> bool:
-        """Whether the first attempt is itself a second one of another hedge."""
+        """Whether the attempt was made beside another one."""
         return self._instead_of is not None
 
+    @property
+    def stands_beside(self) -> bool:
+        """Whether another attempt that it was made beside is under way."""
+        return any(outer.is_open for outer in self._outer_attempts())
+
     @property
     def is_running(self) -> bool:
         """Whether a second attempt is under way."""
@@ -53,8 +58,8 @@
 
     @property
     def may_begin(self) -> bool:
-        """Whether the first attempt waits for its target, without a second."""
-        if self.first is None or not self.first.is_waiting:
+        """Whether the attempt waits for its target, without a second."""
+        if self.attempt is None or not self.attempt.is_waiting:
             return False
         return not self.is_running
 
@@ -62,19 +67,16 @@
         self, trial: Coroutine[Any, Any, Ending | None]
     ) -> asyncio.Task[Ending | None]:
         """Starts the second attempt."""
-        self._tell()
+        self._is_awaited = False
         self._second = asyncio.create_task(trial)
+        self._second.add_done_callback(self._tell)
         return self._second
 
     def takes_over(self) -> None:
-        """The first attempt is about to answer the caller: others are ended."""
-        if self._second is not None:
-            self._second.cancel()
-        outer = self._instead_of
-        while outer is not None:
-            if outer.first is not None:
-                outer.first.give_up(SILENT)
-            outer = outer._instead_of
+        """The attempt is about to answer the caller: others are ended."""
+        self.close()
+        for outer in self._outer_attempts():
+            outer.give_up(SILENT)
 
     async def ending(self) -> Ending | None:
         """How the second attempt ends; None if there is none to wait for."""
@@ -83,29 +85,32 @@
         self._is_awaited = True
         return await self._second
 
-    async def close(self) -> None:
-        """Ends the second attempt if it is still under way."""
-        if self._second is None:
-            return
-        self._second.cancel()
-        await asyncio.wait([self._second])
-        self._tell()
+    def close(self) -> None:
+        """Ends the second attempt, if it is still under way."""
+        if self._second is not None:
+            self._second.cancel()
+
+    def _outer_attempts(self) -> Iterator[Attempt]:
+        outer = self._instead_of
+        while outer is not None:
+            if outer.attempt is not None:
+                yield outer.attempt
+            outer = outer._instead_of
 
-    def _tell(self) -> None:
+    def _tell(self, second: asyncio.Task[Ending | None]) -> None:
         """Logs a fault of a second attempt that nobody waited for."""
-        second = self._second
-        if second is None or second.cancelled() or self._is_awaited:
+        if second.cancelled() or self._is_awaited:
             return
         error = second.exception()
         if error is not None:
             log_warning("second_attempt_failed", reason=repr(error))
 
 
-@contextlib.asynccontextmanager
-async def hedged(instead_of: Hedge | None) -> AsyncIterator[Hedge]:
+@contextlib.contextmanager
+def hedged(instead_of: Hedge | None) -> Iterator[Hedge]:
     """A hedge whose second attempt ends with the block."""
     hedge = Hedge(instead_of)
     try:
         yield hedge
     finally:
-        await hedge.close()
+        hedge.close()
--- a/damaskcroft/forwarding/_request_log.py
+++ b/damaskcroft/forwarding/_request_log.py
@@ -119,6 +119,7 @@
             repeatable=job.is_repeatable,
             streaming=job.route.streaming,
             target=progress.target_id,
+            tried=",".join(sorted(progress.excluded)),
             may_have_run=progress.may_have_run,
             events=progress.events,
             attempts=progress.sent,
--- a/damaskcroft/routing/_silence.py
+++ b/damaskcroft/routing/_silence.py
@@ -65,6 +65,10 @@
         if seen is not None:
             seen.heard_at = now_s()
 
+    def has_work(self, target_id: str) -> bool:
+        """Whether requests are under way at a target."""
+        return target_id in self._seen_by_id
+
     def silent_s(self, target_id: str) -> float:
         """For how long a target with work has said nothing; 0 without work.
 
