Ask a service's only target anew where a kept connection stays silent

Callers of a service with one target waited to their deadlines for an answer on a connection that had gone silent for good, though a new connection would have been answered: a second attempt went to other targets only.

Where there is no other target and the silent attempt went out on a kept connection, the second one goes to the same target on a new connection; idle connections to a silent target are closed. An only target that merely pauses gets such a request twice, within the retry budget, and answers both; whichever comes first counts.

Left: silence is told by target, so a connection that is silent beside others that are heard is waited for to the deadline.

--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -163,6 +163,8 @@
         for target_id in self._silent_ids - silent_ids:
             if self._silence.has_work(target_id):
                 self._outliers.succeeded(target_id)
+        for target_id in silent_ids - self._silent_ids:
+            self._connections.drop(target_id)
         self._silent_ids = silent_ids
         for target_id in silent_ids:
             if not self._outliers.is_aside(target_id):
@@ -289,6 +291,9 @@
             return None
         candidates = self._availability.candidates(job.service, job.call.model)
         excluded_ids = progress.excluded | silent_ids
+        if candidates == [waiting.target] and waiting.made.connect_s is None:
+            # Connections that were kept may be silent where a new one is not.
+            excluded_ids = set()
         return self._placer.choose(
             candidates,
             excluded_ids,
--- a/damaskcroft/http1/_pool.py
+++ b/damaskcroft/http1/_pool.py
@@ -65,6 +65,13 @@
         connection.idle_since = asyncio.get_running_loop().time()
         self._idle_by_place.setdefault(place, []).append(connection)
 
+    def drop(self, target_id: str) -> None:
+        """Closes the idle connections to one start of a target."""
+        for place in list(self._idle_by_place):
+            if place.id == target_id:
+                for connection in self._idle_by_place.pop(place):
+                    connection.close()
+
     def close_old(self) -> None:
         """Closes connections that their targets are about to close."""
         now = asyncio.get_running_loop().time()
