Give a vote to an emptied disk that others have made a voter

Operators would see control of five nodes without a leader for good after two were lost: of the three left one had been emptied and taken back while another was cut off, and had the newest log. The other refused it with `vote_refused reason=other_incarnation`, for its former disk was the one in its own member list.

A replica stands only if its log makes a voter of the disk that it has now, so one that lost its votes with its disk asks nobody. Whether its log is new enough is looked at as for any other. The member list of who is asked may be older and adds nothing to that.

Evidence: the new test failed before.

--- a/damaskcroft/consensus/_replica.py
+++ b/damaskcroft/consensus/_replica.py
@@ -402,7 +402,8 @@
         """Why a vote is not granted; None if it is.
 
         Whether it counts is for the candidate to say, by its member list and
-        our incarnation: ours may end before the entry that made us a voter.
+        our incarnation: our list may lack the entry that made a voter of
+        either of the two disks. A disk that none makes one stands for nothing.
         """
         if self.state == _LEADER:
             return VoteRefusal.LEADS
@@ -414,9 +415,6 @@
         # Before a restart we may have told a leader that we follow it.
         if now_s() - self._started_at < timeout_s:
             return VoteRefusal.JUST_STARTED
-        candidate = find_member(self.log.config(), request.candidate)
-        if candidate and candidate.incarnation != request.incarnation:
-            return VoteRefusal.OTHER_INCARNATION
         ours = (self.log.last_term, self.log.last_index)
         if (request.last_term, request.last_index) < ours:
             return VoteRefusal.LOG_BEHIND
--- a/damaskcroft/consensus/_votes.py
+++ b/damaskcroft/consensus/_votes.py
@@ -15,7 +15,6 @@
     LEADS = "leads"
     HEARS_LEADER = "hears_leader"
     JUST_STARTED = "just_started"
-    OTHER_INCARNATION = "other_incarnation"
     LOG_BEHIND = "log_behind"
     OLD_TERM = "old_term"
     VOTED_FOR_OTHER = "voted_for_other"
--- a/damaskcroft/consensus/tests/test_members.py
+++ b/damaskcroft/consensus/tests/test_members.py
@@ -158,6 +158,35 @@
     assert accepted(cluster, "by three")
 
 
+def test_an_emptied_voter_is_elected_by_one_that_still_lists_its_former_disk(
+    cluster, loop
+):
+    """Three of five were left, and only the emptied one had the newest log."""
+    cluster.add("d")
+    cluster.add("e")
+    loop.pass_time(SETTLED_S)
+    leader = cluster.leader()
+    emptied, behind, *others = (
+        m for m, r in cluster.replicas.items() if r is not leader
+    )
+    everybody = {address_of(member) for member in cluster.replicas}
+    cuts = cluster.network.cuts
+    cuts |= {(one, address_of(behind)) for one in everybody}
+    cuts |= {(address_of(behind), one) for one in everybody}
+    cluster.lose_disk(emptied)
+    cluster.start(emptied)
+    loop.pass_time(SETTLED_S)
+    assert cluster.is_voting(emptied)
+    cuts |= {(leader.address, address_of(other)) for other in others}
+    loop.run(cluster.propose_briefly(leader, "newest"))
+    loop.pass_time(0.1)
+    lose(cluster, leader.leader_id)
+    lose(cluster, others[0])
+    cuts.clear()
+    loop.pass_time(SETTLED_S)
+    assert accepted(cluster, "by three")
+
+
 def test_two_that_join_at_once_are_taken_in_one_after_the_other(cluster, loop):
     """Each list was made from the same one, so the second undid the first."""
     leader = cluster.leader()
