Write the log anew after a swap that may have failed midway

Operators would see a control node stop with `log is damaged`, or a follower that lost acknowledged entries at its next start, after its disk had failed for a moment while it compacted its log.

A disk may take the new file under its name and refuse to make the name last. The swap then counted as not made: memory went on with the places of entries in the old file, and cut and appended at these in the new, shorter one. After such a failure the log is now written out from memory before anything is appended, cut or synced.

Evidence: a log whose compaction fails after the rename was not readable as written in the new test before; where it fails ahead of the rename it was.

--- a/damaskcroft/consensus/_log.py
+++ b/damaskcroft/consensus/_log.py
@@ -26,6 +26,7 @@
         "_disk",
         "_entries",
         "_has_torn_tail",
+        "_is_apart",
         "_offsets",
         "_size_bytes",
         "snapshot",
@@ -45,6 +46,8 @@
         self._configs: list[tuple[int, consensus_pb2.ClusterConfig]] = []
         self._size_bytes = 0
         self._has_torn_tail = False
+        # Whether the file may be another one than memory goes on from.
+        self._is_apart = False
         self.snapshot = _read_snapshot(disk)
         self._read_entries()
         self._finish_reset()
@@ -138,6 +141,7 @@
 
         A torn frame before later, synced ones would read as damage.
         """
+        self._rejoin()
         if self._has_torn_tail:
             self._disk.truncate(LOG_NAME, self._size_bytes)
         self._has_torn_tail = True
@@ -149,6 +153,7 @@
         index, term = self.last_index, self.last_term
         if index <= self.synced_index:
             return
+        self._rejoin()
         await self._disk.sync(LOG_NAME)
         # The tail may have been cut and rewritten while the disk worked.
         if self.term_at(index) == term and index > self.synced_index:
@@ -156,6 +161,7 @@
 
     def truncate_from(self, index: int) -> None:
         """Removes an entry and all after it, lastingly."""
+        self._rejoin()
         position = index - self.first_index
         size_bytes = self._offsets[position]
         self._disk.truncate(LOG_NAME, size_bytes)
@@ -220,16 +226,29 @@
         Memory follows only once the disk has taken both: a log that ends
         before its snapshot has a gap that nothing may be appended to.
         """
-        frames = [_frames.framed(e.SerializeToString()) for e in entries]
+        frames = _framed_entries(entries)
         content = _frames.framed(snapshot.SerializeToString())
         self._disk.replace(SNAPSHOT_NAME, content)
+        self._is_apart = True
         self._disk.replace(LOG_NAME, b"".join(frames))
+        self._is_apart = self._has_torn_tail = False
         self.snapshot = snapshot
         self._forget_entries()
         for entry, frame in zip(entries, frames, strict=True):
             self._keep(entry, len(frame))
         self.synced_index = self.last_index
 
+    def _rejoin(self) -> None:
+        """Writes what memory holds, after a swap that may have failed midway.
+
+        A disk may take the new file and refuse to make its name last.
+        """
+        if not self._is_apart:
+            return
+        frames = _framed_entries(self._entries)
+        self._disk.replace(LOG_NAME, b"".join(frames))
+        self._is_apart = self._has_torn_tail = False
+
     def _forget_entries(self) -> None:
         self._entries = []
         self._offsets = []
@@ -274,6 +293,10 @@
         self._disk.truncate(LOG_NAME, self._size_bytes)
 
 
+def _framed_entries(entries: list[consensus_pb2.LogEntry]) -> list[bytes]:
+    return [_frames.framed(entry.SerializeToString()) for entry in entries]
+
+
 def _parsed_entry(payload: bytes | None) -> consensus_pb2.LogEntry | None:
     if payload is None:
         return None
--- a/damaskcroft/consensus/tests/test_log.py
+++ b/damaskcroft/consensus/tests/test_log.py
@@ -83,23 +83,32 @@
 
 
 class StoppingDisk(FolderDisk):
-    """Takes nothing more once a file is to be replaced."""
+    """Once takes a file's new content, or its name, and then no more of it."""
 
-    def __init__(self, folder, stops_at):
+    def __init__(self, folder, stops_at, is_renamed):
         super().__init__(folder)
         self.stops_at = stops_at
+        self.is_renamed = is_renamed
 
     def replace(self, name, content):
-        if name == self.stops_at:
+        stops = name == self.stops_at
+        if not stops or self.is_renamed:
+            super().replace(name, content)
+        if stops:
+            self.stops_at = None
             raise OSError("stopped")
-        super().replace(name, content)
 
 
-@pytest.fixture(params=["longer, of another term", "shorter"])
-def reset_midway(request, folder):
+@pytest.fixture(params=[False, True], ids=["", "renamed"])
+def is_renamed(request):
+    return request.param
+
+
+@pytest.fixture(params=[4, 9], ids=["longer, of another term", "shorter"])
+def reset_midway(request, folder, is_renamed):
     """A log whose snapshot was replaced when its disk took nothing more."""
-    log = DurableLog(StoppingDisk(folder, "log"))
-    index = 4 if request.param.startswith("longer") else 9
+    log = DurableLog(StoppingDisk(folder, "log", is_renamed))
+    index = request.param
     with pytest.raises(OSError):
         log.reset_to(consensus_pb2.Snapshot(index=index, term=2, state=b"x"))
     return log, folder, index
@@ -123,9 +132,23 @@
     """It went on from a snapshot that lay beyond its last entry."""
     log, folder, _ = reset_midway
     assert (log.last_index, log.snapshot.index) == (6, 0)
-    log.append([entry(7)])
+    log.append([entry(7), entry(8)])
+    asyncio.run(log.sync())
+    log.truncate_from(8)
+    assert [log.entry(i).index for i in (6, 7)] == [6, 7]
+
+
+def test_a_log_whose_compaction_failed_midway_is_readable(folder, is_renamed):
+    """It cut and appended at places of a file that was no longer there."""
+    log = DurableLog(StoppingDisk(folder, "log", is_renamed))
+    with pytest.raises(OSError):
+        log.compact(consensus_pb2.Snapshot(index=4, term=1), keep=1)
+    log.truncate_from(6)
+    log.append([entry(6, term=2), entry(7, term=2)])
     asyncio.run(log.sync())
-    assert log.entry(7).index == 7
+    reopened = DurableLog(FolderDisk(folder))
+    assert [reopened.term_at(i) for i in (5, 6, 7)] == [1, 2, 2]
+    assert reopened.last_index == 7
 
 
 @pytest.mark.parametrize("term, last_index", [(1, 6), (2, 3)])
