The soak finds entries that outlive their grace period

A platform kills a process that was asked to end once its grace is over, and with it what it was at; the soak waits for it instead, and so never saw that. An entry that takes longer now breaks a promise.

--- a/damaskcroft/hosted/tests/soak/_book.py
+++ b/damaskcroft/hosted/tests/soak/_book.py
@@ -7,7 +7,7 @@
 import re
 import time
 
-from damaskcroft.hosted.tests.soak._answers import AnswersOwed, Run
+from damaskcroft.hosted.tests.soak._answers import GRACE_S, AnswersOwed, Run
 from damaskcroft.hosted.tests.soak._limits import NamedLimits
 from damaskcroft.hosted.tests.soak._target import EVENTS
 
@@ -145,9 +145,15 @@
         """Called by a target that ends and breaks off all its answers."""
         self.owed.cut_off(start, time.monotonic())
 
+    @contextlib.contextmanager
     def stopping(self, entry):
-        """Called before an entry is asked to end."""
-        self.owed.stopping(entry, time.monotonic())
+        """Held from when an entry is asked to end until its process has."""
+        asked_at = time.monotonic()
+        self.owed.stopping(entry, asked_at)
+        yield
+        took_s = time.monotonic() - asked_at
+        if took_s > GRACE_S:
+            self._break(f"{entry} ended {took_s:.2f} s after it was asked to")
 
     @contextlib.contextmanager
     def disturbed(self, who, *, planned=False):
--- a/damaskcroft/hosted/tests/soak/_faults.py
+++ b/damaskcroft/hosted/tests/soak/_faults.py
@@ -250,8 +250,7 @@
         self.added = ip
         await asyncio.sleep(_LIMIT_LASTS * fault.for_s)
         self.added = ""
-        self._book.stopping(ip)
-        await self._deployment.end("entry", ip, signal.SIGTERM)
+        await self._stop_entry(ip)
 
     async def _hang_up_all(self):
         for process in self._deployment.processes.values():
@@ -283,7 +282,7 @@
     async def _end_and_start(self, fault, name, role, who):
         how = signal.SIGTERM if name == "stop" else signal.SIGKILL
         if role == "entry" and name == "stop":
-            self._book.stopping(who[0])
+            await self._stop_entry(who[0])
         await asyncio.gather(
             *(self._deployment.end(role, ip, how) for ip in who)
         )
@@ -298,6 +297,10 @@
             await self._deployment.start(role, ip, first=False)
             self._whole_since[ip] = _now()
 
+    async def _stop_entry(self, ip):
+        with self._book.stopping(ip):
+            await self._deployment.end("entry", ip, signal.SIGTERM)
+
     def _tear(self, ip, which):
         """Garbage after the last synced entry, as a torn write leaves it."""
         folder = self._deployment.folder / f"control-{ip[-2:]}"
--- a/damaskcroft/hosted/tests/test_soak_answers.py
+++ b/damaskcroft/hosted/tests/test_soak_answers.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from damaskcroft.hosted.tests.soak import _book
 from damaskcroft.hosted.tests.soak._answers import GRACE_S, AnswersOwed, Run
 from damaskcroft.hosted.tests.soak._book import CONTACT_S, Asked, Book
 
@@ -173,6 +174,16 @@
     assert len(breaches(owed, one, run(ended_at=ENDED_AT))) == 1
 
 
+@pytest.mark.parametrize(("grace_s", "found"), [(0.0, 1), (60.0, 0)])
+def test_an_entry_that_outlives_its_grace_is_found(monkeypatch, grace_s, found):
+    # Against stops that pass because nobody kills the process at their end.
+    monkeypatch.setattr(_book, "GRACE_S", grace_s)
+    book = Book()
+    with book.stopping("e"):
+        time.sleep(0.01)
+    assert len(book.broken) == found
+
+
 @pytest.mark.parametrize(("planned", "found"), [(True, 1), (False, 0)])
 def test_planned_work_does_not_excuse_in_the_book(planned, found):
     # Against stops and changed settings that count as disturbances.
