A whole answer isn't late because its caller reads slowly

A caller that read its whole answer more slowly than its request's time allowed lost its kept connection: waiting for the reader was part of answering, so that the request counted as late once the answer was queued whole, the 504 that followed was refused by the parser (answer_failed), and the connection was closed with no word before; a request sent meanwhile went unanswered.

Waiting for the reader of a whole answer is now the connection's part, within the idle timeout of the caller's limits; the target's slot is given back sooner too. test_a_whole_answer_stands_when_its_reader_outlasts_the_time failed before: the second request on the connection got no byte.

--- a/damaskcroft/http1/_exchange.py
+++ b/damaskcroft/http1/_exchange.py
@@ -75,7 +75,7 @@
         self.ended = False
 
     async def give(self, status: int, headers: Headers, body: bytes) -> None:
-        """Gives a whole answer.
+        """Gives a whole answer, without waiting until the caller reads it.
 
         Raises:
             ChannelLostError: the caller has gone.
@@ -87,7 +87,6 @@
         data += self._parser.send(h11.EndOfMessage()) or b""
         self.ended = True
         self._channel.put(data)
-        await self._channel.drain()
 
     async def begin(self, status: int, headers: Headers) -> None:
         """Gives the head of an answer whose length isn't known."""
@@ -99,10 +98,9 @@
         await self._channel.drain()
 
     async def end(self) -> None:
-        """Ends the answer as complete."""
+        """Ends the answer as complete; see `give`."""
         self._channel.put(self._parser.send(h11.EndOfMessage()) or b"")
         self.ended = True
-        await self._channel.drain()
 
     def interim(self) -> None:
         """Says that the request is being worked on (RFC 2518, 10.1).
--- a/damaskcroft/http1/_server.py
+++ b/damaskcroft/http1/_server.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 import h11
 
@@ -88,7 +88,8 @@
     async def _serve(self, channel: Channel) -> None:
         try:
             await self._serve_requests(channel)
-            await self._flush(channel)
+            # What the kernel hasn't taken is lost when the process ends.
+            await self._taken(channel.flush())
         except ChannelLostError:
             # The caller is gone; whatever it wanted was cancelled.
             return
@@ -121,6 +122,7 @@
                 return
             if parser.their_state is not h11.DONE:
                 return
+            await self._taken(channel.drain())
             parser.start_next_cycle()
 
     async def _request_comes(
@@ -202,17 +204,20 @@
                 return_when=asyncio.FIRST_COMPLETED,
             )
 
-    async def _flush(self, channel: Channel) -> None:
-        """Keeps a connection open until its last answer has left.
+    async def _taken(self, taking: Awaitable[None]) -> None:
+        """Waits until the kernel has taken an answer.
 
-        What the kernel hasn't taken is lost when the process ends.
+        Raises:
+            ChannelLostError: the caller has gone, or reads nothing for longer
+                than it may be idle.
         """
         limits = self._handler.limits()
         try:
             async with asyncio.timeout(limits.idle_timeout_s):
-                await channel.flush()
+                await taking
         except TimeoutError:
             log_warning("answer_unread", waited_s=limits.idle_timeout_s)
+            raise ChannelLostError("answer unread") from None
 
     async def _read_on(self, channel: Channel) -> bool:
         """Lets the last answer reach a caller that is still sending.
--- a/damaskcroft/http1/tests/test_server.py
+++ b/damaskcroft/http1/tests/test_server.py
@@ -320,3 +320,28 @@
                 await settled(lambda: connections.open_count == 0)
 
     run(scenario())
+
+
+@pytest.mark.usefixtures("small_buffers")
+def test_a_whole_answer_stands_when_its_reader_outlasts_the_time(run, served):
+    # Against a second answer, and a connection closed after the first one.
+    async def scenario():
+        async with served() as (handler, _, connections):
+
+            async def answers_in_time(request, answer):
+                try:
+                    async with asyncio.timeout(0.05):
+                        await answer.give(200, [], b"x" * 150_000)
+                except TimeoutError:
+                    await answer.give(504, [], b"")
+
+            handler.handle = answers_in_time
+            async with slow_caller(connections) as caller:
+                await caller.send(WHOLE)
+                await asyncio.sleep(0.15)
+                caller.writer.transport.resume_reading()
+                await caller.until(b"x" * 150_000)
+                await caller.send(WHOLE)
+                assert b" 200 " in await caller.until(b"\r\n\r\n")
+
+    run(scenario())
