A limited target that was left alone for two seconds goes first

That a limit has ended shows in an answer only. Others with room go before a limited target for two seconds after each request; then it stood beside nine others, and whether one of the next requests went there was left to chance.

It is now due: it goes before others that have room, with a token of its limit as before; not for requests under which targets crashed.

Evidence: two new tests fail without the change.

--- a/damaskcroft/forwarding/tests/fakes.py
+++ b/damaskcroft/forwarding/tests/fakes.py
@@ -345,6 +345,7 @@
         outliers,
         takes_one=back_pressure.takes_one,
         is_spared=limits.is_spared,
+        is_due=limits.is_due,
     )
     wire = PlainWire()
     delays = AnswerDelays()
--- a/damaskcroft/hosted/entry.py
+++ b/damaskcroft/hosted/entry.py
@@ -91,6 +91,7 @@
         answer_delay_s=delays.quickest_s,
         takes_one=back_pressure.takes_one,
         is_spared=limits.is_spared,
+        is_due=limits.is_due,
         is_own=PartedTargets(settings.name, view.entry_names.names).is_own,
     )
     services = Services(
--- a/damaskcroft/limits/_paced.py
+++ b/damaskcroft/limits/_paced.py
@@ -120,6 +120,15 @@
         share = self._share(start_id)
         return share is not None and now_s() - share.sent_at < _SPARED_FOR_S
 
+    def is_due(self, start_id: str) -> bool:
+        """Whether a limited target goes before others that have room.
+
+        Left to chance, nobody might ask it for long after its limit ended.
+        """
+        if not self.is_any or self._share(start_id) is None:
+            return False
+        return not self.is_spared(start_id)
+
     def sending(self, start_id: str) -> None:
         """Takes a token for a request that is about to be sent."""
         share = self._share(start_id)
--- a/damaskcroft/limits/tests/test_paced.py
+++ b/damaskcroft/limits/tests/test_paced.py
@@ -115,6 +115,21 @@
     loop.run(scenario())
 
 
+def test_a_limited_target_that_was_left_alone_is_due(loop, entry):
+    # Against a limit whose end nobody hears of, as its target is never tried.
+    async def scenario():
+        assert not entry.limits.is_due("t@1")
+        entry.name(2.0)
+        assert entry.limits.is_due("t@1")
+        assert not entry.limits.is_due("t@2")
+        entry.limits.sending("t@1")
+        assert not entry.limits.is_due("t@1")
+        await asyncio.sleep(3)
+        assert entry.limits.is_due("t@1")
+
+    loop.run(scenario())
+
+
 def test_when_a_limit_ends_requests_come_back_step_by_step(loop, entry):
     async def scenario():
         entry.name(2.0)
--- a/damaskcroft/routing/_placement.py
+++ b/damaskcroft/routing/_placement.py
@@ -126,6 +126,7 @@
         answer_delay_s: Callable[[str], float] = lambda _: 0.0,
         takes_one: Callable[[str], bool] = lambda _: False,
         is_spared: Callable[[str], bool] = lambda _: False,
+        is_due: Callable[[str], bool] = lambda _: False,
         is_own: Callable[[str], bool] = lambda _: True,
         unread_bound: UnreadBound | None = None,
     ):
@@ -139,11 +140,13 @@
             answer_delay_s: how soon a target answers, by its id.
             takes_one: whether a target takes one request at a time now.
             is_spared: whether other targets with room go before one.
+            is_due: whether one goes before others with room.
             is_own: whether no other entry sends suspects to a target first.
             unread_bound: what engines may have unread; by default one that
                 follows first events.
         """
         self._is_spared = is_spared
+        self._is_due = is_due
         self._is_own = is_own
         self._unread_bound = unread_bound or UnreadBound()
         self._takes_one = takes_one
@@ -167,7 +170,8 @@
         """The best target, or None if every one is excluded.
 
         Targets that are put aside after failures come last, those without
-        room before them, then those to be spared. One that has a suspect
+        room before them, then those to be spared; one that is due comes
+        first. One that has a suspect
         request under way is avoided: should it crash, few others are lost, and
         no second suspect with it.
 
@@ -278,6 +282,7 @@
             self._outliers.is_aside(candidate.id),
             not has_room,
             self._is_spared(candidate.id),
+            is_suspect or not self._is_due(candidate.id),
             load.suspects > 0,
             is_suspect and not self._is_own(candidate.id),
             self._answer_delay_s(candidate.id) > _SLOW_S,
--- a/damaskcroft/routing/tests/test_placement.py
+++ b/damaskcroft/routing/tests/test_placement.py
@@ -126,6 +126,24 @@
     loop.run(scenario())
 
 
+def test_a_target_that_is_due_goes_before_others_while_it_has_room(loop):
+    # Against a limit whose end nobody hears of, as its target is never tried.
+    async def scenario():
+        targets = [candidate(f"t{n}") for n in range(9)]
+        due = candidate("due", "e", "s")
+        placer = Placer(
+            "d", "r", Outliers(), random.Random(1), is_due="due".__eq__
+        )
+        assert placer.choose([*targets, due], ()).candidate is due
+        suspect = placer.choose([*targets, due], (), is_suspect=True)
+        assert suspect.candidate is not due
+        for _ in range(10):
+            placer.take(due)
+        assert placer.choose([*targets, due], ()).candidate is not due
+
+    loop.run(scenario())
+
+
 def test_a_target_that_answers_late_is_taken_when_no_other_has_room(loop):
     async def scenario():
         delays = {"near": 0.9, "far": 0.1}
