Keep back only a share of a short grace period

The last answers came a second before the end of the grace period, however short that was: of 4 s they would have ended answers a quarter before its end, and of 1 s all at once. They now come an eighth before it where that is less than a second, and the forced end a tenth where that is less than 0.3 s.

--- a/damaskcroft/hosted/entry.py
+++ b/damaskcroft/hosted/entry.py
@@ -44,10 +44,11 @@
 _NOTICE_S = 3.5
 # What can't be answered in full is told so this long before the platform's
 # SIGKILL, so that callers have read it and the process has ended by then,
-# beside other busy processes too.
-_LAST_ANSWERS_S = 1.0
-# Kept back from the time that the platform gives, to end before its SIGKILL.
-_SPARE_S = 0.8
+# beside other busy processes too. Of a short grace period it is a share.
+_SPARE_S = 1.0
+_SPARE_SHARE = 1 / 8
+# Of that, for callers to read their last answers.
+_READ_SHARE = 0.2
 # Of what is left, kept back from waiting for callers to close connections.
 _LINGER_SPARE_S = 0.6
 # At the end, for background tasks, after each word to end.
@@ -157,14 +158,21 @@
     ):
         log_event("started", role="entry", address=settings.caller_address)
         await stop.wait()
-        gate.stop(bounds.grace_s - _LAST_ANSWERS_S)
+        spare_s = _spare_s(bounds.grace_s)
+        gate.stop(bounds.grace_s - spare_s)
         log_event("stopping", role="entry", answering=callers.answering)
-        await _drain(callers, bounds.grace_s - _SPARE_S)
+        read_s = spare_s * _READ_SHARE
+        await _drain(callers, bounds.grace_s - spare_s + read_s)
         log_event("drained", answering=callers.answering)
     connections.close()
     channels.close()
 
 
+def _spare_s(grace_s: float) -> float:
+    """From the last answers to the end of the grace period."""
+    return min(_SPARE_S, grace_s * _SPARE_SHARE)
+
+
 async def _drain(callers: CallerConnections, within_s: float) -> None:
     """Answers what has begun; ends when nothing is left, or in time."""
     loop = asyncio.get_running_loop()
--- a/damaskcroft/hosted/process.py
+++ b/damaskcroft/hosted/process.py
@@ -23,7 +23,9 @@
 _METRICS_END_S = 0.2
 # A process that is still there so long before its platform's SIGKILL ends at
 # once: at a program's end asyncio waits for tasks and threads without a bound.
+# Of a short grace period it is a share.
 _FORCED_END_S = 0.3
+_FORCED_END_SHARE = 1 / 10
 
 
 def run_hosted(
@@ -73,8 +75,9 @@
     def bound_end(_: asyncio.Task) -> None:
         if not stop.is_set():
             return
-        within_s = settings.bounds.grace_s - _FORCED_END_S
-        loop.call_later(within_s, end_now)
+        grace_s = settings.bounds.grace_s
+        before_s = min(_FORCED_END_S, grace_s * _FORCED_END_SHARE)
+        loop.call_later(grace_s - before_s, end_now)
 
     # Called back, since a task would be cancelled before the last steps.
     stopping = asyncio.create_task(stop.wait())
