An agent that control lost is left only for something better

Callers of the own product got 502, and their streams ended with an error, while the agents at work on them answered: an entry ended every wait for an agent whose lease had lapsed, though such an agent goes on with what it has begun, and though nothing took its place: no other agent, no retry left, a stream that had begun, or a call that must run once.

A wait for a lapsed agent now ends only if the call may run again, the agent has said nothing yet, another agent that control hears can answer, an attempt is left, and the retry budget was taken for it; it is asked again at each change. Else it lasts until the deadline, or until the connection's pings go unanswered.

--- a/damaskcroft/entry/_dispatch.py
+++ b/damaskcroft/entry/_dispatch.py
@@ -3,9 +3,11 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
 from collections.abc import (
     AsyncGenerator,
     AsyncIterator,
+    Collection,
 )
 from typing import Any
 
@@ -26,7 +28,7 @@
 )
 from damaskcroft.entry._calls import Call
 from damaskcroft.entry._claims import ClaimAnswered, Claimant
-from damaskcroft.entry._lapses import LapseWatch
+from damaskcroft.entry._lapses import LapseWatch, MayLeave
 from damaskcroft.entry._refusals import (
     Ran,
     Refusal,
@@ -91,7 +93,12 @@
 
 
 class Dispatcher:
-    """Carries calls out at one entry."""
+    """Carries calls out at one entry.
+
+    Attributes:
+        budget: for attempts that follow a first one.
+        outstanding: calls under way.
+    """
 
     def __init__(
         self,
@@ -110,7 +117,7 @@
         self._channels = channels
         self._outliers = Outliers()
         self._chooser = TargetChooser(self._outliers)
-        self._budget = RetryBudget(retry_fraction)
+        self.budget = RetryBudget(retry_fraction)
         self._lapses = LapseWatch(client.roster)
         self._suspects = Suspects(client)
         self.outstanding = 0
@@ -128,7 +135,7 @@
         refusal = unknown or watched.refusal(Ran.NOT_RUN)
         if refusal is not None:
             return final_of(refusal_response(refusal, call.request_id))
-        self._budget.earn()
+        self.budget.earn()
         ticket = Ticket(call.pool, call.customer, call.priority, deadline_at)
         granted = await self._admission.acquire(ticket)
         if isinstance(granted, NotGranted):
@@ -160,6 +167,12 @@
 
     # --- Attempts ------------------------------------------------------------
 
+    def has_other(self, call: Call, tried: Collection[str]) -> bool:
+        """Whether a target that control hears could answer a call."""
+        lapsed = self._client.roster.lapsed_ids
+        targets = self._pools.pool(call.pool).targets
+        return any(t.id not in tried and t.id not in lapsed for t in targets)
+
     async def _run(
         self, watched: WatchedCall, deadline_at: float
     ) -> Answering | Whole | ClaimAnswered | Refusal:
@@ -168,6 +181,7 @@
         run_number = 0
         last: AttemptRefused | None = None
         lost: AttemptLost | None = None
+        onward = _Onward(self, call, tried)
         for attempt in range(_MAX_ATTEMPTS):
             if watched.refusal(Ran.UNKNOWN):
                 break
@@ -179,7 +193,7 @@
             )
             if target is None:
                 break
-            if attempt and not self._budget.spend():
+            if attempt and not onward.pay():
                 metrics.RETRIES.labels("no_budget").inc()
                 break
             if call.key:
@@ -190,7 +204,11 @@
                     return claimed
                 run_number = claimed.run_number
             outcome = await self._attempt(
-                watched, target, run_number, deadline_at
+                watched,
+                target,
+                run_number,
+                deadline_at,
+                functools.partial(onward.is_taken_from, target, attempt),
             )
             match outcome:
                 case Answering() | Whole():
@@ -248,6 +266,7 @@
         target: Target,
         run_number: int,
         deadline_at: float,
+        may_leave: MayLeave,
     ) -> Answering | Whole | AttemptRefused | AttemptLost:
         call = watched.call
         watched.sending()
@@ -255,7 +274,7 @@
         if remaining_ms <= 0:
             return AttemptRefused(agent_pb2.REFUSED_DEADLINE, _RETRY_S)
         request = _run_request(call, target, run_number, remaining_ms)
-        events = self._events(watched, request, target, deadline_at)
+        events = self._events(watched, request, target, deadline_at, may_leave)
         try:
             first = await anext(events)
         except BaseException:
@@ -283,6 +302,7 @@
         request: agent_pb2.RunRequest,
         target: Target,
         deadline_at: float,
+        may_leave: MayLeave,
     ) -> AsyncGenerator[agent_pb2.RunEvent, None]:
         """The agent's events; a failure of ours comes as a failed event."""
         stub = agent_grpc.AgentStub(self._channels.channel(target.address))
@@ -294,9 +314,13 @@
                 sent = True
                 await stream.send_message(request, end=True)
                 while True:
-                    event = await self._next_event(stream, target, deadline_at)
+                    event = await self._next_event(
+                        stream, target, deadline_at, may_leave
+                    )
                     if event is None:
                         return
+                    # It answers, and nothing takes the place of that.
+                    may_leave = _stays
                     self._chooser.told(target.id, event.outstanding)
                     watched.note(event)
                     yield event
@@ -319,15 +343,20 @@
             self._chooser.ended(target.id)
 
     async def _next_event(
-        self, stream: Any, target: Target, deadline_at: float
+        self,
+        stream: Any,
+        target: Target,
+        deadline_at: float,
+        may_leave: MayLeave,
     ) -> agent_pb2.RunEvent | None:
-        """The next event; an agent whose lease lapsed counts as lost.
+        """The next event; an agent whose lease lapsed may count as lost.
 
         Raises:
-            TimeoutError: the deadline has passed, or the agent's lease.
+            TimeoutError: the deadline has passed, or the agent's lease and
+                there is something better.
         """
         async with asyncio.timeout_at(deadline_at) as limit:
-            with self._lapses.watched(target.id, limit):
+            with self._lapses.watched(target.id, limit, may_leave):
                 return await stream.recv_message()
 
     # --- Answers -----------------------------------------------------------
@@ -371,6 +400,51 @@
         yield error_event(call, "target_lost")
 
 
+class _Onward:
+    """The attempt that may follow the present one of a call.
+
+    Args:
+        dispatcher: carries the call out.
+        call: the call.
+        tried: ids of targets that it was sent to before.
+    """
+
+    __slots__ = ("_call", "_dispatcher", "_is_paid", "_tried")
+
+    def __init__(self, dispatcher: Dispatcher, call: Call, tried: set[str]):
+        self._dispatcher = dispatcher
+        self._call = call
+        self._tried = tried
+        self._is_paid = False
+
+    def is_taken_from(self, target: Target, attempt: int) -> bool:
+        """Pays for going on elsewhere, if there is a way to.
+
+        Args:
+            target: of the present attempt.
+            attempt: how many were made before it.
+        """
+        if self._is_paid:
+            return True
+        if self._call.key or attempt + 1 >= _MAX_ATTEMPTS:
+            return False
+        if not self._dispatcher.has_other(
+            self._call, self._tried | {target.id}
+        ):
+            return False
+        self._is_paid = self._dispatcher.budget.spend()
+        return self._is_paid
+
+    def pay(self) -> bool:
+        """Whether the next attempt may be made."""
+        is_paid, self._is_paid = self._is_paid, False
+        return is_paid or self._dispatcher.budget.spend()
+
+
+def _stays() -> bool:
+    return False
+
+
 class _Slot:
     """An admission slot, released once."""
 
--- a/damaskcroft/entry/tests/fakes.py
+++ b/damaskcroft/entry/tests/fakes.py
@@ -62,6 +62,7 @@
         self.journal = journal
         self.mode = "well"
         self.work_s = 0.05
+        self.content_type = "text/plain"
         self.limit = Unnamed()
 
     @contextlib.asynccontextmanager
@@ -77,7 +78,7 @@
         status = 500 if self.mode == "fails" else 200
         yield CallStarted(
             status,
-            "text/plain",
+            self.content_type,
             self._body(call),
             call.request_id,
             self.limit,
