A run that ends without a word counts as lost

A caller of the own product whose call must run once got an untyped 500 when its agent ended the run without any event, as it does after a fault of its own: the entry met the end of the events as an exception (StopAsyncIteration).

It counts as lost with its target: 502, unknown whether it ran. test_a_run_that_ends_without_a_word_counts_as_lost failed before.

--- a/damaskcroft/entry/_dispatch.py
+++ b/damaskcroft/entry/_dispatch.py
@@ -276,10 +276,12 @@
         request = _run_request(call, target, run_number, remaining_ms)
         events = self._events(watched, request, target, deadline_at, may_leave)
         try:
-            first = await anext(events)
+            first = await anext(events, None)
         except BaseException:
             await events.aclose()
             raise
+        if first is None:
+            return AttemptLost("target_lost")
         kind = first.WhichOneof("kind")
         if kind == "head" and first.head.request_id == call.request_id:
             if first.head.content_type.startswith(_EVENT_STREAM):
