A claimed run that its agent failed is settled

After a fault of an agent's own in a run that must run once, every later call under the same key waited for its whole time and was told 409 in_progress: the agent ended the run without settling it, and said from then on that it was still running. The fault itself was logged only when its task was collected.

--- a/damaskcroft/agent/_runs.py
+++ b/damaskcroft/agent/_runs.py
@@ -16,7 +16,7 @@
     Engine,
     TargetCall,
 )
-from damaskcroft.observe import log_event, metrics
+from damaskcroft.observe import log_event, log_warning, metrics
 
 _RETRY_UNREACHABLE_MS = 500
 # A claimed run goes on for this long after its caller has left.
@@ -112,6 +112,14 @@
                         events.put_nowait(event)
             except TimeoutError:
                 events.put_nowait(self._failed(agent_pb2.FAILED_DEADLINE))
+            except Exception as error:
+                # A fault of ours; the run is settled all the same.
+                log_warning(
+                    "run_failed",
+                    request_id=request.request_id,
+                    reason=repr(error),
+                )
+                events.put_nowait(self._failed(agent_pb2.FAILED_TARGET_LOST))
             finally:
                 events.put_nowait(None)
             if outcome.refused:
