A silent target is left for a second attempt that is under way, suspects' too

The attempt of a suspect now ends right before the first byte of its second attempt leaves, so that no two copies are under way and a refused connection costs nothing. Attempts at targets that have started again get a second attempt at once, as those at silent targets; they are ended without one only once the target is silent too.

Evidence: test_a_suspect_is_not_cut_for_a_target_that_refuses_connections and test_a_stream_is_not_cut_when_its_targets_start_comes_to_be_known fail without the change. A connection's end that the entry brought about no longer counts as a caller that left.

--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -14,7 +14,7 @@
 )
 from damaskcroft.forwarding._availability import Availability, returns_s
 from damaskcroft.forwarding._call import AnswerFacts, Passing, Wire
-from damaskcroft.forwarding._hedge import SILENT, Hedge, hedged
+from damaskcroft.forwarding._hedge import Hedge, hedged
 from damaskcroft.forwarding._job import (
     DEADLINE,
     BrokenOff,
@@ -156,7 +156,7 @@
                 reason = self._why_none(wait.reason, wait.ticket.service)
                 self._log.queued(wait, reason)
             self._look_at_silence(set(self._silence.silent_ids()))
-            self._running.give_up_lost()
+            self._running.give_up_lost(self._silent_ids)
 
     def _look_at_silence(self, silent_ids: set[str]) -> None:
         """Puts silent targets aside until they are heard, and hedges."""
@@ -245,19 +245,10 @@
         return await self._try_one(job, answer, progress, taken)
 
     def _hedge(self, silent_ids: set[str]) -> None:
-        """Sends what waits for silent targets to others, beside them."""
-        if not silent_ids:
-            return
-        for waiting in self._running.at(silent_ids):
-            if self._choose_beside(waiting, silent_ids) is None:
-                continue
-            if self._suspects.is_suspect(waiting.job, waiting.progress):
-                # Copies of what crashes targets never run beside each other.
-                if self._retry_window.spend():
-                    waiting.progress.is_paid = True
-                    waiting.made.give_up(SILENT)
-                continue
-            waiting.hedge.begin(self._try_beside(waiting, silent_ids))
+        """Sends what waits in vain to other targets, beside it."""
+        for waiting in self._running.to_hedge(silent_ids):
+            if self._choose_beside(waiting, silent_ids) is not None:
+                waiting.hedge.begin(self._try_beside(waiting, silent_ids))
 
     async def _try_beside(
         self, waiting: Sending, silent_ids: set[str]
@@ -267,7 +258,9 @@
         if placed is None or not self._retry_window.spend():
             return None
         slot = self._take(
-            placed.candidate, waiting.job.call.prompt_tokens, is_suspect=False
+            placed.candidate,
+            waiting.job.call.prompt_tokens,
+            is_suspect=self._suspects.is_suspect(waiting.job, waiting.progress),
         )
         return await self._try_one(
             waiting.job,
@@ -358,7 +351,7 @@
             return given_up(
                 closed.reason, progress, returns_s(closed.returns_s)
             )
-        if progress.sent and not self._pay(progress):
+        if progress.sent and not self._retry_window.spend():
             metrics.RETRIES.labels("no_budget").inc()
             return given_up("no_retry_budget", progress)
         slot = self._take(
@@ -366,13 +359,6 @@
         )
         return SlotTaken(placed.candidate, slot)
 
-    def _pay(self, progress: Progress) -> bool:
-        """Takes a repeat from the budget, unless that was done already."""
-        if progress.is_paid:
-            progress.is_paid = False
-            return True
-        return self._retry_window.spend()
-
     def _take(
         self, candidate: Candidate, prompt_tokens: int, *, is_suspect: bool
     ) -> Slot:
@@ -463,7 +449,7 @@
                 passing,
                 lambda: self._silence.heard(target.id),
                 lambda connect_s: self._why_not_send(
-                    job, progress, target, taken_at, connect_s
+                    job, progress, target, taken_at, connect_s, hedge
                 ),
                 anew=hedge.is_second,
             ) as made:
@@ -569,6 +555,7 @@
         target: Candidate,
         taken_at: float,
         connect_s: float,
+        hedge: Hedge,
     ) -> str | None:
         """Why a request must not go to a target after all; None if it may."""
         if self._suspects.quarantined_s(job, progress):
@@ -581,6 +568,9 @@
             job.service, job.call.model, target.id, connect_s
         ):
             return _TOO_LATE
+        if self._suspects.is_suspect(job, progress):
+            # Copies of what crashes targets never run beside each other.
+            hedge.takes_over()
         return None
 
     def _is_surprise(self, job: Job, target: Candidate) -> bool:
--- a/damaskcroft/forwarding/_gate.py
+++ b/damaskcroft/forwarding/_gate.py
@@ -146,7 +146,8 @@
         try:
             ending = await self._forwarder.forward(made, answer)
         except asyncio.CancelledError:
-            metrics.REFUSALS.labels("caller_left", Ran.MAYBE.value).inc()
+            if answer.caller_has_ended:
+                metrics.REFUSALS.labels("caller_left", Ran.MAYBE.value).inc()
             raise
         match ending:
             case Gave():
--- a/damaskcroft/forwarding/_hedge.py
+++ b/damaskcroft/forwarding/_hedge.py
@@ -14,10 +14,10 @@
 from damaskcroft.forwarding._job import Ending
 from damaskcroft.observe import log_warning
 
-__all__ = ["SILENT", "Hedge", "hedged"]
+__all__ = ["Hedge", "hedged"]
 
 # An attempt that was ended since another target has begun to answer.
-SILENT = "silent"
+_SILENT = "silent"
 
 
 class Hedge:
@@ -76,7 +76,7 @@
         """The attempt is about to answer the caller: others are ended."""
         self.close()
         for outer in self._outer_attempts():
-            outer.give_up(SILENT)
+            outer.give_up(_SILENT)
 
     async def ending(self) -> Ending | None:
         """How the second attempt ends; None if there is none to wait for."""
--- a/damaskcroft/forwarding/_job.py
+++ b/damaskcroft/forwarding/_job.py
@@ -185,7 +185,6 @@
         last: how the last attempt failed.
         runs: targets that may have run it.
         begun: whether the caller has got the head of an answer.
-        is_paid: whether its next repeat was taken from the budget already.
         is_tied: whether only the target that has begun the answer can end it.
         events: how many events of a stream the caller has got.
         target_id: the target that it was sent to last; empty before.
@@ -205,7 +204,6 @@
         "events",
         "excluded",
         "fingerprint",
-        "is_paid",
         "is_tied",
         "last",
         "last_event_id",
@@ -226,7 +224,6 @@
         self.last: NotSent | NotRun | Lost | None = None
         self.runs = 0
         self.begun = False
-        self.is_paid = False
         self.is_tied = False
         self.events = 0
         self.target_id = ""
--- a/damaskcroft/forwarding/_running.py
+++ b/damaskcroft/forwarding/_running.py
@@ -40,28 +40,38 @@
         finally:
             self._sendings.discard(sending)
 
-    def at(self, target_ids: Collection[str]) -> list[Sending]:
-        """Attempts at some targets that may have a second one beside them."""
+    def to_hedge(self, silent_ids: Collection[str]) -> list[Sending]:
+        """Attempts that may have a second one beside them, and should.
+
+        They are at silent targets, or at some that have started again: what
+        ran there is lost, unless its later start took it before that was known.
+        """
         return [
             running
             for running in self._sendings
-            if running.target.id in target_ids
-            and running.job.is_repeatable
+            if running.job.is_repeatable
             and not running.progress.is_tied
             and running.hedge.may_begin
+            and (
+                running.target.id in silent_ids
+                or self._services.has_started_again(running.target)
+            )
         ]
 
-    def give_up_lost(self) -> None:
+    def give_up_lost(self, silent_ids: Collection[str]) -> None:
         """Ends attempts that may go on elsewhere and can't end well here.
 
-        They end at targets that have started again, and at those whose weights
-        are due to be gone before they begin.
+        They end at targets whose weights are due to be gone before they begin,
+        and at those that have started again and are silent since.
+
+        Args:
+            silent_ids: targets that have said nothing for long.
         """
         outdated_by_kind: dict[tuple[str, str], set[str]] = {}
         for running in list(self._sendings):
             if not running.job.is_repeatable:
                 continue
-            if self._services.has_started_again(running.target):
+            if self._is_lost(running, silent_ids):
                 running.made.give_up(STARTED_AGAIN)
                 continue
             if running.made.begun:
@@ -72,6 +82,11 @@
             if running.target.id in outdated_by_kind[kind]:
                 running.made.give_up("version_due")
 
+    def _is_lost(self, running: Sending, silent_ids: Collection[str]) -> bool:
+        if running.target.id not in silent_ids or running.hedge.is_running:
+            return False
+        return self._services.has_started_again(running.target)
+
     def _give_up_quarantined(self) -> None:
         """Takes back what a target has not begun and should not begin."""
         for running in list(self._sendings):
--- a/damaskcroft/forwarding/tests/fakes.py
+++ b/damaskcroft/forwarding/tests/fakes.py
@@ -220,7 +220,8 @@
             event = b"id: %d\ndata: %d\n\n" % (number, number)
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
-            await asyncio.sleep(self.pause_s if number == pause_after else 0)
+            pauses = pause_after in (number, "each")
+            await asyncio.sleep(self.pause_s if pauses else 0)
         if upto == EVENTS:
             writer.write(b"0\r\n\r\n")
             return True
@@ -240,6 +241,10 @@
     async def stream_pauses(self, head, reader, writer):
         return await self.stream(head, reader, writer, pause_after=3)
 
+    async def stream_slowly(self, head, reader, writer):
+        self.pause_s = 0.2
+        return await self.stream(head, reader, writer, pause_after="each")
+
     async def stream_fails(self, head, reader, writer):
         return await self.fails(head, reader, writer)
 
--- a/damaskcroft/forwarding/tests/test_silent_targets.py
+++ b/damaskcroft/forwarding/tests/test_silent_targets.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from damaskcroft._generated import fleet_pb2
 from damaskcroft.forwarding.tests.fakes import (
     EVENTS,
     FakeTarget,
@@ -13,6 +14,7 @@
     route,
     unchunked,
 )
+from damaskcroft.forwarding.tests.test_quarantined import note_crashes
 
 ALL_IDS = list(range(1, EVENTS + 1))
 
@@ -27,6 +29,14 @@
     return config(max_attempts, streaming=True, resumable=True)
 
 
+def announce(entry, target, sequence, born_ms):
+    state = fleet_pb2.TargetState(
+        id=target.name, service="s", address=target.address, slots=4,
+        sequence=sequence, born_ms=born_ms,
+    )  # fmt: skip
+    entry.view.take([state])
+
+
 async def ask(entry, first):
     """What a caller gets whose request goes to one target first."""
     others = [c for c in entry.candidates() if c.id != first.name]
@@ -95,6 +105,33 @@
     asyncio.run(scenario())
 
 
+def test_a_suspect_is_not_cut_for_a_target_that_refuses_connections():
+    async def scenario():
+        silent, other = FakeTarget("a", "stream_pauses"), FakeTarget("b", "")
+        async with entry_before(silent, other, config=stream_config()) as entry:
+            note_crashes(entry, 1)
+            other.server.close()
+            assert_whole(await ask(entry, silent))
+
+    asyncio.run(scenario())
+
+
+def test_a_stream_is_not_cut_when_its_targets_start_comes_to_be_known():
+    # Against news of a start that the stream itself runs at.
+    async def scenario():
+        target = FakeTarget("a", "stream_slowly")
+        async with entry_before(target, config=stream_config(1)) as entry:
+            announce(entry, target, sequence=2, born_ms=1000)
+            asking = asyncio.create_task(entry.ask(x_deadline="4"))
+            async with asyncio.timeout(5):
+                while not target.heads:
+                    await asyncio.sleep(0.01)
+            announce(entry, target, sequence=1, born_ms=2000)
+            assert_whole(await asking)
+
+    asyncio.run(scenario())
+
+
 def test_a_request_is_not_failed_while_its_only_target_pauses():
     async def scenario():
         target = FakeTarget("a", "pauses")
