--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -12,7 +12,7 @@
     NotSent,
     attempt,
 )
-from damaskcroft.forwarding._availability import Availability, returns_s
+from damaskcroft.forwarding._availability import Availability
 from damaskcroft.forwarding._call import AnswerFacts, Passing, Wire
 from damaskcroft.forwarding._hedge import Hedge, hedged
 from damaskcroft.forwarding._job import (
@@ -23,10 +23,9 @@
     Gave,
     Job,
     Progress,
-    Ran,
-    Refused,
     given_up,
 )
+from damaskcroft.forwarding._placing import Placing
 from damaskcroft.forwarding._relay import (
     Relay,
     Sending,
@@ -52,14 +51,9 @@
     BackPressure,
     Candidate,
     Outliers,
-    Overloaded,
-    Placement,
     Placer,
-    QueueTicket,
-    RequestQueue,
     RetryWindow,
     SilenceWatch,
-    Slot,
     SlotTaken,
 )
 
@@ -117,7 +111,6 @@
         self._suspects = suspects
         self._back_pressure = back_pressure
         self._limits = limits
-        self._availability = Availability(services, back_pressure, limits)
         self._doubt = doubt
         self._delays = delays
         self._silence = silence
@@ -125,18 +118,15 @@
         self._silent_ids: set[str] = set()
         # Of jobs that are under way.
         self._bounds: set[asyncio.Timeout] = set()
-        self._queue = RequestQueue(
-            self._choose,
-            lambda candidate, ticket: self._take(
-                candidate, ticket.prompt_tokens, is_suspect=ticket.is_suspect
-            ),
-            lambda ticket: services.may_serve_soon(
-                ticket.service, ticket.model
-            ),
-            lambda ticket, before: self._availability.closed(
-                ticket.service, ticket.model, before
-            ),
+        self._placing = Placing(
+            services,
+            Availability(services, back_pressure, limits),
+            placer,
+            limits,
+            suspects,
+            retry_window,
         )
+        self._queue = self._placing.queue
         self._relay = Relay(wire, self._queue.serve, self._note_first)
         self._wire = wire
         self._services = services
@@ -153,7 +143,9 @@
             self._queue.serve()
             self._suspects.look()
             for wait in self._queue.newly_long():
-                reason = self._why_none(wait.reason, wait.ticket.service)
+                reason = self._placing.why_none(
+                    wait.reason, wait.ticket.service
+                )
                 self._log.queued(wait, reason)
             self._look_at_silence(set(self._silence.silent_ids()))
             self._running.give_up_lost(self._silent_ids)
@@ -239,7 +231,7 @@
         ending = self._why_stop(job, progress)
         if ending is not None:
             return ending
-        taken = await self._place(job, progress)
+        taken = await self._placing.place(job, progress)
         if not isinstance(taken, SlotTaken):
             return taken
         return await self._try_one(job, answer, progress, taken)
@@ -247,133 +239,26 @@
     def _hedge(self, silent_ids: set[str]) -> None:
         """Sends what waits in vain to other targets, beside it."""
         for waiting in self._running.to_hedge(silent_ids):
-            if self._choose_beside(waiting, silent_ids) is not None:
+            if self._why_stop(waiting.job, waiting.progress) is not None:
+                continue
+            if self._placing.has_place_beside(waiting, silent_ids):
                 waiting.hedge.begin(self._try_beside(waiting, silent_ids))
 
     async def _try_beside(
         self, waiting: Sending, silent_ids: set[str]
     ) -> Ending | None:
         """A second attempt; None if there is none, or it gives no answer."""
-        placed = self._choose_beside(waiting, silent_ids)
-        if placed is None or not self._retry_window.spend():
+        taken = self._placing.take_beside(waiting, silent_ids)
+        if taken is None:
             return None
-        slot = self._take(
-            placed.candidate,
-            waiting.job.call.prompt_tokens,
-            is_suspect=self._suspects.is_suspect(waiting.job, waiting.progress),
-        )
         return await self._try_one(
             waiting.job,
             waiting.answer,
             waiting.progress,
-            SlotTaken(placed.candidate, slot),
+            taken,
             waiting.hedge,
         )
 
-    def _choose_beside(
-        self, waiting: Sending, silent_ids: set[str]
-    ) -> Placement | None:
-        """Where a second attempt may be of use; None if nowhere."""
-        job, progress = waiting.job, waiting.progress
-        if self._why_stop(job, progress) is not None:
-            return None
-        if waiting.answer.caller_has_ended:
-            # It may have left: only what is written to it would tell.
-            return None
-        if self._retry_window.left < 1:
-            return None
-        candidates = self._availability.candidates(job.service, job.call.model)
-        excluded_ids = progress.excluded | silent_ids
-        if candidates == [waiting.target] and waiting.made.connect_s is None:
-            # Connections that were kept may be silent where a new one is not.
-            excluded_ids = set()
-        return self._placer.choose(
-            candidates,
-            excluded_ids,
-            job.call.prompt_tokens,
-            is_suspect=self._suspects.is_suspect(job, progress),
-        )
-
-    async def _place(self, job: Job, progress: Progress) -> SlotTaken | Ending:
-        """Takes a slot at a target.
-
-        A job that was tried already, or whose answer has begun, doesn't wait
-        in the queue again.
-        """
-        if progress.sent or progress.unsent or progress.refused:
-            return self._place_again(job, progress)
-        ticket = QueueTicket(
-            service=job.service,
-            model=job.call.model,
-            priority=job.priority,
-            arrived_at=job.call.arrived_at,
-            goal_s=job.route.latency_goal_ms / 1000,
-            deadline_at=job.deadline_at,
-            prompt_tokens=job.call.prompt_tokens,
-            request_id=job.call.request_id,
-            is_suspect=self._suspects.is_suspect(job, progress),
-        )
-        outcome = await self._queue.take_slot(ticket)
-        progress.pace.queued_s = now_s() - job.call.arrived_at
-        match outcome:
-            case SlotTaken():
-                return outcome
-            case Overloaded(reason=reason, waiting=waiting):
-                detail = f"{waiting} waiting"
-                reason = self._why_none(reason, job.service)
-                return Refused(
-                    reason,
-                    Ran.NO,
-                    detail,
-                    outcome.foreseen_s,
-                    returns_s(outcome.returns_s),
-                )
-
-    def _why_none(self, reason: str, service: str) -> str:
-        """Tells ready targets without the weights that are due from none."""
-        if reason == "no_target" and self._services.has_ready(service):
-            return "no_weights"
-        return reason
-
-    def _place_again(self, job: Job, progress: Progress) -> SlotTaken | Ending:
-        prompt_tokens = job.call.prompt_tokens
-        is_suspect = self._suspects.is_suspect(job, progress)
-        placed = self._placer.choose(
-            self._availability.candidates(job.service, job.call.model),
-            progress.excluded,
-            prompt_tokens,
-            is_suspect=is_suspect,
-        )
-        if placed is None:
-            closed = self._availability.closed(job.service, job.call.model, 0)
-            if closed is None:
-                return given_up("no_target", progress)
-            return given_up(
-                closed.reason, progress, returns_s(closed.returns_s)
-            )
-        if progress.sent and not self._retry_window.spend():
-            metrics.RETRIES.labels("no_budget").inc()
-            return given_up("no_retry_budget", progress)
-        slot = self._take(
-            placed.candidate, prompt_tokens, is_suspect=is_suspect
-        )
-        return SlotTaken(placed.candidate, slot)
-
-    def _take(
-        self, candidate: Candidate, prompt_tokens: int, *, is_suspect: bool
-    ) -> Slot:
-        """Takes a place at a target for a request that is about to be sent."""
-        self._limits.sending(candidate.id)
-        return self._placer.take(
-            candidate, prompt_tokens, is_suspect=is_suspect
-        )
-
-    def _choose(self, ticket: QueueTicket) -> Placement | None:
-        candidates = self._availability.candidates(ticket.service, ticket.model)
-        return self._placer.choose(
-            candidates, (), ticket.prompt_tokens, is_suspect=ticket.is_suspect
-        )
-
     def _why_stop(self, job: Job, progress: Progress) -> Ending | None:
         quarantined_s = self._suspects.quarantined_s(job, progress)
         if quarantined_s:
--- /dev/null
+++ b/damaskcroft/forwarding/_placing.py
@@ -0,0 +1,206 @@
+"""Where jobs are sent: at first by the queue, then again, or beside."""
+
+from damaskcroft.clock import now_s
+from damaskcroft.forwarding._availability import Availability, returns_s
+from damaskcroft.forwarding._job import (
+    Ending,
+    Job,
+    Progress,
+    Ran,
+    Refused,
+    given_up,
+)
+from damaskcroft.forwarding._relay import Sending
+from damaskcroft.forwarding._services import Services
+from damaskcroft.forwarding._suspects import Suspects
+from damaskcroft.limits import RateLimits
+from damaskcroft.observe import metrics
+from damaskcroft.routing import (
+    Candidate,
+    Overloaded,
+    Placement,
+    Placer,
+    QueueTicket,
+    RequestQueue,
+    RetryWindow,
+    Slot,
+    SlotTaken,
+)
+
+__all__ = ["Placing"]
+
+
+class Placing:
+    """Takes slots at targets for jobs.
+
+    Args:
+        services: which targets could run a request.
+        availability: which of them take one now.
+        placer: chooses among them.
+        limits: how many requests a second targets take.
+        suspects: requests that targets crashed under.
+        retry_window: how many attempts may follow a first one.
+
+    Attributes:
+        queue: jobs that wait for their first slot.
+    """
+
+    def __init__(
+        self,
+        services: Services,
+        availability: Availability,
+        placer: Placer,
+        limits: RateLimits,
+        suspects: Suspects,
+        retry_window: RetryWindow,
+    ):
+        """See the class."""
+        self._services = services
+        self._availability = availability
+        self._placer = placer
+        self._limits = limits
+        self._suspects = suspects
+        self._retry_window = retry_window
+        self.queue = RequestQueue(
+            self._choose,
+            lambda candidate, ticket: self._take(
+                candidate, ticket.prompt_tokens, is_suspect=ticket.is_suspect
+            ),
+            lambda ticket: services.may_serve_soon(
+                ticket.service, ticket.model
+            ),
+            lambda ticket, before: availability.closed(
+                ticket.service, ticket.model, before
+            ),
+        )
+
+    async def place(self, job: Job, progress: Progress) -> SlotTaken | Ending:
+        """Takes a slot at a target.
+
+        A job that was tried already, or whose answer has begun, doesn't wait
+        in the queue again.
+        """
+        if progress.sent or progress.unsent or progress.refused:
+            return self._place_again(job, progress)
+        ticket = QueueTicket(
+            service=job.service,
+            model=job.call.model,
+            priority=job.priority,
+            arrived_at=job.call.arrived_at,
+            goal_s=job.route.latency_goal_ms / 1000,
+            deadline_at=job.deadline_at,
+            prompt_tokens=job.call.prompt_tokens,
+            request_id=job.call.request_id,
+            is_suspect=self._suspects.is_suspect(job, progress),
+        )
+        outcome = await self.queue.take_slot(ticket)
+        progress.pace.queued_s = now_s() - job.call.arrived_at
+        match outcome:
+            case SlotTaken():
+                return outcome
+            case Overloaded(reason=reason, waiting=waiting):
+                detail = f"{waiting} waiting"
+                reason = self.why_none(reason, job.service)
+                return Refused(
+                    reason,
+                    Ran.NO,
+                    detail,
+                    outcome.foreseen_s,
+                    returns_s(outcome.returns_s),
+                )
+
+    def why_none(self, reason: str, service: str) -> str:
+        """Tells ready targets without the weights that are due from none."""
+        if reason == "no_target" and self._services.has_ready(service):
+            return "no_weights"
+        return reason
+
+    def _place_again(self, job: Job, progress: Progress) -> SlotTaken | Ending:
+        prompt_tokens = job.call.prompt_tokens
+        is_suspect = self._suspects.is_suspect(job, progress)
+        placed = self._placer.choose(
+            self._availability.candidates(job.service, job.call.model),
+            progress.excluded,
+            prompt_tokens,
+            is_suspect=is_suspect,
+        )
+        if placed is None:
+            closed = self._availability.closed(job.service, job.call.model, 0)
+            if closed is None:
+                return given_up("no_target", progress)
+            return given_up(
+                closed.reason, progress, returns_s(closed.returns_s)
+            )
+        if progress.sent and not self._retry_window.spend():
+            metrics.RETRIES.labels("no_budget").inc()
+            return given_up("no_retry_budget", progress)
+        slot = self._take(
+            placed.candidate, prompt_tokens, is_suspect=is_suspect
+        )
+        return SlotTaken(placed.candidate, slot)
+
+    def _take(
+        self, candidate: Candidate, prompt_tokens: int, *, is_suspect: bool
+    ) -> Slot:
+        """Takes a place at a target for a request that is about to be sent."""
+        self._limits.sending(candidate.id)
+        return self._placer.take(
+            candidate, prompt_tokens, is_suspect=is_suspect
+        )
+
+    def _choose(self, ticket: QueueTicket) -> Placement | None:
+        candidates = self._availability.candidates(ticket.service, ticket.model)
+        return self._placer.choose(
+            candidates, (), ticket.prompt_tokens, is_suspect=ticket.is_suspect
+        )
+
+    def has_place_beside(self, waiting: Sending, silent_ids: set[str]) -> bool:
+        """Whether a second attempt beside a waiting one may be of use.
+
+        Args:
+            waiting: the attempt.
+            silent_ids: targets that have said nothing for long.
+        """
+        if waiting.answer.caller_has_ended:
+            # It may have left: only what is written to it would tell.
+            return False
+        if self._retry_window.left < 1:
+            return False
+        return self._choose_beside(waiting, silent_ids) is not None
+
+    def take_beside(
+        self, waiting: Sending, silent_ids: set[str]
+    ) -> SlotTaken | None:
+        """Takes a slot and a repeat for a second attempt; None without one.
+
+        Args:
+            waiting: the attempt.
+            silent_ids: targets that have said nothing for long.
+        """
+        if not self.has_place_beside(waiting, silent_ids):
+            return None
+        placed = self._choose_beside(waiting, silent_ids)
+        if placed is None or not self._retry_window.spend():
+            return None
+        slot = self._take(
+            placed.candidate,
+            waiting.job.call.prompt_tokens,
+            is_suspect=self._suspects.is_suspect(waiting.job, waiting.progress),
+        )
+        return SlotTaken(placed.candidate, slot)
+
+    def _choose_beside(
+        self, waiting: Sending, silent_ids: set[str]
+    ) -> Placement | None:
+        job, progress = waiting.job, waiting.progress
+        candidates = self._availability.candidates(job.service, job.call.model)
+        excluded_ids = progress.excluded | silent_ids
+        if candidates == [waiting.target] and waiting.made.connect_s is None:
+            # Connections that were kept may be silent where a new one is not.
+            excluded_ids = set()
+        return self._placer.choose(
+            candidates,
+            excluded_ids,
+            job.call.prompt_tokens,
+            is_suspect=self._suspects.is_suspect(job, progress),
+        )
