--- a/damaskcroft/forwarding/tests/test_stopping.py
+++ b/damaskcroft/forwarding/tests/test_stopping.py
@@ -92,7 +92,10 @@
     at_the_end(target, scenario)
 
 
-def test_what_still_waits_at_the_end_is_told_that_it_has_not_run(at_the_end):
+@pytest.mark.parametrize("when", ["before", "after"])
+def test_what_still_waits_at_the_end_is_told_that_it_has_not_run(
+    at_the_end, when
+):
     # Against 504 for what was never passed on: nobody would send it again.
     target = SlowTarget("slow")
 
@@ -102,8 +105,13 @@
             for n in range(4)
         ]
         await until_asked(target, 4)
-        entry.gate.stop(WITHIN_S)
-        status, head, _ = await answered(entry.ask(x_id="9", x_deadline="4"))
+        if when == "after":
+            entry.gate.stop(WITHIN_S)
+        asking = asyncio.create_task(entry.ask(x_id="9", x_deadline="4"))
+        if when == "before":
+            await asyncio.sleep(0.1)
+            entry.gate.stop(WITHIN_S)
+        status, head, _ = await answered(asking)
         assert status == 503
         assert "retry-after" in head
         assert len(target.heads) == 4
