--- a/damaskcroft/forwarding/_hedge.py
+++ b/damaskcroft/forwarding/_hedge.py
@@ -1,7 +1,7 @@
 """A second attempt beside one whose target is silent.
 
 A silent target may be dead, or pause and then go on. Its attempt is ended only
-for an answer that another target has begun: hedged requests (J. Dean and
+once another one has something for the caller: hedged requests (J. Dean and
 L. A. Barroso, "The Tail at Scale", CACM 56(2), 2013).
 """
 
@@ -16,7 +16,7 @@
 
 __all__ = ["Hedge", "hedged"]
 
-# An attempt that was ended since another target has begun to answer.
+# Why an attempt was ended for another one.
 _SILENT = "silent"
 
 
