A request half read at the end of a server is told that it has not run

A connection that was reading a request at the end was closed without a word; its request had not come whole, so that it was not lost, but its caller couldn't tell.

What is being read when the server closes now gets a 408, which says that it has not run.

--- a/damaskcroft/http1/_server.py
+++ b/damaskcroft/http1/_server.py
@@ -22,6 +22,8 @@
 _LAST_WORD_S = 0.2
 # For connections that were cut, to clean up.
 _CUT_S = 0.1
+# The server ends before a request has come whole: it has not run.
+_UNREAD = 408
 # Whether the request has run isn't known.
 _FAULT = 500
 # Queue of connections that the kernel holds for us.
@@ -113,7 +115,7 @@
                 await self._close_idle_one(parser, channel)
                 return
             answer = Answer(parser, channel, self._handler.is_stopping)
-            request = await reader.read_request(answer)
+            request = await self._read(reader, answer, parser)
             if request is None:
                 await self._read_on(channel)
                 return
@@ -147,6 +149,17 @@
         # Told to end in the moment in which a request came: it is answered.
         return channel.has_unread and await reader.wait_for_first_byte()
 
+    async def _read(
+        self, reader: RequestReader, answer: Answer, parser: h11.Connection
+    ) -> CallerRequest | None:
+        """Reads a request; one whose rest doesn't come in time gets a 408."""
+        try:
+            return await reader.read_request(answer)
+        except asyncio.CancelledError:
+            if parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+                await answer.give(_UNREAD, [(b"connection", b"close")], b"")
+            raise
+
     async def _close_idle_one(
         self, parser: h11.Connection, channel: Channel
     ) -> None:
--- a/damaskcroft/http1/tests/test_closing.py
+++ b/damaskcroft/http1/tests/test_closing.py
@@ -14,7 +14,7 @@
 import aiosonic
 import pytest
 
-from damaskcroft.http1 import Lingering
+from damaskcroft.http1 import CallerLimits, Lingering
 from damaskcroft.http1.tests.test_server import WHOLE, settled
 from damaskcroft.standins.late_callers import LateCallers
 
@@ -66,6 +66,24 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("part", [WHOLE[:12], WHOLE[:-2]])
+def test_a_request_half_read_at_the_end_is_told_that_it_has_not_run(
+    run, served, part
+):
+    # Against a connection that ends without a byte.
+    async def scenario():
+        async with served() as (handler, call, connections):
+            handler.limits = CallerLimits
+            caller = await call()
+            await caller.send(part)
+            await asyncio.sleep(0.05)
+            await connections.close()
+            assert (await caller.rest()).startswith(PROMISE)
+            assert handler.requests == []
+
+    run(scenario())
+
+
 def test_a_library_that_pools_connections_reads_that_nothing_ran(run, served):
     # Against a reset that the library meets before it looks at its buffer.
     async def scenario():
