A second attempt's place is chosen once, and reads need no context manager

Taking a place beside a silent attempt asked for the best target twice in a row; one question now tells both whether there is one and which. Whether an attempt waits for its target was noted through a generator for each event that is read.

--- a/damaskcroft/forwarding/_attempt.py
+++ b/damaskcroft/forwarding/_attempt.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
-from collections.abc import AsyncIterator, Callable, Iterator
+from collections.abc import AsyncIterator, Callable
 
 from damaskcroft.clock import now_s
 from damaskcroft.forwarding._call import AnswerFacts, Call, Passing, Wire
@@ -176,10 +176,12 @@
             await connection.send(
                 self._call.method, self._call.target, headers, self._call.body
             )
-            with self._waiting():
-                head = await connection.read_head(self._is_ours)
+            self.is_waiting = True
+            head = await connection.read_head(self._is_ours)
         except NoAnswerError as error:
             return self.lost(_lost_reason(error, connection))
+        finally:
+            self.is_waiting = False
         if self.given_up:
             # What had come before the connection was closed.
             return self.lost(self.given_up)
@@ -199,8 +201,11 @@
             CutShortError: the body ended before its end.
         """
         assert self._connection is not None, "begin comes first"
-        with self._waiting():
+        self.is_waiting = True
+        try:
             part = await self._connection.read_part()
+        finally:
+            self.is_waiting = False
         if self.given_up:
             # What had come before the connection was closed.
             raise CutShortError(self.given_up)
@@ -219,14 +224,6 @@
             return Lost(self.given_up, given_up=True)
         return Lost(reason, cut=True)
 
-    @contextlib.contextmanager
-    def _waiting(self) -> Iterator[None]:
-        self.is_waiting = True
-        try:
-            yield
-        finally:
-            self.is_waiting = False
-
     def give_up(self, reason: str) -> None:
         """Ends the attempt from outside; it counts as lost."""
         if self._connection is not None:
--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -241,7 +241,7 @@
         for waiting in self._running.to_hedge(silent_ids):
             if self._why_stop(waiting.job, waiting.progress) is not None:
                 continue
-            if self._placing.has_place_beside(waiting, silent_ids):
+            if self._placing.choose_beside(waiting, silent_ids) is not None:
                 waiting.hedge.begin(self._try_beside(waiting, silent_ids))
 
     async def _try_beside(
--- a/damaskcroft/forwarding/_placing.py
+++ b/damaskcroft/forwarding/_placing.py
@@ -154,20 +154,6 @@
             candidates, (), ticket.prompt_tokens, is_suspect=ticket.is_suspect
         )
 
-    def has_place_beside(self, waiting: Sending, silent_ids: set[str]) -> bool:
-        """Whether a second attempt beside a waiting one may be of use.
-
-        Args:
-            waiting: the attempt.
-            silent_ids: targets that have said nothing for long.
-        """
-        if waiting.answer.caller_has_ended:
-            # It may have left: only what is written to it would tell.
-            return False
-        if self._retry_window.left < 1:
-            return False
-        return self._choose_beside(waiting, silent_ids) is not None
-
     def take_beside(
         self, waiting: Sending, silent_ids: set[str]
     ) -> SlotTaken | None:
@@ -177,9 +163,7 @@
             waiting: the attempt.
             silent_ids: targets that have said nothing for long.
         """
-        if not self.has_place_beside(waiting, silent_ids):
-            return None
-        placed = self._choose_beside(waiting, silent_ids)
+        placed = self.choose_beside(waiting, silent_ids)
         if placed is None or not self._retry_window.spend():
             return None
         slot = self._take(
@@ -189,9 +173,20 @@
         )
         return SlotTaken(placed.candidate, slot)
 
-    def _choose_beside(
+    def choose_beside(
         self, waiting: Sending, silent_ids: set[str]
     ) -> Placement | None:
+        """Where a second attempt may be of use; None if nowhere.
+
+        Args:
+            waiting: the attempt.
+            silent_ids: targets that have said nothing for long.
+        """
+        if waiting.answer.caller_has_ended:
+            # It may have left: only what is written to it would tell.
+            return None
+        if self._retry_window.left < 1:
+            return None
         job, progress = waiting.job, waiting.progress
         candidates = self._availability.candidates(job.service, job.call.model)
         excluded_ids = progress.excluded | silent_ids
