An unanswered request tells the configurations that it met

The lines of an entry could not tell a request that ended for a change of the configuration from one that ended beside it. Each now has the version that the request was taken by, the one in force at its end, and the age of that.

--- a/damaskcroft/fleet/_view.py
+++ b/damaskcroft/fleet/_view.py
@@ -77,6 +77,7 @@
         self.wishes = Signal()
         self._logs_target = logs_target
         self.configuration: fleet_pb2.Configuration | None = None
+        self._configured_at = -math.inf
         self.table: RouteTable | None = None
         self.book = TargetBook()
         self.goal_by_model: dict[str, fleet_pb2.WeightGoal] = {}
@@ -107,6 +108,11 @@
         """Version of the applied configuration; 0 for none."""
         return self.configuration.version if self.configuration else 0
 
+    @property
+    def configured_s_ago(self) -> float:
+        """Seconds since the configuration was applied; infinite for none."""
+        return now_s() - self._configured_at
+
     def apply_configuration(
         self, configuration: fleet_pb2.Configuration
     ) -> None:
@@ -120,6 +126,7 @@
             routes=len(configuration.routes),
         )
         self.configuration = configuration
+        self._configured_at = now_s()
         self.table = RouteTable(configuration)
         self.name_services(service.name for service in configuration.services)
         self.wishes.give()
--- a/damaskcroft/forwarding/_gate.py
+++ b/damaskcroft/forwarding/_gate.py
@@ -220,6 +220,7 @@
             customer=customer.name if customer else "",
             priority=_priority(route, customer),
             deadline_at=deadline_at,
+            configuration=table.version,
         )
 
     def _pick_service(self, route: fleet_pb2.Route) -> str:
--- a/damaskcroft/forwarding/_job.py
+++ b/damaskcroft/forwarding/_job.py
@@ -106,6 +106,7 @@
         customer: whose it is; empty on public routes.
         priority: 0 is the most urgent.
         deadline_at: loop time at which it gets its final answer.
+        configuration: version that all this was decided by.
     """
 
     call: Call
@@ -114,6 +115,7 @@
     customer: str
     priority: int
     deadline_at: float
+    configuration: int
 
     def fingerprint(self) -> bytes:
         """What it has in common with its copies; hashes the whole body."""
--- a/damaskcroft/forwarding/_request_log.py
+++ b/damaskcroft/forwarding/_request_log.py
@@ -127,6 +127,9 @@
             budget=self._retry_window.left,
             silent_s=self._silence.silent_s(progress.target_id),
             state="stopping" if answer.is_last else "serving",
+            configuration=job.configuration,
+            configuration_now=self._services.configuration,
+            configured_s_ago=self._services.configured_s_ago,
         )
 
     def answered(self, job: Job, progress: Progress, status: int) -> None:
--- a/damaskcroft/forwarding/_services.py
+++ b/damaskcroft/forwarding/_services.py
@@ -71,6 +71,16 @@
         self._agents_by_target: dict[str, fleet_pb2.AgentState] = {}
         self._seen_changes = -1
 
+    @property
+    def configuration(self) -> int:
+        """Version of the configuration in force; 0 for none."""
+        return self._view.version
+
+    @property
+    def configured_s_ago(self) -> float:
+        """Seconds since that was applied; infinite for none."""
+        return self._view.configured_s_ago
+
     def candidates(self, service: str, model: str) -> list[Candidate]:
         """Ready targets of a service that hold a model whole.
 
--- a/damaskcroft/forwarding/tests/test_unanswered.py
+++ b/damaskcroft/forwarding/tests/test_unanswered.py
@@ -62,6 +62,23 @@
     assert fields["events"] == "3"
 
 
+def test_a_stream_cut_beside_a_change_tells_both_configurations(told):
+    async def scenario():
+        target = FakeTarget("a", "stream_hangs")
+        async with entry_before(target, config=STREAM) as entry:
+            asking = asyncio.create_task(entry.ask(x_deadline="0.4"))
+            async with asyncio.timeout(5):
+                while not target.heads:
+                    await asyncio.sleep(0.01)
+            entry.view.apply_configuration(configuration(3, route()))
+            await asking
+
+    asyncio.run(scenario())
+    (fields,) = told("answer_broken_off")
+    assert (fields["configuration"], fields["configuration_now"]) == ("1", "3")
+    assert 0 < float(fields["configured_s_ago"]) < 0.4
+
+
 def test_a_caller_that_left_is_not_blamed_on_the_entry(told):
     async def scenario():
         target = FakeTarget("a", "hangs")
