--- a/damaskcroft/fleet/_view.py
+++ b/damaskcroft/fleet/_view.py
@@ -1,6 +1,7 @@
 """What one entry or agent believes of the fleet."""
 
 import math
+import time
 from collections.abc import Callable, Iterable
 
 from damaskcroft._generated import fleet_pb2, limits_pb2, quarantine_pb2
@@ -111,7 +112,7 @@
     @property
     def configured_s_ago(self) -> float:
         """Seconds since the configuration was applied; infinite for none."""
-        return now_s() - self._configured_at
+        return time.monotonic() - self._configured_at
 
     def apply_configuration(
         self, configuration: fleet_pb2.Configuration
@@ -126,7 +127,8 @@
             routes=len(configuration.routes),
         )
         self.configuration = configuration
-        self._configured_at = now_s()
+        # Told in logs only, so it needs no loop.
+        self._configured_at = time.monotonic()
         self.table = RouteTable(configuration)
         self.name_services(service.name for service in configuration.services)
         self.wishes.give()
