Attempts at targets that ended, or lacked the weights, leave a route's attempts

What callers lost: streams under way, with seconds left and a sound fleet, when the target of their second attempt had ended as well, or answered 421 since it had lost its weights: reason=attempts_used.

Cause: each request that was sent used up one of its route's attempts, also one whose target is known to have ended (nothing listens at its address any more) and one that a target certifies as not run and not meant for it. Neither runs the request on one server more.

Traced by request: "stream_cut: ended early" twice (ended), or one of them beside not_run_421.

Change: at most two such attempts of a request don't count; the retry budget bounds them as before. Ended targets leave the attempts only of streams that have begun: what gave events elsewhere crashes no target by itself, and its caller can't come back for the rest. Such a stream without an attempt left waits up to 0.3 s for the look at its target that tells.

A 503 of a full target counts as before: under overload more attempts would only spend the budget.

--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -404,6 +404,7 @@
             case NotRun(status=status, facts=facts):
                 progress.last = outcome
                 reason = f"not_run_{status}"
+                progress.uncounted += facts.misdirected
                 if facts.misdirected and self._is_surprise(job, target):
                     self._outliers.failed(target.id, certain=True)
                     self._doubt(target.target_id)
--- a/damaskcroft/forwarding/_job.py
+++ b/damaskcroft/forwarding/_job.py
@@ -28,6 +28,9 @@
 
 # The request's time is over.
 DEADLINE = "deadline"
+# So many attempts of a request don't use up those of its route; its share of
+# the retry budget bounds them too.
+_MAX_UNCOUNTED = 2
 # HTTP statuses from here on are failures of whoever answers (RFC 9110).
 SERVER_ERROR = 500
 
@@ -131,7 +134,8 @@
 
     def has_attempt_after(self, progress: "Progress") -> bool:
         """Whether its route lets it be sent to one more target."""
-        return progress.sent < max(1, self.route.max_attempts)
+        uncounted = min(progress.uncounted, _MAX_UNCOUNTED)
+        return progress.sent - uncounted < max(1, self.route.max_attempts)
 
     @property
     def left_s(self) -> float:
@@ -183,6 +187,8 @@
         sent: targets that it was sent to.
         unsent: targets that it was not sent to, after some time.
         refused: targets that refused its connection at once.
+        uncounted: attempts at targets that have ended since, or that said to
+            be another one or to lack the weights.
         excluded: ids of targets that it shall not be sent to again.
         last: how the last attempt failed.
         runs: targets that may have run it.
@@ -214,6 +220,7 @@
         "runs",
         "sent",
         "target_id",
+        "uncounted",
         "unsent",
     )
 
@@ -222,6 +229,7 @@
         self.sent = 0
         self.unsent = 0
         self.refused = 0
+        self.uncounted = 0
         self.excluded: set[str] = set()
         self.last: NotSent | NotRun | Lost | None = None
         self.runs = 0
--- a/damaskcroft/forwarding/_relay.py
+++ b/damaskcroft/forwarding/_relay.py
@@ -185,4 +185,4 @@
         return False
     if sending.hedge.is_running:
         return True
-    return sending.progress.sent < job.route.max_attempts
+    return job.has_attempt_after(sending.progress)
--- a/damaskcroft/forwarding/_request_log.py
+++ b/damaskcroft/forwarding/_request_log.py
@@ -123,6 +123,7 @@
             may_have_run=progress.may_have_run,
             events=progress.events,
             attempts=progress.sent,
+            uncounted=progress.uncounted,
             max_attempts=job.route.max_attempts,
             budget=self._retry_window.left,
             silent_s=self._silence.silent_s(progress.target_id),
--- a/damaskcroft/forwarding/_suspects.py
+++ b/damaskcroft/forwarding/_suspects.py
@@ -40,6 +40,9 @@
 # How long any other lost request waits before its next attempt, to be sent as a
 # suspect then: a round trip between regions.
 _FIRST_LOOK_WITHIN_S = 0.05
+# How long one waits that has no attempt left unless its target has ended: some
+# looks at its address.
+_LAST_LOOK_WITHIN_S = 0.3
 # Until all entries know of a crash: control gathers news for half of that.
 _NEWS_SPREADS_S = 0.1
 
@@ -173,8 +176,15 @@
             await asyncio.wait([looked], timeout=_VERDICT_WITHIN_S)
             # Whoever sends the next copy shall know that one more crashed.
             await asyncio.sleep(_NEWS_SPREADS_S)
-        elif job.is_repeatable and job.has_attempt_after(progress):
-            await asyncio.wait([looked], timeout=_FIRST_LOOK_WITHIN_S)
+        elif job.is_repeatable:
+            within_s = _FIRST_LOOK_WITHIN_S
+            if progress.begun and not job.has_attempt_after(progress):
+                within_s = min(_LAST_LOOK_WITHIN_S, max(0.0, job.left_s))
+            await asyncio.wait([looked], timeout=within_s)
+        # What has given events elsewhere crashes no target by itself, and its
+        # caller can't come back for the rest.
+        if progress.begun and self._watch.has_crashed(target):
+            progress.uncounted += 1
 
     def answered(self, job: Job, progress: Progress) -> None:
         """A target gave its whole answer, so the request crashes none.
--- a/damaskcroft/forwarding/tests/fakes.py
+++ b/damaskcroft/forwarding/tests/fakes.py
@@ -150,6 +150,12 @@
         )
         return True
 
+    async def misdirected(self, head, reader, writer):
+        writer.write(
+            b"HTTP/1.1 421 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+        )
+        return True
+
     async def rests(self, head, reader, writer):
         writer.write(
             b"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nX-Rest: %s\r\n"
@@ -177,10 +183,7 @@
     async def only_for_itself(self, head, reader, writer):
         if head["x-target"] == self.name:
             return await self.whole(head, reader, writer)
-        writer.write(
-            b"HTTP/1.1 421 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
-        )
-        return True
+        return await self.misdirected(head, reader, writer)
 
     async def silent_close(self, head, reader, writer):
         return False
@@ -253,6 +256,14 @@
         await asyncio.sleep(self.pause_s)
         return False
 
+    async def stream_dies_soon(self, head, reader, writer):
+        self.pause_s = 0.2
+        return await self.stream_dies_late(head, reader, writer)
+
+    async def cut_body_soon(self, head, reader, writer):
+        await asyncio.sleep(0.2)
+        return await self.cut_body(head, reader, writer)
+
     async def stream_hangs(self, head, reader, writer):
         await self.stream(head, reader, writer, upto=3)
         return await self.hangs(head, reader, writer)
--- a/damaskcroft/quarantine/_evidence.py
+++ b/damaskcroft/quarantine/_evidence.py
@@ -179,6 +179,11 @@
             start_id += _LATER
         return start_id
 
+    def has_crashed(self, target: _StartT) -> bool:
+        """Whether a start that lost a request is known to have ended."""
+        pending = self._pending_by_start.get(target.id)
+        return pending is not None and pending.is_crash
+
     def look(self) -> None:
         """Looks for later starts; to be called often."""
         for start_id, pending in list(self._pending_by_start.items()):
