A tried request waits for a target that soon can serve it

What callers lost: all streams of a service at once, with seconds left, when its last targets changed their weights in the same moment, and requests that were tried once with 502: reason=no_target.

Cause: a request without an answer yet waits in the queue while no target can serve it and one soon may; one that had been sent, or whose stream had begun, was given up at once. The targets were back within a second.

Change: such a request joins the queue as well; one that has begun has no goal to be late for and waits to its deadline, since its caller can't come back for the rest.

--- a/damaskcroft/forwarding/_placing.py
+++ b/damaskcroft/forwarding/_placing.py
@@ -77,23 +77,12 @@
     async def place(self, job: Job, progress: Progress) -> SlotTaken | Ending:
         """Takes a slot at a target.
 
-        A job that was tried already, or whose answer has begun, doesn't wait
-        in the queue again.
+        A job that was tried already, or whose answer has begun, waits in the
+        queue again only where no target can serve it now and one soon may.
         """
         if progress.sent or progress.unsent or progress.refused:
-            return self._place_again(job, progress)
-        ticket = QueueTicket(
-            service=job.service,
-            model=job.call.model,
-            priority=job.priority,
-            arrived_at=job.call.arrived_at,
-            goal_s=job.route.latency_goal_ms / 1000,
-            deadline_at=job.deadline_at,
-            prompt_tokens=job.call.prompt_tokens,
-            request_id=job.call.request_id,
-            is_suspect=self._suspects.is_suspect(job, progress),
-        )
-        outcome = await self.queue.take_slot(ticket)
+            return await self._place_again(job, progress)
+        outcome = await self.queue.take_slot(self._ticket(job, progress))
         progress.pace.queued_s = now_s() - job.call.arrived_at
         match outcome:
             case SlotTaken():
@@ -109,13 +98,29 @@
                     returns_s(outcome.returns_s),
                 )
 
+    def _ticket(self, job: Job, progress: Progress) -> QueueTicket:
+        return QueueTicket(
+            service=job.service,
+            model=job.call.model,
+            priority=job.priority,
+            arrived_at=job.call.arrived_at,
+            goal_s=0 if progress.begun else job.route.latency_goal_ms / 1000,
+            deadline_at=job.deadline_at,
+            prompt_tokens=job.call.prompt_tokens,
+            request_id=job.call.request_id,
+            is_suspect=self._suspects.is_suspect(job, progress),
+            has_begun=progress.begun,
+        )
+
     def why_none(self, reason: str, service: str) -> str:
         """Tells ready targets without the weights that are due from none."""
         if reason == "no_target" and self._services.has_ready(service):
             return "no_weights"
         return reason
 
-    def _place_again(self, job: Job, progress: Progress) -> SlotTaken | Ending:
+    async def _place_again(
+        self, job: Job, progress: Progress
+    ) -> SlotTaken | Ending:
         prompt_tokens = job.call.prompt_tokens
         is_suspect = self._suspects.is_suspect(job, progress)
         placed = self._placer.choose(
@@ -125,20 +130,47 @@
             is_suspect=is_suspect,
         )
         if placed is None:
-            closed = self._availability.closed(job.service, job.call.model, 0)
-            if closed is None:
-                return given_up("no_target", progress)
-            return given_up(
-                closed.reason, progress, returns_s(closed.returns_s)
-            )
-        if progress.sent and not self._retry_window.spend():
-            metrics.RETRIES.labels("no_budget").inc()
+            return await self._wait_again(job, progress)
+        if not self._may_send_again(progress):
             return given_up("no_retry_budget", progress)
         slot = self._take(
             placed.candidate, prompt_tokens, is_suspect=is_suspect
         )
         return SlotTaken(placed.candidate, slot)
 
+    async def _wait_again(
+        self, job: Job, progress: Progress
+    ) -> SlotTaken | Ending:
+        """Waits until one of a service's targets can serve again.
+
+        All of them may change their weights at once, or have just started.
+        """
+        kind = (job.service, job.call.model)
+        closed = self._availability.closed(*kind, 0)
+        if closed is not None:
+            return given_up(
+                closed.reason, progress, returns_s(closed.returns_s)
+            )
+        is_any = bool(self._availability.candidates(*kind))
+        if is_any or not self._services.may_serve_soon(*kind):
+            return given_up("no_target", progress)
+        outcome = await self.queue.take_slot(self._ticket(job, progress))
+        if isinstance(outcome, Overloaded):
+            reason = self.why_none(outcome.reason, job.service)
+            returns = returns_s(outcome.returns_s)
+            return given_up(reason, progress, returns)
+        if not self._may_send_again(progress):
+            outcome.slot.give_back()
+            return given_up("no_retry_budget", progress)
+        return outcome
+
+    def _may_send_again(self, progress: Progress) -> bool:
+        """Takes a repeat for a job that was sent; whether one was left."""
+        if not progress.sent or self._retry_window.spend():
+            return True
+        metrics.RETRIES.labels("no_budget").inc()
+        return False
+
     def _take(
         self, candidate: Candidate, prompt_tokens: int, *, is_suspect: bool
     ) -> Slot:
--- a/damaskcroft/forwarding/tests/test_ended_targets.py
+++ b/damaskcroft/forwarding/tests/test_ended_targets.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from damaskcroft._generated import fleet_pb2
 from damaskcroft.forwarding.tests.fakes import (
     FakeTarget,
     entry_before,
@@ -104,3 +105,43 @@
             assert (status, asked(*others)) == (502, 0)
 
     asyncio.run(scenario())
+
+
+def hold(entry, target, sequence, *versions):
+    """A target says which versions of the model it holds."""
+    state = fleet_pb2.TargetState(
+        id=target.name, service="s", address=target.address, slots=4,
+        sequence=sequence,
+        held=[held(version) for version in versions],
+    )  # fmt: skip
+    entry.view.take([state])
+
+
+def held(version):
+    return fleet_pb2.HeldLayers(model="m", version=version)
+
+
+async def ask_while_weights_change(mode, then, **fields):
+    """An answer that the change of its only target's weights breaks off."""
+    target = FakeTarget("a", mode, then)
+    target.held = [held(1)]
+    async with entry_before(target, config=config(**fields)) as entry:
+        asking = asyncio.create_task(entry.ask(x_deadline="4", x_model="m"))
+        async with asyncio.timeout(5):
+            while not target.heads:
+                await asyncio.sleep(0.01)
+        hold(entry, target, 2)
+        await asyncio.sleep(1)
+        hold(entry, target, 3, 2)
+        return await asking
+
+
+def test_a_stream_is_not_cut_while_all_targets_change_their_weights():
+    fields = dict(streaming=True, resumable=True)
+    answer = ask_while_weights_change("stream_dies_soon", "stream", **fields)
+    assert_whole(asyncio.run(answer))
+
+
+def test_a_request_is_not_failed_while_all_targets_change_their_weights():
+    answer = ask_while_weights_change("cut_body_soon", "whole", idempotent=True)
+    assert asyncio.run(answer)[0] == 200
--- a/damaskcroft/routing/_tickets.py
+++ b/damaskcroft/routing/_tickets.py
@@ -25,6 +25,7 @@
         prompt_tokens: length of its prompt.
         request_id: whose place it is, for logs.
         is_suspect: whether a target has crashed under it.
+        has_begun: whether its caller has part of the answer already.
     """
 
     service: str
@@ -36,10 +37,14 @@
     prompt_tokens: int = 0
     request_id: str = ""
     is_suspect: bool = False
+    has_begun: bool = False
 
     @property
     def waits_until(self) -> float:
         """When it is told to come back."""
+        if self.has_begun:
+            # Its caller can't come back for the rest.
+            return self.deadline_at
         time_s = self.deadline_at - self.arrived_at
         return self.arrived_at + time_s * _WAIT_SHARE
 
