A read at a leader that steps down is refused at once

Callers saw a read take its whole time, and then a refusal, when the leader that had it stepped down meanwhile: nothing woke the read, since only answers of other members and applied entries did.

Evidence: the new test fails before with TimeoutError after 0.1 s of a read of 3 s; after the change it passes.

Stepping down now wakes whoever waits to be confirmed. The condition is a Signal, which a plain function can give.

--- a/damaskcroft/consensus/_applier.py
+++ b/damaskcroft/consensus/_applier.py
@@ -9,6 +9,7 @@
 from damaskcroft.consensus._outcomes import Committed, Outcome, Undecided
 from damaskcroft.consensus._setup import ReplicaOptions, StateMachine
 from damaskcroft.observe import log_event, metrics
+from damaskcroft.tasks import Signal
 
 
 class Applier:
@@ -17,7 +18,7 @@
     Attributes:
         commit_index: the newest entry known to be committed.
         applied_index: the newest entry that the state holds.
-        changed: notified after entries were applied.
+        changed: given after entries were applied.
     """
 
     def __init__(
@@ -34,7 +35,7 @@
         self.applied_index = log.snapshot.index
         if log.snapshot.state:
             state_machine.restore(log.snapshot.state)
-        self.changed = asyncio.Condition()
+        self.changed = Signal()
         self._commit_moved = asyncio.Event()
         self._waiters_by_index: dict[
             int, tuple[int, asyncio.Future[Outcome]]
@@ -82,8 +83,7 @@
             self._commit_moved.clear()
             while self.applied_index < self.commit_index:
                 self._apply_next()
-            async with self.changed:
-                self.changed.notify_all()
+            self.changed.give()
             try:
                 self._compact_if_due()
             except OSError as error:
--- a/damaskcroft/consensus/_replica.py
+++ b/damaskcroft/consensus/_replica.py
@@ -204,10 +204,9 @@
         asked_at = now_s()
         self._replicate.set()
         try:
-            async with asyncio.timeout(timeout_s), self._changed:
-                await self._changed.wait_for(
-                    lambda: not self.is_leader or self._confirms(asked_at)
-                )
+            async with asyncio.timeout(timeout_s):
+                while self.is_leader and not self._confirms(asked_at):
+                    await self._changed.next()
         except TimeoutError:
             return False
         return self.is_leader
@@ -441,6 +440,7 @@
         was_leader = self.is_leader
         self.leader_id = leader_id
         self.follow()
+        self._changed.give()
         if not was_leader:
             return
         for task in self._leader_tasks:
@@ -617,8 +617,7 @@
             await self._advance_commit()
         else:
             peer.next_index = reply.match_index + 1
-        async with self._changed:
-            self._changed.notify_all()
+        self._changed.give()
 
     async def _advance_commit(self) -> None:
         if not self.is_leader:
--- a/damaskcroft/consensus/tests/test_elections.py
+++ b/damaskcroft/consensus/tests/test_elections.py
@@ -27,6 +27,7 @@
 from damaskcroft.consensus._hard_state import HardStateFile
 
 ELECTED_WITHIN_S = 5.0
+READ_TIMEOUT_S = 3.0
 
 
 async def fails(*_):
@@ -168,3 +169,19 @@
         cluster.start(member)
     loop.pass_time(ELECTED_WITHIN_S)
     assert leader_name(cluster) == newest
+
+
+def test_a_read_at_a_leader_that_steps_down_is_answered_at_once(cluster, loop):
+    """It waited out its whole time though nobody could confirm it any more."""
+    leader = cluster.leader()
+    cut_off(cluster, leader.leader_id)
+
+    async def read():
+        reading = asyncio.create_task(leader.confirm_leader(READ_TIMEOUT_S))
+        await asyncio.sleep(0.01)
+        async with leader._lock:
+            leader._become_follower("")
+        async with asyncio.timeout(0.1):
+            return await reading
+
+    assert not loop.run(read())
