A leader can hand its term over to a voter that holds its log

Operators met refusals for an election timeout and more after each planned end of a leader: stopping a replica only ended its tasks, and the others waited until they had heard no leader for 0.5 to 1.0 s.

A leader now hands over as in Ongaro's dissertation, 3.10: it appends nothing new, waits until its whole log is committed, applied and on a voter, and tells that one to stand (TimeoutNow). It stands without a pre-vote, and its vote request says that it was told to, so voters that hear the leader give their vote. Proposals that come meanwhile wait and then get NotLeader with the new leader's address: nothing of them was appended.

The leader's lease ends before anybody is told to stand, and stays ended for the term unless that one has refused: the order may be read late. An older replica knows no such call, and that is taken as an answer that didn't come.

--- a/damaskcroft/_generated/consensus_grpc.py
+++ b/damaskcroft/_generated/consensus_grpc.py
@@ -30,6 +30,10 @@
     async def Join(self, stream: 'grpclib.server.Stream[damaskcroft._generated.consensus_pb2.JoinRequest, damaskcroft._generated.consensus_pb2.JoinReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def TimeoutNow(self, stream: 'grpclib.server.Stream[damaskcroft._generated.consensus_pb2.TimeoutNowRequest, damaskcroft._generated.consensus_pb2.TimeoutNowReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/damaskcroft.Replica/Vote': grpclib.const.Handler(
@@ -56,6 +60,12 @@
                 damaskcroft._generated.consensus_pb2.JoinRequest,
                 damaskcroft._generated.consensus_pb2.JoinReply,
             ),
+            '/damaskcroft.Replica/TimeoutNow': grpclib.const.Handler(
+                self.TimeoutNow,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                damaskcroft._generated.consensus_pb2.TimeoutNowRequest,
+                damaskcroft._generated.consensus_pb2.TimeoutNowReply,
+            ),
         }
 
 
@@ -86,3 +96,9 @@
             damaskcroft._generated.consensus_pb2.JoinRequest,
             damaskcroft._generated.consensus_pb2.JoinReply,
         )
+        self.TimeoutNow = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/damaskcroft.Replica/TimeoutNow',
+            damaskcroft._generated.consensus_pb2.TimeoutNowRequest,
+            damaskcroft._generated.consensus_pb2.TimeoutNowReply,
+        )
--- a/damaskcroft/consensus/_replica.py
+++ b/damaskcroft/consensus/_replica.py
@@ -8,7 +8,8 @@
 import contextlib
 import functools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 from transitions import Machine
 
@@ -16,6 +17,7 @@
 from damaskcroft.clock import now_s
 from damaskcroft.consensus._applier import Applier
 from damaskcroft.consensus._disk import Disk
+from damaskcroft.consensus._handover import Handover
 from damaskcroft.consensus._hard_state import HardStateFile
 from damaskcroft.consensus._joining import Joiner
 from damaskcroft.consensus._log import DurableLog
@@ -95,6 +97,7 @@
         self._peers = Peers(options.id)
         self._lock = asyncio.Lock()
         self._changed = self._applier.changed
+        self._handover = Handover(options, self, transport, self._changed)
         self._replicate = asyncio.Event()
         self._append_local = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
@@ -142,6 +145,11 @@
         """Whether this replica leads its term."""
         return self.state == _LEADER
 
+    @property
+    def peers(self) -> Peers:
+        """What this replica, while it leads, knows of the others."""
+        return self._peers
+
     @property
     def leader_address(self) -> str:
         """Where the leader is, or empty while unknown."""
@@ -162,10 +170,13 @@
         """Whether a majority has followed within an election timeout.
 
         While true, no other leader can have been elected (dissertation,
-        6.4.1): followers give no vote within that time of hearing us.
+        6.4.1): followers give no vote within that time of hearing us, but to
+        one that we told to stand.
         """
         if not self.is_leader or self.commit_index < self._term_start_index:
             return False
+        if not self._handover.has_lease():
+            return False
         age_s = now_s() - self._peers.majority_confirmed_at(self.log.config())
         return age_s < self._options.election_timeout_s
 
@@ -178,6 +189,21 @@
         self._spawn(self._applier.run)
         self._spawn(self._make_joiner().run)
 
+    async def hand_over(self, within_s: float) -> bool:
+        """Gives the leadership to another voter; goes on as its follower.
+
+        What was proposed before is committed first. What is proposed
+        meanwhile waits, and is then appended here or refused as not taken.
+
+        Args:
+            within_s: longest time; if nobody has taken over by then, this
+                replica goes on as it is.
+
+        Returns:
+            Whether another replica leads.
+        """
+        return await self._handover.run(within_s)
+
     async def stop(self) -> None:
         """Ends all tasks; nothing more is sent or written."""
         await end_all(self._tasks | self._leader_tasks)
@@ -185,6 +211,7 @@
 
     async def propose(self, command: bytes) -> Outcome:
         """Appends a command and waits until it is committed and applied."""
+        await self._handover.until_none()
         if not self.is_leader:
             return NotLeader(self.leader_address)
         try:
@@ -286,6 +313,23 @@
         accepted = isinstance(outcome, Committed)
         return consensus_pb2.JoinReply(accepted=accepted)
 
+    async def handle_timeout_now(
+        self, request: consensus_pb2.TimeoutNowRequest
+    ) -> consensus_pb2.TimeoutNowReply:
+        """See RequestHandler."""
+        async with self._lock:
+            stands = (
+                request.term == self.term
+                and request.leader == self.leader_id
+                and self.state == _FOLLOWER
+                and self._is_voter()
+                and not self._disk_fails()
+            )
+            log_event("told_to_stand", by=request.leader, stands=stands)
+            if stands:
+                self._spawn_once(self._stand_as_told(request.term))
+            return consensus_pb2.TimeoutNowReply(term=self.term, stands=stands)
+
     # --- Elections ---------------------------------------------------------
 
     async def _elect_forever(self) -> None:
@@ -332,11 +376,28 @@
         async with self._lock:
             if self.is_leader or not self._is_voter():
                 return
-            self._hard.save(self.term + 1, self._options.id)
-            self.leader_id = ""
-            self.stand()
-            term = self.term
-        won = await self._poll(pre_vote=False)
+            term = self._stand_in_next_term()
+        await self._ask_for_term(term, told=False)
+
+    async def _stand_as_told(self, told_in_term: int) -> None:
+        """Stands without asking first whether anybody hears the leader."""
+        try:
+            async with self._lock:
+                if self.term != told_in_term or self.state != _FOLLOWER:
+                    return
+                term = self._stand_in_next_term()
+            await self._ask_for_term(term, told=True)
+        except OSError as error:
+            self._note_disk_failure(error)
+
+    def _stand_in_next_term(self) -> int:
+        self._hard.save(self.term + 1, self._options.id)
+        self.leader_id = ""
+        self.stand()
+        return self.term
+
+    async def _ask_for_term(self, term: int, *, told: bool) -> None:
+        won = await self._poll(pre_vote=False, told=told)
         async with self._lock:
             if self.term != term or self.state != _CANDIDATE:
                 return
@@ -356,7 +417,7 @@
             silent_s=now_s() - self._heard_at,
         )
 
-    async def _poll(self, *, pre_vote: bool) -> bool:
+    async def _poll(self, *, pre_vote: bool, told: bool = False) -> bool:
         """Asks all voters at once; whether a majority agrees."""
         request = consensus_pb2.VoteRequest(
             term=self.term + 1 if pre_vote else self.term,
@@ -365,6 +426,7 @@
             last_index=self.log.last_index,
             last_term=self.log.last_term,
             pre_vote=pre_vote,
+            leadership_transfer=told,
         )
         electorate = voters(self.log.config())
         others = [v for v in electorate if v.id != self._options.id]
@@ -404,16 +466,11 @@
         our incarnation: our list may lack the entry that made a voter of
         either of the two disks. A disk that none makes one stands for nothing.
         """
-        if self.state == _LEADER:
-            return VoteRefusal.LEADS
-        # Keep to a living leader, whoever else stands (dissertation, 4.2.3).
-        silence_s = now_s() - self._heard_at
-        timeout_s = self._options.election_timeout_s
-        if self.leader_id and silence_s < timeout_s:
-            return VoteRefusal.HEARS_LEADER
-        # Before a restart we may have told a leader that we follow it.
-        if now_s() - self._started_at < timeout_s:
-            return VoteRefusal.JUST_STARTED
+        # Who leads the term before gave up its lease first.
+        told = request.leadership_transfer and request.term > self.term
+        refusal = None if told else self._refusal_for_leader()
+        if refusal is not None:
+            return refusal
         ours = (self.log.last_term, self.log.last_index)
         if (request.last_term, request.last_index) < ours:
             return VoteRefusal.LOG_BEHIND
@@ -425,6 +482,20 @@
             return None
         return VoteRefusal.VOTED_FOR_OTHER
 
+    def _refusal_for_leader(self) -> VoteRefusal | None:
+        """Why nobody may stand against the leader that there may be."""
+        if self.state == _LEADER:
+            return VoteRefusal.LEADS
+        # Keep to a living leader, whoever else stands (dissertation, 4.2.3).
+        silence_s = now_s() - self._heard_at
+        timeout_s = self._options.election_timeout_s
+        if self.leader_id and silence_s < timeout_s:
+            return VoteRefusal.HEARS_LEADER
+        # Before a restart we may have told a leader that we follow it.
+        if now_s() - self._started_at < timeout_s:
+            return VoteRefusal.JUST_STARTED
+        return None
+
     def _become_leader(self) -> None:
         self.win()
         self.leader_id = self._options.id
@@ -649,6 +720,8 @@
         )
 
     def _config_change_pending(self) -> bool:
+        if self._handover.is_under_way:
+            return True
         return self.log.config_entry()[0] > self.commit_index
 
     async def _change_member(self, member: consensus_pb2.Voter) -> Outcome:
@@ -737,5 +810,10 @@
     def _spawn(self, work: Work) -> None:
         self._tasks.add(asyncio.create_task(kept_up(work)))
 
+    def _spawn_once(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     def _spawn_leader(self, work: Work) -> None:
         self._leader_tasks.add(asyncio.create_task(kept_up(work)))
--- a/damaskcroft/consensus/_transport.py
+++ b/damaskcroft/consensus/_transport.py
@@ -45,6 +45,12 @@
     ) -> consensus_pb2.JoinReply:
         """Takes a replica in, or back, as a learner."""
 
+    @abc.abstractmethod
+    async def handle_timeout_now(
+        self, request: consensus_pb2.TimeoutNowRequest
+    ) -> consensus_pb2.TimeoutNowReply:
+        """Stands for election at once, told so by its leader."""
+
 
 class Transport(abc.ABC):
     """Sends one message to a member and gives its answer."""
@@ -77,6 +83,12 @@
     ) -> consensus_pb2.JoinReply:
         """Asks to be taken back as a learner."""
 
+    @abc.abstractmethod
+    async def timeout_now(
+        self, address: str, request: consensus_pb2.TimeoutNowRequest
+    ) -> consensus_pb2.TimeoutNowReply:
+        """Tells a follower to stand for election at once."""
+
 
 class GrpcTransport(Transport):
     """Members reached by grpclib.
@@ -123,6 +135,12 @@
         """See Transport."""
         return await self._call(address, "Join", request, self._timeout_s)
 
+    async def timeout_now(
+        self, address: str, request: consensus_pb2.TimeoutNowRequest
+    ) -> consensus_pb2.TimeoutNowReply:
+        """See Transport."""
+        return await self._call(address, "TimeoutNow", request, self._timeout_s)
+
     async def _call(
         self, address: str, method: str, request: Any, timeout_s: float
     ) -> Any:
@@ -171,6 +189,12 @@
         request = await stream.recv_message()
         await stream.send_message(await self._replica.handle_join(request))
 
+    async def TimeoutNow(self, stream: Any) -> None:  # noqa: N802
+        """Answers a leader that hands over."""
+        request = await stream.recv_message()
+        reply = await self._replica.handle_timeout_now(request)
+        await stream.send_message(reply)
+
 
 @contextlib.contextmanager
 def _disk_errors_told() -> Iterator[None]:
--- a/damaskcroft/consensus/tests/fakes.py
+++ b/damaskcroft/consensus/tests/fakes.py
@@ -144,6 +144,9 @@
     async def join(self, address, request):
         return await self.call(address, "handle_join", request)
 
+    async def timeout_now(self, address, request):
+        return await self.call(address, "handle_timeout_now", request)
+
     async def call(self, address, method, request):
         copy = type(request).FromString(request.SerializeToString())
         try:
--- /dev/null
+++ b/damaskcroft/consensus/tests/test_handover.py
@@ -0,0 +1,365 @@
+"""A leader that ends hands over first.
+
+What happened: each planned end of a leader left the others to wait for an
+election timeout, and operators' changes and reads were refused meanwhile.
+"""
+
+import asyncio
+import itertools
+import random
+
+import pytest
+
+from damaskcroft._generated import consensus_pb2
+from damaskcroft.consensus import Committed, NotLeader, Undecided
+from damaskcroft.consensus.tests import fakes
+from damaskcroft.consensus.tests.fakes import Cluster
+from damaskcroft.consensus.tests.power import PowerCluster
+from damaskcroft.consensus.tests.test_members import SETTLED_S, voting
+
+ELECTION_TIMEOUT_S = 0.6
+WITHIN_S = ELECTION_TIMEOUT_S
+RETRY_S = 0.001
+# A solid-state disk; what it takes counts into the time without commits.
+FAST_SYNC_S = 0.004
+SEEDS = range(10)
+
+
+def others_of(cluster, leader):
+    return [r for r in cluster.replicas.values() if r is not leader]
+
+
+def hand_over(cluster, leader, within_s=WITHIN_S):
+    return cluster.loop.run(leader.hand_over(within_s))
+
+
+class Writer:
+    """Writes on and on at whoever leads; keeps what was acknowledged."""
+
+    def __init__(self, cluster):
+        self.cluster = cluster
+        self.value_by_index = {}
+        self.times = []
+        self.undecided = 0
+        self.written = 0
+
+    async def run(self):
+        while True:
+            leader = self.cluster.leader()
+            if leader is None:
+                await asyncio.sleep(RETRY_S)
+                continue
+            self.written += 1
+            value = f"v{self.written}"
+            outcome = await leader.propose(value.encode())
+            match outcome:
+                case Committed(index=index):
+                    assert index not in self.value_by_index
+                    self.value_by_index[index] = value
+                    self.times.append(self.cluster.loop.time())
+                case Undecided():
+                    self.undecided += 1
+                case NotLeader():
+                    self.written -= 1
+            await asyncio.sleep(RETRY_S)
+
+    def longest_gap_s(self):
+        return max(b - a for a, b in itertools.pairwise(self.times))
+
+    def check(self):
+        leader = self.cluster.leader()
+        applied = self.cluster.machines[leader.leader_id].applied
+        held = dict(applied)
+        for index, value in self.value_by_index.items():
+            assert held.get(index) == value
+        values = [value for _, value in applied]
+        assert len(set(values)) == len(values)
+
+
+async def end(cluster, leader):
+    """What a process does after SIGTERM."""
+    await leader.hand_over(WITHIN_S)
+    await leader.stop()
+    member = leader._options.id
+    cluster.replicas.pop(member)
+    del cluster.network.replicas_by_address[leader.address]
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_commits_go_on_at_once_after_a_planned_end_of_the_leader(
+    loop, monkeypatch, seed
+):
+    monkeypatch.setattr(fakes, "MAX_SYNC_S", FAST_SYNC_S)
+    cluster = Cluster(loop, seed)
+    loop.pass_time(3.0)
+    writer = Writer(cluster)
+    writing = loop.create_task(writer.run())
+    loop.pass_time(1.0)
+    leader = cluster.leader()
+    loop.run(end(cluster, leader))
+    loop.pass_time(3.0)
+    writing.cancel()
+    assert writer.undecided == 0
+    assert writer.longest_gap_s() < ELECTION_TIMEOUT_S / 10
+    writer.check()
+    cluster.stop()
+
+
+def test_the_former_leader_follows_until_it_stops(cluster, loop):
+    leader = cluster.leader()
+    assert hand_over(cluster, leader)
+    assert not leader.is_leader
+    assert leader.leader_address == cluster.leader().address
+    assert isinstance(cluster.write("after"), Committed)
+    loop.pass_time(1.0)
+    applied = cluster.machines[leader._options.id].applied
+    assert [value for _, value in applied] == ["after"]
+
+
+def test_a_follower_has_nothing_to_hand_over(cluster, loop):
+    term = cluster.leader().term
+    follower = others_of(cluster, cluster.leader())[0]
+    assert hand_over(cluster, follower)
+    loop.pass_time(1.0)
+    assert cluster.leader().term == term
+
+
+def test_a_proposal_during_a_handover_is_told_of_the_new_leader(cluster, loop):
+    leader = cluster.leader()
+
+    async def propose_meanwhile():
+        handing_over = asyncio.create_task(leader.hand_over(WITHIN_S))
+        await asyncio.sleep(0)
+        return await leader.propose(b"meanwhile"), await handing_over
+
+    outcome, done = loop.run(propose_meanwhile())
+    assert done
+    assert outcome == NotLeader(cluster.leader().address)
+    loop.pass_time(1.0)
+    assert all(not machine.applied for machine in cluster.machines.values())
+
+
+def test_what_was_proposed_before_is_committed_before_the_handover(
+    cluster, loop
+):
+    leader = cluster.leader()
+
+    async def propose_first():
+        proposing = asyncio.create_task(leader.propose(b"before"))
+        await asyncio.sleep(0)
+        done = await leader.hand_over(WITHIN_S)
+        return await proposing, done
+
+    outcome, done = loop.run(propose_first())
+    assert done
+    assert isinstance(outcome, Committed)
+
+
+def test_a_leader_that_nobody_follows_goes_on_and_says_so(cluster, loop):
+    leader = cluster.leader()
+    for replica in others_of(cluster, leader):
+        cluster.crash(replica._options.id)
+    started_at = loop.time()
+    assert not hand_over(cluster, leader)
+    assert loop.time() - started_at <= WITHIN_S + 0.001
+    assert leader.is_leader
+
+
+def dies(cluster, address):
+    """The process behind an address ends without another word."""
+    dead = cluster.network.replicas_by_address.pop(address)
+    cluster.replicas.pop(dead._options.id)
+    return dead.stop()
+
+
+def test_a_handover_to_a_replica_that_dies_goes_to_the_other(cluster, loop):
+    leader = cluster.leader()
+    tell, told = leader._transport.timeout_now, []
+
+    async def dies_as_it_is_told(address, request):
+        told.append(address)
+        if len(told) == 1:
+            await dies(cluster, address)
+        return await tell(address, request)
+
+    leader._transport.timeout_now = dies_as_it_is_told
+    assert hand_over(cluster, leader)
+    assert len(set(told)) == 2
+    assert cluster.leader().address == told[1]
+    assert isinstance(cluster.write("after"), Committed)
+
+
+def test_after_a_handover_to_one_that_dies_with_its_votes_one_is_elected(
+    cluster, loop
+):
+    """The former leader gave its vote and can't take it back."""
+    leader = cluster.leader()
+    assert isinstance(cluster.write("before"), Committed)
+    tell = leader._transport.timeout_now
+
+    async def dies_once_it_stood(address, request):
+        reply = await tell(address, request)
+        while leader.is_leader:
+            await asyncio.sleep(RETRY_S / 10)
+        await dies(cluster, address)
+        return reply
+
+    leader._transport.timeout_now = dies_once_it_stood
+    assert not hand_over(cluster, leader)
+    loop.pass_time(5 * ELECTION_TIMEOUT_S)
+    assert isinstance(cluster.write("after"), Committed)
+    machine = cluster.machines[cluster.leader().leader_id]
+    assert [value for _, value in machine.applied] == ["before", "after"]
+
+
+def test_no_lease_is_left_beside_a_replica_that_may_still_stand(cluster, loop):
+    """It reads of the order late, and voters then ignore who leads."""
+    leader = cluster.leader()
+    tell, late = leader._transport.timeout_now, []
+
+    async def arrives_late(address, request):
+        late.append((address, request))
+        await asyncio.sleep(1e6)
+
+    leader._transport.timeout_now = arrives_late
+    assert not hand_over(cluster, leader)
+    assert leader.is_leader
+    assert isinstance(cluster.write("goes on"), Committed)
+    loop.pass_time(1.0)
+    assert not loop.run(cluster.confirmed_leaders())
+    assert loop.run(leader.confirm_leader(1.0))
+    loop.run(tell(*late[0]))
+    loop.pass_time(0.3)
+    assert cluster.leader().address == late[0][0]
+    assert loop.run(cluster.confirmed_leaders()) == [cluster.leader()]
+    assert isinstance(cluster.write("after"), Committed)
+
+
+def test_an_older_replica_that_knows_no_handover_does_no_harm(cluster, loop):
+    """It answers that there is no such call, and refuses while it hears one."""
+    leader = cluster.leader()
+    for replica in others_of(cluster, leader):
+        del cluster.network.replicas_by_address[replica.address]
+        older = OlderReplica(replica)
+        cluster.network.replicas_by_address[replica.address] = older
+    assert not hand_over(cluster, leader)
+    assert leader.is_leader
+    assert isinstance(cluster.write("goes on"), Committed)
+
+
+class OlderReplica:
+    def __init__(self, replica):
+        self.handle_append = replica.handle_append
+        self.handle_install = replica.handle_install
+        self.handle_join = replica.handle_join
+        self.handle_vote = replica.handle_vote
+
+    async def handle_timeout_now(self, request):
+        raise fakes.PeerUnreachableError("no such call")
+
+
+def test_two_handovers_at_once_end_with_one_leader(cluster, loop):
+    leader = cluster.leader()
+
+    async def twice():
+        return await asyncio.gather(
+            leader.hand_over(WITHIN_S), leader.hand_over(WITHIN_S)
+        )
+
+    assert loop.run(twice()) == [True, True]
+    assert len(cluster.leaders()) == 1
+    assert cluster.leader().term == leader.term
+
+
+def test_all_replicas_hand_over_at_once(cluster, loop):
+    """All nodes get their word to end in the same moment."""
+
+    async def all_at_once():
+        replicas = cluster.replicas.values()
+        await asyncio.gather(*(r.hand_over(WITHIN_S) for r in replicas))
+
+    loop.run(all_at_once())
+    loop.pass_time(0.1)
+    assert len(cluster.leaders()) == 1
+    assert isinstance(cluster.write("after"), Committed)
+
+
+@pytest.mark.parametrize("passed_s", [0.0, 0.01, 0.03, 0.1, 0.6, 2.0])
+def test_a_handover_while_a_member_is_replaced(cluster, loop, passed_s):
+    leader = cluster.leader()
+    assert isinstance(cluster.write("before"), Committed)
+    gone = others_of(cluster, leader)[0]._options.id
+    cluster.crash(gone)
+    cluster.add("new")
+    loop.pass_time(passed_s)
+    hand_over(cluster, leader)
+    loop.pass_time(SETTLED_S)
+    assert gone not in voting(cluster)
+    assert len(voting(cluster)) == 3
+    assert isinstance(cluster.write("after"), Committed)
+    loop.pass_time(1.0)
+    values = [value for _, value in cluster.machines["new"].applied]
+    assert values == ["before", "after"]
+
+
+@pytest.mark.parametrize("passed_s", [0.0, 0.001, 0.003, 0.02, 0.2])
+def test_a_handover_while_a_snapshot_is_installed(cluster, loop, passed_s):
+    leader = cluster.leader()
+    behind = others_of(cluster, leader)[0]._options.id
+    cluster.crash(behind)
+    for number in range(4 * cluster.snapshot_entries):
+        assert isinstance(cluster.write(f"v{number}"), Committed)
+    cluster.start(behind)
+    loop.pass_time(passed_s)
+    assert hand_over(cluster, leader)
+    assert isinstance(cluster.write("after"), Committed)
+    loop.pass_time(1.0)
+    applied = [machine.applied for machine in cluster.machines.values()]
+    assert applied[0] == applied[1] == applied[2]
+    assert len(applied[0]) == 4 * cluster.snapshot_entries + 1
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_nothing_acknowledged_is_lost_beside_handovers_and_losses_of_power(
+    loop, folders, seed
+):
+    """One disk is lost, all others lose power, in the midst of a handover."""
+    rng = random.Random(seed)
+    folders.rng = random.Random(seed)
+    cluster = PowerCluster(loop, folders, seed)
+    loop.pass_time(2.0)
+    writer = Writer(cluster)
+    writing = loop.create_task(writer.run())
+    loop.pass_time(0.5 + rng.random())
+    for _ in range(2):
+        leader = cluster.leader()
+        wiped = {rng.choice(sorted(cluster.replicas))}
+        cluster.lose_power(rng.randrange(20), wiped)
+        handing_over = loop.create_task(leader.hand_over(WITHIN_S))
+        loop.pass_time(2.0)
+        assert cluster.is_dark
+        assert handing_over.done()
+        cluster.power_up()
+        loop.pass_time(SETTLED_S)
+        writer.check()
+    writing.cancel()
+    loop.pass_time(1.0)
+    writer.check()
+    cluster.stop()
+
+
+def test_a_vote_is_given_without_being_told_only_once_nobody_leads(
+    cluster, loop
+):
+    leader = cluster.leader()
+    voter, candidate = others_of(cluster, leader)
+    request = consensus_pb2.VoteRequest(
+        term=voter.term + 1,
+        candidate=candidate._options.id,
+        incarnation=candidate.incarnation,
+        last_index=candidate.log.last_index,
+        last_term=candidate.log.last_term,
+    )
+    assert not loop.run(voter.handle_vote(request)).granted
+    request.leadership_transfer = True
+    assert loop.run(voter.handle_vote(request)).granted
--- a/damaskcroft/observe/metrics.py
+++ b/damaskcroft/observe/metrics.py
@@ -22,6 +22,7 @@
     "ELECTIONS",
     "FIRST_TOKEN_S",
     "GATE_REFUSALS",
+    "HANDOVERS",
     "HOLDERS_LAPSED",
     "IN_FORCE_S",
     "LATE_DROPPED",
@@ -147,6 +148,10 @@
 )
 CLAIMS = Counter("damask_claims", "Claims answered", ["outcome"])
 ELECTIONS = Counter("damask_elections", "Elections, by outcome", ["outcome"])
+HANDOVERS = Counter(
+    "damask_handovers", "Leaders that were to hand over, by outcome",
+    ["outcome"],
+)  # fmt: skip
 COMMIT_INDEX = Gauge("damask_commit_index", "Last committed log index")
 HOLDERS_LAPSED = Gauge("damask_holders_lapsed", "Known holders without a lease")
 IN_FORCE_S = Histogram(
