Control hands over when it is told to end

Operators' changes were refused for an election timeout and more after each SIGTERM of the control node that led, since its replica just stopped.

Right after the word to end, before anything else is stopped, the replica now hands its leadership over, within an election timeout: after that an election is about as quick.

--- a/damaskcroft/control/main.py
+++ b/damaskcroft/control/main.py
@@ -39,6 +39,8 @@
 
 _EXIT_CANNOT_FORMAT = 3
 _INSTALL_TIMEOUT_S = 60.0
+# A leader that ends hands over; after that an election is about as quick.
+_HAND_OVER_S = 0.6
 
 app = typer.Typer(pretty_exceptions_enable=False, add_completion=False)
 
@@ -104,6 +106,7 @@
         async with background(reconciler.run):
             await stop.wait()
             log_event("stopping", id=rules.id)
+            await replica.hand_over(_HAND_OVER_S)
         await replica.stop()
     pool.close()
 
--- a/damaskcroft/hosted/control.py
+++ b/damaskcroft/hosted/control.py
@@ -38,6 +38,8 @@
 # A follower that hears nothing for this long may stand: four lost heartbeats.
 _ELECTION_TIMEOUT_S = 0.5
 _HEARTBEAT_S = 0.1
+# A leader that ends hands over; after that an election is about as quick.
+_HAND_OVER_S = _ELECTION_TIMEOUT_S
 _INSTALL_TIMEOUT_S = 5.0
 # A replica with an empty disk gets a snapshot and at most this much log: less
 # than a second on a link of 10 Mbit/s.
@@ -118,6 +120,7 @@
         log_event("started", role="control", incarnation=replica.incarnation)
         await stop.wait()
         log_event("stopping", role="control", leader=replica.is_leader)
+        await replica.hand_over(_HAND_OVER_S)
         await replica.stop()
     channels.close()
     log_channels.close()
--- /dev/null
+++ b/damaskcroft/hosted/tests/test_control_end.py
@@ -0,0 +1,124 @@
+"""Operators' changes beside a planned end of the control node that leads."""
+
+import asyncio
+import itertools
+import json
+import re
+import signal
+import time
+
+import pytest
+
+from damaskcroft.hosted.tests.deployment import (
+    CONTROL_IPS,
+    ROUTE,
+    Deployment,
+)
+
+# Far below the election timeout of 0.5 s, far above what a handover takes.
+MOST_S = 0.4
+WRITERS = 3
+BESIDE_S = 1.5
+# All nodes have started, and whoever was elected first still leads.
+SETTLED_S = 1.0
+
+
+def configuration(version):
+    return {"version": version, "routes": [ROUTE], "services": [{"name": "s"}]}
+
+
+def log_of(deployment, ip):
+    name = f"control-{ip.rpartition('.')[2]}.log"
+    return (deployment.folder / name).read_text()
+
+
+def leader_ip(deployment):
+    """Who was elected last, by the nodes' logs."""
+    terms = {}
+    for ip in CONTROL_IPS:
+        text = log_of(deployment, ip)
+        found = re.findall(r"event=leader_elected term=(\d+)", text)
+        terms[ip] = max(map(int, found), default=-1)
+    return max(terms, key=terms.get)
+
+
+class Operators:
+    """Put version after version, each on the nodes that are to stay."""
+
+    def __init__(self, deployment):
+        self.deployment = deployment
+        self.version = 3
+        self.accepted = []
+        self.refused = []
+
+    async def put(self, ip):
+        self.version += 1
+        version = self.version
+        body = json_of(configuration(version))
+        status, _, answer = await self.deployment.call(
+            ip, self.deployment.control, b"POST", "/api/config/put", body
+        )
+        if status == 200:
+            self.accepted.append((time.monotonic(), version))
+        else:
+            self.refused.append((time.monotonic(), status, answer))
+
+    async def run(self, ips):
+        while True:
+            for ip in ips:
+                await self.put(ip)
+
+    def longest_gap_s(self):
+        times = [at for at, _ in self.accepted]
+        return max(b - a for a, b in itertools.pairwise(times))
+
+
+def json_of(values):
+    return json.dumps(values).encode()
+
+
+@pytest.fixture
+def deployment(tmp_path):
+    return Deployment(tmp_path)
+
+
+async def until_in_service(deployment):
+    async with asyncio.timeout(30):
+        for ip in CONTROL_IPS:
+            await deployment.start("control", ip)
+        while True:
+            status, _ = await deployment.operator(
+                b"POST", "/api/config/put", configuration(3)
+            )
+            if status == 200:
+                return
+            await asyncio.sleep(0.05)
+
+
+def test_changes_go_on_while_the_leader_ends(deployment):
+    """For an election timeout and more each change was refused."""
+
+    async def scenario():
+        try:
+            await until_in_service(deployment)
+            operators = Operators(deployment)
+            await asyncio.sleep(SETTLED_S)
+            ending = leader_ip(deployment)
+            staying = [ip for ip in CONTROL_IPS if ip != ending]
+            tasks = [
+                asyncio.create_task(operators.run(staying))
+                for _ in range(WRITERS)
+            ]
+            await asyncio.sleep(BESIDE_S)
+            await deployment.end("control", ending, signal.SIGTERM)
+            await asyncio.sleep(BESIDE_S)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+        finally:
+            await deployment.stop()
+        return operators, log_of(deployment, ending)
+
+    operators, log = asyncio.run(asyncio.wait_for(scenario(), 90))
+    assert "event=stopping role=control leader=True" in log
+    assert operators.longest_gap_s() < MOST_S
