Control counts and logs each change and read that it can't answer

Operators saw 503s in calm, and nothing told afterwards which of them came for which reason: no leader known, nobody confirmed it, not committed in time.

damask_control_refusals counts each by call and reason; a line tells the rest. What differs from case to case is now a detail beside a fixed reason.

Evidence: the new test fails without the change (no such count) and passes with it.

--- a/damaskcroft/control/_fleet_control.py
+++ b/damaskcroft/control/_fleet_control.py
@@ -15,7 +15,7 @@
     note_unusable,
     relay,
 )
-from damaskcroft.observe import log_event
+from damaskcroft.observe import log_event, metrics
 from damaskcroft.rpc import CALL_ERRORS, ChannelPool
 
 __all__ = ["Accepted", "FleetControl", "Invalid", "Unavailable"]
@@ -46,9 +46,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Unavailable:
-    """This node can't say now; another one, or a later try, may."""
+    """This node can't say now; another one, or a later try, may.
+
+    Attributes:
+        reason: one of a few fixed texts.
+        detail: what of it differs from case to case.
+    """
 
     reason: str
+    detail: str = ""
 
 
 class FleetControl:
@@ -124,6 +130,12 @@
 
     async def read(self) -> bytes | Unavailable:
         """The newest acknowledged configuration, as its operator wrote it."""
+        outcome = await self._read()
+        if isinstance(outcome, Unavailable):
+            self._note_refusal("read", outcome)
+        return outcome
+
+    async def _read(self) -> bytes | Unavailable:
         try:
             async with asyncio.timeout(_READ_TIMEOUT_S):
                 index = await self._read_index()
@@ -138,6 +150,17 @@
             return Unavailable("no configuration yet")
         return zlib.decompress(configuration.source)
 
+    def _note_refusal(self, call: str, refusal: Unavailable) -> None:
+        metrics.CONTROL_REFUSALS.labels(call, refusal.reason).inc()
+        log_event(
+            "control_refused",
+            call=call,
+            reason=refusal.reason,
+            detail=refusal.detail,
+            leader=self._replica.leader_address,
+            term=self._replica.term,
+        )
+
     # --- Targets -------------------------------------------------------------
 
     async def announce(
@@ -200,6 +223,14 @@
         self, command: fleet_pb2.FleetCommand
     ) -> Accepted | Unavailable:
         """Commits a command here or at the leader."""
+        outcome = await self._commit(command)
+        if isinstance(outcome, Unavailable):
+            self._note_refusal(command.WhichOneof("kind") or "", outcome)
+        return outcome
+
+    async def _commit(
+        self, command: fleet_pb2.FleetCommand
+    ) -> Accepted | Unavailable:
         try:
             async with asyncio.timeout(_COMMIT_TIMEOUT_S):
                 if self._replica.is_leader:
@@ -222,7 +253,7 @@
             case NotLeader():
                 return Unavailable("not the leader")
             case DiskFailed(reason=reason):
-                return Unavailable(f"the leader's disk failed: {reason}")
+                return Unavailable("the leader's disk failed", reason)
         return Unavailable("not known to be committed")
 
     async def _commit_at_leader(
@@ -236,7 +267,7 @@
         try:
             reply = await stub.Forward(request, timeout=_COMMIT_TIMEOUT_S)
         except CALL_ERRORS as error:
-            return Unavailable(f"leader {address}: {error}")
+            return Unavailable("leader unreachable", f"{address}: {error!r}")
         if not reply.committed:
             return Unavailable("not known to be committed")
         return Accepted(reply.version)
--- a/damaskcroft/control/tests/test_fleet_control.py
+++ b/damaskcroft/control/tests/test_fleet_control.py
@@ -4,6 +4,7 @@
 import contextlib
 
 import pytest
+from prometheus_client import REGISTRY
 
 from damaskcroft._generated import fleet_pb2
 from damaskcroft.consensus import (
@@ -394,3 +395,28 @@
                 assert await sent_again(node.control.read) == b"30"
 
     run(scenario())
+
+
+def test_each_refusal_is_counted_and_logged_by_its_reason(
+    run, tmp_path, caplog
+):
+    """Operators' refusals in calm could not be told apart afterwards."""
+
+    async def scenario():
+        async with three_nodes(tmp_path) as nodes:
+            alone, *gone = nodes
+            for node in gone:
+                await node.stop()
+            with caplog.at_level("INFO"):
+                refusal = await alone.control.read()
+            assert isinstance(refusal, Unavailable)
+            return refusal.reason
+
+    reason = run(scenario())
+    counted = REGISTRY.get_sample_value(
+        "damask_control_refusals_total", {"call": "read", "reason": reason}
+    )
+    assert counted
+    assert [
+        t for t in caplog.messages if "event=control_refused call=read" in t
+    ]
--- a/damaskcroft/observe/metrics.py
+++ b/damaskcroft/observe/metrics.py
@@ -17,6 +17,7 @@
     "BURST_YIELDS",
     "CLAIMS",
     "COMMIT_INDEX",
+    "CONTROL_REFUSALS",
     "HTTP_FAULTS",
     "IDLE_CONNECTIONS_CLOSED",
     "ELECTIONS",
@@ -148,6 +149,10 @@
 )
 CLAIMS = Counter("damask_claims", "Claims answered", ["outcome"])
 ELECTIONS = Counter("damask_elections", "Elections, by outcome", ["outcome"])
+CONTROL_REFUSALS = Counter(
+    "damask_control_refusals", "Changes and reads that this control node could "
+    "not answer, by reason", ["call", "reason"],
+)  # fmt: skip
 HANDOVERS = Counter(
     "damask_handovers", "Leaders that were to hand over, by outcome",
     ["outcome"],
