--- a/damaskcroft/observe/metrics.py
+++ b/damaskcroft/observe/metrics.py
@@ -17,11 +17,13 @@
     "BURST_YIELDS",
     "CLAIMS",
     "COMMIT_INDEX",
+    "CONTROL_REFUSALS",
     "HTTP_FAULTS",
     "IDLE_CONNECTIONS_CLOSED",
     "ELECTIONS",
     "FIRST_TOKEN_S",
     "GATE_REFUSALS",
+    "HANDOVERS",
     "HOLDERS_LAPSED",
     "IN_FORCE_S",
     "LATE_DROPPED",
@@ -147,6 +149,14 @@
 )
 CLAIMS = Counter("damask_claims", "Claims answered", ["outcome"])
 ELECTIONS = Counter("damask_elections", "Elections, by outcome", ["outcome"])
+CONTROL_REFUSALS = Counter(
+    "damask_control_refusals", "Changes and reads that this control node could "
+    "not answer, by reason", ["call", "reason"],
+)  # fmt: skip
+HANDOVERS = Counter(
+    "damask_handovers", "Leaders that were to hand over, by outcome",
+    ["outcome"],
+)  # fmt: skip
 COMMIT_INDEX = Gauge("damask_commit_index", "Last committed log index")
 HOLDERS_LAPSED = Gauge("damask_holders_lapsed", "Known holders without a lease")
 IN_FORCE_S = Histogram(
