One way to end a server: told in the answers before it comes

Callers saw: of those that keep connections and ask again and again, some got neither an answer nor a refusal when a control node (or any address of rpc.http_served) was told to end.

Cause: the server went from "keeps connections" to a 408 for all in one step. A connection that was kept by an answer was ended by a 408 within the same millisecond; a caller that reads one answer at a time found both in one read, dropped what followed the first, and met the end of the stream with its next request.

Fix: http1/_ending.py holds one order of steps for every server: notice (each answer says `Connection: close`), then no new connections and a 408 to those whose last answer was 0.2 s ago or longer, then reading on; each bounded, and over once no connection is open. Callers' connections of entries and uvicorn's connections are driven by it. uvicorn's own server, whose end can't be split into steps, is no longer used, only its connections. The two copies of "answers say close while stopping" in the entries go. What has not been read whole at the end is told 408, not 500.

Before: 408 at once, for all. After: 0.5 s of notice by default; hosted metrics and readiness give it from SIGTERM on.

Tests changed: test_bytes_unread_at_the_end_reset_no_connection sent its requests from a patched uvicorn.Server.shutdown, which is no longer called; it sends them from HttpServer.close_idle, the same moment, and asserts that they were sent. test_the_end_waits_only_so_long... names notice 0.1 s and end 0.2 s in place of end 0.3 s; its limits stand.

--- a/damaskcroft/agent/main.py
+++ b/damaskcroft/agent/main.py
@@ -133,7 +133,9 @@
         ]
         async with (
             grpc_served(process.listen, services, self._keys),
-            http_served(process.http_listen, [Route("/readyz", self._ready)]),
+            http_served(
+                process.http_listen, [Route("/readyz", self._ready)]
+            ) as face,
         ):
             log_event(
                 "started",
@@ -142,6 +144,7 @@
             )
             async with background(*self._work()):
                 await stop.wait()
+                face.give_notice()
                 await self._drain()
         await self._close()
 
--- a/damaskcroft/entry/main.py
+++ b/damaskcroft/entry/main.py
@@ -116,11 +116,12 @@
                 self._routes(),
                 closing_body=closing_body.encode(),
                 end_s=self._settings.stop.linger_s,
-            ),
+            ) as face,
         ):
             log_event("started", id=self._settings.process.name)
             await stop.wait()
             self._stopping = True
+            face.give_notice()
             log_event("stopping", running=self._running.count)
             await asyncio.sleep(_BALANCER_NOTICE_S)
             await self._running.finish()
@@ -184,7 +185,7 @@
     def _tracked(
         self, final: Final, ended: Callable[[], None] = lambda: None
     ) -> Response:
-        return _Tracked(final, lambda: self._stopping, ended)
+        return _Tracked(final, ended)
 
     async def _healthy(self, _: Request) -> Response:
         return JSONResponse({"healthy": True})
@@ -200,33 +201,16 @@
 
 
 class _Tracked(Response):
-    """Cleans up when the last byte is out, or will never be.
-
-    While the entry is stopping, each answer also ends its connection (RFC
-    9112, section 9.6), so that no caller sends its next request into a
-    connection that is about to close.
-    """
+    """Cleans up when the last byte is out, or will never be."""
 
-    def __init__(
-        self,
-        final: Final,
-        is_stopping: Callable[[], bool],
-        ended: Callable[[], None],
-    ):
+    def __init__(self, final: Final, ended: Callable[[], None]):
         super().__init__()
         self._final = final
-        self._is_stopping = is_stopping
         self._ended = ended
 
     async def __call__(self, scope, receive, send) -> None:
-        async def send_marked(message) -> None:
-            starts = message["type"] == "http.response.start"
-            if starts and self._is_stopping():
-                message["headers"].append((b"connection", b"close"))
-            await send(message)
-
         try:
-            await self._final.response(scope, receive, send_marked)
+            await self._final.response(scope, receive, send)
         finally:
             await self._final.close()
             self._ended()
--- a/damaskcroft/hosted/entry.py
+++ b/damaskcroft/hosted/entry.py
@@ -1,6 +1,7 @@
 """damask-entry on a machine that callers reach."""
 
 import asyncio
+import math
 import random
 
 from damaskcroft._generated import fleet_pb2
@@ -13,9 +14,10 @@
 )
 from damaskcroft.forwarding import EntryGate, Forwarder, Services, Suspects
 from damaskcroft.http1 import (
-    CallerConnections,
     ConnectionPool,
+    EndTimes,
     callers_served,
+    drained,
 )
 from damaskcroft.limits import RateLimits
 from damaskcroft.observe import log_event
@@ -37,7 +39,6 @@
 __all__ = ["serve"]
 
 _CLEAN_EVERY_S = 0.5
-_POLL_S = 0.05
 # While a stopping entry says it isn't ready, callers' idle connections stay
 # open for as long as the balancer may take to notice: two of its questions, a
 # second apart, and one for good measure.
@@ -146,8 +147,11 @@
 
     async with (
         http_served(
-            settings.ready_address, ready_routes(is_ready), end_s=_READY_END_S
-        ),
+            settings.ready_address,
+            ready_routes(is_ready),
+            notice_s=_READY_END_S,
+            end_s=_READY_END_S,
+        ) as ready,
         callers_served(settings.caller_address, gate) as callers,
         background(
             watcher.run,
@@ -161,9 +165,9 @@
         await stop.wait()
         spare_s = _spare_s(bounds.grace_s)
         gate.stop(bounds.grace_s - spare_s)
+        ready.give_notice()
         log_event("stopping", role="entry", answering=callers.answering)
-        read_s = spare_s * _READ_SHARE
-        await _drain(callers, bounds.grace_s - spare_s + read_s)
+        await drained(callers, _end_times(bounds.grace_s, spare_s))
         log_event("drained", answering=callers.answering)
     connections.close()
     channels.close()
@@ -174,15 +178,12 @@
     return min(_SPARE_S, grace_s * _SPARE_SHARE)
 
 
-async def _drain(callers: CallerConnections, within_s: float) -> None:
-    """Answers what has begun; ends when nothing is left, or in time."""
-    loop = asyncio.get_running_loop()
-    began_at = loop.time()
-    while callers.open_count and loop.time() - began_at < within_s:
-        lasted_s = loop.time() - began_at
-        if lasted_s > min(_NOTICE_S, within_s / 2):
-            callers.close_idle()
-        if callers.are_all_told and lasted_s > within_s - _LINGER_SPARE_S:
-            log_event("connections_left_open", count=callers.open_count)
-            return
-        await asyncio.sleep(_POLL_S)
+def _end_times(grace_s: float, spare_s: float) -> EndTimes:
+    """Connections are accepted until the last one has ended."""
+    within_s = grace_s - spare_s + spare_s * _READ_SHARE
+    return EndTimes(
+        notice_s=min(_NOTICE_S, within_s / 2),
+        listen_s=math.inf,
+        told_s=within_s - _LINGER_SPARE_S,
+        within_s=within_s,
+    )
--- a/damaskcroft/hosted/process.py
+++ b/damaskcroft/hosted/process.py
@@ -86,7 +86,10 @@
         await serve(settings, stop)
         return
     metrics_address = f"{settings.ip}:{metrics_port}"
-    async with http_served(metrics_address, [], end_s=_METRICS_END_S):
+    async with http_served(
+        metrics_address, [], notice_s=_METRICS_END_S, end_s=_METRICS_END_S
+    ) as metrics_face:
+        stopping.add_done_callback(lambda _: metrics_face.give_notice())
         await serve(settings, stop)
 
 
--- a/damaskcroft/http1/__init__.py
+++ b/damaskcroft/http1/__init__.py
@@ -13,6 +13,12 @@
     TargetConnection,
 )
 from damaskcroft.http1._closing import Lingering, closing_answer
+from damaskcroft.http1._ending import (
+    EndingServer,
+    EndTimes,
+    drained,
+    end_server,
+)
 from damaskcroft.http1._exchange import (
     Answer,
     CallerHandler,
@@ -35,6 +41,8 @@
     "ChannelLostError",
     "ConnectionPool",
     "CutShortError",
+    "EndTimes",
+    "EndingServer",
     "Head",
     "Headers",
     "NoAnswerError",
@@ -44,6 +52,8 @@
     "callers_served",
     "connect",
     "closing_answer",
+    "drained",
+    "end_server",
     "retry_after_s",
     "stop_listening",
 ]
--- a/damaskcroft/http1/_listening.py
+++ b/damaskcroft/http1/_listening.py
@@ -16,12 +16,15 @@
 
 async def stop_listening(
     server: asyncio.Server, make_protocol: Callable[[], asyncio.Protocol]
-) -> None:
+) -> int:
     """Closes a server's sockets after everything on them was accepted.
 
     Args:
         server: listens no longer afterwards.
         make_protocol: of a connection; those made meanwhile get one too.
+
+    Returns:
+        How many connections the kernel still held.
     """
     loop = asyncio.get_running_loop()
     # Keep the kernel's queues when the server closes its own sockets.
@@ -39,6 +42,7 @@
     made = [each for listening in kept for each in _close(listening)]
     for connection in made:
         await loop.connect_accepted_socket(make_protocol, connection)
+    return len(made)
 
 
 def _close(listening: socket.socket) -> list[socket.socket]:
--- a/damaskcroft/http1/_server.py
+++ b/damaskcroft/http1/_server.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import contextlib
+import dataclasses
+import math
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import h11
 
 from damaskcroft.http1._channel import Channel, ChannelLostError
 from damaskcroft.http1._closing import Lingering, closing_answer
+from damaskcroft.http1._ending import AT_ONCE, EndingServer, end_server
 from damaskcroft.http1._exchange import Answer, CallerHandler, CallerRequest
 from damaskcroft.http1._listening import stop_listening
 from damaskcroft.http1._reader import RequestReader
@@ -30,35 +33,50 @@
 _BACKLOG = 512
 
 
-class CallerConnections:
-    """All open connections of callers.
-
-    Attributes:
-        address: where they are accepted.
-        answering: requests that are being answered.
-    """
+class CallerConnections(EndingServer):
+    """All open connections of callers; see `EndingServer`."""
 
     def __init__(self, handler: CallerHandler):
         """Serves connections with `handler`."""
         self._handler = handler
         self._tasks: set[asyncio.Task] = set()
-        # Waits for the first byte of a next request, by connection.
-        self._waits_by_channel: dict[Channel, asyncio.Task[bool]] = {}
+        self._waits_by_channel: dict[Channel, _Wait] = {}
         self._lingering = Lingering()
-        self.answering = 0
-        self.address = ""
+        self._answering = 0
+        self._listening: asyncio.Server | None = None
 
     def accept(self) -> Channel:
         """Makes the protocol of one new connection."""
         return _AcceptedChannel(self._start)
 
-    def close_idle(self) -> None:
-        """Ends connections that wait for a request, each by a 408."""
-        for waiting in self._waits_by_channel.values():
-            waiting.cancel()
+    async def listen(self, host: str, port: int) -> None:
+        """Accepts connections from now on.
+
+        Raises:
+            OSError: the address can't be bound.
+        """
+        loop = asyncio.get_running_loop()
+        self._listening = await loop.create_server(
+            self.accept, host, port, backlog=_BACKLOG
+        )
+        host, port = self._listening.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+
+    async def stop_listening(self) -> None:
+        """See EndingServer."""
+        listening, self._listening = self._listening, None
+        if listening is not None:
+            self.queued = await stop_listening(listening, self.accept)
+
+    def close_idle(self, quiet_s: float = 0.0) -> None:
+        """See EndingServer; each is ended by a 408."""
+        until = asyncio.get_running_loop().time() - quiet_s
+        for wait in self._waits_by_channel.values():
+            if wait.answered_at <= until:
+                wait.task.cancel()
 
     async def close(self) -> None:
-        """Ends everything; idle callers get a moment to read a 408."""
+        """See EndingServer; idle callers get a moment to read a 408."""
         # Connections made just now begin to wait for a request.
         await asyncio.sleep(0)
         self.close_idle()
@@ -74,14 +92,27 @@
 
     @property
     def are_all_told(self) -> bool:
-        """Whether each open connection only waits for its caller's end."""
+        """See EndingServer."""
         return len(self._lingering) == len(self._tasks)
 
     @property
     def open_count(self) -> int:
-        """How many connections are open."""
+        """See EndingServer."""
         return len(self._tasks)
 
+    @property
+    def is_used(self) -> bool:
+        """See EndingServer; each request ends with its connection."""
+        return bool(self._tasks)
+
+    @property
+    def answering(self) -> int:
+        """See EndingServer."""
+        return self._answering
+
+    def _is_ending(self) -> bool:
+        return self.noticed_at is not None or self._handler.is_stopping()
+
     def _start(self, channel: Channel) -> None:
         task = asyncio.create_task(self._serve(channel))
         self._tasks.add(task)
@@ -110,11 +141,12 @@
             h11.SERVER, max_incomplete_event_size=limits.head_bytes
         )
         reader = RequestReader(parser, channel, self._handler)
+        answered_at = -math.inf
         while True:
-            if not await self._request_comes(reader, channel):
+            if not await self._request_comes(reader, channel, answered_at):
                 await self._close_idle_one(parser, channel)
                 return
-            answer = Answer(parser, channel, self._handler.is_stopping)
+            answer = Answer(parser, channel, self._is_ending)
             request = await self._read(reader, answer, parser)
             if request is None:
                 await self._read_on(channel)
@@ -131,14 +163,15 @@
             if parser.their_state is not h11.DONE:
                 return
             await self._taken(channel.drain())
+            answered_at = asyncio.get_running_loop().time()
             parser.start_next_cycle()
 
     async def _request_comes(
-        self, reader: RequestReader, channel: Channel
+        self, reader: RequestReader, channel: Channel, answered_at: float
     ) -> bool:
         """Waits for a request; False if the connection is to end instead."""
         waiting = asyncio.create_task(reader.wait_for_first_byte())
-        self._waits_by_channel[channel] = waiting
+        self._waits_by_channel[channel] = _Wait(waiting, answered_at)
         try:
             await asyncio.wait({waiting})
         finally:
@@ -175,7 +208,7 @@
     async def _answer(
         self, request: CallerRequest, answer: Answer, channel: Channel
     ) -> None:
-        self.answering += 1
+        self._answering += 1
         working = asyncio.create_task(self._handle(request, answer))
         try:
             await asyncio.wait(
@@ -189,7 +222,7 @@
         finally:
             working.cancel()
             await asyncio.gather(working, return_exceptions=True)
-            self.answering -= 1
+            self._answering -= 1
 
     async def _handle(self, request: CallerRequest, answer: Answer) -> None:
         """Answers a request; a fault of ours is answered too."""
@@ -273,6 +306,19 @@
         await answer.give(_FAULT, [(b"connection", b"close")], b"")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Wait:
+    """A wait for the first byte of a next request.
+
+    Attributes:
+        task: waits; ends the connection when it is cancelled.
+        answered_at: loop time of the connection's last answer.
+    """
+
+    task: asyncio.Task[bool]
+    answered_at: float
+
+
 class _AcceptedChannel(Channel):
     """Tells when it is connected."""
 
@@ -296,14 +342,8 @@
     """
     connections = CallerConnections(handler)
     host, _, port = address.rpartition(":")
-    loop = asyncio.get_running_loop()
-    server = await loop.create_server(
-        connections.accept, host, int(port), backlog=_BACKLOG
-    )
-    bound_host, bound_port = server.sockets[0].getsockname()[:2]
-    connections.address = f"{bound_host}:{bound_port}"
+    await connections.listen(host, int(port))
     try:
         yield connections
     finally:
-        await stop_listening(server, connections.accept)
-        await connections.close()
+        await end_server(connections, AT_ONCE)
--- a/damaskcroft/http1/tests/test_closing.py
+++ b/damaskcroft/http1/tests/test_closing.py
@@ -10,11 +10,12 @@
 
 import asyncio
 import contextlib
+import math
 
 import aiosonic
 import pytest
 
-from damaskcroft.http1 import CallerLimits, Lingering
+from damaskcroft.http1 import CallerLimits, EndTimes, Lingering, drained
 from damaskcroft.http1.tests.test_server import WHOLE, settled
 from damaskcroft.standins.late_callers import LateCallers
 
@@ -50,6 +51,28 @@
     run(scenario())
 
 
+def test_an_answer_that_kept_its_connection_is_not_followed_at_once(
+    run, served
+):
+    # Against a 408 that its caller reads, and drops, with the answer.
+    async def scenario():
+        async with served() as (handler, call, connections):
+            caller = await kept(call)
+            times = EndTimes(0.0, math.inf, 5.0, 5.0)
+            ending = asyncio.create_task(drained(connections, times))
+            await asyncio.sleep(0.05)
+            # It was answered 0.1 s ago.
+            await caller.send(WHOLE)
+            answer = await caller.rest()
+            caller.writer.close()
+            await ending
+            assert answer.startswith(b"HTTP/1.1 200")
+            assert b"connection: close" in answer.lower()
+            assert answer.endswith(b"got body")
+
+    run(scenario())
+
+
 def test_a_request_sent_after_the_close_is_told_that_it_has_not_run(
     run, served
 ):
--- a/damaskcroft/rpc/_http.py
+++ b/damaskcroft/rpc/_http.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import email.utils
 import socket
 from collections.abc import AsyncIterator, Coroutine
 from typing import Any, TypeVar
@@ -13,68 +14,151 @@
 from starlette.requests import Request
 from starlette.responses import Response
 from starlette.routing import Route
+from uvicorn.server import ServerState
 
-from damaskcroft.http1 import Lingering, stop_listening
-from damaskcroft.observe import log_event, log_warning, metrics
+from damaskcroft.http1 import (
+    EndingServer,
+    EndTimes,
+    end_server,
+    stop_listening,
+)
+from damaskcroft.observe import log_warning, metrics
 from damaskcroft.rpc._channels import split_address
-from damaskcroft.rpc._kept_connections import KeptConnection
+from damaskcroft.rpc._kept_connections import Face, KeptConnection
+from damaskcroft.tasks import background
 
-_POLL_S = 0.01
 # The resolution of an answer's Date header (RFC 9110, 5.6.7).
 _DATE_EVERY_S = 1.0
 # Unused connections are kept for this long: what uvicorn takes by default.
 _IDLE_TIMEOUT_S = 5.0
-# For answers that are under way when the block ends, and for callers to close
-# connections that have ended.
+# Callers that ask often enough to keep a connection ask once in this time.
+_NOTICE_S = 0.5
+# For answers that are under way when the notice is over, and for callers to
+# close connections that have ended.
 _END_S = 2.0
+# For answers that were cut, to clean up.
+_CUT_S = 0.1
+# Queue of connections that the kernel holds for us.
+_BACKLOG = 2048
 _T = TypeVar("_T")
 
 
-class _Server(uvicorn.Server):
-    """A uvicorn server that leaves signals alone and wakes up seldom.
+class HttpServer(EndingServer):
+    """uvicorn's connections, served and ended our way; see `EndingServer`.
 
-    The library's own loop looks ten times a second whether it should end, in
-    each process for each of its addresses.
+    The library's own server ends all kept connections in the moment in which
+    it is told to end, and looks ten times a second whether it should.
     """
 
-    def __init__(self, config: uvicorn.Config):
-        super().__init__(config)
-        self._ending = asyncio.Event()
-
-    def end(self) -> None:
-        """Stops accepting; ends connections once they have been answered."""
-        self.should_exit = True
-        self._ending.set()
-
-    async def shutdown(
-        self, sockets: list[socket.socket] | None = None
-    ) -> None:
-        """See the library's class; each connection made until now ends so."""
-        for server in self.servers:
-            await stop_listening(server, self._make_connection)
-        await super().shutdown(sockets)
-        left_open = len(self.server_state.connections)
-        if left_open:
-            log_event("connections_left_open", count=left_open)
-
-    def _make_connection(self) -> asyncio.Protocol:
-        return self.config.http_protocol_class(  # type: ignore[call-arg, return-value]
-            config=self.config,
-            server_state=self.server_state,
-            app_state=self.lifespan.state,
+    def __init__(
+        self, app: Starlette, idle_timeout_s: float, closing_body: bytes
+    ):
+        """Serves `app`; see `http_served`."""
+        self._config = uvicorn.Config(
+            app,
+            loop="asyncio",
+            http=KeptConnection,
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            timeout_keep_alive=idle_timeout_s,  # type: ignore[arg-type]
         )
+        self._config.load()
+        self._state = ServerState()
+        self._face = Face(closing_body)
+        self._listening: asyncio.Server | None = None
+        self._date()
 
-    async def main_loop(self) -> None:
-        """Renews the Date header once a second until told to end."""
-        while not await self.on_tick(0):
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(_DATE_EVERY_S):
-                    await self._ending.wait()
+    async def listen(self, address: str) -> None:
+        """Accepts connections from now on.
 
-    @contextlib.contextmanager
-    def capture_signals(self):
-        """Signals are the program's own business (graceful shutdown)."""
-        yield
+        Raises:
+            OSError: the address can't be bound.
+        """
+        loop = asyncio.get_running_loop()
+        self._listening = await loop.create_server(
+            self._make_connection, sock=_bound(address), backlog=_BACKLOG
+        )
+        self.address = address
+
+    async def renew_date(self) -> None:
+        """Renews the Date header until cancelled."""
+        while True:
+            await asyncio.sleep(_DATE_EVERY_S)
+            self._date()
+
+    def give_notice(self) -> None:
+        """See EndingServer."""
+        super().give_notice()
+        self._face.is_ending = True
+        for connection in self._connections:
+            connection.note_end()
+
+    async def stop_listening(self) -> None:
+        """See EndingServer."""
+        listening, self._listening = self._listening, None
+        if listening is not None:
+            self.queued = await stop_listening(listening, self._make_connection)
+
+    def close_idle(self, quiet_s: float = 0.0) -> None:
+        """See EndingServer."""
+        until = asyncio.get_running_loop().time() - quiet_s
+        for connection in self._connections:
+            if connection.answered_at <= until:
+                connection.close_if_idle()
+
+    async def close(self) -> None:
+        """See EndingServer; connections go on waiting for their callers."""
+        self.close_idle()
+        for connection in self._connections:
+            connection.cut()
+        tasks = list(self._state.tasks)
+        if not tasks:
+            return
+        for task in tasks:
+            task.cancel()
+        _, left = await asyncio.wait(tasks, timeout=_CUT_S)
+        if left:
+            log_warning("answers_held_up", count=len(left))
+
+    @property
+    def open_count(self) -> int:
+        """See EndingServer."""
+        return len(self._state.connections)
+
+    @property
+    def is_used(self) -> bool:
+        """See EndingServer."""
+        return bool(self._state.connections or self._state.tasks)
+
+    @property
+    def answering(self) -> int:
+        """See EndingServer."""
+        return len(self._state.tasks)
+
+    @property
+    def are_all_told(self) -> bool:
+        """See EndingServer."""
+        return not self.answering and len(self._face.lingering) == len(
+            self._state.connections
+        )
+
+    @property
+    def _connections(self) -> list[KeptConnection]:
+        return [
+            connection
+            for connection in self._state.connections
+            if isinstance(connection, KeptConnection)
+        ]
+
+    def _date(self) -> None:
+        date = email.utils.formatdate(usegmt=True).encode()
+        headers = [(b"date", date), *self._config.encoded_headers]
+        self._state.default_headers = headers
+
+    def _make_connection(self) -> KeptConnection:
+        return KeptConnection(self._face, self._config, self._state)
 
 
 async def _metrics(_: Request) -> Response:
@@ -108,10 +192,12 @@
     return bound
 
 
-def _connection_class(closing_body: bytes) -> type[KeptConnection]:
-    # uvicorn makes connections itself and hands them no settings of ours.
-    members = {"closing_body": closing_body, "lingering": Lingering()}
-    return type("Connection", (KeptConnection,), members)
+def _end_times(server: HttpServer, notice_s: float, end_s: float) -> EndTimes:
+    """Times of an end that begins now, perhaps some time after its notice."""
+    now = asyncio.get_running_loop().time()
+    noticed_at = now if server.noticed_at is None else server.noticed_at
+    within_s = max(0.0, noticed_at + notice_s - now) + end_s
+    return EndTimes(notice_s, notice_s, within_s, within_s)
 
 
 @contextlib.asynccontextmanager
@@ -121,8 +207,9 @@
     *,
     idle_timeout_s: float = _IDLE_TIMEOUT_S,
     closing_body: bytes = b"",
+    notice_s: float = _NOTICE_S,
     end_s: float = _END_S,
-) -> AsyncIterator[Starlette]:
+) -> AsyncIterator[HttpServer]:
     """Serves `routes` and /metrics at `address` until the block ends.
 
     Args:
@@ -131,8 +218,11 @@
         idle_timeout_s: how long unused connections are kept.
         closing_body: JSON for callers whose request crosses the end of an
             idle connection; its status says that nothing has run.
-        end_s: longest wait, at the end of the block, for answers under way
-            and for callers to close their connections.
+        notice_s: for how long, from the end of the block or a sooner
+            `give_notice` on, connections are accepted and each answer says
+            that it is its connection's last.
+        end_s: longest wait after that, for answers under way and for callers
+            to close their connections.
 
     Raises:
         OSError: the address cannot be bound.
@@ -141,30 +231,13 @@
         routes=[*routes, Route("/metrics", _metrics)],
         exception_handlers={Exception: _count_fault},
     )
-    listening = _bound(address)
-    config = uvicorn.Config(
-        app,
-        loop="asyncio",
-        http=_connection_class(closing_body),
-        ws="none",
-        lifespan="off",
-        log_config=None,
-        access_log=False,
-        timeout_keep_alive=idle_timeout_s,  # type: ignore[arg-type]
-        timeout_graceful_shutdown=end_s,  # type: ignore[arg-type]
-    )
-    server = _Server(config)
-    task = asyncio.create_task(server.serve([listening]))
-    while not server.started:
-        if task.done():
-            raise OSError(f"cannot serve HTTP at {address}")
-        await asyncio.sleep(_POLL_S)
-    try:
-        yield app
-    finally:
-        server.end()
-        with contextlib.suppress(asyncio.CancelledError):
-            await task
+    server = HttpServer(app, idle_timeout_s, closing_body)
+    await server.listen(address)
+    async with background(server.renew_date):
+        try:
+            yield server
+        finally:
+            await end_server(server, _end_times(server, notice_s, end_s))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/damaskcroft/rpc/_kept_connections.py
+++ b/damaskcroft/rpc/_kept_connections.py
@@ -9,15 +9,17 @@
 
 import asyncio
 import contextlib
+import math
 from typing import Any
 
 import h11
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+from uvicorn.server import ServerState
 
 from damaskcroft.http1 import Lingering, closing_answer
 from damaskcroft.observe import metrics
 
-__all__ = ["KeptConnection"]
+__all__ = ["Face", "KeptConnection"]
 
 _JSON = b"application/json"
 
@@ -27,19 +29,26 @@
 
     Bytes that come later are read and dropped, so that the kernel has no
     reason to reset the connection before the caller has read its answer.
+
+    Attributes:
+        ended: whether our own direction was ended.
     """
 
-    def __init__(self, transport: asyncio.Transport, lingering: Lingering):
+    def __init__(
+        self,
+        transport: asyncio.Transport,
+        lingering: Lingering,
+    ):
         super().__init__()
         self._transport = transport
         self._lingering = lingering
-        self._ending = False
+        self.ended = False
 
     def close(self) -> None:
         """Half-closes; closes when the caller has, or after a while."""
         if self.is_closing():
             return
-        self._ending = True
+        self.ended = True
         self._lingering.begin(self, self._transport.close)
         self._transport.resume_reading()
         with contextlib.suppress(OSError):
@@ -51,49 +60,66 @@
         self._lingering.done(self)
 
     def is_closing(self) -> bool:
-        return self._ending or self._transport.is_closing()
+        return self.ended or self._transport.is_closing()
 
     def abort(self) -> None:
         self._transport.abort()
 
     def write(self, data: Any) -> None:
-        if not self._ending:
+        if not self.ended:
             self._transport.write(data)
 
     def get_extra_info(self, name: str, default: Any = None) -> Any:
         return self._transport.get_extra_info(name, default)
 
     def pause_reading(self) -> None:
-        if not self._ending:
+        if not self.ended:
             self._transport.pause_reading()
 
     def resume_reading(self) -> None:
         self._transport.resume_reading()
 
 
-class KeptConnection(HttpToolsProtocol):
-    """One caller's connection.
+class Face:
+    """What all connections of one server share.
 
     Attributes:
         closing_body: JSON of the answer that ends an idle connection.
-        lingering: shared by all connections of a server.
+        lingering: connections that wait for their callers' end.
+        is_ending: whether each answer is its connection's last.
     """
 
-    closing_body = b""
-    lingering: Lingering
+    __slots__ = ("closing_body", "is_ending", "lingering")
+
+    def __init__(self, closing_body: bytes):
+        """Has no connection yet."""
+        self.closing_body = closing_body
+        self.lingering = Lingering()
+        self.is_ending = False
+
+
+class KeptConnection(HttpToolsProtocol):
+    """One caller's connection.
 
-    def __init__(self, *args: Any, **options: Any):
+    Attributes:
+        answered_at: loop time of its last whole answer.
+    """
+
+    def __init__(self, face: Face, config: Any, server_state: ServerState):
         """See the library's class."""
-        super().__init__(*args, **options)
+        super().__init__(config, server_state, {})
+        self._face = face
         self._end_announced = False
-        self._ends_after_answer = False
+        self.answered_at = -math.inf
+
+    # --- Called by asyncio and the parser ------------------------------------
 
     def connection_made(  # type: ignore[override]
         self, transport: asyncio.Transport
     ) -> None:
         """See asyncio.Protocol."""
         self._lingering_transport = _LingeringTransport(
-            transport, self.lingering
+            transport, self._face.lingering
         )
         super().connection_made(self._lingering_transport)
 
@@ -110,43 +136,54 @@
             self._end_announced = False
             metrics.IDLE_CONNECTIONS_CLOSED.labels("crossed").inc()
 
-    def shutdown(self) -> None:
-        """Ends the connection once its answer, if any, has been given."""
-        if self._has_promised_to_keep():
-            self._ends_after_answer = True
-            return
-        self._announce_end_if_idle()
-        super().shutdown()
+    def on_headers_complete(self) -> None:
+        """Begins to answer a request."""
+        super().on_headers_complete()
+        if self._face.is_ending:
+            self.note_end()
 
     def on_response_complete(self) -> None:
         """Goes on to the next request, or ends the connection."""
         super().on_response_complete()
-        if self._ends_after_answer:
-            self._announce_end_if_idle()
-            self.transport.close()
+        self.answered_at = self.loop.time()
 
     def timeout_keep_alive_handler(self) -> None:
         """Ends the connection, since nobody has used it for long."""
-        self._announce_end_if_idle()
-        super().timeout_keep_alive_handler()
+        self.close_if_idle()
+
+    # --- Used by the server --------------------------------------------------
+
+    def note_end(self) -> None:
+        """Makes the answer that comes next the connection's last."""
+        cycle = self.cycle
+        if cycle is not None and not cycle.response_started:
+            cycle.keep_alive = False
 
-    def _announce_end_if_idle(self) -> None:
+    def close_if_idle(self) -> None:
+        """Ends a connection that waits for a request, by a 408."""
         if self._is_busy() or self.transport.is_closing():
             return
-        kind = _JSON if self.closing_body else b""
+        self._announce_end()
+        self.transport.close()
+
+    def cut(self) -> None:
+        """The server waits no longer; what has not come whole is told so."""
+        cycle = self.cycle
+        if self.transport.is_closing() or cycle is None:
+            return
+        if cycle.more_body and not cycle.response_started:
+            self._announce_end()
+            self.transport.close()
+
+    # --- What it is about ----------------------------------------------------
+
+    def _announce_end(self) -> None:
+        body = self._face.closing_body
         idle = h11.Connection(h11.SERVER)
-        promise = closing_answer(idle, self.closing_body, kind)
         self._end_announced = True
-        self.transport.write(promise)
+        self.transport.write(closing_answer(idle, body, _JSON if body else b""))
         metrics.IDLE_CONNECTIONS_CLOSED.labels("idle").inc()
 
-    def _has_promised_to_keep(self) -> bool:
-        """Whether an answer is under way whose head names no end."""
-        cycle = self.cycle
-        if cycle is None or cycle.response_complete:
-            return False
-        return cycle.response_started and cycle.keep_alive
-
     def _is_busy(self) -> bool:
         """Whether a request is being read or answered.
 
--- a/damaskcroft/rpc/tests/test_kept_connections.py
+++ b/damaskcroft/rpc/tests/test_kept_connections.py
@@ -15,11 +15,11 @@
 
 import aiosonic
 import pytest
-import uvicorn
 from starlette.responses import PlainTextResponse, StreamingResponse
 from starlette.routing import Route
 
 from damaskcroft.rpc import http_served
+from damaskcroft.rpc._http import HttpServer
 from damaskcroft.standins.late_callers import LateCallers
 from damaskcroft.standins.loopback import free_address
 
@@ -118,20 +118,22 @@
 
 def test_bytes_unread_at_the_end_reset_no_connection(server, monkeypatch):
     callers = []
-    shutdown = uvicorn.Server.shutdown
+    sent = []
+    close_idle = HttpServer.close_idle
 
-    async def sends_first(self, sockets=None):
+    def sends_first(self, quiet_s=0.0):
         # After the loop's last look at its sockets, before they are closed.
-        for caller in callers:
-            caller.sock.send(REQUEST)
-        await shutdown(self, sockets)
+        if not sent:
+            sent.extend(caller.sock.send(REQUEST) for caller in callers)
+        close_idle(self, quiet_s)
 
     async def scenario():
         async with server.serve():
             for _ in range(CALLERS):
                 callers.append(await Caller.connected(server.place))
             runs = server.runs
-            monkeypatch.setattr(uvicorn.Server, "shutdown", sends_first)
+            monkeypatch.setattr(HttpServer, "close_idle", sends_first)
+        assert len(sent) == CALLERS
         outcomes = [await caller.received() for caller in callers]
         return {o.split()[1] for o in outcomes}, server.runs - runs
 
@@ -199,7 +201,7 @@
 def test_the_end_waits_only_so_long_for_callers_to_close(server):
     async def scenario():
         loop = asyncio.get_running_loop()
-        async with server.serve(end_s=0.3):
+        async with server.serve(notice_s=0.1, end_s=0.2):
             caller = await Caller.connected(server.place)
             began_at = loop.time()
         caller.sock.close()
