A control node that ends serves on until its callers have been told

Callers saw: operators and targets that keep connections to a control node got neither an answer nor a refusal while it ended.

Fix: the replica and the tasks beside it run on, so that what was read is committed here or forwarded to the leader; the HTTP face gives notice for 1.25 announcements (a quarter of the grace at most), and ends; then the replica is stopped. The control of the product's own does so too.

Before: replica, then face. After: notice, face, replica.

--- a/damaskcroft/control/main.py
+++ b/damaskcroft/control/main.py
@@ -95,15 +95,16 @@
         body = {"leader": replica.leader_address, "term": replica.term}
         return JSONResponse(body, 200 if replica.leader_id else 503)
 
-    async with (
-        grpc_served(settings.process.listen, services, keys),
-        http_served(settings.process.http_listen, [Route("/readyz", ready)]),
-    ):
-        await replica.start()
-        log_event("started", id=rules.id, incarnation=replica.incarnation)
-        async with background(reconciler.run):
-            await stop.wait()
-            log_event("stopping", id=rules.id)
+    async with grpc_served(settings.process.listen, services, keys):
+        async with http_served(
+            settings.process.http_listen, [Route("/readyz", ready)]
+        ) as face:
+            await replica.start()
+            log_event("started", id=rules.id, incarnation=replica.incarnation)
+            async with background(reconciler.run):
+                await stop.wait()
+                log_event("stopping", id=rules.id)
+                face.give_notice()
         await replica.stop()
     pool.close()
 
--- a/damaskcroft/hosted/control.py
+++ b/damaskcroft/hosted/control.py
@@ -45,6 +45,19 @@
 # Every target has been heard within so many announcements, one of which may
 # be lost.
 _ANNOUNCEMENTS_TO_SETTLE = 2
+# Each target that keeps a connection announces itself within this time, also
+# one that is somewhat late, and reads that the connection ends.
+_NOTICE_ANNOUNCEMENTS = 1.25
+# Of the grace period, at most: the notice, and what follows it.
+_NOTICE_SHARE = 1 / 4
+_END_SHARE = 1 / 4
+
+
+def _notice_s(settings: NodeSettings) -> float:
+    return min(
+        settings.announce_every_s * _NOTICE_ANNOUNCEMENTS,
+        settings.bounds.grace_s * _NOTICE_SHARE,
+    )
 
 
 async def serve(settings: NodeSettings, stop: asyncio.Event) -> None:
@@ -111,13 +124,22 @@
             ],
             Keys(None, None),
         ),
-        http_served(settings.control_address, control_routes(control)),
         background(watcher.run, recorder.run),
     ):
-        await replica.start()
-        log_event("started", role="control", incarnation=replica.incarnation)
-        await stop.wait()
-        log_event("stopping", role="control", leader=replica.is_leader)
+        async with http_served(
+            settings.control_address,
+            control_routes(control),
+            notice_s=_notice_s(settings),
+            end_s=settings.bounds.grace_s * _END_SHARE,
+        ) as face:
+            await replica.start()
+            log_event(
+                "started", role="control", incarnation=replica.incarnation
+            )
+            await stop.wait()
+            log_event("stopping", role="control", leader=replica.is_leader)
+            face.give_notice()
+        # Until here, since puts that were read are forwarded to the leader.
         await replica.stop()
     channels.close()
     log_channels.close()
