Control and the other HTTP addresses log requests that end unanswered

Operators saw nothing: a request that control, an agent, or an address for metrics or readiness had read whole, and whose connection ended before its answer was whole, left no line and no count. Entries had both.

Each now logs `caller_left` or `answer_broken_off` with who ended it, why, after how long, method, path of the route, whether a part was given, and whether the server was stopping, and counts in damask_unanswered.

Evidence: rpc/tests/test_unanswered.py; without the change its four tests of ends fail, as no line is there.

--- a/damaskcroft/rpc/_http.py
+++ b/damaskcroft/rpc/_http.py
@@ -66,7 +66,7 @@
         )
         self._config.load()
         self._state = ServerState()
-        self._face = Face(closing_body)
+        self._face = Face(app, closing_body)
         self._listening: asyncio.Server | None = None
         self._date()
 
--- a/damaskcroft/rpc/_kept_connections.py
+++ b/damaskcroft/rpc/_kept_connections.py
@@ -10,14 +10,17 @@
 import asyncio
 import contextlib
 import math
+from collections.abc import Callable
 from typing import Any
 
 import h11
+from starlette.applications import Starlette
+from starlette.routing import Match
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 from uvicorn.server import ServerState
 
 from damaskcroft.http1 import Lingering, closing_answer
-from damaskcroft.observe import metrics
+from damaskcroft.observe import log_event, metrics
 
 __all__ = ["Face", "KeptConnection"]
 
@@ -38,16 +41,19 @@
         self,
         transport: asyncio.Transport,
         lingering: Lingering,
+        on_close: Callable[[], None],
     ):
         super().__init__()
         self._transport = transport
         self._lingering = lingering
+        self._on_close = on_close
         self.ended = False
 
     def close(self) -> None:
         """Half-closes; closes when the caller has, or after a while."""
         if self.is_closing():
             return
+        self._on_close()
         self.ended = True
         self._lingering.begin(self, self._transport.close)
         self._transport.resume_reading()
@@ -89,14 +95,22 @@
         is_ending: whether each answer is its connection's last.
     """
 
-    __slots__ = ("closing_body", "is_ending", "lingering")
+    __slots__ = ("_app", "closing_body", "is_ending", "lingering")
 
-    def __init__(self, closing_body: bytes):
-        """Has no connection yet."""
+    def __init__(self, app: Starlette, closing_body: bytes):
+        """Serves `app`."""
+        self._app = app
         self.closing_body = closing_body
         self.lingering = Lingering()
         self.is_ending = False
 
+    def path_template(self, scope: Any) -> str:
+        """The route that a request was for, or empty."""
+        for route in self._app.routes:
+            if route.matches(scope)[0] is Match.FULL:
+                return getattr(route, "path", "")
+        return ""
+
 
 class KeptConnection(HttpToolsProtocol):
     """One caller's connection.
@@ -110,6 +124,8 @@
         super().__init__(config, server_state, {})
         self._face = face
         self._end_announced = False
+        self._is_cut = False
+        self._read_at = 0.0
         self.answered_at = -math.inf
 
     # --- Called by asyncio and the parser ------------------------------------
@@ -119,12 +135,14 @@
     ) -> None:
         """See asyncio.Protocol."""
         self._lingering_transport = _LingeringTransport(
-            transport, self._face.lingering
+            transport, self._face.lingering, self._note_our_end
         )
         super().connection_made(self._lingering_transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """See asyncio.Protocol."""
+        if not self._lingering_transport.ended and self._is_unanswered():
+            self._log_unanswered("caller_left", "caller", "caller_left")
         self._lingering_transport.lost()
         super().connection_lost(exc)
 
@@ -142,6 +160,11 @@
         if self._face.is_ending:
             self.note_end()
 
+    def on_message_complete(self) -> None:
+        """A request has been read whole."""
+        super().on_message_complete()
+        self._read_at = self.loop.time()
+
     def on_response_complete(self) -> None:
         """Goes on to the next request, or ends the connection."""
         super().on_response_complete()
@@ -168,6 +191,7 @@
 
     def cut(self) -> None:
         """The server waits no longer; what has not come whole is told so."""
+        self._is_cut = True
         cycle = self.cycle
         if self.transport.is_closing() or cycle is None:
             return
@@ -194,3 +218,30 @@
         if cycle is None:
             return False
         return cycle.more_body or not cycle.response_complete
+
+    def _is_unanswered(self) -> bool:
+        """Whether a request was read whole, and its answer isn't whole."""
+        cycle = self.cycle
+        if cycle is None:
+            return False
+        return not cycle.more_body and not cycle.response_complete
+
+    def _note_our_end(self) -> None:
+        if not self._is_unanswered():
+            return
+        reason = "server_ended" if self._is_cut else "fault"
+        self._log_unanswered("answer_broken_off", "server", reason)
+
+    def _log_unanswered(self, event: str, ended_by: str, reason: str) -> None:
+        metrics.UNANSWERED.labels(ended_by, reason).inc()
+        scope = self.cycle.scope
+        log_event(
+            event,
+            ended_by=ended_by,
+            reason=reason,
+            after_s=self.loop.time() - self._read_at,
+            method=scope["method"],
+            path=self._face.path_template(scope),
+            begun=self.cycle.response_started,
+            state="stopping" if self._face.is_ending else "serving",
+        )
--- /dev/null
+++ b/damaskcroft/rpc/tests/test_unanswered.py
@@ -0,0 +1,137 @@
+"""Requests read whole whose connections end before their answers do."""
+
+import asyncio
+import json
+
+import pytest
+from starlette.requests import Request
+from starlette.responses import StreamingResponse
+from starlette.routing import Route
+
+from damaskcroft.observe import metrics
+from damaskcroft.rpc import _kept_connections, http_served
+from damaskcroft.standins.kept_callers import KeptCaller
+from damaskcroft.standins.loopback import free_address
+
+REQUEST = b"POST /things/t-1 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}"
+
+
+@pytest.fixture
+def lines(monkeypatch):
+    """Events that connections log, by name, with their fields."""
+    logged = []
+
+    def log(event, **fields):
+        logged.append((event, fields))
+
+    monkeypatch.setattr(_kept_connections, "log_event", log)
+    return logged
+
+
+class Face:
+    """Answers a part, then waits or fails."""
+
+    def __init__(self):
+        self.address = free_address()
+        self.begun = asyncio.Event()
+        self.fails = False
+        self.says_part = True
+
+    def served(self):
+        route = Route("/things/{thing}", self._work, methods=["POST"])
+        return http_served(self.address, [route], notice_s=0.1, end_s=0.1)
+
+    async def _work(self, request: Request):
+        json.loads(await request.body())
+        if not self.says_part:
+            self.begun.set()
+            await asyncio.sleep(60)
+        return StreamingResponse(self._parts())
+
+    async def _parts(self):
+        yield b"part"
+        self.begun.set()
+        if self.fails:
+            raise KeyError("fault")
+        await asyncio.sleep(60)
+
+
+def counted(ended_by, reason):
+    return metrics.UNANSWERED.labels(ended_by, reason)._value.get()
+
+
+async def asked(face):
+    caller = await KeptCaller.connected(face.address)
+    asking = asyncio.create_task(caller.asks(REQUEST))
+    async with asyncio.timeout(5):
+        await face.begun.wait()
+    return caller, asking
+
+
+@pytest.mark.parametrize("says_part", [True, False])
+def test_a_caller_that_leaves_is_logged_and_counted(lines, says_part):
+    before = counted("caller", "caller_left")
+
+    async def scenario():
+        face = Face()
+        face.says_part = says_part
+        async with face.served():
+            caller, asking = await asked(face)
+            asking.cancel()
+            await asyncio.gather(asking, return_exceptions=True)
+            caller.close()
+            await asyncio.sleep(0.1)
+
+    asyncio.run(scenario())
+    ((event, fields),) = lines
+    assert event == "caller_left"
+    assert 0 <= fields.pop("after_s") < 1
+    assert fields == {
+        "ended_by": "caller",
+        "reason": "caller_left",
+        "method": "POST",
+        "path": "/things/{thing}",
+        "begun": says_part,
+        "state": "serving",
+    }
+    assert counted("caller", "caller_left") == before + 1
+
+
+@pytest.mark.parametrize(
+    ("fails", "reason", "state"),
+    [(True, "fault", "serving"), (False, "server_ended", "stopping")],
+)
+def test_an_answer_that_the_server_breaks_off_is_logged_and_counted(
+    lines, fails, reason, state
+):
+    before = counted("server", reason)
+
+    async def scenario():
+        face = Face()
+        face.fails = fails
+        async with face.served():
+            caller, asking = await asked(face)
+            await asyncio.sleep(0.1)
+        await asking
+        caller.close()
+
+    asyncio.run(scenario())
+    ((event, fields),) = lines
+    assert event == "answer_broken_off"
+    assert (fields["ended_by"], fields["reason"]) == ("server", reason)
+    assert (fields["path"], fields["state"]) == ("/things/{thing}", state)
+    assert counted("server", reason) == before + 1
+
+
+def test_answers_given_whole_are_not_counted(lines):
+    async def scenario():
+        address = free_address()
+        request = b"GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n"
+        async with http_served(address, []):
+            caller = await KeptCaller.connected(address)
+            assert (await caller.asks(request)).status == "200"
+            assert (await caller.asks(request)).status == "200"
+            caller.close()
+
+    asyncio.run(scenario())
+    assert lines == []
