A connection is kept for the longest idle limit since it began to wait

What callers saw: beside a change that makes the limit of idleness longer, a caller that reused its connection within the new limit got 408; beside two changes, a longer limit and a shorter one again, too. A request whose bytes were read in the very step in which the limit ended got 408 as well, though it could have been answered.

Cause: the limit was read once, when a connection began to wait, and its end was taken as the end of the connection, whatever had come meanwhile.

Why it works: the server keeps the limits that were in force and still bind, and a wait whose limit has ended looks again what the longest was since it began, and whether bytes have come. Limits are noted as each configuration is applied, so none is missed between two requests. What is kept is bounded: only limits longer than all after them, for as long as a connection may wait by them.

--- a/damaskcroft/hosted/entry.py
+++ b/damaskcroft/hosted/entry.py
@@ -144,6 +144,12 @@
             view.crashes.forget_old()
             retry_window.entries = placer.entries = view.entries
 
+    async def follow_limits() -> None:
+        seen = view.wishes.count
+        while True:
+            callers.note_limits()
+            seen = await view.wishes.wait(seen)
+
     async with (
         http_served(
             settings.ready_address, ready_routes(is_ready), end_s=_READY_END_S
@@ -154,6 +160,7 @@
             forwarder.run,
             reporter.run,
             keep_clean,
+            follow_limits,
             end_s=_BACKGROUND_END_S,
         ),
     ):
--- a/damaskcroft/http1/_channel.py
+++ b/damaskcroft/http1/_channel.py
@@ -110,11 +110,20 @@
         """Whether bytes have come that nobody has read."""
         return bool(self._unread)
 
-    async def read(self) -> bytes:
-        """All bytes that have come; empty once the peer has ended."""
-        while not self._unread and not self.ended:
+    @property
+    def is_readable(self) -> bool:
+        """Whether `read` gives something, or the end, at once."""
+        return bool(self._unread) or self.ended
+
+    async def readable(self) -> None:
+        """Waits until bytes have come or the peer has ended."""
+        while not self.is_readable:
             self._readable.clear()
             await self._readable.wait()
+
+    async def read(self) -> bytes:
+        """All bytes that have come; empty once the peer has ended."""
+        await self.readable()
         data = bytes(self._unread)
         self._unread.clear()
         if self._reading_paused and not self.lost:
--- a/damaskcroft/http1/_reader.py
+++ b/damaskcroft/http1/_reader.py
@@ -1,6 +1,7 @@
 """Reading whole requests, and refusing what can't be one."""
 
 import asyncio
+import contextlib
 
 import h11
 
@@ -11,6 +12,7 @@
     CallerLimits,
     CallerRequest,
 )
+from damaskcroft.http1._idle_limits import IdleLimits
 
 __all__ = ["RequestReader"]
 
@@ -21,26 +23,35 @@
 class RequestReader:
     """Reads whole requests from one connection."""
 
-    __slots__ = ("_channel", "_handler", "_parser")
+    __slots__ = ("_channel", "_handler", "_idle_limits", "_parser")
 
     def __init__(
-        self, parser: h11.Connection, channel: Channel, handler: CallerHandler
+        self,
+        parser: h11.Connection,
+        channel: Channel,
+        handler: CallerHandler,
+        idle_limits: IdleLimits,
     ):
         """Reads with `parser` what comes on `channel`."""
         self._parser = parser
         self._channel = channel
         self._handler = handler
+        self._idle_limits = idle_limits
 
     async def wait_for_first_byte(self) -> bool:
         """Waits for the next request; False if the connection should end."""
         if self._parser.trailing_data[0]:
             return True
-        limits = self._handler.limits()
-        try:
-            async with asyncio.timeout(limits.idle_timeout_s):
-                data = await self._channel.read()
-        except TimeoutError:
-            return False
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        while not self._channel.is_readable:
+            ends_at = began_at + self._idle_limits.longest_s(began_at)
+            if loop.time() >= ends_at:
+                return False
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout_at(ends_at):
+                    await self._channel.readable()
+        data = await self._channel.read()
         if not data:
             return False
         self._parser.receive_data(data)
--- a/damaskcroft/http1/_server.py
+++ b/damaskcroft/http1/_server.py
@@ -9,6 +9,7 @@
 from damaskcroft.http1._channel import Channel, ChannelLostError
 from damaskcroft.http1._closing import Lingering, closing_answer
 from damaskcroft.http1._exchange import Answer, CallerHandler, CallerRequest
+from damaskcroft.http1._idle_limits import IdleLimits
 from damaskcroft.http1._listening import stop_listening
 from damaskcroft.http1._reader import RequestReader
 from damaskcroft.observe import log_warning, metrics
@@ -45,6 +46,7 @@
         # Waits for the first byte of a next request, by connection.
         self._waits_by_channel: dict[Channel, asyncio.Task[bool]] = {}
         self._lingering = Lingering()
+        self._idle_limits = IdleLimits(handler.limits().idle_timeout_s)
         self.answering = 0
         self.address = ""
 
@@ -52,6 +54,11 @@
         """Makes the protocol of one new connection."""
         return _AcceptedChannel(self._start)
 
+    def note_limits(self) -> None:
+        """Takes note of the handler's limits; to be called at each change."""
+        now = asyncio.get_running_loop().time()
+        self._idle_limits.note(self._handler.limits().idle_timeout_s, now)
+
     def close_idle(self) -> None:
         """Ends connections that wait for a request, each by a 408."""
         for waiting in self._waits_by_channel.values():
@@ -109,7 +116,9 @@
         parser = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.head_bytes
         )
-        reader = RequestReader(parser, channel, self._handler)
+        reader = RequestReader(
+            parser, channel, self._handler, self._idle_limits
+        )
         while True:
             if not await self._request_comes(reader, channel):
                 await self._close_idle_one(parser, channel)
@@ -137,6 +146,7 @@
         self, reader: RequestReader, channel: Channel
     ) -> bool:
         """Waits for a request; False if the connection is to end instead."""
+        self.note_limits()
         waiting = asyncio.create_task(reader.wait_for_first_byte())
         self._waits_by_channel[channel] = waiting
         try:
--- a/damaskcroft/http1/tests/conftest.py
+++ b/damaskcroft/http1/tests/conftest.py
@@ -18,6 +18,7 @@
         self.refusals = []
         self.cancelled = 0
         self.stopping = False
+        self.limits_in_force = LIMITS
         self.gate = asyncio.Event()
         self.gate.set()
 
@@ -31,7 +32,7 @@
         await answer.give(200, [], b"got " + request.body)
 
     def limits(self):
-        return LIMITS
+        return self.limits_in_force
 
     def is_stopping(self):
         return self.stopping
--- /dev/null
+++ b/damaskcroft/http1/tests/test_changing_limits.py
@@ -0,0 +1,153 @@
+"""Limits that change while connections wait and requests are being read.
+
+What happened: the limit of idleness was read when a connection began to wait.
+A longer one did not hold for connections that waited already: their callers,
+who reuse a connection by the limit in force, read that it had ended.
+"""
+
+import asyncio
+import dataclasses
+import time
+
+from damaskcroft.http1._idle_limits import IdleLimits
+from damaskcroft.http1.tests.conftest import LIMITS
+from damaskcroft.http1.tests.test_closing import PROMISE, kept
+from damaskcroft.http1.tests.test_server import WHOLE
+
+SHORT_S = 0.4
+LONG_S = 1.2
+MANY = 1000
+
+
+def idle_limit(limit_s):
+    return dataclasses.replace(LIMITS, idle_timeout_s=limit_s)
+
+
+async def answers_after(callers, pause_s):
+    """The first bytes of what each gets that sends after a pause."""
+    await asyncio.sleep(pause_s)
+    answers = []
+    for caller in callers:
+        await caller.send(WHOLE)
+        answers.append(await caller.until(b"\r\n"))
+    return set(answers)
+
+
+def change(handler, connections, limit_s):
+    handler.limits_in_force = idle_limit(limit_s)
+    connections.note_limits()
+
+
+def test_a_longer_idle_limit_holds_for_connections_that_wait(run, served):
+    # Against a 408 at the end of the limit before.
+    async def scenario():
+        async with served() as (handler, call, connections):
+            change(handler, connections, SHORT_S)
+            callers = [await kept(call) for _ in range(4)]
+            change(handler, connections, LONG_S)
+            answers = await answers_after(callers, 0.75 * LONG_S)
+            assert answers == {b"HTTP/1.1 200 \r\n"}
+
+    run(scenario())
+
+
+def test_a_shorter_idle_limit_ends_no_connection_that_waits(run, served):
+    async def scenario():
+        async with served() as (handler, call, connections):
+            change(handler, connections, LONG_S)
+            callers = [await kept(call) for _ in range(4)]
+            change(handler, connections, SHORT_S)
+            answers = await answers_after(callers, 0.75 * LONG_S)
+            assert answers == {b"HTTP/1.1 200 \r\n"}
+            # From then on the shorter one holds.
+            answer = await callers[0].rest()
+            assert PROMISE in answer
+
+    run(scenario())
+
+
+def test_a_longer_idle_limit_between_two_shorter_ones_holds(run, served):
+    async def scenario():
+        async with served() as (handler, call, connections):
+            change(handler, connections, SHORT_S)
+            callers = [await kept(call) for _ in range(4)]
+            change(handler, connections, LONG_S)
+            await asyncio.sleep(0.05)
+            change(handler, connections, SHORT_S)
+            answers = await answers_after(callers, 0.7 * LONG_S)
+            assert answers == {b"HTTP/1.1 200 \r\n"}
+
+    run(scenario())
+
+
+def test_the_longest_idle_limit_since_a_time_is_kept_in_few_entries():
+    limits = IdleLimits(15.0)
+    limits.note(60.0, 10.0)
+    assert limits.longest_s(5.0) == 60.0
+    limits.note(15.0, 20.0)
+    limits.note(30.0, 30.0)
+    limits.note(5.0, 40.0)
+    assert limits.longest_s(5.0) == 60.0
+    assert limits.longest_s(20.5) == 30.0
+    assert limits.longest_s(40.5) == 5.0
+    for number in range(1000):
+        limits.note(5.0 - number / 1000, 50.0 + number)
+    # Whoever waited so long ago has been let go.
+    assert len(limits._past) < 10
+    assert limits.longest_s(1050.0) == limits.longest_s(2000.0)
+
+
+def test_a_request_that_comes_as_its_idle_limit_ends_is_answered(run, served):
+    # Against a 408 for bytes that the loop had read in the same step.
+    async def scenario():
+        async with served() as (handler, call, _):
+            callers = [await kept(call) for _ in range(3)]
+
+            def stand_still():
+                for caller in callers:
+                    caller.writer.transport._sock.send(WHOLE)
+                time.sleep(LIMITS.idle_timeout_s)
+
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.05, stand_still)
+            answers = [await caller.until(b"\r\n") for caller in callers]
+            assert set(answers) == {b"HTTP/1.1 200 \r\n"}
+            assert len(handler.requests) == 2 * len(callers)
+
+    run(scenario())
+
+
+def test_a_head_that_comes_over_the_end_of_the_idle_limit_is_read(run, served):
+    async def scenario():
+        async with served() as (_, call, _):
+            caller = await kept(call)
+            await asyncio.sleep(LIMITS.idle_timeout_s - 0.1)
+            await caller.send(WHOLE[:12])
+            await asyncio.sleep(0.15)
+            await caller.send(WHOLE[12:])
+            assert await caller.until(b"\r\n") == b"HTTP/1.1 200 \r\n"
+
+    run(scenario())
+
+
+def test_a_thousand_connections_that_end_at_once_are_each_told(run, served):
+    # Against a reset once more than some hundred were told and not closed.
+    async def scenario():
+        async with served() as (handler, call, connections):
+            change(handler, connections, 3.0)
+            callers = [await call() for _ in range(MANY)]
+            for caller in callers:
+                await caller.send(WHOLE)
+            for caller in callers:
+                await caller.until(b"got body")
+            await asyncio.sleep(0.05)
+            connections.close_idle()
+            await asyncio.sleep(0.5)
+            # None has looked at its connection.
+            for caller in callers:
+                await caller.send(WHOLE)
+            for caller in callers:
+                assert (await caller.rest()).startswith(PROMISE)
+            assert len(handler.requests) == MANY
+
+    run(scenario())
