A request is judged by the limits in force at its first byte

What callers saw: after a change that allows longer heads, one that came in more than one read on a connection from before the change got 431; after a change to shorter heads, one that stopped over the new limit waited for the head's time and got 408. Limits that were applied in the few steps between a request's first byte and the reader's next look held for that request.

Cause: the parser's bound was taken when the connection was accepted and can't change; the other limits were read after the hand-over, not with the byte.

Red before: test_a_longer_head_is_read_on_a_connection_from_before (431, wanted 200), test_a_long_head_in_pieces_is_refused_by_the_limit_in_force (408, wanted 431), test_limits_that_come_right_behind_a_first_byte_do_not_hold_for_it (refused). Passed before too, kept as guards: a shorter limit of heads, bodies or time that comes while a request is read refuses none (6 cases).

Why it works: the reader takes the limits with a request's first byte, holds to them for its head and body, and bounds heads that come in pieces itself; the parser bounds nothing.

--- a/damaskcroft/http1/_reader.py
+++ b/damaskcroft/http1/_reader.py
@@ -23,7 +23,7 @@
 class RequestReader:
     """Reads whole requests from one connection."""
 
-    __slots__ = ("_channel", "_handler", "_idle_limits", "_parser")
+    __slots__ = ("_channel", "_handler", "_idle_limits", "_limits", "_parser")
 
     def __init__(
         self,
@@ -32,15 +32,25 @@
         handler: CallerHandler,
         idle_limits: IdleLimits,
     ):
-        """Reads with `parser` what comes on `channel`."""
+        """Reads with `parser` what comes on `channel`.
+
+        Args:
+            parser: bounds nothing itself, since its bound can't change.
+            channel: the connection.
+            handler: names the limits.
+            idle_limits: of all connections of a server.
+        """
         self._parser = parser
         self._channel = channel
         self._handler = handler
         self._idle_limits = idle_limits
+        # Those in force at a request's first byte hold for all of it.
+        self._limits = handler.limits()
 
     async def wait_for_first_byte(self) -> bool:
         """Waits for the next request; False if the connection should end."""
         if self._parser.trailing_data[0]:
+            self._limits = self._handler.limits()
             return True
         loop = asyncio.get_running_loop()
         began_at = loop.time()
@@ -54,6 +64,7 @@
         data = await self._channel.read()
         if not data:
             return False
+        self._limits = self._handler.limits()
         self._parser.receive_data(data)
         return True
 
@@ -63,7 +74,7 @@
         Returns:
             None if the connection should end; a refusal was sent.
         """
-        limits = self._handler.limits()
+        limits = self._limits
         try:
             async with asyncio.timeout(limits.head_timeout_s):
                 head = await self._next_event()
@@ -73,7 +84,7 @@
             if fault:
                 await self._refuse(answer, *fault)
                 return None
-            body = await self._read_body(limits)
+            body = await self._read_body()
         except TimeoutError:
             await self._refuse(answer, 408, "slow_request")
             return None
@@ -92,7 +103,8 @@
             asyncio.get_running_loop().time(),
         )
 
-    async def _read_body(self, limits: CallerLimits) -> bytes | None:
+    async def _read_body(self) -> bytes | None:
+        limits = self._limits
         body = bytearray()
         while True:
             if self._parser.they_are_waiting_for_100_continue:
@@ -113,6 +125,8 @@
             event = self._parser.next_event()
             if event is not h11.NEED_DATA:
                 return event
+            if len(self._parser.trailing_data[0]) > self._limits.head_bytes:
+                raise h11.RemoteProtocolError("head too long", 431)
             data = await self._channel.read()
             if not data and self._channel.lost:
                 raise ChannelLostError("closed in the middle of a request")
@@ -129,7 +143,7 @@
 def _head_fault(
     head: h11.Request, limits: CallerLimits
 ) -> tuple[int, str] | None:
-    # The parser bounds only heads that come in several reads.
+    # Those that come in several reads are bounded as they come.
     size = sum(len(name) + len(value) for name, value in head.headers)
     if len(head.target) + size > limits.head_bytes:
         return 431, "head_too_long"
--- a/damaskcroft/http1/_server.py
+++ b/damaskcroft/http1/_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import sys
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import h11
@@ -112,9 +113,8 @@
             channel.close()
 
     async def _serve_requests(self, channel: Channel) -> None:
-        limits = self._handler.limits()
         parser = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.head_bytes
+            h11.SERVER, max_incomplete_event_size=sys.maxsize
         )
         reader = RequestReader(
             parser, channel, self._handler, self._idle_limits
--- a/damaskcroft/http1/tests/test_changing_limits.py
+++ b/damaskcroft/http1/tests/test_changing_limits.py
@@ -9,14 +9,21 @@
 import dataclasses
 import time
 
+import h11
+import pytest
+
+from damaskcroft.http1 import Channel
+from damaskcroft.http1._exchange import Answer
 from damaskcroft.http1._idle_limits import IdleLimits
-from damaskcroft.http1.tests.conftest import LIMITS
+from damaskcroft.http1._reader import RequestReader
+from damaskcroft.http1.tests.conftest import LIMITS, EchoHandler
 from damaskcroft.http1.tests.test_closing import PROMISE, kept
 from damaskcroft.http1.tests.test_server import WHOLE
 
 SHORT_S = 0.4
 LONG_S = 1.2
 MANY = 1000
+LONG_HEAD = WHOLE.replace(b"\r\n\r\n", b"\r\nX: " + b"x" * 1000 + b"\r\n\r\n")
 
 
 def idle_limit(limit_s):
@@ -151,3 +158,76 @@
             assert len(handler.requests) == MANY
 
     run(scenario())
+
+
+def test_a_longer_head_is_read_on_a_connection_from_before(run, served):
+    # Against 431 by the limit in force when the connection was accepted.
+    async def scenario():
+        async with served() as (handler, call, _):
+            handler.limits_in_force = dataclasses.replace(
+                LIMITS, head_bytes=500
+            )
+            caller = await kept(call)
+            handler.limits_in_force = LIMITS
+            await caller.send(LONG_HEAD[:900])
+            await asyncio.sleep(0.05)
+            await caller.send(LONG_HEAD[900:])
+            assert await caller.until(b"\r\n") == b"HTTP/1.1 200 \r\n"
+
+    run(scenario())
+
+
+def test_a_long_head_in_pieces_is_refused_by_the_limit_in_force(run, served):
+    async def scenario():
+        async with served() as (handler, call, _):
+            caller = await kept(call)
+            handler.limits_in_force = dataclasses.replace(
+                LIMITS, head_bytes=500
+            )
+            await caller.send(LONG_HEAD[:900])
+            assert (await caller.rest()).startswith(b"HTTP/1.1 431")
+            assert len(handler.requests) == 1
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("first", [12, len(LONG_HEAD) - 2])
+@pytest.mark.parametrize(
+    "smaller",
+    [{"head_bytes": 20}, {"body_bytes": 1}, {"head_timeout_s": 0.05}],
+    ids=lambda limits: next(iter(limits)),
+)
+def test_a_request_is_judged_by_the_limits_at_its_first_byte(
+    run, served, smaller, first
+):
+    async def scenario():
+        async with served() as (handler, call, connections):
+            caller = await kept(call)
+            await caller.send(LONG_HEAD[:first])
+            await asyncio.sleep(0.05)
+            handler.limits_in_force = dataclasses.replace(LIMITS, **smaller)
+            connections.note_limits()
+            await asyncio.sleep(0.1)
+            await caller.send(LONG_HEAD[first:])
+            assert await caller.until(b"\r\n") == b"HTTP/1.1 200 \r\n"
+
+    run(scenario())
+
+
+def test_limits_that_come_right_behind_a_first_byte_do_not_hold_for_it(
+    run,
+):
+    # Against a refusal by limits applied before the reader's next step.
+    async def scenario():
+        handler = EchoHandler()
+        parser, channel = h11.Connection(h11.SERVER), Channel()
+        reader = RequestReader(parser, channel, handler, IdleLimits(1.0))
+        channel.data_received(WHOLE)
+        assert await reader.wait_for_first_byte()
+        handler.limits_in_force = dataclasses.replace(LIMITS, body_bytes=1)
+        answer = Answer(parser, channel, handler.is_stopping)
+        request = await reader.read_request(answer)
+        assert request is not None
+        assert request.body == b"body"
+
+    run(scenario())
