Tests: requests that come as an idle timeout of control's server ends

A guard: control, agents and metrics end a connection that was idle for their timeout by a 408. What callers send in the step in which it ends, whole or in two pieces, is answered or told that nothing ran. Passed at once: the library takes back its timer with the first byte that it reads.

--- a/damaskcroft/rpc/tests/test_kept_connections.py
+++ b/damaskcroft/rpc/tests/test_kept_connections.py
@@ -12,6 +12,7 @@
 
 import asyncio
 import socket
+import time
 
 import aiosonic
 import pytest
@@ -172,6 +173,39 @@
     assert answer.endswith(b"{}")
 
 
+@pytest.mark.parametrize("part", [len(REQUEST), 20])
+def test_what_comes_as_the_idle_timeout_ends_is_answered_or_told(server, part):
+    # Sent while the loop stands still, over the end of the timeout.
+    idle_s = 0.3
+
+    async def scenario():
+        async with server.serve(idle_timeout_s=idle_s):
+            callers = [
+                await Caller.connected(server.place) for _ in range(CALLERS)
+            ]
+            runs = server.runs
+
+            def stand_still():
+                for caller in callers:
+                    caller.sock.send(REQUEST[:part])
+                time.sleep(idle_s)
+
+            asyncio.get_running_loop().call_later(0.1, stand_still)
+            await asyncio.sleep(idle_s + 0.2)
+            if part < len(REQUEST):
+                for caller in callers:
+                    caller.sock.send(REQUEST[part:])
+            await asyncio.sleep(0.05)
+            statuses = [
+                (await caller.received()).split()[1] for caller in callers
+            ]
+            return statuses, server.runs - runs
+
+    statuses, runs = asyncio.run(scenario())
+    assert set(statuses) <= {b"200", b"408"}
+    assert statuses.count(b"200") == runs
+
+
 @pytest.mark.parametrize("idle_timeout_s", [60.0, 0.1])
 def test_a_library_that_pools_connections_reads_that_nothing_ran(
     server, idle_timeout_s
