A signal to read settings ends no process in its last steps

What was seen: a process that was told to end and got SIGHUP once its event loop had closed ended by the signal, not with 0, and without its last log lines (`stopped`, sometimes `drained`): 8 of 8 ends under a SIGHUP each millisecond. Callers lost nothing by it: their connections had ended by then.

Cause: a signal handler of the loop is taken away with the loop, and what holds then is the signal's default.

Red before: test_a_settings_signal_that_comes_at_an_end_ends_nothing, both cases (-1, wanted 0).

Why it works: the handler is Python's own and hands the work to the loop; before the loop ends the signal is ignored, as it is before the loop begins, with no moment between the two.

--- a/damaskcroft/hosted/process.py
+++ b/damaskcroft/hosted/process.py
@@ -1,9 +1,10 @@
 """What every hosted program does around its own work."""
 
 import asyncio
+import contextlib
 import signal
 import sys
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 from damaskcroft.clock import run
 from damaskcroft.fleet import NodeSettings
@@ -69,7 +70,6 @@
     metrics_port: int,
 ) -> None:
     loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGHUP, _reload)
     stop = stop_event()
 
     def bound_end(_: asyncio.Task) -> None:
@@ -82,12 +82,32 @@
     # Called back, since a task would be cancelled before the last steps.
     stopping = asyncio.create_task(stop.wait())
     stopping.add_done_callback(bound_end)
-    if not metrics_port:
-        await serve(settings, stop)
-        return
-    metrics_address = f"{settings.ip}:{metrics_port}"
-    async with http_served(metrics_address, [], end_s=_METRICS_END_S):
-        await serve(settings, stop)
+    with _reloading():
+        if not metrics_port:
+            await serve(settings, stop)
+            return
+        metrics_address = f"{settings.ip}:{metrics_port}"
+        async with http_served(metrics_address, [], end_s=_METRICS_END_S):
+            await serve(settings, stop)
+
+
+@contextlib.contextmanager
+def _reloading() -> Iterator[None]:
+    """Takes SIGHUP within the block, and ignores it after that.
+
+    A handler of the loop's own would be gone with the loop: the signal would
+    end the process in its last steps, and what it has not logged yet is lost.
+    """
+    loop = asyncio.get_running_loop()
+
+    def reload_soon(*_: object) -> None:
+        loop.call_soon_threadsafe(_reload)
+
+    signal.signal(signal.SIGHUP, reload_soon)
+    try:
+        yield
+    finally:
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 
 def _reload() -> None:
--- a/damaskcroft/hosted/tests/test_processes.py
+++ b/damaskcroft/hosted/tests/test_processes.py
@@ -1,10 +1,14 @@
 """The hosted programs as real processes on loopback, met by the wire alone."""
 
 import asyncio
+import contextlib
 import json
+import os
 import signal
 import sys
 
+import pytest
+
 from damaskcroft.ctl._log_lines import parsed
 from damaskcroft.ctl._why import story
 from damaskcroft.hosted.tests.deployment import (
@@ -93,6 +97,31 @@
     play(scenario)
 
 
+@pytest.mark.parametrize("name", ["control-11", "entry-14"])
+def test_a_settings_signal_that_comes_at_an_end_ends_nothing(play, name):
+    """Against an end by the signal once the event loop had closed."""
+
+    async def scenario(deployment, gate, asked):
+        process = deployment.processes[name]
+        log = deployment.folder / f"{name}.log"
+
+        async def started():
+            return "event=started" in log.read_text()
+
+        await until(started)
+        process.send_signal(signal.SIGTERM)
+        while process.returncode is None:
+            # Not by the process's own method, which would take its end away
+            # from asyncio.
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(process.pid, signal.SIGHUP)
+            await asyncio.sleep(0.001)
+        assert process.returncode == 0
+        assert "event=stopped" in log.read_text().splitlines()[-1]
+
+    play(scenario)
+
+
 def test_all_control_killed_at_once_comes_back_with_what_it_promised(play):
     async def scenario(deployment, gate, asked):
         for ip in CONTROL_IPS:
