--- a/damaskcroft/http1/_reader.py
+++ b/damaskcroft/http1/_reader.py
@@ -1,6 +1,7 @@
 """Reading whole requests, and refusing what can't be one."""
 
 import asyncio
+import contextlib
 
 import h11
 
@@ -11,6 +12,7 @@
     CallerLimits,
     CallerRequest,
 )
+from damaskcroft.http1._idle_limits import IdleLimits
 
 __all__ = ["RequestReader"]
 
@@ -21,28 +23,48 @@
 class RequestReader:
     """Reads whole requests from one connection."""
 
-    __slots__ = ("_channel", "_handler", "_parser")
+    __slots__ = ("_channel", "_handler", "_idle_limits", "_limits", "_parser")
 
     def __init__(
-        self, parser: h11.Connection, channel: Channel, handler: CallerHandler
+        self,
+        parser: h11.Connection,
+        channel: Channel,
+        handler: CallerHandler,
+        idle_limits: IdleLimits,
     ):
-        """Reads with `parser` what comes on `channel`."""
+        """Reads with `parser` what comes on `channel`.
+
+        Args:
+            parser: bounds nothing itself, since its bound can't change.
+            channel: the connection.
+            handler: names the limits.
+            idle_limits: of all connections of a server.
+        """
         self._parser = parser
         self._channel = channel
         self._handler = handler
+        self._idle_limits = idle_limits
+        # Those in force at a request's first byte hold for all of it.
+        self._limits = handler.limits()
 
     async def wait_for_first_byte(self) -> bool:
         """Waits for the next request; False if the connection should end."""
         if self._parser.trailing_data[0]:
+            self._limits = self._handler.limits()
             return True
-        limits = self._handler.limits()
-        try:
-            async with asyncio.timeout(limits.idle_timeout_s):
-                data = await self._channel.read()
-        except TimeoutError:
-            return False
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        while not self._channel.is_readable:
+            ends_at = began_at + self._idle_limits.longest_s(began_at)
+            if loop.time() >= ends_at:
+                return False
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout_at(ends_at):
+                    await self._channel.readable()
+        data = await self._channel.read()
         if not data:
             return False
+        self._limits = self._handler.limits()
         self._parser.receive_data(data)
         return True
 
@@ -52,7 +74,7 @@
         Returns:
             None if the connection should end; a refusal was sent.
         """
-        limits = self._handler.limits()
+        limits = self._limits
         try:
             async with asyncio.timeout(limits.head_timeout_s):
                 head = await self._next_event()
@@ -62,7 +84,7 @@
             if fault:
                 await self._refuse(answer, *fault)
                 return None
-            body = await self._read_body(limits)
+            body = await self._read_body()
         except TimeoutError:
             await self._refuse(answer, 408, "slow_request")
             return None
@@ -81,7 +103,8 @@
             asyncio.get_running_loop().time(),
         )
 
-    async def _read_body(self, limits: CallerLimits) -> bytes | None:
+    async def _read_body(self) -> bytes | None:
+        limits = self._limits
         body = bytearray()
         while True:
             if self._parser.they_are_waiting_for_100_continue:
@@ -102,6 +125,8 @@
             event = self._parser.next_event()
             if event is not h11.NEED_DATA:
                 return event
+            if len(self._parser.trailing_data[0]) > self._limits.head_bytes:
+                raise h11.RemoteProtocolError("head too long", 431)
             data = await self._channel.read()
             if not data and self._channel.lost:
                 raise ChannelLostError("closed in the middle of a request")
@@ -118,7 +143,7 @@
 def _head_fault(
     head: h11.Request, limits: CallerLimits
 ) -> tuple[int, str] | None:
-    # The parser bounds only heads that come in several reads.
+    # Those that come in several reads are bounded as they come.
     size = sum(len(name) + len(value) for name, value in head.headers)
     if len(head.target) + size > limits.head_bytes:
         return 431, "head_too_long"
--- a/damaskcroft/http1/_server.py
+++ b/damaskcroft/http1/_server.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import math
+import sys
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import h11
@@ -12,6 +13,7 @@
 from damaskcroft.http1._closing import Lingering, closing_answer
 from damaskcroft.http1._ending import AT_ONCE, EndingServer, end_server
 from damaskcroft.http1._exchange import Answer, CallerHandler, CallerRequest
+from damaskcroft.http1._idle_limits import IdleLimits
 from damaskcroft.http1._listening import stop_listening
 from damaskcroft.http1._reader import RequestReader
 from damaskcroft.observe import log_warning, metrics
@@ -44,6 +46,7 @@
         self._lingering = Lingering()
         self._answering = 0
         self._listening: asyncio.Server | None = None
+        self._idle_limits = IdleLimits(handler.limits().idle_timeout_s)
 
     def accept(self) -> Channel:
         """Makes the protocol of one new connection."""
@@ -75,6 +78,11 @@
             if wait.answered_at <= until:
                 wait.task.cancel()
 
+    def note_limits(self) -> None:
+        """Takes note of the handler's limits; to be called at each change."""
+        now = asyncio.get_running_loop().time()
+        self._idle_limits.note(self._handler.limits().idle_timeout_s, now)
+
     async def close(self) -> None:
         """See EndingServer; idle callers get a moment to read a 408."""
         # Connections made just now begin to wait for a request.
@@ -136,11 +144,12 @@
             channel.close()
 
     async def _serve_requests(self, channel: Channel) -> None:
-        limits = self._handler.limits()
         parser = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.head_bytes
+            h11.SERVER, max_incomplete_event_size=sys.maxsize
+        )
+        reader = RequestReader(
+            parser, channel, self._handler, self._idle_limits
         )
-        reader = RequestReader(parser, channel, self._handler)
         answered_at = -math.inf
         while True:
             if not await self._request_comes(reader, channel, answered_at):
@@ -170,6 +179,7 @@
         self, reader: RequestReader, channel: Channel, answered_at: float
     ) -> bool:
         """Waits for a request; False if the connection is to end instead."""
+        self.note_limits()
         waiting = asyncio.create_task(reader.wait_for_first_byte())
         self._waits_by_channel[channel] = _Wait(waiting, answered_at)
         try:
