--- a/damaskcroft/hosted/tests/test_soak.py
+++ b/damaskcroft/hosted/tests/test_soak.py
@@ -1,6 +1,7 @@
 """The soak, short: seeds that once failed, and one that stands for all."""
 
 import asyncio
+import hashlib
 import itertools
 import time
 
@@ -15,7 +16,9 @@
     Rest,
 )
 from damaskcroft.hosted.tests.soak._faults import (
+    CHANGES_FROM_SEED,
     PAUSES_FROM_SEED,
+    has_changes,
     has_pauses,
     schedule,
 )
@@ -87,6 +90,59 @@
     assert even > odd
 
 
+@pytest.mark.parametrize("seed", [2, 801, 2101, CHANGES_FROM_SEED - 1])
+def test_earlier_seeds_keep_configurations_that_only_grow(seed):
+    # Against a change that plays another schedule under an old seed.
+    assert not has_changes(seed)
+    assert changes_in(schedule(seed, 60)) == []
+
+
+@pytest.mark.parametrize(
+    ("seed", "digest"),
+    [
+        (2, "09a165eec727e3ec"),
+        (801, "3ff579641f739250"),
+        (2100, "6f31ced6e2bf3509"),
+        (2101, "e592ece1955ed1ab"),
+    ],
+)
+def test_earlier_seeds_keep_their_faults(seed, digest):
+    # Against a draw that is added to those of seeds which once failed.
+    told = repr(schedule(seed, 60)).encode()
+    assert hashlib.sha256(told).hexdigest()[:16] == digest
+
+
+@pytest.mark.parametrize(
+    "seed", range(CHANGES_FROM_SEED, CHANGES_FROM_SEED + 4)
+)
+def test_a_request_meets_one_pause_or_change_within_its_time(seed):
+    # Against pauses in a row that leave a sound target no time to answer.
+    faults = schedule(seed, 120)
+    changes = changes_in(faults)
+    assert {fault.kind for fault in changes} == {
+        "take service",
+        "take routes",
+        "take key",
+        "take limits",
+    }
+    assert all(0.5 <= fault.for_s <= 2.0 for fault in changes)
+    held = sorted(changes + pauses_in(faults), key=lambda fault: fault.at_s)
+    for fault, following in itertools.pairwise(held):
+        assert following.at_s - fault.at_s - fault.for_s > 0.99
+
+
+def test_planned_work_alone_stands_beside_changes_of_odd_seeds():
+    # Against a judge that finds every request excused by some disturbance.
+    odd = schedule(CHANGES_FROM_SEED + 1, 60)
+    kinds = {fault.kind for fault in odd}
+    kinds -= {fault.kind for fault in changes_in(odd) + pauses_in(odd)}
+    assert kinds == {"stop control", "stop entry", "hup all", "leave target"}
+
+
+def changes_in(faults):
+    return [fault for fault in faults if fault.kind.startswith("take ")]
+
+
 def pauses_in(faults):
     kinds = ("pause target", "pause all targets")
     return [fault for fault in faults if fault.kind in kinds]
