--- a/damaskcroft/hosted/tests/soak/_operator.py
+++ b/damaskcroft/hosted/tests/soak/_operator.py
@@ -118,11 +118,7 @@
 
 
 class Operator:
-    """One operator, with a kept connection to each control node.
-
-    Attributes:
-        ending: set by the owner; the operator ends after what it is at.
-    """
+    """One operator, with a kept connection to each control node."""
 
     def __init__(self, rng, deployment, book, versions, note):
         self._rng = rng
@@ -130,36 +126,40 @@
         self._versions = versions
         self._note = note
         self._weights = 0
-        self.ending = False
+        self._ending = asyncio.Event()
         self._callers = [
             ControlCaller(ip, f"{ip}:{deployment.control}", book.control_owed)
             for ip in CONTROL_IPS
         ]
 
+    def end(self):
+        """Lets it end after what it is at."""
+        self._ending.set()
+
     def close(self):
         """Ends its connections."""
         for caller in self._callers:
             caller.close()
 
     async def change_forever(self):
-        """Puts and reads by turns, with rests, until `ending` is set."""
-        while not self.ending:
+        """Puts and reads by turns, with rests, until `end`."""
+        while not self._ending.is_set():
             await self._versions.wait_until_free()
             if self._rng.random() < _IN_SERIES:
                 # The second before the first is acknowledged.
                 await asyncio.gather(self.put_next(), self.put_next())
             else:
                 await self.put_next()
-            await asyncio.sleep(_CALM_S)
+            await self._rest(_CALM_S)
             await self._read()
 
     async def ask_forever(self):
-        """Sends what changes no configuration, until `ending` is set."""
+        """Sends what changes no configuration, until `end`."""
         works = (self._read, self._name_weights, self._put_old)
-        while not self.ending:
+        while not self._ending.is_set():
             await self._rng.choice(works)()
             idles = self._rng.random() < _IDLES
-            await asyncio.sleep(
+            await self._rest(
                 self._rng.uniform(*(_IDLE_S if idles else _BUSY_S))
             )
 
@@ -173,7 +173,7 @@
                 self._book.broken.append(
                     f"change {version} is not acknowledged"
                 )
-                self.ending = True
+                self.end()
                 return
             await asyncio.sleep(_AGAIN_AFTER_S)
 
@@ -218,5 +218,9 @@
             {"model": "m", "version": self._weights},
         )
 
+    async def _rest(self, seconds):
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._ending.wait(), seconds)
+
     def _in_any_order(self):
         return self._rng.sample(self._callers, len(self._callers))
--- a/damaskcroft/hosted/tests/soak/_run.py
+++ b/damaskcroft/hosted/tests/soak/_run.py
@@ -123,7 +123,7 @@
             self.note("healed")
             self._ending = True
             for operator in self._operators:
-                operator.ending = True
+                operator.end()
             await asyncio.gather(*callers, *operating)
             await self._check_recovered()
             await self._check_quarantine()
--- a/damaskcroft/hosted/tests/test_soak.py
+++ b/damaskcroft/hosted/tests/test_soak.py
@@ -40,6 +40,9 @@
     (801, 15.0),
     # Entries ended answers of targets that only paused.
     (2101, 12.0),
+    # Entries ended answers of targets that paused while a configuration took
+    # their key or limits away.
+    (3001, 8.0),
 ]
 
 
