A process out of touch with control follows seeds that came later

Cause: settings were read again, checked and logged, and nothing followed them: seeds were taken once, at the start.

Who is in touch knows the members from control and reads nothing.

--- a/damaskcroft/fleet/_watch.py
+++ b/damaskcroft/fleet/_watch.py
@@ -59,13 +59,14 @@
 
     async def run(self) -> None:
         """Watches until cancelled."""
-        self._follow(self._seeds)
+        self.follow(self._seeds)
         try:
             await asyncio.Event().wait()
         finally:
             await end_all(list(self._tasks_by_address.values()))
 
-    def _follow(self, addresses: Iterable[str]) -> None:
+    def follow(self, addresses: Iterable[str]) -> None:
+        """Follows more control nodes, while it runs."""
         for address in addresses:
             if address == self._own_address:
                 continue
@@ -112,7 +113,7 @@
         stub: fleet_grpc.FleetStub,
     ) -> None:
         self._view.apply_update(update, address)
-        self._follow(update.control_addresses)
+        self.follow(update.control_addresses)
         if self._without_configuration:
             return
         if update.configuration_version > self._view.version:
--- a/damaskcroft/hosted/agent.py
+++ b/damaskcroft/hosted/agent.py
@@ -13,6 +13,7 @@
     guarded_goals,
 )
 from damaskcroft.fleet import FleetView, NodeSettings, Watcher
+from damaskcroft.hosted.seeds import follow_new_seeds
 from damaskcroft.observe import log_event
 from damaskcroft.platform.engine import PlatformEngine
 from damaskcroft.platform.origin import PlatformOrigin
@@ -104,7 +105,12 @@
         grpc_served(
             settings.rpc_address, [ChunkService(chunks)], Keys(None, None)
         ),
-        background(watcher.run, stager.run, switcher.run),
+        background(
+            watcher.run,
+            functools.partial(follow_new_seeds, view, watcher),
+            stager.run,
+            switcher.run,
+        ),
     ):
         log_event("started", role="agent", target=settings.target_address)
         await stop.wait()
--- a/damaskcroft/hosted/entry.py
+++ b/damaskcroft/hosted/entry.py
@@ -1,6 +1,7 @@
 """damask-entry on a machine that callers reach."""
 
 import asyncio
+import functools
 import random
 
 from damaskcroft._generated import fleet_pb2
@@ -12,6 +13,7 @@
     Watcher,
 )
 from damaskcroft.forwarding import EntryGate, Forwarder, Services, Suspects
+from damaskcroft.hosted.seeds import follow_new_seeds
 from damaskcroft.http1 import (
     CallerConnections,
     ConnectionPool,
@@ -161,6 +163,7 @@
             reporter.run,
             keep_clean,
             follow_limits,
+            functools.partial(follow_new_seeds, view, watcher),
             end_s=_BACKGROUND_END_S,
         ),
     ):
--- a/damaskcroft/hosted/process.py
+++ b/damaskcroft/hosted/process.py
@@ -114,7 +114,8 @@
     """Reads changed settings.
 
     Only seeds and bounds may change while a process runs. Seeds are for
-    finding control at a start; by now its members are known from itself.
+    finding control; who is in touch knows its members from itself, and who
+    isn't reads them in `seeds`.
     """
     try:
         settings = load_node_settings()
