A route is found by its prefix, not by a search of all routes

What was seen: on an entry whose configuration has 4,000 routes of one host each request cost its loop 1.1 ms for the look at its route (1.4 ms where there is none; best of five, in process), 0.11 ms at 400 routes.

Cause: routes of a host were looked at one after another, the longest prefix first.

Red before: test_a_lookup_takes_no_longer_among_thousands_of_routes (50 lookups among 4,000 routes 0.066 s, among 4 0.0001 s; less than ten times as long wanted).

Why it works: a dictionary by prefix, asked once for each length of prefix that the host has, the longest first. A test compares it with a search of all.

--- a/damaskcroft/fleet/_routes.py
+++ b/damaskcroft/fleet/_routes.py
@@ -14,6 +14,7 @@
 
     __slots__ = (
         "_customers_by_key",
+        "_lengths_by_host",
         "_routes_by_host",
         "keys_required",
         "limits",
@@ -32,12 +33,16 @@
             for customer in configuration.customers
             for key in customer.keys
         }
-        # Longest prefix first, so that the first match is the answer.
-        self._routes_by_host: dict[str, list[fleet_pb2.Route]] = {}
+        # Of each host by prefix, of which there may be thousands.
+        self._routes_by_host: dict[str, dict[str, fleet_pb2.Route]] = {}
         for route in configuration.routes:
-            self._routes_by_host.setdefault(route.host, []).append(route)
-        for routes in self._routes_by_host.values():
-            routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
+            routes = self._routes_by_host.setdefault(route.host, {})
+            routes.setdefault(route.path_prefix, route)
+        # The longest first, so that the first match is the answer.
+        self._lengths_by_host = {
+            host: sorted({len(prefix) for prefix in routes}, reverse=True)
+            for host, routes in self._routes_by_host.items()
+        }
 
     def route(self, host: str, path: str) -> fleet_pb2.Route | None:
         """The route with the longest prefix that begins the path.
@@ -47,11 +52,12 @@
             path: without its query.
         """
         name = host.lower()
-        routes = self._routes_by_host.get(name)
-        if routes is None:
-            routes = self._routes_by_host.get(name.rpartition(":")[0], [])
-        for route in routes:
-            if path.startswith(route.path_prefix):
+        if name not in self._routes_by_host:
+            name = name.rpartition(":")[0]
+        routes = self._routes_by_host.get(name, {})
+        for length in self._lengths_by_host.get(name, ()):
+            route = routes.get(path[:length])
+            if route is not None:
                 return route
         return None
 
--- a/damaskcroft/fleet/tests/test_routes.py
+++ b/damaskcroft/fleet/tests/test_routes.py
@@ -1,5 +1,8 @@
 """Which route a request takes, and which configurations make sense."""
 
+import random
+import timeit
+
 import pytest
 
 from damaskcroft._generated import fleet_pb2
@@ -91,3 +94,29 @@
         True,
         False,
     ]
+
+
+def test_a_lookup_finds_what_a_search_of_all_routes_finds():
+    rng = random.Random(7)
+    prefixes = {
+        "/" + "".join(rng.choice("ab/") for _ in range(rng.randrange(8)))
+        for _ in range(60)
+    }
+    routes = [route(f"r{n}", p) for n, p in enumerate(sorted(prefixes))]
+    table = RouteTable(configuration(*routes))
+    for _ in range(2000):
+        path = "/" + "".join(rng.choice("ab/") for _ in range(rng.randrange(9)))
+        found = [r for r in routes if path.startswith(r.path_prefix)]
+        longest = max(found, key=lambda r: len(r.path_prefix), default=None)
+        assert table.route("h", path) == longest
+
+
+def test_a_lookup_takes_no_longer_among_thousands_of_routes():
+    # Against 1.1 ms for each request of a host with 4,000 routes.
+    def quickest_s(count):
+        routes = [route(f"r{n}", f"/{n}/") for n in range(1000, 1000 + count)]
+        table = RouteTable(configuration(*routes))
+        path = f"/{1000 + count - 1}/x"
+        return min(timeit.repeat(lambda: table.route("h", path), number=50))
+
+    assert quickest_s(4000) < 10 * quickest_s(4)
