--- a/damaskcroft/http1/tests/test_changing_limits.py
+++ b/damaskcroft/http1/tests/test_changing_limits.py
@@ -23,6 +23,8 @@
 SHORT_S = 0.4
 LONG_S = 1.2
 MANY = 1000
+# Where a busy machine shall end nothing that the test doesn't mean to.
+ROOMY = dataclasses.replace(LIMITS, head_timeout_s=3.0, idle_timeout_s=3.0)
 LONG_HEAD = WHOLE.replace(b"\r\n\r\n", b"\r\nX: " + b"x" * 1000 + b"\r\n\r\n")
 
 
@@ -108,7 +110,7 @@
     # Against a 408 for bytes that the loop had read in the same step.
     async def scenario():
         async with served() as (handler, call, _):
-            callers = [await kept(call) for _ in range(3)]
+            callers = await asyncio.gather(*(kept(call) for _ in range(3)))
 
             def stand_still():
                 for caller in callers:
@@ -126,11 +128,14 @@
 
 def test_a_head_that_comes_over_the_end_of_the_idle_limit_is_read(run, served):
     async def scenario():
-        async with served() as (_, call, _):
+        async with served() as (handler, call, _):
+            handler.limits_in_force = dataclasses.replace(
+                ROOMY, idle_timeout_s=1.0
+            )
             caller = await kept(call)
-            await asyncio.sleep(LIMITS.idle_timeout_s - 0.1)
+            await asyncio.sleep(0.5)
             await caller.send(WHOLE[:12])
-            await asyncio.sleep(0.15)
+            await asyncio.sleep(0.6)
             await caller.send(WHOLE[12:])
             assert await caller.until(b"\r\n") == b"HTTP/1.1 200 \r\n"
 
@@ -164,11 +169,9 @@
     # Against 431 by the limit in force when the connection was accepted.
     async def scenario():
         async with served() as (handler, call, _):
-            handler.limits_in_force = dataclasses.replace(
-                LIMITS, head_bytes=500
-            )
+            handler.limits_in_force = dataclasses.replace(ROOMY, head_bytes=500)
             caller = await kept(call)
-            handler.limits_in_force = LIMITS
+            handler.limits_in_force = ROOMY
             await caller.send(LONG_HEAD[:900])
             await asyncio.sleep(0.05)
             await caller.send(LONG_HEAD[900:])
@@ -180,10 +183,9 @@
 def test_a_long_head_in_pieces_is_refused_by_the_limit_in_force(run, served):
     async def scenario():
         async with served() as (handler, call, _):
+            handler.limits_in_force = ROOMY
             caller = await kept(call)
-            handler.limits_in_force = dataclasses.replace(
-                LIMITS, head_bytes=500
-            )
+            handler.limits_in_force = dataclasses.replace(ROOMY, head_bytes=500)
             await caller.send(LONG_HEAD[:900])
             assert (await caller.rest()).startswith(b"HTTP/1.1 431")
             assert len(handler.requests) == 1
@@ -202,10 +204,11 @@
 ):
     async def scenario():
         async with served() as (handler, call, connections):
+            handler.limits_in_force = ROOMY
             caller = await kept(call)
             await caller.send(LONG_HEAD[:first])
             await asyncio.sleep(0.05)
-            handler.limits_in_force = dataclasses.replace(LIMITS, **smaller)
+            handler.limits_in_force = dataclasses.replace(ROOMY, **smaller)
             connections.note_limits()
             await asyncio.sleep(0.1)
             await caller.send(LONG_HEAD[first:])
