--- a/damaskcroft/hosted/entry.py
+++ b/damaskcroft/hosted/entry.py
@@ -1,6 +1,7 @@
 """damask-entry on a machine that callers reach."""
 
 import asyncio
+import functools
 import math
 import random
 
@@ -13,6 +14,7 @@
     Watcher,
 )
 from damaskcroft.forwarding import EntryGate, Forwarder, Services, Suspects
+from damaskcroft.hosted.seeds import follow_new_seeds
 from damaskcroft.http1 import (
     ConnectionPool,
     EndTimes,
@@ -165,6 +167,7 @@
             reporter.run,
             keep_clean,
             follow_limits,
+            functools.partial(follow_new_seeds, view, watcher),
             end_s=_BACKGROUND_END_S,
         ),
     ):
