The soak prints what crossed a stop of control

What readers of a run saw: requests to control without a status, all counted as one, whether a kill or a stop excused them.

The summary tells apart those that crossed a stop of their node on a new connection, the one excuse that planned work has.

--- a/damaskcroft/hosted/tests/soak/_control_answers.py
+++ b/damaskcroft/hosted/tests/soak/_control_answers.py
@@ -91,9 +91,10 @@
                 yield _told(asked, what)
 
     def summary(self):
-        """Requests by status, with the refusals, and the ends told early.
+        """Requests by status, with the refusals, ends told early, crossings.
 
-        Such an end is a 408 that was read together with the answer before.
+        An end was told early by a 408 that was read together with the answer
+        before. What crossed a stop is among those without a status.
         """
         counts = collections.Counter(
             asked.status
@@ -104,9 +105,12 @@
         behind = sum(
             asked.status == 408 and asked.ended_before for asked in self.asked
         )
+        crossed = sum(
+            not asked.status and self._crossed(asked) for asked in self.asked
+        )
         return (
             f"control {by_status} refused(503):{counts[503]} "
-            f"told behind an answer:{behind}"
+            f"told behind an answer:{behind} crossed a stop:{crossed}"
         )
 
     def _shortfall(self, asked):
--- a/damaskcroft/hosted/tests/test_soak_control.py
+++ b/damaskcroft/hosted/tests/test_soak_control.py
@@ -101,8 +101,12 @@
     for status in (200, 503, 503, 408):
         owed.asks(asked(status=status))
     owed.asks(asked(status=408, ended_before=True))
+    owed.stopping("n", [SENT_AT, SENT_AT + 1])
+    owed.asks(asked(number=1, took_s=0.1))
+    owed.asks(asked(number=2, took_s=0.1))
     assert owed.summary() == (
-        "control 200:1 408:2 503:2 refused(503):2 told behind an answer:1"
+        "control 0:2 200:1 408:2 503:2 refused(503):2 "
+        "told behind an answer:1 crossed a stop:1"
     )
 
 
