The soak reads which requests a control node says it broke off

What callers saw: a request on a new connection that control had read and dropped at its stop passed for one that crossed the stop unread, since its caller can't tell them apart.

A node logs `answer_broken_off` for a request that it has read and whose connection it ends before the answer is whole; each such line of a control node is a broken promise.

--- a/damaskcroft/hosted/tests/deployment.py
+++ b/damaskcroft/hosted/tests/deployment.py
@@ -103,6 +103,11 @@
             await process.wait()
         return process.returncode
 
+    def log(self, role, ip):
+        """What a node has logged, over all its starts."""
+        name = f"{role}-{ip.rpartition('.')[2]}.log"
+        return (self.folder / name).read_text()
+
     def wipe(self, ip):
         """Empties a control node's disk; its process must have ended."""
         folder = self.folder / f"control-{ip.rpartition('.')[2]}"
--- a/damaskcroft/hosted/tests/soak/_control_answers.py
+++ b/damaskcroft/hosted/tests/soak/_control_answers.py
@@ -7,6 +7,9 @@
 
 # A request on a new connection may cross the end of its node's listening.
 _CROSSING_S = 0.2
+# What a node logs of a request that it has read, and whose connection it ends
+# before the answer is whole.
+_BROKEN_OFF = " event=answer_broken_off "
 # Refusals that promise that nothing has run.
 _REFUSED = (408, 421, 429, 503)
 
@@ -59,6 +62,7 @@
         self._spans_by_node = collections.defaultdict(list)
         self._stops_by_node = collections.defaultdict(list)
         self.asked = []
+        self._broken_off = []
 
     def asks(self, asked):
         """Notes a request that is about to be sent."""
@@ -83,8 +87,25 @@
         """
         self._stops_by_node[node].append(span)
 
+    def logged(self, node, text):
+        """Finds requests that a node itself says it gave no answer.
+
+        They are owed one whatever else happened, also where their callers
+        took them for some that crossed a stop.
+
+        Args:
+            node: the control node.
+            text: its log.
+        """
+        self._broken_off += [
+            f"{node} says: {line}"
+            for line in text.splitlines()
+            if _BROKEN_OFF in line
+        ]
+
     def breaches(self):
         """What callers of control should have had and didn't get."""
+        yield from self._broken_off
         for asked in self.asked:
             what = self._shortfall(asked)
             if what:
--- a/damaskcroft/hosted/tests/soak/_run.py
+++ b/damaskcroft/hosted/tests/soak/_run.py
@@ -127,6 +127,9 @@
             await asyncio.gather(*callers, *operating)
             await self._check_recovered()
             await self._check_quarantine()
+            for ip in CONTROL_IPS:
+                log = self.deployment.log("control", ip)
+                self.book.control_owed.logged(ip, log)
             self.book.check_bounds()
         finally:
             for operator in self._operators:
--- a/damaskcroft/hosted/tests/test_soak_control.py
+++ b/damaskcroft/hosted/tests/test_soak_control.py
@@ -92,6 +92,22 @@
     assert len(breaches(owed, asked(status=400))) == 1
 
 
+@pytest.mark.parametrize(
+    ("event", "found"),
+    [("answer_broken_off", 1), ("caller_left", 0), ("stopping", 0)],
+)
+def test_what_a_node_says_it_broke_off_is_found(owed, event, found):
+    # Against a request that was read, and passes for one that crossed a stop.
+    owed.stopping("n", [SENT_AT - 1, SENT_AT + 1])
+    owed.disturbed("n", [SENT_AT, ENDED_AT])
+    owed.logged(
+        "n",
+        f"time=1 process=control-11 event={event} ended_by=server "
+        "reason=server_ended\ntime=2 process=control-11 event=started\n",
+    )
+    assert len(breaches(owed, asked(number=1, took_s=0.1))) == found
+
+
 @pytest.mark.parametrize("status", [200, 408, 429, 503])
 def test_answers_and_refusals_are_no_breach(owed, status):
     assert breaches(owed, asked(status=status)) == []
