--- a/damaskcroft/hosted/tests/soak/_control_answers.py
+++ b/damaskcroft/hosted/tests/soak/_control_answers.py
@@ -7,6 +7,9 @@
 
 # A request on a new connection may cross the end of its node's listening.
 _CROSSING_S = 0.2
+# What a node logs of a request that it has read, and whose connection it ends
+# before the answer is whole.
+_BROKEN_OFF = " event=answer_broken_off "
 # Refusals that promise that nothing has run.
 _REFUSED = (408, 421, 429, 503)
 
@@ -59,6 +62,7 @@
         self._spans_by_node = collections.defaultdict(list)
         self._stops_by_node = collections.defaultdict(list)
         self.asked = []
+        self._broken_off = []
 
     def asks(self, asked):
         """Notes a request that is about to be sent."""
@@ -83,17 +87,35 @@
         """
         self._stops_by_node[node].append(span)
 
+    def logged(self, node, text):
+        """Finds requests that a node itself says it gave no answer.
+
+        They are owed one whatever else happened, also where their callers
+        took them for some that crossed a stop.
+
+        Args:
+            node: the control node.
+            text: its log.
+        """
+        self._broken_off += [
+            f"{node} says: {line}"
+            for line in text.splitlines()
+            if _BROKEN_OFF in line
+        ]
+
     def breaches(self):
         """What callers of control should have had and didn't get."""
+        yield from self._broken_off
         for asked in self.asked:
             what = self._shortfall(asked)
             if what:
                 yield _told(asked, what)
 
     def summary(self):
-        """Requests by status, with the refusals, and the ends told early.
+        """Requests by status, with the refusals, ends told early, crossings.
 
-        Such an end is a 408 that was read together with the answer before.
+        An end was told early by a 408 that was read together with the answer
+        before. What crossed a stop is among those without a status.
         """
         counts = collections.Counter(
             asked.status
@@ -104,9 +126,12 @@
         behind = sum(
             asked.status == 408 and asked.ended_before for asked in self.asked
         )
+        crossed = sum(
+            not asked.status and self._crossed(asked) for asked in self.asked
+        )
         return (
             f"control {by_status} refused(503):{counts[503]} "
-            f"told behind an answer:{behind}"
+            f"told behind an answer:{behind} crossed a stop:{crossed}"
         )
 
     def _shortfall(self, asked):
