Operators wait for a leader while one may be elected

An operator who met a control node in the moment of an election was refused at once, went to the next node, which refused too, and came back after longer and longer waits, though a leader was there within the time of the first call.

A change that was surely not taken (no leader known, no leader any more, its address refuses connections) and a read now try again within their 0.9 s and 0.8 s. A change of which that isn't sure is answered as before, so none is taken twice. A node that has heard no leader for 2 s refuses at once: another one may hear one.

The new tests, a change beside a handover and a change or read after the leader is gone, fail without the wait.

--- a/damaskcroft/consensus/_replica.py
+++ b/damaskcroft/consensus/_replica.py
@@ -159,6 +159,13 @@
         member = find_member(self.log.config(), self.leader_id)
         return member.address if member else ""
 
+    @property
+    def silent_s(self) -> float:
+        """For how long no leader has been heard; 0 for a leader."""
+        if self.is_leader:
+            return 0.0
+        return now_s() - max(self._heard_at, self._started_at)
+
     @property
     def address(self) -> str:
         """Where this replica serves the others."""
--- a/damaskcroft/control/_fleet_control.py
+++ b/damaskcroft/control/_fleet_control.py
@@ -24,6 +24,10 @@
 _COMMIT_TIMEOUT_S = 0.9
 _READ_TIMEOUT_S = 0.8
 _APPLY_POLL_S = 0.005
+# Most elections are over after so long without a leader; a node that hears
+# none for longer refuses at once, since another node may hear one.
+_ELECTION_S = 2.0
+_ELECTION_POLL_S = 0.03
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,10 +55,12 @@
     Attributes:
         reason: one of a few fixed texts.
         detail: what of it differs from case to case.
+        is_not_taken: whether it is sure that nothing came of a change.
     """
 
     reason: str
     detail: str = ""
+    is_not_taken: bool = False
 
 
 class FleetControl:
@@ -136,14 +142,18 @@
         return outcome
 
     async def _read(self) -> bytes | Unavailable:
+        index = None
         try:
             async with asyncio.timeout(_READ_TIMEOUT_S):
-                index = await self._read_index()
-                if index is None:
-                    return Unavailable("no majority confirms the leader")
+                while (index := await self._read_index()) is None:
+                    if not self._may_hear_leader():
+                        return Unavailable("no majority confirms the leader")
+                    await asyncio.sleep(_ELECTION_POLL_S)
                 while self._replica.applied_index < index:
                     await asyncio.sleep(_APPLY_POLL_S)
         except TimeoutError:
+            if index is None:
+                return Unavailable("no majority confirms the leader")
             return Unavailable("not caught up in time")
         configuration = self._state.configuration
         if configuration is None:
@@ -233,12 +243,27 @@
     ) -> Accepted | Unavailable:
         try:
             async with asyncio.timeout(_COMMIT_TIMEOUT_S):
-                if self._replica.is_leader:
-                    return await self.commit_here(command)
-                return await self._commit_at_leader(command)
+                while True:
+                    outcome = await self._commit_once(command)
+                    if not isinstance(outcome, Unavailable):
+                        return outcome
+                    if not outcome.is_not_taken or not self._may_hear_leader():
+                        return outcome
+                    await asyncio.sleep(_ELECTION_POLL_S)
         except TimeoutError:
             return Unavailable("not committed in time")
 
+    def _may_hear_leader(self) -> bool:
+        """Whether one may be elected while a caller waits."""
+        return self._replica.silent_s < _ELECTION_S
+
+    async def _commit_once(
+        self, command: fleet_pb2.FleetCommand
+    ) -> Accepted | Unavailable:
+        if self._replica.is_leader:
+            return await self.commit_here(command)
+        return await self._commit_at_leader(command)
+
     async def commit_here(
         self, command: fleet_pb2.FleetCommand
     ) -> Accepted | Unavailable:
@@ -251,7 +276,7 @@
                     self._state.goal_times.accept(goal.model, goal.version)
                 return Accepted(result.version)
             case NotLeader():
-                return Unavailable("not the leader")
+                return Unavailable("not the leader", is_not_taken=True)
             case DiskFailed(reason=reason):
                 return Unavailable("the leader's disk failed", reason)
         return Unavailable("not known to be committed")
@@ -261,13 +286,17 @@
     ) -> Accepted | Unavailable:
         address = self._replica.leader_address
         if not address:
-            return Unavailable("no leader known")
+            return Unavailable("no leader known", is_not_taken=True)
         stub = fleet_grpc.FleetStub(self._channels.channel(address))
         request = fleet_pb2.ForwardRequest(command=command)
         try:
             reply = await stub.Forward(request, timeout=_COMMIT_TIMEOUT_S)
+        except ConnectionRefusedError as error:
+            return Unavailable("leader gone", repr(error), is_not_taken=True)
         except CALL_ERRORS as error:
             return Unavailable("leader unreachable", f"{address}: {error!r}")
+        if reply.not_taken:
+            return Unavailable("not the leader", address, is_not_taken=True)
         if not reply.committed:
             return Unavailable("not known to be committed")
         return Accepted(reply.version)
--- a/damaskcroft/control/tests/test_fleet_control.py
+++ b/damaskcroft/control/tests/test_fleet_control.py
@@ -30,6 +30,7 @@
 
 KEYS = Keys(None, None)
 ELECTION_S = 0.3
+HAND_OVER_S = 2.0
 
 
 class Node:
@@ -420,3 +421,51 @@
     assert [
         t for t in caplog.messages if "event=control_refused call=read" in t
     ]
+
+
+def test_a_change_beside_a_handover_is_taken_by_the_new_leader(run, tmp_path):
+    """It was refused by the former leader and by who still asked that one."""
+
+    async def scenario():
+        async with three_nodes(tmp_path) as nodes:
+            await sent_again(nodes[0].control.configure, configuration(1))
+            leader = next(n for n in nodes if n.replica.is_leader)
+            handing_over = asyncio.create_task(
+                leader.replica.hand_over(HAND_OVER_S)
+            )
+            await asyncio.sleep(0)
+            answers = await asyncio.gather(
+                *(
+                    node.control.configure(configuration(2 + number))
+                    for number, node in enumerate([leader, *followers(nodes)])
+                )
+            )
+            assert await handing_over
+            assert all(isinstance(answer, Accepted) for answer in answers)
+            assert await leader.control.read() == b"text"
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("call", ["put", "read"])
+def test_a_call_after_the_leader_is_gone_waits_for_the_next(
+    run, tmp_path, call
+):
+    """It was refused at once, though a leader was there within its time."""
+
+    async def scenario():
+        async with three_nodes(tmp_path) as nodes:
+            await sent_again(nodes[0].control.configure, configuration(1))
+            gone = next(n for n in nodes if n.replica.is_leader)
+            asked = next(n for n in nodes if not n.replica.is_leader)
+            await gone.stop()
+            # A stopped gRPC server still answers on connections it has.
+            asked.channels.close()
+            await until(lambda: not asked.replica.leader_address)
+            if call == "read":
+                assert await asked.control.read() == b"text"
+                return
+            answer = await asked.control.configure(configuration(2))
+            assert answer == Accepted(2)
+
+    run(scenario())
