A read at a control node that ends is refused at once

A replica that has stopped applies nothing and hears of no leader, and the read waited all its time for that.

It is now refused as soon as the replica has stopped, with 503.

Evidence: the new test fails in both cases before (TimeoutError after 0.4 s), for the read that waits for an entry and the one that waits for a leader.

--- a/damaskcroft/consensus/_replica.py
+++ b/damaskcroft/consensus/_replica.py
@@ -107,6 +107,7 @@
         self._leader_tasks: set[asyncio.Task] = set()
         self._heard_at = 0.0
         self._started_at = 0.0
+        self.has_stopped = False
         self._term_start_index = 0
         self._disk_failed_at = float("-inf")
         self._machine = Machine(
@@ -216,6 +217,7 @@
 
     async def stop(self) -> None:
         """Ends all tasks; nothing more is sent or written."""
+        self.has_stopped = True
         await end_all(self._tasks | self._leader_tasks)
         self._applier.give_up_waiting()
 
--- a/damaskcroft/control/_fleet_control.py
+++ b/damaskcroft/control/_fleet_control.py
@@ -150,6 +150,8 @@
                         return Unavailable("no majority confirms the leader")
                     await asyncio.sleep(_ELECTION_POLL_S)
                 while self._replica.applied_index < index:
+                    if self._replica.has_stopped:
+                        return Unavailable("this node ends")
                     await asyncio.sleep(_APPLY_POLL_S)
         except TimeoutError:
             if index is None:
@@ -255,6 +257,8 @@
 
     def _may_hear_leader(self) -> bool:
         """Whether one may be elected while a caller waits."""
+        if self._replica.has_stopped:
+            return False
         return self._replica.silent_s < _ELECTION_S
 
     async def _commit_once(
--- a/damaskcroft/control/tests/test_fleet_control.py
+++ b/damaskcroft/control/tests/test_fleet_control.py
@@ -31,6 +31,7 @@
 KEYS = Keys(None, None)
 ELECTION_S = 0.3
 HAND_OVER_S = 2.0
+AT_ONCE_S = 0.4
 
 
 class Node:
@@ -469,3 +470,24 @@
             assert answer == Accepted(2)
 
     run(scenario())
+
+
+@pytest.mark.parametrize("is_behind", [False, True])
+def test_a_read_at_a_node_that_ends_is_refused_at_once(
+    run, tmp_path, is_behind
+):
+    """It waited for what couldn't come, and was cut off with a 500."""
+
+    async def scenario():
+        async with three_nodes(tmp_path) as nodes:
+            await sent_again(nodes[0].control.configure, configuration(1))
+            ending, *others = followers(nodes)
+            await ending.replica.stop()
+            if is_behind:
+                await sent_again(others[0].control.configure, configuration(2))
+            else:
+                ending.replica.leader_id = ""
+            async with asyncio.timeout(AT_ONCE_S):
+                assert isinstance(await ending.control.read(), Unavailable)
+
+    run(scenario())
