--- a/damaskcroft/consensus/_replica.py
+++ b/damaskcroft/consensus/_replica.py
@@ -55,6 +55,9 @@
 _LEARNER_PATIENCE = 4
 # How often a leader checks that a majority follows, in an election timeout.
 _LOOKS_A_TIMEOUT = 4
+# A leader whom no majority has answered for this many election timeouts steps
+# down: the longest time after which those who hear nothing stand.
+_CUT_OFF_TIMEOUTS = 2
 # A member that has not answered for this many election timeouts is silent.
 _SILENT_TIMEOUTS = 4
 # After its disk failed, a replica stands for no election for this many
@@ -104,6 +107,7 @@
         self._leader_tasks: set[asyncio.Task] = set()
         self._heard_at = 0.0
         self._started_at = 0.0
+        self.has_stopped = False
         self._term_start_index = 0
         self._disk_failed_at = float("-inf")
         self._machine = Machine(
@@ -156,6 +160,13 @@
         member = find_member(self.log.config(), self.leader_id)
         return member.address if member else ""
 
+    @property
+    def silent_s(self) -> float:
+        """For how long no leader has been heard; 0 for a leader."""
+        if self.is_leader:
+            return 0.0
+        return now_s() - max(self._heard_at, self._started_at)
+
     @property
     def address(self) -> str:
         """Where this replica serves the others."""
@@ -206,6 +217,7 @@
 
     async def stop(self) -> None:
         """Ends all tasks; nothing more is sent or written."""
+        self.has_stopped = True
         await end_all(self._tasks | self._leader_tasks)
         self._applier.give_up_waiting()
 
@@ -362,7 +374,7 @@
         confirmed_at = self._peers.majority_confirmed_at(self.log.config())
         # Who has just been elected has had no time to be confirmed.
         age_s = now_s() - max(confirmed_at, self._peers.since)
-        if age_s < self._options.election_timeout_s:
+        if age_s < _CUT_OFF_TIMEOUTS * self._options.election_timeout_s:
             return
         async with self._lock:
             log_event("leader_cut_off", term=self.term, silent_s=age_s)
