A put that meets a handover goes to the new leader at once

What callers saw: an operator's put, or a version, that came to the leader while it handed over was answered 503, "not the leader", though another replica led by then and nothing had been appended.

Cause: the proposal waits for the end of the handover, as it should, and is then told that this replica leads no more; that was taken for the final answer, while the same put at a follower is forwarded.

Evidence, red before in three of three runs: test_a_put_that_comes_while_its_leader_hands_over_is_not_refused, 503 instead of accepted.

Why it works: "not the leader" is said only of what was not appended, so the put can be forwarded without a risk that it is applied twice. It is forwarded once, within the time that it had.

Before: refused. After: accepted, three of three runs; all tests of control pass.

--- a/damaskcroft/control/_fleet_control.py
+++ b/damaskcroft/control/_fleet_control.py
@@ -57,6 +57,10 @@
     detail: str = ""
 
 
+# Nothing was appended.
+_NOT_LEADER = Unavailable("not the leader")
+
+
 class FleetControl:
     """One control node's operations."""
 
@@ -234,7 +238,10 @@
         try:
             async with asyncio.timeout(_COMMIT_TIMEOUT_S):
                 if self._replica.is_leader:
-                    return await self.commit_here(command)
+                    outcome = await self.commit_here(command)
+                    if outcome != _NOT_LEADER:
+                        return outcome
+                    # It has handed over; whoever leads now may be known.
                 return await self._commit_at_leader(command)
         except TimeoutError:
             return Unavailable("not committed in time")
@@ -251,7 +258,7 @@
                     self._state.goal_times.accept(goal.model, goal.version)
                 return Accepted(result.version)
             case NotLeader():
-                return Unavailable("not the leader")
+                return _NOT_LEADER
             case DiskFailed(reason=reason):
                 return Unavailable("the leader's disk failed", reason)
         return Unavailable("not known to be committed")
--- a/damaskcroft/control/tests/test_fleet_control.py
+++ b/damaskcroft/control/tests/test_fleet_control.py
@@ -420,3 +420,21 @@
     assert [
         t for t in caplog.messages if "event=control_refused call=read" in t
     ]
+
+
+def test_a_put_that_comes_while_its_leader_hands_over_is_not_refused(
+    run, tmp_path
+):
+    async def scenario():
+        async with three_nodes(tmp_path) as nodes:
+            await sent_again(nodes[0].control.configure, configuration(1))
+            leader = next(node for node in nodes if node.replica.is_leader)
+            handing_over = asyncio.create_task(leader.replica.hand_over(5.0))
+            # So that the handover has begun.
+            await asyncio.sleep(0)
+            assert leader.replica.is_leader
+            put = await leader.control.configure(configuration(2))
+            assert await handing_over
+            return put
+
+    assert run(scenario()) == Accepted(2)
