A replica that has stopped is not told to take over

What callers saw: after the planned end of two nodes beside each other, changes and reads were refused for an election timeout. Suspected of a fleet; shown of replicas only.

Cause: a control node stops its replica before the server that its peers reach it by. A leader that handed over in that moment could tell the stopped replica to stand; it did so in a new task, won, and led without the tasks that apply what is committed, until its process was gone.

Evidence, red before: test_no_replica_that_has_stopped_takes_over, it answered "stands" and led the next term.

Why it works: a stopped replica refuses, so that the leader keeps its lease and tells another one.

--- a/damaskcroft/consensus/_replica.py
+++ b/damaskcroft/consensus/_replica.py
@@ -106,6 +106,7 @@
         self._started_at = 0.0
         self._term_start_index = 0
         self._disk_failed_at = float("-inf")
+        self._has_stopped = False
         self._machine = Machine(
             model=self,
             states=[_FOLLOWER, _CANDIDATE, _LEADER],
@@ -205,7 +206,8 @@
         return await self._handover.run(within_s)
 
     async def stop(self) -> None:
-        """Ends all tasks; nothing more is sent or written."""
+        """Ends all tasks; it neither leads nor stands from now on."""
+        self._has_stopped = True
         await end_all(self._tasks | self._leader_tasks)
         self._applier.give_up_waiting()
 
@@ -324,6 +326,8 @@
                 and self.state == _FOLLOWER
                 and self._is_voter()
                 and not self._disk_fails()
+                # It may still be asked for as long as its process serves.
+                and not self._has_stopped
             )
             log_event("told_to_stand", by=request.leader, stands=stands)
             if stands:
--- a/damaskcroft/consensus/tests/test_handover.py
+++ b/damaskcroft/consensus/tests/test_handover.py
@@ -363,3 +363,17 @@
     assert not loop.run(voter.handle_vote(request)).granted
     request.leadership_transfer = True
     assert loop.run(voter.handle_vote(request)).granted
+
+
+def test_no_replica_that_has_stopped_takes_over(cluster, loop):
+    leader = cluster.leader()
+    stopped = others_of(cluster, leader)[0]
+    loop.run(stopped.stop())
+    told = consensus_pb2.TimeoutNowRequest(
+        term=leader.term, leader=leader.leader_id
+    )
+    reply = loop.run(stopped.handle_timeout_now(told))
+    loop.pass_time(ELECTION_TIMEOUT_S)
+    assert not reply.stands
+    assert not stopped.is_leader
+    assert leader.is_leader
