--- a/damaskcroft/consensus/_replica.py
+++ b/damaskcroft/consensus/_replica.py
@@ -216,7 +216,7 @@
         return await self._handover.run(within_s)
 
     async def stop(self) -> None:
-        """Ends all tasks; nothing more is sent or written."""
+        """Ends all tasks; it neither leads nor stands from now on."""
         self.has_stopped = True
         await end_all(self._tasks | self._leader_tasks)
         self._applier.give_up_waiting()
@@ -336,6 +336,8 @@
                 and self.state == _FOLLOWER
                 and self._is_voter()
                 and not self._disk_fails()
+                # It may still be asked for as long as its process serves.
+                and not self.has_stopped
             )
             log_event("told_to_stand", by=request.leader, stands=stands)
             if stands:
