--- a/damaskcroft/consensus/__init__.py
+++ b/damaskcroft/consensus/__init__.py
@@ -1,9 +1,9 @@
 """The replicated log: durable on each replica, agreed by a majority.
 
 Follows "In Search of an Understandable Consensus Algorithm (Extended
-Version)" (Ongaro and Ousterhout, 2014) and, for pre-vote, leader leases and
-one-at-a-time member changes, Ongaro's dissertation (2014), sections 4, 6.4
-and 9.6.
+Version)" (Ongaro and Ousterhout, 2014) and, for handovers, pre-vote, leader
+leases and one-at-a-time member changes, Ongaro's dissertation (2014), sections
+3.10, 4, 6.4 and 9.6.
 """
 
 from damaskcroft.consensus._disk import Disk, FolderDisk
