A put that was forwarded to a leader that hands over goes on to the next

What callers saw: while the leading control node was told to end, operators' puts and versions at the two other nodes were answered 503, "not known to be committed", though nothing had been appended and another node led by then.

Cause: the leader holds a forwarded command until its handover is over and then has nothing appended; its answer didn't tell that from a command whose fate isn't known.

Why it works: the answer names who leads now, only where nothing was appended; the command is forwarded there, once, within the time that it had. A node that knows no such field names nobody, and is answered as before.

--- a/damaskcroft/control/_fleet_control.py
+++ b/damaskcroft/control/_fleet_control.py
@@ -18,7 +18,7 @@
 from damaskcroft.observe import log_event, metrics
 from damaskcroft.rpc import CALL_ERRORS, ChannelPool
 
-__all__ = ["Accepted", "FleetControl", "Invalid", "Unavailable"]
+__all__ = ["NOT_LEADER", "Accepted", "FleetControl", "Invalid", "Unavailable"]
 
 # Operators turn to another node after a second without an answer.
 _COMMIT_TIMEOUT_S = 0.9
@@ -58,7 +58,7 @@
 
 
 # Nothing was appended.
-_NOT_LEADER = Unavailable("not the leader")
+NOT_LEADER = Unavailable("not the leader")
 
 
 class FleetControl:
@@ -239,10 +239,12 @@
             async with asyncio.timeout(_COMMIT_TIMEOUT_S):
                 if self._replica.is_leader:
                     outcome = await self.commit_here(command)
-                    if outcome != _NOT_LEADER:
+                    if outcome != NOT_LEADER:
                         return outcome
                     # It has handed over; whoever leads now may be known.
-                return await self._commit_at_leader(command)
+                return await self._commit_at_leader(
+                    self._replica.leader_address, command
+                )
         except TimeoutError:
             return Unavailable("not committed in time")
 
@@ -258,15 +260,19 @@
                     self._state.goal_times.accept(goal.model, goal.version)
                 return Accepted(result.version)
             case NotLeader():
-                return _NOT_LEADER
+                return NOT_LEADER
             case DiskFailed(reason=reason):
                 return Unavailable("the leader's disk failed", reason)
         return Unavailable("not known to be committed")
 
     async def _commit_at_leader(
-        self, command: fleet_pb2.FleetCommand
+        self,
+        address: str,
+        command: fleet_pb2.FleetCommand,
+        *,
+        is_last: bool = False,
     ) -> Accepted | Unavailable:
-        address = self._replica.leader_address
+        """Forwards a command, and once more if another leads by then."""
         if not address:
             return Unavailable("no leader known")
         stub = fleet_grpc.FleetStub(self._channels.channel(address))
@@ -275,9 +281,11 @@
             reply = await stub.Forward(request, timeout=_COMMIT_TIMEOUT_S)
         except CALL_ERRORS as error:
             return Unavailable("leader unreachable", f"{address}: {error!r}")
-        if not reply.committed:
+        if reply.committed:
+            return Accepted(reply.version)
+        if not reply.leader or is_last:
             return Unavailable("not known to be committed")
-        return Accepted(reply.version)
+        return await self._commit_at_leader(reply.leader, command, is_last=True)
 
     async def confirmed_index(self) -> int | None:
         """As the leader: an index that reads must have applied."""
--- a/damaskcroft/control/_fleet_service.py
+++ b/damaskcroft/control/_fleet_service.py
@@ -10,7 +10,11 @@
 from damaskcroft._generated import fleet_grpc, fleet_pb2, quarantine_pb2
 from damaskcroft.clock import now_s
 from damaskcroft.consensus import Replica
-from damaskcroft.control._fleet_control import Accepted, FleetControl
+from damaskcroft.control._fleet_control import (
+    NOT_LEADER,
+    Accepted,
+    FleetControl,
+)
 from damaskcroft.control._fleet_state import FleetState
 from damaskcroft.fleet import (
     RENEWALS_GATHERED_S,
@@ -329,6 +333,8 @@
         if isinstance(outcome, Accepted):
             reply.committed = True
             reply.version = outcome.version
+        elif outcome == NOT_LEADER:
+            reply.leader = self._replica.leader_address
         await stream.send_message(reply)
 
     async def ReadIndex(self, stream: Any) -> None:  # noqa: N802
--- a/damaskcroft/control/tests/test_fleet_control.py
+++ b/damaskcroft/control/tests/test_fleet_control.py
@@ -438,3 +438,23 @@
             return put
 
     assert run(scenario()) == Accepted(2)
+
+
+def test_a_put_forwarded_to_a_leader_that_hands_over_is_not_refused(
+    run, tmp_path
+):
+    async def scenario():
+        async with three_nodes(tmp_path) as nodes:
+            await sent_again(nodes[0].control.configure, configuration(1))
+            leader = next(node for node in nodes if node.replica.is_leader)
+            # What is forwarded meanwhile comes to it as it hands over.
+            handing_over = asyncio.create_task(leader.replica.hand_over(5.0))
+            puts = [
+                node.control.configure(configuration(2))
+                for node in followers(nodes)
+            ]
+            outcomes = await asyncio.gather(*puts)
+            assert await handing_over
+            return outcomes
+
+    assert run(scenario()) == [Accepted(2)] * 2
