Two attributes say what holds since tried requests wait in the queue

The queue holds requests that were tried too, and a request may go to a target again that it was sent to, where none else can serve it. Comments only.

--- a/damaskcroft/forwarding/_job.py
+++ b/damaskcroft/forwarding/_job.py
@@ -189,7 +189,8 @@
         refused: targets that refused its connection at once.
         uncounted: attempts at targets that have ended since, or that said to
             be another one or to lack the weights.
-        excluded: ids of targets that it shall not be sent to again.
+        excluded: ids of targets that it was sent to; none of them is chosen
+            again while another can serve it.
         last: how the last attempt failed.
         runs: targets that may have run it.
         begun: whether the caller has got the head of an answer.
--- a/damaskcroft/forwarding/_placing.py
+++ b/damaskcroft/forwarding/_placing.py
@@ -42,7 +42,7 @@
         retry_window: how many attempts may follow a first one.
 
     Attributes:
-        queue: jobs that wait for their first slot.
+        queue: jobs that wait for a slot.
     """
 
     def __init__(
