A leader hands over to no replica that ends itself

What callers saw: suspected of planned ends of several nodes beside each other, changes and reads that wait for an election; shown of replicas only.

Cause: a node that was told to end goes on as a follower while its callers are told, and a leader that ended in that time could hand over to it.

Why it works: who hands over for good refuses to stand when told, so that the leader tells another one, or goes on.

--- a/damaskcroft/consensus/_replica.py
+++ b/damaskcroft/consensus/_replica.py
@@ -108,6 +108,7 @@
         self._heard_at = 0.0
         self._started_at = 0.0
         self.has_stopped = False
+        self._ends_soon = False
         self._term_start_index = 0
         self._disk_failed_at = float("-inf")
         self._machine = Machine(
@@ -200,7 +201,9 @@
         self._spawn(self._applier.run)
         self._spawn(self._make_joiner().run)
 
-    async def hand_over(self, within_s: float) -> bool:
+    async def hand_over(
+        self, within_s: float, *, for_good: bool = False
+    ) -> bool:
         """Gives the leadership to another voter; goes on as its follower.
 
         What was proposed before is committed first. What is proposed
@@ -209,10 +212,13 @@
         Args:
             within_s: longest time; if nobody has taken over by then, this
                 replica goes on as it is.
+            for_good: whether this replica ends soon, so that no other one
+                hands its leadership over to it.
 
         Returns:
             Whether another replica leads.
         """
+        self._ends_soon = self._ends_soon or for_good
         return await self._handover.run(within_s)
 
     async def stop(self) -> None:
@@ -337,7 +343,7 @@
                 and self._is_voter()
                 and not self._disk_fails()
                 # It may still be asked for as long as its process serves.
-                and not self.has_stopped
+                and not (self._ends_soon or self.has_stopped)
             )
             log_event("told_to_stand", by=request.leader, stands=stands)
             if stands:
--- a/damaskcroft/consensus/tests/test_handover.py
+++ b/damaskcroft/consensus/tests/test_handover.py
@@ -346,3 +346,15 @@
     assert not reply.stands
     assert not stopped.is_leader
     assert leader.is_leader
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_replica_that_ends_itself_takes_over(loop, seed):
+    cluster = Cluster(loop, seed)
+    loop.pass_time(3.0)
+    leader = cluster.leader()
+    ending, staying = others_of(cluster, leader)
+    loop.run(ending.hand_over(WITHIN_S, for_good=True))
+    assert loop.run(leader.hand_over(WITHIN_S, for_good=True))
+    assert staying.is_leader
+    cluster.stop()
--- a/damaskcroft/control/main.py
+++ b/damaskcroft/control/main.py
@@ -107,7 +107,7 @@
                 await stop.wait()
                 log_event("stopping", id=rules.id)
                 face.give_notice()
-                await replica.hand_over(_HAND_OVER_S)
+                await replica.hand_over(_HAND_OVER_S, for_good=True)
         await replica.stop()
     pool.close()
 
--- a/damaskcroft/hosted/control.py
+++ b/damaskcroft/hosted/control.py
@@ -141,7 +141,7 @@
             await stop.wait()
             log_event("stopping", role="control", leader=replica.is_leader)
             face.give_notice()
-            await replica.hand_over(_HAND_OVER_S)
+            await replica.hand_over(_HAND_OVER_S, for_good=True)
         # Until here, since puts that were read are forwarded to the leader.
         await replica.stop()
     channels.close()
