A request that waits goes to a target that it was not sent to, if one can

Cause: its place in the queue did not say where it had been sent.

Evidence, red before: test_a_request_that_waits_is_not_sent_to_the_same_target_ beside_another.

Why it works: the queue chooses among untried targets and takes a tried one only where no other can serve. A tried target that is back first is still taken.

After: 200 from the other target; test_ended_targets passes.

--- a/damaskcroft/forwarding/_placing.py
+++ b/damaskcroft/forwarding/_placing.py
@@ -110,6 +110,7 @@
             request_id=job.call.request_id,
             is_suspect=self._suspects.is_suspect(job, progress),
             has_begun=progress.begun,
+            tried_ids=frozenset(progress.excluded),
         )
 
     def why_none(self, reason: str, service: str) -> str:
@@ -182,8 +183,12 @@
 
     def _choose(self, ticket: QueueTicket) -> Placement | None:
         candidates = self._availability.candidates(ticket.service, ticket.model)
+        untried = [c for c in candidates if c.id not in ticket.tried_ids]
         return self._placer.choose(
-            candidates, (), ticket.prompt_tokens, is_suspect=ticket.is_suspect
+            untried or candidates,
+            (),
+            ticket.prompt_tokens,
+            is_suspect=ticket.is_suspect,
         )
 
     def take_beside(
--- a/damaskcroft/forwarding/tests/test_ended_targets.py
+++ b/damaskcroft/forwarding/tests/test_ended_targets.py
@@ -145,3 +145,32 @@
 def test_a_request_is_not_failed_while_all_targets_change_their_weights():
     answer = ask_while_weights_change("cut_body_soon", "whole", idempotent=True)
     assert asyncio.run(answer)[0] == 200
+
+
+def test_a_request_that_waits_is_not_sent_to_the_same_target_beside_another():
+    async def scenario():
+        first = FakeTarget("a", "cut_body_soon", "dies")
+        other = FakeTarget("b", "whole")
+        first.held = other.held = [held(1)]
+        safe = config(idempotent=True)
+        async with entry_before(first, other, config=safe) as entry:
+            slots = [
+                entry.placer.take(candidate)
+                for candidate in entry.services.candidates("s", "m")
+                if candidate.id == "b"
+            ]
+            asking = asyncio.create_task(entry.ask(x_deadline="4", x_model="m"))
+            async with asyncio.timeout(5):
+                while not first.heads:
+                    await asyncio.sleep(0.01)
+            hold(entry, first, 2)
+            hold(entry, other, 2)
+            await asyncio.sleep(1)
+            hold(entry, first, 3, 2)
+            hold(entry, other, 3, 2)
+            status, _, _ = await asking
+            assert (status, len(first.heads), len(other.heads)) == (200, 1, 1)
+            for slot in slots:
+                slot.give_back()
+
+    asyncio.run(scenario())
--- a/damaskcroft/routing/_tickets.py
+++ b/damaskcroft/routing/_tickets.py
@@ -26,6 +26,8 @@
         request_id: whose place it is, for logs.
         is_suspect: whether a target has crashed under it.
         has_begun: whether its caller has part of the answer already.
+        tried_ids: targets that it was sent to, taken only where no other can
+            serve it.
     """
 
     service: str
@@ -38,6 +40,7 @@
     request_id: str = ""
     is_suspect: bool = False
     has_begun: bool = False
+    tried_ids: frozenset[str] = frozenset()
 
     @property
     def waits_until(self) -> float:
