Tests: a budget is counted by arrivals beyond the first

test_two_attempts_leave_nothing_wrong failed in a whole run at a load of 45, and in 9 of 12 runs at 40: "the budget is counted wrongly". Connecting to the first had taken too long, so the attempt at the second was the first to be sent, which costs no repeat.

The check compared the repeats with the second target's requests, which is the same only where the first got one. It compares them with all arrivals but the first now; where both are asked that is as before, and a repeat too many for a request that reached one target is found, which it was not.

--- a/damaskcroft/forwarding/tests/test_hedged_requests.py
+++ b/damaskcroft/forwarding/tests/test_hedged_requests.py
@@ -314,7 +314,9 @@
             wrong.append("a slot is held")
         if forwarder._silence._seen_by_id or forwarder._running._sendings:
             wrong.append("an attempt is still counted")
-        if len(forwarder._retry_window._repeats) != len(second.heads):
+        # On a busy machine the first may be left since connecting took too long.
+        arrivals = len(first.heads) + len(second.heads)
+        if len(forwarder._retry_window._repeats) != max(0, arrivals - 1):
             wrong.append("the budget is counted wrongly")
         return wrong and (first_mode, second_mode, wrong)
 
