Tests: what no target was asked has not run

The check took it that the first had run it. It asks whether the first got the request, as it did of the second.

--- a/damaskcroft/forwarding/tests/test_hedged_requests.py
+++ b/damaskcroft/forwarding/tests/test_hedged_requests.py
@@ -299,7 +299,8 @@
         status, _, body = await ask(entry, first, deadline="3")
         await asyncio.sleep(0.05)
         wrong = []
-        ran = first_mode not in NOT_RUN or (
+        # On a busy machine the first may be left since connecting took too long.
+        ran = (first.heads and first_mode not in NOT_RUN) or (
             second.heads and second_mode not in NOT_RUN
         )
         if status == 503 and ran:
@@ -314,7 +315,6 @@
             wrong.append("a slot is held")
         if forwarder._silence._seen_by_id or forwarder._running._sendings:
             wrong.append("an attempt is still counted")
-        # On a busy machine the first may be left since connecting took too long.
         arrivals = len(first.heads) + len(second.heads)
         if len(forwarder._retry_window._repeats) != max(0, arrivals - 1):
             wrong.append("the budget is counted wrongly")
