--- a/damaskcroft/forwarding/tests/test_hedged_requests.py
+++ b/damaskcroft/forwarding/tests/test_hedged_requests.py
@@ -299,7 +299,7 @@
         status, _, body = await ask(entry, first, deadline="3")
         await asyncio.sleep(0.05)
         wrong = []
-        # On a busy machine the first may be left since connecting took too long.
+        # The first may be left, on a busy machine, if connecting takes long.
         ran = (first.heads and first_mode not in NOT_RUN) or (
             second.heads and second_mode not in NOT_RUN
         )
