A leader that answers nothing is no cancellation of its caller's request

Cause: the call to the leader had the library's timeout, as long as that of the whole request. Both end in the same step; the library ends its own by cancelling the task, so that the outer one takes the cancellation for somebody else's, and the request's task is cancelled.

Why it works: the call runs in a task of its own, bounded by the caller, as between replicas of the log; its end can't be taken for a cancellation.

--- a/damaskcroft/control/_fleet_control.py
+++ b/damaskcroft/control/_fleet_control.py
@@ -16,7 +16,7 @@
     relay,
 )
 from damaskcroft.observe import log_event, metrics
-from damaskcroft.rpc import CALL_ERRORS, ChannelPool
+from damaskcroft.rpc import CALL_ERRORS, ChannelPool, called
 
 __all__ = ["Accepted", "FleetControl", "Invalid", "Unavailable"]
 
@@ -294,7 +294,9 @@
         stub = fleet_grpc.FleetStub(self._channels.channel(address))
         request = fleet_pb2.ForwardRequest(command=command)
         try:
-            reply = await stub.Forward(request, timeout=_COMMIT_TIMEOUT_S)
+            # Not by the library's timeout, which may end in the same step as
+            # the caller's and then looks like a cancellation.
+            reply = await called(stub.Forward(request), _COMMIT_TIMEOUT_S)
         except ConnectionRefusedError as error:
             return Unavailable("leader gone", repr(error), is_not_taken=True)
         except CALL_ERRORS as error:
@@ -319,8 +321,8 @@
             return None
         stub = fleet_grpc.FleetStub(self._channels.channel(address))
         try:
-            reply = await stub.ReadIndex(
-                fleet_pb2.ReadIndexRequest(), timeout=_READ_TIMEOUT_S
+            reply = await called(
+                stub.ReadIndex(fleet_pb2.ReadIndexRequest()), _READ_TIMEOUT_S
             )
         except CALL_ERRORS as error:
             log_event("read_index_failed", leader=address, reason=error)
--- a/damaskcroft/control/tests/test_fleet_control.py
+++ b/damaskcroft/control/tests/test_fleet_control.py
@@ -541,3 +541,38 @@
             return outcomes
 
     assert run(scenario()) == [Accepted(2)] * 2
+
+
+@pytest.mark.parametrize("call", ["put", "read"])
+def test_a_leader_that_answers_nothing_is_told_as_unavailable(
+    run, tmp_path, monkeypatch, call
+):
+    """A 500, as two timeouts of one call ended in the same step."""
+    hanging = []
+    serve_by_name = {
+        name: getattr(FleetService, name) for name in ("Forward", "ReadIndex")
+    }
+
+    def may_hang(name):
+        async def serve(self, stream):
+            if hanging:
+                await asyncio.Event().wait()
+            await serve_by_name[name](self, stream)
+
+        return serve
+
+    async def scenario():
+        async with three_nodes(tmp_path) as nodes:
+            await sent_again(nodes[0].control.configure, configuration(1))
+            hanging.append(True)
+            asked = followers(nodes)[0].control
+            calls = [
+                asked.read() if call == "read" else asked.configure(each)
+                for each in [configuration(2)] * 20
+            ]
+            return await asyncio.gather(*calls, return_exceptions=True)
+
+    for name in serve_by_name:
+        monkeypatch.setattr(FleetService, name, may_hang(name))
+    outcomes = run(scenario())
+    assert {type(outcome) for outcome in outcomes} == {Unavailable}
