Requests that were sent nowhere copy no list of targets in the queue

Cause: the queue looked for untried targets for each ticket at each choice, also for new requests, which are nearly all, and for whom none is tried: a list as long as the service's targets, for each look at the queue.

Change: it looks only for requests that were sent before; what is chosen is the same.

--- a/damaskcroft/forwarding/_placing.py
+++ b/damaskcroft/forwarding/_placing.py
@@ -183,9 +183,11 @@
 
     def _choose(self, ticket: QueueTicket) -> Placement | None:
         candidates = self._availability.candidates(ticket.service, ticket.model)
-        untried = [c for c in candidates if c.id not in ticket.tried_ids]
+        if ticket.tried_ids:
+            untried = [c for c in candidates if c.id not in ticket.tried_ids]
+            candidates = untried or candidates
         return self._placer.choose(
-            untried or candidates,
+            candidates,
             (),
             ticket.prompt_tokens,
             is_suspect=ticket.is_suspect,
