--- a/damaskcroft/http1/tests/test_closing.py
+++ b/damaskcroft/http1/tests/test_closing.py
@@ -225,6 +225,24 @@
     assert outcomes.count("200") == runs
 
 
+def test_no_connection_is_made_after_the_last_accept(served):
+    # Against a whole request on a new connection that is reset.
+    callers = LateCallers(WHOLE)
+
+    async def scenario():
+        async with served() as (handler, _, connections):
+            host, _, port = connections.address.rpartition(":")
+            callers.place = host, int(port)
+        return len(handler.requests)
+
+    with callers.after_accepts():
+        runs = asyncio.run(scenario())
+    outcomes = callers.outcomes()
+    assert callers.place is None
+    assert set(outcomes) <= {"200", "408"}
+    assert outcomes.count("200") == runs
+
+
 class DeafGate:
     """Waits for three seconds, however often it is cancelled."""
 
--- a/damaskcroft/rpc/tests/test_kept_connections.py
+++ b/damaskcroft/rpc/tests/test_kept_connections.py
@@ -147,6 +147,7 @@
     async def scenario():
         async with server.serve():
             callers.place = server.place
+            await asyncio.sleep(0)
         return server.runs
 
     with asyncio.Runner(loop_factory=callers.new_loop) as runner:
@@ -157,6 +158,23 @@
     assert outcomes.count("200") == runs
 
 
+def test_no_connection_is_made_after_the_last_accept(server):
+    # Against a whole request on a new connection that is reset.
+    callers = LateCallers(REQUEST)
+
+    async def scenario():
+        async with server.serve(notice_s=0.0):
+            callers.place = server.place
+        return server.runs
+
+    with callers.after_accepts():
+        runs = asyncio.run(scenario())
+    outcomes = callers.outcomes()
+    assert callers.place is None
+    assert set(outcomes) <= {"200", "408"}
+    assert outcomes.count("200") == runs
+
+
 def test_an_idle_connection_ends_with_a_promise_that_nothing_ran(server):
     async def scenario():
         async with server.serve(idle_timeout_s=0.1, closing_body=b"{}"):
--- a/damaskcroft/standins/late_callers.py
+++ b/damaskcroft/standins/late_callers.py
@@ -1,13 +1,16 @@
 """Callers that connect at the worst moment: when a loop has just looked.
 
 A connection that comes after an event loop's look at its sockets, and before
-the loop runs what it has found, is known to the kernel alone.
+the loop runs what it has found, is known to the kernel alone. So is one that
+comes after a server has found no connection to accept.
 """
 
 import asyncio
 import contextlib
 import selectors
 import socket
+from collections.abc import Iterator
+from unittest import mock
 
 __all__ = ["LateCallers"]
 
@@ -37,13 +40,29 @@
     def select(self, timeout=None):
         """See selectors.BaseSelector."""
         events = super().select(timeout)
-        if self.place is not None and len(self._sockets) < _MOST:
-            self._connect(self.place)
+        self._connect()
         return events
 
-    def _connect(self, place: tuple[str, int]) -> None:
+    @contextlib.contextmanager
+    def after_accepts(self) -> Iterator[None]:
+        """Lets a caller connect and send after each accept that finds none."""
+        accept = socket.socket.accept
+
+        def accept_and_connect(listening: socket.socket):
+            try:
+                return accept(listening)
+            except BlockingIOError:
+                self._connect()
+                raise
+
+        with mock.patch.object(socket.socket, "accept", accept_and_connect):
+            yield
+
+    def _connect(self) -> None:
+        if self.place is None or len(self._sockets) >= _MOST:
+            return
         try:
-            caller = socket.create_connection(place)
+            caller = socket.create_connection(self.place)
         except ConnectionRefusedError:
             self.place = None
             return
