A connection made just now is not idle: its request gets its own answer

Cause: what ends idle connections compares the time of their last answer, which was minus infinity for a connection without one. Now a connection is quiet since it was made, on both servers.

The two new tests failed before.

--- a/damaskcroft/http1/_server.py
+++ b/damaskcroft/http1/_server.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import dataclasses
-import math
 import sys
 from collections.abc import AsyncIterator, Awaitable, Callable
 
@@ -75,7 +74,7 @@
         """See EndingServer; each is ended by a 408."""
         until = asyncio.get_running_loop().time() - quiet_s
         for wait in self._waits_by_channel.values():
-            if wait.answered_at <= until:
+            if wait.quiet_since <= until:
                 wait.task.cancel()
 
     def note_limits(self) -> None:
@@ -150,9 +149,10 @@
         reader = RequestReader(
             parser, channel, self._handler, self._idle_limits
         )
-        answered_at = -math.inf
+        loop = asyncio.get_running_loop()
+        quiet_since = loop.time()
         while True:
-            if not await self._request_comes(reader, channel, answered_at):
+            if not await self._request_comes(reader, channel, quiet_since):
                 await self._close_idle_one(parser, channel)
                 return
             answer = Answer(parser, channel, self._is_ending)
@@ -172,16 +172,16 @@
             if parser.their_state is not h11.DONE:
                 return
             await self._taken(channel.drain())
-            answered_at = asyncio.get_running_loop().time()
+            quiet_since = loop.time()
             parser.start_next_cycle()
 
     async def _request_comes(
-        self, reader: RequestReader, channel: Channel, answered_at: float
+        self, reader: RequestReader, channel: Channel, quiet_since: float
     ) -> bool:
         """Waits for a request; False if the connection is to end instead."""
         self.note_limits()
         waiting = asyncio.create_task(reader.wait_for_first_byte())
-        self._waits_by_channel[channel] = _Wait(waiting, answered_at)
+        self._waits_by_channel[channel] = _Wait(waiting, quiet_since)
         try:
             await asyncio.wait({waiting})
         finally:
@@ -322,11 +322,11 @@
 
     Attributes:
         task: waits; ends the connection when it is cancelled.
-        answered_at: loop time of the connection's last answer.
+        quiet_since: loop time of the connection's last answer, or of its begin.
     """
 
     task: asyncio.Task[bool]
-    answered_at: float
+    quiet_since: float
 
 
 class _AcceptedChannel(Channel):
--- a/damaskcroft/http1/tests/test_closing.py
+++ b/damaskcroft/http1/tests/test_closing.py
@@ -73,6 +73,25 @@
     run(scenario())
 
 
+def test_a_connection_made_just_now_is_not_ended_as_idle(run, served):
+    # Against a 408 without Retry-After for a request that is on its way.
+    async def scenario():
+        async with served() as (_, call, connections):
+            caller = await call()
+            await settled(lambda: connections.open_count)
+            times = EndTimes(0.0, math.inf, 5.0, 5.0)
+            ending = asyncio.create_task(drained(connections, times))
+            await asyncio.sleep(0.1)
+            await caller.send(WHOLE)
+            answer = await caller.rest()
+            caller.writer.close()
+            await ending
+            assert answer.startswith(b"HTTP/1.1 200")
+            assert b"connection: close" in answer.lower()
+
+    run(scenario())
+
+
 def test_a_request_sent_after_the_close_is_told_that_it_has_not_run(
     run, served
 ):
--- a/damaskcroft/rpc/_http.py
+++ b/damaskcroft/rpc/_http.py
@@ -105,7 +105,7 @@
         """See EndingServer."""
         until = asyncio.get_running_loop().time() - quiet_s
         for connection in self._connections:
-            if connection.answered_at <= until:
+            if connection.quiet_since <= until:
                 connection.close_if_idle()
 
     async def close(self) -> None:
--- a/damaskcroft/rpc/tests/test_kept_connections.py
+++ b/damaskcroft/rpc/tests/test_kept_connections.py
@@ -11,6 +11,7 @@
 """
 
 import asyncio
+import math
 import socket
 import time
 
@@ -19,6 +20,7 @@
 from starlette.responses import PlainTextResponse, StreamingResponse
 from starlette.routing import Route
 
+from damaskcroft.http1 import EndTimes, drained
 from damaskcroft.rpc import http_served
 from damaskcroft.rpc._http import HttpServer
 from damaskcroft.standins.late_callers import LateCallers
@@ -158,6 +160,27 @@
     assert outcomes.count("200") == runs
 
 
+def test_a_connection_made_just_now_is_not_ended_as_idle(server):
+    # Against a 408 for a request that is on its way.
+    async def scenario():
+        async with server.serve() as served:
+            caller = Caller(socket.create_connection(server.place))
+            caller.sock.setblocking(False)
+            while not served.open_count:
+                await asyncio.sleep(0.01)
+            times = EndTimes(0.0, math.inf, 5.0, 5.0)
+            ending = asyncio.create_task(drained(served, times))
+            await asyncio.sleep(0.1)
+            await caller.send(REQUEST)
+            answer = await caller.received()
+            caller.sock.close()
+            await ending
+        assert answer.startswith(b"HTTP/1.1 200")
+        assert b"connection: close" in answer.lower()
+
+    asyncio.run(scenario())
+
+
 def test_no_connection_is_made_after_the_last_accept(server):
     # Against a whole request on a new connection that is reset.
     callers = LateCallers(REQUEST)
