Control logs disk steps that take a tenth of a second or longer

By its log the told voter needed 0.30 s to be elected and the first change 0.29 s more; each waits for disks only, but no line named them. Nothing else of the code changes.

--- a/damaskcroft/consensus/_disk.py
+++ b/damaskcroft/consensus/_disk.py
@@ -2,8 +2,17 @@
 
 import abc
 import asyncio
+import contextlib
 import os
 import pathlib
+import time
+from collections.abc import Iterator
+
+from damaskcroft.observe import log_event
+
+# A good part of an election timeout: whoever waits for it may see its leader
+# change, or its calls refused.
+_SLOW_S = 0.1
 
 
 class Disk(abc.ABC):
@@ -64,26 +73,29 @@
         # A copy, since the file may be replaced and closed meanwhile.
         handle = os.dup(self._handle(name))
         try:
-            await asyncio.to_thread(os.fdatasync, handle)
+            with _told_if_slow("sync", name):
+                await asyncio.to_thread(os.fdatasync, handle)
         finally:
             os.close(handle)
 
     def truncate(self, name: str, size_bytes: int) -> None:
         """See Disk."""
         handle = self._handle(name)
-        os.ftruncate(handle, size_bytes)
-        os.fsync(handle)
+        with _told_if_slow("truncate", name):
+            os.ftruncate(handle, size_bytes)
+            os.fsync(handle)
 
     def replace(self, name: str, content: bytes) -> None:
         """See Disk. Written beside, synced, then renamed over."""
         beside = self._folder / f"{name}.new"
-        with beside.open("wb") as file:
-            file.write(content)
-            file.flush()
-            os.fsync(file.fileno())
-        os.replace(beside, self._folder / name)
-        self._forget(name)
-        self._sync_folder()
+        with _told_if_slow("replace", name):
+            with beside.open("wb") as file:
+                file.write(content)
+                file.flush()
+                os.fsync(file.fileno())
+            os.replace(beside, self._folder / name)
+            self._forget(name)
+            self._sync_folder()
 
     def close(self) -> None:
         """Closes all open files."""
@@ -117,6 +129,18 @@
             self._unsynced_parents.discard(parent)
 
 
+@contextlib.contextmanager
+def _told_if_slow(step: str, name: str) -> Iterator[None]:
+    """Logs a step on a file that takes long."""
+    began_at = time.monotonic()
+    try:
+        yield
+    finally:
+        took_s = time.monotonic() - began_at
+        if took_s >= _SLOW_S:
+            log_event("disk_slow", step=step, file=name, took_s=took_s)
+
+
 def _sync_names(folder: pathlib.Path) -> None:
     handle = os.open(folder, os.O_RDONLY)
     try:
--- a/damaskcroft/consensus/tests/test_disk.py
+++ b/damaskcroft/consensus/tests/test_disk.py
@@ -1,3 +1,7 @@
+import asyncio
+import os
+import time
+
 import pytest
 
 from damaskcroft._generated import consensus_pb2
@@ -26,3 +30,19 @@
     assert log.synced_index == 1
     left = folders.after_power_loss("a", machine, kept_share=0.0)
     assert DurableLog(FolderDisk(left / "log")).last_index == 1
+
+
+def test_a_slow_disk_shows_in_the_log(tmp_path, monkeypatch, caplog):
+    # Against elections and refusals whose cause no line names.
+    sync = os.fdatasync
+
+    def sync_late(handle):
+        time.sleep(0.12)
+        sync(handle)
+
+    monkeypatch.setattr(os, "fdatasync", sync_late)
+    caplog.set_level("INFO")
+    disk = FolderDisk(tmp_path)
+    disk.append("log", b"x")
+    asyncio.run(disk.sync("log"))
+    assert any("event=disk_slow step=sync" in t for t in caplog.messages)
