The test of operators' view of limits waits until its target is asked

`test_operators_see_a_limit_until_it_is_lifted` failed 1 of 15 runs at a load of 2.2: no limit was listed 2.0 s after the target began to name one. By both entries' logs no request went to that target from 11.815 until the look at 14.076 (50 requests, ten targets): targets are chosen by chance among equals, and 0.9**50 is 0.5%. A limit is named in answers alone, so there was nothing to list.

The test waits for a first request at its target now (10 s at most; fails otherwise), then for the same 2 s. All its checks are as they were, and the 2 s begin where a limit can be known.

--- a/damaskcroft/hosted/tests/test_rate_limits.py
+++ b/damaskcroft/hosted/tests/test_rate_limits.py
@@ -14,6 +14,8 @@
 # from then until it gets as much as the others.
 _TRIED_WITHIN_S = 3.0
 _RAMP_S = 4.0
+# Callers send 25 requests a second to ten targets.
+_ASKED_WITHIN_S = 10.0
 # While the others have room, callers shall hardly notice.
 _MAX_LOST_SHARE = 0.02
 
@@ -25,6 +27,13 @@
     )
 
 
+async def until_asked(fleet, target):
+    began_at = time.monotonic()
+    async with asyncio.timeout(_ASKED_WITHIN_S):
+        while not arrivals_since(fleet, target, began_at):
+            await asyncio.sleep(0.02)
+
+
 def report(fleet, others):
     arrivals = collections.Counter(a.target for a in fleet.book.arrivals)
     print(f"arrivals {dict(arrivals)}, overruns {fleet.book.overruns()}")
@@ -72,6 +81,8 @@
         target = fleet.targets[0]
         target.limit = 2
         async with fleet.others_call():
+            # Only an answer names a limit, and targets are chosen by chance.
+            await until_asked(fleet, target)
             await asyncio.sleep(2)
             (limit,) = (await fleet.limits()).limits
             assert (limit.start_id, limit.rate_s) == (target.start_id, 2)
