--- a/damaskcroft/tasks.py
+++ b/damaskcroft/tasks.py
@@ -23,7 +23,7 @@
 
 
 class Signal:
-    """Wakes all who wait for something to change.
+    """Wakes all who wait for something to change, in the order of waiting.
 
     Attributes:
         count: how often it was given.
@@ -34,7 +34,7 @@
     def __init__(self) -> None:
         """Was never given."""
         self.count = 0
-        self._waiting: set[asyncio.Future[None]] = set()
+        self._waiting: dict[asyncio.Future[None], None] = {}
 
     def give(self) -> None:
         """Wakes whoever waits."""
@@ -57,7 +57,7 @@
             return self.count
         loop = asyncio.get_running_loop()
         waiting = loop.create_future()
-        self._waiting.add(waiting)
+        self._waiting[waiting] = None
         timer = None
         if timeout_s < math.inf:
             timer = loop.call_later(timeout_s, _wake, waiting)
@@ -66,7 +66,7 @@
         finally:
             if timer is not None:
                 timer.cancel()
-            self._waiting.discard(waiting)
+            self._waiting.pop(waiting, None)
         return self.count
 
     async def next(self, timeout_s: float = math.inf) -> int:
