Crashes that another request explains count beside two of a request's own

Cause, from fleets of ten targets in virtual time with the product's own book, copies, turns and placing: the request met two others at targets (few were up, the entry of the other one knew of no suspect there).

The test of the rule failed before.

--- a/damaskcroft/quarantine/_verdicts.py
+++ b/damaskcroft/quarantine/_verdicts.py
@@ -11,6 +11,9 @@
 # Where targets crash for no known reason, chance may have led it to three: by
 # how many such crashes there were, so many more are needed.
 _MORE_BY_OTHERS = ((12, 2), (3, 1), (0, 0))
+# So many of them under no other request make those count too that another
+# request explains.
+_ALONE = 2
 # More for a request that was answered shortly before any of its crashes, since
 # most of them are then others' doing.
 _MORE_IF_ANSWERED = 5
@@ -74,6 +77,7 @@
         unexplained = dict(self._open_by_start)
         while True:
             found_by_suspect = starts_by_suspect(unexplained)
+            self._add_shared(found_by_suspect, unexplained, guilty)
             by_chance = unexplained.keys() - self._of_repeaters(
                 found_by_suspect
             )
@@ -92,6 +96,29 @@
                 if found.isdisjoint(suspects)
             }
 
+    def _add_shared(
+        self,
+        found_by_suspect: dict[bytes, list[str]],
+        unexplained: dict[str, list[bytes]],
+        guilty: set[bytes],
+    ) -> None:
+        """Adds crashes under a request that another one explains already.
+
+        Two requests that crash targets and met there have both done so. It
+        takes crashes under which nothing else ran to know such a request.
+        """
+        alone = collections.Counter(
+            suspects[0]
+            for suspects in unexplained.values()
+            if len(suspects) == 1
+        )
+        for start, suspects in self._open_by_start.items():
+            if start in unexplained:
+                continue
+            for suspect in suspects:
+                if suspect not in guilty and alone[suspect] >= _ALONE:
+                    found_by_suspect[suspect].append(start)
+
     def _of_repeaters(
         self, found_by_suspect: dict[bytes, list[str]]
     ) -> set[str]:
--- a/damaskcroft/quarantine/tests/test_book.py
+++ b/damaskcroft/quarantine/tests/test_book.py
@@ -94,6 +94,21 @@
     loop.run(scenario())
 
 
+def test_a_crash_that_another_explains_counts_beside_two_of_its_own(loop, book):
+    # Against a request that crashes targets on, where it met others before.
+    async def scenario():
+        for n in range(3):
+            book.take(crash(f"t{n}", b"bad", *([b"worse"] if n == 1 else [])))
+            await asyncio.sleep(0.1)
+        book.take(crash("t3", b"worse"))
+        await asyncio.sleep(0.1)
+        assert names(book) == {b"bad"}
+        book.take(crash("t4", b"worse"))
+        assert names(book) == {b"bad", b"worse"}
+
+    loop.run(scenario())
+
+
 def test_a_whole_answer_clears_and_later_crashes_count_anew(loop, book):
     async def scenario():
         for n in range(2):
