After several crashes a request leaves the last targets to others for a while

Where more targets of a service crashed within three seconds than are left, a request with two crashes in a row waits for a third of its time, two seconds at most, before it is sent again.

Cause: each copy had a second attempt, so that six such requests took all of ten targets within a second, and met each other at the few that came back first, where their crashes can't be told apart.

Tried for that and left, since tests that stood failed: one more crash for a request that was alone at none of its crashes (a culprit crashed five), or that shares all but one with another (an innocent one was held).

--- a/damaskcroft/forwarding/_suspects.py
+++ b/damaskcroft/forwarding/_suspects.py
@@ -69,6 +69,7 @@
     ):
         """See the class."""
         self._book = book
+        self._services = services
         self._tell = tell
         self._copies = Copies(book, hold_turn)
         self._recent_answers = RecentAnswers()
@@ -124,9 +125,16 @@
             yield
             return
         fingerprint = _fingerprint(job, progress)
-        async with self._copies.one_at_a_time(fingerprint, job.deadline_at):
+        async with self._copies.one_at_a_time(
+            fingerprint, job.deadline_at, lambda: self._few_left(job)
+        ):
             yield
 
+    def _few_left(self, job: Job) -> bool:
+        """Whether the last targets are kept for requests that crash none."""
+        found = self._services.candidates(job.service, job.call.model)
+        return self._book.few_left(job.service, (each.id for each in found))
+
     def sending(self, job: Job, progress: Progress) -> None:
         """Takes note of what is known when a request is sent."""
         if self._book.has_suspects:
--- a/damaskcroft/quarantine/_book.py
+++ b/damaskcroft/quarantine/_book.py
@@ -42,6 +42,8 @@
 # A crash is forgotten after this time, unless it speaks against a request that
 # is or was quarantined: each body is hashed as long as anything is suspected.
 _SUSPECTED_S = 3600.0
+# A target that crashed is taken for away for so long.
+_AWAY_S = 3.0
 # Starts kept; the planned fleet loses about 400 a day to all causes.
 _MAX_STARTS = 512
 # Of one start: several times the slots of a target.
@@ -170,6 +172,23 @@
         crash = self._crashes_by_start.get(start_id)
         return crash.at if crash is not None else None
 
+    def few_left(self, service: str, start_ids: Iterable[str]) -> bool:
+        """Whether more targets of a service crashed just now than are left.
+
+        Args:
+            service: its name.
+            start_ids: of its targets, as far as they were announced.
+        """
+        if not self._crashes_by_start:
+            return False
+        since = now_s() - _AWAY_S
+        away = sum(
+            crash.at >= since and crash.service == service
+            for crash in self._crashes_by_start.values()
+        )
+        left = sum(start not in self._crashes_by_start for start in start_ids)
+        return away > left
+
     def chain(self, fingerprint: bytes) -> int:
         """How many crashes in a row are known of a request; 0 for none."""
         starts = self._starts_by_suspect.get(fingerprint, [])
--- a/damaskcroft/quarantine/_copies.py
+++ b/damaskcroft/quarantine/_copies.py
@@ -5,10 +5,12 @@
 
 Suspects of several crashes in a row don't run beside each other either: where
 few targets are left, two that were lost with the same ones can't be told apart.
+They also leave the last targets to other requests for a while.
 """
 
 import asyncio
 import contextlib
+import math
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 
 from damaskcroft.clock import now_s
@@ -21,6 +23,10 @@
 _SEVERAL = 2
 # For so long at most, since sound requests may take their time.
 _SEVERAL_WAIT_S = 2.0
+# Share of its time for which a request waits for targets to come back.
+_BACK_SHARE = 1 / 3
+# How often they look whether targets are back.
+_LOOK_S = 0.05
 # Names the turn that they share.
 _SEVERAL_TURN = b"several crashes in a row"
 
@@ -53,13 +59,17 @@
 
     @contextlib.asynccontextmanager
     async def one_at_a_time(
-        self, fingerprint: bytes, until: float
+        self,
+        fingerprint: bytes,
+        until: float,
+        few_left: Callable[[], bool] = lambda: False,
     ) -> AsyncIterator[None]:
         """Waits while another copy of a suspect is under way.
 
         Args:
             fingerprint: of the request.
             until: loop time at which the request's own time is over.
+            few_left: whether few targets are left that could run it.
         """
         await self._wait_while(
             lambda: fingerprint in self._under_way, fingerprint, until
@@ -69,18 +79,26 @@
             return
         with self._held_here(fingerprint):
             async with self._turn(fingerprint, fingerprint, until, until):
-                async with self._apart(fingerprint, until):
+                async with self._apart(fingerprint, until, few_left):
                     yield
 
     @contextlib.asynccontextmanager
     async def _apart(
-        self, fingerprint: bytes, until: float
+        self, fingerprint: bytes, until: float, few_left: Callable[[], bool]
     ) -> AsyncIterator[None]:
-        """Waits a while for other requests with several crashes in a row."""
+        """Waits a while after several crashes in a row.
+
+        For targets to come back, if few are left, and for other requests with
+        several crashes.
+        """
         if self._book.chain(fingerprint) < _SEVERAL:
             yield
             return
-        soon = min(until, now_s() + _SEVERAL_WAIT_S)
+        now = now_s()
+        soon = min(until, now + _SEVERAL_WAIT_S)
+        # Enough of its time must be left for its answer.
+        back_until = min(soon, now + (until - now) * _BACK_SHARE)
+        await self._wait_while(few_left, fingerprint, back_until, _LOOK_S)
         await self._wait_while(
             lambda: _SEVERAL_TURN in self._under_way, fingerprint, soon
         )
@@ -132,12 +150,23 @@
             await end_all([holding])
 
     async def _wait_while(
-        self, is_held: Callable[[], bool], fingerprint: bytes, until: float
+        self,
+        is_held: Callable[[], bool],
+        fingerprint: bytes,
+        until: float,
+        look_s: float = math.inf,
     ) -> None:
-        """Waits until something no longer holds, or nobody need wait."""
+        """Waits until something no longer holds, or nobody need wait.
+
+        Args:
+            is_held: whether it holds; asked after each change.
+            fingerprint: of the request.
+            until: loop time at which the wait ends.
+            look_s: how often it is asked anyhow.
+        """
         while is_held() and self._waits(fingerprint) and now_s() < until:
             seen = self._changed.count
-            await self._changed.wait(seen, until - now_s())
+            await self._changed.wait(seen, min(look_s, until - now_s()))
 
     def _waits(self, fingerprint: bytes) -> bool:
         """Whether copies go one by one: neither cleared nor refused."""
--- a/damaskcroft/quarantine/tests/test_book.py
+++ b/damaskcroft/quarantine/tests/test_book.py
@@ -109,6 +109,23 @@
     loop.run(scenario())
 
 
+@pytest.mark.parametrize(("crashed", "few"), [(2, False), (3, True)])
+def test_few_are_left_where_more_crashed_just_now(loop, book, crashed, few):
+    # Against the last targets of a service lost to one suspect after another.
+    async def scenario():
+        for n in range(crashed):
+            word = crash(f"t{n}", b"bad")
+            word.service = "s"
+            book.take(word)
+        starts = [f"t{n}" for n in range(crashed + 2)]
+        assert book.few_left("s", starts) is few
+        assert not book.few_left("another", starts)
+        await asyncio.sleep(4)
+        assert not book.few_left("s", starts)
+
+    loop.run(scenario())
+
+
 def test_a_whole_answer_clears_and_later_crashes_count_anew(loop, book):
     async def scenario():
         for n in range(2):
--- a/damaskcroft/quarantine/tests/test_copies.py
+++ b/damaskcroft/quarantine/tests/test_copies.py
@@ -234,3 +234,22 @@
         await running
 
     loop.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("chain", "back_at_s", "begins_at_s"), [(1, 9, 0), (2, 1, 1), (2, 9, 2)]
+)
+def test_after_several_crashes_a_request_waits_a_while_for_targets(
+    loop, chain, back_at_s, begins_at_s
+):
+    # Against the last targets lost to requests that crash them.
+    async def scenario():
+        book = CrashBook()
+        suspect = quarantine_pb2.Suspect(fingerprint=b"bad", chain=chain)
+        book.take(quarantine_pb2.TargetCrash(start_id="t", suspects=[suspect]))
+        copies = Copies(book)
+        now = asyncio.get_running_loop().time
+        async with copies.one_at_a_time(b"bad", 1e9, lambda: now() < back_at_s):
+            assert now() == pytest.approx(begins_at_s, abs=0.1)
+
+    loop.run(scenario())
