The queue looks in the moment in which a target takes a request again

Cause: the queue was looked at every 0.1 s.

Now a timer serves the queue when the first who waits should get its token, or its target's rest ends. Nothing is looked at more often than every 0.01 s, and not at all where something else than time is wanting.

--- a/damaskcroft/routing/_queue.py
+++ b/damaskcroft/routing/_queue.py
@@ -47,6 +47,9 @@
 # before it is refused, and above some steps of a batch, after which a full
 # target has room.
 _LONG_WAIT_S = 0.25
+# Until a target that takes requests again is looked at, at the least: what was
+# foreseen may be short by a rounding error.
+_LEAST_LOOK_S = 0.01
 # What is wanting for one request holds for others of its kind this long, since
 # many are refused in one moment: as often as the queue is looked at anyhow.
 _SHORTAGE_HOLDS_S = 0.1
@@ -109,6 +112,7 @@
         self._shortage_by_kind: dict[tuple[str, str], str] = {}
         self._shortage_since = float("-inf")
         self._first_answers = FirstAnswers()
+        self._next_look: asyncio.TimerHandle | None = None
 
     def first_answered(self, service: str, took_s: float) -> None:
         """Takes how long a target took to begin its answer; see FirstAnswers.
@@ -154,12 +158,37 @@
             outcome.slot.give_back()
 
     def serve(self) -> None:
-        """Gives free slots to those who wait; to be called when any may be."""
+        """Gives free slots to those who wait; to be called when any may be.
+
+        Targets that rest, or that take so many a second, are looked at in time
+        without a call.
+        """
         for service, waiting in list(self._waiting_by_service.items()):
             self._serve(waiting)
             if not waiting:
                 del self._waiting_by_service[service]
 
+    def _look_after(self, room_s: float) -> None:
+        """Serves in the moment in which a target takes a request again.
+
+        Who waits was let in by these moments: with each that is missed, one
+        more is refused who has waited.
+        """
+        if room_s <= 0:
+            # Something else is wanting; a look now would find the same.
+            return
+        loop = asyncio.get_running_loop()
+        at = loop.time() + max(room_s, _LEAST_LOOK_S)
+        if self._next_look is not None:
+            if self._next_look.when() <= at:
+                return
+            self._next_look.cancel()
+        self._next_look = loop.call_at(at, self._look)
+
+    def _look(self) -> None:
+        self._next_look = None
+        self.serve()
+
     def newly_long(self) -> list[LongWait]:
         """Who has waited for long since this was asked last; each once."""
         since = now_s() - _LONG_WAIT_S
@@ -228,6 +257,7 @@
                 return _Waits.FOR_TARGET
             return Overloaded("no_target", waiting)
         if closed.room_s <= ticket.waits_until - now_s():
+            self._look_after(closed.room_s)
             return _Waits.FOR_TARGET
         return Overloaded(closed.reason, waiting, returns_s=closed.returns_s)
 
--- a/damaskcroft/routing/tests/test_queue.py
+++ b/damaskcroft/routing/tests/test_queue.py
@@ -5,11 +5,13 @@
 
 import pytest
 
+from damaskcroft.limits import TokenBucket
 from damaskcroft.routing import (
     Candidate,
     Closed,
     Outliers,
     Overloaded,
+    Placement,
     Placer,
     QueueTicket,
     RequestQueue,
@@ -430,3 +432,39 @@
         assert loop.time() - began_at > 1.9
 
     loop.run(scenario())
+
+
+def test_a_token_is_used_in_the_moment_in_which_it_comes(loop):
+    # Against one who was let in to wait and is refused when tokens are lost.
+    rate_s = 5.0
+
+    async def scenario():
+        bucket = TokenBucket(rate_s)
+        placed = Placement(Candidate("t", "x:1", "d", "r", SLOTS), 0.0, True)
+
+        def choose(_):
+            return None if bucket.wait_s() else placed
+
+        def take(candidate, _):
+            bucket.take()
+
+        def closed(_, before):
+            if not bucket.wait_s():
+                return None
+            wait_s = bucket.wait_s() + before / rate_s
+            return Closed("rate_limited", wait_s, wait_s)
+
+        queue = RequestQueue(choose, take, closed=closed)
+
+        async def ask():
+            waiting = QueueTicket("s", "", 1, loop.time(), 0.0, 2.0)
+            outcome = await queue.take_slot(waiting)
+            return isinstance(outcome, SlotTaken), loop.time()
+
+        outcomes = await asyncio.gather(*(ask() for _ in range(6)))
+        served = [at for is_served, at in outcomes if is_served]
+        refused = [at for is_served, at in outcomes if not is_served]
+        assert served == pytest.approx([0.2, 0.4, 0.6], abs=0.02)
+        assert refused == [0.0] * 3
+
+    loop.run(scenario())
