--- a/damaskcroft/consensus/_hard_state.py
+++ b/damaskcroft/consensus/_hard_state.py
@@ -40,13 +40,16 @@
         if content is None:
             self._state = self._new_incarnation(log)
             return
-        copies = [_copy_at(content, copy) for copy in range(_COPIES)]
-        whole = [copy for copy in range(_COPIES) if copies[copy] is not None]
-        if not whole:
+        state_by_copy = {
+            copy: state
+            for copy in range(_COPIES)
+            if (state := _copy_at(content, copy)) is not None
+        }
+        if not state_by_copy:
             raise LogDamagedError(HARD_STATE_NAME, 0)
-        newest = max(whole, key=lambda copy: _age(copies[copy]))
+        newest = max(state_by_copy, key=lambda copy: _age(state_by_copy[copy]))
         self._writing_order.sort(key=lambda copy: copy == newest)
-        self._state = copies[newest]
+        self._state = state_by_copy[newest]
         # A process that was killed may have left it to the kernel alone.
         self.save(self.term, self.voted_for)
 
