--- a/damaskcroft/consensus/_hard_state.py
+++ b/damaskcroft/consensus/_hard_state.py
@@ -1,9 +1,9 @@
 """Term, vote and incarnation of one replica, on its disk.
 
 They are kept twice, each copy in a block of its own that is written in place:
-elections wait for them, and swapping whole files takes hundreds of times as
-long on a busy disk. The copy that isn't known to be whole is written first, so
-that one is whole at any moment.
+elections wait for them, and swapping whole files takes far longer on a busy
+disk. The copy that isn't known to be whole is written first, so that one is
+whole at any moment.
 """
 
 import secrets
