--- a/damaskcroft/forwarding/_call.py
+++ b/damaskcroft/forwarding/_call.py
@@ -47,6 +47,14 @@
     max_answer_tokens: int
     prefix_ids: tuple[str, ...]
 
+    @property
+    def shared_part_ids(self) -> tuple[str, ...]:
+        """Ids of the parts of the prompt that other requests may share.
+
+        The last part belongs to the request or its session alone.
+        """
+        return self.prefix_ids[:-1]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetLoad:
--- a/damaskcroft/forwarding/_suspects.py
+++ b/damaskcroft/forwarding/_suspects.py
@@ -187,6 +187,7 @@
                 progress.chain,
                 self._recent_answers.contains(_fingerprint(job, progress)),
                 connecting_at,
+                job.call.shared_part_ids,
             )
         )
         if verdict is None:
--- a/damaskcroft/quarantine/_crash_detection.py
+++ b/damaskcroft/quarantine/_crash_detection.py
@@ -61,6 +61,8 @@
         was_answered: whether the request had run to its end shortly before.
         connecting_at: loop time at which a connection was opened for it; None
             if an existing one was reused.
+        shared_parts: ids of the parts of its prompt that other requests may
+            share, for the log.
     """
 
     target: _StartT
@@ -70,6 +72,7 @@
     chain: int = 1
     was_answered: bool = False
     connecting_at: float | None = None
+    shared_parts: tuple[str, ...] = ()
 
 
 class _PossibleCrash(Generic[_StartT]):
@@ -153,6 +156,7 @@
             request=loss.request_id,
             target=start_id,
             fingerprint=loss.fingerprint.hex(),
+            shared_parts=",".join(loss.shared_parts),
         )
         suspect = possible_crash.suspects.setdefault(
             loss.fingerprint,
