--- a/damaskcroft/hosted/tests/fleet.py
+++ b/damaskcroft/hosted/tests/fleet.py
@@ -18,7 +18,11 @@
     Deployment,
 )
 from damaskcroft.hosted.tests.soak._history import History, RequestRecord
-from damaskcroft.hosted.tests.soak._target import CRASH_MARKER, Target
+from damaskcroft.hosted.tests.soak._target import (
+    CRASH_MARKER,
+    CRASHING_PART,
+    Target,
+)
 from damaskcroft.rpc import ChannelPool, Keys
 
 TARGETS = 10
@@ -32,7 +36,12 @@
             "name": "safe", "host": "h", "path_prefix": "/safe/",
             "kind": "safe", "timeout_ms": _DEADLINE_MS, "service": "s",
             "max_attempts": 2,
-        }
+        },
+        {
+            "name": "stream", "host": "h", "path_prefix": "/stream/",
+            "kind": "streaming", "resumable": True,
+            "timeout_ms": _DEADLINE_MS, "service": "s", "max_attempts": 2,
+        },
     ],
     "services": [{"name": "s"}],
 }  # fmt: skip
@@ -86,15 +95,17 @@
         # Lets the tasks of the proxies end with their connections.
         await asyncio.sleep(0.2)
 
-    async def send_request(self, entry="", body=b"", crashes_as=""):
+    async def send_request(
+        self, entry="", body=b"", crashes_as="", kind="safe", **headers
+    ):
         """Sends a request of a caller, by default to the entries in turn."""
         entry = entry or next(self._entries)
         request_id = f"f-{next(self._ids)}"
-        request = RequestRecord("safe", entry=entry, crashes_as=crashes_as)
+        request = RequestRecord(kind, entry=entry, crashes_as=crashes_as)
         self.history.requests_by_id[request_id] = request
         request.status, head, request.body = await self.deployment.call(
-            entry, self.deployment.front, b"POST", "/safe/a", body,
-            request_id=request_id, deadline_ms=_DEADLINE_MS,
+            entry, self.deployment.front, b"POST", f"/{kind}/a", body,
+            request_id=request_id, deadline_ms=_DEADLINE_MS, **headers,
         )  # fmt: skip
         request.took_s = time.monotonic() - request.sent_at
         request.complete = request.status != 0
@@ -104,20 +115,37 @@
             self.history.answered(request_id)
         return Outcome(request.status, request.retry_after, request.took_s)
 
-    async def send_crashing_request(self, name="crash"):
+    async def send_crashing_request(self, name="crash", **headers):
         """Sends a request that crashes each target that executes it."""
         return await self.send_request(
-            body=CRASH_MARKER + name.encode(), crashes_as=name
+            body=CRASH_MARKER + name.encode(), crashes_as=name, **headers
+        )
+
+    async def send_crashing_part(self, name="part", **headers):
+        """Sends a request, like no other one, with the crashing prompt part."""
+        number = next(self._ids)
+        return await self.send_request(
+            body=b"crashing part %d" % number,
+            crashes_as=name,
+            prompt_prefix=f"a,b,{CRASHING_PART},own{number}",
+            **headers,
         )
 
     @contextlib.asynccontextmanager
     async def background_load(self):
-        """Sends distinct harmless requests; yields the list of outcomes."""
+        """Sends distinct harmless requests; yields the list of outcomes.
+
+        They share all parts of their prompts but the last with each other, and
+        all of them but one with the requests of `send_crashing_part`.
+        """
         outcomes = []
 
         async def call(number):
             body = b"sound %d" % number
-            outcomes.append(await self.send_request(body=body))
+            prefix = f"a,b,sound{number}"
+            outcomes.append(
+                await self.send_request(body=body, prompt_prefix=prefix)
+            )
 
         async def send_periodically(group):
             for number in itertools.count():
--- a/damaskcroft/hosted/tests/soak/_history.py
+++ b/damaskcroft/hosted/tests/soak/_history.py
@@ -29,6 +29,8 @@
 CONTACT_S = 3.0
 DRAIN_S = 2.0
 _CRASHES_TO_QUARANTINE = 3
+# For requests that share a prompt part and are otherwise different.
+CRASHES_TO_QUARANTINE_PART = 5
 _MAX_ARRIVALS_AFTER_QUARANTINE = 3
 _BACK_OFF_BEGINS_S = 0.5
 _MAX_IN_BACK_OFF = 2
@@ -211,12 +213,19 @@
 
     # --- Bounds on arrivals -----------------------------------------------
 
-    def arrivals_after_crashes(self, crashes_as):
-        """Arrivals of a request after it must be quarantined everywhere."""
+    def arrivals_after_crashes(
+        self, crashes_as, crash_count=_CRASHES_TO_QUARANTINE
+    ):
+        """Arrivals of a request after it must be quarantined everywhere.
+
+        Args:
+            crashes_as: name of the request.
+            crash_count: number of crashes after which it must be quarantined.
+        """
         crashes = sorted(self.crashes[crashes_as])
-        if len(crashes) < _CRASHES_TO_QUARANTINE:
+        if len(crashes) < crash_count:
             return []
-        quarantined_at = crashes[_CRASHES_TO_QUARANTINE - 1] + CONTACT_S
+        quarantined_at = crashes[crash_count - 1] + CONTACT_S
         return [
             arrival
             for arrival in self.arrivals
--- a/damaskcroft/hosted/tests/soak/_proxy.py
+++ b/damaskcroft/hosted/tests/soak/_proxy.py
@@ -37,9 +37,13 @@
 
     def stop(self):
         """Resets all connections and refuses new ones."""
-        self._server.close()
+        self.stop_listening()
         self.reset_all()
 
+    def stop_listening(self):
+        """Refuses new connections; open ones go on."""
+        self._server.close()
+
     def clear_faults(self):
         self.delay_s = 0.0
         self.holds_to_target = self.holds_to_entry = False
--- a/damaskcroft/hosted/tests/soak/_target.py
+++ b/damaskcroft/hosted/tests/soak/_target.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import enum
 import time
 
 from damaskcroft.hosted.tests.deployment import CONTROL_IPS, TARGET_IP
@@ -11,12 +12,31 @@
 EVENTS = 12
 # A target crashes when it executes a request with this in its body.
 CRASH_MARKER = b"crashes whoever runs it"
+# It crashes as well under a prompt with this part anywhere but at the end.
+CRASHING_PART = "bad0"
 _EVENT_INTERVAL_S = 0.03
 _SERVICE_TIME_S = 0.05
 _CRASH_DELAY_S = 0.04
 _RESTART_DELAY_S = 2.5
 _ANNOUNCE_INTERVAL_S = 0.4
 _DRAIN_S = 2.0
+# Time in which the last bytes of a crashed process still reach its peers.
+_FLUSH_S = 0.03
+
+
+class CrashEnding(enum.Enum):
+    """How the answer ends under which a target crashes.
+
+    All but `NO_ANSWER` end by a FIN, as when a kernel closes the connections
+    of a process.
+    """
+
+    NO_ANSWER = "no-answer"
+    SHORT_LENGTH = "short-length"
+    SHORT_CHUNKS = "short-chunks"
+    WITHIN_EVENT = "within-event"
+    AFTER_EVENT = "after-event"
+    SHORT_BODY = "short-body"
 
 
 class Target:
@@ -91,8 +111,13 @@
         self._announce_task = asyncio.create_task(self._announce_periodically())
         self._is_up = True
 
-    async def crash(self):
-        """Ends without notice and aborts all answers."""
+    async def crash(self, last_answer=None):
+        """Ends without notice and aborts all answers.
+
+        Args:
+            last_answer: writer of an answer whose bytes still reach the entry,
+                with a FIN after them.
+        """
         async with self._lifecycle_lock:
             if not self._is_up:
                 return
@@ -102,6 +127,10 @@
             for caller in self._control:
                 caller.close()
             self._server.close()
+            self.proxy.stop_listening()
+            if last_answer is not None:
+                last_answer.close()
+                await asyncio.sleep(_FLUSH_S)
             for writer in list(self._writers):
                 writer.transport.abort()
             self.proxy.stop()
@@ -130,13 +159,19 @@
             self._restarting.cancel()
         await self.crash()
 
-    async def _crash_during(self, request_id):
+    async def _crash_during(self, head, request_id, writer):
         """Crashes after a short delay and restarts some seconds later."""
         await asyncio.sleep(_CRASH_DELAY_S)
         if not self._is_up:
             return
         self.history.crashed(request_id, self._start_id)
-        await self.crash()
+        ending = CrashEnding(head.get("crash-ending", "no-answer"))
+        if ending is CrashEnding.NO_ANSWER:
+            await self.crash()
+        else:
+            first = int(head.get("last-event-id", 0)) + 1
+            writer.write(_truncated_answer(ending, request_id.encode(), first))
+            await self.crash(writer)
         self._restarting = asyncio.create_task(self._restart_later())
 
     async def _restart_later(self):
@@ -210,8 +245,9 @@
             )
             return True
         with self.history.executing(request_id, self.name, self._start_id):
-            if CRASH_MARKER in request_body:
-                await self._crash_during(request_id)
+            shared_parts = head.get("prompt-prefix", "").split(",")[:-1]
+            if CRASH_MARKER in request_body or CRASHING_PART in shared_parts:
+                await self._crash_during(head, request_id, writer)
                 return False
             if "/stream/" in lines[0]:
                 return await self._stream(head, request_id, writer, limit_line)
@@ -267,3 +303,31 @@
         writer.write(b"0\r\n\r\n")
         await writer.drain()
         return True
+
+
+def _truncated_answer(ending, request_id, first):
+    """The bytes of an answer under which a target crashes.
+
+    Args:
+        ending: how it ends.
+        request_id: id of the request.
+        first: number of the stream's first event.
+    """
+    head = (
+        b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: s\r\n"
+        % request_id
+    )
+    event = b"id: %d\ndata: %s\n\n" % (first, request_id)
+    match ending:
+        case CrashEnding.SHORT_LENGTH:
+            return head + b"Content-Length: 100\r\n\r\n" + event
+        case CrashEnding.SHORT_CHUNKS:
+            return head + (
+                b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n"
+                % (len(event), event)
+            )
+        case CrashEnding.WITHIN_EVENT:
+            return head + b"\r\n" + event + event[:6]
+        case CrashEnding.AFTER_EVENT:
+            return head + b"\r\n" + event
+    return head + b"\r\nanswer to"
--- a/damaskcroft/hosted/tests/test_crashing_requests.py
+++ b/damaskcroft/hosted/tests/test_crashing_requests.py
@@ -2,9 +2,16 @@
 
 import asyncio
 import collections
+import time
+
+import pytest
 
 from damaskcroft.hosted.tests.deployment import ENTRY_IPS
-from damaskcroft.hosted.tests.soak._history import CONTACT_S
+from damaskcroft.hosted.tests.soak._history import (
+    CONTACT_S,
+    CRASHES_TO_QUARANTINE_PART,
+)
+from damaskcroft.hosted.tests.soak._target import CrashEnding
 
 _COPIES = 24
 _COPY_INTERVAL_S = 0.4
@@ -19,6 +26,10 @@
 _COPIES_EACH = 12
 # Three, and one more if two of them ran on the same target.
 _MAX_CRASHES_EACH = 4
+# Requests with a crashing part are sent for this long; in the last part of it
+# other requests must be served.
+_PART_DURATION_S = 16.0
+_PART_SETTLED_S = 6.0
 
 
 def test_a_request_that_crashes_targets_is_held_by_the_whole_fleet(with_fleet):
@@ -164,3 +175,76 @@
             ).status == 200
 
     with_fleet(scenario)
+
+
+@pytest.mark.parametrize("interval_s", [0.5, 0.25])
+def test_requests_that_share_a_crashing_part_are_held_and_others_served(
+    with_fleet, interval_s
+):
+    # Guards against requests that are each a first offender, because only the
+    # prompt part that they share crashes targets.
+    async def scenario(fleet):
+        async with fleet.background_load() as background:
+            ends_at = time.monotonic() + _PART_DURATION_S
+            async with asyncio.TaskGroup() as group:
+                while time.monotonic() < ends_at:
+                    group.create_task(fleet.send_crashing_part())
+                    await asyncio.sleep(interval_s)
+                    if time.monotonic() < ends_at - _PART_SETTLED_S:
+                        background.clear()
+        crashes = fleet.history.crashes["part"]
+        late = fleet.history.arrivals_after_crashes(
+            "part", CRASHES_TO_QUARANTINE_PART
+        )
+        print(f"crashes {len(crashes)} late arrivals {len(late)}")
+        print(f"others {collections.Counter(o.status for o in background)}")
+        assert len(late) <= 3
+        assert len(background) > 20
+        lost = [outcome for outcome in background if outcome.status != 200]
+        assert len(lost) <= _MAX_LOST_SHARE * len(background)
+        assert fleet.history.violations == []
+        held = await fleet.send_crashing_part()
+        assert held.status == 503
+        assert float(held.retry_after) > 60
+
+    with_fleet(scenario)
+
+
+@pytest.mark.parametrize(
+    "ending", [CrashEnding.WITHIN_EVENT, CrashEnding.AFTER_EVENT]
+)
+def test_a_crash_is_known_whose_stream_ends_by_a_clean_close(
+    with_fleet, ending
+):
+    # Guards against a crash that passes as the regular end of a stream, which
+    # has neither a length nor chunks.
+    async def scenario(fleet):
+        for _ in range(_COPIES):
+            await fleet.send_crashing_request(
+                kind="stream", crash_ending=ending.value
+            )
+            await asyncio.sleep(_COPY_INTERVAL_S)
+        crashes = fleet.history.crashes["crash"]
+        late = fleet.history.arrivals_after_crashes("crash")
+        print(f"crashes {len(crashes)} late arrivals {len(late)}")
+        assert len(late) <= 3
+
+    with_fleet(scenario)
+
+
+@pytest.mark.parametrize(
+    ("kind", "ending"),
+    [("stream", CrashEnding.AFTER_EVENT), ("safe", CrashEnding.SHORT_BODY)],
+)
+def test_an_answer_that_ends_with_its_target_is_not_passed_on_as_complete(
+    with_fleet, kind, ending
+):
+    # Guards against a truncated answer that its caller takes for a whole one.
+    async def scenario(fleet):
+        outcome = await fleet.send_crashing_request(
+            kind=kind, crash_ending=ending.value
+        )
+        assert fleet.history.crashes["crash"]
+        assert outcome.status != 200
+
+    with_fleet(scenario)
