Requests with a prompt part that crashes targets are refused fleet-wide

What callers saw: requests of whole routes not served while requests that share one prompt part, no two alike, crashed one target after another.

Cause: the evidence of a crash was keyed by the whole request, so that each of these requests was a first offender at every target and every entry. It is the class of faults in which a cause is shared by requests while what is learned is kept for one of them.

Why this works: a crash now also names the parts of the prompts that ran there, all but the last of each, and which requests held them. A part is a culprit once three different requests with it crashed targets in sequence; a complete answer to any request with it clears it, so that the parts that a route shares are not held. A request that is sent again counts once. What all lost requests share is refused, no more: parts that always occurred together only together, and one customer's requests alone until another's crash targets too. The part that explains most crashes goes first; innocent requests that were lost beside it no longer hide it. Requests with a suspect part that was never answered run one at a time over the fleet, each for two seconds at most.

Quarantine of a part lasts two minutes at first, six times as long after each try that crashes a target.

--- a/damaskcroft/control/_quarantine_service.py
+++ b/damaskcroft/control/_quarantine_service.py
@@ -39,16 +39,22 @@
         if not self._is_authoritative():
             raise GRPCError(Status.UNAVAILABLE, "not the leader")
         reply = quarantine_pb2.QuarantineReply()
-        for fingerprint in request.lift:
-            cleared = self._registry.clear(fingerprint)
+        for suspect in request.lift:
+            cleared = self._registry.lift(suspect)
             if not cleared:
                 continue
             reply.lifted += 1
             await self._publish(cleared)
         for quarantined in self._registry.quarantined():
-            reply.requests.add(
+            refused = reply.requests.add(
                 fingerprint=quarantined.fingerprint,
                 start_ids=quarantined.start_ids,
                 left_s=quarantined.left_s,
             )
+            pattern = quarantined.pattern
+            if pattern is None:
+                continue
+            refused.parts.extend(sorted(pattern.parts))
+            if pattern.customer is not None:
+                refused.customer = pattern.customer
         await stream.send_message(reply)
--- a/damaskcroft/ctl/_causes.py
+++ b/damaskcroft/ctl/_causes.py
@@ -153,10 +153,9 @@
             )
         case "quarantined":
             detail = fields.get("detail", "")
-            ending = (
-                f"targets crashed under this request, {detail}"
-                f"{retry_after_text}"
-            )
+            are_parts = detail.startswith("prompt parts")
+            under = "requests with" if are_parts else "this request,"
+            ending = f"targets crashed under {under} {detail}{retry_after_text}"
             return _with_failures(request_lines, ending)
         case "resting":
             return _with_failures(
--- a/damaskcroft/ctl/_client.py
+++ b/damaskcroft/ctl/_client.py
@@ -86,7 +86,8 @@
         """Returns the requests refused because targets crashed on them.
 
         Args:
-            lift: fingerprints of requests to release from quarantine.
+            lift: fingerprints of requests, and keys of parts of prompts, to
+                release from quarantine.
         """
         request = quarantine_pb2.QuarantineRequest(lift=lift)
         return await self._review(quarantine_grpc.QuarantineStub, request)
--- a/damaskcroft/ctl/_views.py
+++ b/damaskcroft/ctl/_views.py
@@ -12,6 +12,7 @@
     records_pb2,
 )
 from damaskcroft.membership import held_up_reason
+from damaskcroft.quarantine import part_names
 from damaskcroft.records import InvalidRecord, deployment_for, parse_deployment
 
 _MS_PER_S = 1000
@@ -63,14 +64,16 @@
     """Returns a table of requests refused because targets crashed on them."""
     rows = [
         [
-            request.fingerprint.hex(),
+            request.fingerprint.hex() or part_names(request.parts),
             f"{request.left_s:.0f}",
             str(len(request.start_ids)),
             ",".join(request.start_ids),
+            request.customer,
         ]
         for request in reply.requests
     ]
-    return table(["FINGERPRINT", "LEFT_S", "CRASHES", "TARGETS"], rows)
+    headings = ["FINGERPRINT_OR_PARTS", "LEFT_S", "CRASHES", "TARGETS"]
+    return table([*headings, "ONLY_OF_CUSTOMER"], rows)
 
 
 def limits_table(reply: limits_pb2.LimitsReply) -> str:
--- a/damaskcroft/ctl/main.py
+++ b/damaskcroft/ctl/main.py
@@ -20,6 +20,7 @@
 from damaskcroft.config import settings_or_exit
 from damaskcroft.ctl import _log_lines, _views, _why
 from damaskcroft.ctl._client import ControlClient, NoAnswer
+from damaskcroft.quarantine import parse_suspect
 from damaskcroft.rpc import ChannelPool, KeysError, load_keys
 from damaskcroft.weights import build_manifest, manifest_digest
 
@@ -148,21 +149,24 @@
     settings: Settings,
     lift: Annotated[
         list[str] | None,
-        typer.Option(help="fingerprint of a request that may run again"),
+        typer.Option(
+            help="fingerprint of a request, or one of the prompt parts in a"
+            " row of the list, that may run again"
+        ),
     ] = None,
 ) -> None:
     """Lists requests that are refused because targets crashed on them."""
     try:
-        fingerprints = [bytes.fromhex(text) for text in lift or ()]
+        suspects = [parse_suspect(text) for text in lift or ()]
     except ValueError as error:
-        _fail(f"--lift needs a fingerprint: {error}", _EXIT_USAGE)
+        _fail(f"--lift needs a fingerprint or a part: {error}", _EXIT_USAGE)
     reply = _run_with_client(
-        settings, lambda client: client.quarantine(fingerprints)
+        settings, lambda client: client.quarantine(suspects)
     )
     if isinstance(reply, NoAnswer):
         _fail_without_answer(reply)
     print(_views.quarantine_table(reply))
-    if reply.lifted < len(fingerprints):
+    if reply.lifted < len(suspects):
         _fail("not all of them were known", _EXIT_REFUSED)
 
 
--- a/damaskcroft/forwarding/_job.py
+++ b/damaskcroft/forwarding/_job.py
@@ -7,7 +7,7 @@
 from damaskcroft.clock import now_s
 from damaskcroft.forwarding._attempt import Lost, NotRun, NotSent
 from damaskcroft.forwarding._call import Call
-from damaskcroft.quarantine import fingerprint
+from damaskcroft.quarantine import RequestTraits, fingerprint, part_key
 
 __all__ = [
     "DEADLINE",
@@ -31,6 +31,8 @@
 # Maximum number of attempts that don't count towards the route's maximum; the
 # retry budget bounds them as well.
 _MAX_UNCOUNTED = 2
+# Maximum number of parts of one prompt that are suspects when it is lost.
+_MAX_SUSPECT_PARTS = 32
 # HTTP statuses from here on are server errors (RFC 9110).
 SERVER_ERROR = 500
 
@@ -127,6 +129,13 @@
             self.customer, call.host, call.method, call.target, call.body
         )
 
+    def traits(self) -> RequestTraits:
+        """What the request shares with others: customer and prompt parts."""
+        call = self.call
+        part_ids = call.shared_part_ids[:_MAX_SUSPECT_PARTS]
+        keys = (part_key(self.service, call.model, p) for p in part_ids)
+        return RequestTraits(self.customer, frozenset(keys))
+
     @property
     def is_repeatable(self) -> bool:
         """Whether the request may run more than once."""
@@ -215,12 +224,16 @@
             idle connection was reused.
         fingerprint: fingerprint shared by copies of the request; None until
             it is first computed.
+        traits: what it shares with other requests; None until it is first
+            computed.
         chain: number of consecutive crashes known when it was sent.
+        chain_by_part: the same of each part of its prompt, by key.
     """
 
     __slots__ = (
         "begun",
         "chain",
+        "chain_by_part",
         "connect_s",
         "events",
         "excluded",
@@ -233,6 +246,7 @@
         "runs",
         "sent",
         "target_id",
+        "traits",
         "uncounted",
         "unsent",
     )
@@ -258,7 +272,9 @@
         self.pace = Pace(call.arrived_at)
         self.connect_s: float | None = None
         self.fingerprint: bytes | None = None
+        self.traits: RequestTraits | None = None
         self.chain = 0
+        self.chain_by_part: dict[bytes, int] = {}
 
     @property
     def may_have_run(self) -> bool:
--- a/damaskcroft/forwarding/_suspects.py
+++ b/damaskcroft/forwarding/_suspects.py
@@ -2,13 +2,15 @@
 
 A suspect request is one that was running on a target when it crashed. Its
 copies are sent one at a time, and after several crashes in a row it is
-quarantined, so that one faulty request does not take down a whole service.
+quarantined, so that one faulty request does not take down a whole service. The
+parts of prompts that requests share are suspects as well, and are cleared by
+each complete answer to a request with them.
 """
 
 import asyncio
 import contextlib
 import dataclasses
-from collections.abc import AsyncIterator, Callable, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable, Iterator
 
 from damaskcroft._generated import quarantine_pb2
 from damaskcroft.forwarding._attempt import Lost
@@ -26,9 +28,12 @@
     CrashDetector,
     CrashRegistry,
     HoldTurn,
+    LostPart,
     LostRequest,
     RecentAnswers,
+    RequestTraits,
     SerialCopies,
+    part_names,
 )
 from damaskcroft.routing import BackPressure, Candidate
 
@@ -80,6 +85,7 @@
         self._publish = publish
         self._copies = SerialCopies(registry, hold_turn)
         self._recent_answers = RecentAnswers()
+        self._recently_answered_parts = RecentAnswers()
         self._watch: CrashDetector[Candidate] = CrashDetector(
             lambda target: (
                 services.is_draining(target)
@@ -102,7 +108,11 @@
         """Seconds for which a request remains refused; 0 if it is not."""
         if not self._registry.has_suspects:
             return 0.0
-        return self._registry.quarantined_s(_fingerprint(job, progress))
+        refused_s = self._registry.quarantined_s(_fingerprint(job, progress))
+        pattern = self._registry.refused_pattern(_traits(job, progress))
+        if pattern is None:
+            return refused_s
+        return max(refused_s, self._registry.pattern_quarantined_s(pattern))
 
     def refusal(
         self, job: Job, progress: Progress, quarantined_s: float
@@ -115,7 +125,11 @@
         ending = failed_ending(QUARANTINED, progress, quarantined_s)
         if not isinstance(ending, Refused):
             return ending
-        detail = f"fingerprint {_fingerprint(job, progress).hex()}"
+        pattern = self._registry.refused_pattern(_traits(job, progress))
+        if pattern is not None:
+            detail = f"prompt parts {part_names(pattern.parts)}"
+        else:
+            detail = f"fingerprint {_fingerprint(job, progress).hex()}"
         return dataclasses.replace(ending, detail=detail)
 
     def is_suspect(self, job: Job, progress: Progress) -> bool:
@@ -128,15 +142,45 @@
     async def one_at_a_time(
         self, job: Job, progress: Progress
     ) -> AsyncIterator[None]:
-        """Waits while another copy of a suspect request is running."""
+        """Waits while another copy of a suspect request is running.
+
+        Waits also while another request with the same new suspect part runs.
+        """
         if not self._registry.has_suspects:
             yield
             return
         fingerprint = _fingerprint(job, progress)
-        async with self._copies.one_at_a_time(
-            fingerprint, job.deadline_at, lambda: self._has_few_targets(job)
-        ):
-            yield
+        async with self._one_with_part_at_a_time(job, progress):
+            async with self._copies.one_at_a_time(
+                fingerprint, job.deadline_at, lambda: self._has_few_targets(job)
+            ):
+                yield
+
+    def _one_with_part_at_a_time(
+        self, job: Job, progress: Progress
+    ) -> contextlib.AbstractAsyncContextManager[None]:
+        part = self._new_suspect_part(job, progress)
+        if part is None:
+            return contextlib.nullcontext()
+        return self._copies.one_with_part_at_a_time(
+            part,
+            job.deadline_at,
+            lambda: bool(self.quarantined_s(job, progress)),
+        )
+
+    def _new_suspect_part(self, job: Job, progress: Progress) -> bytes | None:
+        """The part with most crashes in sequence that was never answered."""
+        new_parts = [
+            part
+            for part in _traits(job, progress).parts
+            if self._registry.is_new_suspect(part)
+            and not self._recently_answered_parts.contains(part)
+        ]
+        return max(
+            new_parts,
+            key=lambda part: (self._registry.chain(part), part),
+            default=None,
+        )
 
     def _has_few_targets(self, job: Job) -> bool:
         """Whether the remaining targets are reserved for other requests.
@@ -148,9 +192,14 @@
 
     def record_dispatch(self, job: Job, progress: Progress) -> None:
         """Records the known crashes of a request when it is sent."""
-        if self._registry.has_suspects:
-            known_chain = self._registry.chain(_fingerprint(job, progress))
-            progress.chain = max(progress.chain, known_chain)
+        if not self._registry.has_suspects:
+            return
+        known_chain = self._registry.chain(_fingerprint(job, progress))
+        progress.chain = max(progress.chain, known_chain)
+        progress.chain_by_part = {
+            part: self._registry.chain(part)
+            for part in _traits(job, progress).parts
+        }
 
     async def record_loss(
         self,
@@ -187,7 +236,8 @@
                 progress.chain,
                 self._recent_answers.contains(_fingerprint(job, progress)),
                 connecting_at,
-                job.call.shared_part_ids,
+                job.customer,
+                tuple(self._lost_parts(job, progress)),
             )
         )
         if verdict is None:
@@ -207,27 +257,55 @@
         if progress.begun and self._watch.has_crashed(target):
             progress.uncounted += 1
 
+    def _lost_parts(self, job: Job, progress: Progress) -> Iterator[LostPart]:
+        for part in _traits(job, progress).parts:
+            yield LostPart(
+                part,
+                progress.chain_by_part.get(part, 0) + 1,
+                self._recently_answered_parts.contains(part),
+            )
+
     def record_answer(self, job: Job, progress: Progress) -> None:
-        """Clears a request whose answer a target has completed.
+        """Clears a request whose answer a target has completed, and its parts.
 
         Not to be called for failures, because the target may have failed
         before it reached the part that crashes.
         """
         if len(job.call.body) <= MAX_RECORDED_BODY_BYTES:
             self._recent_answers.record(_fingerprint(job, progress))
-        if not self.is_suspect(job, progress):
+        parts = _traits(job, progress).parts
+        for part in parts:
+            self._recently_answered_parts.record(part)
+        if not self._registry.has_suspects:
             return
         fingerprint = _fingerprint(job, progress)
-        metrics.QUARANTINE.labels("cleared").inc()
-        log_event(
-            "suspect_cleared",
-            request=job.call.request_id,
-            fingerprint=fingerprint.hex(),
-        )
-        self._publish(self._registry.clear(fingerprint, job.service))
+        cleared = {s for s in parts if self._registry.is_suspect(s)}
+        if cleared:
+            metrics.QUARANTINE.labels("part_cleared").inc(len(cleared))
+            log_event(
+                "parts_cleared",
+                request=job.call.request_id,
+                parts=part_names(cleared),
+            )
+        if self._registry.is_suspect(fingerprint):
+            metrics.QUARANTINE.labels("cleared").inc()
+            log_event(
+                "suspect_cleared",
+                request=job.call.request_id,
+                fingerprint=fingerprint.hex(),
+            )
+            cleared.add(fingerprint)
+        if cleared:
+            self._publish(self._registry.clear_all(cleared, job.service))
 
 
 def _fingerprint(job: Job, progress: Progress) -> bytes:
     if progress.fingerprint is None:
         progress.fingerprint = job.fingerprint()
     return progress.fingerprint
+
+
+def _traits(job: Job, progress: Progress) -> RequestTraits:
+    if progress.traits is None:
+        progress.traits = job.traits()
+    return progress.traits
--- a/damaskcroft/forwarding/tests/fakes.py
+++ b/damaskcroft/forwarding/tests/fakes.py
@@ -52,7 +52,7 @@
             model=request.value(b"x-model"),
             prompt_tokens=0,
             max_answer_tokens=0,
-            prefix_ids=(),
+            prefix_ids=tuple(request.value(b"x-parts").split()),
         )
 
     def target_headers(self, call, passing):
--- a/damaskcroft/forwarding/tests/test_quarantined.py
+++ b/damaskcroft/forwarding/tests/test_quarantined.py
@@ -14,7 +14,7 @@
     running_entry,
     unchunked,
 )
-from damaskcroft.quarantine import fingerprint
+from damaskcroft.quarantine import fingerprint, part_key
 
 REPEATABLE = configuration(1, route(idempotent=True))
 NOT_REPEATABLE = configuration(1, route())
@@ -274,3 +274,61 @@
                     slot.give_back()
 
     asyncio.run(scenario())
+
+
+def note_part_crashes(entry, count, *parts, customer=""):
+    """Records crashes under different requests with some parts."""
+    for number in range(count):
+        report = crash(f"p{number}", b"other %d" % number, number + 1)
+        report.suspects[0].customer = customer
+        for position, part in enumerate(parts):
+            report.suspects[0].parts.append(position)
+            report.parts.add(
+                fingerprint=part_key("s", "", part), chain=number + 1
+            )
+        entry.view.merge([], crashes=[report])
+
+
+def test_a_request_with_a_crashing_part_is_refused_and_others_are_served():
+    async def scenario():
+        target = FakeTarget("a", "whole")
+        async with running_entry(target, config=REPEATABLE) as entry:
+            note_part_crashes(entry, 3, "bad")
+            status, head, _ = await entry.send_request(x_parts="all bad own1")
+            assert status == 503
+            seconds = head.partition("retry-after: ")[2].split()[0]
+            assert float(seconds) > 60
+            assert request_count(target) == 0
+            # The last part belongs to the request alone.
+            for parts in ("all bad", "all own2"):
+                assert (await entry.send_request(x_parts=parts))[0] == 200
+
+    asyncio.run(scenario())
+
+
+def test_an_answer_clears_the_parts_of_its_request_for_all_others():
+    async def scenario():
+        target = FakeTarget("a", "whole")
+        async with running_entry(target, config=REPEATABLE) as entry:
+            note_part_crashes(entry, 2, "bad", "sound")
+            await entry.send_request(x_parts="sound own")
+            assert not entry.view.crashes.is_suspect(part_key("s", "", "sound"))
+            assert entry.view.crashes.is_suspect(part_key("s", "", "bad"))
+
+    asyncio.run(scenario())
+
+
+def test_different_requests_lost_with_their_targets_accuse_their_part():
+    async def scenario():
+        targets = [FakeTarget(name, "dies") for name in "abcde"]
+        async with running_entry(*targets, config=REPEATABLE) as entry:
+            answers = [
+                await entry.send_request(path, x_parts=f"bad own{path}")
+                for path in ("/a", "/b", "/c", "/d")
+            ]
+            statuses = [status for status, _, _ in answers]
+            assert statuses == [502, 502, 502, 503]
+            # Two attempts of the first and of the second one, one of the third.
+            assert request_count(*targets) == 5
+
+    asyncio.run(scenario())
--- a/damaskcroft/quarantine/_copies.py
+++ b/damaskcroft/quarantine/_copies.py
@@ -7,6 +7,9 @@
 Across entries the order is kept by turns. A turn is the permission to send one
 copy of a suspect request, granted to one entry at a time.
 
+Different requests with a suspect part in their prompts run one by one as well,
+each for a bounded time.
+
 Suspects of several crashes in sequence do not run beside each other either,
 because where few targets are left, two suspects that were lost with the same
 targets cannot be told apart. They also leave the last targets to other requests
@@ -94,6 +97,30 @@
                 ):
                     yield
 
+    @contextlib.asynccontextmanager
+    async def one_with_part_at_a_time(
+        self, part: bytes, until: float, is_refused: Callable[[], bool]
+    ) -> AsyncIterator[None]:
+        """Waits briefly while another request with a suspect part runs.
+
+        Args:
+            part: key of the part.
+            until: loop time of the request's deadline.
+            is_refused: whether the request is quarantined by now.
+        """
+        bounded_until = min(until, now_s() + _MAX_SERIAL_WAIT_S)
+        await self._wait_while(
+            lambda: part in self._in_progress and not is_refused(),
+            part,
+            bounded_until,
+        )
+        if is_refused() or not self._must_run_alone(part):
+            yield
+            return
+        with self._marked_in_progress(part):
+            async with self._held_turn(part, part, bounded_until, until):
+                yield
+
     @contextlib.asynccontextmanager
     async def _wait_after_several_crashes(
         self, fingerprint: bytes, until: float, few_left: Callable[[], bool]
@@ -146,7 +173,7 @@
 
         Args:
             key: key of the turn.
-            fingerprint: fingerprint of the request.
+            fingerprint: fingerprint of the request, or key of the part.
             wait_until: loop time at which it proceeds without a turn.
             until: loop time of the request's deadline.
         """
@@ -182,7 +209,7 @@
 
         Args:
             condition: the condition, checked after each change.
-            fingerprint: fingerprint of the request.
+            fingerprint: fingerprint of the request, or key of the part.
             until: loop time at which the wait ends.
             check_interval_s: interval at which the condition is checked without
                 a change.
--- a/damaskcroft/quarantine/_crash_detection.py
+++ b/damaskcroft/quarantine/_crash_detection.py
@@ -15,8 +15,15 @@
 from damaskcroft.clock import now_s
 from damaskcroft.http1 import connect
 from damaskcroft.observe import log_event, metrics
+from damaskcroft.quarantine._fingerprint import part_names
 
-__all__ = ["CrashDetector", "LostRequest", "TargetStart", "is_gone"]
+__all__ = [
+    "CrashDetector",
+    "LostPart",
+    "LostRequest",
+    "TargetStart",
+    "is_gone",
+]
 
 # Delays in seconds before each check of the address. There are several because
 # a process that ends closes its connections one by one, before or after its
@@ -47,6 +54,22 @@
 _StartT = TypeVar("_StartT", bound=TargetStart)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LostPart:
+    """A part of a lost request's prompt that other requests may share.
+
+    Attributes:
+        key: key of the part.
+        chain: length of the sequence of crashes if this is one.
+        was_answered: whether a request with it had run to its end shortly
+            before.
+    """
+
+    key: bytes
+    chain: int = 1
+    was_answered: bool = False
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LostRequest(Generic[_StartT]):
     """A request whose connection ended before it was answered.
@@ -61,8 +84,8 @@
         was_answered: whether the request had run to its end shortly before.
         connecting_at: loop time at which a connection was opened for it; None
             if an existing one was reused.
-        shared_parts: ids of the parts of its prompt that other requests may
-            share, for the log.
+        customer: customer that sends it; empty on public routes.
+        parts: the parts of its prompt that other requests may share.
     """
 
     target: _StartT
@@ -72,7 +95,8 @@
     chain: int = 1
     was_answered: bool = False
     connecting_at: float | None = None
-    shared_parts: tuple[str, ...] = ()
+    customer: str = ""
+    parts: tuple[LostPart, ...] = ()
 
 
 class _PossibleCrash(Generic[_StartT]):
@@ -84,6 +108,7 @@
         service: service for which it runs.
         since: loop time of the first loss since its address was last checked.
         suspects: the requests that were lost there, by fingerprint.
+        parts: the parts of their prompts, by key.
         is_crash: whether it is known to have crashed.
         check_task: the task that checks its address.
     """
@@ -91,6 +116,7 @@
     __slots__ = (
         "check_task",
         "is_crash",
+        "parts",
         "service",
         "since",
         "start_id",
@@ -104,9 +130,35 @@
         self.service = service
         self.since = now_s()
         self.suspects: dict[bytes, quarantine_pb2.Suspect] = {}
+        self.parts: dict[bytes, quarantine_pb2.Suspect] = {}
         self.is_crash = False
         self.check_task: asyncio.Task[None] | None = None
 
+    def add(self, loss: LostRequest[_StartT]) -> None:
+        """Adds a lost request and the parts of its prompt."""
+        suspect = _suspect(
+            self.suspects, loss.fingerprint, loss.chain, loss.was_answered
+        )
+        suspect.customer = loss.customer
+        for part in loss.parts:
+            _suspect(self.parts, part.key, part.chain, part.was_answered)
+        # Parts are only added, so that their positions stay the same.
+        positions = {key: number for number, key in enumerate(self.parts)}
+        suspect.parts[:] = [positions[part.key] for part in loss.parts]
+
+
+def _suspect(
+    suspects: dict[bytes, quarantine_pb2.Suspect],
+    key: bytes,
+    chain: int,
+    was_answered: bool,
+) -> quarantine_pb2.Suspect:
+    """Adds a suspect, or a later loss of a known one."""
+    suspect = suspects.setdefault(key, quarantine_pb2.Suspect(fingerprint=key))
+    suspect.chain = max(suspect.chain, chain)
+    suspect.answered = suspect.answered or was_answered
+    return suspect
+
 
 class CrashDetector(Generic[_StartT]):
     """Distinguishes crashes from other ends of connections.
@@ -156,14 +208,9 @@
             request=loss.request_id,
             target=start_id,
             fingerprint=loss.fingerprint.hex(),
-            shared_parts=",".join(loss.shared_parts),
-        )
-        suspect = possible_crash.suspects.setdefault(
-            loss.fingerprint,
-            quarantine_pb2.Suspect(fingerprint=loss.fingerprint),
+            parts=part_names(part.key for part in loss.parts),
         )
-        suspect.chain = max(suspect.chain, loss.chain)
-        suspect.answered = suspect.answered or loss.was_answered
+        possible_crash.add(loss)
         if possible_crash.is_crash:
             self._report(possible_crash)
         elif (
@@ -230,6 +277,7 @@
             target=possible_crash.start_id,
             how=how,
             suspects=",".join(sorted(s.hex() for s in possible_crash.suspects)),
+            parts=part_names(possible_crash.parts),
         )
         self._report(possible_crash)
 
@@ -243,6 +291,7 @@
                 ],
                 age_ms=int((now_s() - possible_crash.since) * _MS_IN_S),
                 service=possible_crash.service,
+                parts=possible_crash.parts.values(),
             )
         )
 
--- a/damaskcroft/quarantine/tests/crash_simulation.py
+++ b/damaskcroft/quarantine/tests/crash_simulation.py
@@ -5,7 +5,7 @@
 import random
 
 from damaskcroft._generated import quarantine_pb2
-from damaskcroft.quarantine import RecentAnswers
+from damaskcroft.quarantine import RecentAnswers, RequestTraits
 
 _MEAN_RUN_S = 1.0
 _CRASHES_AFTER_S = 0.1
@@ -48,7 +48,8 @@
         self._events = []
         self._boots = itertools.count()
         self._starts = {n: f"t{n}-{next(self._boots)}" for n in range(targets)}
-        # By target: the requests that run there, each with its chain when sent.
+        # By target: the requests that run there, each with the known chains of
+        # itself and of its parts when it was sent.
         self._running = {n: {} for n in range(targets)}
         self._shared_s = shared_s
         self._records_answers = records_answers
@@ -84,11 +85,27 @@
             await advance(at - self.now)
             self.now = at
             what(*args)
-            self.falsely_quarantined |= {
-                q.fingerprint
-                for q in self._registry.quarantined()
-                if q.fingerprint != b"poison"
-            }
+            self._record_refused(self._registry.quarantined())
+
+    def _record_refused(self, refused):
+        self.falsely_quarantined |= {
+            q.fingerprint for q in refused if q.fingerprint != b"poison"
+        }
+
+    def traits(self, name):
+        """What a request shares with others; to be overridden."""
+        del name
+        return RequestTraits()
+
+    def _is_refused(self, name):
+        if self._registry.quarantined_s(name):
+            return True
+        return self._registry.refused_pattern(self.traits(name)) is not None
+
+    def _chains(self, name):
+        """The known chains of a request and of its parts."""
+        suspects = (name, *self.traits(name).parts)
+        return {each: self._registry.chain(each) for each in suspects}
 
     def _schedule(self, at, what, *args):
         heapq.heappush(self._events, (at, next(self._order), what, args))
@@ -112,13 +129,13 @@
 
     def _attempt(self, name, number):
         up = [n for n, start in self._starts.items() if start]
-        if self._registry.quarantined_s(name) or not up:
+        if self._is_refused(name) or not up:
             return
         target = min(
             up, key=lambda n: (len(self._running[n]), self._rng.random())
         )
         run = (name, number)
-        self._running[target][run] = self._registry.chain(name)
+        self._running[target][run] = self._chains(name)
         duration_s = self._rng.expovariate(1 / _MEAN_RUN_S)
         self._schedule(self.now + duration_s, self._end, target, name, number)
 
@@ -126,9 +143,11 @@
         if (name, number) in self._running[target]:
             del self._running[target][name, number]
             self.served += 1
+            suspects = (name, *self.traits(name).parts)
             if self._records_answers:
-                self._recent_answers.record(name)
-            self._registry.clear(name)
+                for each in suspects:
+                    self._recent_answers.record(each)
+            self._registry.clear_all(suspects)
 
     def _send_poison(self, every_s):
         self._schedule(self.now + every_s, self._send_poison, every_s)
@@ -136,7 +155,7 @@
         if self._registry.quarantined_s(b"poison") or not up:
             return
         target = self._rng.choice(up)
-        self._running[target][b"poison", 0] = self._registry.chain(b"poison")
+        self._running[target][b"poison", 0] = self._chains(b"poison")
         start = self._starts[target]
         self._schedule(
             self.now + _CRASHES_AFTER_S, self._crash_by_poison, target, start
@@ -157,22 +176,34 @@
     def _crash(self, target):
         start, self._starts[target] = self._starts[target], None
         lost, self._running[target] = self._running[target], {}
-        suspects = [
-            quarantine_pb2.Suspect(
-                fingerprint=name,
-                chain=chain + 1,
-                answered=self._recent_answers.contains(name),
-            )
-            for (name, _), chain in sorted(lost.items())
-        ]
-        self._registry.merge(
-            quarantine_pb2.TargetCrash(start_id=start, suspects=suspects)
-        )
+        self._registry.merge(self._report(start, lost))
         self._schedule(self.now + _RESTART_AFTER_S, self._restart, target)
         for name, number in sorted(lost):
             self.lost += 1
             if name != b"poison" and number < _ATTEMPTS:
                 self._attempt(name, number + 1)
 
+    def _report(self, start, lost):
+        """The report of a crash, with the requests that were lost."""
+        requests, parts = {}, {}
+        for (name, _), chains in sorted(lost.items()):
+            for each, chain in chains.items():
+                suspects = requests if each == name else parts
+                suspect = suspects.setdefault(
+                    each, quarantine_pb2.Suspect(fingerprint=each)
+                )
+                suspect.chain = max(suspect.chain, chain + 1)
+                suspect.answered = self._recent_answers.contains(each)
+        positions = {part: number for number, part in enumerate(parts)}
+        for name, suspect in requests.items():
+            traits = self.traits(name)
+            suspect.parts[:] = [positions[part] for part in traits.parts]
+            suspect.customer = traits.customer
+        return quarantine_pb2.TargetCrash(
+            start_id=start,
+            suspects=requests.values(),
+            parts=parts.values(),
+        )
+
     def _restart(self, target):
         self._starts[target] = f"t{target}-{next(self._boots)}"
