A stream that ends within an event is evidence of a crash

What callers saw: equal requests that crash their targets were not quarantined, and other callers' requests were lost with the targets, where a target's answer had neither a length nor chunks and ended by a clean close inside an event.

Cause: the relay built the outcome of such an end itself, without the mark that the other side had closed the connection, and losses without it are not checked for a crash.

Why this works: the outcome now comes from the attempt, as for every other early end, so that the target's address is checked.

--- a/damaskcroft/forwarding/_relay.py
+++ b/damaskcroft/forwarding/_relay.py
@@ -146,7 +146,7 @@
         except (CutShortError, ValueError) as error:
             return dispatch.attempt.lost(f"stream_cut: {error}")
         if splitter.remainder:
-            return Lost("stream_cut: ended within an event")
+            return dispatch.attempt.lost("stream_cut: ended within an event")
         await self._begin(dispatch, head)
         await answer.end()
         return Delivered(head.status)
