An answer that ends with its target's process is not taken as complete

What callers saw: a truncated answer as a complete 200, a stream as well as a plain body, where the target sent neither a length nor chunks and its crash ended the connection by a clean close.

Cause: the close of the connection was the only sign of the end, and a kernel closes the connections of a process that crashes in the same way.

Why this works: before such an end is passed on, the target's address is asked for a connection, which is kept for the next request. A refusal makes the answer a truncated one: it is requested elsewhere, resumed, or broken off, and the loss is evidence of a crash. A target that announced that it ends is not asked. Events are passed on as they come; only the end waits for a round trip. A listening socket that is closed last would still answer, so that such an end clears the request and its parts only after the checks of the address that follow any loss.

Weighed: to credit nothing to such an answer and to pass it on, which costs no connection, leaves the caller with a truncated answer that looks complete.

--- a/damaskcroft/forwarding/_attempt.py
+++ b/damaskcroft/forwarding/_attempt.py
@@ -7,7 +7,7 @@
 import asyncio
 import contextlib
 import dataclasses
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 from damaskcroft.clock import now_s
 from damaskcroft.forwarding._call import (
@@ -24,6 +24,7 @@
     Place,
     TargetConnection,
 )
+from damaskcroft.observe import log_event
 
 __all__ = [
     "Answered",
@@ -96,6 +97,7 @@
         "_new_connection",
         "_call",
         "_connection",
+        "_is_draining",
         "_on_data",
         "_passing",
         "_place",
@@ -105,6 +107,7 @@
         "abort_reason",
         "begun",
         "connect_s",
+        "ended_by_close",
         "finished",
         "is_sent",
         "is_waiting",
@@ -119,6 +122,7 @@
         passing: AttemptMetadata,
         on_data: Callable[[], None],
         why_not_send: Callable[[float], str | None],
+        is_draining: Callable[[], bool],
         new_connection: bool,
     ):
         """Prepares an attempt; `begin` sends it.
@@ -134,9 +138,11 @@
                 seconds that connecting took, because conditions may have
                 changed meanwhile; returns a reason to withhold the request, or
                 None to send it.
+            is_draining: whether the target announced that it ends.
             new_connection: whether to open a new connection, because idle ones
                 may be as silent as the one whose attempt is hedged.
         """
+        self._is_draining = is_draining
         self._new_connection = new_connection
         self._on_data = on_data
         self._why_not_send = why_not_send
@@ -154,6 +160,8 @@
         self.is_waiting = False
         # Whether the answer is complete, so that the connection can be reused.
         self.finished = False
+        # Whether only the close of the connection marks the answer's end.
+        self.ended_by_close = False
         # Whether the target has begun to answer.
         self.begun = False
         # Duration of connecting; None before it and for a reused connection.
@@ -204,15 +212,26 @@
         if not facts.not_run:
             return Answered(head, facts)
         with contextlib.suppress(CutShortError):
-            await self.read_whole(_MAX_REFUSAL_BYTES)
+            await _read_up_to(_MAX_REFUSAL_BYTES, self._next_part)
         return NotRun(head.status, facts)
 
     async def read_part(self) -> bytes:
         """Reads the next bytes of the answer's body; empty at its end.
 
+        A target that crashes may close its connections like one that has
+        completed an answer without a length. Such an end counts only if the
+        target still accepts connections.
+
         Raises:
             CutShortError: the body was truncated.
         """
+        part = await self._next_part()
+        if not part and self.ended_by_close and await self._has_target_ended():
+            self.finished = False
+            raise CutShortError("ended with its target")
+        return part
+
+    async def _next_part(self) -> bytes:
         assert self._connection is not None, "begin comes first"
         self.is_waiting = True
         try:
@@ -224,8 +243,28 @@
             raise CutShortError(self.abort_reason)
         self._on_data()
         self.finished = not part
+        self.ended_by_close = not part and self._connection.ended_by_close
         return part
 
+    async def _has_target_ended(self) -> bool:
+        """Whether the target refuses connections without having announced it.
+
+        A connection that it accepts is kept for the next request.
+        """
+        if self._is_draining():
+            return False
+        try:
+            connection = await self._pool.opened(
+                self._place, _CONNECT_TIMEOUT_S
+            )
+        except ConnectionRefusedError:
+            return True
+        except OSError as error:
+            log_event("target_not_checked", target=self._place.id, reason=error)
+            return False
+        self._pool.keep(self._place, connection)
+        return False
+
     def lost(self, reason: str) -> Lost:
         """Outcome of an attempt that ended before its answer was complete.
 
@@ -252,13 +291,7 @@
         Raises:
             CutShortError: the body was truncated.
         """
-        body = bytearray()
-        while len(body) <= max_bytes:
-            part = await self.read_part()
-            if not part:
-                return bytes(body), True
-            body += part
-        return bytes(body), False
+        return await _read_up_to(max_bytes, self.read_part)
 
     def close(self) -> None:
         """Returns the connection to the pool if the answer is complete."""
@@ -285,6 +318,7 @@
     on_data: Callable[[], None],
     why_not_send: Callable[[float], str | None] = lambda _: None,
     *,
+    is_draining: Callable[[], bool] = lambda: False,
     new_connection: bool = False,
 ) -> AsyncIterator[Attempt]:
     """Yields an attempt; its connection is released after the block.
@@ -293,7 +327,15 @@
     on the request.
     """
     new_attempt = Attempt(
-        wire, pool, place, call, passing, on_data, why_not_send, new_connection
+        wire,
+        pool,
+        place,
+        call,
+        passing,
+        on_data,
+        why_not_send,
+        is_draining,
+        new_connection,
     )
     try:
         yield new_attempt
@@ -301,6 +343,19 @@
         new_attempt.close()
 
 
+async def _read_up_to(
+    max_bytes: int, read_part: Callable[[], Awaitable[bytes]]
+) -> tuple[bytes, bool]:
+    """Reads parts of a body up to a size; see `Attempt.read_whole`."""
+    body = bytearray()
+    while len(body) <= max_bytes:
+        part = await read_part()
+        if not part:
+            return bytes(body), True
+        body += part
+    return bytes(body), False
+
+
 def _not_connected(error: OSError) -> NotSent:
     if isinstance(error, TimeoutError | asyncio.TimeoutError):
         return NotSent("connect_timeout", unreachable=True)
--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -349,6 +349,7 @@
                 lambda connect_s: self._why_not_send(
                     job, progress, target, allocated_at, connect_s, hedge
                 ),
+                is_draining=lambda: self._suspects.is_draining(target),
                 new_connection=hedge.is_second,
             ) as opened:
                 hedge.attempt = opened
@@ -434,7 +435,9 @@
                     reason = f"status_{outcome.status}"
                     self._log.failed(job, progress, target, reason)
                 elif isinstance(outcome, Delivered):
-                    self._suspects.record_answer(job, progress)
+                    self._suspects.record_answer(
+                        job, progress, target, outcome.ended_by_close
+                    )
                 return outcome
         self._log.failed(job, progress, target, reason)
         metrics.RETRIES.labels(reason.partition(":")[0]).inc()
--- a/damaskcroft/forwarding/_job.py
+++ b/damaskcroft/forwarding/_job.py
@@ -66,9 +66,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Delivered:
-    """The caller has received a target's complete answer."""
+    """The caller has received a target's complete answer.
+
+    Attributes:
+        status: status of the answer.
+        ended_by_close: whether only the close of the target's connection marked
+            the end of the answer.
+    """
 
     status: int
+    ended_by_close: bool = False
 
     @property
     def is_failure(self) -> bool:
--- a/damaskcroft/forwarding/_relay.py
+++ b/damaskcroft/forwarding/_relay.py
@@ -110,7 +110,7 @@
         headers = self._wire.answer_headers(head)
         if complete:
             await answer.send_whole(head.status, headers, body)
-            return Delivered(head.status)
+            return Delivered(head.status, attempt.ended_by_close)
         dispatch.progress.begun = dispatch.progress.is_bound_to_target = True
         await answer.send_head(head.status, headers)
         await answer.send_part(body)
@@ -120,7 +120,7 @@
         except CutShortError as error:
             return interrupted_ending(attempt.lost(f"cut_short: {error}"))
         await answer.end()
-        return Delivered(head.status)
+        return Delivered(head.status, attempt.ended_by_close)
 
     async def _relay_events(
         self, dispatch: Dispatch, head: Head
@@ -149,7 +149,7 @@
             return dispatch.attempt.lost("stream_cut: ended within an event")
         await self._begin(dispatch, head)
         await answer.end()
-        return Delivered(head.status)
+        return Delivered(head.status, dispatch.attempt.ended_by_close)
 
     async def _begin(self, dispatch: Dispatch, head: Head) -> None:
         dispatch.hedge.take_over()
--- a/damaskcroft/forwarding/_suspects.py
+++ b/damaskcroft/forwarding/_suspects.py
@@ -33,6 +33,7 @@
     RecentAnswers,
     RequestTraits,
     SerialCopies,
+    is_gone,
     part_names,
 )
 from damaskcroft.routing import BackPressure, Candidate
@@ -82,19 +83,25 @@
         """Starts to watch for crashes; no request has been lost yet."""
         self._registry = registry
         self._services = services
+        self._back_pressure = back_pressure
         self._publish = publish
         self._copies = SerialCopies(registry, hold_turn)
         self._recent_answers = RecentAnswers()
         self._recently_answered_parts = RecentAnswers()
         self._watch: CrashDetector[Candidate] = CrashDetector(
-            lambda target: (
-                services.is_draining(target)
-                or back_pressure.is_draining(target.id)
-            ),
+            self.is_draining,
             services.is_replaced,
             lambda crash: publish([crash]),
             registry.crashed_at,
         )
+        # Checks of targets whose answers have ended by a close.
+        self._check_tasks: set[asyncio.Task[None]] = set()
+
+    def is_draining(self, target: Candidate) -> bool:
+        """Whether a target announced its end, to control or in an answer."""
+        return self._services.is_draining(
+            target
+        ) or self._back_pressure.is_draining(target.id)
 
     def add_listener(self, listener: Callable[[], None]) -> None:
         """Calls `listener` whenever the suspicion of a request changes."""
@@ -226,20 +233,7 @@
         if not lost.cut and lost.reason != RESTARTED:
             return
         was_suspect = self.is_suspect(job, progress)
-        progress.chain += 1
-        verdict = self._watch.record_loss(
-            LostRequest(
-                target,
-                job.service,
-                _fingerprint(job, progress),
-                job.call.request_id,
-                progress.chain,
-                self._recent_answers.contains(_fingerprint(job, progress)),
-                connecting_at,
-                job.customer,
-                tuple(self._lost_parts(job, progress)),
-            )
-        )
+        verdict = self._check_after_loss(job, progress, target, connecting_at)
         if verdict is None:
             return
         if was_suspect:
@@ -257,6 +251,33 @@
         if progress.begun and self._watch.has_crashed(target):
             progress.uncounted += 1
 
+    def _check_after_loss(
+        self,
+        job: Job,
+        progress: Progress,
+        target: Candidate,
+        connecting_at: float | None,
+    ) -> asyncio.Task[None] | None:
+        """Starts to check whether a target has crashed under a request.
+
+        Returns:
+            The check; None if the target announced its end.
+        """
+        progress.chain += 1
+        return self._watch.record_loss(
+            LostRequest(
+                target,
+                job.service,
+                _fingerprint(job, progress),
+                job.call.request_id,
+                progress.chain,
+                self._recent_answers.contains(_fingerprint(job, progress)),
+                connecting_at,
+                job.customer,
+                tuple(self._lost_parts(job, progress)),
+            )
+        )
+
     def _lost_parts(self, job: Job, progress: Progress) -> Iterator[LostPart]:
         for part in _traits(job, progress).parts:
             yield LostPart(
@@ -265,12 +286,43 @@
                 self._recently_answered_parts.contains(part),
             )
 
-    def record_answer(self, job: Job, progress: Progress) -> None:
+    def record_answer(
+        self,
+        job: Job,
+        progress: Progress,
+        target: Candidate,
+        ended_by_close: bool,
+    ) -> None:
         """Clears a request whose answer a target has completed, and its parts.
 
         Not to be called for failures, because the target may have failed
         before it reached the part that crashes.
+
+        Args:
+            job: the request.
+            progress: its state across attempts.
+            target: the target that has answered.
+            ended_by_close: whether only the close of the connection marked the
+                end of the answer; it clears nothing if the target ends with it.
         """
+        if not ended_by_close:
+            self._clear(job, progress)
+            return
+        task = asyncio.create_task(
+            self._clear_unless_gone(job, progress, target)
+        )
+        self._check_tasks.add(task)
+        task.add_done_callback(self._check_tasks.discard)
+
+    async def _clear_unless_gone(
+        self, job: Job, progress: Progress, target: Candidate
+    ) -> None:
+        if await is_gone(target.address):
+            self._check_after_loss(job, progress, target, None)
+        else:
+            self._clear(job, progress)
+
+    def _clear(self, job: Job, progress: Progress) -> None:
         if len(job.call.body) <= MAX_RECORDED_BODY_BYTES:
             self._recent_answers.record(_fingerprint(job, progress))
         parts = _traits(job, progress).parts
--- a/damaskcroft/forwarding/tests/fakes.py
+++ b/damaskcroft/forwarding/tests/fakes.py
@@ -200,6 +200,29 @@
         self.server.close()
         return await self.stream(head, reader, writer, up_to=3)
 
+    async def ends_by_close(self, head, reader, writer, leaving=False):
+        """Answers without a length; the close marks the end."""
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nX-Seal: s\r\n"
+            + (b"X-Leaving: 1\r\n" if leaving else b"")
+            + b"\r\n"
+            + self.name.encode()
+        )
+        await writer.drain()
+        return False
+
+    async def ends_by_close_and_dies(self, head, reader, writer):
+        self.server.close()
+        return await self.ends_by_close(head, reader, writer)
+
+    async def ends_by_close_and_leaves(self, head, reader, writer):
+        self.server.close()
+        return await self.ends_by_close(head, reader, writer, leaving=True)
+
+    async def ends_by_close_and_dies_later(self, head, reader, writer):
+        asyncio.get_running_loop().call_later(0.02, self.server.close)
+        return await self.ends_by_close(head, reader, writer)
+
     async def cut_body(self, head, reader, writer):
         writer.write(
             b"HTTP/1.1 200 OK\r\nX-Seal: s\r\nContent-Length: 99\r\n\r\nabc"
--- a/damaskcroft/forwarding/tests/test_quarantined.py
+++ b/damaskcroft/forwarding/tests/test_quarantined.py
@@ -332,3 +332,51 @@
             assert request_count(*targets) == 5
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("mode", ["ends_by_close", "ends_by_close_and_leaves"])
+def test_an_answer_that_ends_by_a_close_is_delivered(mode):
+    async def scenario():
+        target = FakeTarget("a", mode)
+        async with running_entry(target, config=NOT_REPEATABLE) as entry:
+            status, _, body = await entry.send_request()
+            assert (status, body) == (200, b"a")
+
+    asyncio.run(scenario())
+
+
+def test_an_answer_that_ends_with_its_target_is_requested_elsewhere():
+    # Guards against a truncated answer that its caller takes for a whole one.
+    async def scenario():
+        first, second = FakeTarget("a"), FakeTarget("b")
+        first.modes = second.modes = ["ends_by_close_and_dies", "whole"]
+        async with running_entry(first, second, config=REPEATABLE) as entry:
+            assert (await entry.send_request())[0] == 200
+            assert request_count(first, second) == 2
+
+    asyncio.run(scenario())
+
+
+def test_an_answer_clears_nothing_if_its_target_ends_soon_after_a_close():
+    # Guards against a truncated answer that clears the request that crashes
+    # its targets, because the listening socket was closed last.
+    async def scenario():
+        target = FakeTarget("a", "ends_by_close_and_dies_later")
+        async with running_entry(target, config=REPEATABLE) as entry:
+            digest = note_crashes(entry, 2)
+            assert (await entry.send_request())[0] == 200
+            await wait_until(lambda: entry.view.crashes.chain(digest) == 3)
+            assert entry.view.crashes.quarantined_s(digest) > 0
+
+    asyncio.run(scenario())
+
+
+def test_an_answer_that_ends_by_a_close_clears_its_request():
+    async def scenario():
+        target = FakeTarget("a", "ends_by_close")
+        async with running_entry(target, config=REPEATABLE) as entry:
+            digest = note_crashes(entry, 2)
+            assert (await entry.send_request())[0] == 200
+            await wait_until(lambda: not entry.view.crashes.is_suspect(digest))
+
+    asyncio.run(scenario())
--- a/damaskcroft/http1/_answers.py
+++ b/damaskcroft/http1/_answers.py
@@ -41,6 +41,8 @@
             the last complete answer.
         is_bodiless: whether the next answer has no body regardless of its
             head, because it answers a HEAD request (RFC 9112, 6.3).
+        ended_by_close: whether the end of the connection was the only sign that
+            the last answer is complete (RFC 9112, 8).
     """
 
     __slots__ = (
@@ -52,6 +54,7 @@
         "_in_message",
         "_parser",
         "_ends_at_close",
+        "ended_by_close",
         "is_persistent",
         "is_bodiless",
     )
@@ -71,6 +74,7 @@
         self._ends_at_close = False
         self.is_persistent = False
         self.is_bodiless = False
+        self.ended_by_close = False
 
     @property
     def is_between_answers(self) -> bool:
@@ -104,6 +108,7 @@
         if self._ends_at_close and clean:
             self._ends_at_close = False
             self._in_message = False
+            self.ended_by_close = True
             self._events.append(AnswerComplete())
             return
         self._events.append(
--- a/damaskcroft/http1/_client.py
+++ b/damaskcroft/http1/_client.py
@@ -73,6 +73,11 @@
             and self.has_no_unread_input
         )
 
+    @property
+    def ended_by_close(self) -> bool:
+        """Whether only the close of the connection marks the answer's end."""
+        return self._parser.ended_by_close
+
     async def send(
         self, method: bytes, target: bytes, headers: Headers, body: bytes
     ) -> None:
--- a/damaskcroft/http1/_pool.py
+++ b/damaskcroft/http1/_pool.py
@@ -68,6 +68,10 @@
         if not connection.is_reusable:
             connection.close()
             return
+        self.keep(place, connection)
+
+    def keep(self, place: Place, connection: TargetConnection) -> None:
+        """Adds an idle connection, which may have carried no request yet."""
         connection.idle_since = asyncio.get_running_loop().time()
         self._idle_by_place.setdefault(place, []).append(connection)
 
