An answer that ends with a replaced start is not complete; soak of prompt parts

A close that a slow link delays may come when a later start listens at the target's address, so that asking the address says nothing. If a later start has been announced, the answer counts as truncated without asking.

Checked: at most three arrivals later than three seconds after the fifth crash, refusal at the end after sixteen crashes, no truncated answer as a complete one, and requests that share all other parts served within the recovery time.

--- a/damaskcroft/forwarding/_attempt.py
+++ b/damaskcroft/forwarding/_attempt.py
@@ -97,7 +97,7 @@
         "_new_connection",
         "_call",
         "_connection",
-        "_is_draining",
+        "_known_end",
         "_on_data",
         "_passing",
         "_place",
@@ -122,7 +122,7 @@
         passing: AttemptMetadata,
         on_data: Callable[[], None],
         why_not_send: Callable[[float], str | None],
-        is_draining: Callable[[], bool],
+        known_end: Callable[[], bool | None],
         new_connection: bool,
     ):
         """Prepares an attempt; `begin` sends it.
@@ -138,11 +138,12 @@
                 seconds that connecting took, because conditions may have
                 changed meanwhile; returns a reason to withhold the request, or
                 None to send it.
-            is_draining: whether the target announced that it ends.
+            known_end: whether the target's process has ended without notice;
+                False if it announced that it ends, None if neither is known.
             new_connection: whether to open a new connection, because idle ones
                 may be as silent as the one whose attempt is hedged.
         """
-        self._is_draining = is_draining
+        self._known_end = known_end
         self._new_connection = new_connection
         self._on_data = on_data
         self._why_not_send = why_not_send
@@ -247,12 +248,14 @@
         return part
 
     async def _has_target_ended(self) -> bool:
-        """Whether the target refuses connections without having announced it.
+        """Whether the target's process has ended without notice.
 
-        A connection that it accepts is kept for the next request.
+        Unless that is known, its address is asked for a connection, which is
+        kept for the next request.
         """
-        if self._is_draining():
-            return False
+        known_end = self._known_end()
+        if known_end is not None:
+            return known_end
         try:
             connection = await self._pool.opened(
                 self._place, _CONNECT_TIMEOUT_S
@@ -318,7 +321,7 @@
     on_data: Callable[[], None],
     why_not_send: Callable[[float], str | None] = lambda _: None,
     *,
-    is_draining: Callable[[], bool] = lambda: False,
+    known_end: Callable[[], bool | None] = lambda: None,
     new_connection: bool = False,
 ) -> AsyncIterator[Attempt]:
     """Yields an attempt; its connection is released after the block.
@@ -334,7 +337,7 @@
         passing,
         on_data,
         why_not_send,
-        is_draining,
+        known_end,
         new_connection,
     )
     try:
--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -349,7 +349,7 @@
                 lambda connect_s: self._why_not_send(
                     job, progress, target, allocated_at, connect_s, hedge
                 ),
-                is_draining=lambda: self._suspects.is_draining(target),
+                known_end=lambda: self._suspects.known_end(target),
                 new_connection=hedge.is_second,
             ) as opened:
                 hedge.attempt = opened
--- a/damaskcroft/forwarding/_suspects.py
+++ b/damaskcroft/forwarding/_suspects.py
@@ -103,6 +103,17 @@
             target
         ) or self._back_pressure.is_draining(target.id)
 
+    def known_end(self, target: Candidate) -> bool | None:
+        """Whether a start of a target has ended without notice.
+
+        Returns:
+            False if it announced its end, True if a later start has replaced
+            it; None if neither is known.
+        """
+        if self.is_draining(target):
+            return False
+        return True if self._services.is_replaced(target) else None
+
     def add_listener(self, listener: Callable[[], None]) -> None:
         """Calls `listener` whenever the suspicion of a request changes."""
         self._registry.add_listener(listener)
--- a/damaskcroft/hosted/tests/fleet.py
+++ b/damaskcroft/hosted/tests/fleet.py
@@ -17,7 +17,11 @@
     ENTRY_IPS,
     Deployment,
 )
-from damaskcroft.hosted.tests.soak._history import History, RequestRecord
+from damaskcroft.hosted.tests.soak._history import (
+    PART,
+    History,
+    RequestRecord,
+)
 from damaskcroft.hosted.tests.soak._target import (
     CRASH_MARKER,
     CRASHING_PART,
@@ -121,7 +125,7 @@
             body=CRASH_MARKER + name.encode(), crashes_as=name, **headers
         )
 
-    async def send_crashing_part(self, name="part", **headers):
+    async def send_crashing_part(self, name=PART, **headers):
         """Sends a request, like no other one, with the crashing prompt part."""
         number = next(self._ids)
         return await self.send_request(
--- a/damaskcroft/hosted/tests/soak/_faults.py
+++ b/damaskcroft/hosted/tests/soak/_faults.py
@@ -51,6 +51,12 @@
 _SIGNAL_KINDS = ("stop control", "hup all")
 _SIGNAL_GAP_S = (0.3, 2.0)
 _COPY_INTERVAL_S = 0.3
+# From this seed on, requests that share a crashing part of their prompts are
+# sent as well, and all requests have prompts.
+PARTS_FROM_SEED = 4000
+_PART_KINDS = ("crashing part",)
+_PART_GAP_S = (1.0, 6.0)
+_PART_INTERVALS_S = (0.15, 0.3, 0.6, 1.2)
 # Planned operations, during which callers must still be answered.
 _PLANNED_KINDS = ("stop control", "stop entry", "hup all", "leave target")
 _KINDS = (
@@ -94,6 +100,9 @@
             _SIGNAL_KINDS,
             _SIGNAL_GAP_S,
         )
+    if has_parts(seed):
+        rng = random.Random(f"{seed}/parts")
+        faults += _draw_faults(rng, seconds, _PART_KINDS, _PART_GAP_S)
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
@@ -107,6 +116,11 @@
     return seed >= CHANGES_FROM_SEED
 
 
+def has_parts(seed):
+    """Whether the schedule of a seed contains crashing parts of prompts."""
+    return seed >= PARTS_FROM_SEED
+
+
 def _pause_faults(seed, seconds):
     """Pauses that don't overlap; later seeds mix in configuration changes."""
     if has_changes(seed):
@@ -162,10 +176,12 @@
         journal,
         history,
         send_crashing_request,
+        send_crashing_part,
         configuration_lacking,
     ):
         self._history = history
         self._send_crashing_request = send_crashing_request
+        self._send_crashing_part = send_crashing_part
         self._configuration_lacking = configuration_lacking
         self._deployment = deployment
         self._targets = targets
@@ -187,6 +203,9 @@
         if fault.kind == "crashing request":
             await self._send_copies(fault)
             return
+        if fault.kind == "crashing part":
+            await self._send_crashing_parts(fault)
+            return
         if fault.kind == "limit target":
             await self._announce_limits(fault)
             return
@@ -242,6 +261,18 @@
             await self._send_crashing_request()
             await asyncio.sleep(_COPY_INTERVAL_S)
 
+    async def _send_crashing_parts(self, fault):
+        """Sends requests with the crashing part, regardless of other faults.
+
+        They don't wait for each other's answers.
+        """
+        ends_at = _now() + 2 * fault.for_s
+        interval_s = _PART_INTERVALS_S[fault.which % len(_PART_INTERVALS_S)]
+        async with asyncio.TaskGroup() as group:
+            while _now() < ends_at:
+                group.create_task(self._send_crashing_part())
+                await asyncio.sleep(interval_s)
+
     async def _announce_limits(self, fault):
         """One target announces changing limits, regardless of other faults."""
         target = self._targets[fault.which % len(self._targets)]
--- a/damaskcroft/hosted/tests/soak/_history.py
+++ b/damaskcroft/hosted/tests/soak/_history.py
@@ -29,7 +29,9 @@
 CONTACT_S = 3.0
 DRAIN_S = 2.0
 _CRASHES_TO_QUARANTINE = 3
-# For requests that share a prompt part and are otherwise different.
+# Name, in `crashes_as`, of the requests that share a crashing prompt part and
+# are otherwise different, and the number of crashes for them.
+PART = "part"
 CRASHES_TO_QUARANTINE_PART = 5
 _MAX_ARRIVALS_AFTER_QUARANTINE = 3
 _BACK_OFF_BEGINS_S = 0.5
@@ -271,7 +273,12 @@
     def check_bounds(self):
         """Checks arrivals and answers at the end of a run."""
         for crashes_as in list(self.crashes):
-            late_arrivals = self.arrivals_after_crashes(crashes_as)
+            crash_count = (
+                CRASHES_TO_QUARANTINE_PART
+                if crashes_as == PART
+                else _CRASHES_TO_QUARANTINE
+            )
+            late_arrivals = self.arrivals_after_crashes(crashes_as, crash_count)
             if len(late_arrivals) > _MAX_ARRIVALS_AFTER_QUARANTINE:
                 self._add_violation(
                     f"{crashes_as} arrived {len(late_arrivals)} times "
--- a/damaskcroft/hosted/tests/soak/_run.py
+++ b/damaskcroft/hosted/tests/soak/_run.py
@@ -14,16 +14,23 @@
 from damaskcroft.hosted.tests.soak._faults import (
     Injector,
     has_changes,
+    has_parts,
     has_pauses,
     schedule,
 )
 from damaskcroft.hosted.tests.soak._history import (
     CONTACT_S,
+    PART,
     History,
     RequestRecord,
 )
 from damaskcroft.hosted.tests.soak._operator import PATHS, Operator, Versions
-from damaskcroft.hosted.tests.soak._target import CRASH_MARKER, Target
+from damaskcroft.hosted.tests.soak._target import (
+    CRASH_MARKER,
+    CRASHING_PART,
+    CrashEnding,
+    Target,
+)
 from damaskcroft.http1 import (
     CutShortError,
     NoAnswerError,
@@ -53,6 +60,8 @@
 # Number of crashes by which the crashing request is certainly quarantined, even
 # if targets also crashed for other reasons and some crashes were not observed.
 _CRASHES_SURELY_QUARANTINED = 8
+# The same for the crashing part: each request with it has two attempts.
+_CRASHES_PART_SURELY_QUARANTINED = 16
 
 
 class Soak:
@@ -81,6 +90,7 @@
             self.write_journal,
             self.history,
             self._send_crashing_request,
+            self._send_crashing_part,
             self._configuration_lacking,
         )
         self._versions = Versions(self._deadline_ms, with_key=has_changes(seed))
@@ -95,6 +105,7 @@
             for number in range(_OPERATORS)
         ]
         self._crashing_rng = random.Random(f"{seed}/crashing")
+        self._parts_rng = random.Random(f"{seed}/crashing parts")
         self._ids = itertools.count(1)
         self._ending = False
 
@@ -220,6 +231,33 @@
         )  # fmt: skip
         return request.status
 
+    async def _send_crashing_part(self, ip=""):
+        """Sends a request, like no other one, with the crashing part."""
+        ip = ip or self._parts_rng.choice(ENTRY_IPS)
+        kind = self._parts_rng.choice(["safe", "stream"])
+        ending = self._parts_rng.choice(list(CrashEnding))
+        request_id = f"s{self.seed}-{next(self._ids)}"
+        request = RequestRecord(kind, entry=ip, crashes_as=PART)
+        self.history.requests_by_id[request_id] = request
+        request.status, _, _ = await self.deployment.call(
+            ip, self.deployment.front, b"POST", PATHS[kind],
+            request_id.encode(), request_id=request_id,
+            deadline_ms=self._deadline_ms, crash_ending=ending.value,
+            prompt_prefix=f"a,b,{CRASHING_PART},{request_id}",
+            **self._versions.credential_fields,
+        )  # fmt: skip
+        if request.status == 200:
+            self.history.violations.append(
+                f"{request_id} got a truncated answer ({ending.value}) as whole"
+            )
+        return request.status
+
+    def _prompt_fields(self, request_id):
+        """The prompt of a sound request, if requests have prompts."""
+        if not has_parts(self.seed):
+            return {}
+        return {"prompt_prefix": f"a,b,{request_id}"}
+
     async def _send_request(self, connection, kind, path, entry):
         request_id = f"s{self.seed}-{next(self._ids)}"
         request = self.history.requests_by_id[request_id] = RequestRecord(
@@ -230,6 +268,10 @@
             (b"deadline-ms", b"%d" % self._deadline_ms),
         ]  # fmt: skip
         headers += self._versions.credential
+        headers += [
+            (b"prompt-prefix", prefix.encode())
+            for prefix in self._prompt_fields(request_id).values()
+        ]
         body = b"" if kind == "safe" else b"x" * 300
         method = b"GET" if kind == "safe" else b"POST"
         try:
@@ -259,17 +301,19 @@
         self.history.violations += unrecovered
 
     async def _check_quarantine(self):
-        """Checks that entries refuse the crashing request if quarantined."""
-        if len(self.history.crashes["crash"]) < _CRASHES_SURELY_QUARANTINED:
-            return
-        await asyncio.sleep(CONTACT_S)
-        statuses = [
-            await self._send_crashing_request(ip) for ip in 2 * ENTRY_IPS
-        ]
-        if statuses != [503] * len(statuses):
-            self.history.violations.append(
-                f"not refused at the end: {statuses}"
-            )
+        """Checks that entries refuse what crashes targets if quarantined."""
+        for name, crash_count, send in (
+            ("crash", _CRASHES_SURELY_QUARANTINED, self._send_crashing_request),
+            (PART, _CRASHES_PART_SURELY_QUARANTINED, self._send_crashing_part),
+        ):
+            if len(self.history.crashes[name]) < crash_count:
+                continue
+            await asyncio.sleep(CONTACT_S)
+            statuses = [await send(ip) for ip in 2 * ENTRY_IPS]
+            if statuses != [503] * len(statuses):
+                self.history.violations.append(
+                    f"{name} not refused at the end: {statuses}"
+                )
 
     async def _unrecovered(self):
         status, body = await self.deployment.operator(b"GET", "/api/config/get")
@@ -294,6 +338,7 @@
             entry, self.deployment.front, b"GET", path,
             request_id=request_id, deadline_ms=_DEADLINE_AT_END_MS,
             **self._versions.credential_fields,
+            **self._prompt_fields(request_id),
         )  # fmt: skip
         request.complete = request.status != 0
         self.history.answered(request_id)
--- a/damaskcroft/hosted/tests/soak/_target.py
+++ b/damaskcroft/hosted/tests/soak/_target.py
@@ -225,6 +225,9 @@
         request_body = await reader.readexactly(
             int(head.get("content-length", 0))
         )
+        if not self._is_up:
+            # A process that has ended reads nothing more.
+            return False
         request_id = head["request-id"]
         self.history.arrived(request_id, self.name, self._start_id)
         limit_line = self._limit_line(request_id)
