A stream with a likely culprit among its parts gets no extra attempts

An attempt that is lost with a crashed target after the caller has received events does not count, since a stream that has produced events was taken not to crash targets by itself. A crashing part may do so after the first event: each such stream took up to four targets instead of two. Attempts now count from the second crash in sequence under a part that was never answered; streams with only answered parts keep their extra attempts.

What one entry knows of parts is in quarantine/ now, so that the other interface can use it.

--- a/damaskcroft/forwarding/_suspects.py
+++ b/damaskcroft/forwarding/_suspects.py
@@ -10,7 +10,7 @@
 import asyncio
 import contextlib
 import dataclasses
-from collections.abc import AsyncIterator, Callable, Iterable, Iterator
+from collections.abc import AsyncIterator, Callable, Iterable
 
 from damaskcroft._generated import quarantine_pb2
 from damaskcroft.forwarding._attempt import Lost
@@ -28,11 +28,11 @@
     CrashDetector,
     CrashRegistry,
     HoldTurn,
-    LostPart,
     LostRequest,
     RecentAnswers,
     RequestTraits,
     SerialCopies,
+    SuspectParts,
     is_gone,
     part_names,
 )
@@ -87,7 +87,7 @@
         self._publish = publish
         self._copies = SerialCopies(registry, hold_turn)
         self._recent_answers = RecentAnswers()
-        self._recently_answered_parts = RecentAnswers()
+        self._parts = SuspectParts(registry, self._copies)
         self._watch: CrashDetector[Candidate] = CrashDetector(
             self.is_draining,
             services.is_replaced,
@@ -168,37 +168,17 @@
             yield
             return
         fingerprint = _fingerprint(job, progress)
-        async with self._one_with_part_at_a_time(job, progress):
-            async with self._copies.one_at_a_time(
+        async with (
+            self._parts.one_at_a_time(
+                _traits(job, progress),
+                job.deadline_at,
+                lambda: bool(self.quarantined_s(job, progress)),
+            ),
+            self._copies.one_at_a_time(
                 fingerprint, job.deadline_at, lambda: self._has_few_targets(job)
-            ):
-                yield
-
-    def _one_with_part_at_a_time(
-        self, job: Job, progress: Progress
-    ) -> contextlib.AbstractAsyncContextManager[None]:
-        part = self._new_suspect_part(job, progress)
-        if part is None:
-            return contextlib.nullcontext()
-        return self._copies.one_with_part_at_a_time(
-            part,
-            job.deadline_at,
-            lambda: bool(self.quarantined_s(job, progress)),
-        )
-
-    def _new_suspect_part(self, job: Job, progress: Progress) -> bytes | None:
-        """The part with most crashes in sequence that was never answered."""
-        new_parts = [
-            part
-            for part in _traits(job, progress).parts
-            if self._registry.is_new_suspect(part)
-            and not self._recently_answered_parts.contains(part)
-        ]
-        return max(
-            new_parts,
-            key=lambda part: (self._registry.chain(part), part),
-            default=None,
-        )
+            ),
+        ):
+            yield
 
     def _has_few_targets(self, job: Job) -> bool:
         """Whether the remaining targets are reserved for other requests.
@@ -214,10 +194,7 @@
             return
         known_chain = self._registry.chain(_fingerprint(job, progress))
         progress.chain = max(progress.chain, known_chain)
-        progress.chain_by_part = {
-            part: self._registry.chain(part)
-            for part in _traits(job, progress).parts
-        }
+        progress.chain_by_part = self._parts.chains(_traits(job, progress))
 
     async def record_loss(
         self,
@@ -258,8 +235,13 @@
             await asyncio.wait([verdict], timeout=within_s)
         # A stream that has produced events on another target does not crash
         # targets by itself, and its caller can't retry for the remainder, so
-        # this attempt does not count towards the route's maximum.
-        if progress.begun and self._watch.has_crashed(target):
+        # this attempt does not count towards the route's maximum. A part of its
+        # prompt may crash targets after their first events.
+        if (
+            progress.begun
+            and self._watch.has_crashed(target)
+            and not self._parts.is_likely_cause(_traits(job, progress))
+        ):
             progress.uncounted += 1
 
     def _check_after_loss(
@@ -285,18 +267,14 @@
                 self._recent_answers.contains(_fingerprint(job, progress)),
                 connecting_at,
                 job.customer,
-                tuple(self._lost_parts(job, progress)),
+                tuple(
+                    self._parts.lost(
+                        _traits(job, progress), progress.chain_by_part
+                    )
+                ),
             )
         )
 
-    def _lost_parts(self, job: Job, progress: Progress) -> Iterator[LostPart]:
-        for part in _traits(job, progress).parts:
-            yield LostPart(
-                part,
-                progress.chain_by_part.get(part, 0) + 1,
-                self._recently_answered_parts.contains(part),
-            )
-
     def record_answer(
         self,
         job: Job,
@@ -336,20 +314,12 @@
     def _clear(self, job: Job, progress: Progress) -> None:
         if len(job.call.body) <= MAX_RECORDED_BODY_BYTES:
             self._recent_answers.record(_fingerprint(job, progress))
-        parts = _traits(job, progress).parts
-        for part in parts:
-            self._recently_answered_parts.record(part)
+        cleared = self._parts.record_answer(
+            _traits(job, progress), job.call.request_id
+        )
         if not self._registry.has_suspects:
             return
         fingerprint = _fingerprint(job, progress)
-        cleared = {s for s in parts if self._registry.is_suspect(s)}
-        if cleared:
-            metrics.QUARANTINE.labels("part_cleared").inc(len(cleared))
-            log_event(
-                "parts_cleared",
-                request=job.call.request_id,
-                parts=part_names(cleared),
-            )
         if self._registry.is_suspect(fingerprint):
             metrics.QUARANTINE.labels("cleared").inc()
             log_event(
--- a/damaskcroft/hosted/tests/test_crashing_requests.py
+++ b/damaskcroft/hosted/tests/test_crashing_requests.py
@@ -10,6 +10,7 @@
 from damaskcroft.hosted.tests.soak._history import (
     CONTACT_S,
     CRASHES_TO_QUARANTINE_PART,
+    PART,
 )
 from damaskcroft.hosted.tests.soak._target import CrashEnding
 
@@ -177,9 +178,16 @@
     with_fleet(scenario)
 
 
-@pytest.mark.parametrize("interval_s", [0.5, 0.25])
+@pytest.mark.parametrize(
+    ("interval_s", "kind", "ending"),
+    [
+        (0.5, "safe", CrashEnding.NO_ANSWER),
+        (0.25, "safe", CrashEnding.NO_ANSWER),
+        (0.25, "stream", CrashEnding.WITHIN_EVENT),
+    ],
+)
 def test_requests_that_share_a_crashing_part_are_held_and_others_served(
-    with_fleet, interval_s
+    with_fleet, interval_s, kind, ending
 ):
     # Guards against requests that are each a first offender, because only the
     # prompt part that they share crashes targets.
@@ -188,13 +196,17 @@
             ends_at = time.monotonic() + _PART_DURATION_S
             async with asyncio.TaskGroup() as group:
                 while time.monotonic() < ends_at:
-                    group.create_task(fleet.send_crashing_part())
+                    group.create_task(
+                        fleet.send_crashing_part(
+                            kind=kind, crash_ending=ending.value
+                        )
+                    )
                     await asyncio.sleep(interval_s)
                     if time.monotonic() < ends_at - _PART_SETTLED_S:
                         background.clear()
-        crashes = fleet.history.crashes["part"]
+        crashes = fleet.history.crashes[PART]
         late = fleet.history.arrivals_after_crashes(
-            "part", CRASHES_TO_QUARANTINE_PART
+            PART, CRASHES_TO_QUARANTINE_PART
         )
         print(f"crashes {len(crashes)} late arrivals {len(late)}")
         print(f"others {collections.Counter(o.status for o in background)}")
--- a/damaskcroft/quarantine/__init__.py
+++ b/damaskcroft/quarantine/__init__.py
@@ -20,6 +20,7 @@
     MAX_RECORDED_BODY_BYTES,
     RecentAnswers,
 )
+from damaskcroft.quarantine._suspect_parts import SuspectParts
 from damaskcroft.quarantine._turns import Turns
 
 __all__ = [
@@ -34,6 +35,7 @@
     "RecentAnswers",
     "RequestTraits",
     "SerialCopies",
+    "SuspectParts",
     "Turns",
     "fingerprint",
     "is_gone",
