Calls whose prompts begin alike are refused if those crash targets

The first 256 characters of a prompt, by pool, are the part that such calls share; shorter prompts share nothing.

The test failed before: the fourth call with that beginning was answered 200 where 503 is wanted.

--- a/damaskcroft/entry/_calls.py
+++ b/damaskcroft/entry/_calls.py
@@ -18,7 +18,8 @@
 _PRIORITIES_BY_NAME = {"alert": 0, "ping": 1, "draft": 2}
 _MAX_KEY_LENGTH = 255
 _MAX_DEADLINE_MS = 3_600_000
-_MAX_PREFIX_CHARACTERS = 256
+# Number of characters of a prompt that decide which targets are preferred.
+MAX_PREFIX_CHARACTERS = 256
 _SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 
 
@@ -197,4 +198,4 @@
         prompt = json.dumps(document.get("messages", ""))
     if not isinstance(prompt, str):
         prompt = json.dumps(prompt)
-    return prompt[:_MAX_PREFIX_CHARACTERS].encode(errors="replace")
+    return prompt[:MAX_PREFIX_CHARACTERS].encode(errors="replace")
--- a/damaskcroft/entry/_suspects.py
+++ b/damaskcroft/entry/_suspects.py
@@ -1,22 +1,29 @@
 """Handling of suspect requests, that is, those whose targets crashed."""
 
 import contextlib
+import hashlib
 import http
+from collections.abc import AsyncIterator
 
 from damaskcroft._generated import agent_pb2, quarantine_pb2
-from damaskcroft.entry._calls import Call
+from damaskcroft.entry._calls import MAX_PREFIX_CHARACTERS, Call
 from damaskcroft.entry._refusals import Ran, Refusal
 from damaskcroft.membership import LeaseClient
 from damaskcroft.observe import log_event, metrics
 from damaskcroft.quarantine import (
     MAX_RECORDED_BODY_BYTES,
     RecentAnswers,
+    RequestTraits,
     SerialCopies,
+    SuspectParts,
     fingerprint,
+    part_key,
 )
 
 __all__ = ["Suspects", "WatchedCall"]
 
+_PREFIX_DIGEST_BYTES = 8
+
 
 class Suspects:
     """Suspect requests known to control and to this entry.
@@ -31,6 +38,7 @@
         self.crash_registry = client.roster.crashes
         self.copies = SerialCopies(self.crash_registry)
         self.recent_answers = RecentAnswers()
+        self.parts = SuspectParts(self.crash_registry, self.copies)
 
     def watch(self, call: Call) -> "WatchedCall":
         """Returns the state to keep for a call before its first attempt."""
@@ -45,13 +53,23 @@
         call: the call.
     """
 
-    __slots__ = ("_chain", "_fingerprint", "_status", "_suspects", "call")
+    __slots__ = (
+        "_chain",
+        "_chain_by_part",
+        "_fingerprint",
+        "_status",
+        "_suspects",
+        "call",
+        "traits",
+    )
 
     def __init__(self, suspects: Suspects, call: Call):
         """Starts with no crash and no answer recorded."""
         self._suspects = suspects
         self.call = call
+        self.traits = _traits(call)
         self._chain = 0
+        self._chain_by_part: dict[bytes, int] = {}
         # Status of the answer that has begun.
         self._status = 0
         self._fingerprint: bytes | None = None
@@ -77,30 +95,45 @@
         """
         if not self._suspects.crash_registry.has_suspects:
             return None
-        remaining_s = self._suspects.crash_registry.quarantined_s(
-            self.fingerprint
-        )
+        remaining_s = self._quarantined_s()
         if not remaining_s:
             return None
         if ran is Ran.NOT_RUN:
             return Refusal("quarantined", 503, ran, remaining_s)
         return Refusal("quarantined", 502, ran)
 
-    def one_at_a_time(
-        self, deadline_at: float
-    ) -> contextlib.AbstractAsyncContextManager[None]:
-        """Waits while this entry runs another copy of a suspect request."""
-        if not self._suspects.crash_registry.has_suspects:
-            return contextlib.nullcontext()
-        return self._suspects.copies.one_at_a_time(
-            self.fingerprint, deadline_at
+    def _quarantined_s(self) -> float:
+        """Seconds for which the call is still refused; 0 if it is not."""
+        registry = self._suspects.crash_registry
+        pattern = registry.refused_pattern(self.traits)
+        return max(
+            registry.quarantined_s(self.fingerprint),
+            registry.pattern_quarantined_s(pattern) if pattern else 0.0,
         )
 
+    @contextlib.asynccontextmanager
+    async def one_at_a_time(self, deadline_at: float) -> AsyncIterator[None]:
+        """Waits while this entry runs another copy of a suspect request.
+
+        Waits also while another request with the same new suspect part runs.
+        """
+        if not self._suspects.crash_registry.has_suspects:
+            yield
+            return
+        async with (
+            self._suspects.parts.one_at_a_time(
+                self.traits, deadline_at, lambda: bool(self._quarantined_s())
+            ),
+            self._suspects.copies.one_at_a_time(self.fingerprint, deadline_at),
+        ):
+            yield
+
     def record_dispatch(self) -> None:
         """Records the number of crashes known when the call is sent."""
         if self._suspects.crash_registry.has_suspects:
             known_chain = self._suspects.crash_registry.chain(self.fingerprint)
             self._chain = max(self._chain, known_chain)
+            self._chain_by_part = self._suspects.parts.chains(self.traits)
 
     def record_event(self, event: agent_pb2.RunEvent) -> None:
         """Records how an attempt ends, from an event of the agent."""
@@ -124,14 +157,25 @@
             target=failed.target_start,
             fingerprint=self.fingerprint.hex(),
         )
+        lost_parts = self._suspects.parts.lost(self.traits, self._chain_by_part)
+        parts = [
+            quarantine_pb2.Suspect(
+                fingerprint=part.key,
+                chain=part.chain,
+                answered=part.was_answered,
+            )
+            for part in lost_parts
+        ]
         suspect = quarantine_pb2.Suspect(
             fingerprint=self.fingerprint,
             chain=self._chain,
             answered=self._suspects.recent_answers.contains(self.fingerprint),
+            parts=range(len(parts)),
+            customer=self.call.customer,
         )
         self._suspects.crash_registry.merge(
             quarantine_pb2.TargetCrash(
-                start_id=failed.target_start, suspects=[suspect]
+                start_id=failed.target_start, suspects=[suspect], parts=parts
             )
         )
         self._suspects.client.renew_now()
@@ -142,14 +186,27 @@
             return
         if len(self.call.body) <= MAX_RECORDED_BODY_BYTES:
             self._suspects.recent_answers.record(self.fingerprint)
-        if not self._suspects.crash_registry.has_suspects:
-            return
-        if not self._suspects.crash_registry.clear(self.fingerprint):
-            return
-        metrics.QUARANTINE.labels("cleared").inc()
-        log_event(
-            "suspect_cleared",
-            request_id=self.call.request_id,
-            fingerprint=self.fingerprint.hex(),
+        cleared = self._suspects.parts.record_answer(
+            self.traits, self.call.request_id
         )
-        self._suspects.client.renew_now()
+        registry = self._suspects.crash_registry
+        if registry.has_suspects and registry.is_suspect(self.fingerprint):
+            metrics.QUARANTINE.labels("cleared").inc()
+            log_event(
+                "suspect_cleared",
+                request_id=self.call.request_id,
+                fingerprint=self.fingerprint.hex(),
+            )
+            cleared.add(self.fingerprint)
+        if cleared:
+            registry.clear_all(cleared)
+            self._suspects.client.renew_now()
+
+
+def _traits(call: Call) -> RequestTraits:
+    """What a call shares with others; a shorter prompt is all its own."""
+    if len(call.prefix.decode()) < MAX_PREFIX_CHARACTERS:
+        return RequestTraits(call.customer)
+    digest = hashlib.blake2b(call.prefix, digest_size=_PREFIX_DIGEST_BYTES)
+    key = part_key(call.pool, "", digest.hexdigest())
+    return RequestTraits(call.customer, frozenset([key]))
--- a/damaskcroft/entry/tests/fakes.py
+++ b/damaskcroft/entry/tests/fakes.py
@@ -316,7 +316,13 @@
             await roster.notify()
 
     def send(
-        self, entry_index, key, body_key=None, deadline_s=DEADLINE_S, pool=POOL
+        self,
+        entry_index,
+        key,
+        body_key=None,
+        deadline_s=DEADLINE_S,
+        pool=POOL,
+        prefix=b"",
     ):
         """Starts a call at an entry; records its response when it ends."""
         self.serial += 1
@@ -332,7 +338,7 @@
             priority=2,
             deadline_s=deadline_s,
             key=key,
-            prefix=b"",
+            prefix=prefix,
         )
         entry = self.entries[entry_index]
         task = asyncio.ensure_future(self.dispatch(entry, call))
--- a/damaskcroft/entry/tests/test_crashing_calls.py
+++ b/damaskcroft/entry/tests/test_crashing_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from damaskcroft.entry._calls import MAX_PREFIX_CHARACTERS
 from damaskcroft.entry.tests.fakes import ran_status
 
 
@@ -47,6 +48,37 @@
     loop.run(scenario())
 
 
+def test_calls_whose_prompts_begin_alike_are_refused_by_every_entry(
+    loop, cluster
+):
+    # Guards against calls that are each a first offender, because only the
+    # beginning of their prompts crashes targets.
+    shared, other = b"s" * MAX_PREFIX_CHARACTERS, b"o" * MAX_PREFIX_CHARACTERS
+
+    async def scenario():
+        for engine in cluster.engines.values():
+            engine.mode = "crashes"
+        for number in range(3):
+            await cluster.send(
+                number % 2, "", body_key=f"b{number}", prefix=shared
+            )
+        ran = len(cluster.journal)
+        for engine in cluster.engines.values():
+            engine.mode = "healthy"
+        for entry_index in (0, 1):
+            held = await cluster.send(
+                entry_index, "", body_key=f"c{entry_index}", prefix=shared
+            )
+            assert (held.status_code, ran_status(held)) == (503, "not_run")
+            assert int(held.headers["Retry-After"]) > 60
+        assert len(cluster.journal) == ran
+        for prefix in (other, b"short"):
+            sound = await cluster.send(0, "", body_key="d", prefix=prefix)
+            assert sound.status_code == 200
+
+    loop.run(scenario())
+
+
 def test_recently_answered_call_is_not_quarantined_after_three_crashes(
     loop, cluster
 ):
