Requests that wait are refused as soon as they are quarantined

A request that waited for a slot, or for its turn among copies, was told of its quarantine only when that wait ended: up to a third of its time, or two seconds. Its wait now ends with the verdict. The test of the slot failed before (no refusal within 0.5 s); that of the turn needs the new argument and was not run before.

Beside it: of several customers only the one whose requests ran on every crashed start counts as the sender of a crashing part, so that another one whose request was lost beside them is not refused; and parts without three crashes in sequence are left out of the verdicts early.

--- a/damaskcroft/entry/_suspects.py
+++ b/damaskcroft/entry/_suspects.py
@@ -120,11 +120,17 @@
         if not self._suspects.crash_registry.has_suspects:
             yield
             return
+
+        def is_refused() -> bool:
+            return bool(self._quarantined_s())
+
         async with (
             self._suspects.parts.one_at_a_time(
-                self.traits, deadline_at, lambda: bool(self._quarantined_s())
+                self.traits, deadline_at, is_refused
+            ),
+            self._suspects.copies.one_at_a_time(
+                self.fingerprint, deadline_at, is_refused=is_refused
             ),
-            self._suspects.copies.one_at_a_time(self.fingerprint, deadline_at),
         ):
             yield
 
--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -241,7 +241,12 @@
         ending = self._final_ending(job, progress)
         if ending is not None:
             return ending
-        allocated = await self._allocator.allocate(job, progress)
+        try:
+            async with self._running.waiting(job, progress):
+                allocated = await self._allocator.allocate(job, progress)
+        except TimeoutError:
+            # It is quarantined by now and refused next.
+            return None
         if not isinstance(allocated, SlotTaken):
             return allocated
         return await self._try_one(job, answer, progress, allocated)
--- a/damaskcroft/forwarding/_running.py
+++ b/damaskcroft/forwarding/_running.py
@@ -2,12 +2,16 @@
 
 Selects the attempts to hedge because their target is silent, and ends those
 that can't succeed: at restarted targets, on outdated weights, or of
-quarantined requests.
+quarantined requests. Requests that are quarantined while they wait for a slot
+are withdrawn.
 """
 
+import asyncio
 import contextlib
-from collections.abc import Collection, Iterator
+from collections.abc import AsyncIterator, Collection, Iterator
 
+from damaskcroft.clock import now_s
+from damaskcroft.forwarding._job import Job, Progress
 from damaskcroft.forwarding._relay import Dispatch
 from damaskcroft.forwarding._services import Services
 from damaskcroft.forwarding._suspects import (
@@ -27,11 +31,13 @@
         suspects: quarantined requests, which must not begin at any target.
     """
 
-    __slots__ = ("_dispatches", "_services", "_suspects")
+    __slots__ = ("_dispatches", "_services", "_suspects", "_waiting")
 
     def __init__(self, services: Services, suspects: Suspects):
         """Starts empty and subscribes to changes of suspicions."""
         self._dispatches: set[Dispatch] = set()
+        # Requests that wait for a slot, each with the end of its wait.
+        self._waiting: dict[asyncio.Timeout, tuple[Job, Progress]] = {}
         self._services = services
         self._suspects = suspects
         suspects.add_listener(self._abort_quarantined)
@@ -45,6 +51,18 @@
         finally:
             self._dispatches.discard(dispatch)
 
+    @contextlib.asynccontextmanager
+    async def waiting(
+        self, job: Job, progress: Progress
+    ) -> AsyncIterator[None]:
+        """Ends the block with a TimeoutError once a request is quarantined."""
+        async with asyncio.timeout(None) as wait:
+            self._waiting[wait] = job, progress
+            try:
+                yield
+            finally:
+                del self._waiting[wait]
+
     def attempts_to_hedge(self, silent_ids: Collection[str]) -> list[Dispatch]:
         """Attempts that should be hedged.
 
@@ -95,7 +113,14 @@
         return self._services.has_restarted(running.target)
 
     def _abort_quarantined(self) -> None:
-        """Ends attempts of quarantined requests that have not begun."""
+        """Ends attempts of quarantined requests that have not begun.
+
+        Ends the waits of those that are not sent yet as well.
+        """
+        for wait, (job, progress) in list(self._waiting.items()):
+            is_waiting = not wait.expired()
+            if is_waiting and self._suspects.quarantined_s(job, progress):
+                wait.reschedule(now_s())
         for running in list(self._dispatches):
             if running.attempt.begun:
                 continue
--- a/damaskcroft/forwarding/_suspects.py
+++ b/damaskcroft/forwarding/_suspects.py
@@ -167,15 +167,19 @@
         if not self._registry.has_suspects:
             yield
             return
-        fingerprint = _fingerprint(job, progress)
+
+        def is_refused() -> bool:
+            return bool(self.quarantined_s(job, progress))
+
         async with (
             self._parts.one_at_a_time(
-                _traits(job, progress),
-                job.deadline_at,
-                lambda: bool(self.quarantined_s(job, progress)),
+                _traits(job, progress), job.deadline_at, is_refused
             ),
             self._copies.one_at_a_time(
-                fingerprint, job.deadline_at, lambda: self._has_few_targets(job)
+                _fingerprint(job, progress),
+                job.deadline_at,
+                lambda: self._has_few_targets(job),
+                is_refused,
             ),
         ):
             yield
--- a/damaskcroft/forwarding/tests/test_quarantined.py
+++ b/damaskcroft/forwarding/tests/test_quarantined.py
@@ -306,6 +306,32 @@
     asyncio.run(scenario())
 
 
+def test_a_request_that_waits_for_a_slot_is_refused_once_quarantined():
+    # Guards against a refusal that comes only when the wait ends.
+    async def scenario():
+        target = FakeTarget("a", "hangs")
+        async with running_entry(target, config=REPEATABLE) as entry:
+            async with contextlib.AsyncExitStack() as stack:
+                for number in range(4):
+                    await stack.enter_async_context(
+                        running(entry.send_request(f"/{number}", x_deadline=9))
+                    )
+                await wait_until(lambda: request_count(target) == 4)
+                waiting = await stack.enter_async_context(
+                    running(entry.send_request(x_parts="bad x", x_deadline=9))
+                )
+                await asyncio.sleep(0.1)
+                assert not waiting.done()
+                note_part_crashes(entry, 3, "bad")
+                async with asyncio.timeout(0.5):
+                    status, head, _ = await waiting
+                assert status == 503
+                seconds = head.partition("retry-after: ")[2].split()[0]
+                assert float(seconds) > 60
+
+    asyncio.run(scenario())
+
+
 def test_an_answer_clears_the_parts_of_its_request_for_all_others():
     async def scenario():
         target = FakeTarget("a", "whole")
--- a/damaskcroft/quarantine/_copies.py
+++ b/damaskcroft/quarantine/_copies.py
@@ -76,6 +76,7 @@
         fingerprint: bytes,
         until: float,
         few_left: Callable[[], bool] = lambda: False,
+        is_refused: Callable[[], bool] = lambda: False,
     ) -> AsyncIterator[None]:
         """Waits while another copy of a suspect request is in progress.
 
@@ -83,17 +84,24 @@
             fingerprint: fingerprint of the request.
             until: loop time of the request's deadline.
             few_left: whether few targets are left that could run it.
+            is_refused: whether the request is refused for its parts by now.
         """
+
+        def must_run_alone() -> bool:
+            return self._must_run_alone(fingerprint) and not is_refused()
+
         await self._wait_while(
-            lambda: fingerprint in self._in_progress, fingerprint, until
+            lambda: fingerprint in self._in_progress, must_run_alone, until
         )
-        if not self._must_run_alone(fingerprint):
+        if not must_run_alone():
             yield
             return
         with self._marked_in_progress(fingerprint):
-            async with self._held_turn(fingerprint, fingerprint, until, until):
+            async with self._held_turn(
+                fingerprint, must_run_alone, until, until
+            ):
                 async with self._wait_after_several_crashes(
-                    fingerprint, until, few_left
+                    fingerprint, must_run_alone, until, few_left
                 ):
                     yield
 
@@ -108,22 +116,30 @@
             until: loop time of the request's deadline.
             is_refused: whether the request is quarantined by now.
         """
+
+        def must_run_alone() -> bool:
+            return self._registry.is_suspect(part) and not is_refused()
+
         bounded_until = min(until, now_s() + _MAX_SERIAL_WAIT_S)
         await self._wait_while(
-            lambda: part in self._in_progress and not is_refused(),
-            part,
-            bounded_until,
+            lambda: part in self._in_progress, must_run_alone, bounded_until
         )
-        if is_refused() or not self._must_run_alone(part):
+        if not must_run_alone():
             yield
             return
         with self._marked_in_progress(part):
-            async with self._held_turn(part, part, bounded_until, until):
+            async with self._held_turn(
+                part, must_run_alone, bounded_until, until
+            ):
                 yield
 
     @contextlib.asynccontextmanager
     async def _wait_after_several_crashes(
-        self, fingerprint: bytes, until: float, few_left: Callable[[], bool]
+        self,
+        fingerprint: bytes,
+        must_run_alone: Callable[[], bool],
+        until: float,
+        few_left: Callable[[], bool],
     ) -> AsyncIterator[None]:
         """Delays a request after several crashes in sequence.
 
@@ -140,16 +156,16 @@
             bounded_until, now + (until - now) * _RESTART_WAIT_SHARE
         )
         await self._wait_while(
-            few_left, fingerprint, restart_wait_until, _CHECK_INTERVAL_S
+            few_left, must_run_alone, restart_wait_until, _CHECK_INTERVAL_S
         )
         await self._wait_while(
             lambda: _SHARED_TURN_KEY in self._in_progress,
-            fingerprint,
+            must_run_alone,
             bounded_until,
         )
         with self._marked_in_progress(_SHARED_TURN_KEY):
             async with self._held_turn(
-                _SHARED_TURN_KEY, fingerprint, bounded_until, until
+                _SHARED_TURN_KEY, must_run_alone, bounded_until, until
             ):
                 yield
 
@@ -167,13 +183,17 @@
 
     @contextlib.asynccontextmanager
     async def _held_turn(
-        self, key: bytes, fingerprint: bytes, wait_until: float, until: float
+        self,
+        key: bytes,
+        must_run_alone: Callable[[], bool],
+        wait_until: float,
+        until: float,
     ) -> AsyncIterator[None]:
         """Waits for this entry's turn in the fleet, and holds it.
 
         Args:
             key: key of the turn.
-            fingerprint: fingerprint of the request, or key of the part.
+            must_run_alone: whether the request has to wait at all.
             wait_until: loop time at which it proceeds without a turn.
             until: loop time of the request's deadline.
         """
@@ -192,7 +212,7 @@
         )
         try:
             await self._wait_while(
-                lambda: not granted.is_set(), fingerprint, wait_until
+                lambda: not granted.is_set(), must_run_alone, wait_until
             )
             yield
         finally:
@@ -201,7 +221,7 @@
     async def _wait_while(
         self,
         condition: Callable[[], bool],
-        fingerprint: bytes,
+        must_run_alone: Callable[[], bool],
         until: float,
         check_interval_s: float = math.inf,
     ) -> None:
@@ -209,16 +229,12 @@
 
         Args:
             condition: the condition, checked after each change.
-            fingerprint: fingerprint of the request, or key of the part.
+            must_run_alone: whether the request has to wait at all.
             until: loop time at which the wait ends.
             check_interval_s: interval at which the condition is checked without
                 a change.
         """
-        while (
-            condition()
-            and self._must_run_alone(fingerprint)
-            and now_s() < until
-        ):
+        while condition() and must_run_alone() and now_s() < until:
             last_count = self._changed.count
             await self._changed.wait(
                 last_count, min(check_interval_s, until - now_s())
--- a/damaskcroft/quarantine/_part_evidence.py
+++ b/damaskcroft/quarantine/_part_evidence.py
@@ -62,16 +62,21 @@
     Parts that have run to their end elsewhere are left out.
     """
     crashes = [crashes_by_start[start] for start in starts]
-    traits = [
-        crash.traits_by_request[request]
+    traits_by_crash = [
+        [crash.traits_by_request[r] for r in crash.requests_with(part)]
         for crash in crashes
-        for request in crash.requests_with(part)
     ]
     exonerated = set().union(
         *(crash.answered | crash.cleared for crash in crashes)
     )
-    parts = frozenset.intersection(*(each.parts for each in traits))
-    customers = {each.customer for each in traits}
+    parts = frozenset.intersection(
+        *(each.parts for traits in traits_by_crash for each in traits)
+    )
+    # Other customers' requests may have been lost beside those of the customer
+    # whose requests ran on each start.
+    customers = set.intersection(
+        *({each.customer for each in traits} for traits in traits_by_crash)
+    )
     return PartPattern(
         parts - exonerated | {part},
         customers.pop() if len(customers) == 1 else None,
--- a/damaskcroft/quarantine/_verdicts.py
+++ b/damaskcroft/quarantine/_verdicts.py
@@ -60,8 +60,9 @@
 
     __slots__ = (
         "_crashes_by_start",
-        "_parts_by_start",
         "_requests_by_start",
+        "_starts_by_repeated_part",
+        "_starts_by_suspect",
         "culprits",
         "patterns",
     )
@@ -73,9 +74,20 @@
             start: crash.uncleared_requests
             for start, crash in crashes_by_start.items()
         }
-        self._parts_by_start = {
-            start: crash.uncleared_parts
-            for start, crash in crashes_by_start.items()
+        starts_by_part = starts_by_suspect(
+            {
+                start: crash.uncleared_parts
+                for start, crash in crashes_by_start.items()
+            }
+        )
+        self._starts_by_suspect = (
+            starts_by_suspect(self._requests_by_start) | starts_by_part
+        )
+        # All others can't be culprits, and there are many of them.
+        self._starts_by_repeated_part = {
+            part: starts
+            for part, starts in starts_by_part.items()
+            if self._has_repeated_crashes(part, starts)
         }
         self.culprits: set[bytes] = set()
         self.patterns: dict[PartPattern, list[str]] = {}
@@ -84,8 +96,7 @@
 
     def starts_by_suspect(self) -> dict[bytes, list[str]]:
         """The starts that crashed under each suspect that is not cleared."""
-        starts = starts_by_suspect(self._requests_by_start)
-        return starts | starts_by_suspect(self._parts_by_start)
+        return self._starts_by_suspect
 
     def _find_next(self) -> bool:
         """Adds what became a culprit next; whether there was any."""
@@ -194,18 +205,15 @@
             )
 
         explained = set().union(*self.patterns.values())
+        unexplained = {
+            part: [start for start in starts if start not in explained]
+            for part, starts in self._starts_by_repeated_part.items()
+        }
         return {
             part: [
                 start for start in starts if counts(part, start, len(starts))
             ]
-            for part, starts in starts_by_suspect(
-                {
-                    start: parts
-                    for start, parts in self._parts_by_start.items()
-                    if start not in explained
-                }
-            ).items()
-            if len(starts) >= MIN_CRASHES
+            for part, starts in unexplained.items()
         }
 
     def _part_culprit_since(
@@ -267,12 +275,17 @@
         return {
             start
             for suspect, starts in starts_by_uncleared.items()
-            if len(starts) >= MIN_CRASHES
-            and longest_chain(self._crashes_by_start, suspect, starts)
-            >= MIN_CRASHES
+            if self._has_repeated_crashes(suspect, starts)
             for start in starts
         }
 
+    def _has_repeated_crashes(self, suspect: bytes, starts: list[str]) -> bool:
+        """Whether enough targets crashed in sequence for a verdict."""
+        if len(starts) < MIN_CRASHES:
+            return False
+        longest = longest_chain(self._crashes_by_start, suspect, starts)
+        return longest >= MIN_CRASHES
+
     def _culprit_since(
         self,
         suspect: bytes,
--- a/damaskcroft/quarantine/tests/test_prompt_parts.py
+++ b/damaskcroft/quarantine/tests/test_prompt_parts.py
@@ -144,6 +144,19 @@
     play(scenario)
 
 
+def test_a_customer_whose_request_was_lost_beside_others_is_served(
+    play, registry
+):
+    def scenario():
+        for n in range(3):
+            beside = {b"beside": ("d", [b"bad"])} if n == 0 else {}
+            registry.merge(crash(f"t{n}", bad(n) | beside, chain=n + 1))
+        assert refuses(registry, b"bad", customer="c")
+        assert not refuses(registry, b"bad", customer="d")
+
+    play(scenario)
+
+
 def test_parts_that_occur_together_are_refused_only_together(play, registry):
     def scenario():
         merge_crashes(registry, range(3), parts=(b"bad", b"new"))
@@ -396,6 +409,31 @@
     loop.run(scenario())
 
 
+def test_a_copy_that_waits_is_refused_once_its_part_is(loop, registry):
+    # Guards against a request that waits for its turn although it is refused.
+    async def scenario():
+        merge_crashes(registry, range(2))
+        copies = SerialCopies(registry)
+        until = asyncio.get_running_loop().time() + _MINUTE_S
+
+        def one_at_a_time():
+            return copies.one_at_a_time(
+                b"bad 0", until, is_refused=lambda: refuses(registry, b"bad")
+            )
+
+        async def wait_for_turn():
+            async with one_at_a_time():
+                return asyncio.get_running_loop().time()
+
+        async with one_at_a_time():
+            waiting = asyncio.create_task(wait_for_turn())
+            await asyncio.sleep(1)
+            merge_crashes(registry, [2])
+            assert await waiting == 1.0
+
+    loop.run(scenario())
+
+
 def test_keys_of_parts_are_readable_unambiguous_and_bounded():
     assert part_key("svc", "m", "5c1e07a2") == b"svc/m/5c1e07a2"
     assert part_key("a/b", "c", "d") != part_key("a", "b/c", "d")
