--- a/damaskcroft/hosted/tests/soak/_faults.py
+++ b/damaskcroft/hosted/tests/soak/_faults.py
@@ -53,7 +53,7 @@
 _COPY_INTERVAL_S = 0.3
 # From this seed on, requests that share a crashing part of their prompts are
 # sent as well, and all requests have prompts.
-PARTS_FROM_SEED = 4000
+PARTS_FROM_SEED = 5000
 _PART_KINDS = ("crashing part",)
 _PART_GAP_S = (1.0, 6.0)
 _PART_INTERVALS_S = (0.15, 0.3, 0.6, 1.2)
--- a/damaskcroft/hosted/tests/test_soak.py
+++ b/damaskcroft/hosted/tests/test_soak.py
@@ -9,6 +9,7 @@
 
 from damaskcroft.hosted.tests.soak._faults import (
     CHANGES_FROM_SEED,
+    PARTS_FROM_SEED,
     PAUSES_FROM_SEED,
     has_changes,
     has_pauses,
@@ -44,6 +45,8 @@
     # Entries aborted answers of paused targets when a configuration removed
     # their key or limits.
     (3001, 8.0),
+    # Never failed; requests share a crashing part beside planned operations.
+    (5001, 10.0),
 ]
 
 
@@ -145,6 +148,19 @@
     assert kinds == {"stop control", "stop entry", "hup all", "leave target"}
 
 
+@pytest.mark.parametrize("seed", [2, 801, 3001, 4024, 4124])
+def test_earlier_seeds_have_no_crashing_parts(seed):
+    # Guards against a change of the schedule of an old seed.
+    kinds = {fault.kind for fault in schedule(seed, 60)}
+    assert "crashing part" not in kinds
+
+
+@pytest.mark.parametrize("seed", [PARTS_FROM_SEED, PARTS_FROM_SEED + 1])
+def test_crashing_parts_are_sent_beside_all_other_faults(seed):
+    kinds = {fault.kind for fault in schedule(seed, 60)}
+    assert {"crashing part", "stop control", "stop entry"} <= kinds
+
+
 def changes_in(faults):
     return [fault for fault in faults if fault.kind.startswith("take ")]
 
