Verdicts on one part in several steps add up; eviction in one pass

Found by reading: a pattern that is found again for further crashes replaced the starts of the first time, which would then be unexplained again; with the right order of finds the search could go on without end. The starts add up now, so that each step explains more. Eviction above the bounds counted all keys again for each crash it removed.

Tests: a part and a request that crash targets beside each other are both refused; the quarantine of a part outlasts restarts of control and of the entries.

--- a/damaskcroft/hosted/tests/test_crashing_requests.py
+++ b/damaskcroft/hosted/tests/test_crashing_requests.py
@@ -81,6 +81,30 @@
     with_fleet(scenario)
 
 
+def test_the_quarantine_of_a_part_outlasts_restarts(with_fleet):
+    async def scenario(fleet):
+        async with fleet.background_load() as background:
+            for _ in range(8):
+                await fleet.send_crashing_part()
+            for restart in (
+                fleet.restart_control,
+                fleet.restart_entries_in_turn,
+            ):
+                await restart()
+                for _ in range(2 * len(ENTRY_IPS)):
+                    assert (await fleet.send_crashing_part()).status == 503
+                background.clear()
+            await asyncio.sleep(CONTACT_S)
+        late = fleet.history.arrivals_after_crashes(
+            PART, CRASHES_TO_QUARANTINE_PART
+        )
+        assert late == []
+        lost = [outcome for outcome in background if outcome.status != 200]
+        assert len(lost) <= _MAX_LOST_SHARE * len(background)
+
+    with_fleet(scenario)
+
+
 def test_concurrent_copies_at_all_entries_crash_one_target_at_a_time(
     with_fleet,
 ):
--- a/damaskcroft/quarantine/_crash_registry.py
+++ b/damaskcroft/quarantine/_crash_registry.py
@@ -385,24 +385,27 @@
 
     def _evict_oldest(self) -> None:
         """Evicts the oldest crashes above the caps, quarantined ones last."""
-        while (
-            len(self._crashes_by_start) > _MAX_STARTS
-            or self._key_count() > _MAX_KEYS
+        key_count = sum(c.key_count for c in self._crashes_by_start.values())
+        if (
+            len(self._crashes_by_start) <= _MAX_STARTS
+            and key_count <= _MAX_KEYS
         ):
-            protected = self._starts_of_quarantined()
-            del self._crashes_by_start[
-                min(
-                    self._crashes_by_start,
-                    key=lambda start: (
-                        start in protected,
-                        self._crashes_by_start[start].occurred_at,
-                    ),
-                )
-            ]
-
-    def _key_count(self) -> int:
-        """Number of keys that all crashes hold."""
-        return sum(crash.key_count for crash in self._crashes_by_start.values())
+            return
+        protected = self._starts_of_quarantined()
+        oldest_first = sorted(
+            self._crashes_by_start,
+            key=lambda start: (
+                start in protected,
+                self._crashes_by_start[start].occurred_at,
+            ),
+        )
+        for start in oldest_first:
+            if (
+                len(self._crashes_by_start) <= _MAX_STARTS
+                and key_count <= _MAX_KEYS
+            ):
+                return
+            key_count -= self._crashes_by_start.pop(start).key_count
 
     def _starts_of_quarantined(self) -> set[str]:
         """Starts that crashed under requests that are or were refused."""
--- a/damaskcroft/quarantine/_verdicts.py
+++ b/damaskcroft/quarantine/_verdicts.py
@@ -45,9 +45,9 @@
 class Verdicts:
     """Derives from the known crashes what causes them.
 
-    What became a culprit first is found first. The crashes that it explains
-    then no longer count against others, except where a request ran that has
-    both.
+    The request that became a culprit first is found first, unless a part became
+    one earlier or explains more crashes. The crashes that a culprit explains no
+    longer count against others.
 
     Args:
         crashes_by_start: all known crashes.
@@ -169,7 +169,8 @@
         }
         if len(found) > 1 and best[1] < _MIN_CRASHES_IF_AMBIGUOUS:
             return False
-        self.patterns |= found
+        for pattern, starts in found.items():
+            self.patterns[pattern] = [*self.patterns.get(pattern, ()), *starts]
         # Requests that were lost beside those with the parts may have been
         # taken for culprits.
         self.culprits.clear()
--- a/damaskcroft/quarantine/tests/test_prompt_parts.py
+++ b/damaskcroft/quarantine/tests/test_prompt_parts.py
@@ -277,6 +277,21 @@
     play(scenario)
 
 
+def test_a_part_and_a_request_that_crash_targets_are_both_refused(
+    loop, registry
+):
+    async def scenario():
+        culprit = {b"culprit": ("d", [b"theirs"])}
+        for n in range(9):
+            requests = (bad(n), culprit, bad(n) | culprit)[n % 3]
+            registry.merge(crash(f"t{n}", requests, chain=n + 1))
+            await asyncio.sleep(1)
+        assert patterns(registry) == {pattern(b"bad")}
+        assert registry.quarantined_s(b"culprit") > 0
+
+    loop.run(scenario())
+
+
 def test_the_order_of_reports_does_not_matter(play):
     def scenario():
         reports = [
