Own interface: an answer without a length is no longer an empty one

What callers saw: a target's answer with neither a length nor chunks arrived as a complete 200 with an empty body, through an agent.

Cause: the HTTP library of the agent reads no body whose end only the close of the connection marks, and ends without an error. Found where the same cause as that of the truncated answers was looked for. Why this works: such an answer now counts as lost, which is true of what the agent has of it. Answers to HEAD requests and those of statuses without a body are as before.

To read such answers whole, the agent would need the other HTTP client; that is not done.

--- a/damaskcroft/engines/_http.py
+++ b/damaskcroft/engines/_http.py
@@ -31,6 +31,7 @@
 from damaskcroft.rpc import HTTP_ERRORS, make_http_client
 
 _STATUS_CONFLICT = 409
+_BODILESS_STATUSES = frozenset({204, 304})
 # Rate limit: requests a second that the target accepts from all senders
 # together.
 _RATE_LIMIT_HEADER = "X-Rate-Limit"
@@ -79,7 +80,7 @@
             yield CallStarted(
                 response.status_code,
                 response.headers.get("Content-Type", ""),
-                _body_chunks(response),
+                _body_chunks(response, call.method),
                 response.headers.get("X-Request-Id", ""),
                 _rate_limit(response),
             )
@@ -242,9 +243,23 @@
     return parse_limit([] if value is None else [value])
 
 
-async def _body_chunks(response: aiosonic.HttpResponse) -> AsyncIterator[bytes]:
+async def _body_chunks(
+    response: aiosonic.HttpResponse, method: str
+) -> AsyncIterator[bytes]:
+    if method != "HEAD" and not _has_known_end(response):
+        # The HTTP library would return an empty body.
+        raise ConnectionError("an answer with neither a length nor chunks")
     try:
         async for chunk in response.iter_bytes():
             yield chunk
     except HTTP_ERRORS as error:
         raise ConnectionError(str(error)) from error
+
+
+def _has_known_end(response: aiosonic.HttpResponse) -> bool:
+    """Whether more than the connection's close marks the end of the body."""
+    return (
+        response.chunked
+        or response.headers.get("Content-Length") is not None
+        or response.status_code in _BODILESS_STATUSES
+    )
