Registry: one question for a request's refusal, for itself or its parts

Both interfaces asked for the two times and took the longer one. An unused method of patterns is gone. Nothing else changes; the tests of quarantine/, entry/ and forwarding's quarantine pass.

--- a/damaskcroft/entry/_suspects.py
+++ b/damaskcroft/entry/_suspects.py
@@ -104,11 +104,8 @@
 
     def _quarantined_s(self) -> float:
         """Seconds for which the call is still refused; 0 if it is not."""
-        registry = self._suspects.crash_registry
-        pattern = registry.refused_pattern(self.traits)
-        return max(
-            registry.quarantined_s(self.fingerprint),
-            registry.pattern_quarantined_s(pattern) if pattern else 0.0,
+        return self._suspects.crash_registry.refused_s(
+            self.fingerprint, self.traits
         )
 
     @contextlib.asynccontextmanager
--- a/damaskcroft/forwarding/_suspects.py
+++ b/damaskcroft/forwarding/_suspects.py
@@ -126,11 +126,9 @@
         """Seconds for which a request remains refused; 0 if it is not."""
         if not self._registry.has_suspects:
             return 0.0
-        refused_s = self._registry.quarantined_s(_fingerprint(job, progress))
-        pattern = self._registry.refused_pattern(_traits(job, progress))
-        if pattern is None:
-            return refused_s
-        return max(refused_s, self._registry.pattern_quarantined_s(pattern))
+        return self._registry.refused_s(
+            _fingerprint(job, progress), _traits(job, progress)
+        )
 
     def refusal(
         self, job: Job, progress: Progress, quarantined_s: float
--- a/damaskcroft/quarantine/_crash_registry.py
+++ b/damaskcroft/quarantine/_crash_registry.py
@@ -275,6 +275,19 @@
         """How long matching requests are still refused; 0 if they are not."""
         return max(0.0, self._pattern_until.get(pattern, 0.0) - now_s())
 
+    def refused_s(self, fingerprint: bytes, traits: RequestTraits) -> float:
+        """How long a request is still refused, for itself or for its parts.
+
+        Args:
+            fingerprint: fingerprint of the request.
+            traits: what it shares with others.
+        """
+        refused_s = self.quarantined_s(fingerprint)
+        pattern = self.refused_pattern(traits)
+        if pattern is None:
+            return refused_s
+        return max(refused_s, self.pattern_quarantined_s(pattern))
+
     def quarantined(self) -> list[Quarantined]:
         """All that is refused now, for operators."""
         refused = [
--- a/damaskcroft/quarantine/_part_evidence.py
+++ b/damaskcroft/quarantine/_part_evidence.py
@@ -31,10 +31,6 @@
             return False
         return self.parts <= traits.parts
 
-    def matches_any(self, crash: Crash) -> bool:
-        """Whether any request that ran on a crashed start matches."""
-        return any(map(self.matches, crash.traits_by_request.values()))
-
 
 def distinct_request_crashes(
     crashes: Iterable[Crash], part: bytes
