A target that announced its end is asked too whether its answer was complete

Cause: a target that had announced its end in its answers crashed under a part; the close of such targets was taken as regular without asking their address.

Why this works: a request that may run again is now sent elsewhere if the target refuses connections; the cost is one attempt if the answer was complete after all. A request that must not run again keeps its answer, since a target that leaves may close its last answers and be gone.

--- a/damaskcroft/forwarding/_attempt.py
+++ b/damaskcroft/forwarding/_attempt.py
@@ -139,7 +139,7 @@
                 changed meanwhile; returns a reason to withhold the request, or
                 None to send it.
             known_end: whether the target's process has ended without notice;
-                False if it announced that it ends, None if neither is known.
+                None if its address has to be asked.
             new_connection: whether to open a new connection, because idle ones
                 may be as silent as the one whose attempt is hedged.
         """
--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -354,7 +354,7 @@
                 lambda connect_s: self._why_not_send(
                     job, progress, target, allocated_at, connect_s, hedge
                 ),
-                known_end=lambda: self._suspects.known_end(target),
+                known_end=lambda: self._suspects.known_end(job, target),
                 new_connection=hedge.is_second,
             ) as opened:
                 hedge.attempt = opened
--- a/damaskcroft/forwarding/_suspects.py
+++ b/damaskcroft/forwarding/_suspects.py
@@ -103,15 +103,19 @@
             target
         ) or self._back_pressure.is_draining(target.id)
 
-    def known_end(self, target: Candidate) -> bool | None:
+    def known_end(self, job: Job, target: Candidate) -> bool | None:
         """Whether a start of a target has ended without notice.
 
+        A target that announced its end may close its last answers and then
+        refuse connections. If the request must not run again, such an answer
+        is better than none.
+
         Returns:
-            False if it announced its end, True if a later start has replaced
-            it; None if neither is known.
+            True if a later start has replaced it, False if it announced its end
+            and the request is not repeatable; None if the address tells.
         """
         if self.is_draining(target):
-            return False
+            return None if job.is_repeatable else False
         return True if self._services.is_replaced(target) else None
 
     def add_listener(self, listener: Callable[[], None]) -> None:
--- a/damaskcroft/forwarding/tests/test_quarantined.py
+++ b/damaskcroft/forwarding/tests/test_quarantined.py
@@ -371,11 +371,15 @@
     asyncio.run(scenario())
 
 
-def test_an_answer_that_ends_with_its_target_is_requested_elsewhere():
-    # Guards against a truncated answer that its caller takes for a whole one.
+@pytest.mark.parametrize(
+    "mode", ["ends_by_close_and_dies", "ends_by_close_and_leaves"]
+)
+def test_an_answer_that_ends_with_its_target_is_requested_elsewhere(mode):
+    # Guards against a truncated answer that its caller takes for a whole one,
+    # also from a target that crashes after it announced its end.
     async def scenario():
         first, second = FakeTarget("a"), FakeTarget("b")
-        first.modes = second.modes = ["ends_by_close_and_dies", "whole"]
+        first.modes = second.modes = [mode, "whole"]
         async with running_entry(first, second, config=REPEATABLE) as entry:
             assert (await entry.send_request())[0] == 200
             assert request_count(first, second) == 2
--- a/damaskcroft/hosted/tests/test_soak.py
+++ b/damaskcroft/hosted/tests/test_soak.py
@@ -47,6 +47,9 @@
     (3001, 8.0),
     # Never failed; requests share a crashing part beside planned operations.
     (5001, 10.0),
+    # A target that had announced its end crashed; its truncated answer arrived
+    # as a complete one.
+    (5120, 15.0),
 ]
 
 
