Bursts tell why chunks are read from the origin, and which reads are repeated

Two to three copies are read after a loss of all power. Until now no line told whether these reads are planned ones of agents that disagree on the participants, reads of overdue chunks, or turns of agents that have not heard of a chunk. burst_progress gets participants=, outside_reads= and repeated_reads=; damask_burst_outside_reads{reason, copy} counts the same.

--- a/damaskcroft/observe/metrics.py
+++ b/damaskcroft/observe/metrics.py
@@ -13,6 +13,7 @@
     "ANSWER_WHOLE_S",
     "BURST_BYTES",
     "BURST_CHUNKS_CORRUPT",
+    "BURST_OUTSIDE_READS",
     "BURST_RECEIVERS_SILENT",
     "BURST_SOURCE_FAILURES",
     "BURST_YIELDS",
@@ -171,6 +172,10 @@
 BURST_CHUNKS_CORRUPT = Counter(
     "damask_burst_corrupt_chunks", "Chunks that failed their digest", ["source"]
 )
+BURST_OUTSIDE_READS = Counter(
+    "damask_burst_outside_reads", "Chunks read from outside, by why, and "
+    "whether another agent was known to hold them by then", ["reason", "copy"],
+)  # fmt: skip
 BURST_RECEIVERS_SILENT = Counter(
     "damask_burst_silent_receivers",
     "Chunks that were no longer sent, since nobody asked for their next part",
--- a/damaskcroft/weights/_burst.py
+++ b/damaskcroft/weights/_burst.py
@@ -19,7 +19,7 @@
 from damaskcroft.clock import now_s
 from damaskcroft.observe import log_event, metrics
 from damaskcroft.tasks import Signal, cancel_all
-from damaskcroft.weights._fetcher import BurstCounts, Fetcher
+from damaskcroft.weights._fetcher import BurstCounts, Fetcher, ReadReason
 from damaskcroft.weights._gossip import Gossip
 from damaskcroft.weights._late_reading import LateReading
 from damaskcroft.weights._manifest_fetcher import ManifestFetcher
@@ -230,6 +230,14 @@
                 missing=",".join(
                     map(str, version.missing()[:_MAX_LOGGED_CHUNKS])
                 ),
+                participants=(
+                    len(self._planner.participants) if self._planner else 0
+                ),
+                outside_reads=",".join(
+                    f"{reason}:{count}"
+                    for reason, count in self._counts.outside_reads.items()
+                ),
+                repeated_reads=self._counts.repeated_reads,
                 origin_bytes=self._counts.origin_bytes,
                 peer_bytes=self._counts.peer_bytes,
                 sent_bytes=self._counts.sent_bytes,
@@ -352,7 +360,7 @@
                 continue
             self._claimed.add(index)
             while not version.held[index]:
-                await fetcher.read_from_outside(index)
+                await fetcher.read_from_outside(index, ReadReason.HELP)
 
     async def _read_shared(
         self, version: StagedVersion, fetcher: Fetcher
@@ -478,7 +486,7 @@
             return
         async with self._outside_slots:
             if not version.held[index]:
-                await fetcher.read_from_outside(index)
+                await fetcher.read_from_outside(index, ReadReason.PLANNED)
 
 
 async def _finishes_before(
--- a/damaskcroft/weights/_fetcher.py
+++ b/damaskcroft/weights/_fetcher.py
@@ -1,7 +1,9 @@
 """Fetches one chunk from one source, and records its failures."""
 
 import asyncio
+import collections
 import dataclasses
+import enum
 import random
 from collections.abc import Sequence
 
@@ -25,7 +27,13 @@
 from damaskcroft.weights._transfers import ActiveTransfers
 from damaskcroft.weights._unaware import UnawareAgents
 
-__all__ = ["CORRUPT_SUSPECT_S", "SUSPECT_S", "BurstCounts", "Fetcher"]
+__all__ = [
+    "CORRUPT_SUSPECT_S",
+    "SUSPECT_S",
+    "BurstCounts",
+    "Fetcher",
+    "ReadReason",
+]
 
 # A silent agent may be behind a full link; a refused connection may be due to
 # a restart, which takes about a second.
@@ -42,9 +50,30 @@
 _LEARN_TIMEOUT_S = 0.4
 
 
+class ReadReason(enum.StrEnum):
+    """Why an agent reads a chunk from outside."""
+
+    # The plan assigns the chunk to this agent.
+    PLANNED = "planned"
+    # The planned reader is late, and this agent's turn has come.
+    LATE = "late"
+    # The chunk is overdue here, and no holder of it is known.
+    OVERDUE = "overdue"
+    # The whole fleet reads in turn.
+    IN_TURN = "in_turn"
+    # The share that the policy grants beyond the first copy.
+    HELP = "help"
+
+
 @dataclasses.dataclass(slots=True)
 class BurstCounts:
-    """Bytes by source, and corrupt chunks, for reports."""
+    """Bytes by source, corrupt chunks and outside reads, for reports.
+
+    Attributes:
+        repeated_reads: chunks read from outside that another agent was known to
+            hold by the end of the read.
+        outside_reads: chunks read from outside, by `ReadReason`.
+    """
 
     origin_bytes: int = 0
     store_bytes: int = 0
@@ -52,6 +81,10 @@
     local_bytes: int = 0
     sent_bytes: int = 0
     corrupt_chunks: int = 0
+    repeated_reads: int = 0
+    outside_reads: collections.Counter[ReadReason] = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
 
 class Fetcher:
@@ -172,7 +205,7 @@
             case PeerFailed(reason=reason):
                 self._suspect(peer, reason)
 
-    async def read_from_outside(self, index: int) -> None:
+    async def read_from_outside(self, index: int, reason: ReadReason) -> None:
         """Reads a chunk from the first outside source that delivers it."""
         has_failed = False
         for source in self._outside:
@@ -187,6 +220,7 @@
             if isinstance(outcome, OutsideData):
                 await self._pacer.pass_bytes(len(outcome.data))
                 self._failing_since = None
+                self._count_read(index, reason)
                 self._store_chunk(index, outcome.data, source.name, "")
                 return
             has_failed = True
@@ -208,6 +242,14 @@
             return False
         return self._failed_at - self._failing_since >= _UNAVAILABLE_AFTER_S
 
+    def _count_read(self, index: int, reason: ReadReason) -> None:
+        is_repeated = self._version.holdings.is_held_anywhere(index)
+        self._counts.outside_reads[reason] += 1
+        self._counts.repeated_reads += is_repeated
+        metrics.BURST_OUTSIDE_READS.labels(
+            reason, "repeated" if is_repeated else "first"
+        ).inc()
+
     def _record_failure(self) -> None:
         self._failed_at = now_s()
         if self._failing_since is None:
--- a/damaskcroft/weights/_late_reading.py
+++ b/damaskcroft/weights/_late_reading.py
@@ -12,7 +12,7 @@
 from collections.abc import Iterator
 
 from damaskcroft.clock import now_s
-from damaskcroft.weights._fetcher import Fetcher
+from damaskcroft.weights._fetcher import Fetcher, ReadReason
 from damaskcroft.weights._planner import Planner
 from damaskcroft.weights._store import StagedVersion
 from damaskcroft.weights._suspects import Suspects
@@ -75,7 +75,7 @@
             if index is None:
                 await asyncio.sleep(_POLL_S)
             else:
-                await self._fetcher.read_from_outside(index)
+                await self._fetcher.read_from_outside(index, ReadReason.LATE)
 
     def _due(self, waited_s: float) -> Iterator[int]:
         suspects = self._suspects.current_ids()
--- a/damaskcroft/weights/_rescue.py
+++ b/damaskcroft/weights/_rescue.py
@@ -13,7 +13,7 @@
 
 from damaskcroft.clock import now_s
 from damaskcroft.tasks import cancel_all
-from damaskcroft.weights._fetcher import Fetcher
+from damaskcroft.weights._fetcher import Fetcher, ReadReason
 from damaskcroft.weights._peer_selection import PeerSelector
 from damaskcroft.weights._planner import Planner
 from damaskcroft.weights._store import StagedVersion
@@ -255,7 +255,9 @@
                             index, holder, selector, 0.0
                         )
                     case ReadOutside():
-                        await self._fetcher.read_from_outside(index)
+                        await self._fetcher.read_from_outside(
+                            index, ReadReason.OVERDUE
+                        )
                     case QueryAgent():
                         await self._query_agent(index, selector, excluded)
         except TimeoutError:
--- a/damaskcroft/weights/_shared_reading.py
+++ b/damaskcroft/weights/_shared_reading.py
@@ -20,7 +20,7 @@
 from collections.abc import Callable, Iterator
 
 from damaskcroft.clock import now_s
-from damaskcroft.weights._fetcher import Fetcher
+from damaskcroft.weights._fetcher import Fetcher, ReadReason
 from damaskcroft.weights._planner import Planner
 from damaskcroft.weights._store import StagedVersion
 from damaskcroft.weights._suspects import Suspects
@@ -173,6 +173,6 @@
         self._may_take_over_at = now_s() + pause_s * (0.5 + self._rng.random())
 
     async def _read(self, index: int) -> None:
-        await self._fetcher.read_from_outside(index)
+        await self._fetcher.read_from_outside(index, ReadReason.IN_TURN)
         if not self._version.held[index]:
             self._has_failed = True
