Plans of bursts: one class for the stager and the simulation

No change of behaviour: an agent plans over the agents that it knows, once more when it knows any, and keeps that plan. A fetch ahead plans in the same way now. In the simulation agents may learn of each other late.

--- a/damaskcroft/agent/_fleet_stager.py
+++ b/damaskcroft/agent/_fleet_stager.py
@@ -24,7 +24,7 @@
 from damaskcroft.engines import EngineUnreachable, StagedEngine
 from damaskcroft.fleet import FleetView
 from damaskcroft.observe import log_event, metrics
-from damaskcroft.tasks import cancel_all, cancelled
+from damaskcroft.tasks import background, cancel_all, cancelled
 from damaskcroft.weights import (
     Burst,
     BurstCounts,
@@ -35,8 +35,8 @@
     Pacer,
     Participant,
     PeerSource,
+    RosterPlan,
     StagedVersion,
-    make_planner,
 )
 
 __all__ = ["FleetStager"]
@@ -329,7 +329,7 @@
         )
 
     def _burst(self, chosen: ModelVersion, source: OutsideSource) -> Burst:
-        burst = Burst(
+        return Burst(
             self._own.state.address,
             chosen.path,
             self._store,
@@ -342,8 +342,6 @@
             ),
             self.counts,
         )
-        self._plan(burst)
-        return burst
 
     async def _fetch_and_put(
         self,
@@ -363,7 +361,6 @@
         """
         confirming = asyncio.create_task(confirmation)
         putting = asyncio.create_task(self._put_when_up(version))
-        planning = asyncio.create_task(self._plan_when_known(burst))
         fetching = asyncio.create_task(self._fetch_whole(burst, version))
         try:
             # Chunks of a corrupt manifest never match their digests, so the
@@ -377,11 +374,12 @@
             await fetching
             await putting
         finally:
-            await cancel_all((planning, putting, confirming, fetching))
+            await cancel_all((putting, confirming, fetching))
 
     async def _fetch_whole(self, burst: Burst, version: StagedVersion) -> None:
-        while not version.verify_all_chunks():
-            await burst.run(version)
+        async with background(self._roster_plan(burst).run):
+            while not version.verify_all_chunks():
+                await burst.run(version)
 
     def _source(self) -> OutsideSource:
         """Returns the outside source that the configuration names.
@@ -446,17 +444,6 @@
                 version.manifest.model, index, data
             )
 
-    async def _plan_when_known(self, burst: Burst) -> None:
-        """Makes the plan once other agents are known, and keeps it.
-
-        With a new plan for each agent that joins, chunks would wait for
-        newcomers that hold nothing yet. Newcomers include all agents in their
-        own plan, so that no agent has to wait for them.
-        """
-        while not self._own.peers():
-            await asyncio.sleep(_POLL_S)
-        self._plan(burst)
-
     def _live_peers(self) -> list[fleet_pb2.AgentState]:
         """Returns the other agents with live targets, or all if none is known.
 
@@ -470,10 +457,14 @@
         }
         return [p for p in peers if p.target_address in addresses] or peers
 
-    def _plan(self, burst: Burst) -> None:
-        own = self._own.state
-        participants = [
-            Participant(agent.address, agent.address, agent.region)
-            for agent in [*self._live_peers(), own]
-        ]
-        burst.set_planner(make_planner(_PLANNER, own.address, participants))
+    def _roster_plan(self, burst: Burst) -> RosterPlan:
+        return RosterPlan(
+            burst,
+            _PLANNER,
+            _participant(self._own.state),
+            lambda: [_participant(peer) for peer in self._live_peers()],
+        )
+
+
+def _participant(agent: fleet_pb2.AgentState) -> Participant:
+    return Participant(agent.address, agent.address, agent.region)
--- a/damaskcroft/standins/virtual_links.py
+++ b/damaskcroft/standins/virtual_links.py
@@ -12,13 +12,14 @@
 import dataclasses
 import hashlib
 import random
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterable
 from typing import Any
 
 from damaskcroft._generated import agent_pb2, records_pb2
 from damaskcroft.agent import ChunkServer
 from damaskcroft.clock import now_s
 from damaskcroft.rpc import ChannelPool, Keys
+from damaskcroft.tasks import background
 from damaskcroft.units import bytes_per_s
 from damaskcroft.weights import (
     Burst,
@@ -30,9 +31,9 @@
     OutsideFailed,
     Pacer,
     Participant,
+    RosterPlan,
     StagedVersion,
     UploadRate,
-    make_planner,
     manifest_of_digests,
     weights_path,
 )
@@ -91,6 +92,9 @@
         chunk_bytes: size of a chunk.
         hears_within_s: interval from which the time is drawn at which an agent
             learns of the version.
+        known_within_s: interval from which the time is drawn after which
+            another agent learns that an agent takes part; None if each agent
+            knows all others from the start.
         options: options of each burst.
     """
 
@@ -102,6 +106,7 @@
     chunks: int = 64
     chunk_bytes: int = 32_768
     hears_within_s: tuple[float, float] = (0.08, 0.27)
+    known_within_s: tuple[float, float] | None = None
     options: BurstOptions = dataclasses.field(
         default_factory=lambda: BurstOptions(
             parallel_fetches=48,
@@ -268,6 +273,7 @@
     Attributes:
         version: the staged version; None before the agent learns of it.
         whole_at: time at which the version was complete; None before.
+        began_at: time at which the agent began to take part; None before.
     """
 
     def __init__(self, fleet: "Fleet", participant: Participant):
@@ -289,9 +295,13 @@
         )
         self.version: StagedVersion | None = None
         self.whole_at: float | None = None
+        self.began_at: float | None = None
+        # After what time this agent learns of each other agent's beginning.
+        self._news_s_by_address: dict[str, float] = {}
 
     async def bring(self) -> None:
         """Fetches the complete version."""
+        self.began_at = now_s()
         self.version = self.store.open_version(self._fleet.manifest, set())
         burst = Burst(
             self.participant.id,
@@ -306,16 +316,38 @@
             ),
             self.counts,
         )
-        participants = [
-            agent.participant
-            for agent in self._fleet.agents_by_address.values()
-        ]
-        burst.set_planner(
-            make_planner("latin", self.participant.id, participants)
+        plan = RosterPlan(
+            burst, "latin", self.participant, self._known_participants
         )
-        await burst.run(self.version)
+        async with background(plan.run):
+            await burst.run(self.version)
         self.whole_at = now_s()
 
+    def _known_participants(self) -> list[Participant]:
+        return [
+            other.participant
+            for other in self._fleet.agents_by_address.values()
+            if other is not self and self._knows(other)
+        ]
+
+    def _knows(self, other: "LinkedAgent") -> bool:
+        known_within_s = self._fleet.shape.known_within_s
+        if known_within_s is None:
+            return True
+        if other.began_at is None:
+            return False
+        news_s = self._news_s_by_address.get(other.address)
+        if news_s is None:
+            news_s = self._fleet.rng.uniform(*known_within_s)
+            self._news_s_by_address[other.address] = news_s
+        return now_s() >= other.began_at + news_s
+
+    def hold_chunks(self, indexes: Iterable[int]) -> None:
+        """Writes some chunks into the store, without a transfer."""
+        version = self.store.open_version(self._fleet.manifest, set())
+        for index in indexes:
+            version.write_chunk(index, self._fleet.chunks[index])
+
     def hold_all_chunks(self) -> None:
         """Writes the complete version into the store, without a transfer."""
         self.version = self.store.open_version(self._fleet.manifest, set())
--- a/damaskcroft/weights/__init__.py
+++ b/damaskcroft/weights/__init__.py
@@ -35,6 +35,7 @@
     Planner,
     make_planner,
 )
+from damaskcroft.weights._roster_plan import RosterPlan
 from damaskcroft.weights._store import (
     ChunkStore,
     FolderStore,
@@ -64,6 +65,7 @@
     "PeerSource",
     "Planner",
     "RangeSource",
+    "RosterPlan",
     "StagedVersion",
     "StoreFullError",
     "UploadRate",
