Plans of a burst follow the roster until the burst ends

Callers saw streams refused for 7 to 14 s after all machines had lost power.

Cause: an agent planned once it knew any other agent, and kept that plan. After the start of a whole fleet agents know few others at first: six agents had plans of 2, 2, 3, 5, 5 and 6 participants (burst_progress participants=). An agent that knows one other reads half of the version from the origin, whoever else does; 35, 37 and 24 of the reads of three agents were repeated ones, and the origin's link carried two to four copies. The class: a decision that all must take alike, taken once from a view that was not complete.

Now the plan grows while the burst lasts, an agent's share is taken from the current plan for each read, and chunks that another agent holds by then are requested there. Agents that are new to this one are asked first what they hold. While the roster may still grow, shares are read in random order, and late chunks are taken from the end of their readers' shares.

--- a/damaskcroft/weights/_burst.py
+++ b/damaskcroft/weights/_burst.py
@@ -21,12 +21,12 @@
 from damaskcroft.tasks import Signal, cancel_all
 from damaskcroft.weights._fetcher import BurstCounts, Fetcher, ReadReason
 from damaskcroft.weights._gossip import Gossip
-from damaskcroft.weights._late_reading import LateReading
 from damaskcroft.weights._manifest_fetcher import ManifestFetcher
 from damaskcroft.weights._outside import OutsideSource
 from damaskcroft.weights._pacer import Pacer
 from damaskcroft.weights._peer_selection import PeerSelector
 from damaskcroft.weights._peers import PeerSource
+from damaskcroft.weights._planned_reading import PlannedReading
 from damaskcroft.weights._planner import Participant, Planner
 from damaskcroft.weights._rescue import Rescuer
 from damaskcroft.weights._shared_reading import SharedReading
@@ -137,8 +137,11 @@
                 outside beyond what the planner assigns to it.
         """
         self._planner = planner
-        self._selector = None
+        if self._selector is not None:
+            self._selector.set_planner(planner)
         self._help_share = help_share
+        # Chunks may have another source now.
+        self._requeued.notify()
         hops = len(planner.participants).bit_length()
         self._read_ahead = max(_MIN_READ_AHEAD, _READ_AHEAD_PER_HOP * hops)
 
@@ -163,12 +166,12 @@
         self._copy_local(version)
         missing = version.missing()
         self._reads_in_turn = self._must_read_in_turn(version)
-        # When chunks are read in turn, any agent may read any chunk, and all
-        # missing chunks are also requested from peers.
+        # Where agents exchange holdings, which of them reads a chunk may change
+        # while the version is being fetched.
         assigned = [
             i
             for i in missing
-            if not self._reads_in_turn and self._parent(i) is None
+            if self._options.paced_by_trees and self._parent(i) is None
         ]
         others = [i for i in missing if i not in assigned]
         self._claimed = set()
@@ -249,10 +252,8 @@
         """Gossips if agents read chunks from outside beyond their share."""
         if self._options.paced_by_trees:
             return
-        while self._planner is None:
-            await asyncio.sleep(_POLL_S)
         gossip = Gossip(self._own_id, version, self._peers, self._rng)
-        await gossip.run(self._planner, self._suspects)
+        await gossip.run(lambda: self._planner, self._suspects)
 
     def _max_requests(self) -> int:
         """Chunks to request at once: no more than can be in flight."""
@@ -269,6 +270,19 @@
             version, 1
         )
 
+    def _should_take_turns(
+        self, version: StagedVersion, fetcher: Fetcher
+    ) -> bool:
+        """Whether reading by the plan must end.
+
+        The source may have been unavailable, or more agents may be known by
+        now.
+        """
+        return self._must_read_in_turn(version) or (
+            fetcher.is_outside_unavailable
+            and self._would_overload_outside(version)
+        )
+
     def _would_overload_outside(self, version: StagedVersion) -> bool:
         """Whether concurrent reads of all unread chunks would all be late."""
         unread = sum(
@@ -311,27 +325,17 @@
         When the outside source has been unavailable, all agents miss the same
         chunks, and without turns all would read these as soon as it is back.
         """
+        if self._options.paced_by_trees:
+            await self._read_planned(version, fetcher, assigned, list(indexes))
+            return
         if not self._reads_in_turn:
-            planned = self._read_planned(
-                version, fetcher, assigned, list(indexes)
-            )
-            if not self._can_read_in_turn():
-                await planned
-                return
             if await _finishes_before(
-                planned,
-                lambda: (
-                    fetcher.is_outside_unavailable
-                    and self._would_overload_outside(version)
-                ),
+                self._read_by_plan(version, fetcher),
+                lambda: self._should_take_turns(version, fetcher),
             ):
                 return
             log_event("outside_read_by_turns", path=self._path)
             self._reads_in_turn = True
-            # Other agents may read them now.
-            indexes.extend(
-                index for index in assigned if not version.held[index]
-            )
             self._requeued.notify()
         await self._read_shared(version, fetcher)
 
@@ -347,10 +351,6 @@
         async with asyncio.TaskGroup() as group:
             for _ in range(self._options.parallel_outside):
                 group.create_task(self._read_own(version, fetcher, indexes))
-        if not self._options.paced_by_trees and self._planner is not None:
-            late = LateReading(version, fetcher, self._planner, self._suspects)
-            await late.run()
-            return
         budget_bytes = self._help_share * version.size_bytes
         for index in reversed(others):
             budget_bytes -= version.manifest.chunks[index].size_bytes
@@ -362,6 +362,20 @@
             while not version.held[index]:
                 await fetcher.read_from_outside(index, ReadReason.HELP)
 
+    async def _read_by_plan(
+        self, version: StagedVersion, fetcher: Fetcher
+    ) -> None:
+        reading = PlannedReading(
+            version,
+            fetcher,
+            lambda: self._planner,
+            self._suspects,
+            self._rng,
+        )
+        async with asyncio.TaskGroup() as group:
+            for _ in range(self._options.parallel_outside):
+                group.create_task(reading.run())
+
     async def _read_shared(
         self, version: StagedVersion, fetcher: Fetcher
     ) -> None:
@@ -389,8 +403,7 @@
         when one `_read_ahead` places before it has arrived over the tree.
         """
         for index in indexes:
-            if self._options.paced_by_trees:
-                await self._wait_for_progress(version, index - self._read_ahead)
+            await self._wait_for_progress(version, index - self._read_ahead)
             while not version.held[index]:
                 await self._attempt(version, fetcher, index)
 
@@ -455,10 +468,23 @@
             held_nearby = selector.held_nearby(
                 waiting, self._suspects.current_ids()
             )
-        index = self._rng.choice(held_nearby) if held_nearby else waiting[0]
-        indexes.remove(index)
+        index: int | None
+        if held_nearby:
+            index = self._rng.choice(held_nearby)
+        else:
+            index = next(
+                (i for i in waiting if not self._is_own(version, i)), None
+            )
+        if index is not None:
+            indexes.remove(index)
         return index
 
+    def _is_own(self, version: StagedVersion, index: int) -> bool:
+        """Whether a chunk belongs to the share that this agent reads itself."""
+        if self._options.paced_by_trees or self._reads_in_turn:
+            return False
+        return self._source_of(version, index) is None
+
     def _selector_for(self, version: StagedVersion) -> PeerSelector | None:
         if self._planner is None:
             return None
@@ -468,20 +494,27 @@
             )
         return self._selector
 
+    def _source_of(
+        self, version: StagedVersion, index: int
+    ) -> Participant | None:
+        """The agent to request a chunk from; None to read it from outside."""
+        selector = self._selector_for(version)
+        if selector is None:
+            return None
+        return selector.choose(index, self._suspects.current_ids())
+
     async def _attempt(
         self, version: StagedVersion, fetcher: Fetcher, index: int
     ) -> None:
         selector = self._selector_for(version)
-        peer = None
-        if selector is not None:
-            peer = selector.choose(index, self._suspects.current_ids())
+        peer = self._source_of(version, index)
         if peer is not None and selector is not None:
             wait_s = self._options.wait_s
             await fetcher.fetch_from_peer(index, peer, selector, wait_s)
             return
-        if self._reads_in_turn:
-            # Another agent may read it in its turn, and this one then fetch it
-            # there.
+        if not self._options.paced_by_trees:
+            # The reading of shares or turns reads it from outside, here or at
+            # another agent.
             await version.wait_for_chunk(index, _POLL_S)
             return
         async with self._outside_slots:
--- a/damaskcroft/weights/_gossip.py
+++ b/damaskcroft/weights/_gossip.py
@@ -10,11 +10,12 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from damaskcroft._generated import agent_pb2
 from damaskcroft.weights._holdings import packed
 from damaskcroft.weights._peers import PeerSource
-from damaskcroft.weights._planner import Planner
+from damaskcroft.weights._planner import Participant, Planner
 from damaskcroft.weights._store import StagedVersion
 from damaskcroft.weights._suspects import Suspects
 
@@ -22,6 +23,10 @@
 
 # Ten exchanges a second use under a hundredth of a link of 3.65 Mbit/s.
 _EXCHANGE_INTERVAL_S = 0.1
+# Agents that are asked for the first time in one round. An agent that has just
+# started learns soon what the others hold, and a large fleet is not asked all
+# at once.
+_MAX_NEW_AGENTS = 8
 
 
 class Gossip:
@@ -34,7 +39,7 @@
         rng: chooses the agent to exchange with.
     """
 
-    __slots__ = ("_own_id", "_peers", "_rng", "_version")
+    __slots__ = ("_asked_ids", "_own_id", "_peers", "_rng", "_version")
 
     def __init__(
         self,
@@ -48,20 +53,41 @@
         self._version = version
         self._peers = peers
         self._rng = rng
+        self._asked_ids: set[str] = set()
 
-    async def run(self, planner: Planner, suspects: Suspects) -> None:
-        """Exchanges until cancelled; a slow answer delays no other exchange."""
+    async def run(
+        self, planner: Callable[[], Planner | None], suspects: Suspects
+    ) -> None:
+        """Exchanges until cancelled; a slow answer delays no other exchange.
+
+        Args:
+            planner: returns the planner that knows all agents; None before the
+                participants are known.
+            suspects: agents that do not answer now.
+        """
         async with asyncio.TaskGroup() as group:
             while True:
-                excluded = suspects.current_ids() | {self._own_id}
-                others = [
-                    p for p in planner.participants if p.id not in excluded
-                ]
-                if others:
-                    other = self._rng.choice(others)
-                    group.create_task(self._exchange(other.id, other.address))
+                current = planner()
+                if current is not None:
+                    for other in self._next_agents(current, suspects):
+                        group.create_task(
+                            self._exchange(other.id, other.address)
+                        )
                 await asyncio.sleep(_EXCHANGE_INTERVAL_S)
 
+    def _next_agents(
+        self, planner: Planner, suspects: Suspects
+    ) -> list[Participant]:
+        """One agent at random, and some of those that are new to this one."""
+        excluded = suspects.current_ids() | {self._own_id}
+        others = [p for p in planner.participants if p.id not in excluded]
+        if not others:
+            return []
+        new = [p for p in others if p.id not in self._asked_ids]
+        chosen = self._rng.sample(new, min(len(new), _MAX_NEW_AGENTS))
+        self._asked_ids |= {p.id for p in chosen}
+        return chosen or [self._rng.choice(others)]
+
     async def _exchange(self, agent_id: str, address: str) -> None:
         holdings = self._version.holdings
         rumour = agent_pb2.Rumour(
--- a/damaskcroft/weights/_peer_selection.py
+++ b/damaskcroft/weights/_peer_selection.py
@@ -40,12 +40,16 @@
         self, planner: Planner, holdings: Holdings, rng: random.Random
     ):
         """No request is open at first."""
-        self.planner = planner
         self._holdings = holdings
         self._rng = rng
         self._open_requests_by_id: collections.Counter[str] = (
             collections.Counter()
         )
+        self.set_planner(planner)
+
+    def set_planner(self, planner: Planner) -> None:
+        """Replaces the planner; requests that are open remain counted."""
+        self.planner = planner
         own_domain = planner.domain_by_id[planner.own_id]
         self._near_ids = {
             agent_id
@@ -104,7 +108,8 @@
         if near:
             return self._least_loaded(near)
         parent = self.planner.parent(index, suspects)
-        if parent is None or parent.id in self._near_ids or not holders:
+        is_near = parent is not None and parent.id in self._near_ids
+        if is_near or not holders:
             return parent
         return self._least_loaded(holders)
 
--- a/damaskcroft/weights/_roster_plan.py
+++ b/damaskcroft/weights/_roster_plan.py
@@ -21,7 +21,13 @@
         others: returns the other participants known so far.
     """
 
-    __slots__ = ("_burst", "_others", "_own", "_planner_name")
+    __slots__ = (
+        "_burst",
+        "_others",
+        "_others_by_id",
+        "_own",
+        "_planner_name",
+    )
 
     def __init__(
         self,
@@ -35,21 +41,31 @@
         self._planner_name = planner_name
         self._own = own
         self._others = others
+        self._others_by_id = {other.id: other for other in others()}
         self._plan()
 
     async def run(self) -> None:
-        """Makes the plan once other agents are known, and keeps it.
+        """Plans again whenever an agent that is not in the plan is known.
 
-        With a new plan for each agent that joins, chunks would wait for
-        newcomers that hold nothing yet. Newcomers include all agents in their
-        own plan, so that no agent has to wait for them.
+        Agents that have just started know few others. If they kept their first
+        plans, several of them would read the same chunks from outside. An agent
+        in the plan is not removed: suspicion covers agents that are gone, and
+        all agents must assign chunks alike.
         """
-        while not self._others():
+        while True:
             await asyncio.sleep(_POLL_S)
+            self._update()
+
+    def _update(self) -> None:
+        """Plans over all participants that have been known so far."""
+        others = {other.id: other for other in self._others()}
+        if others.keys() <= self._others_by_id.keys():
+            return
+        self._others_by_id |= others
         self._plan()
 
     def _plan(self) -> None:
-        participants = [*self._others(), self._own]
+        participants = [*self._others_by_id.values(), self._own]
         self._burst.set_planner(
             make_planner(self._planner_name, self._own.id, participants)
         )
