--- a/damaskcroft/weights/_planned_reading.py
+++ b/damaskcroft/weights/_planned_reading.py
@@ -41,8 +41,9 @@
     """Reads an agent's share, then chunks with which others are late."""
 
     __slots__ = (
-        "_began_at",
         "_fetcher",
+        "_joined_at",
+        "_last_planner",
         "_planner",
         "_reader_id_by_index",
         "_readers_of",
@@ -75,7 +76,9 @@
         self._planner = planner
         self._suspects = suspects
         self._rng = rng
-        self._began_at = now_s()
+        self._last_planner: Planner | None = None
+        # When an agent joined last.
+        self._joined_at = float("-inf")
         # The planner by which the readers below were assigned.
         self._readers_of: Planner | None = None
         self._reader_id_by_index: dict[int, str] = {}
@@ -112,14 +115,23 @@
     def _next_of_share(self, planner: Planner) -> int | None:
         """The chunk of this agent's share to read now; None if all are read.
 
-        At first it is chosen at random: agents that do not know of each other
-        yet assign themselves the same chunks.
+        While agents join, it is chosen at random: those that do not know of
+        each other yet assign themselves the same chunks.
         """
-        if now_s() - self._began_at >= _SETTLING_S:
+        if self._is_settled(planner):
             return next(self._share(planner), None)
         share = list(self._share(planner))
         return self._rng.choice(share) if share else None
 
+    def _is_settled(self, planner: Planner) -> bool:
+        """Whether no agent has joined recently."""
+        if planner is not self._last_planner:
+            if self._last_planner is not None:
+                self._joined_at = now_s()
+            self._last_planner = planner
+        is_alone = len(planner.participants) == 1
+        return not is_alone and now_s() - self._joined_at >= _SETTLING_S
+
     def _share(self, planner: Planner) -> Iterator[int]:
         """Unread chunks of this agent's share that are not in transfer."""
         suspects = self._suspects.current_ids()
