A chunk's size, extensions and trailers without end are no answer

Callers waited to their deadline (4.0 s), while an entry read 36 MB over two targets: heads were bounded, what frames a body was not. Now 16 KiB of it without a byte of body end the answer as malformed, so that the request is sent elsewhere where it may be. The three cases of the test failed before; a long body in many chunks still passes.

--- a/damaskcroft/http1/_answers.py
+++ b/damaskcroft/http1/_answers.py
@@ -16,6 +16,9 @@
 __all__ = ["AnswerParser", "AnswerFailure", "AnswerComplete"]
 
 _MAX_HEAD_BYTES = 64 * 1024
+# Of a chunk's size and extensions, or of trailers (RFC 9112, 7.1): none of the
+# targets sends more than a few.
+_MAX_FRAMING_BYTES = 16 * 1024
 _BODILESS_STATUSES = frozenset({204, 304})
 # Requests never ask for an upgrade, so an upgrade is a parser error here.
 _PARSER_ERRORS = (httptools.HttpParserError, httptools.HttpParserUpgrade)
@@ -48,6 +51,7 @@
     __slots__ = (
         "_body",
         "_events",
+        "_framing_bytes",
         "_head_bytes",
         "_headers",
         "_in_body",
@@ -69,6 +73,8 @@
         # Chunks of a body received in one read are joined into one part.
         self._body: list[bytes] = []
         self._head_bytes = 0
+        # Bytes received since the last bytes of a body.
+        self._framing_bytes = 0
         self._in_message = False
         self._in_body = False
         self._ends_at_close = False
@@ -89,6 +95,7 @@
         """Parses bytes received from the target."""
         if not self._in_body:
             self._head_bytes += len(data)
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except _PARSER_ERRORS as error:
@@ -98,6 +105,10 @@
         self._flush_body()
         if not self._in_body and self._head_bytes > _MAX_HEAD_BYTES:
             self._events.append(AnswerFailure("malformed: a head without end"))
+        if self._in_body and self._framing_bytes > _MAX_FRAMING_BYTES:
+            self._events.append(
+                AnswerFailure("malformed: a chunk's head without end")
+            )
 
     def end(self, *, clean: bool) -> None:
         """Handles that the target has closed its side.
@@ -135,6 +146,7 @@
         status = self._parser.get_status_code()
         self._in_body = True
         self._head_bytes = 0
+        self._framing_bytes = 0
         self._events.append(Head(status, self._headers))
         if is_interim(status):
             return
@@ -151,6 +163,7 @@
     def on_body(self, body: bytes) -> None:
         """Buffers some bytes of a body."""
         self._body.append(body)
+        self._framing_bytes = 0
 
     def on_message_complete(self) -> None:
         """Completes the answer, unless it is an interim one."""
--- a/damaskcroft/http1/tests/test_client.py
+++ b/damaskcroft/http1/tests/test_client.py
@@ -269,3 +269,40 @@
         AnswerFailure,
     ]
     assert not is_persistent
+
+
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("begin", "endless"),
+    [
+        (b"", b"0" * 1024),
+        (b"4;", b"a" * 1024),
+        (b"0\r\n", b"X-T: " + b"t" * 1000 + b"\r\n"),
+    ],
+    ids=["size", "extension", "trailers"],
+)
+def test_framing_of_a_body_without_end_is_a_failure(begin, endless):
+    """Guards against reading until the caller's deadline."""
+    parser = AnswerParser()
+    parser.receive(CHUNKED_HEAD + b"2\r\nab\r\n" + begin)
+    assert isinstance(parser.next(), Head)
+    assert parser.next() == b"ab"
+    for _ in range(64):
+        parser.receive(endless)
+        event = parser.next()
+        if event is not None:
+            break
+    assert isinstance(event, AnswerFailure)
+
+
+def test_a_long_body_in_many_chunks_is_no_failure():
+    parser = AnswerParser()
+    parser.receive(CHUNKED_HEAD)
+    assert isinstance(parser.next(), Head)
+    for _ in range(64):
+        parser.receive(b"400\r\n" + b"b" * 1024 + b"\r\n")
+        assert parser.next() == b"b" * 1024
+    parser.receive(b"0\r\n\r\n")
+    assert isinstance(parser.next(), AnswerComplete)
