A stream's bytes are searched once for the end of an event

Each read searched all bytes of an unfinished event again. The test that such an event without end is left for another target within half a second passes before and after: the forwarder reads 1 MiB of it. The 40 MB that the users' developers saw over 4.0 s were not reproduced with a stand-in at the forwarder (streams that may be resumed and that may not); a plain body without end is passed on to its caller, as bytes come. A bound of 256 KiB was tried and left: events of half a MiB pass today (test_slow_caller_gets_no_duplicate_event).

--- a/damaskcroft/forwarding/_events.py
+++ b/damaskcroft/forwarding/_events.py
@@ -14,6 +14,7 @@
 # body is not an event stream.
 _MAX_EVENT_BYTES = 1024 * 1024
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
+_MAX_END_BYTES = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,7 +53,9 @@
         buffered = self._remainder + data
         events = []
         start = 0
-        for end in _EVENT_END.finditer(buffered):
+        # An end may have begun within the remainder, which has been searched.
+        searched = max(0, len(self._remainder) - _MAX_END_BYTES)
+        for end in _EVENT_END.finditer(buffered, searched):
             event_bytes = buffered[start : end.end()]
             events.append(Event(event_bytes, _event_id(event_bytes)))
             start = end.end()
--- a/damaskcroft/forwarding/tests/fakes.py
+++ b/damaskcroft/forwarding/tests/fakes.py
@@ -294,6 +294,14 @@
         await self.stream(head, reader, writer, up_to=3)
         return await self.hangs(head, reader, writer)
 
+    async def endless_event(self, head, reader, writer):
+        """Sends one event without an end, until the entry closes."""
+        await self.stream(head, reader, writer, 0)
+        piece = b"x" * 16 * 1024
+        while True:
+            writer.write(b"%x\r\n%s\r\n" % (len(piece), piece))
+            await writer.drain()
+
     async def stream_cut(self, head, reader, writer):
         return await self.stream(head, reader, writer, up_to=3)
 
--- a/damaskcroft/forwarding/tests/test_forwarding.py
+++ b/damaskcroft/forwarding/tests/test_forwarding.py
@@ -1,6 +1,7 @@
 """Tests of forwarding: retries, streams, weights, restarts, configuration."""
 
 import asyncio
+import time
 
 import pytest
 from prometheus_client import REGISTRY
@@ -259,6 +260,22 @@
     asyncio.run(scenario())
 
 
+def test_event_without_end_is_left_for_another_target():
+    """Guards against reading such an event until the caller's deadline."""
+
+    async def scenario():
+        targets = two_targets(["endless_event"], "stream")
+        async with running_entry(*targets, config=STREAM) as entry:
+            began_at = time.monotonic()
+            status, _, body = await entry.send_request()
+            payload, complete = unchunked(body)
+            assert (status, complete) == (200, True)
+            assert event_ids(payload) == list(range(1, EVENTS + 1))
+            assert time.monotonic() - began_at < 0.5
+
+    asyncio.run(scenario())
+
+
 def test_last_event_id_of_caller_is_forwarded():
     async def scenario():
         target = FakeTarget("a", "stream")
