One selection of unread chunks and one way to run readers of a burst

No change of behaviour: both readings had the same list of chunks that no agent that answers holds, both were started alike, the last planner was kept twice, and a condition on the planner was always met. A docstring of gossip said something else than its code.

--- a/damaskcroft/weights/_burst.py
+++ b/damaskcroft/weights/_burst.py
@@ -260,15 +260,11 @@
         in_flight = self._read_ahead + _MIN_READ_AHEAD
         return min(self._options.parallel_fetches, in_flight)
 
-    def _can_read_in_turn(self) -> bool:
-        """Whether agents exchange holdings and the participants are known."""
-        return not self._options.paced_by_trees and self._planner is not None
-
     def _must_read_in_turn(self, version: StagedVersion) -> bool:
         """Whether concurrent reads by all agents would all be late."""
-        return self._can_read_in_turn() and not self._fits_outside_link(
-            version, 1
-        )
+        if self._options.paced_by_trees:
+            return False
+        return not self._fits_outside_link(version, 1)
 
     def _should_take_turns(
         self, version: StagedVersion, fetcher: Fetcher
@@ -330,14 +326,14 @@
             return
         if not self._reads_in_turn:
             if await _finishes_before(
-                self._read_by_plan(version, fetcher),
+                self._read_with(PlannedReading, version, fetcher),
                 lambda: self._should_take_turns(version, fetcher),
             ):
                 return
             log_event("outside_read_by_turns", path=self._path)
             self._reads_in_turn = True
             self._requeued.notify()
-        await self._read_shared(version, fetcher)
+        await self._read_with(SharedReading, version, fetcher)
 
     async def _read_planned(
         self,
@@ -362,24 +358,13 @@
             while not version.held[index]:
                 await fetcher.read_from_outside(index, ReadReason.HELP)
 
-    async def _read_by_plan(
-        self, version: StagedVersion, fetcher: Fetcher
-    ) -> None:
-        reading = PlannedReading(
-            version,
-            fetcher,
-            lambda: self._planner,
-            self._suspects,
-            self._rng,
-        )
-        async with asyncio.TaskGroup() as group:
-            for _ in range(self._options.parallel_outside):
-                group.create_task(reading.run())
-
-    async def _read_shared(
-        self, version: StagedVersion, fetcher: Fetcher
+    async def _read_with(
+        self,
+        kind: type[PlannedReading] | type[SharedReading],
+        version: StagedVersion,
+        fetcher: Fetcher,
     ) -> None:
-        reading = SharedReading(
+        reading = kind(
             version,
             fetcher,
             lambda: self._planner,
--- a/damaskcroft/weights/_gossip.py
+++ b/damaskcroft/weights/_gossip.py
@@ -78,7 +78,7 @@
     def _next_agents(
         self, planner: Planner, suspects: Suspects
     ) -> list[Participant]:
-        """One agent at random, and some of those that are new to this one."""
+        """Some of the agents that are new to this one; else one at random."""
         excluded = suspects.current_ids() | {self._own_id}
         others = [p for p in planner.participants if p.id not in excluded]
         if not others:
--- a/damaskcroft/weights/_planned_reading.py
+++ b/damaskcroft/weights/_planned_reading.py
@@ -43,7 +43,6 @@
     __slots__ = (
         "_fetcher",
         "_joined_at",
-        "_last_planner",
         "_planner",
         "_reader_id_by_index",
         "_readers_of",
@@ -76,7 +75,6 @@
         self._planner = planner
         self._suspects = suspects
         self._rng = rng
-        self._last_planner: Planner | None = None
         # When an agent joined last.
         self._joined_at = float("-inf")
         # The planner by which the readers below were assigned.
@@ -93,6 +91,7 @@
             if planner is None:
                 await asyncio.sleep(_POLL_S)
                 continue
+            self._update_readers(planner)
             index = self._next_of_share(planner)
             if index is not None:
                 self._share_read_at = None
@@ -106,13 +105,6 @@
             else:
                 await self._fetcher.read_from_outside(index, ReadReason.LATE)
 
-    def _unread(self) -> Iterator[int]:
-        """Chunks that no agent that answers is known to hold."""
-        suspects = self._suspects.current_ids()
-        for index in self._version.missing():
-            if not self._version.holdings.is_available(index, suspects):
-                yield index
-
     def _next_of_share(self, planner: Planner) -> int | None:
         """The chunk of this agent's share to read now; None if all are read.
 
@@ -126,17 +118,13 @@
 
     def _is_settled(self, planner: Planner) -> bool:
         """Whether no agent has joined recently."""
-        if planner is not self._last_planner:
-            if self._last_planner is not None:
-                self._joined_at = now_s()
-            self._last_planner = planner
         is_alone = len(planner.participants) == 1
         return not is_alone and now_s() - self._joined_at >= _SETTLING_S
 
     def _share(self, planner: Planner) -> Iterator[int]:
         """Unread chunks of this agent's share that are not in transfer."""
         suspects = self._suspects.current_ids()
-        for index in self._unread():
+        for index in self._version.unread(suspects):
             if index in self._fetcher.transfers:
                 continue
             if planner.parent(index, suspects) is None:
@@ -144,10 +132,9 @@
 
     def _late_chunks(self, planner: Planner) -> Iterator[int]:
         """Chunks that this agent may take over from their readers."""
-        self._update_readers(planner)
         waited_s = now_s() - (self._share_read_at or now_s())
         suspects = self._suspects.current_ids()
-        unread = list(self._unread())
+        unread = list(self._version.unread(suspects))
         next_by_reader: dict[str, int] = {}
         for index in unread:
             reader_id = self._reader_id_by_index[index]
@@ -165,6 +152,8 @@
     def _update_readers(self, planner: Planner) -> None:
         if planner is self._readers_of:
             return
+        if self._readers_of is not None:
+            self._joined_at = now_s()
         self._readers_of = planner
         # The assignment does not depend on which agents are suspected.
         self._reader_id_by_index = {
--- a/damaskcroft/weights/_shared_reading.py
+++ b/damaskcroft/weights/_shared_reading.py
@@ -115,7 +115,8 @@
         """Updates which chunks may be read, and how long the last ones took."""
         now = now_s()
         before = self._unread_since
-        first = list(itertools.islice(self._unread(), _MAX_CONCURRENT_CHUNKS))
+        unread = self._version.unread(self._suspects.current_ids())
+        first = list(itertools.islice(unread, _MAX_CONCURRENT_CHUNKS))
         times_s = [now - before[i] for i in before.keys() - set(first)]
         if times_s:
             if self._has_failed:
@@ -131,13 +132,6 @@
         late_s = _LATE_FACTOR * statistics.fmean(self._read_times_s)
         return min(max(late_s, _MIN_LATE_S), _MAX_LATE_S)
 
-    def _unread(self) -> Iterator[int]:
-        """Chunks that no agent that answers holds, in manifest order."""
-        suspects = self._suspects.current_ids()
-        for index in self._version.missing():
-            if not self._version.holdings.is_available(index, suspects):
-                yield index
-
     def _assigned(self, planner: Planner) -> Iterator[int]:
         suspects = self._suspects.current_ids()
         for index in self._unread_not_in_transfer():
--- a/damaskcroft/weights/_store.py
+++ b/damaskcroft/weights/_store.py
@@ -13,7 +13,7 @@
 import os
 import pathlib
 import shutil
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 
 from damaskcroft.tasks import Signal
 from damaskcroft.weights._errors import ManifestError, StoreFullError
@@ -72,6 +72,17 @@
         """Chunks that are not held."""
         return [index for index, held in enumerate(self.held) if not held]
 
+    def unread(self, suspects: Collection[str]) -> Iterator[int]:
+        """Missing chunks that no agent is known to hold, in manifest order.
+
+        Args:
+            suspects: agents that do not answer now; what only they hold counts
+                as unread.
+        """
+        for index in self.missing():
+            if not self.holdings.is_available(index, suspects):
+                yield index
+
     @abc.abstractmethod
     def read_chunk(self, index: int) -> bytes:
         """Reads a held chunk.
