A target's load report with a fourth figure is read

Cause: the decoder took exactly three figures. Targets that append how long work takes on their machine now had their whole report discarded, so entries placed requests by their own counts alone. Now the fourth figure is the pace, in hundredths; an unreadable one leaves the rest of the report in force. Before: facts(server_load='3,1,8,250').load was None (test fails). After: TargetLoad(3, 1, 8, 2.5). What placement makes of the pace is a change of its own.

--- a/damaskcroft/forwarding/_call.py
+++ b/damaskcroft/forwarding/_call.py
@@ -58,11 +58,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetLoad:
-    """Load that a target reports in an answer."""
+    """Load that a target reports in an answer.
+
+    Attributes:
+        running: number of requests that it runs.
+        waiting: number of requests that wait there.
+        slots: number of requests that it runs at once.
+        pace: how long work takes there now; 1 as usual, 2.5 for two and a half
+            times as long.
+    """
 
     running: int
     waiting: int
     slots: int
+    pace: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/damaskcroft/platform/tests/test_wire.py
+++ b/damaskcroft/platform/tests/test_wire.py
@@ -99,6 +99,23 @@
     assert facts(weight_versions="2").weights_version == 2
 
 
+def test_load_with_a_fourth_figure_is_not_discarded():
+    assert facts(server_load="3,1,8,250").load == TargetLoad(3, 1, 8, 2.5)
+    assert facts(server_load="3,1,8,100").load == TargetLoad(3, 1, 8, 1.0)
+
+
+@pytest.mark.parametrize(
+    "pace", ["", "0", "-5", "2.5", "fast", "9" * 30, "250,7"]
+)
+def test_an_unreadable_pace_leaves_the_rest_of_the_load(pace):
+    assert facts(server_load=f"3,1,8,{pace}").load == TargetLoad(3, 1, 8, 1.0)
+
+
+def test_a_load_of_other_form_is_ignored():
+    for value in ("", "3", "3,1", "3,x,8", "-3,1,8", "3;1;8"):
+        assert facts(server_load=value).load is None
+
+
 def test_overlong_numbers_are_ignored():
     # An exception here would break off a stream that the target goes on with.
     digits = "9" * 5000
--- a/damaskcroft/platform/wire.py
+++ b/damaskcroft/platform/wire.py
@@ -44,6 +44,7 @@
 )
 # Longer numbers are implausible, and `int` raises on thousands of digits.
 _MAX_DIGITS = 18
+_PERCENT = 100
 
 
 class PlatformWire(Wire):
@@ -162,10 +163,18 @@
 
 
 def _parse_load(value: str) -> TargetLoad | None:
+    """Parses counts of requests and slots, and an optional pace in percent.
+
+    Targets of other versions may append further figures.
+    """
     numbers = [_parse_integer(part.strip()) for part in value.split(",")]
     match numbers:
         case [int(running), int(waiting), int(slots)]:
             return TargetLoad(running, waiting, slots)
+        case [int(running), int(waiting), int(slots), pace, *rest]:
+            if not pace or rest:
+                return TargetLoad(running, waiting, slots)
+            return TargetLoad(running, waiting, slots, pace / _PERCENT)
     return None
 
 
