--- a/damaskcroft/fleet/_settings.py
+++ b/damaskcroft/fleet/_settings.py
@@ -21,6 +21,11 @@
         retry_extra: retries allowed in a window beyond the ratio.
         weights_s: from the acknowledgement of a version of weights until no
             target begins a request on an older one.
+        cold_ratio: requests that a cold target may get in a second, over all
+            senders, for each that it bears.
+        cold_extra: requests that it may get in a second beyond the ratio.
+        evacuation_s: from the acknowledgement of an evacuation to the last
+            request that reaches the failure domain.
     """
 
     drain_s: float
@@ -30,6 +35,9 @@
     retry_window_s: float
     retry_extra: float
     weights_s: float
+    cold_ratio: float = 1.0
+    cold_extra: float = 0.0
+    evacuation_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/damaskcroft/forwarding/_allocator.py
+++ b/damaskcroft/forwarding/_allocator.py
@@ -70,10 +70,10 @@
                 candidate, ticket.prompt_tokens, is_suspect=ticket.is_suspect
             ),
             lambda ticket: services.may_serve_soon(
-                ticket.service, ticket.model
+                ticket.service, ticket.model, ticket.allowed_regions
             ),
             lambda ticket, before: availability.closed(
-                ticket.service, ticket.model, before
+                ticket.service, ticket.model, before, ticket.allowed_regions
             ),
         )
 
@@ -118,6 +118,8 @@
             is_suspect=self._suspects.is_suspect(job, progress),
             has_begun=progress.begun,
             tried_ids=frozenset(progress.excluded),
+            customer=job.customer,
+            allowed_regions=job.allowed_regions,
         )
 
     def refine_reason(self, reason: str, service: str) -> str:
@@ -132,7 +134,9 @@
         prompt_tokens = job.call.prompt_tokens
         is_suspect = self._suspects.is_suspect(job, progress)
         placed = self._placer.choose(
-            self._availability.candidates(job.service, job.call.model),
+            self._availability.candidates(
+                job.service, job.call.model, job.allowed_regions
+            ),
             progress.excluded,
             prompt_tokens,
             is_suspect=is_suspect,
@@ -153,14 +157,22 @@
 
         All of them may be changing their weights, or may have just started.
         """
-        kind = (job.service, job.call.model)
-        closed = self._availability.closed(*kind, 0)
+        service, model, regions = (
+            job.service,
+            job.call.model,
+            job.allowed_regions,
+        )
+        closed = self._availability.closed(service, model, 0, regions)
         if closed is not None:
             return failed_ending(
                 closed.reason, progress, spread_retry_after_s(closed.retry_in_s)
             )
-        has_candidates = bool(self._availability.candidates(*kind))
-        if has_candidates or not self._services.may_serve_soon(*kind):
+        has_candidates = bool(
+            self._availability.candidates(service, model, regions)
+        )
+        if has_candidates or not self._services.may_serve_soon(
+            service, model, regions
+        ):
             return failed_ending("no_target", progress)
         outcome = await self.queue.take_slot(self._ticket(job, progress))
         if isinstance(outcome, Overloaded):
@@ -193,7 +205,9 @@
         )
 
     def _choose(self, ticket: QueueTicket) -> Placement | None:
-        candidates = self._availability.candidates(ticket.service, ticket.model)
+        candidates = self._availability.candidates(
+            ticket.service, ticket.model, ticket.allowed_regions
+        )
         if ticket.tried_ids:
             untried = [c for c in candidates if c.id not in ticket.tried_ids]
             candidates = untried or candidates
@@ -242,7 +256,9 @@
         if self._retry_window.left < 1:
             return None
         job, progress = waiting.job, waiting.progress
-        candidates = self._availability.candidates(job.service, job.call.model)
+        candidates = self._availability.candidates(
+            job.service, job.call.model, job.allowed_regions
+        )
         excluded_ids = progress.excluded | silent_ids
         if candidates == [waiting.target] and waiting.attempt.connect_s is None:
             # A reused connection may be dead while a new one to the same
--- a/damaskcroft/forwarding/_availability.py
+++ b/damaskcroft/forwarding/_availability.py
@@ -39,12 +39,22 @@
         self._back_pressure = back_pressure
         self._limits = limits
 
-    def candidates(self, service: str, model: str) -> list[Candidate]:
+    def candidates(
+        self,
+        service: str,
+        model: str,
+        allowed_regions: frozenset[str] | None = None,
+    ) -> list[Candidate]:
         """Targets that accept a request now.
 
         Targets that are leaving are used only while there is no other.
+
+        Args:
+            service: name of the service.
+            model: requested model; empty for services without models.
+            allowed_regions: regions of the targets; None for all.
         """
-        candidates = self._services.candidates(service, model)
+        candidates = self._services.candidates(service, model, allowed_regions)
         if not self._has_restrictions:
             return candidates
         accepting = [
@@ -61,7 +71,11 @@
         return staying or accepting
 
     def closed(
-        self, service: str, model: str, before: int
+        self,
+        service: str,
+        model: str,
+        before: int,
+        allowed_regions: frozenset[str] | None = None,
     ) -> TargetsUnavailable | None:
         """Why no target accepts a request; None if one does or none exists.
 
@@ -69,12 +83,17 @@
             service: name of the service.
             model: requested model; empty for services without models.
             before: how many requests are ahead in the queue.
+            allowed_regions: regions of the targets; None for all.
         """
-        if not self._has_restrictions or self.candidates(service, model):
+        if not self._has_restrictions or self.candidates(
+            service, model, allowed_regions
+        ):
             return None
         staying_ids = [
             candidate.id
-            for candidate in self._services.candidates(service, model)
+            for candidate in self._services.candidates(
+                service, model, allowed_regions
+            )
             if not self._back_pressure.is_draining(candidate.id)
         ]
         if not staying_ids:
--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -520,4 +520,4 @@
             self._back_pressure.record_accepted(target.id)
         if facts.load is not None:
             requests = facts.load.running + facts.load.waiting
-            self._placer.record_load(target.id, requests)
+            self._placer.record_load(target.id, requests, facts.load.pace)
--- a/damaskcroft/forwarding/_job.py
+++ b/damaskcroft/forwarding/_job.py
@@ -119,6 +119,7 @@
         priority: 0 is the most urgent.
         deadline_at: loop time at which it gets its final answer.
         configuration: version of the configuration that was applied.
+        allowed_regions: regions whose targets may serve it; None for all.
     """
 
     call: Call
@@ -128,6 +129,7 @@
     priority: int
     deadline_at: float
     configuration: int
+    allowed_regions: frozenset[str] | None = None
 
     def fingerprint(self) -> bytes:
         """Fingerprint shared by copies of the request; hashes the body."""
--- a/damaskcroft/forwarding/_services.py
+++ b/damaskcroft/forwarding/_services.py
@@ -90,15 +90,21 @@
         """Seconds since the configuration was applied; infinite for none."""
         return self._view.configured_s_ago
 
-    def candidates(self, service: str, model: str) -> list[Candidate]:
+    def candidates(
+        self,
+        service: str,
+        model: str,
+        allowed_regions: frozenset[str] | None = None,
+    ) -> list[Candidate]:
         """Ready targets of a service that hold all layers of a model.
 
         Args:
             service: name of the service.
             model: requested model; empty for services without models.
+            allowed_regions: regions of the targets; None for all.
         """
         self._refresh()
-        states = self._states_by_service.get(service, [])
+        states = self._states_in(service, allowed_regions)
         if not model:
             return [self._candidate(state) for state in states]
         serving = [
@@ -179,7 +185,12 @@
         self._refresh()
         return bool(self._states_by_service.get(service))
 
-    def may_serve_soon(self, service: str, model: str) -> bool:
+    def may_serve_soon(
+        self,
+        service: str,
+        model: str,
+        allowed_regions: frozenset[str] | None = None,
+    ) -> bool:
         """Whether waiting for a target is worthwhile while none can serve.
 
         A staged version is activated soon, and a target with an older version
@@ -191,13 +202,28 @@
         Args:
             service: name of the service.
             model: requested model; empty for services without models.
+            allowed_regions: regions of the targets; None for all.
         """
         self._refresh()
-        states = self._states_by_service.get(service, [])
+        states = self._states_in(service, allowed_regions)
         if not model:
             return bool(states)
         return any(self._may_obtain(state, model) for state in states)
 
+    def _states_in(
+        self, service: str, allowed_regions: frozenset[str] | None
+    ) -> list[fleet_pb2.TargetState]:
+        """Ready targets of a service in some regions."""
+        states = self._states_by_service.get(service, [])
+        if allowed_regions is None:
+            return states
+        return [
+            state
+            for state in states
+            if self._region_by_domain.get(state.failure_domain)
+            in allowed_regions
+        ]
+
     def _may_obtain(self, state: fleet_pb2.TargetState, model: str) -> bool:
         agent = self._agents_by_target.get(state.address)
         if agent is None or agent.phase == fleet_pb2.AGENT_SWITCHING:
--- a/damaskcroft/forwarding/_suspects.py
+++ b/damaskcroft/forwarding/_suspects.py
@@ -191,7 +191,9 @@
 
         Those are the requests that have crashed no target.
         """
-        found = self._services.candidates(job.service, job.call.model)
+        found = self._services.candidates(
+            job.service, job.call.model, job.allowed_regions
+        )
         return self._registry.few_left(job.service, (each.id for each in found))
 
     def record_dispatch(self, job: Job, progress: Progress) -> None:
--- a/damaskcroft/platform/messages.py
+++ b/damaskcroft/platform/messages.py
@@ -1,6 +1,7 @@
 """Decoders for HTTP bodies of operators: configurations and weights."""
 
 import json
+import math
 from typing import Any
 
 from damaskcroft._generated import fleet_pb2
@@ -47,7 +48,13 @@
             keys_required="tenants" in values,
             source=body,
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (
+        KeyError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        OverflowError,
+    ) as error:
         raise BadMessageError(f"configuration: {error!r}") from error
     return configuration
 
@@ -71,9 +78,27 @@
         # The wire's `sticky` asks for session affinity; it is set exactly on
         # the routes whose requests carry a model's name.
         generative=values.get("sticky", False),
+        allowed_regions=_names(values, "allowed_regions"),
     )
 
 
+def _names(values: dict[str, Any], field: str) -> list[str]:
+    """Reads a list of names; a text would be taken for a list of letters."""
+    names = values.get(field) or []
+    if not isinstance(names, list):
+        raise TypeError(f"{field}: not a list")
+    return names
+
+
+def _non_negative(values: dict[str, Any], field: str) -> float:
+    number = values.get(field) or 0.0
+    if isinstance(number, bool) or not isinstance(number, int | float):
+        raise TypeError(f"{field}: not a number")
+    if not 0 <= number < math.inf:
+        raise ValueError(f"{field}: out of range")
+    return float(number)
+
+
 def _shares(values: dict[str, Any]) -> list[fleet_pb2.Share]:
     if "split" not in values:
         return [fleet_pb2.Share(service=values["service"], weight=1)]
@@ -90,6 +115,8 @@
         max_connections=values.get("max_connections", 0),
         origin=values.get("origin", ""),
         origin_link_mbps=values.get("link_mbps", 0),
+        cold_requests_s=_non_negative(values, "cold_per_s"),
+        cold_start_s=_non_negative(values, "cold_start_s"),
     )
     if "engine" in values:
         service.engine.CopyFrom(_engine(values["engine"]))
@@ -134,6 +161,7 @@
         name=values["name"],
         keys=values.get("api_keys", ()),
         priority=values.get("priority"),
+        allowed_regions=_names(values, "allowed_regions"),
     )
 
 
--- a/damaskcroft/platform/settings.py
+++ b/damaskcroft/platform/settings.py
@@ -113,4 +113,7 @@
         retry_window_s=table.number("budget_window_s", 10),
         retry_extra=table.number("retry_budget_extra", 0),
         weights_s=table.number("version_ms", 0) / 1000,
+        cold_ratio=table.number("cold_overage", 1),
+        cold_extra=table.number("cold_slack", 0),
+        evacuation_s=table.number("evacuate_ms", 0) / 1000,
     )
--- a/damaskcroft/platform/tests/test_messages.py
+++ b/damaskcroft/platform/tests/test_messages.py
@@ -1,5 +1,6 @@
 """Decoding of HTTP bodies of operators, valid and malformed."""
 
+import copy
 import json
 
 import pytest
@@ -67,6 +68,63 @@
     assert decoded.customers[0].priority == 1
 
 
+def with_fields(**fields):
+    """Returns a valid configuration with fields of its parts replaced."""
+    values = copy.deepcopy(CONFIGURATION)
+    values["routes"][0] |= fields.get("route", {})
+    values["services"][0] |= fields.get("service", {})
+    values["tenants"][0] |= fields.get("customer", {})
+    return values
+
+
+def test_regions_and_cold_rates_are_decoded():
+    decoded = decode_configuration(
+        encoded(
+            with_fields(
+                route={"allowed_regions": ["r1", "r2"]},
+                customer={"allowed_regions": ["r2"]},
+                service={"cold_per_s": 36.0, "cold_start_s": 3},
+            )
+        )
+    )
+    assert list(decoded.routes[0].allowed_regions) == ["r1", "r2"]
+    assert list(decoded.customers[0].allowed_regions) == ["r2"]
+    assert decoded.services[0].cold_requests_s == 36.0
+    assert decoded.services[0].cold_start_s == 3.0
+    assert not decoded.routes[1].allowed_regions
+    assert not decoded.services[1].cold_requests_s
+
+
+@pytest.mark.parametrize("absent", [None, []])
+def test_no_regions_are_no_restriction(absent):
+    values = with_fields(
+        route={"allowed_regions": absent}, customer={"allowed_regions": absent}
+    )
+    decoded = decode_configuration(encoded(values))
+    assert not decoded.routes[0].allowed_regions
+    assert not decoded.customers[0].allowed_regions
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"route": {"allowed_regions": "r1"}},
+        {"route": {"allowed_regions": {"r1": True}}},
+        {"route": {"allowed_regions": [1]}},
+        {"customer": {"allowed_regions": 7}},
+        {"service": {"cold_per_s": "many"}},
+        {"service": {"cold_per_s": -1}},
+        {"service": {"cold_start_s": [3]}},
+        {"service": {"cold_start_s": True}},
+        {"service": {"cold_start_s": float("inf")}},
+        {"service": {"cold_per_s": 10**400}},
+    ],
+)
+def test_regions_and_cold_rates_of_another_type_are_rejected(fields):
+    with pytest.raises(BadMessageError):
+        decode_configuration(encoded(with_fields(**fields)))
+
+
 @pytest.mark.parametrize("size", range(1, 40, 3))
 def test_truncated_configuration_is_rejected(size):
     body = encoded(CONFIGURATION)
--- a/damaskcroft/routing/_placement.py
+++ b/damaskcroft/routing/_placement.py
@@ -252,9 +252,11 @@
         """Records the time to first event; see `UnreadBound.record`."""
         self._unread_bound.record(took_s, latency_objective_s)
 
-    def record_load(self, target_id: str, requests: int) -> None:
-        """Records the number of requests that a target reports."""
-        self._loads.record_report(target_id, requests)
+    def record_load(
+        self, target_id: str, requests: int, pace: float = 1.0
+    ) -> None:
+        """Records the number of requests and the pace that a target reports."""
+        self._loads.record_report(target_id, requests, pace)
 
     def retain_only(self, target_ids: Collection[str]) -> None:
         """Drops the loads of targets that are gone."""
--- a/damaskcroft/routing/_tickets.py
+++ b/damaskcroft/routing/_tickets.py
@@ -35,6 +35,8 @@
         has_begun: whether its caller has received part of the answer.
         tried_ids: ids of targets that it was sent to, which are chosen only if
             no other target can serve it.
+        customer: customer of the request; empty on public routes.
+        allowed_regions: regions whose targets may serve it; None for all.
     """
 
     service: str
@@ -48,6 +50,8 @@
     is_suspect: bool = False
     has_begun: bool = False
     tried_ids: frozenset[str] = frozenset()
+    customer: str = ""
+    allowed_regions: frozenset[str] | None = None
 
     @property
     def wait_deadline(self) -> float:
