Evacuation of failure domains: orders in the log, in effect at entries

Operators had no way to empty a failure domain: the call was answered 404. Entries keep the domain's targets out of first attempts, retries and hedges, and withhold an attempt whose connection was being opened.

--- a/damaskcroft/control/_fleet_control.py
+++ b/damaskcroft/control/_fleet_control.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import zlib
+from collections.abc import Collection
 
 from damaskcroft._generated import fleet_grpc, fleet_pb2
 from damaskcroft.consensus import Committed, DiskFailed, NotLeader, Replica
@@ -74,12 +75,15 @@
         state: FleetState,
         view: FleetView,
         channels: ChannelPool,
+        failure_domains: Collection[str] = (),
     ):
         """Commits to `replica`, whose log drives `state`.
 
         Announcements of targets go into `view`; `channels` leads to other
-        control nodes.
+        control nodes. Of `failure_domains`, and of those that targets
+        announce, orders may name one.
         """
+        self._failure_domains = frozenset(failure_domains)
         self._replica = replica
         self._state = state
         self._view = view
@@ -142,6 +146,52 @@
         )
         return outcome
 
+    async def evacuate(
+        self, failure_domain: str, *, evacuated: bool
+    ) -> Accepted | Invalid | Unavailable:
+        """Evacuates a failure domain, or ends its evacuation.
+
+        Every order passes through the log, also one that changes nothing: what
+        this node has applied may be older than an order accepted elsewhere.
+        """
+        outcome = await self._evacuate(failure_domain, evacuated=evacuated)
+        order = "start" if evacuated else "end"
+        metrics.EVACUATION_ORDERS.labels(order, type(outcome).__name__).inc()
+        log_event(
+            "evacuation_ordered",
+            failure_domain=failure_domain,
+            order=order,
+            outcome=type(outcome).__name__,
+        )
+        return outcome
+
+    async def _evacuate(
+        self, failure_domain: str, *, evacuated: bool
+    ) -> Accepted | Invalid | Unavailable:
+        if not self._knows_domain(failure_domain):
+            return Invalid("no such failure domain")
+        refusal = await self._catch_up()
+        if refusal is not None:
+            self._record_refusal("evacuate", refusal)
+            return refusal
+        known_revision = self._state.evacuations.revision(failure_domain)
+        order = fleet_pb2.EvacuationOrder(
+            failure_domain=failure_domain,
+            evacuated=evacuated,
+            known_revision=known_revision,
+        )
+        return await self.commit(fleet_pb2.FleetCommand(evacuate=order))
+
+    def _knows_domain(self, failure_domain: str) -> bool:
+        if failure_domain in self._failure_domains:
+            return True
+        if self._state.evacuations.revision(failure_domain):
+            return True
+        return any(
+            state.failure_domain == failure_domain
+            for state in self._view.targets.address_holders()
+        )
+
     async def read(self) -> bytes | Unavailable:
         """Returns the newest acknowledged configuration, as it was written."""
         outcome = await self._read()
@@ -150,6 +200,16 @@
         return outcome
 
     async def _read(self) -> bytes | Unavailable:
+        refusal = await self._catch_up()
+        if refusal is not None:
+            return refusal
+        configuration = self._state.configuration
+        if configuration is None:
+            return Unavailable("no configuration yet")
+        return zlib.decompress(configuration.source)
+
+    async def _catch_up(self) -> Unavailable | None:
+        """Waits until this node has applied all that was acknowledged."""
         index = None
         try:
             async with asyncio.timeout(_READ_TIMEOUT_S):
@@ -165,10 +225,7 @@
             if index is None:
                 return Unavailable("no majority confirms the leader")
             return Unavailable("not caught up in time")
-        configuration = self._state.configuration
-        if configuration is None:
-            return Unavailable("no configuration yet")
-        return zlib.decompress(configuration.source)
+        return None
 
     def _record_refusal(self, call: str, refusal: Unavailable) -> None:
         metrics.CONTROL_REFUSALS.labels(call, refusal.reason).inc()
@@ -290,6 +347,11 @@
         """Proposes a command to the replica of this node, which must lead."""
         outcome = await self._replica.propose(command.SerializeToString())
         match outcome:
+            case Committed(result=None):
+                # A newer build has sent a command that this one doesn't know.
+                return Unavailable("unknown command")
+            case Committed(result=result) if result.is_overtaken:
+                return Unavailable("overtaken by another order")
             case Committed(result=result):
                 if result.changed and command.HasField("name_weights"):
                     desired = command.name_weights
--- a/damaskcroft/control/_fleet_service.py
+++ b/damaskcroft/control/_fleet_service.py
@@ -222,6 +222,7 @@
         watcher.add(self._full_update())
         sent_versions = _SentDesiredVersions()
         sent_served_models: set[str] = set()
+        sent_evacuations: list[fleet_pb2.Evacuation] = []
         while True:
             update = fleet_pb2.FleetUpdate(
                 configuration_version=self._state.version,
@@ -239,6 +240,11 @@
                 if served.model not in sent_served_models:
                     sent_served_models.add(served.model)
                     update.served.append(served)
+            if not watcher.is_agent:
+                evacuations = self._state.evacuations.snapshot()
+                if evacuations != sent_evacuations:
+                    sent_evacuations = evacuations
+                    update.evacuations.extend(evacuations)
             await stream.send_message(update)
             sent_at = now_s()
             with contextlib.suppress(TimeoutError):
--- a/damaskcroft/control/_fleet_state.py
+++ b/damaskcroft/control/_fleet_state.py
@@ -6,6 +6,7 @@
 from damaskcroft._generated import fleet_pb2
 from damaskcroft.consensus import StateMachine
 from damaskcroft.control._desired_version_times import DesiredVersionTimes
+from damaskcroft.fleet import Evacuations
 
 __all__ = ["Applied", "FleetState"]
 
@@ -17,10 +18,13 @@
     Attributes:
         changed: False when an equal or higher version was in force.
         version: the version in force now.
+        is_overtaken: whether a later command of another effect came first, so
+            that this one changed nothing.
     """
 
     changed: bool
     version: int
+    is_overtaken: bool = False
 
 
 class FleetState(StateMachine):
@@ -31,6 +35,7 @@
         desired_version_by_model: desired versions of the models that have one.
         served_by_model: the recorded version in service of each model without
             a desired version.
+        evacuations: evacuated failure domains.
         version_times: when this process applied each desired version, on its
             own clock; not part of the replicated state.
     """
@@ -41,6 +46,7 @@
         self.configuration: fleet_pb2.Configuration | None = None
         self.desired_version_by_model: dict[str, fleet_pb2.WeightGoal] = {}
         self.served_by_model: dict[str, int] = {}
+        self.evacuations = Evacuations()
         self.version_times = DesiredVersionTimes()
 
     def add_listener(self, listener: Callable[[], None]) -> None:
@@ -70,7 +76,6 @@
 
     def apply(self, index: int, command: bytes) -> Applied | None:
         """Applies one command; None for one of an unknown kind."""
-        del index  # Versions, not log indexes, decide which command prevails.
         parsed = fleet_pb2.FleetCommand.FromString(command)
         match parsed.WhichOneof("kind"):
             case "configure":
@@ -79,6 +84,8 @@
                 return self._set_desired_version(parsed.name_weights)
             case "record_served":
                 return self._record_served(parsed.record_served)
+            case "evacuate":
+                return self._evacuate(index, parsed.evacuate)
         return None
 
     def snapshot(self) -> bytes:
@@ -87,6 +94,7 @@
             configuration=self.configuration,
             goals=self.desired_version_by_model.values(),
             served=self.served(),
+            evacuations=self.evacuations.snapshot(),
         )
         return image.SerializeToString(deterministic=True)
 
@@ -104,6 +112,7 @@
         self.served_by_model = {
             each.model: each.version for each in image.served
         }
+        self.evacuations.restore(image.evacuations)
         self._notify_listeners()
 
     def _configure(self, configuration: fleet_pb2.Configuration) -> Applied:
@@ -113,6 +122,29 @@
             self._notify_listeners()
         return Applied(changed, self.version)
 
+    def _evacuate(
+        self, index: int, order: fleet_pb2.EvacuationOrder
+    ) -> Applied:
+        """Applies an order unless a later one has overtaken it.
+
+        The log index is the revision: unlike versions, orders have no order of
+        their own, and one that was held up on its way to the leader must not
+        undo what an operator has ordered since.
+        """
+        domain = order.failure_domain
+        is_evacuated = domain in self.evacuations.evacuated_domains
+        revision = self.evacuations.revision(domain)
+        if order.evacuated == is_evacuated:
+            return Applied(False, revision)
+        if order.known_revision != revision:
+            return Applied(False, revision, is_overtaken=True)
+        state = fleet_pb2.Evacuation(
+            failure_domain=domain, evacuated=order.evacuated, revision=index
+        )
+        self.evacuations.merge_all([state])
+        self._notify_listeners()
+        return Applied(True, index)
+
     def _set_desired_version(self, desired: fleet_pb2.WeightGoal) -> Applied:
         changed = desired.version > self.desired_version(desired.model)
         if changed:
--- a/damaskcroft/fleet/__init__.py
+++ b/damaskcroft/fleet/__init__.py
@@ -5,6 +5,7 @@
     checked,
     record_invalid_announcement,
 )
+from damaskcroft.fleet._evacuations import Evacuations
 from damaskcroft.fleet._held import (
     agents_by_target_address,
     complete_versions,
@@ -31,6 +32,7 @@
     "RENEWALS_GATHERED_S",
     "UPDATE_EVERY_S",
     "Bounds",
+    "Evacuations",
     "FleetView",
     "InvalidAnnouncement",
     "NodeSettings",
--- a/damaskcroft/fleet/_view.py
+++ b/damaskcroft/fleet/_view.py
@@ -7,6 +7,7 @@
 from damaskcroft._generated import fleet_pb2, limits_pb2, quarantine_pb2
 from damaskcroft.clock import now_s
 from damaskcroft.fleet._entry_names import EntryNames
+from damaskcroft.fleet._evacuations import Evacuations
 from damaskcroft.fleet._routes import RouteTable
 from damaskcroft.fleet._targets import TargetRegistry
 from damaskcroft.limits import LimitRegistry
@@ -64,6 +65,7 @@
         crashes: registry of crashed targets and the requests they ran.
         limits: registry of the rate limits that targets announced.
         entry_names: names of all entries of the fleet.
+        evacuations: evacuated failure domains.
         desired_changed: signalled when the configuration, a desired version,
             its time of acceptance or a recorded version in service changes.
     """
@@ -77,6 +79,7 @@
         self.crashes = crashes if crashes is not None else CrashRegistry()
         self.limits = LimitRegistry()
         self.entry_names = EntryNames()
+        self.evacuations = Evacuations()
         self.desired_changed = Signal()
         self._logs_target = logs_target
         self.configuration: fleet_pb2.Configuration | None = None
@@ -88,7 +91,8 @@
         self.served_by_model: dict[str, int] = {}
         self.agents_by_address: dict[str, fleet_pb2.AgentState] = {}
         self._agent_received_at: dict[str, float] = {}
-        # Number of changes of targets and agents, for readers that cache them.
+        # Number of changes of targets, agents and evacuations, for readers that
+        # cache them.
         self.changes = 0
         self.control_addresses: tuple[str, ...] = ()
         # Loop time at which each number of entries was last reported.
@@ -242,6 +246,8 @@
             self.entry_names.refresh(source)
         for desired in update.goals:
             self._merge_desired_version(desired)
+        if self.evacuations.merge_all(update.evacuations):
+            self.changes += 1
         for served in update.served:
             self._merge_served(served)
         self.merge(update.targets, update.agents, update.crashes, update.limits)
--- a/damaskcroft/forwarding/_allocator.py
+++ b/damaskcroft/forwarding/_allocator.py
@@ -123,10 +123,12 @@
         )
 
     def refine_reason(self, reason: str, service: str) -> str:
-        """Replaces "no_target" where ready targets lack the due weights."""
-        if reason == "no_target" and self._services.has_ready(service):
-            return "no_weights"
-        return reason
+        """Replaces "no_target" by the reason why ready targets don't count."""
+        if reason != "no_target":
+            return reason
+        if self._services.is_evacuated(service):
+            return "evacuated"
+        return "no_weights" if self._services.has_ready(service) else reason
 
     async def _allocate_retry(
         self, job: Job, progress: Progress
--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -75,6 +75,7 @@
 _TOO_LATE = "too_late_for_its_weights"
 _BACK_OFF = "target_wants_none"
 _RATE_LIMITED = "rate_limited"
+_EVACUATED = "evacuated"
 
 
 class Forwarder:
@@ -473,6 +474,8 @@
             return QUARANTINED
         if not self._back_pressure.accepts_requests(target.id):
             return _BACK_OFF
+        if self._services.is_in_evacuated_domain(target):
+            return _EVACUATED
         if not self._limits.may_be_dispatched(target.id, allocated_at):
             return _RATE_LIMITED
         if not self._services.may_begin(
--- a/damaskcroft/forwarding/_services.py
+++ b/damaskcroft/forwarding/_services.py
@@ -77,6 +77,9 @@
         self._region_by_domain = region_by_domain
         self._states_by_service: dict[str, list[fleet_pb2.TargetState]] = {}
         self._states_by_start_id: dict[str, fleet_pb2.TargetState] = {}
+        # Ready targets in evacuated failure domains: they get no request and
+        # end those that they have.
+        self._evacuated_by_service: dict[str, list[fleet_pb2.TargetState]] = {}
         self._agents_by_target: dict[str, fleet_pb2.AgentState] = {}
         self._seen_changes = -1
 
@@ -185,6 +188,18 @@
         self._refresh()
         return bool(self._states_by_service.get(service))
 
+    def is_evacuated(self, service: str) -> bool:
+        """Whether all ready targets of a service are in evacuated domains."""
+        self._refresh()
+        if self._states_by_service.get(service):
+            return False
+        return service in self._evacuated_by_service
+
+    def is_in_evacuated_domain(self, candidate: Candidate) -> bool:
+        """Whether no request may be sent to a target's failure domain."""
+        evacuated_domains = self._view.evacuations.evacuated_domains
+        return candidate.failure_domain in evacuated_domains
+
     def may_serve_soon(
         self,
         service: str,
@@ -303,7 +318,11 @@
         self._refresh()
         return {
             start_id(state)
-            for state in self._states_by_service.get(service, [])
+            for states_by_service in (
+                self._states_by_service,
+                self._evacuated_by_service,
+            )
+            for state in states_by_service.get(service, [])
             if not self._serves(state, model, due)
         }
 
@@ -322,8 +341,15 @@
         self._agents_by_target = agents_by_target_address(self._view)
         self._states_by_service = {}
         self._states_by_start_id = {}
+        self._evacuated_by_service = {}
+        evacuated_domains = self._view.evacuations.evacuated_domains
         for state in self._view.targets.address_holders():
-            if state.phase == fleet_pb2.TARGET_READY:
+            if state.phase != fleet_pb2.TARGET_READY:
+                continue
+            if state.failure_domain in evacuated_domains:
+                evacuated = self._evacuated_by_service
+                evacuated.setdefault(state.service, []).append(state)
+            else:
                 states = self._states_by_service.setdefault(state.service, [])
                 states.append(state)
                 self._states_by_start_id[start_id(state)] = state
--- a/damaskcroft/forwarding/tests/fakes.py
+++ b/damaskcroft/forwarding/tests/fakes.py
@@ -101,6 +101,7 @@
         self.modes = list(modes)
         self.heads = []
         self.held = []
+        self.failure_domain = ""
         self.disconnects = 0
         self.address = ""
         self.server = None
@@ -360,7 +361,13 @@
 
 @contextlib.asynccontextmanager
 async def running_entry(
-    *targets, config=None, ratio=1.0, extra=100.0, weights_s=0.0, drain_s=2.0
+    *targets,
+    config=None,
+    ratio=1.0,
+    extra=100.0,
+    weights_s=0.0,
+    drain_s=2.0,
+    region_by_domain=None,
 ):
     """Runs an entry that knows `targets` as the service "s"."""
     view = FleetView()
@@ -378,6 +385,7 @@
                 fleet_pb2.TargetState(
                     id=target.name, service="s", address=target.address,
                     slots=4, sequence=1, held=target.held,
+                    failure_domain=target.failure_domain,
                 )
             ]
         )  # fmt: skip
@@ -399,7 +407,9 @@
     )
     wire = PlainWire()
     delays = AnswerDelays()
-    services = Services(view, {}, weights_s, delays.expected_delay_s)
+    services = Services(
+        view, region_by_domain or {}, weights_s, delays.expected_delay_s
+    )
     forwarder = Forwarder(
         wire,
         services,
--- a/damaskcroft/hosted/control.py
+++ b/damaskcroft/hosted/control.py
@@ -97,7 +97,9 @@
         log_channels, _ELECTION_TIMEOUT_S, _INSTALL_TIMEOUT_S
     )
     replica = Replica(options, disk, transport, state)
-    control = FleetControl(replica, state, view, channels)
+    control = FleetControl(
+        replica, state, view, channels, settings.region_by_domain
+    )
     service = FleetService(replica, state, view, control)
     recorder = ServiceRecorder(
         replica,
--- a/damaskcroft/observe/metrics.py
+++ b/damaskcroft/observe/metrics.py
@@ -21,6 +21,8 @@
     "COMMIT_INDEX",
     "CONTROL_REFUSALS",
     "ELECTIONS",
+    "EVACUATED_DOMAINS",
+    "EVACUATION_ORDERS",
     "FIRST_TOKEN_S",
     "GATE_REFUSALS",
     "HOLDERS_LAPSED",
@@ -78,6 +80,13 @@
     "damask_target_limit_changes", "Limits that targets named or lifted",
     ["change"],
 )  # fmt: skip
+EVACUATION_ORDERS = Counter(
+    "damask_evacuation_orders", "Orders of operators to evacuate a failure "
+    "domain or to end that, by outcome", ["order", "outcome"],
+)  # fmt: skip
+EVACUATED_DOMAINS = Gauge(
+    "damask_evacuated_domains", "Failure domains whose targets get no request"
+)
 QUARANTINE = Counter(
     "damask_quarantine", "Decisions on requests that crash targets",
     ["decision"],
--- a/damaskcroft/platform/control_face.py
+++ b/damaskcroft/platform/control_face.py
@@ -28,6 +28,16 @@
         Route("/api/config/put", endpoints.put_configuration, methods=["POST"]),
         Route("/api/config/get", endpoints.get_configuration, methods=["GET"]),
         Route("/api/version-put", endpoints.put_version, methods=["POST"]),
+        Route(
+            "/api/evacuate/{failure_domain}/start",
+            endpoints.start_evacuation,
+            methods=["POST"],
+        ),
+        Route(
+            "/api/evacuate/{failure_domain}/end",
+            endpoints.end_evacuation,
+            methods=["POST"],
+        ),
         Route(
             "/api/instances/{target_id}/heartbeat",
             endpoints.receive_announcement,
@@ -70,6 +80,18 @@
             return _bad_request(str(error))
         return _response(await self._control.name_weights(desired))
 
+    async def start_evacuation(self, request: Request) -> Response:
+        return await self._evacuate(request, evacuated=True)
+
+    async def end_evacuation(self, request: Request) -> Response:
+        return await self._evacuate(request, evacuated=False)
+
+    async def _evacuate(self, request: Request, *, evacuated: bool) -> Response:
+        failure_domain = request.path_params["failure_domain"]
+        return _response(
+            await self._control.evacuate(failure_domain, evacuated=evacuated)
+        )
+
     async def receive_announcement(self, request: Request) -> Response:
         target_id = request.path_params["target_id"]
         announcement = decode_announcement(target_id, await request.body())
