Data residency: requests reach targets of allowed regions only

Routes and customers that list regions were served anywhere: the lists were not read. Now candidates of every attempt are filtered by them, both lists apply, and what a change forbids meanwhile is withheld. Without an allowed target a request is refused at once with its own reason. docs/design/025.

--- a/damaskcroft/fleet/__init__.py
+++ b/damaskcroft/fleet/__init__.py
@@ -15,6 +15,7 @@
 )
 from damaskcroft.fleet._relaying import relay
 from damaskcroft.fleet._reporter import Reporter
+from damaskcroft.fleet._residency import allowed_regions
 from damaskcroft.fleet._routes import RouteTable, mark_interruptible
 from damaskcroft.fleet._settings import Bounds, NodeSettings
 from damaskcroft.fleet._targets import TargetRegistry, start_id
@@ -42,6 +43,7 @@
     "TurnClient",
     "Watcher",
     "agents_by_target_address",
+    "allowed_regions",
     "checked",
     "complete_versions",
     "configuration_faults",
--- a/damaskcroft/forwarding/_allocator.py
+++ b/damaskcroft/forwarding/_allocator.py
@@ -94,7 +94,9 @@
                 return outcome
             case Overloaded(reason=reason, waiting=waiting):
                 detail = f"{waiting} waiting"
-                reason = self.refine_reason(reason, job.service)
+                reason = self.refine_reason(
+                    reason, job.service, job.allowed_regions
+                )
                 return Refused(
                     reason,
                     Ran.NO,
@@ -122,12 +124,20 @@
             allowed_regions=job.allowed_regions,
         )
 
-    def refine_reason(self, reason: str, service: str) -> str:
+    def refine_reason(
+        self,
+        reason: str,
+        service: str,
+        allowed_regions: frozenset[str] | None,
+    ) -> str:
         """Replaces "no_target" by the reason why ready targets don't count."""
         if reason != "no_target":
             return reason
-        if self._services.is_evacuated(service):
+        if self._services.is_evacuated(service, allowed_regions):
             return "evacuated"
+        if not self._services.has_ready_in(service, allowed_regions):
+            is_elsewhere = self._services.has_ready(service)
+            return "not_in_allowed_regions" if is_elsewhere else reason
         return "no_weights" if self._services.has_ready(service) else reason
 
     async def _allocate_retry(
@@ -178,7 +188,7 @@
             return failed_ending("no_target", progress)
         outcome = await self.queue.take_slot(self._ticket(job, progress))
         if isinstance(outcome, Overloaded):
-            reason = self.refine_reason(outcome.reason, job.service)
+            reason = self.refine_reason(outcome.reason, service, regions)
             retry_after_s = spread_retry_after_s(outcome.retry_in_s)
             return failed_ending(reason, progress, retry_after_s)
         if not self._spend_retry_budget(progress):
--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -76,6 +76,7 @@
 _BACK_OFF = "target_wants_none"
 _RATE_LIMITED = "rate_limited"
 _EVACUATED = "evacuated"
+_NOT_ALLOWED_THERE = "not_allowed_in_region"
 
 
 class Forwarder:
@@ -149,7 +150,9 @@
             self._suspects.check_crashes()
             for wait in self._queue.new_long_waits():
                 reason = self._allocator.refine_reason(
-                    wait.reason, wait.ticket.service
+                    wait.reason,
+                    wait.ticket.service,
+                    wait.ticket.allowed_regions,
                 )
                 self._log.queued(wait, reason)
             self._check_silent_targets(set(self._silence.silent_ids()))
@@ -476,6 +479,8 @@
             return _BACK_OFF
         if self._services.is_in_evacuated_domain(target):
             return _EVACUATED
+        if not self._services.allows_region(job, target):
+            return _NOT_ALLOWED_THERE
         if not self._limits.may_be_dispatched(target.id, allocated_at):
             return _RATE_LIMITED
         if not self._services.may_begin(
--- a/damaskcroft/forwarding/_gate.py
+++ b/damaskcroft/forwarding/_gate.py
@@ -11,7 +11,7 @@
 
 from damaskcroft._generated import fleet_pb2
 from damaskcroft.clock import now_s
-from damaskcroft.fleet import FleetView
+from damaskcroft.fleet import FleetView, allowed_regions
 from damaskcroft.forwarding._answer_times import AnswerTimes
 from damaskcroft.forwarding._call import Call, Wire
 from damaskcroft.forwarding._forwarder import Forwarder
@@ -236,6 +236,7 @@
             priority=_priority(route, customer),
             deadline_at=deadline_at,
             configuration=table.version,
+            allowed_regions=allowed_regions(route, customer),
         )
 
     def _pick_service(self, route: fleet_pb2.Route) -> str:
--- a/damaskcroft/forwarding/_services.py
+++ b/damaskcroft/forwarding/_services.py
@@ -11,10 +11,12 @@
 from damaskcroft.fleet import (
     FleetView,
     agents_by_target_address,
+    allowed_regions,
     complete_versions,
     held_layers,
     start_id,
 )
+from damaskcroft.forwarding._job import Job
 from damaskcroft.routing import Candidate
 
 __all__ = ["Services"]
@@ -188,12 +190,44 @@
         self._refresh()
         return bool(self._states_by_service.get(service))
 
-    def is_evacuated(self, service: str) -> bool:
-        """Whether all ready targets of a service are in evacuated domains."""
+    def has_ready_in(
+        self, service: str, allowed_regions: frozenset[str] | None
+    ) -> bool:
+        """Whether a service has ready targets in some regions."""
+        self._refresh()
+        return bool(self._states_in(service, allowed_regions))
+
+    def is_evacuated(
+        self, service: str, allowed_regions: frozenset[str] | None = None
+    ) -> bool:
+        """Whether all ready targets of a service are in evacuated domains.
+
+        Args:
+            service: name of the service.
+            allowed_regions: regions of the targets; None for all.
+        """
         self._refresh()
-        if self._states_by_service.get(service):
+        if self._states_in(service, allowed_regions):
             return False
-        return service in self._evacuated_by_service
+        evacuated = self._evacuated_by_service.get(service, [])
+        return bool(self._in_regions(evacuated, allowed_regions))
+
+    def allows_region(self, job: Job, candidate: Candidate) -> bool:
+        """Whether a request may be served in a target's region.
+
+        The regions of the configuration by which the request was admitted and
+        those of the one in force now both apply.
+        """
+        regions = job.allowed_regions
+        if regions is not None and candidate.region not in regions:
+            return False
+        table = self._view.route_table
+        if table is None or table.version == job.configuration:
+            return True
+        route = table.route(job.call.host, job.call.path) or job.route
+        customer = table.customer(job.call.key) if job.customer else None
+        regions = allowed_regions(route, customer)
+        return regions is None or candidate.region in regions
 
     def is_in_evacuated_domain(self, candidate: Candidate) -> bool:
         """Whether no request may be sent to a target's failure domain."""
@@ -230,6 +264,13 @@
     ) -> list[fleet_pb2.TargetState]:
         """Ready targets of a service in some regions."""
         states = self._states_by_service.get(service, [])
+        return self._in_regions(states, allowed_regions)
+
+    def _in_regions(
+        self,
+        states: list[fleet_pb2.TargetState],
+        allowed_regions: frozenset[str] | None,
+    ) -> list[fleet_pb2.TargetState]:
         if allowed_regions is None:
             return states
         return [
