Soak: a failure domain is evacuated beside all other faults

From seed 6000 on one operator evacuates the domain of one target and takes it back by turns, each order sent until a node acknowledges it, and leaves it evacuated. After the faults that target must get nothing, and requests again once its domain returns. Earlier seeds keep their schedules.

--- a/damaskcroft/hosted/tests/deployment.py
+++ b/damaskcroft/hosted/tests/deployment.py
@@ -34,6 +34,7 @@
 {data}
 [zones]
 z = "r"
+z0 = "r"
 [listen]
 {listen}
 [limits]
--- a/damaskcroft/hosted/tests/soak/_run.py
+++ b/damaskcroft/hosted/tests/soak/_run.py
@@ -11,6 +11,11 @@
     ENTRY_IPS,
     Deployment,
 )
+from damaskcroft.hosted.tests.soak._evacuations import (
+    EVACUATED_DOMAIN,
+    EvacuatingOperator,
+    has_evacuations,
+)
 from damaskcroft.hosted.tests.soak._faults import (
     Injector,
     has_changes,
@@ -81,9 +86,23 @@
         )
         self.deployment = Deployment(folder)
         self.targets = [
-            Target(f"t{n}", self.deployment, self.history, keeps_id=n % 2 == 0)
+            Target(
+                f"t{n}",
+                self.deployment,
+                self.history,
+                keeps_id=n % 2 == 0,
+                domain=EVACUATED_DOMAIN
+                if has_evacuations(seed) and not n
+                else "",
+            )
             for n in range(_TARGETS)
         ]
+        self._evacuating = EvacuatingOperator(
+            random.Random(f"{seed}/evacuations"),
+            self.deployment,
+            self.history,
+            self.write_journal,
+        )
         self.injector = Injector(
             self.deployment,
             self.targets,
@@ -136,13 +155,19 @@
                 asyncio.create_task(operator.send_other_requests())
                 for operator in self._operators[_CHANGING_OPERATORS:]
             ]
+            if has_evacuations(self.seed):
+                operator_tasks.append(
+                    asyncio.create_task(self._evacuating.run())
+                )
             await self.injector.play(schedule(self.seed, seconds))
             self.write_journal("healed")
             self._ending = True
+            self._evacuating.end()
             for operator in self._operators:
                 operator.end()
             await asyncio.gather(*caller_tasks, *operator_tasks)
             await self._check_recovered()
+            await self._check_evacuated()
             await self._check_quarantine()
             for ip in CONTROL_IPS:
                 log = self.deployment.log("control", ip)
@@ -300,6 +325,16 @@
             await asyncio.sleep(0.2)
         self.history.violations += unrecovered
 
+    async def _check_evacuated(self):
+        """Checks that the last acknowledged evacuation is in effect."""
+        if not has_evacuations(self.seed):
+            return
+        entries = itertools.cycle(ENTRY_IPS)
+        await self._evacuating.check_evacuated(
+            self.targets[0].name,
+            lambda: self._send_on_new_connection(PATHS["safe"], next(entries)),
+        )
+
     async def _check_quarantine(self):
         """Checks that entries refuse what crashes targets if quarantined."""
         for name, crash_count, send in (
--- a/damaskcroft/hosted/tests/soak/_target.py
+++ b/damaskcroft/hosted/tests/soak/_target.py
@@ -46,8 +46,9 @@
     the time of the start; otherwise each start has a new id.
     """
 
-    def __init__(self, name, deployment, history, *, keeps_id=False):
+    def __init__(self, name, deployment, history, *, keeps_id=False, domain=""):
         self._keeps_id = keeps_id
+        self._domain = domain
         self.name = name
         self.deployment = deployment
         self.history = history
@@ -196,6 +197,8 @@
             "service": "s", "address": self.proxy.address, "slots": 8,
             "sequence": self._sequence, "state": self._state,
         }  # fmt: skip
+        if self._domain:
+            values["zone"] = self._domain
         if self._keeps_id:
             values["born"] = self._born_ms
         path = f"/api/instances/{self.id}/{operation}"
--- a/damaskcroft/hosted/tests/test_soak.py
+++ b/damaskcroft/hosted/tests/test_soak.py
@@ -50,6 +50,8 @@
     # A target that had announced its end crashed; its truncated answer arrived
     # as a complete one.
     (5120, 15.0),
+    # Never failed; a failure domain is evacuated beside all other faults.
+    (6000, 10.0),
 ]
 
 
