An agent answers /metrics without an HTTP library

Cause: an agent imported starlette, uvicorn, click, anyio, h11 and http1 to answer /metrics, and renewed a Date header once a second for it.

Weighed: importing them at the first scrape (an agent would stop for 0.1 s in the middle of an incident, when it is scraped); serving by http1 (h11 and http1 are 46 of 650 ms); a protocol of 100 lines that answers one request for each connection (taken). rpc and http1 import lazily what only some programs use.

--- a/damaskcroft/hosted/process.py
+++ b/damaskcroft/hosted/process.py
@@ -17,7 +17,7 @@
 from damaskcroft.rpc import (
     force_exit,
     logging_start_failure,
-    serve_http,
+    serve_metrics,
     stop_event,
 )
 
@@ -96,15 +96,7 @@
             await serve(settings, stop)
             return
         metrics_address = f"{settings.ip}:{metrics_port}"
-        async with serve_http(
-            metrics_address,
-            [],
-            shutdown_notice_s=_METRICS_SHUTDOWN_S,
-            end_s=_METRICS_SHUTDOWN_S,
-        ) as metrics_server:
-            stopping.add_done_callback(
-                lambda _: metrics_server.announce_shutdown()
-            )
+        async with serve_metrics(metrics_address, _METRICS_SHUTDOWN_S):
             await serve(settings, stop)
 
 
--- a/damaskcroft/http1/__init__.py
+++ b/damaskcroft/http1/__init__.py
@@ -6,30 +6,35 @@
 the server and the client drive parsers over asyncio (RFC 9110, RFC 9112).
 """
 
-from damaskcroft.http1._channel import Channel, ChannelLostError, connect
-from damaskcroft.http1._client import (
-    CutShortError,
-    NoAnswerError,
-    TargetConnection,
-)
-from damaskcroft.http1._closing import Lingering, closing_answer
-from damaskcroft.http1._exchange import (
-    Answer,
-    CallerHandler,
-    CallerLimits,
-    CallerRequest,
-)
-from damaskcroft.http1._head import Head, Headers
-from damaskcroft.http1._listening import stop_listening
-from damaskcroft.http1._pool import ConnectionPool, Place
-from damaskcroft.http1._retry_after import retry_after_s
-from damaskcroft.http1._server import CallerConnections, serve_callers
-from damaskcroft.http1._shutdown import (
-    GracefulServer,
-    ShutdownTimes,
-    drained,
-    shut_down_server,
-)
+import typing
+
+from damaskcroft._lazy_imports import lazy_imports
+
+if typing.TYPE_CHECKING:
+    from damaskcroft.http1._channel import Channel, ChannelLostError, connect
+    from damaskcroft.http1._client import (
+        CutShortError,
+        NoAnswerError,
+        TargetConnection,
+    )
+    from damaskcroft.http1._closing import Lingering, closing_answer
+    from damaskcroft.http1._exchange import (
+        Answer,
+        CallerHandler,
+        CallerLimits,
+        CallerRequest,
+    )
+    from damaskcroft.http1._head import Head, Headers
+    from damaskcroft.http1._listening import stop_listening
+    from damaskcroft.http1._pool import ConnectionPool, Place
+    from damaskcroft.http1._retry_after import retry_after_s
+    from damaskcroft.http1._server import CallerConnections, serve_callers
+    from damaskcroft.http1._shutdown import (
+        GracefulServer,
+        ShutdownTimes,
+        drained,
+        shut_down_server,
+    )
 
 __all__ = [
     "Answer",
@@ -57,3 +62,33 @@
     "shut_down_server",
     "stop_listening",
 ]
+
+__getattr__ = lazy_imports(
+    __name__,
+    {
+        "Answer": "_exchange",
+        "CallerConnections": "_server",
+        "CallerHandler": "_exchange",
+        "CallerLimits": "_exchange",
+        "CallerRequest": "_exchange",
+        "Channel": "_channel",
+        "ChannelLostError": "_channel",
+        "ConnectionPool": "_pool",
+        "CutShortError": "_client",
+        "GracefulServer": "_shutdown",
+        "Head": "_head",
+        "Headers": "_head",
+        "Lingering": "_closing",
+        "NoAnswerError": "_client",
+        "Place": "_pool",
+        "ShutdownTimes": "_shutdown",
+        "TargetConnection": "_client",
+        "closing_answer": "_closing",
+        "connect": "_channel",
+        "drained": "_shutdown",
+        "retry_after_s": "_retry_after",
+        "serve_callers": "_server",
+        "shut_down_server": "_shutdown",
+        "stop_listening": "_listening",
+    },
+)
--- a/damaskcroft/rpc/__init__.py
+++ b/damaskcroft/rpc/__init__.py
@@ -1,5 +1,7 @@
 """Shared gRPC and HTTP infrastructure: channels, servers, keys, exit."""
 
+import typing
+
 from damaskcroft._lazy_imports import lazy_imports
 from damaskcroft.rpc._channels import (
     CALL_ERRORS,
@@ -7,12 +9,8 @@
     called,
     split_address,
 )
-from damaskcroft.rpc._http import (
-    CallerDisconnected,
-    run_unless_disconnected,
-    serve_http,
-)
 from damaskcroft.rpc._keys import Keys, KeysError, load_keys
+from damaskcroft.rpc._metrics_server import serve_metrics
 from damaskcroft.rpc._process import (
     force_exit,
     logging_start_failure,
@@ -20,6 +18,13 @@
 )
 from damaskcroft.rpc._server import serve_grpc
 
+if typing.TYPE_CHECKING:
+    from damaskcroft.rpc._http import (
+        CallerDisconnected,
+        run_unless_disconnected,
+        serve_http,
+    )
+
 __all__ = [
     "CALL_ERRORS",
     "HTTP_ERRORS",
@@ -36,6 +41,7 @@
     "run_unless_disconnected",
     "serve_grpc",
     "serve_http",
+    "serve_metrics",
     "split_address",
     "stop_event",
 ]
@@ -43,8 +49,11 @@
 __getattr__ = lazy_imports(
     __name__,
     {
+        "CallerDisconnected": "_http",
         "HTTP_ERRORS": "_http_client",
         "make_http_client": "_http_client",
         "run_daemon": "_daemon",
+        "run_unless_disconnected": "_http",
+        "serve_http": "_http",
     },
 )
--- a/damaskcroft/rpc/_http.py
+++ b/damaskcroft/rpc/_http.py
@@ -4,7 +4,6 @@
 import contextlib
 import dataclasses
 import email.utils
-import socket
 from collections.abc import AsyncIterator, Coroutine
 from typing import Any, TypeVar
 
@@ -23,8 +22,8 @@
     stop_listening,
 )
 from damaskcroft.observe import log_warning, metrics
-from damaskcroft.rpc._channels import split_address
 from damaskcroft.rpc._kept_connections import KeepAliveConnection, SharedState
+from damaskcroft.rpc._listening import BACKLOG, bound_socket
 from damaskcroft.tasks import background
 
 # The resolution of an answer's Date header (RFC 9110, 5.6.7).
@@ -39,8 +38,6 @@
 _DRAIN_TIMEOUT_S = 2.0
 # For cancelled requests to finish.
 _CANCEL_TIMEOUT_S = 0.1
-# Length of the kernel's queue of connections to be accepted.
-_BACKLOG = 2048
 _T = TypeVar("_T")
 
 
@@ -79,7 +76,7 @@
         """
         loop = asyncio.get_running_loop()
         self._listening = await loop.create_server(
-            self._make_connection, sock=_bind(address), backlog=_BACKLOG
+            self._make_connection, sock=bound_socket(address), backlog=BACKLOG
         )
         self.address = address
 
@@ -175,25 +172,6 @@
     return Response(status_code=500, headers={"Connection": "close"})
 
 
-def _bind(address: str) -> socket.socket:
-    """Creates a socket that is bound to the address.
-
-    Raises:
-        OSError: the address is in use or not of this machine; the message
-            contains the address.
-    """
-    host, port = split_address(address)
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    bound = socket.socket(family, socket.SOCK_STREAM)
-    try:
-        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        bound.bind((host, port))
-    except OSError as error:
-        bound.close()
-        raise OSError(error.errno, f"cannot bind {address}: {error}") from error
-    return bound
-
-
 def _remaining_times(
     server: HttpServer, shutdown_notice_s: float, end_s: float
 ) -> ShutdownTimes:
