An entry answers readiness probes by the server of its callers

Cause: starlette, uvicorn, click and anyio were imported by an entry only for the probe of its readiness, and renewed a Date header once a second.

--- a/damaskcroft/hosted/entry.py
+++ b/damaskcroft/hosted/entry.py
@@ -23,7 +23,7 @@
 )
 from damaskcroft.limits import RateLimits
 from damaskcroft.observe import log_event
-from damaskcroft.platform.ready_face import ready_routes
+from damaskcroft.platform.ready_face import ReadyFace
 from damaskcroft.platform.wire import PlatformWire
 from damaskcroft.quarantine import CrashRegistry
 from damaskcroft.routing import (
@@ -35,7 +35,7 @@
     RetryWindow,
     SilenceWatch,
 )
-from damaskcroft.rpc import ChannelPool, Keys, serve_http
+from damaskcroft.rpc import ChannelPool, Keys
 from damaskcroft.tasks import background
 
 __all__ = ["serve"]
@@ -161,9 +161,9 @@
             last_count = await view.desired_changed.wait(last_count)
 
     async with (
-        serve_http(
+        serve_callers(
             settings.ready_address,
-            ready_routes(is_ready),
+            ReadyFace(is_ready),
             shutdown_notice_s=_READY_SHUTDOWN_S,
             end_s=_READY_SHUTDOWN_S,
         ) as ready_server,
--- a/damaskcroft/hosted/tests/test_starts.py
+++ b/damaskcroft/hosted/tests/test_starts.py
@@ -8,10 +8,22 @@
 # Each program once imported all of these, which took half of the processor time
 # of a start.
 NOT_NEEDED = "typer damaskcroft.config damaskcroft.claims".split()
+HTTP_SERVER = "uvicorn starlette click anyio".split()
 BY_ROLE = {
-    "entry": ["aiosonic", "damaskcroft.membership", "damaskcroft.weights"],
+    "entry": [
+        "aiosonic",
+        "damaskcroft.membership",
+        "damaskcroft.weights",
+        *HTTP_SERVER,
+    ],
     "control": ["aiosonic", "damaskcroft.weights", "damaskcroft.routing"],
-    "agent": ["damaskcroft.membership", "damaskcroft.routing"],
+    "agent": [
+        "damaskcroft.membership",
+        "damaskcroft.routing",
+        "h11",
+        "httptools",
+        *HTTP_SERVER,
+    ],
 }
 
 
--- a/damaskcroft/http1/__init__.py
+++ b/damaskcroft/http1/__init__.py
@@ -33,6 +33,7 @@
         GracefulServer,
         ShutdownTimes,
         drained,
+        remaining_times,
         shut_down_server,
     )
 
@@ -57,6 +58,7 @@
     "closing_answer",
     "connect",
     "drained",
+    "remaining_times",
     "retry_after_s",
     "serve_callers",
     "shut_down_server",
@@ -86,6 +88,7 @@
         "closing_answer": "_closing",
         "connect": "_channel",
         "drained": "_shutdown",
+        "remaining_times": "_shutdown",
         "retry_after_s": "_retry_after",
         "serve_callers": "_server",
         "shut_down_server": "_shutdown",
--- a/damaskcroft/http1/_server.py
+++ b/damaskcroft/http1/_server.py
@@ -15,8 +15,8 @@
 from damaskcroft.http1._listening import stop_listening
 from damaskcroft.http1._reader import RequestReader
 from damaskcroft.http1._shutdown import (
-    IMMEDIATE_SHUTDOWN,
     GracefulServer,
+    remaining_times,
     shut_down_server,
 )
 from damaskcroft.observe import log_warning, metrics
@@ -359,10 +359,20 @@
 
 @contextlib.asynccontextmanager
 async def serve_callers(
-    address: str, handler: CallerHandler
+    address: str,
+    handler: CallerHandler,
+    *,
+    shutdown_notice_s: float = 0.0,
+    end_s: float = 0.0,
 ) -> AsyncIterator[CallerConnections]:
     """Serves callers at `address` until the block ends.
 
+    Args:
+        address: IP address and port.
+        handler: answers the requests.
+        shutdown_notice_s: see `remaining_times`.
+        end_s: see `remaining_times`.
+
     Raises:
         OSError: the address cannot be bound.
     """
@@ -372,4 +382,6 @@
     try:
         yield connections
     finally:
-        await shut_down_server(connections, IMMEDIATE_SHUTDOWN)
+        await shut_down_server(
+            connections, remaining_times(connections, shutdown_notice_s, end_s)
+        )
--- a/damaskcroft/http1/_shutdown.py
+++ b/damaskcroft/http1/_shutdown.py
@@ -21,11 +21,11 @@
 from damaskcroft.observe import log_event
 
 __all__ = [
-    "IMMEDIATE_SHUTDOWN",
     "MIN_IDLE_S",
     "GracefulServer",
     "ShutdownTimes",
     "drained",
+    "remaining_times",
     "shut_down_server",
 ]
 
@@ -54,9 +54,6 @@
     within_s: float
 
 
-IMMEDIATE_SHUTDOWN = ShutdownTimes(0.0, 0.0, 0.0, 0.0)
-
-
 class GracefulServer(abc.ABC):
     """Interface of a server that can be shut down gracefully.
 
@@ -155,3 +152,22 @@
         if is_close_wait_over and server.only_lingering_open:
             return
         await asyncio.sleep(_POLL_INTERVAL_S)
+
+
+def remaining_times(
+    server: GracefulServer, shutdown_notice_s: float, end_s: float
+) -> ShutdownTimes:
+    """Times of a shutdown that begins now, after an optional notice.
+
+    Args:
+        server: server to shut down.
+        shutdown_notice_s: time from the notice, given now or earlier, until
+            connections are no longer accepted.
+        end_s: maximum time after that for requests being processed.
+    """
+    now = asyncio.get_running_loop().time()
+    noticed_at = now if server.noticed_at is None else server.noticed_at
+    within_s = max(0.0, noticed_at + shutdown_notice_s - now) + end_s
+    return ShutdownTimes(
+        shutdown_notice_s, shutdown_notice_s, within_s, within_s
+    )
--- a/damaskcroft/rpc/_http.py
+++ b/damaskcroft/rpc/_http.py
@@ -17,7 +17,7 @@
 
 from damaskcroft.http1 import (
     GracefulServer,
-    ShutdownTimes,
+    remaining_times,
     shut_down_server,
     stop_listening,
 )
@@ -172,18 +172,6 @@
     return Response(status_code=500, headers={"Connection": "close"})
 
 
-def _remaining_times(
-    server: HttpServer, shutdown_notice_s: float, end_s: float
-) -> ShutdownTimes:
-    """Times of a shutdown that begins now, after an optional notice."""
-    now = asyncio.get_running_loop().time()
-    noticed_at = now if server.noticed_at is None else server.noticed_at
-    within_s = max(0.0, noticed_at + shutdown_notice_s - now) + end_s
-    return ShutdownTimes(
-        shutdown_notice_s, shutdown_notice_s, within_s, within_s
-    )
-
-
 @contextlib.asynccontextmanager
 async def serve_http(
     address: str,
@@ -222,7 +210,7 @@
             yield server
         finally:
             await shut_down_server(
-                server, _remaining_times(server, shutdown_notice_s, end_s)
+                server, remaining_times(server, shutdown_notice_s, end_s)
             )
 
 
