Two control nodes send an agent each change, the others with their beats

Cause: during a change of version every control node sent every agent each change of every other agent, and four updates a second with renewed guards that only entries use. An agent that opened its streams before its target's first report (as at each start) was taken for no agent: it got entry names, crashes, limits and evacuations as well.

Weighed: a longer interval between the updates of agents (each wave of a rolling update would begin later); agents that watch two nodes only (both may be cut off, and desired versions must come from all); a filter by service (a deployment mostly has one); two nodes by rendezvous hashing that send each change at once while the others send them within half a second, and desired versions and configurations from all at once (taken; no state, no new timer). Should both nodes of an agent be lost, it learns of others up to 0.5 s later.

--- a/damaskcroft/control/_fleet_service.py
+++ b/damaskcroft/control/_fleet_service.py
@@ -16,6 +16,7 @@
     Unavailable,
 )
 from damaskcroft.control._fleet_state import FleetState
+from damaskcroft.control._prompt_nodes import prompt_nodes
 from damaskcroft.fleet import (
     RENEWALS_GATHERED_S,
     UPDATE_EVERY_S,
@@ -55,6 +56,7 @@
         "sent_entries",
         "urgent",
         "is_agent",
+        "is_deferred",
         "is_entry",
         "limited_starts",
         "targets_by_key",
@@ -64,6 +66,8 @@
     def __init__(self, *, is_entry: bool, is_agent: bool):
         self.is_entry = is_entry
         self.is_agent = is_agent
+        # Whether changes wait for the next periodic update.
+        self.is_deferred = False
         # By id and service, because another writer may announce the same
         # target id for a service of its own.
         self.targets_by_key: dict[tuple[str, str], fleet_pb2.TargetState] = {}
@@ -86,6 +90,8 @@
         if not self.is_agent:
             self.crashed_starts.update(c.start_id for c in update.crashes)
             self.limited_starts.update(w.start_id for w in update.limits)
+        if self.is_deferred:
+            return
         if _withdraws_target(update):
             self.urgent.set()
         self.wake.set()
@@ -189,15 +195,16 @@
         request = await stream.recv_message()
         if request is None:
             return
-        is_agent = request.HasField("agent")
+        has_state = request.HasField("agent")
+        is_agent = request.is_agent or has_state
         watcher = _Watcher(is_entry=request.is_entry, is_agent=is_agent)
         self._watchers.add(watcher)
         self._track_entry(watcher, request.name, 1)
         log_event("watcher_joined", name=request.name)
         try:
-            agents = [request.agent] if is_agent else []
+            agents = [request.agent] if has_state else []
             self._view.merge([], agents, request.crashes, request.limits)
-            await self._push_updates(stream, watcher)
+            await self._push_updates(stream, watcher, request.name)
         finally:
             self._watchers.discard(watcher)
             self._track_entry(watcher, request.name, -1)
@@ -218,15 +225,22 @@
             if not other.is_agent:
                 other.wake.set()
 
-    async def _push_updates(self, stream: Any, watcher: _Watcher) -> None:
+    async def _push_updates(
+        self, stream: Any, watcher: _Watcher, name: str
+    ) -> None:
         watcher.add(self._full_update())
         sent_versions = _SentDesiredVersions()
         sent_served_models: set[str] = set()
         sent_evacuations: list[fleet_pb2.Evacuation] = []
+        known_members: list[str] = []
         while True:
+            members = self._replica.member_addresses()
+            if watcher.is_agent and members != known_members:
+                known_members = members
+                watcher.is_deferred = self._leaves_to_others(name, members)
             update = fleet_pb2.FleetUpdate(
                 configuration_version=self._state.version,
-                control_addresses=self._replica.member_addresses(),
+                control_addresses=members,
                 entries=self._entry_stream_count,
             )
             watcher.move_to(update, self._view)
@@ -256,6 +270,11 @@
                     ):
                         await watcher.urgent.wait()
 
+    def _leaves_to_others(self, name: str, members: list[str]) -> bool:
+        """Whether two other nodes send each change to an agent promptly."""
+        nodes = prompt_nodes(name, members)
+        return bool(nodes) and self._replica.address not in nodes
+
     def _desired_versions(self) -> Iterator[fleet_pb2.WeightGoal]:
         """Yields recent desired versions of each model, oldest first.
 
@@ -301,8 +320,14 @@
 
     def _broadcast_renewals(self) -> None:
         agents = self._renewals_by_address.values()
-        if agents:
-            self._broadcast(fleet_pb2.FleetUpdate(agents=agents))
+        if not agents:
+            return
+        update = fleet_pb2.FleetUpdate(agents=agents)
+        self._renewals_by_address.clear()
+        for watcher in self._watchers:
+            # Only those that send requests to targets use the guards.
+            if not watcher.is_agent:
+                watcher.add(update)
 
     async def publish_crashes(
         self, crashes: Iterable[quarantine_pb2.TargetCrash]
--- a/damaskcroft/hosted/agent.py
+++ b/damaskcroft/hosted/agent.py
@@ -67,7 +67,7 @@
         channels,
         [settings.rpc_address_at(seed) for seed in settings.seeds],
         lambda: fleet_pb2.WatchRequest(
-            name=settings.name, agent=agent.announced_state()
+            name=settings.name, agent=agent.announced_state(), is_agent=True
         ),
         without_routes=True,
     )
