Hedges of slow requests, within a share that operators set

A second attempt was made only where the first target was silent (no data on any connection for 0.8 s), so a target that is slow for a moment made its callers wait. It is inside the share of the service's requests over 10 s, the retry budget, max_attempts, and the checks of any attempt; none beside a queue, at full or ejected targets, or for suspects. An attempt that is outrun is no failure of its target and is not tried again. An attempt whose end was being checked when another one had output could still have sent its own: checked once more before the first byte. Tests: test_hedge_policy.py, test_slow_hedges.py (without a network), test_hedges_of_slow_targets.py (loopback).

--- a/damaskcroft/ctl/_attempts.py
+++ b/damaskcroft/ctl/_attempts.py
@@ -7,6 +7,8 @@
 # Prefix of the reason of an attempt that the target answered with an error
 # status.
 _STATUS_PREFIX = "status_"
+# Reason of an attempt that a hedge has outrun.
+_OUTRUN = "outrun"
 # Reasons of attempts that ended because the time for the answer to begin on the
 # target's weights was too short or over.
 _WEIGHTS_REASONS = frozenset({"too_late_for_its_weights", "version_due"})
@@ -52,6 +54,8 @@
         return (
             f"{describe_target(failed)} answered with {status}, its own failure"
         )
+    if reason == _OUTRUN:
+        return f"{describe_target(failed)} was slow and a hedge answered first"
     text = f"{describe_target(failed)} failed: {reason}"
     if reason not in _WEIGHTS_REASONS:
         return text
--- a/damaskcroft/forwarding/_allocator.py
+++ b/damaskcroft/forwarding/_allocator.py
@@ -242,7 +242,37 @@
         Returns:
             None if there is no suitable target or no retry budget.
         """
-        placed = self.choose_hedge_target(waiting, silent_ids)
+        return self._take_hedge_slot(
+            waiting, self.choose_hedge_target(waiting, silent_ids)
+        )
+
+    def take_slow_hedge_slot(self, slow: Dispatch) -> SlotTaken | None:
+        """Takes a slot and a retry for a hedge of an attempt that is slow.
+
+        Returns:
+            None if there is no suitable target or no retry budget.
+        """
+        return self._take_hedge_slot(slow, self.choose_other_target(slow))
+
+    def choose_other_target(self, slow: Dispatch) -> Placement | None:
+        """Selects another target for a hedge; None if there is none."""
+        if slow.answer.caller_has_half_closed:
+            return None
+        job, progress = slow.job, slow.progress
+        placed = self._placer.choose(
+            self._availability.candidates(
+                job.service, job.call.model, job.allowed_regions
+            ),
+            progress.excluded,
+            job.call.prompt_tokens,
+        )
+        if placed is None or self._placer.is_ejected(placed.candidate):
+            return None
+        return placed
+
+    def _take_hedge_slot(
+        self, waiting: Dispatch, placed: Placement | None
+    ) -> SlotTaken | None:
         if placed is None or not self._retry_window.spend():
             return None
         slot = self._take(
--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -15,7 +15,8 @@
 )
 from damaskcroft.forwarding._availability import Availability
 from damaskcroft.forwarding._call import AnswerFacts, AttemptMetadata, Wire
-from damaskcroft.forwarding._hedge import Hedge, hedged
+from damaskcroft.forwarding._hedge import OUTRUN, Hedge, hedged
+from damaskcroft.forwarding._hedge_policy import HedgePolicy
 from damaskcroft.forwarding._job import (
     DEADLINE,
     Delivered,
@@ -34,6 +35,7 @@
 from damaskcroft.forwarding._request_log import RequestLog
 from damaskcroft.forwarding._running import RunningAttempts
 from damaskcroft.forwarding._services import Services
+from damaskcroft.forwarding._slow_hedges import SlowHedges
 from damaskcroft.forwarding._suspects import (
     QUARANTINED,
     Suspects,
@@ -96,6 +98,7 @@
         limits: RateLimits,
         suspects: Suspects,
         on_replaced: Callable[[str], None],
+        hedge_share: float = 0.0,
     ):
         """Sets up forwarding with the components of the entry.
 
@@ -113,6 +116,8 @@
             suspects: suspect requests.
             on_replaced: called with the id of a target at whose address another
                 target answers.
+            hedge_share: hedges of slow requests allowed for each request of a
+                service; 0 for none.
         """
         self._suspects = suspects
         self._back_pressure = back_pressure
@@ -133,6 +138,17 @@
             retry_window,
         )
         self._queue = self._allocator.queue
+        self._hedge_policy = HedgePolicy(hedge_share)
+        self._slow_hedges = SlowHedges(
+            self._hedge_policy,
+            self._allocator,
+            suspects,
+            retry_window,
+            lambda slow: self._final_ending(slow.job, slow.progress) is None,
+            lambda slow, allocated: self._try_one(
+                slow.job, slow.answer, slow.progress, allocated, slow.hedge
+            ),
+        )
         self._relay = Relay(wire, self._queue.serve, self._record_first_output)
         self._wire = wire
         self._services = services
@@ -182,6 +198,7 @@
             ChannelLostError: the caller has disconnected.
         """
         self._retry_window.earn()
+        self._hedge_policy.count_request(job.service)
         progress = Progress(job.call)
         try:
             async with self._with_deadline(job.deadline_at) as deadline:
@@ -359,7 +376,7 @@
                     job, progress, target, allocated_at, connect_s, hedge
                 ),
                 known_end=lambda: self._suspects.known_end(job, target),
-                new_connection=hedge.is_second,
+                new_connection=hedge.needs_new_connection,
             ) as opened:
                 hedge.attempt = opened
                 dispatch = Dispatch(
@@ -372,7 +389,10 @@
                     hedge,
                     allocated_at,
                 )
-                with self._running.registered(dispatch):
+                with (
+                    self._running.registered(dispatch),
+                    self._slow_hedges.scheduled(dispatch),
+                ):
                     outcome = await self._run_attempt(dispatch)
                 progress.connect_s = opened.connect_s
         except asyncio.CancelledError:
@@ -437,7 +457,8 @@
                     self._on_replaced(target.target_id)
             case Lost(reason=reason):
                 progress.last_failure = outcome
-                self._outliers.failed(target.id)
+                if reason != OUTRUN:
+                    self._outliers.failed(target.id)
             case _:
                 self._outliers.succeeded(target.id)
                 if isinstance(outcome, Delivered) and outcome.is_failure:
@@ -449,6 +470,8 @@
                     )
                 return outcome
         self._log.failed(job, progress, target, reason)
+        if reason == OUTRUN:
+            return None
         metrics.RETRIES.labels(reason.partition(":")[0]).inc()
         if isinstance(outcome, Lost) and not job.is_repeatable:
             return failed_ending("lost", progress)
@@ -506,6 +529,9 @@
         """Records how long a target took to begin its answer."""
         job = dispatch.job
         self._queue.record_first_answer(job.service, took_s)
+        self._hedge_policy.record_first_answer(
+            job.service, now_s() - dispatch.hedge.first_sent_at
+        )
         if job.call.prompt_tokens:
             objective_s = job.route.latency_goal_ms / 1000
             self._placer.record_first_answer(took_s, objective_s)
--- a/damaskcroft/forwarding/_hedge.py
+++ b/damaskcroft/forwarding/_hedge.py
@@ -1,23 +1,33 @@
 """Hedged requests: a second attempt while the first one's target is silent.
 
-A silent target may be dead, or may pause and then continue. Its attempt is
-ended only when another attempt has output for the caller (J. Dean and
-L. A. Barroso, "The Tail at Scale", CACM 56(2), 2013).
+A silent target may be dead, or may pause and then continue; a slow one may
+answer at any moment. Its attempt is ended only when another attempt has output
+for the caller (J. Dean and L. A. Barroso, "The Tail at Scale", CACM 56(2),
+2013).
 """
 
 import asyncio
 import contextlib
+import enum
 from collections.abc import Coroutine, Iterator
 from typing import Any
 
+from damaskcroft.clock import now_s
 from damaskcroft.forwarding._attempt import Attempt
 from damaskcroft.forwarding._job import Ending
 from damaskcroft.observe import log_warning
 
-__all__ = ["Hedge", "hedged"]
+__all__ = ["OUTRUN", "Hedge", "HedgeCause", "hedged"]
 
-# Reason for ending an attempt in favour of a hedged one.
-_SILENT = "silent"
+# Reason of an attempt at a slow target that a hedged one has outrun.
+OUTRUN = "outrun"
+
+
+class HedgeCause(enum.Enum):
+    """Why an attempt is hedged; the value is the reason for ending it."""
+
+    SILENT = "silent"
+    SLOW = OUTRUN
 
 
 class Hedge:
@@ -25,9 +35,19 @@
 
     Attributes:
         attempt: the attempt that may be hedged; None before it is opened.
+        has_taken_over: whether this attempt has had output for the caller.
+        sent_at: loop time at which the slot of the attempt was taken.
     """
 
-    __slots__ = ("_primary", "_is_awaited", "_second", "attempt")
+    __slots__ = (
+        "_cause",
+        "_is_awaited",
+        "_primary",
+        "_second",
+        "attempt",
+        "has_taken_over",
+        "sent_at",
+    )
 
     def __init__(self, primary: "Hedge | None" = None):
         """Starts without a hedged attempt.
@@ -40,12 +60,31 @@
         self._primary = primary
         self._second: asyncio.Task[Ending | None] | None = None
         self._is_awaited = False
+        self._cause = HedgeCause.SILENT
+        self.has_taken_over = False
+        self.sent_at = now_s()
 
     @property
     def is_second(self) -> bool:
         """Whether this attempt is itself a hedged one."""
         return self._primary is not None
 
+    @property
+    def needs_new_connection(self) -> bool:
+        """Whether idle connections may be as silent as the first attempt's."""
+        return (
+            self._primary is not None
+            and self._primary._cause is HedgeCause.SILENT
+        )
+
+    @property
+    def first_sent_at(self) -> float:
+        """Loop time at which the slot of the first attempt was taken."""
+        hedge = self
+        while hedge._primary is not None:
+            hedge = hedge._primary
+        return hedge.sent_at
+
     @property
     def has_open_primary(self) -> bool:
         """Whether an attempt that this one hedges is still running."""
@@ -64,19 +103,31 @@
         return not self.is_running
 
     def begin(
-        self, hedged_attempt: Coroutine[Any, Any, Ending | None]
+        self,
+        hedged_attempt: Coroutine[Any, Any, Ending | None],
+        cause: HedgeCause = HedgeCause.SILENT,
     ) -> asyncio.Task[Ending | None]:
-        """Starts the hedged attempt."""
+        """Starts the hedged attempt.
+
+        Args:
+            hedged_attempt: the attempt.
+            cause: why it is made.
+        """
         self._is_awaited = False
+        self._cause = cause
         self._second = asyncio.create_task(hedged_attempt)
         self._second.add_done_callback(self._log_failure)
         return self._second
 
     def take_over(self) -> None:
         """Ends the other attempts, so that only this one goes on."""
+        self.has_taken_over = True
         self.close()
-        for earlier in self._primary_attempts():
-            earlier.abort(_SILENT)
+        earlier = self._primary
+        while earlier is not None:
+            if earlier.attempt is not None:
+                earlier.attempt.abort(earlier._cause.value)
+            earlier = earlier._primary
 
     async def ending(self) -> Ending | None:
         """Waits for the hedged attempt; None if there is none."""
--- a/damaskcroft/forwarding/_relay.py
+++ b/damaskcroft/forwarding/_relay.py
@@ -104,6 +104,9 @@
             body, complete = await attempt.read_whole(_MAX_BUFFERED_BYTES)
         except CutShortError as error:
             return attempt.lost(f"cut_short: {error}")
+        if attempt.abort_reason:
+            # Another attempt had output while this one's end was checked.
+            return attempt.lost("cut_short")
         if head.status >= SERVER_ERROR and _may_retry(dispatch):
             return Lost(f"status_{head.status}")
         dispatch.hedge.take_over()
@@ -145,6 +148,8 @@
                     self._record_output(dispatch)
         except (CutShortError, ValueError) as error:
             return dispatch.attempt.lost(f"stream_cut: {error}")
+        if dispatch.attempt.abort_reason:
+            return dispatch.attempt.lost("stream_cut")
         if splitter.remainder:
             return dispatch.attempt.lost("stream_cut: ended within an event")
         await self._begin(dispatch, head)
--- a/damaskcroft/forwarding/_suspects.py
+++ b/damaskcroft/forwarding/_suspects.py
@@ -158,6 +158,15 @@
             return False
         return self._registry.is_suspect(_fingerprint(job, progress))
 
+    def shares_suspicion(self, job: Job, progress: Progress) -> bool:
+        """Whether the request or a part of its prompt is a suspect."""
+        if not self._registry.has_suspects:
+            return False
+        return self.is_suspect(job, progress) or any(
+            self._registry.is_suspect(part)
+            for part in _traits(job, progress).parts
+        )
+
     @contextlib.asynccontextmanager
     async def one_at_a_time(
         self, job: Job, progress: Progress
--- a/damaskcroft/forwarding/tests/fakes.py
+++ b/damaskcroft/forwarding/tests/fakes.py
@@ -371,6 +371,7 @@
     weights_s=0.0,
     drain_s=2.0,
     region_by_domain=None,
+    hedge_share=0.0,
 ):
     """Runs an entry that knows `targets` as the service "s"."""
     view = FleetView()
@@ -431,6 +432,7 @@
             lambda crashes: view.merge([], crashes=crashes),
         ),
         view.demote_target,
+        hedge_share,
     )
     watching = asyncio.create_task(forwarder.run())
     gate = EntryGate(wire, view, forwarder)
--- a/damaskcroft/hosted/__main__.py
+++ b/damaskcroft/hosted/__main__.py
@@ -13,6 +13,7 @@
 gc.disable()
 
 import argparse  # noqa: E402
+import functools  # noqa: E402
 import importlib  # noqa: E402
 
 from damaskcroft.hosted.process import run_hosted  # noqa: E402
@@ -32,7 +33,10 @@
     program = importlib.import_module(f"damaskcroft.hosted.{arguments.role}")
     gc.freeze()
     gc.enable()
-    run_hosted(arguments.role, program.serve, arguments.metrics_port)
+    serve = program.serve
+    if arguments.role == "entry":
+        serve = functools.partial(serve, hedge_share=arguments.hedge_share)
+    run_hosted(arguments.role, serve, arguments.metrics_port)
 
 
 def _parser() -> argparse.ArgumentParser:
@@ -48,8 +52,23 @@
             default=0,
             help="port for /metrics on the machine's address; 0 for none",
         )
+        if role == "entry":
+            role_parser.add_argument(
+                "--hedge-share",
+                type=_share,
+                default=0.0,
+                help="second attempts for slow requests, as a share of all"
+                " requests of a service; 0 for none",
+            )
     return parser
 
 
+def _share(text: str) -> float:
+    share = float(text)
+    if not 0 <= share <= 1:
+        raise ValueError("not between 0 and 1")
+    return share
+
+
 if __name__ == "__main__":
     main()
--- a/damaskcroft/hosted/entry.py
+++ b/damaskcroft/hosted/entry.py
@@ -62,9 +62,17 @@
 _READY_SHUTDOWN_S = 0.2
 
 
-async def serve(settings: NodeSettings, stop: asyncio.Event) -> None:
+async def serve(
+    settings: NodeSettings, stop: asyncio.Event, *, hedge_share: float = 0.0
+) -> None:
     """Runs one entry until `stop` is set, then shuts it down gracefully.
 
+    Args:
+        settings: its settings.
+        stop: requests the shutdown.
+        hedge_share: hedges of slow requests allowed for each request of a
+            service; 0 for none.
+
     Raises:
         OSError: an address can't be bound.
     """
@@ -135,6 +143,7 @@
             TurnClient(view, channels, seeds).hold,
         ),
         view.demote_target,
+        hedge_share,
     )
     gate = EntryGate(wire, view, forwarder)
 
--- a/damaskcroft/observe/metrics.py
+++ b/damaskcroft/observe/metrics.py
@@ -25,6 +25,8 @@
     "EVACUATION_ORDERS",
     "FIRST_TOKEN_S",
     "GATE_REFUSALS",
+    "HEDGES",
+    "HEDGES_NOT_ALLOWED",
     "HOLDERS_LAPSED",
     "HTTP_FAULTS",
     "IDLE_CONNECTIONS_CLOSED",
@@ -64,6 +66,14 @@
     "damask_retries", "Attempts on another target, by the first's refusal",
     ["reason"],
 )  # fmt: skip
+HEDGES = Counter(
+    "damask_hedges", "Second attempts for requests that were slow to be "
+    "answered: begun, and how they ended", ["outcome"],
+)  # fmt: skip
+HEDGES_NOT_ALLOWED = Counter(
+    "damask_hedges_not_allowed", "Slow requests without a second attempt",
+    ["reason"],
+)  # fmt: skip
 TARGET_CRASHES = Counter(
     "damask_target_crashes", "Targets that crashed under requests of this "
     "entry, by what showed it", ["how"],
--- a/damaskcroft/routing/_placement.py
+++ b/damaskcroft/routing/_placement.py
@@ -222,6 +222,10 @@
         share_tokens = readable_tokens * self._unread_bound.share
         return unread_tokens + prompt_tokens <= share_tokens
 
+    def is_ejected(self, candidate: Candidate) -> bool:
+        """Whether a target is left out while others can be used."""
+        return self._outliers.is_ejected(candidate.id)
+
     def fullness(self, candidate: Candidate) -> float:
         """Returns the estimated number of requests per slot of a target."""
         load = self._loads.find(candidate.id) or _UNKNOWN_LOAD
--- a/damaskcroft/routing/_queue.py
+++ b/damaskcroft/routing/_queue.py
@@ -195,6 +195,10 @@
         self._next_poll = None
         self.serve()
 
+    def has_waiting(self, service: str) -> bool:
+        """Whether requests for a service wait."""
+        return bool(self._waiting_by_service.get(service))
+
     def new_long_waits(self) -> list[LongWait]:
         """Returns requests that have begun to wait for long; each only once."""
         since = now_s() - _LONG_WAIT_S
