--- a/damaskcroft/forwarding/tests/fakes.py
+++ b/damaskcroft/forwarding/tests/fakes.py
@@ -298,6 +298,9 @@
     async def endless_event(self, head, reader, writer):
         """Sends one event without an end, until the entry closes."""
         await self.stream(head, reader, writer, 0)
+        return await self.pump_chunks(writer)
+
+    async def pump_chunks(self, writer):
         piece = b"x" * 16 * 1024
         while True:
             writer.write(b"%x\r\n%s\r\n" % (len(piece), piece))
@@ -368,6 +371,7 @@
     weights_s=0.0,
     drain_s=2.0,
     region_by_domain=None,
+    hedge_share=0.0,
 ):
     """Runs an entry that knows `targets` as the service "s"."""
     view = FleetView()
@@ -428,6 +432,7 @@
             lambda crashes: view.merge([], crashes=crashes),
         ),
         view.demote_target,
+        hedge_share,
     )
     watching = asyncio.create_task(forwarder.run())
     gate = EntryGate(wire, view, forwarder)
