Cold targets: all entries share what one bears in a second

Cause: a target that has just started, or turned cold again, bears few requests a second over all entries together. Its announced time was decoded and checked, and nothing used it.

Weighed: the share and the token bucket of the rate limits. A full bucket and what arrives meanwhile pass up to twice a second's requests, and the share takes the names as reported, which are empty out of touch. So a sliding window log of whole numbers, and a share that counts every entry that may send: an entry that has just started sends none for 4 s, one without a majority of control keeps to a third that the others leave alone and treats each target of such a service as cold.

An announcement that repeats the time of a cold target is passed on, since the time counts from the announcement.

On loopback first attempts and retries count alike. Services without a rate are served as before.

--- a/damaskcroft/fleet/_entry_names.py
+++ b/damaskcroft/fleet/_entry_names.py
@@ -69,6 +69,19 @@
         if report is not None:
             report.received_at = now_s()
 
+    def nodes_heard(self, within_s: float) -> set[str]:
+        """Returns the control nodes whose reports are no older than a time.
+
+        Args:
+            within_s: maximum age, at most the validity of a report.
+        """
+        since = now_s() - within_s
+        return {
+            node
+            for node, report in self._reports_by_node.items()
+            if report.received_at >= since
+        }
+
     def names(self) -> frozenset[str]:
         """The names of all entries."""
         now = now_s()
--- a/damaskcroft/fleet/_targets.py
+++ b/damaskcroft/fleet/_targets.py
@@ -336,6 +336,9 @@
 def _equal_except_sequence(
     state: fleet_pb2.TargetState, known: fleet_pb2.TargetState
 ) -> bool:
+    if state.warming_ms:
+        # It counts from its announcement on.
+        return False
     copy = fleet_pb2.TargetState()
     copy.CopyFrom(state)
     copy.sequence = known.sequence
--- a/damaskcroft/fleet/_view.py
+++ b/damaskcroft/fleet/_view.py
@@ -34,6 +34,10 @@
 # to this time.
 _AGE_JITTER_S = 0.005
 
+# A control node that has sent no update for this time is out of touch: several
+# times the interval of its updates.
+_OUT_OF_TOUCH_S = 2.0
+
 # Time for which the highest reported number of entries is valid. Watchers
 # reconnect to a restarted control node after two seconds of silence at most,
 # and its next update includes them in the count.
@@ -105,6 +109,15 @@
         """Time since the last update of any control node; the view's age."""
         return now_s() - self._last_update_at
 
+    def hears_majority(self) -> bool:
+        """Whether a majority of control has recently reported the entries.
+
+        An entry that hears a majority hears of each other one that does.
+        """
+        heard = self.entry_names.nodes_heard(_OUT_OF_TOUCH_S)
+        members = set(self.control_addresses)
+        return 2 * len(heard & members) > len(members)
+
     @property
     def entries(self) -> int:
         """Number of entries of the fleet: the highest of the recent reports."""
--- a/damaskcroft/forwarding/__init__.py
+++ b/damaskcroft/forwarding/__init__.py
@@ -7,6 +7,7 @@
     TargetLoad,
     Wire,
 )
+from damaskcroft.forwarding._cold_targets import follow_cold_targets
 from damaskcroft.forwarding._forwarder import Forwarder
 from damaskcroft.forwarding._gate import EntryGate
 from damaskcroft.forwarding._job import (
@@ -34,4 +35,5 @@
     "Suspects",
     "TargetLoad",
     "Wire",
+    "follow_cold_targets",
 ]
--- a/damaskcroft/forwarding/_allocator.py
+++ b/damaskcroft/forwarding/_allocator.py
@@ -16,7 +16,7 @@
 from damaskcroft.forwarding._relay import Dispatch
 from damaskcroft.forwarding._services import Services
 from damaskcroft.forwarding._suspects import Suspects
-from damaskcroft.limits import RateLimits
+from damaskcroft.limits import ColdTargets, RateLimits
 from damaskcroft.observe import metrics
 from damaskcroft.routing import (
     Candidate,
@@ -41,6 +41,7 @@
         availability: those of them that accept one now.
         placer: selects one of them.
         limits: rate limits of targets.
+        cold_targets: limits of cold targets.
         suspects: suspect requests.
         retry_window: the retry budget.
 
@@ -54,6 +55,7 @@
         availability: Availability,
         placer: Placer,
         limits: RateLimits,
+        cold_targets: ColdTargets,
         suspects: Suspects,
         retry_window: RetryWindow,
     ):
@@ -62,6 +64,7 @@
         self._availability = availability
         self._placer = placer
         self._limits = limits
+        self._cold_targets = cold_targets
         self._suspects = suspects
         self._retry_window = retry_window
         self.queue = RequestQueue(
@@ -212,6 +215,7 @@
     ) -> Slot:
         """Takes a slot at a target for a request that is about to be sent."""
         self._limits.consume_token(candidate.id)
+        self._cold_targets.count_request(candidate.id)
         return self._placer.take(
             candidate, prompt_tokens, is_suspect=is_suspect
         )
--- a/damaskcroft/forwarding/_availability.py
+++ b/damaskcroft/forwarding/_availability.py
@@ -1,13 +1,13 @@
 """Targets of a service that accept a request now, or when one will.
 
-Leaves out targets that have requested a back-off, are leaving or have reached
-their rate limit.
+Leaves out targets that have requested a back-off, are leaving, have reached
+their rate limit, or are cold and get all that this entry may send them.
 """
 
 import random
 
 from damaskcroft.forwarding._services import Services
-from damaskcroft.limits import RateLimits
+from damaskcroft.limits import ColdTargets, RateLimits
 from damaskcroft.routing import BackPressure, Candidate, TargetsUnavailable
 
 __all__ = ["Availability", "spread_retry_after_s"]
@@ -24,20 +24,23 @@
         services: targets that could run a request.
         back_pressure: back-off and leaving that targets have announced.
         limits: rate limits of targets.
+        cold_targets: limits of cold targets.
     """
 
-    __slots__ = ("_back_pressure", "_limits", "_services")
+    __slots__ = ("_back_pressure", "_cold_targets", "_limits", "_services")
 
     def __init__(
         self,
         services: Services,
         back_pressure: BackPressure,
         limits: RateLimits,
+        cold_targets: ColdTargets,
     ):
         """Stores the sources of the filters."""
         self._services = services
         self._back_pressure = back_pressure
         self._limits = limits
+        self._cold_targets = cold_targets
 
     def candidates(
         self,
@@ -61,7 +64,7 @@
             candidate
             for candidate in candidates
             if self._back_pressure.accepts_requests(candidate.id)
-            and not self._limits.time_to_send_s(candidate.id)
+            and not self._time_to_send_s(candidate.id)
         ]
         staying = [
             candidate
@@ -110,17 +113,42 @@
             return TargetsUnavailable(
                 "resting", back_off_left_s, back_off_left_s
             )
-        time_to_send_s = min(map(self._limits.time_to_send_s, open_ids))
-        retry_in_s = min(map(self._limits.retry_in_s, open_ids))
-        share_s = sum(map(self._limits.share_s, open_ids))
+        time_to_send_s = min(map(self._time_to_send_s, open_ids))
+        retry_in_s = min(map(self._retry_in_s, open_ids))
+        share_s = sum(map(self._share_s, open_ids))
         if before and share_s:
             time_to_send_s += before / share_s
             retry_in_s += before / share_s
-        return TargetsUnavailable("rate_limited", time_to_send_s, retry_in_s)
+        is_cold = self._cold_targets.is_active and any(
+            map(self._cold_targets.time_to_send_s, open_ids)
+        )
+        reason = "cold" if is_cold else "rate_limited"
+        return TargetsUnavailable(reason, time_to_send_s, retry_in_s)
 
     @property
     def _has_restrictions(self) -> bool:
-        return self._back_pressure.is_active or self._limits.is_active
+        return (
+            self._back_pressure.is_active
+            or self._limits.is_active
+            or self._cold_targets.is_active
+        )
+
+    def _time_to_send_s(self, start_id: str) -> float:
+        return max(
+            self._limits.time_to_send_s(start_id),
+            self._cold_targets.time_to_send_s(start_id),
+        )
+
+    def _retry_in_s(self, start_id: str) -> float:
+        return max(
+            self._limits.retry_in_s(start_id),
+            self._cold_targets.retry_in_s(start_id),
+        )
+
+    def _share_s(self, start_id: str) -> float:
+        return min(
+            self._limits.share_s(start_id), self._cold_targets.share_s(start_id)
+        )
 
 
 def spread_retry_after_s(closed_s: float) -> float | None:
--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -44,7 +44,7 @@
     ConnectionPool,
     Place,
 )
-from damaskcroft.limits import Named, RateLimits
+from damaskcroft.limits import ColdTargets, Named, RateLimits
 from damaskcroft.observe import metrics
 from damaskcroft.routing import (
     AnswerDelays,
@@ -75,6 +75,7 @@
 _TOO_LATE = "too_late_for_its_weights"
 _BACK_OFF = "target_wants_none"
 _RATE_LIMITED = "rate_limited"
+_COLD = "cold"
 _EVACUATED = "evacuated"
 _NOT_ALLOWED_THERE = "not_allowed_in_region"
 
@@ -94,6 +95,7 @@
         delays: AnswerDelays,
         back_pressure: BackPressure,
         limits: RateLimits,
+        cold_targets: ColdTargets,
         suspects: Suspects,
         on_replaced: Callable[[str], None],
     ):
@@ -110,6 +112,7 @@
             delays: response delays of targets.
             back_pressure: back-off and leaving that targets have announced.
             limits: rate limits of targets.
+            cold_targets: limits of cold targets.
             suspects: suspect requests.
             on_replaced: called with the id of a target at whose address another
                 target answers.
@@ -117,6 +120,7 @@
         self._suspects = suspects
         self._back_pressure = back_pressure
         self._limits = limits
+        self._cold_targets = cold_targets
         self._on_replaced = on_replaced
         self._delays = delays
         self._silence = silence
@@ -126,9 +130,10 @@
         self._deadlines: set[asyncio.Timeout] = set()
         self._allocator = SlotAllocator(
             services,
-            Availability(services, back_pressure, limits),
+            Availability(services, back_pressure, limits, cold_targets),
             placer,
             limits,
+            cold_targets,
             suspects,
             retry_window,
         )
@@ -487,6 +492,8 @@
             job.service, job.call.model, target.id, connect_s
         ):
             return _TOO_LATE
+        if not self._cold_targets.may_be_dispatched(target.id, allocated_at):
+            return _COLD
         if self._suspects.is_suspect(job, progress):
             # Copies of a suspect request must never run concurrently.
             hedge.take_over()
--- a/damaskcroft/forwarding/tests/fakes.py
+++ b/damaskcroft/forwarding/tests/fakes.py
@@ -13,6 +13,7 @@
     Services,
     Suspects,
     Wire,
+    follow_cold_targets,
 )
 from damaskcroft.http1 import (
     ConnectionPool,
@@ -331,12 +332,15 @@
 class Entry:
     """The request path of an entry, without a connection to control."""
 
-    def __init__(self, view, gate, placer, services, address):
+    def __init__(
+        self, view, gate, placer, services, address, cold_targets=None
+    ):
         self.view = view
         self.services = services
         self.gate = gate
         self.placer = placer
         self.address = address
+        self.cold_targets = cold_targets
 
     def candidates(self):
         return self.services.candidates("s", "")
@@ -371,6 +375,7 @@
 ):
     """Runs an entry that knows `targets` as the service "s"."""
     view = FleetView()
+    cold_targets = follow_cold_targets(view, "e", 1.0, 0.0, 1.0)
     if config is not None:
         view.apply_configuration(config)
     servers = []
@@ -421,6 +426,7 @@
         delays,
         back_pressure,
         limits,
+        cold_targets,
         Suspects(
             view.crashes,
             services,
@@ -432,7 +438,9 @@
     watching = asyncio.create_task(forwarder.run())
     gate = EntryGate(wire, view, forwarder)
     async with serve_callers("127.0.0.1:0", gate) as connections:
-        yield Entry(view, gate, placer, services, connections.address)
+        yield Entry(
+            view, gate, placer, services, connections.address, cold_targets
+        )
     watching.cancel()
     for server in servers:
         server.close()
--- a/damaskcroft/hosted/entry.py
+++ b/damaskcroft/hosted/entry.py
@@ -13,7 +13,13 @@
     TurnClient,
     Watcher,
 )
-from damaskcroft.forwarding import EntryGate, Forwarder, Services, Suspects
+from damaskcroft.forwarding import (
+    EntryGate,
+    Forwarder,
+    Services,
+    Suspects,
+    follow_cold_targets,
+)
 from damaskcroft.hosted.seeds import follow_new_seeds
 from damaskcroft.http1 import (
     ConnectionPool,
@@ -89,9 +95,16 @@
         view.entry_names.names,
         reporter.report_limits,
     )
+    bounds = settings.bounds
+    cold_targets = follow_cold_targets(
+        view,
+        settings.name,
+        bounds.cold_ratio,
+        bounds.cold_extra,
+        settings.announce_every_s,
+    )
     outliers = Outliers()
     delays = AnswerDelays()
-    bounds = settings.bounds
     back_pressure = BackPressure(bounds.drain_s)
     placer = Placer(
         settings.failure_domain,
@@ -127,6 +140,7 @@
         delays,
         back_pressure,
         limits,
+        cold_targets,
         Suspects(
             view.crashes,
             services,
@@ -150,6 +164,7 @@
             delays.retain_only(live_start_ids)
             back_pressure.retain_only(live_start_ids)
             limits.retain_only(live_start_ids)
+            cold_targets.retain_only(live_start_ids)
             view.limits.retain_only(live_start_ids)
             view.crashes.evict_expired()
             retry_window.entries = placer.entries = view.entries
--- a/damaskcroft/limits/_shares.py
+++ b/damaskcroft/limits/_shares.py
@@ -10,7 +10,7 @@
 import hashlib
 from collections.abc import Collection
 
-__all__ = ["MIN_RATE_S", "sending_share"]
+__all__ = ["MIN_RATE_S", "sending_share", "whole_share"]
 
 # A target with a lower limit still gets requests at this rate, because
 # otherwise the end of its limit would never be noticed.
@@ -39,13 +39,30 @@
     """
     names = {own_name, *entries}
     sender_count = min(len(names), _max_senders(rate_s))
-    own_weight = _weight(start_id, own_name)
-    count_ahead = sum(_weight(start_id, name) > own_weight for name in names)
-    if count_ahead >= sender_count:
+    if _count_ahead(start_id, own_name, names) >= sender_count:
         return 0.0
     return max(rate_s, MIN_RATE_S) / sender_count
 
 
+def whole_share(
+    start_id: str, requests: int, own_name: str, entries: Collection[str]
+) -> int:
+    """Returns one entry's part of a number of requests to a target.
+
+    The parts of all entries together are at most `requests`, also where some
+    entries know names that others don't: each further name only lowers a part.
+    """
+    names = {own_name, *entries}
+    ahead = _count_ahead(start_id, own_name, names)
+    return max(0, -((ahead - requests) // len(names)))
+
+
+def _count_ahead(start_id: str, own_name: str, names: Collection[str]) -> int:
+    """Returns how many entries precede one in the order for a target."""
+    own_weight = _weight(start_id, own_name)
+    return sum(_weight(start_id, name) > own_weight for name in names)
+
+
 def _max_senders(rate_s: float) -> int:
     if rate_s <= MIN_RATE_S:
         return 1
--- a/damaskcroft/observe/metrics.py
+++ b/damaskcroft/observe/metrics.py
@@ -21,6 +21,8 @@
     "COMMIT_INDEX",
     "CONTROL_REFUSALS",
     "ELECTIONS",
+    "COLD_REQUESTS",
+    "COLD_TARGET_CHANGES",
     "EVACUATED_DOMAINS",
     "EVACUATION_ORDERS",
     "FIRST_TOKEN_S",
@@ -38,7 +40,9 @@
     "REFUSALS",
     "RETRIES",
     "ROLLOUT_WAITS_S",
+    "SENDER_STANDINGS",
     "TARGETS_AVOIDED",
+    "TARGETS_COLD",
     "TARGETS_LIMITED",
     "TARGET_CRASHES",
     "TARGET_LIMIT_CHANGES",
@@ -80,6 +84,21 @@
     "damask_target_limit_changes", "Limits that targets named or lifted",
     ["change"],
 )  # fmt: skip
+TARGETS_COLD = Gauge(
+    "damask_targets_cold", "Targets that are cold, as this entry knows",
+)  # fmt: skip
+COLD_TARGET_CHANGES = Counter(
+    "damask_cold_target_changes", "Targets that became cold, or warm by their "
+    "own report", ["change"],
+)  # fmt: skip
+COLD_REQUESTS = Counter(
+    "damask_cold_requests", "Requests to targets with a limit for being cold, "
+    "as sent, or withheld after a connection was opened", ["outcome"],
+)  # fmt: skip
+SENDER_STANDINGS = Counter(
+    "damask_sender_standings", "Changes of what an entry knows of the entries "
+    "that share limits of cold targets", ["standing"],
+)  # fmt: skip
 EVACUATION_ORDERS = Counter(
     "damask_evacuation_orders", "Orders of operators to evacuate a failure "
     "domain or to end that, by outcome", ["order", "outcome"],
