--- a/damaskcroft/ctl/_causes.py
+++ b/damaskcroft/ctl/_causes.py
@@ -166,6 +166,12 @@
                 f"targets of {service} get all that they take{retry_after_text}"
             )
             return _with_failures(request_lines, ending)
+        case "cold":
+            ending = (
+                f"targets of {service} are cold and get all that they bear"
+                f"{retry_after_text}"
+            )
+            return _with_failures(request_lines, ending)
         case "stopping":
             return f"the entry was about to end{retry_after_text}"
     return _with_failures(
--- a/damaskcroft/limits/_cold_targets.py
+++ b/damaskcroft/limits/_cold_targets.py
@@ -41,12 +41,15 @@
         service: its service.
         failure_domain: its failure domain.
         cold_until: loop time at which it stops being cold.
+        after_start_until: loop time until which it is cold because it has
+            started, even if it reports otherwise.
         window: the requests that were sent to it.
     """
 
     __slots__ = (
         "_share",
         "_share_key",
+        "after_start_until",
         "cold_until",
         "failure_domain",
         "service",
@@ -57,6 +60,7 @@
         self.service = service
         self.failure_domain = failure_domain
         self.cold_until = -math.inf
+        self.after_start_until = -math.inf
         self.window = SendWindow()
         self._share_key: tuple[object, ...] = ()
         self._share = 0
@@ -124,10 +128,11 @@
         if target is None:
             target = _Target(service, failure_domain)
             self._targets_by_start[start_id] = target
-            cold_s = max(cold_s, _valid_s(cold_after_start_s))
+            target.after_start_until = now_s() + _valid_s(cold_after_start_s)
         target.service = service
         target.failure_domain = failure_domain
-        self._set_cold(start_id, target, cold_s)
+        after_start_s = target.after_start_until - now_s()
+        self._set_cold(start_id, target, max(cold_s, after_start_s))
 
     def retain_only(self, start_ids: Collection[str]) -> None:
         """Drops targets that are gone, and counts those that are cold."""
@@ -137,6 +142,10 @@
             return
         self._senders.refresh()
         now = now_s()
+        self._limited_until = max(
+            (t.cold_until + _RAMP_S for t in self._targets_by_start.values()),
+            default=-math.inf,
+        )
         metrics.TARGETS_COLD.set(
             sum(
                 target.cold_until > now
--- a/damaskcroft/limits/tests/test_cold_targets.py
+++ b/damaskcroft/limits/tests/test_cold_targets.py
@@ -143,6 +143,11 @@
     async def scenario():
         entry.report(0.0, after_start_s=3.0)
         assert entry.send(100) == 4
+        await asyncio.sleep(1.5)
+        entry.report(0.0)
+        assert entry.send(100) == 4
+        await asyncio.sleep(5.0)
+        assert entry.send(100) == 100
 
     loop.run_until_complete(scenario())
 
@@ -201,6 +206,15 @@
     loop.run_until_complete(scenario())
 
 
+def test_huge_time_of_a_target_that_is_gone_limits_nothing(loop, entry):
+    async def scenario():
+        entry.report(1e300)
+        entry.cold.retain_only([])
+        assert not entry.cold.is_active
+
+    loop.run_until_complete(scenario())
+
+
 def test_targets_that_are_gone_are_dropped(loop, entry):
     async def scenario():
         entry.report(10.0)
