--- a/damaskcroft/ctl/tests/test_why.py
+++ b/damaskcroft/ctl/tests/test_why.py
@@ -277,3 +277,18 @@
         " 2 targets were tried, longest pause 0.1 s; target t-1 at"
         " 10.0.0.1:80 failed: silent"
     )
+
+
+def test_outrun_target_is_not_called_a_failure():
+    report = explain(
+        *log(
+            SENT,
+            "10:00:01.450 attempt_failed request=r-1 target=t-1"
+            " address=10.0.0.1:80 reason=outrun",
+            "10:00:01.900 answered_late request=r-1 status=200 queued_s=0"
+            " first_s=0.5 longest_gap_s=0 targets=2",
+        )
+    )
+    assert report[-1].endswith(
+        "target t-1 at 10.0.0.1:80 was slow and a hedge answered first"
+    )
