--- a/damaskcroft/experiments/_engine.py
+++ b/damaskcroft/experiments/_engine.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import collections
+import random
 from collections.abc import Iterable
 
+from damaskcroft.clock import now_s
 from damaskcroft.experiments._parameters import EngineParameters
 
 __all__ = ["EngineFullError", "EngineRun", "ModelEngine"]
@@ -45,12 +47,26 @@
 
     Args:
         parameters: capacity and speed of the engine.
+        rng: draws the periods in which it is slow.
     """
 
-    __slots__ = ("_arrival_event", "_parameters", "_running", "_waiting")
+    __slots__ = (
+        "_arrival_event",
+        "_pace_until",
+        "_parameters",
+        "_rng",
+        "_running",
+        "_waiting",
+        "pace",
+    )
 
-    def __init__(self, parameters: EngineParameters):
-        """Starts without requests; the class describes the argument."""
+    def __init__(
+        self, parameters: EngineParameters, rng: random.Random | None = None
+    ):
+        """Starts without requests; the class describes the arguments."""
+        self._rng = rng or random.Random(0)
+        self._pace_until = 0.0
+        self.pace = 1.0
         self._parameters = parameters
         self._waiting: collections.deque[EngineRun] = collections.deque()
         self._running: list[EngineRun] = []
@@ -98,9 +114,19 @@
             pass_s += decode_s
             for run in decoding:
                 run.work_s += decode_s / len(decoding)
-        await asyncio.sleep(pass_s)
+        self._update_pace()
+        await asyncio.sleep(pass_s * self.pace)
         self._write_events(decoding)
 
+    def _update_pace(self) -> None:
+        """Draws whether the engine is slow in the current period."""
+        now = now_s()
+        if not self._parameters.slow_share or now < self._pace_until:
+            return
+        is_slow = self._rng.random() < self._parameters.slow_share
+        self.pace = self._parameters.slow_factor if is_slow else 1.0
+        self._pace_until = now + self._parameters.slow_s
+
     def _prefill(
         self, prefilling: Iterable[EngineRun], token_budget: int
     ) -> float:
--- a/damaskcroft/experiments/_entry.py
+++ b/damaskcroft/experiments/_entry.py
@@ -112,14 +112,14 @@
         await asyncio.sleep(self._fleet.delay_s)
         run = engine.start_request(ticket.prompt_tokens, events)
         await run.first
-        load = engine.load
+        load, pace = engine.load, engine.pace
         await asyncio.sleep(self._fleet.delay_s)
         first_event_s = now_s() - sent_at
         self._queue.record_first_answer(ticket.service, first_event_s)
         self._placer.record_first_answer(
             first_event_s, ticket.latency_objective_s
         )
-        self._placer.record_load(granted.candidate.id, load)
+        self._placer.record_load(granted.candidate.id, load, pace)
         if granted.slot.read():
             self._queue.serve()
         first_s = now_s() - ticket.arrived_at
--- a/damaskcroft/experiments/_parameters.py
+++ b/damaskcroft/experiments/_parameters.py
@@ -27,6 +27,10 @@
         prefill_tokens_per_s: prompt tokens prefilled per second.
         max_prefill_tokens_per_step: most prompt tokens prefilled per
             step of a pass.
+        slow_share: share of the time in which work takes `slow_factor` times as
+            long, because of other work on the same machine.
+        slow_factor: how much longer it takes then.
+        slow_s: length of such a period.
     """
 
     slots: int = 12
@@ -36,6 +40,9 @@
     tokens_per_event: int = 7
     prefill_tokens_per_s: float = 30_600.0
     max_prefill_tokens_per_step: int = 2048
+    slow_share: float = 0.0
+    slow_factor: float = 2.5
+    slow_s: float = 0.6
 
     def decode_time_s(self, requests: int) -> float:
         """Returns the time of a pass that decodes one event of each request."""
@@ -70,6 +77,8 @@
         prompt_tokens: mean; the standard deviation equals the mean.
         events: mean events of an answer, with the same relative deviation.
         priority: 0 is the most urgent.
+        latency_objective_s: latency objective for the first event; 0 for that
+            of the load.
     """
 
     name: str
@@ -77,6 +86,7 @@
     prompt_tokens: float
     events: float
     priority: int = 1
+    latency_objective_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/damaskcroft/experiments/_rows.py
+++ b/damaskcroft/experiments/_rows.py
@@ -4,7 +4,11 @@
 import statistics
 from collections.abc import Sequence
 
-from damaskcroft.experiments._parameters import FleetParameters, LoadParameters
+from damaskcroft.experiments._parameters import (
+    FleetParameters,
+    LoadParameters,
+    RequestKind,
+)
 from damaskcroft.experiments._policies import Policy
 from damaskcroft.experiments._results import Outcome, Results
 from damaskcroft.experiments._simulation import simulate
@@ -76,9 +80,10 @@
     fleet: FleetParameters,
     load_factor: float,
     seeds: int,
+    kinds: tuple[RequestKind, ...] = LoadParameters().kinds,
 ) -> Row:
     """Simulates a policy under a load; returns means over the seeds."""
-    load = load_profile(load_factor)
+    load = dataclasses.replace(load_profile(load_factor), kinds=kinds)
     results_by_seed = [
         _measure(simulate(policy, fleet, load, seed), fleet, load)
         for seed in range(1, seeds + 1)
--- a/damaskcroft/experiments/_simulation.py
+++ b/damaskcroft/experiments/_simulation.py
@@ -59,7 +59,9 @@
     async def run(self) -> Results:
         """Runs all callers to their end."""
         engines_by_id = {
-            f"e{n}": ModelEngine(self._fleet.engine)
+            f"e{n}": ModelEngine(
+                self._fleet.engine, random.Random(f"{self._seed}/engine/{n}")
+            )
             for n in range(self._fleet.engines)
         }
         self._entries = [
@@ -121,7 +123,8 @@
             answer = await self._entries[entry].submit(
                 make_ticket(
                     caller.kind.priority,
-                    self._load.latency_objective_s,
+                    caller.kind.latency_objective_s
+                    or self._load.latency_objective_s,
                     self._load.deadline_s,
                     caller.prompt_tokens,
                 ),
--- /dev/null
+++ b/damaskcroft/routing/_priority_shares.py
@@ -0,0 +1,102 @@
+"""Division of scarce slots among priorities, with a floor for each of them.
+
+It is for loads above the capacity of the targets. More urgent requests often
+have shorter latency objectives, so that they are the first to be refused as too
+late, and the slots that they would need go to less urgent ones, which can wait
+for longer. So while requests of a priority lack room, less urgent ones are held
+back, down to a floor: each priority is granted slots at least a fixed part as
+often as all requests together (a reservation as in weighted fair queueing;
+Demers, Keshav and Shenker, "Analysis and Simulation of a Fair Queueing
+Algorithm", 1989).
+"""
+
+import math
+
+from damaskcroft.clock import now_s
+
+__all__ = ["PriorityShares"]
+
+# Counts halve in this time: long enough for some requests of each priority at
+# one entry, and about as long as a burst takes to build up.
+_HALF_LIFE_S = 2.0
+# A priority lacks room for this time after one of its requests was too late or
+# refused, as for a standing queue.
+_PRESSED_S = 1.0
+# Lowest share of granted requests of a priority, relative to that of all.
+_FLOOR = 0.75
+# With fewer requests of a priority its share is not known.
+_MIN_ASKED = 2.0
+
+
+class _Level:
+    """Decayed counts of one priority.
+
+    Attributes:
+        asked: requests that arrived.
+        granted: requests that got a slot.
+        pressed_at: time at which one last lacked room.
+    """
+
+    __slots__ = ("asked", "granted", "pressed_at")
+
+    def __init__(self) -> None:
+        self.asked = self.granted = 0.0
+        self.pressed_at = -math.inf
+
+
+class PriorityShares:
+    """Requests and grants of one service at one entry, by priority."""
+
+    __slots__ = ("_decayed_at", "_levels_by_priority")
+
+    def __init__(self) -> None:
+        """Starts without requests."""
+        self._levels_by_priority: dict[int, _Level] = {}
+        self._decayed_at = -math.inf
+
+    def record_arrival(self, priority: int) -> None:
+        """Counts a request that has arrived."""
+        self._level(priority).asked += 1
+
+    def record_grant(self, priority: int) -> None:
+        """Counts a request that has got a slot."""
+        self._level(priority).granted += 1
+
+    def record_pressed(self, priority: int) -> None:
+        """Notes that a request lacks room or was refused for lack of it."""
+        self._level(priority).pressed_at = now_s()
+
+    def is_held_back(self, priority: int) -> bool:
+        """Whether slots are left to requests of more urgent priorities."""
+        since = now_s() - _PRESSED_S
+        is_pressed = any(
+            level.pressed_at >= since
+            for other, level in self._levels_by_priority.items()
+            if other < priority
+        )
+        return is_pressed and not self.is_below_floor(priority)
+
+    def is_below_floor(self, priority: int) -> bool:
+        """Whether a priority is granted slots less often than its floor."""
+        level = self._level(priority)
+        if level.asked < _MIN_ASKED:
+            return False
+        levels = self._levels_by_priority.values()
+        asked = sum(each.asked for each in levels)
+        granted = sum(each.granted for each in levels)
+        return level.granted / level.asked < _FLOOR * granted / asked
+
+    def _level(self, priority: int) -> _Level:
+        self._decay()
+        return self._levels_by_priority.setdefault(priority, _Level())
+
+    def _decay(self) -> None:
+        now = now_s()
+        elapsed_s = now - self._decayed_at
+        if elapsed_s < _HALF_LIFE_S / 16:
+            return
+        self._decayed_at = now
+        factor = 0.5 ** (elapsed_s / _HALF_LIFE_S)
+        for level in self._levels_by_priority.values():
+            level.asked *= factor
+            level.granted *= factor
--- a/damaskcroft/routing/_queue.py
+++ b/damaskcroft/routing/_queue.py
@@ -16,6 +16,7 @@
 from damaskcroft.clock import now_s
 from damaskcroft.routing._first_answers import FirstAnswers
 from damaskcroft.routing._placement import Candidate, Placement, Slot
+from damaskcroft.routing._priority_shares import PriorityShares
 from damaskcroft.routing._standing_queue import LateSpan
 from damaskcroft.routing._tickets import (
     LongWait,
@@ -114,6 +115,7 @@
         self._waiting_by_service: dict[str, list[_QueuedRequest]] = {}
         self._grant_times_by_service: dict[str, collections.deque[float]] = {}
         self._late_spans_by_service: dict[str, LateSpan] = {}
+        self._shares_by_service: dict[str, PriorityShares] = {}
         self._reasons_by_kind: dict[tuple[str, str], str] = {}
         self._reasons_since = float("-inf")
         self._first_answers = FirstAnswers()
@@ -131,7 +133,9 @@
     async def take_slot(self, ticket: QueueTicket) -> SlotTaken | Overloaded:
         """Takes a slot, at once if one is free and no request waits."""
         waiting = self._waiting_by_service.get(ticket.service, [])
-        if not waiting:
+        shares = self._shares(ticket.service)
+        shares.record_arrival(ticket.priority)
+        if not waiting and not shares.is_held_back(ticket.priority):
             outcome = self._outcome_now(ticket, 0)
             if not isinstance(outcome, _WaitsFor):
                 return outcome
@@ -142,6 +146,7 @@
             expected_wait_s = max(expected_wait_s, closed.available_in_s)
         now = now_s()
         if expected_wait_s > self._wait_deadline(ticket, now) - now:
+            shares.record_pressed(ticket.priority)
             return self._refuse(ticket, len(waiting))
         request = _QueuedRequest(ticket)
         waiting = self._waiting_by_service.setdefault(ticket.service, [])
@@ -210,11 +215,17 @@
                 )
         return long_waits
 
+    def _shares(self, service: str) -> PriorityShares:
+        return self._shares_by_service.setdefault(service, PriorityShares())
+
     def _serve(self, waiting: list[_QueuedRequest]) -> None:
         now = now_s()
         waiting.sort(key=lambda request: self._rank(request.ticket, now))
+        shares = self._shares(waiting[0].ticket.service)
         while waiting:
             request = waiting[0]
+            if shares.is_held_back(request.ticket.priority):
+                break
             outcome = self._outcome_now(request.ticket, len(waiting))
             if outcome is _WaitsFor.ROOM:
                 self._note_late(waiting, now)
@@ -227,13 +238,20 @@
             if now >= self._wait_deadline(request.ticket, now):
                 waiting.remove(request)
                 if not request.outcome.done():
+                    shares.record_pressed(request.ticket.priority)
                     refused = self._refuse(request.ticket, len(waiting))
                     request.outcome.set_result(refused)
 
     def _note_late(self, waiting: list[_QueuedRequest], now: float) -> None:
         """Records if some requests of a service's queue cannot be in time."""
-        if any(self._is_late(request.ticket, now) for request in waiting):
+        late = [
+            request.ticket.priority
+            for request in waiting
+            if self._is_late(request.ticket, now)
+        ]
+        if late:
             service = waiting[0].ticket.service
+            self._shares(service).record_pressed(min(late))
             self._late_spans_by_service.setdefault(
                 service, LateSpan()
             ).note_late(now)
@@ -277,6 +295,7 @@
             ticket.service, collections.deque(maxlen=_MAX_GRANT_TIMES)
         )
         grant_times.append(now_s())
+        self._shares(ticket.service).record_grant(ticket.priority)
         return SlotTaken(placement.candidate, slot)
 
     def _refuse(self, ticket: QueueTicket, waiting: int) -> Overloaded:
@@ -330,7 +349,10 @@
     def _rank(self, ticket: QueueTicket, now: float) -> tuple[float, ...]:
         """Sort key: urgent first, then possibly in time, then by arrival."""
         late = self._is_late(ticket, now)
-        return (ticket.priority, late, ticket.arrived_at)
+        is_below_floor = self._shares(ticket.service).is_below_floor(
+            ticket.priority
+        )
+        return (not is_below_floor, ticket.priority, late, ticket.arrived_at)
 
     def _is_late(self, ticket: QueueTicket, now: float) -> bool:
         """Whether a ticket's answer would miss its latency objective."""
