Queue: room is left to urgent requests, not blocked by other needs, shared by customers

Cause: past saturation the least urgent kind was served most; one head without room (its regions full) held up requests that other targets could serve; no customer's name was used. Less urgent requests are held back only from targets at least 0.9 full (trunk reservation), and refused at once when they can't be in time. The floor is 0.55 of the mean. Late requests of a priority below its floor no longer go first. Measurements of a service moved to ServiceRoom.

--- a/damaskcroft/observe/metrics.py
+++ b/damaskcroft/observe/metrics.py
@@ -25,6 +25,7 @@
     "EVACUATION_ORDERS",
     "FIRST_TOKEN_S",
     "GATE_REFUSALS",
+    "HELD_BACK",
     "HOLDERS_LAPSED",
     "HTTP_FAULTS",
     "IDLE_CONNECTIONS_CLOSED",
@@ -39,6 +40,7 @@
     "RETRIES",
     "ROLLOUT_WAITS_S",
     "TARGETS_AVOIDED",
+    "TARGETS_FULL_TOGETHER",
     "TARGETS_LIMITED",
     "TARGET_CRASHES",
     "TARGET_LIMIT_CHANGES",
@@ -106,6 +108,14 @@
 ANSWERS_DROPPED = Counter(
     "damask_answers_dropped", "Late or crossed answers dropped", ["reason"]
 )
+HELD_BACK = Counter(
+    "damask_held_back", "Requests that waited because the room was left to "
+    "more urgent ones", ["priority"],
+)  # fmt: skip
+TARGETS_FULL_TOGETHER = Counter(
+    "damask_targets_full_together", "Times at which a target seemed to have "
+    "room but all targets together had none",
+)  # fmt: skip
 QUEUE_WAIT_S = Histogram(
     "damask_queue_wait_seconds", "Wait for a slot", ["priority"],
     buckets=_LATENCY_BUCKETS_S,
--- a/damaskcroft/routing/_priority_shares.py
+++ b/damaskcroft/routing/_priority_shares.py
@@ -8,6 +8,9 @@
 often as all requests together (a reservation as in weighted fair queueing;
 Demers, Keshav and Shenker, "Analysis and Simulation of a Fair Queueing
 Algorithm", 1989).
+
+Requests are counted as they arrive, so a retry of a refused caller counts
+again: the floor is one of requests, not of callers.
 """
 
 import math
@@ -19,11 +22,14 @@
 # Counts halve in this time: long enough for some requests of each priority at
 # one entry, and about as long as a burst takes to build up.
 _HALF_LIFE_S = 2.0
+# Counts are decayed in steps of this time.
+_DECAY_INTERVAL_S = _HALF_LIFE_S / 16
 # A priority lacks room for this time after one of its requests was too late or
 # refused, as for a standing queue.
 _PRESSED_S = 1.0
-# Lowest share of granted requests of a priority, relative to that of all.
-_FLOOR = 0.75
+# Lowest share of granted requests of a priority, relative to that of all: twice
+# what callers of any kind must get, since an entry sees only a part of them.
+_FLOOR = 0.55
 # With fewer requests of a priority its share is not known.
 _MIN_ASKED = 2.0
 
@@ -66,6 +72,15 @@
         """Notes that a request lacks room or was refused for lack of it."""
         self._level(priority).pressed_at = now_s()
 
+    @property
+    def is_pressed(self) -> bool:
+        """Whether requests of any priority have just lacked room."""
+        since = now_s() - _PRESSED_S
+        return any(
+            level.pressed_at >= since
+            for level in self._levels_by_priority.values()
+        )
+
     def is_held_back(self, priority: int) -> bool:
         """Whether slots are left to requests of more urgent priorities."""
         since = now_s() - _PRESSED_S
@@ -74,26 +89,33 @@
             for other, level in self._levels_by_priority.items()
             if other < priority
         )
-        return is_pressed and not self.is_below_floor(priority)
+        return is_pressed and priority not in self.below_floor()
 
-    def is_below_floor(self, priority: int) -> bool:
-        """Whether a priority is granted slots less often than its floor."""
-        level = self._level(priority)
-        if level.asked < _MIN_ASKED:
-            return False
+    def below_floor(self) -> frozenset[int]:
+        """Returns the priorities that are granted less often than the floor."""
+        self._decay()
         levels = self._levels_by_priority.values()
-        asked = sum(each.asked for each in levels)
-        granted = sum(each.granted for each in levels)
-        return level.granted / level.asked < _FLOOR * granted / asked
+        asked = sum(level.asked for level in levels)
+        if not asked:
+            return frozenset()
+        floor = _FLOOR * sum(level.granted for level in levels) / asked
+        return frozenset(
+            priority
+            for priority, level in self._levels_by_priority.items()
+            if level.asked >= _MIN_ASKED and level.granted < floor * level.asked
+        )
 
     def _level(self, priority: int) -> _Level:
         self._decay()
-        return self._levels_by_priority.setdefault(priority, _Level())
+        level = self._levels_by_priority.get(priority)
+        if level is None:
+            level = self._levels_by_priority[priority] = _Level()
+        return level
 
     def _decay(self) -> None:
         now = now_s()
         elapsed_s = now - self._decayed_at
-        if elapsed_s < _HALF_LIFE_S / 16:
+        if elapsed_s < _DECAY_INTERVAL_S:
             return
         self._decayed_at = now
         factor = 0.5 ** (elapsed_s / _HALF_LIFE_S)
--- a/damaskcroft/routing/_queue.py
+++ b/damaskcroft/routing/_queue.py
@@ -9,15 +9,15 @@
 """
 
 import asyncio
-import collections
 import enum
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from damaskcroft.clock import now_s
+from damaskcroft.observe import log_event, metrics
 from damaskcroft.routing._first_answers import FirstAnswers
+from damaskcroft.routing._needs import Need, is_wanted_by, need_of
 from damaskcroft.routing._placement import Candidate, Placement, Slot
-from damaskcroft.routing._priority_shares import PriorityShares
-from damaskcroft.routing._standing_queue import LateSpan
+from damaskcroft.routing._service_room import ServiceRoom
 from damaskcroft.routing._tickets import (
     LongWait,
     Overloaded,
@@ -31,19 +31,9 @@
 # Maximum share of the latency objective that is reserved for the target: if
 # targets take longer than the objective, some request must still go first.
 _MAX_FIRST_ANSWER_SHARE = 0.9
-# Window over which the rate of granted slots is measured, to predict waits. It
-# is long enough that a pause of some tenths of a second, as when versions
-# change, is not taken for a lower rate.
-_RATE_WINDOW_S = 2.0
-# Maximum number of grant times kept for this: ten times the number of slots
-# that an entry grants in the window.
-_MAX_GRANT_TIMES = 1000
-# With fewer grants in the window the rate is unknown: right after a pause or a
-# start, the first few don't show how many follow.
-_MIN_GRANT_TIMES = 8
-# Slots granted at one moment are assumed to be spread over this time, which is
-# how long the passes of a full target take.
-_MIN_GRANT_SPAN_S = 0.1
+# A less urgent request that is held back gets a slot only of a target that is
+# less full than this; the remainder is left to more urgent ones.
+_MAX_FULLNESS_HELD_BACK = 0.9
 # Longer waits are logged while they last, because a request that waits when the
 # process ends leaves no other line in the log. The value is well below the time
 # after which a request is refused, and above some steps of a batch, after which
@@ -59,20 +49,37 @@
 
 
 class _QueuedRequest:
-    __slots__ = ("is_reported", "outcome", "ticket")
+    __slots__ = ("is_held_back", "is_reported", "outcome", "ticket")
 
     def __init__(self, ticket: QueueTicket):
         self.ticket = ticket
-        self.is_reported = False
+        self.is_reported = self.is_held_back = False
         self.outcome: asyncio.Future[SlotTaken | Overloaded] = (
             asyncio.get_running_loop().create_future()
         )
 
 
+def _note_held_back(request: _QueuedRequest) -> None:
+    """Logs and counts, once for each request, that others get its room."""
+    if request.is_held_back:
+        return
+    request.is_held_back = True
+    ticket = request.ticket
+    metrics.HELD_BACK.labels(str(ticket.priority)).inc()
+    log_event(
+        "held_back",
+        request=ticket.request_id,
+        service=ticket.service,
+        priority=ticket.priority,
+    )
+
+
 class _WaitsFor(enum.Enum):
-    """What the first request of the queue waits for."""
+    """What a request waits for."""
 
     ROOM = enum.auto()
+    # The room is left to more urgent requests.
+    MORE_URGENT = enum.auto()
     # A target that may soon accept requests again; requests that are late by
     # then are still served.
     TARGET_AVAILABLE = enum.auto()
@@ -113,9 +120,7 @@
         self._choose = choose
         self._take = take
         self._waiting_by_service: dict[str, list[_QueuedRequest]] = {}
-        self._grant_times_by_service: dict[str, collections.deque[float]] = {}
-        self._late_spans_by_service: dict[str, LateSpan] = {}
-        self._shares_by_service: dict[str, PriorityShares] = {}
+        self._rooms_by_service: dict[str, ServiceRoom] = {}
         self._reasons_by_kind: dict[tuple[str, str], str] = {}
         self._reasons_since = float("-inf")
         self._first_answers = FirstAnswers()
@@ -133,22 +138,32 @@
     async def take_slot(self, ticket: QueueTicket) -> SlotTaken | Overloaded:
         """Takes a slot, at once if one is free and no request waits."""
         waiting = self._waiting_by_service.get(ticket.service, [])
-        shares = self._shares(ticket.service)
-        shares.record_arrival(ticket.priority)
-        if not waiting and not shares.is_held_back(ticket.priority):
-            outcome = self._outcome_now(ticket, 0)
+        room = self._room(ticket.service)
+        room.priorities.record_arrival(ticket.priority)
+        need = need_of(ticket)
+        # Less urgent requests may wait beside free slots; see `_is_held_back`.
+        ahead = [
+            request.ticket
+            for request in waiting
+            if not request.is_held_back
+            or request.ticket.priority <= ticket.priority
+        ]
+        outcome = None
+        if not any(need_of(other) == need for other in ahead):
+            outcome = self._outcome_now(ticket, len(waiting), ahead)
             if not isinstance(outcome, _WaitsFor):
                 return outcome
         count_ahead = self._count_ahead(ticket)
-        expected_wait_s = self._expected_wait_s(ticket.service, count_ahead)
+        expected_wait_s = room.expected_wait_s(count_ahead)
         closed = self._closed(ticket, count_ahead)
         if closed is not None:
             expected_wait_s = max(expected_wait_s, closed.available_in_s)
         now = now_s()
         if expected_wait_s > self._wait_deadline(ticket, now) - now:
-            shares.record_pressed(ticket.priority)
             return self._refuse(ticket, len(waiting))
         request = _QueuedRequest(ticket)
+        if outcome is _WaitsFor.MORE_URGENT:
+            _note_held_back(request)
         waiting = self._waiting_by_service.setdefault(ticket.service, [])
         waiting.append(request)
         try:
@@ -215,30 +230,46 @@
                 )
         return long_waits
 
-    def _shares(self, service: str) -> PriorityShares:
-        return self._shares_by_service.setdefault(service, PriorityShares())
+    def _room(self, service: str) -> ServiceRoom:
+        room = self._rooms_by_service.get(service)
+        if room is None:
+            room = self._rooms_by_service[service] = ServiceRoom()
+        return room
 
     def _serve(self, waiting: list[_QueuedRequest]) -> None:
+        """Grants free slots to a service's requests, in the order of rank.
+
+        A request without room doesn't block those behind it that need other
+        targets.
+        """
         now = now_s()
-        waiting.sort(key=lambda request: self._rank(request.ticket, now))
-        shares = self._shares(waiting[0].ticket.service)
-        while waiting:
-            request = waiting[0]
-            if shares.is_held_back(request.ticket.priority):
-                break
-            outcome = self._outcome_now(request.ticket, len(waiting))
-            if outcome is _WaitsFor.ROOM:
-                self._note_late(waiting, now)
+        service = waiting[0].ticket.service
+        rank = self._rank_of(service, now)
+        waiting.sort(key=lambda request: rank(request.ticket))
+        blocked_by_need: dict[Need, QueueTicket] = {}
+        is_full = False
+        for request in list(waiting):
+            need = need_of(request.ticket)
+            if need in blocked_by_need:
+                continue
+            outcome = self._outcome_now(
+                request.ticket, len(waiting), blocked_by_need.values()
+            )
             if isinstance(outcome, _WaitsFor):
-                break
-            waiting.pop(0)
+                is_full |= outcome is not _WaitsFor.TARGET_AVAILABLE
+                if outcome is _WaitsFor.MORE_URGENT:
+                    _note_held_back(request)
+                blocked_by_need[need] = request.ticket
+                continue
+            waiting.remove(request)
             if not request.outcome.done():
                 request.outcome.set_result(outcome)
+        if is_full:
+            self._note_late(waiting, now)
         for request in list(waiting):
             if now >= self._wait_deadline(request.ticket, now):
                 waiting.remove(request)
                 if not request.outcome.done():
-                    shares.record_pressed(request.ticket.priority)
                     refused = self._refuse(request.ticket, len(waiting))
                     request.outcome.set_result(refused)
 
@@ -250,11 +281,9 @@
             if self._is_late(request.ticket, now)
         ]
         if late:
-            service = waiting[0].ticket.service
-            self._shares(service).record_pressed(min(late))
-            self._late_spans_by_service.setdefault(
-                service, LateSpan()
-            ).note_late(now)
+            room = self._room(waiting[0].ticket.service)
+            room.priorities.record_pressed(min(late))
+            room.late_span.note_late(now)
 
     def _wait_deadline(self, ticket: QueueTicket, now: float) -> float:
         """Returns the time at which a ticket is refused with a Retry-After.
@@ -264,21 +293,32 @@
         CoDel drops packets of a standing queue; Nichols and Jacobson,
         "Controlling Queue Delay", 2012).
         """
-        span = self._late_spans_by_service.get(ticket.service)
-        is_standing = span is not None and span.is_standing(now)
-        if not is_standing or not self._refuses_late:
+        room = self._room(ticket.service)
+        is_standing = room.late_span.is_standing(now)
+        is_held_back = room.priorities.is_held_back(ticket.priority)
+        if not self._refuses_late or not (is_standing or is_held_back):
             return ticket.wait_deadline
         return min(ticket.wait_deadline, self._dispatch_deadline(ticket))
 
     def _outcome_now(
-        self, ticket: QueueTicket, waiting: int
+        self, ticket: QueueTicket, waiting: int, blocked: Iterable[QueueTicket]
     ) -> SlotTaken | Overloaded | _WaitsFor:
-        """Outcome of the first request of the queue, or what it waits for."""
+        """Outcome of a request, or what it waits for.
+
+        Args:
+            ticket: its ticket.
+            waiting: number of requests that wait for the service.
+            blocked: requests that go first, and for which there is no room.
+        """
         placement = self._choose(ticket)
-        if placement is not None and placement.has_room:
-            return self._grant(ticket, placement)
         if placement is not None:
-            return _WaitsFor.ROOM
+            if not placement.has_room or is_wanted_by(
+                placement.candidate, ticket.model, blocked
+            ):
+                return _WaitsFor.ROOM
+            if self._is_held_back(ticket, placement):
+                return _WaitsFor.MORE_URGENT
+            return self._grant(ticket, placement)
         closed = self._closed(ticket, 0)
         if closed is None:
             if self._may_become_available(ticket):
@@ -291,24 +331,29 @@
 
     def _grant(self, ticket: QueueTicket, placement: Placement) -> SlotTaken:
         slot = self._take(placement.candidate, ticket)
-        grant_times = self._grant_times_by_service.setdefault(
-            ticket.service, collections.deque(maxlen=_MAX_GRANT_TIMES)
-        )
-        grant_times.append(now_s())
-        self._shares(ticket.service).record_grant(ticket.priority)
+        self._room(ticket.service).record_grant(ticket)
         return SlotTaken(placement.candidate, slot)
 
+    def _is_held_back(self, ticket: QueueTicket, placement: Placement) -> bool:
+        """Whether room is left to more urgent requests (trunk reservation)."""
+        if placement.fullness < _MAX_FULLNESS_HELD_BACK:
+            return False
+        priorities = self._room(ticket.service).priorities
+        return priorities.is_held_back(ticket.priority)
+
     def _refuse(self, ticket: QueueTicket, waiting: int) -> Overloaded:
+        room = self._room(ticket.service)
         count_ahead = self._count_ahead(ticket)
-        expected_wait_s = self._expected_wait_s(ticket.service, count_ahead)
+        expected_wait_s = room.expected_wait_s(count_ahead)
         closed = self._closed(ticket, count_ahead)
         if closed is not None:
             return Overloaded(
                 closed.reason, waiting, expected_wait_s, closed.retry_in_s
             )
-        return Overloaded(
-            self._refusal_reason(ticket), waiting, expected_wait_s
-        )
+        reason = self._refusal_reason(ticket)
+        if reason == "overloaded":
+            room.priorities.record_pressed(ticket.priority)
+        return Overloaded(reason, waiting, expected_wait_s)
 
     def _refusal_reason(self, ticket: QueueTicket) -> str:
         """Returns why a ticket gets no slot now, from the cache if possible."""
@@ -327,32 +372,44 @@
         closed = self._closed(ticket, 0)
         return closed.reason if closed is not None else "no_target"
 
-    def _expected_wait_s(self, service: str, count_ahead: int) -> float:
-        """Predicts the wait for the requests ahead, at the present rate."""
-        now = now_s()
-        grant_times = self._grant_times_by_service.get(service, ())
-        recent = [at for at in grant_times if at >= now - _RATE_WINDOW_S]
-        if len(recent) < _MIN_GRANT_TIMES:
-            return 0.0
-        span_s = max(now - recent[0], _MIN_GRANT_SPAN_S)
-        return count_ahead * span_s / len(recent)
-
     def _count_ahead(self, ticket: QueueTicket) -> int:
         """Returns the number of requests that go before a ticket."""
-        now = now_s()
-        rank = self._rank(ticket, now)
+        rank = self._rank_of(ticket.service, now_s())
+        own_rank = rank(ticket)
         return sum(
-            self._rank(request.ticket, now) <= rank
+            rank(request.ticket) <= own_rank
             for request in self._waiting_by_service.get(ticket.service, [])
         )
 
-    def _rank(self, ticket: QueueTicket, now: float) -> tuple[float, ...]:
-        """Sort key: urgent first, then possibly in time, then by arrival."""
-        late = self._is_late(ticket, now)
-        is_below_floor = self._shares(ticket.service).is_below_floor(
-            ticket.priority
-        )
-        return (not is_below_floor, ticket.priority, late, ticket.arrived_at)
+    def _rank_of(
+        self, service: str, now: float
+    ) -> Callable[[QueueTicket], tuple[float, ...]]:
+        """Returns the sort key of a service's tickets.
+
+        Urgent ones go first, then those that may be in time, then those of
+        customers who got few slots while there is too little room, then by
+        arrival. Priorities below their floor go before all others.
+        """
+        room = self._room(service)
+        below_floor = room.priorities.below_floor()
+        is_pressed = room.priorities.is_pressed
+
+        def rank(ticket: QueueTicket) -> tuple[float, ...]:
+            is_late = self._is_late(ticket, now)
+            grants = (
+                room.customers.recent_grants(ticket.customer)
+                if is_pressed
+                else 0.0
+            )
+            return (
+                is_late or ticket.priority not in below_floor,
+                ticket.priority,
+                is_late,
+                grants,
+                ticket.arrived_at,
+            )
+
+        return rank
 
     def _is_late(self, ticket: QueueTicket, now: float) -> bool:
         """Whether a ticket's answer would miss its latency objective."""
