Placement: targets together are full although a silent one seems free

Cause: each entry hears of a target once in a second or two, and a target without a report counts as 0.95 full at most, so that entries sent on while all targets were full: requests waited at targets, first come, first served. Others' requests are now taken to grow as the entry's own have since the recent reports; targets together must have room.

--- a/damaskcroft/routing/_placement.py
+++ b/damaskcroft/routing/_placement.py
@@ -12,6 +12,7 @@
 import random
 from collections.abc import Callable, Collection, Iterable
 
+from damaskcroft.observe import metrics
 from damaskcroft.routing._outliers import Outliers
 from damaskcroft.routing._target_loads import TargetLoad, TargetLoads
 from damaskcroft.routing._unread_bound import UnreadBound
@@ -203,11 +204,26 @@
                 best, best_rank, best_fullness = candidate, rank, fullness
         if best is None:
             return None
-        has_room = not best_rank[_NO_ROOM_INDEX] and self._fits_share(
-            readable_tokens, prompt_tokens
+        has_room = (
+            not best_rank[_NO_ROOM_INDEX]
+            and self._fits_share(readable_tokens, prompt_tokens)
+            and self._fleet_has_room(candidates, now)
         )
         return Placement(best, best_fullness, has_room)
 
+    def _fleet_has_room(self, candidates: list[Candidate], now: float) -> bool:
+        """Whether targets together have room; see `FleetFullness`."""
+        outstanding = self._loads.outstanding
+        if not outstanding:
+            return True
+        fleet = self._loads.fleet_fullness(
+            ((each.id, each.slots) for each in candidates), now
+        )
+        if fleet.has_room(outstanding, self.entries):
+            return True
+        metrics.TARGETS_FULL_TOGETHER.inc()
+        return False
+
     def _fits_share(self, readable_tokens: float, prompt_tokens: int) -> bool:
         """Whether a prompt fits into this entry's share of unread prompts.
 
--- a/damaskcroft/routing/_target_loads.py
+++ b/damaskcroft/routing/_target_loads.py
@@ -9,6 +9,8 @@
 import statistics
 from collections.abc import Collection, Iterable
 
+from damaskcroft.routing._fleet_fullness import FleetFullness
+
 __all__ = ["TargetLoad", "TargetLoads"]
 
 # A reported load counts in full for this time, because requests that end are
@@ -40,10 +42,14 @@
         reported_at: loop time of that report.
         reported_pace: how long work took at the target at that time; 1 as
             usual, 2 for twice as long.
+        reported_requests: all requests there, as last reported.
+        entry_outstanding: this entry's requests at all targets at that time.
     """
 
     __slots__ = (
+        "entry_outstanding",
         "reported_others",
+        "reported_requests",
         "reported_pace",
         "outstanding",
         "suspects",
@@ -59,6 +65,8 @@
         self.reported_others = 0.0
         self.reported_pace = 1.0
         self.reported_at = float("-inf")
+        self.reported_requests = 0
+        self.entry_outstanding = 0
 
     def fullness(self, slots: int, assumed: float, now: float) -> float:
         """Returns the estimated number of requests per slot.
@@ -100,6 +108,32 @@
         """Total length of this entry's prompts that no target has read."""
         return sum(load.unread_tokens for load in self._loads_by_id.values())
 
+    @property
+    def outstanding(self) -> int:
+        """Number of this entry's requests at all targets."""
+        return sum(load.outstanding for load in self._loads_by_id.values())
+
+    def fleet_fullness(
+        self, slots_by_id: Iterable[tuple[str, int]], now: float
+    ) -> FleetFullness:
+        """Returns what recent reports say of targets together.
+
+        Args:
+            slots_by_id: targets that could run a request, and their slots.
+            now: loop time.
+        """
+        since = now - _RECENT_REPORT_S
+        fleet = FleetFullness()
+        for target_id, slots in slots_by_id:
+            fleet.add_target(slots)
+            load = self._loads_by_id.get(target_id)
+            if load is not None and load.reported_at >= since:
+                fleet.add_report(
+                    load.reported_requests / max(1, slots),
+                    load.entry_outstanding,
+                )
+        return fleet
+
     def assumed_fullness(
         self, slots_by_id: Iterable[tuple[str, int]], now: float
     ) -> float:
@@ -126,6 +160,8 @@
         """Records the number of requests and the pace that a target reports."""
         load = self.get_or_add(target_id)
         load.reported_pace = pace
+        load.reported_requests = requests
+        load.entry_outstanding = self.outstanding
         load.reported_others = max(0, requests - load.outstanding)
         load.reported_at = asyncio.get_running_loop().time()
 
