--- a/damaskcroft/experiments/tests/test_scarce_room.py
+++ b/damaskcroft/experiments/tests/test_scarce_room.py
@@ -4,6 +4,8 @@
 then. The most urgent kind has the shortest latency objective.
 """
 
+import dataclasses
+
 import pytest
 
 from damaskcroft.experiments import (
@@ -21,6 +23,8 @@
     RequestKind("reply", 0.39, 827.0, 21.0, 1, 0.4),
     RequestKind("summary", 0.28, 647.0, 10.0, 2, 0.8),
 )
+# The least urgent kind alone is asked for 2.4 times as often.
+BURST_KINDS = (*KINDS[:2], dataclasses.replace(KINDS[2], weight=0.28 * 2.4))
 RISES_AT_S, ENDS_AT_S = 2.0, 6.0
 LIGHT_LOAD = 0.55
 SLOW_SHARE = 0.15
@@ -29,13 +33,13 @@
 MAX_LATE = 0.1
 
 
-def simulate_rise(load_factor, slow_share=0.0):
+def simulate_rise(load_factor, slow_share=0.0, kinds=KINDS):
     """Returns what was sent while the load was at `load_factor`."""
     fleet = FleetParameters(
         entries=11, engines=26, engine=EngineParameters(slow_share=slow_share)
     )
     load = LoadParameters(
-        kinds=KINDS,
+        kinds=kinds,
         steps=((0.0, LIGHT_LOAD), (RISES_AT_S, load_factor)),
         ends_s=ENDS_AT_S,
     )
@@ -78,6 +82,15 @@
         assert served_share(rise, kind.name) > MIN_KIND_SHARE * mean
 
 
+def test_a_burst_of_the_least_urgent_kind_does_not_crowd_out_others():
+    burst = simulate_rise(1.35, kinds=BURST_KINDS)
+    shares = [served_share(burst, kind.name) for kind in KINDS]
+    mean = burst.count(Outcome.IN_TIME) / count_callers(burst)
+    assert shares[0] == max(shares)
+    assert min(shares) > MIN_KIND_SHARE * mean
+    assert burst.count(Outcome.LATE) < MAX_LATE * count_callers(burst)
+
+
 def test_no_request_is_refused_below_saturation():
     results = simulate_rise(0.85)
     assert results.count(Outcome.REFUSED) == 0
