--- a/damaskcroft/observe/metrics.py
+++ b/damaskcroft/observe/metrics.py
@@ -29,6 +29,7 @@
     "GATE_REFUSALS",
     "HEDGES",
     "HEDGES_NOT_ALLOWED",
+    "HELD_BACK",
     "HOLDERS_LAPSED",
     "HTTP_FAULTS",
     "IDLE_CONNECTIONS_CLOSED",
@@ -45,6 +46,7 @@
     "SENDER_STANDINGS",
     "TARGETS_AVOIDED",
     "TARGETS_COLD",
+    "TARGETS_FULL_TOGETHER",
     "TARGETS_LIMITED",
     "TARGET_CRASHES",
     "TARGET_LIMIT_CHANGES",
@@ -135,6 +137,14 @@
 ANSWERS_DROPPED = Counter(
     "damask_answers_dropped", "Late or crossed answers dropped", ["reason"]
 )
+HELD_BACK = Counter(
+    "damask_held_back", "Requests that waited because the room was left to "
+    "more urgent ones", ["priority"],
+)  # fmt: skip
+TARGETS_FULL_TOGETHER = Counter(
+    "damask_targets_full_together", "Times at which a target seemed to have "
+    "room but all targets together had none",
+)  # fmt: skip
 QUEUE_WAIT_S = Histogram(
     "damask_queue_wait_seconds", "Wait for a slot", ["priority"],
     buckets=_LATENCY_BUCKETS_S,
