--- a/damaskcroft/control/_fleet_control.py
+++ b/damaskcroft/control/_fleet_control.py
@@ -154,7 +154,15 @@
         Every order passes through the log, also one that changes nothing: what
         this node has applied may be older than an order accepted elsewhere.
         """
-        outcome = await self._evacuate(failure_domain, evacuated=evacuated)
+        outcome: Accepted | Invalid | Unavailable
+        try:
+            async with asyncio.timeout(_COMMIT_TIMEOUT_S):
+                outcome = await self._evacuate(
+                    failure_domain, evacuated=evacuated
+                )
+        except TimeoutError:
+            outcome = Unavailable("not committed in time")
+            self._record_refusal("evacuate", outcome)
         order = "start" if evacuated else "end"
         metrics.EVACUATION_ORDERS.labels(order, type(outcome).__name__).inc()
         log_event(
@@ -168,12 +176,12 @@
     async def _evacuate(
         self, failure_domain: str, *, evacuated: bool
     ) -> Accepted | Invalid | Unavailable:
-        if not self._knows_domain(failure_domain):
-            return Invalid("no such failure domain")
         refusal = await self._catch_up()
         if refusal is not None:
             self._record_refusal("evacuate", refusal)
             return refusal
+        if not self._knows_domain(failure_domain):
+            return Invalid("no such failure domain")
         known_revision = self._state.evacuations.revision(failure_domain)
         order = fleet_pb2.EvacuationOrder(
             failure_domain=failure_domain,
--- a/damaskcroft/control/_fleet_state.py
+++ b/damaskcroft/control/_fleet_state.py
@@ -7,6 +7,7 @@
 from damaskcroft.consensus import StateMachine
 from damaskcroft.control._desired_version_times import DesiredVersionTimes
 from damaskcroft.fleet import Evacuations
+from damaskcroft.observe import log_event
 
 __all__ = ["Applied", "FleetState"]
 
@@ -137,6 +138,13 @@
         if order.evacuated == is_evacuated:
             return Applied(False, revision)
         if order.known_revision != revision:
+            log_event(
+                "evacuation_overtaken",
+                failure_domain=domain,
+                evacuated=order.evacuated,
+                known_revision=order.known_revision,
+                revision=revision,
+            )
             return Applied(False, revision, is_overtaken=True)
         state = fleet_pb2.Evacuation(
             failure_domain=domain, evacuated=order.evacuated, revision=index
--- a/damaskcroft/fleet/_evacuations.py
+++ b/damaskcroft/fleet/_evacuations.py
@@ -37,6 +37,12 @@
         self._states_by_domain = {each.failure_domain: each for each in states}
         self._update()
 
+    def may_include(self, failure_domain: str) -> bool:
+        """Whether a domain is evacuated, or unknown while some domain is."""
+        if not self.evacuated_domains:
+            return False
+        return not failure_domain or failure_domain in self.evacuated_domains
+
     def merge_all(self, states: Iterable[fleet_pb2.Evacuation]) -> bool:
         """Merges states; returns whether the evacuated domains changed."""
         for state in states:
--- a/damaskcroft/fleet/_settings.py
+++ b/damaskcroft/fleet/_settings.py
@@ -24,8 +24,6 @@
         cold_ratio: requests that a cold target may get in a second, over all
             senders, for each that it bears.
         cold_extra: requests that it may get in a second beyond the ratio.
-        evacuation_s: from the acknowledgement of an evacuation to the last
-            request that reaches the failure domain.
     """
 
     drain_s: float
@@ -37,7 +35,6 @@
     weights_s: float
     cold_ratio: float = 1.0
     cold_extra: float = 0.0
-    evacuation_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/damaskcroft/forwarding/_allocator.py
+++ b/damaskcroft/forwarding/_allocator.py
@@ -98,7 +98,7 @@
             case Overloaded(reason=reason, waiting=waiting):
                 detail = f"{waiting} waiting"
                 reason = self.refine_reason(
-                    reason, job.service, job.allowed_regions
+                    reason, job.service, self._services.regions_now(job)
                 )
                 return Refused(
                     reason,
@@ -124,7 +124,7 @@
             has_begun=progress.begun,
             tried_ids=frozenset(progress.excluded),
             customer=job.customer,
-            allowed_regions=job.allowed_regions,
+            allowed_regions=self._services.regions_now(job),
         )
 
     def refine_reason(
@@ -150,7 +150,7 @@
         is_suspect = self._suspects.is_suspect(job, progress)
         placed = self._placer.choose(
             self._availability.candidates(
-                job.service, job.call.model, job.allowed_regions
+                job.service, job.call.model, self._services.regions_now(job)
             ),
             progress.excluded,
             prompt_tokens,
@@ -175,7 +175,7 @@
         service, model, regions = (
             job.service,
             job.call.model,
-            job.allowed_regions,
+            self._services.regions_now(job),
         )
         closed = self._availability.closed(service, model, 0, regions)
         if closed is not None:
@@ -188,7 +188,8 @@
         if has_candidates or not self._services.may_serve_soon(
             service, model, regions
         ):
-            return failed_ending("no_target", progress)
+            reason = self.refine_reason("no_target", service, regions)
+            return failed_ending(reason, progress)
         outcome = await self.queue.take_slot(self._ticket(job, progress))
         if isinstance(outcome, Overloaded):
             reason = self.refine_reason(outcome.reason, service, regions)
@@ -265,7 +266,7 @@
         job, progress = slow.job, slow.progress
         placed = self._placer.choose(
             self._availability.candidates(
-                job.service, job.call.model, job.allowed_regions
+                job.service, job.call.model, self._services.regions_now(job)
             ),
             progress.excluded,
             job.call.prompt_tokens,
@@ -303,7 +304,7 @@
             return None
         job, progress = waiting.job, waiting.progress
         candidates = self._availability.candidates(
-            job.service, job.call.model, job.allowed_regions
+            job.service, job.call.model, self._services.regions_now(job)
         )
         excluded_ids = progress.excluded | silent_ids
         if candidates == [waiting.target] and waiting.attempt.connect_s is None:
--- a/damaskcroft/forwarding/_running.py
+++ b/damaskcroft/forwarding/_running.py
@@ -33,7 +33,7 @@
 
     __slots__ = (
         "_dispatches",
-        "_restart_known_at",
+        "_newer_starts",
         "_services",
         "_suspects",
         "_waiting",
@@ -42,9 +42,9 @@
     def __init__(self, services: Services, suspects: Suspects):
         """Starts empty and subscribes to changes of suspicions."""
         self._dispatches: set[Dispatch] = set()
-        # Loop time at which a newer start of its target was found, of each
-        # attempt that was sent before.
-        self._restart_known_at: dict[Dispatch, float] = {}
+        # The newest start of its target and the loop time at which that was
+        # found, of each attempt that was sent to an earlier one.
+        self._newer_starts: dict[Dispatch, tuple[str, float]] = {}
         # Requests that wait for a slot, each with the end of its wait.
         self._waiting: dict[asyncio.Timeout, tuple[Job, Progress]] = {}
         self._services = services
@@ -59,7 +59,7 @@
             yield
         finally:
             self._dispatches.discard(dispatch)
-            self._restart_known_at.pop(dispatch, None)
+            self._newer_starts.pop(dispatch, None)
 
     @contextlib.asynccontextmanager
     async def waiting(
@@ -121,7 +121,11 @@
     def _is_lost(self, running: Dispatch, silent_ids: Collection[str]) -> bool:
         if not self._services.has_restarted(running.target):
             return False
-        known_at = self._restart_known_at.setdefault(running, now_s())
+        newest = self._services.newest_start_id(running.target)
+        known, known_at = self._newer_starts.get(running, ("", 0.0))
+        if known != newest:
+            known_at = now_s()
+            self._newer_starts[running] = newest, known_at
         if running.attempt.last_data_at > known_at:
             return False
         return running.target.id in silent_ids and not running.hedge.is_running
--- a/damaskcroft/forwarding/_services.py
+++ b/damaskcroft/forwarding/_services.py
@@ -150,6 +150,11 @@
             return False
         return start_id(state) != candidate.id != candidate.target_id
 
+    def newest_start_id(self, candidate: Candidate) -> str:
+        """Id of the newest known start of a target; empty if none is."""
+        state = self._view.targets.newest(candidate.target_id)
+        return start_id(state) if state is not None else ""
+
     def is_draining(self, candidate: Candidate) -> bool:
         """Whether a start has announced its end, or has ended after that."""
         return self._view.targets.is_draining(
@@ -212,27 +217,32 @@
         evacuated = self._evacuated_by_service.get(service, [])
         return bool(self._in_regions(evacuated, allowed_regions))
 
-    def allows_region(self, job: Job, candidate: Candidate) -> bool:
-        """Whether a request may be served in a target's region.
+    def regions_now(self, job: Job) -> frozenset[str] | None:
+        """Regions where a request may be served; None for all.
 
         The regions of the configuration by which the request was admitted and
         those of the one in force now both apply.
         """
-        regions = job.allowed_regions
-        if regions is not None and candidate.region not in regions:
-            return False
         table = self._view.route_table
         if table is None or table.version == job.configuration:
-            return True
+            return job.allowed_regions
         route = table.route(job.call.host, job.call.path) or job.route
-        customer = table.customer(job.call.key) if job.customer else None
-        regions = allowed_regions(route, customer)
+        customer = None if route.public else table.customer(job.call.key)
+        in_force = allowed_regions(route, customer)
+        if job.allowed_regions is None or in_force is None:
+            return (
+                in_force if job.allowed_regions is None else job.allowed_regions
+            )
+        return job.allowed_regions & in_force
+
+    def allows_region(self, job: Job, candidate: Candidate) -> bool:
+        """Whether a request may be served in a target's region now."""
+        regions = self.regions_now(job)
         return regions is None or candidate.region in regions
 
     def is_in_evacuated_domain(self, candidate: Candidate) -> bool:
         """Whether no request may be sent to a target's failure domain."""
-        evacuated_domains = self._view.evacuations.evacuated_domains
-        return candidate.failure_domain in evacuated_domains
+        return self._view.evacuations.may_include(candidate.failure_domain)
 
     def may_serve_soon(
         self,
@@ -383,11 +393,11 @@
         self._states_by_service = {}
         self._states_by_start_id = {}
         self._evacuated_by_service = {}
-        evacuated_domains = self._view.evacuations.evacuated_domains
+        evacuations = self._view.evacuations
         for state in self._view.targets.address_holders():
             if state.phase != fleet_pb2.TARGET_READY:
                 continue
-            if state.failure_domain in evacuated_domains:
+            if evacuations.may_include(state.failure_domain):
                 evacuated = self._evacuated_by_service
                 evacuated.setdefault(state.service, []).append(state)
             else:
--- a/damaskcroft/forwarding/tests/test_allowed_regions.py
+++ b/damaskcroft/forwarding/tests/test_allowed_regions.py
@@ -132,9 +132,10 @@
     """Guards against a request admitted before its regions were restricted."""
 
     async def scenario():
-        later_forbidden, allowed = target("a", "d1"), target("b", "d2")
+        later_forbidden = [target(f"a{n}", "d1") for n in range(6)]
+        allowed = target("b", "d2")
         before = regional(1, max_attempts=1)
-        async with running(later_forbidden, allowed, config=before) as entry:
+        async with running(*later_forbidden, allowed, config=before) as entry:
             slots_by_id = {
                 candidate.id: [
                     entry.placer.take(candidate) for _ in range(candidate.slots)
@@ -144,9 +145,10 @@
             waiting = asyncio.create_task(entry.send_request())
             await asyncio.sleep(0.1)
             entry.view.apply_configuration(regional(2, of_route=["r2"]))
-            for slot in slots_by_id["a"]:
-                slot.give_back()
+            for candidate_id, slots in slots_by_id.items():
+                for slot in slots if candidate_id != "b" else ():
+                    slot.give_back()
             assert (await waiting)[0] == 200
-            assert not later_forbidden.heads
+            assert not any(each.heads for each in later_forbidden)
 
     run(scenario())
--- a/damaskcroft/forwarding/tests/test_evacuated_domains.py
+++ b/damaskcroft/forwarding/tests/test_evacuated_domains.py
@@ -6,10 +6,13 @@
 
 from damaskcroft._generated import fleet_pb2
 from damaskcroft.forwarding.tests.fakes import (
+    EVENTS,
     FakeTarget,
     configuration,
+    event_ids,
     route,
     running_entry,
+    unchunked,
 )
 
 CONFIG = configuration(1, route(idempotent=True, max_attempts=3))
@@ -111,6 +114,62 @@
             while not streaming.heads:
                 await asyncio.sleep(0.01)
             evacuate(entry, "d1")
-            assert (await answer)[0] == 200
+            status, _, body = await answer
+            payload, complete = unchunked(body)
+            assert status == 200
+            assert complete
+            assert event_ids(payload) == list(range(1, EVENTS + 1))
+
+    run(scenario())
+
+
+def test_a_target_of_an_unknown_domain_gets_nothing_meanwhile(run):
+    """Guards against an announcement that has lost its failure domain."""
+
+    async def scenario():
+        unknown, other = target("a", ""), target("b", "d2")
+        async with running_entry(unknown, other, config=CONFIG) as entry:
+            evacuate(entry, "d1")
+            assert await statuses(entry) == [200] * REQUESTS
+            assert not unknown.heads
+
+    run(scenario())
+
+
+def test_a_request_whose_slot_was_taken_before_the_order_is_withheld(run):
+    async def scenario():
+        only = target("a", "d1")
+        async with running_entry(only, config=CONFIG) as entry:
+            slots = [
+                entry.placer.take(candidate)
+                for candidate in entry.candidates()
+                for _ in range(candidate.slots)
+            ]
+            waiting = asyncio.create_task(entry.send_request())
+            await asyncio.sleep(0.1)
+            for slot in slots:
+                slot.give_back()
+            (candidate,) = entry.candidates()
+            evacuate(entry, "d1")
+            assert entry.services.is_in_evacuated_domain(candidate)
+            assert (await waiting)[0] == 503
+            assert not only.heads
+
+    run(scenario())
+
+
+def test_a_queued_request_is_refused_when_its_domain_is_evacuated(run):
+    async def scenario():
+        only = target("a", "d1")
+        async with running_entry(only, config=CONFIG) as entry:
+            for candidate in entry.candidates():
+                for _ in range(candidate.slots):
+                    entry.placer.take(candidate)
+            waiting = asyncio.create_task(entry.send_request())
+            await asyncio.sleep(0.1)
+            evacuate(entry, "d1")
+            async with asyncio.timeout(0.5):
+                assert (await waiting)[0] == 503
+            assert not only.heads
 
     run(scenario())
--- a/damaskcroft/hosted/tests/deployment.py
+++ b/damaskcroft/hosted/tests/deployment.py
@@ -35,6 +35,7 @@
 [zones]
 z = "r"
 z0 = "r"
+z1 = "r"
 [listen]
 {listen}
 [limits]
--- a/damaskcroft/hosted/tests/soak/_evacuations.py
+++ b/damaskcroft/hosted/tests/soak/_evacuations.py
@@ -9,6 +9,7 @@
 # back beside all other faults, and it is evacuated at the end.
 EVACUATIONS_FROM_SEED = 6000
 EVACUATED_DOMAIN = "z0"
+OTHER_DOMAIN = "z1"
 _ACKNOWLEDGE_TIMEOUT_S = 45.0
 _RETRY_INTERVAL_S = 0.1
 _PERIOD_S = (0.3, 3.0)
@@ -62,8 +63,11 @@
         """
         await asyncio.sleep(CONTACT_S + _IN_EFFECT_S)
         since = time.monotonic()
-        for _ in range(_REQUESTS_AT_END):
-            await send_request()
+        statuses = [await send_request() for _ in range(_REQUESTS_AT_END)]
+        if 200 not in statuses:
+            self._history.violations.append(
+                f"no request is served beside an evacuated domain: {statuses}"
+            )
         if self._arrivals(target_name, since):
             self._history.violations.append(
                 f"{target_name} got requests though its domain is evacuated"
--- a/damaskcroft/hosted/tests/soak/_run.py
+++ b/damaskcroft/hosted/tests/soak/_run.py
@@ -13,6 +13,7 @@
 )
 from damaskcroft.hosted.tests.soak._evacuations import (
     EVACUATED_DOMAIN,
+    OTHER_DOMAIN,
     EvacuatingOperator,
     has_evacuations,
 )
@@ -91,9 +92,7 @@
                 self.deployment,
                 self.history,
                 keeps_id=n % 2 == 0,
-                domain=EVACUATED_DOMAIN
-                if has_evacuations(seed) and not n
-                else "",
+                domain=self._domain_of(n),
             )
             for n in range(_TARGETS)
         ]
@@ -128,6 +127,12 @@
         self._ids = itertools.count(1)
         self._ending = False
 
+    def _domain_of(self, number):
+        """The failure domain that a target announces; empty for none."""
+        if not has_evacuations(self.seed):
+            return ""
+        return OTHER_DOMAIN if number else EVACUATED_DOMAIN
+
     def write_journal(self, message):
         at = asyncio.get_running_loop().time()
         with (self.folder / "journal.txt").open("a") as file:
--- a/damaskcroft/platform/control_face.py
+++ b/damaskcroft/platform/control_face.py
@@ -88,6 +88,10 @@
 
     async def _evacuate(self, request: Request, *, evacuated: bool) -> Response:
         failure_domain = request.path_params["failure_domain"]
+        if await request.is_disconnected():
+            # The operator has sent the order to another node meanwhile, and
+            # perhaps the opposite one since.
+            return _response(Unavailable("the operator has left"))
         return _response(
             await self._control.evacuate(failure_domain, evacuated=evacuated)
         )
--- a/damaskcroft/platform/settings.py
+++ b/damaskcroft/platform/settings.py
@@ -115,5 +115,4 @@
         weights_s=table.number("version_ms", 0) / 1000,
         cold_ratio=table.number("cold_overage", 1),
         cold_extra=table.number("cold_slack", 0),
-        evacuation_s=table.number("evacuate_ms", 0) / 1000,
     )
--- a/damaskcroft/platform/tests/test_settings.py
+++ b/damaskcroft/platform/tests/test_settings.py
@@ -36,18 +36,16 @@
     assert not settings.first_start
 
 
-def test_bounds_of_cold_targets_and_evacuations_are_optional():
+def test_bounds_of_cold_targets_are_optional():
     without = decode_settings(VALUES).bounds
     assert (without.cold_ratio, without.cold_extra) == (1.0, 0.0)
     values = copy.deepcopy(VALUES)
     values["bounds"] |= {
         "cold_overage": 1.5,
         "cold_slack": 5,
-        "evacuate_ms": 5000,
     }
     bounds = decode_settings(values).bounds
     assert (bounds.cold_ratio, bounds.cold_extra) == (1.5, 5.0)
-    assert bounds.evacuation_s == 5.0
 
 
 @pytest.mark.parametrize(
