Cold targets: requests at an entry's start wait for control's reports

Cause: a new entry knows targets from the first control node that answers, and hears a majority some milliseconds later. Until then it takes every target of a service with a cold rate for cold, and refused requests at once that could be served a moment later.

Weighed: to take targets for warm until then (an entry that starts with a minority of control would send cold ones any load). So requests wait, for 2 s after the start at most; afterwards they are refused at once.

Result: over loopback such a request is served once the reports have come; limits' and cold targets' tests pass.

--- a/damaskcroft/forwarding/tests/test_cold_targets.py
+++ b/damaskcroft/forwarding/tests/test_cold_targets.py
@@ -27,16 +27,21 @@
     )
 
 
-async def settle(entry):
-    """Control reports for some seconds that this is the only entry."""
+def report_entries(entry):
+    """Control reports that this is the only entry."""
     update = fleet_pb2.FleetUpdate(control_addresses=["c"])
     update.entry_names.whole = True
     update.entry_names.joined.append("e")
+    entry.view.apply_update(update, "c")
+
+
+async def settle(entry):
+    """Control reports the entry for some seconds."""
     for _ in range(round(SETTLED_S / 0.3)):
-        entry.view.apply_update(update, "c")
+        report_entries(entry)
         entry.cold_targets.retain_only(entry.view.targets.start_ids())
         await asyncio.sleep(0.3)
-    entry.view.apply_update(update, "c")
+    report_entries(entry)
 
 
 def turn_cold(entry, target, cold_s, sequence=2):
@@ -123,6 +128,20 @@
     asyncio.run(scenario())
 
 
+def test_requests_at_a_start_wait_for_reports_of_control():
+    async def scenario():
+        target = FakeTarget("a", "whole")
+        async with running_entry(target, config=cold_configuration()) as entry:
+            asking = asyncio.create_task(entry.send_request())
+            await asyncio.sleep(0.3)
+            assert not asking.done()
+            report_entries(entry)
+            status, _, _ = await asking
+            assert status == 200
+
+    asyncio.run(scenario())
+
+
 def test_services_without_a_rate_are_served_as_before():
     async def scenario():
         target = FakeTarget("a", "whole")
--- a/damaskcroft/limits/_cold_targets.py
+++ b/damaskcroft/limits/_cold_targets.py
@@ -29,6 +29,9 @@
 _MAX_REQUESTS = 10_000
 # A target counts as cold for this time if it reports no valid one.
 _DEFAULT_COLD_S = 5.0
+# Requests are served again after this time while control's first reports are
+# due: most entries have them within a tenth of a second.
+_REPORTS_POLL_S = 0.1
 # Some entry may send to a cold target after this time, even if this one has no
 # share: the length of the window.
 _OTHERS_RETRY_S = 1.0
@@ -216,6 +219,8 @@
         if math.isinf(max_requests):
             return 0.0
         wait_s = target.window.wait_s(int(max_requests))
+        if not max_requests and self._senders.awaits_reports:
+            return _REPORTS_POLL_S
         if not self._senders.is_in_touch:
             return wait_s
         limited_until = target.cold_until + (0 if max_requests else _RAMP_S)
--- a/damaskcroft/limits/_senders.py
+++ b/damaskcroft/limits/_senders.py
@@ -27,6 +27,9 @@
 # One of this many requests that a cold target bears is reserved for entries
 # out of touch.
 _RESERVE_DIVISOR = 3
+# An entry that has just started expects the reports of a majority of control
+# within this time.
+_FIRST_REPORTS_S = 2.0
 # Time for which the names are not collected again.
 _CACHE_S = 0.1
 
@@ -60,6 +63,8 @@
         """Starts without knowledge of others."""
         self._own_name = own_name
         self._names = names
+        # Loop time of the first use.
+        self._started_at = math.inf
         self._is_in_touch = is_in_touch
         self._seen_at_by_name: dict[str, float] = {}
         # Loop times; infinite while out of touch, or without any report.
@@ -87,6 +92,13 @@
         self.refresh()
         return self._standing
 
+    @property
+    def awaits_reports(self) -> bool:
+        """Whether control's first reports are due at any moment."""
+        if self.is_in_touch:
+            return False
+        return now_s() - self._started_at < _FIRST_REPORTS_S
+
     def share(self, start_id: str, max_requests: int) -> int:
         """Returns this entry's part of the requests to a cold target.
 
@@ -110,6 +122,7 @@
         if now - self._refreshed_at < _CACHE_S:
             return
         self._refreshed_at = now
+        self._started_at = min(self._started_at, now)
         names = self._names()
         self._heard_since = min(self._heard_since, now) if names else math.inf
         is_in_touch = self._is_in_touch()
--- a/damaskcroft/limits/tests/test_senders.py
+++ b/damaskcroft/limits/tests/test_senders.py
@@ -80,6 +80,17 @@
     loop.run_until_complete(scenario())
 
 
+def test_reports_are_awaited_only_after_the_start(loop, senders, control):
+    control.is_in_touch = False
+
+    async def scenario():
+        assert senders.awaits_reports
+        await follow(senders, 2.1)
+        assert not senders.awaits_reports
+
+    loop.run_until_complete(scenario())
+
+
 def test_entry_out_of_touch_keeps_to_the_reserve(loop, senders, control):
     async def scenario():
         await follow(senders, SETTLED_S)
