--- a/damaskcroft/forwarding/tests/silent.py
+++ b/damaskcroft/forwarding/tests/silent.py
@@ -23,12 +23,14 @@
     return config(max_attempts, streaming=True, resumable=True)
 
 
-async def send_request(entry, first, deadline="4"):
+async def send_request(entry, first, deadline="4", **headers):
     """Sends a request that reaches the target `first` before the others."""
     others = [c for c in entry.candidates() if c.id != first.name]
     held = [entry.placer.take(c) for c in others]
     before = len(first.heads)
-    asking = asyncio.create_task(entry.send_request(x_deadline=deadline))
+    asking = asyncio.create_task(
+        entry.send_request(x_deadline=deadline, **headers)
+    )
     async with asyncio.timeout(10):
         while len(first.heads) == before and not asking.done():
             await asyncio.sleep(0.01)
--- a/damaskcroft/forwarding/tests/test_hedged_requests.py
+++ b/damaskcroft/forwarding/tests/test_hedged_requests.py
@@ -5,12 +5,16 @@
 import random
 import socket
 import struct
+import types
 
 import pytest
 
+from damaskcroft.forwarding._attempt import Answered, Lost
 from damaskcroft.forwarding._hedge import Hedge
+from damaskcroft.forwarding._relay import Relay
 from damaskcroft.forwarding.tests.fakes import (
     FakeTarget,
+    PlainWire,
     event_ids,
     running_entry,
     unchunked,
@@ -23,6 +27,7 @@
     stream_config,
 )
 from damaskcroft.forwarding.tests.test_quarantined import note_crashes
+from damaskcroft.http1 import Head
 
 # Larger than the part of an answer that an entry buffers before relaying it.
 LARGE = b"x" * (600 * 1024)
@@ -398,3 +403,45 @@
             assert other.heads == []
 
     asyncio.run(scenario())
+
+
+class EndedWhileChecked:
+    """Attempt that is ended while the end of its answer is checked."""
+
+    abort_reason = ""
+    ended_by_close = True
+
+    async def read_part(self):
+        self.abort_reason = "outrun"
+        return b""
+
+    async def read_whole(self, max_bytes):
+        return await self.read_part(), True
+
+    def lost(self, reason):
+        return Lost(self.abort_reason, given_up=True)
+
+
+@pytest.mark.parametrize("streaming", [False, True])
+def test_attempt_ended_while_its_end_is_checked_sends_nothing(loop, streaming):
+    # Its hedge has had output by then, and a second head would follow.
+    async def scenario():
+        route = types.SimpleNamespace(streaming=streaming)
+        pace = types.SimpleNamespace(
+            first_s=0.1, record_output=lambda now: None
+        )
+        dispatch = types.SimpleNamespace(
+            job=types.SimpleNamespace(route=route),
+            answer=None,
+            attempt=EndedWhileChecked(),
+            progress=types.SimpleNamespace(begun=False, pace=pace),
+            slot=types.SimpleNamespace(read=lambda: False),
+            hedge=Hedge(),
+        )
+        wire = PlainWire()
+        head = Head(200, [(b"x-seal", b"s")])
+        relay = Relay(wire, lambda: None, lambda *_: None)
+        outcome = await relay.relay(dispatch, Answered(head, wire.facts(head)))
+        assert outcome == Lost("outrun", given_up=True)
+
+    loop.run_until_complete(scenario())
--- a/damaskcroft/forwarding/tests/test_hedges_of_slow_targets.py
+++ b/damaskcroft/forwarding/tests/test_hedges_of_slow_targets.py
@@ -17,6 +17,10 @@
     send_request,
     stream_config,
 )
+from damaskcroft.forwarding.tests.test_quarantined import (
+    note_crashes,
+    note_part_crashes,
+)
 
 SLOW_S = 0.3
 REQUESTS = 200
@@ -200,3 +204,68 @@
             assert len(other.heads) == 1
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    "note",
+    [
+        lambda entry: note_crashes(entry, 1),
+        lambda entry: note_part_crashes(entry, 1, "bad"),
+    ],
+    ids=["request", "part"],
+)
+def test_suspect_request_is_not_hedged(logs, note):
+    async def scenario():
+        slow, other = SlowTarget("a", "pauses"), SlowTarget("b", "whole")
+        slow.pause_s = SLOW_S
+        async with running_entry(
+            slow, other, config=config(idempotent=True), hedge_share=0.2
+        ) as entry:
+            await teach(entry, [slow, other])
+            note(entry)
+            await send_request(entry, slow, x_parts="bad own")
+            assert (len(slow.heads), len(other.heads)) == (1, 0)
+        assert any(
+            "hedge_not_allowed" in line and "reason=suspect" in line
+            for line in logs
+        )
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("regions", [[], ["near"]])
+def test_hedge_stays_within_the_allowed_regions(regions):
+    async def scenario():
+        slow, other = SlowTarget("a", "pauses"), SlowTarget("b", "whole")
+        slow.pause_s = SLOW_S
+        slow.failure_domain, other.failure_domain = "d1", "d2"
+        async with running_entry(
+            slow,
+            other,
+            config=config(idempotent=True, allowed_regions=regions),
+            region_by_domain={"d1": "near", "d2": "far"},
+            hedge_share=0.2,
+        ) as entry:
+            await teach(entry, [slow, other])
+            await send_request(entry, slow)
+            assert (len(slow.heads), len(other.heads)) == (1, not regions)
+
+    asyncio.run(scenario())
+
+
+def test_hedges_stay_within_the_retry_budget():
+    async def scenario():
+        targets = slow_targets()
+        async with running_entry(
+            *targets,
+            config=config(idempotent=True),
+            ratio=0.0,
+            extra=0.0,
+            hedge_share=1.0,
+        ) as entry:
+            await teach(entry, targets)
+            for _ in range(60):
+                await entry.send_request()
+            assert sum(len(target.heads) for target in targets) == 60
+
+    asyncio.run(scenario())
