Queue: answers that have begun are not held back; held_back lines in causes

A partial answer that is tried again ends if it isn't continued, so its room is not left to others. A caller who left while its request was held back has waited in line all that time for damaskctl why as well.

--- a/damaskcroft/ctl/_causes.py
+++ b/damaskcroft/ctl/_causes.py
@@ -14,6 +14,8 @@
 
 # Lowest HTTP status that reports a failure of the server (RFC 9110).
 _MIN_SERVER_ERROR = 500
+# Events of a request that waits for a slot.
+_WAITING_EVENTS = frozenset({"held_back", "queued"})
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -110,7 +112,7 @@
     attempts = attempt_lines(request_lines)
     if attempts and attempts[-1].event == "sent":
         text += f", while {describe_target(attempts[-1])} had it"
-    elif not attempts and request_lines[0].event == "queued":
+    elif not attempts and request_lines[0].event in _WAITING_EVENTS:
         text += ", in line all that time"
     return _with_failures(request_lines, text)
 
--- a/damaskcroft/routing/_queue.py
+++ b/damaskcroft/routing/_queue.py
@@ -336,7 +336,7 @@
 
     def _is_held_back(self, ticket: QueueTicket, placement: Placement) -> bool:
         """Whether room is left to more urgent requests (trunk reservation)."""
-        if placement.fullness < _MAX_FULLNESS_HELD_BACK:
+        if ticket.has_begun or placement.fullness < _MAX_FULLNESS_HELD_BACK:
             return False
         priorities = self._room(ticket.service).priorities
         return priorities.is_held_back(ticket.priority)
--- a/damaskcroft/routing/tests/test_scarce_room.py
+++ b/damaskcroft/routing/tests/test_scarce_room.py
@@ -172,6 +172,17 @@
     loop.run(scenario())
 
 
+def test_answers_that_have_begun_are_not_held_back(loop):
+    async def scenario():
+        regions = Regions(north=2)
+        await press(regions)
+        regions.fullness = 0.95
+        begun = regions.send("begun", objective_s=0, has_begun=True)
+        assert isinstance(await begun, SlotTaken)
+
+    loop.run(scenario())
+
+
 def test_targets_with_much_room_serve_all_priorities(loop):
     async def scenario():
         regions = Regions(north=2)
