--- a/damaskcroft/ctl/tests/test_why.py
+++ b/damaskcroft/ctl/tests/test_why.py
@@ -257,6 +257,8 @@
     assert explain(*log(LEFT))[-1] == "cause: the caller left after 1.9 s"
     queued = explain(*log(QUEUED, LEFT))
     assert queued[-1].endswith("after 1.9 s, in line all that time")
+    held_back = "10:00:01.100 held_back request=r-1 service=s priority=2"
+    assert explain(*log(held_back, QUEUED, LEFT))[-1] == queued[-1]
     at_target = explain(*log(QUEUED, SENT, LEFT))
     assert at_target[-1].endswith(
         "after 1.9 s, while target t-1 at 10.0.0.1:80 had it"
