--- a/damaskcroft/routing/_queue.py
+++ b/damaskcroft/routing/_queue.py
@@ -190,7 +190,8 @@
         right time without a call.
         """
         for service, waiting in list(self._waiting_by_service.items()):
-            self._serve(waiting)
+            if waiting:
+                self._serve(waiting)
             if not waiting:
                 del self._waiting_by_service[service]
 
--- a/damaskcroft/routing/tests/test_scarce_room.py
+++ b/damaskcroft/routing/tests/test_scarce_room.py
@@ -88,6 +88,19 @@
     regions.free_by_region.update(free_by_region)
 
 
+def test_a_queue_whose_last_caller_has_left_can_be_served(loop):
+    async def scenario():
+        regions = Regions(north=0)
+        waiting = regions.send("n")
+        await asyncio.sleep(0.01)
+        await cancel(waiting)
+        regions.queue.serve()
+        regions.free_by_region["north"] = 1
+        assert isinstance(await regions.send("n"), SlotTaken)
+
+    loop.run(scenario())
+
+
 def test_a_request_whose_regions_are_full_does_not_block_others(loop):
     async def scenario():
         regions = Regions(north=0, south=2)
