--- a/damaskcroft/routing/_queue.py
+++ b/damaskcroft/routing/_queue.py
@@ -190,7 +190,8 @@
         right time without a call.
         """
         for service, waiting in list(self._waiting_by_service.items()):
-            self._serve(waiting)
+            if waiting:
+                self._serve(waiting)
             if not waiting:
                 del self._waiting_by_service[service]
 
@@ -340,7 +341,7 @@
 
     def _is_held_back(self, ticket: QueueTicket, placement: Placement) -> bool:
         """Whether room is left to more urgent requests (trunk reservation)."""
-        if placement.fullness < _MAX_FULLNESS_HELD_BACK:
+        if ticket.has_begun or placement.fullness < _MAX_FULLNESS_HELD_BACK:
             return False
         priorities = self._room(ticket.service).priorities
         return priorities.is_held_back(ticket.priority)
--- a/damaskcroft/routing/tests/test_scarce_room.py
+++ b/damaskcroft/routing/tests/test_scarce_room.py
@@ -88,6 +88,19 @@
     regions.free_by_region.update(free_by_region)
 
 
+def test_a_queue_whose_last_caller_has_left_can_be_served(loop):
+    async def scenario():
+        regions = Regions(north=0)
+        waiting = regions.send("n")
+        await asyncio.sleep(0.01)
+        await cancel(waiting)
+        regions.queue.serve()
+        regions.free_by_region["north"] = 1
+        assert isinstance(await regions.send("n"), SlotTaken)
+
+    loop.run(scenario())
+
+
 def test_a_request_whose_regions_are_full_does_not_block_others(loop):
     async def scenario():
         regions = Regions(north=0, south=2)
@@ -172,6 +185,17 @@
     loop.run(scenario())
 
 
+def test_answers_that_have_begun_are_not_held_back(loop):
+    async def scenario():
+        regions = Regions(north=2)
+        await press(regions)
+        regions.fullness = 0.95
+        begun = regions.send("begun", objective_s=0, has_begun=True)
+        assert isinstance(await begun, SlotTaken)
+
+    loop.run(scenario())
+
+
 def test_targets_with_much_room_serve_all_priorities(loop):
     async def scenario():
         regions = Regions(north=2)
