An agent whose service loads no models polls seldom

Cause: an agent without a version to stage looked 20 times a second at what other targets hold, and polled its own 5 times a second, also where the configuration names no model for its service.

Weighed: waiting for a change of configuration alone (a missed one would never be noticed); the intervals of a settled target, 0.5 and 0.6 s (taken). Before the first configuration nothing changes.

A settled target with a version is polled as before.

--- a/damaskcroft/agent/_fleet_stager.py
+++ b/damaskcroft/agent/_fleet_stager.py
@@ -117,6 +117,11 @@
         """Returns the version to stage; see `VersionChoice`."""
         return self._choice.version_to_stage()
 
+    @property
+    def may_find_version(self) -> bool:
+        """Whether the target's service may load models; see `VersionChoice`."""
+        return self._choice.may_find_version
+
     async def run(self) -> None:
         """Stages the desired version, until cancelled."""
         work: asyncio.Task | None = None
@@ -141,7 +146,8 @@
                 # Without a version to stage, those of other targets are polled
                 # at short intervals; they count only until a desired version
                 # is known.
-                poll_s = _RECONSIDER_S if chosen else _POLL_S
+                polls_others = not chosen and self.may_find_version
+                poll_s = _POLL_S if polls_others else _RECONSIDER_S
                 await self._view.desired_changed.wait(seen, poll_s)
         finally:
             await cancelled(work)
--- a/damaskcroft/agent/_fleet_switcher.py
+++ b/damaskcroft/agent/_fleet_switcher.py
@@ -138,6 +138,8 @@
 
     def _poll_interval_s(self, report: EngineReport) -> float:
         """Returns the time until the next poll of a target without an order."""
+        if not self._stager.may_find_version:
+            return _SETTLED_POLL_S
         chosen = self._stager.version_to_stage()
         is_settled = chosen is not None and self._serves(report, chosen)
         if is_settled and not report.busy:
--- a/damaskcroft/agent/_version_choice.py
+++ b/damaskcroft/agent/_version_choice.py
@@ -66,18 +66,29 @@
         recorded as in service, because that record outlives every target.
         Without a record it is the version that the other targets hold.
         """
-        table = self._view.route_table
-        if table is None:
-            return None
-        service = table.services_by_name.get(self._own.state.service)
-        if service is None:
-            return None
-        for model in service.engine.models:
-            version = self._chosen_version(model.name)
+        for model in self._models():
+            version = self._chosen_version(model)
             if version:
-                return ModelVersion(model.name, version)
+                return ModelVersion(model, version)
         return None
 
+    @property
+    def may_find_version(self) -> bool:
+        """Whether the target's service may load models.
+
+        If not, only another configuration can lead to a version to stage.
+        """
+        return self._view.route_table is None or bool(self._models())
+
+    def _models(self) -> list[str]:
+        """Returns the models that the configuration names for the service."""
+        table = self._view.route_table
+        services = table.services_by_name if table is not None else {}
+        service = services.get(self._own.state.service)
+        if service is None:
+            return []
+        return [model.name for model in service.engine.models]
+
     def _chosen_version(self, model: str) -> int:
         desired = self._view.desired_version_by_model.get(model)
         if desired is not None:
--- a/damaskcroft/agent/tests/test_fleet_stager.py
+++ b/damaskcroft/agent/tests/test_fleet_stager.py
@@ -515,3 +515,47 @@
         await cancelled(task)
 
     loop.run(scenario())
+
+
+def without_models(version):
+    services = [fleet_pb2.Service(name="s")]
+    return fleet_pb2.Configuration(version=version, services=services)
+
+
+def test_an_agent_whose_service_loads_nothing_seldom_looks_for_it(
+    loop, parts, monkeypatch
+):
+    """Guards against 20 wake-ups a second for the versions of others."""
+    view, _, _, stager = parts
+    choices = []
+    choose = stager.version_to_stage
+    monkeypatch.setattr(
+        stager, "version_to_stage", lambda: choices.append(0) or choose()
+    )
+    run_for(loop, stager, 2)
+    assert len(choices) >= 35, "the versions of others count"
+    view.apply_configuration(without_models(2))
+    choices.clear()
+    run_for(loop, stager, 2)
+    assert len(choices) <= 6
+
+
+def test_a_model_that_a_later_configuration_names_is_staged_at_once(
+    loop, parts
+):
+    view, _, _, stager = parts
+    first = view.configuration
+    view.apply_configuration(without_models(2))
+    announce_version(loop, view)
+    third = fleet_pb2.Configuration(version=3, services=first.services)
+
+    async def scenario():
+        task = asyncio.create_task(stager.run())
+        await asyncio.sleep(1.1)
+        assert stager.version_to_stage() is None
+        view.apply_configuration(third)
+        await asyncio.sleep(0.01)
+        assert REGISTRY.get_sample_value("damask_weights_wanted") == 2
+        await cancelled(task)
+
+    loop.run(scenario())
--- a/damaskcroft/agent/tests/test_fleet_switcher.py
+++ b/damaskcroft/agent/tests/test_fleet_switcher.py
@@ -64,6 +64,7 @@
 
 class FakeStager:
     restages = True
+    may_find_version = True
 
     def __init__(self):
         self.staged = STAGED
@@ -384,3 +385,23 @@
         assert guarded_versions(view, "s", WEIGHTS_S) == [second]
 
     loop.run(scenario())
+
+
+class NothingToLoad(FakeStager):
+    """Stager of a service that loads no models."""
+
+    may_find_version = False
+
+    def __init__(self):
+        super().__init__()
+        self.staged = None
+
+    def version_to_stage(self):
+        return None
+
+
+def test_a_target_that_loads_nothing_is_seldom_polled(loop, view):
+    """Guards against five polls a second of each such target."""
+    engine = CountingEngine()
+    run_for(loop, view, engine, 6.0, stager=NothingToLoad())
+    assert 10 <= len(engine.polled_at) <= 12
