Outcomes of orders are data classes of a module of their own

Weighed: fewer generated methods for each data class (against the house's style); a module for what all need, and the rest on first use (taken).

--- a/damaskcroft/engines/__init__.py
+++ b/damaskcroft/engines/__init__.py
@@ -1,22 +1,28 @@
 """Interfaces and HTTP clients of targets: model engines and plain services."""
 
+import typing
+
 from damaskcroft._lazy_imports import lazy_imports
-from damaskcroft.engines._base import (
-    CallFailed,
-    CallNotSent,
-    CallStarted,
-    Engine,
-    EngineState,
+from damaskcroft.engines._orders import (
     EngineUnreachable,
-    LoadOrder,
     OrderAccepted,
     OrderFailed,
     OrderOutcome,
     OrderRefused,
-    TargetCall,
 )
 from damaskcroft.engines._staged import EngineReport, StagedEngine
 
+if typing.TYPE_CHECKING:
+    from damaskcroft.engines._base import (
+        CallFailed,
+        CallNotSent,
+        CallStarted,
+        Engine,
+        EngineState,
+        LoadOrder,
+        TargetCall,
+    )
+
 __all__ = [
     "CallFailed",
     "CallNotSent",
@@ -39,5 +45,16 @@
 
 __getattr__ = lazy_imports(
     __name__,
-    dict.fromkeys(("FencingEngine", "PlainService", "UnfencedEngine"), "_http"),
+    {
+        "CallFailed": "_base",
+        "CallNotSent": "_base",
+        "CallStarted": "_base",
+        "Engine": "_base",
+        "EngineState": "_base",
+        "FencingEngine": "_http",
+        "LoadOrder": "_base",
+        "PlainService": "_http",
+        "TargetCall": "_base",
+        "UnfencedEngine": "_http",
+    },
 )
--- a/damaskcroft/engines/_base.py
+++ b/damaskcroft/engines/_base.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator
 
 from damaskcroft._generated import control_pb2
+from damaskcroft.engines._orders import EngineUnreachable, OrderOutcome
 from damaskcroft.limits import LimitHeader, Unnamed
 
 
@@ -22,28 +23,6 @@
     folder: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class OrderAccepted:
-    """The target has accepted the order; its state shows the result."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class OrderRefused:
-    """The target has seen a newer fencing number or can't run the order."""
-
-    reason: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class OrderFailed:
-    """No answer came, or the lease ends too soon for the order to be sent."""
-
-    reason: str
-
-
-OrderOutcome = OrderAccepted | OrderRefused | OrderFailed
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class EngineState:
     """The state that a target reports.
@@ -59,11 +38,6 @@
     failed: dict[str, str]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EngineUnreachable:
-    """The target does not answer."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetCall:
     """A caller's request as it is sent to the target."""
--- a/damaskcroft/engines/_http.py
+++ b/damaskcroft/engines/_http.py
@@ -16,13 +16,15 @@
     CallStarted,
     Engine,
     EngineState,
-    EngineUnreachable,
     LoadOrder,
+    TargetCall,
+)
+from damaskcroft.engines._orders import (
+    EngineUnreachable,
     OrderAccepted,
     OrderFailed,
     OrderOutcome,
     OrderRefused,
-    TargetCall,
 )
 from damaskcroft.limits import LimitHeader, parse_limit
 from damaskcroft.membership import Lease
--- a/damaskcroft/engines/_staged.py
+++ b/damaskcroft/engines/_staged.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 from damaskcroft._generated import fleet_pb2
-from damaskcroft.engines._base import EngineUnreachable, OrderOutcome
+from damaskcroft.engines._orders import EngineUnreachable, OrderOutcome
 
 __all__ = ["EngineReport", "StagedEngine"]
 
