Modules of quarantine that only entries use are imported on first use

Cause: an agent and a control node imported eleven modules for the registry of crashes, which needs five.

Processor time not measured alone.

--- a/damaskcroft/hosted/tests/test_starts.py
+++ b/damaskcroft/hosted/tests/test_starts.py
@@ -19,10 +19,16 @@
         "damaskcroft.weights",
         *HTTP_SERVER,
     ],
-    "control": ["aiosonic", "damaskcroft.weights", "damaskcroft.routing"],
+    "control": [
+        "aiosonic",
+        "damaskcroft.weights",
+        "damaskcroft.routing",
+        "damaskcroft.quarantine._crash_detection",
+    ],
     "agent": [
         "damaskcroft.membership",
         "damaskcroft.routing",
+        "damaskcroft.quarantine._crash_detection",
         "httptools",
         *HTTP_SERVER,
     ],
