--- a/damaskcroft/hosted/tests/test_starts.py
+++ b/damaskcroft/hosted/tests/test_starts.py
@@ -8,8 +8,7 @@
 # Each program once imported all of these, which took half of the processor time
 # of a start.
 NOT_NEEDED = (
-    "typer damaskcroft.config damaskcroft.claims"
-    " damaskcroft.engines._base"
+    "typer damaskcroft.config damaskcroft.claims damaskcroft.engines._base"
 ).split()
 HTTP_SERVER = "uvicorn starlette click anyio".split()
 BY_ROLE = {
