--- a/damaskcroft/experiments/_engine.py
+++ b/damaskcroft/experiments/_engine.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import collections
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from damaskcroft.experiments._parameters import EngineParameters
 
@@ -18,6 +18,7 @@
 
     Attributes:
         first: done when the first event has been written.
+        on_event: called at each event.
         ended: done when the last event has been written.
         work_s: engine time attributed to this request.
     """
@@ -26,6 +27,7 @@
         "ended",
         "events_left",
         "first",
+        "on_event",
         "pending_prompt_tokens",
         "work_s",
     )
@@ -37,6 +39,7 @@
         self.events_left = events
         self.first: asyncio.Future[None] = loop.create_future()
         self.ended: asyncio.Future[None] = loop.create_future()
+        self.on_event: Callable[[], None] = lambda: None
         self.work_s = 0.0
 
 
@@ -45,13 +48,25 @@
 
     Args:
         parameters: capacity and speed of the engine.
+        pace: returns how long work takes now; 1 as usual, 2 for twice as long.
     """
 
-    __slots__ = ("_arrival_event", "_parameters", "_running", "_waiting")
+    __slots__ = (
+        "_arrival_event",
+        "_pace",
+        "_parameters",
+        "_running",
+        "_waiting",
+    )
 
-    def __init__(self, parameters: EngineParameters):
-        """Starts without requests; the class describes the argument."""
+    def __init__(
+        self,
+        parameters: EngineParameters,
+        pace: Callable[[], float] = lambda: 1.0,
+    ):
+        """Starts without requests; the class describes the arguments."""
         self._parameters = parameters
+        self._pace = pace
         self._waiting: collections.deque[EngineRun] = collections.deque()
         self._running: list[EngineRun] = []
         self._arrival_event = asyncio.Event()
@@ -61,6 +76,11 @@
         """Number of requests that are queued or running."""
         return len(self._waiting) + len(self._running)
 
+    @property
+    def pace(self) -> float:
+        """How long work takes now; 1 as usual."""
+        return self._pace()
+
     def start_request(self, prompt_tokens: int, events: int) -> EngineRun:
         """Queues a request.
 
@@ -98,7 +118,7 @@
             pass_s += decode_s
             for run in decoding:
                 run.work_s += decode_s / len(decoding)
-        await asyncio.sleep(pass_s)
+        await asyncio.sleep(pass_s * self._pace())
         self._write_events(decoding)
 
     def _prefill(
@@ -118,6 +138,7 @@
     def _write_events(self, decoding: Iterable[EngineRun]) -> None:
         for run in decoding:
             run.events_left -= 1
+            run.on_event()
             if not run.first.done():
                 run.first.set_result(None)
             if run.events_left <= 0:
--- a/damaskcroft/hosted/entry.py
+++ b/damaskcroft/hosted/entry.py
@@ -104,6 +104,7 @@
         is_assigned=PartitionedTargets(
             settings.name, view.entry_names.names
         ).is_assigned,
+        name=settings.name,
     )
     services = Services(
         view,
--- a/damaskcroft/routing/_target_loads.py
+++ b/damaskcroft/routing/_target_loads.py
@@ -38,13 +38,10 @@
         unread_tokens: length of this entry's prompts that it has not read.
         reported_others: number of other entries' requests, as last reported.
         reported_at: loop time of that report.
-        reported_pace: how long work took at the target at that time; 1 as
-            usual, 2 for twice as long.
     """
 
     __slots__ = (
         "reported_others",
-        "reported_pace",
         "outstanding",
         "suspects",
         "reported_at",
@@ -57,7 +54,6 @@
         self.suspects = 0
         self.unread_tokens = 0
         self.reported_others = 0.0
-        self.reported_pace = 1.0
         self.reported_at = float("-inf")
 
     def fullness(self, slots: int, assumed: float, now: float) -> float:
@@ -120,12 +116,9 @@
             return 0.0
         return min(statistics.fmean(fullness_values), _MAX_ASSUMED_FULLNESS)
 
-    def record_report(
-        self, target_id: str, requests: int, pace: float = 1.0
-    ) -> None:
-        """Records the number of requests and the pace that a target reports."""
+    def record_report(self, target_id: str, requests: int) -> None:
+        """Records the number of requests that a target reports."""
         load = self.get_or_add(target_id)
-        load.reported_pace = pace
         load.reported_others = max(0, requests - load.outstanding)
         load.reported_at = asyncio.get_running_loop().time()
 
