Models of engines that are slow at times; tests of uneven targets

Cause: no test had engines that differ by moment, so nothing showed what reading their pace changes. `FleetParameters.slow_share` makes engines slow in turns.

--- a/damaskcroft/experiments/_parameters.py
+++ b/damaskcroft/experiments/_parameters.py
@@ -52,12 +52,14 @@
         engines: number of engines, all alike.
         engine: parameters of each engine.
         delay_s: one-way delay between an entry and an engine.
+        slow_share: share of time for which an engine is slow.
     """
 
     entries: int = 15
     engines: int = 20
     engine: EngineParameters = EngineParameters()
     delay_s: float = 0.002
+    slow_share: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/damaskcroft/experiments/_simulation.py
+++ b/damaskcroft/experiments/_simulation.py
@@ -16,6 +16,7 @@
 )
 from damaskcroft.experiments._policies import Policy
 from damaskcroft.experiments._results import Attempt, Outcome, Results
+from damaskcroft.experiments._slow_phases import SlowPhases
 from damaskcroft.standins.virtual_time import VirtualTimeLoop
 from damaskcroft.tasks import cancel_all
 
@@ -59,7 +60,13 @@
     async def run(self) -> Results:
         """Runs all callers to their end."""
         engines_by_id = {
-            f"e{n}": ModelEngine(self._fleet.engine)
+            f"e{n}": ModelEngine(
+                self._fleet.engine,
+                SlowPhases(
+                    random.Random(f"{self._seed}/engine/{n}"),
+                    self._fleet.slow_share,
+                ),
+            )
             for n in range(self._fleet.engines)
         }
         self._entries = [
--- a/damaskcroft/routing/_placement.py
+++ b/damaskcroft/routing/_placement.py
@@ -41,7 +41,9 @@
 # A request at a slow target is delayed by the requests there, and by its own
 # work: this much is added to the fullness for the latter.
 _OWN_WORK = 0.5
-# How much fuller, in requests per slot, a preferred target may be than others.
+# How much fuller, in requests per slot, an empty preferred target may be than
+# others. The preference shrinks as the target fills: otherwise callers of a
+# region with more load than others would wait for its targets.
 _PREFERENCE = 0.2
 
 
@@ -219,8 +221,11 @@
             has_room = fullness < _FULL and self._has_room(
                 candidate, load, prompt_tokens, pace
             )
-            if preferred and candidate.id not in preferred:
-                pressure += _PREFERENCE
+            if preferred:
+                is_preferred = candidate.id in preferred
+                pressure += _PREFERENCE * (
+                    min(fullness, _FULL) if is_preferred else _FULL
+                )
             rank = self._rank(candidate, load, pressure, has_room, is_suspect)
             if best is None or rank < best_rank:
                 best, best_rank, best_fullness = candidate, rank, fullness
