--- a/damaskcroft/routing/tests/test_uneven_targets.py
+++ b/damaskcroft/routing/tests/test_uneven_targets.py
@@ -4,6 +4,7 @@
 import random
 
 import pytest
+from prometheus_client import REGISTRY
 
 from damaskcroft.routing import Candidate, Outliers, Placer
 from damaskcroft.routing._target_subsets import TargetSubsets
@@ -99,3 +100,17 @@
     for gone in ids:
         after = subsets.preferred([each for each in ids if each != gone])
         assert len(before - after) == (gone in before)
+
+
+def test_requests_to_other_regions_are_counted(loop, placer):
+    def count():
+        return REGISTRY.get_sample_value("damask_requests_across_regions_total")
+
+    async def scenario():
+        before = count()
+        placer.take(candidate("near"))
+        assert count() == before
+        placer.take(candidate("far", "another"))
+        assert count() == before + 1
+
+    loop.run(scenario())
