--- a/damaskcroft/experiments/_engine.py
+++ b/damaskcroft/experiments/_engine.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import collections
-from collections.abc import Callable, Iterable
+import random
+from collections.abc import Iterable
 
+from damaskcroft.clock import now_s
 from damaskcroft.experiments._parameters import EngineParameters
 
 __all__ = ["EngineFullError", "EngineRun", "ModelEngine"]
@@ -18,7 +20,6 @@
 
     Attributes:
         first: done when the first event has been written.
-        on_event: called at each event.
         ended: done when the last event has been written.
         work_s: engine time attributed to this request.
     """
@@ -27,7 +28,6 @@
         "ended",
         "events_left",
         "first",
-        "on_event",
         "pending_prompt_tokens",
         "work_s",
     )
@@ -39,7 +39,6 @@
         self.events_left = events
         self.first: asyncio.Future[None] = loop.create_future()
         self.ended: asyncio.Future[None] = loop.create_future()
-        self.on_event: Callable[[], None] = lambda: None
         self.work_s = 0.0
 
 
@@ -48,25 +47,27 @@
 
     Args:
         parameters: capacity and speed of the engine.
-        pace: returns how long work takes now; 1 as usual, 2 for twice as long.
+        rng: draws the periods in which it is slow.
     """
 
     __slots__ = (
         "_arrival_event",
-        "_pace",
+        "_pace_until",
         "_parameters",
+        "_rng",
         "_running",
         "_waiting",
+        "pace",
     )
 
     def __init__(
-        self,
-        parameters: EngineParameters,
-        pace: Callable[[], float] = lambda: 1.0,
+        self, parameters: EngineParameters, rng: random.Random | None = None
     ):
         """Starts without requests; the class describes the arguments."""
+        self._rng = rng or random.Random(0)
+        self._pace_until = 0.0
+        self.pace = 1.0
         self._parameters = parameters
-        self._pace = pace
         self._waiting: collections.deque[EngineRun] = collections.deque()
         self._running: list[EngineRun] = []
         self._arrival_event = asyncio.Event()
@@ -76,11 +77,6 @@
         """Number of requests that are queued or running."""
         return len(self._waiting) + len(self._running)
 
-    @property
-    def pace(self) -> float:
-        """How long work takes now; 1 as usual."""
-        return self._pace()
-
     def start_request(self, prompt_tokens: int, events: int) -> EngineRun:
         """Queues a request.
 
@@ -118,9 +114,19 @@
             pass_s += decode_s
             for run in decoding:
                 run.work_s += decode_s / len(decoding)
-        await asyncio.sleep(pass_s * self._pace())
+        self._update_pace()
+        await asyncio.sleep(pass_s * self.pace)
         self._write_events(decoding)
 
+    def _update_pace(self) -> None:
+        """Draws whether the engine is slow in the current period."""
+        now = now_s()
+        if not self._parameters.slow_share or now < self._pace_until:
+            return
+        is_slow = self._rng.random() < self._parameters.slow_share
+        self.pace = self._parameters.slow_factor if is_slow else 1.0
+        self._pace_until = now + self._parameters.slow_s
+
     def _prefill(
         self, prefilling: Iterable[EngineRun], token_budget: int
     ) -> float:
@@ -138,7 +144,6 @@
     def _write_events(self, decoding: Iterable[EngineRun]) -> None:
         for run in decoding:
             run.events_left -= 1
-            run.on_event()
             if not run.first.done():
                 run.first.set_result(None)
             if run.events_left <= 0:
--- a/damaskcroft/experiments/_entry.py
+++ b/damaskcroft/experiments/_entry.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-from collections.abc import Callable
 
 from damaskcroft.clock import now_s
 from damaskcroft.experiments._engine import EngineFullError, ModelEngine
@@ -112,7 +111,6 @@
         sent_at = now_s()
         await asyncio.sleep(self._fleet.delay_s)
         run = engine.start_request(ticket.prompt_tokens, events)
-        run.on_event = self._gap_recorder(granted.candidate.id)
         await run.first
         load, pace = engine.load, engine.pace
         await asyncio.sleep(self._fleet.delay_s)
@@ -131,19 +129,6 @@
         answer.work_s = run.work_s
         return answer
 
-    def _gap_recorder(self, engine_id: str) -> Callable[[], None]:
-        """Returns a callback for each event of one answer."""
-        last_at: float | None = None
-
-        def record() -> None:
-            nonlocal last_at
-            now = now_s()
-            if last_at is not None:
-                self._placer.record_gap(_SERVICE, engine_id, now - last_at)
-            last_at = now
-
-        return record
-
     def _make_refusal(
         self, ticket: QueueTicket, expected_wait_s: float
     ) -> Answer:
--- a/damaskcroft/experiments/_parameters.py
+++ b/damaskcroft/experiments/_parameters.py
@@ -27,6 +27,10 @@
         prefill_tokens_per_s: prompt tokens prefilled per second.
         max_prefill_tokens_per_step: most prompt tokens prefilled per
             step of a pass.
+        slow_share: share of the time in which work takes `slow_factor` times as
+            long, because of other work on the same machine.
+        slow_factor: how much longer it takes then.
+        slow_s: length of such a period.
     """
 
     slots: int = 12
@@ -36,6 +40,9 @@
     tokens_per_event: int = 7
     prefill_tokens_per_s: float = 30_600.0
     max_prefill_tokens_per_step: int = 2048
+    slow_share: float = 0.0
+    slow_factor: float = 2.5
+    slow_s: float = 0.6
 
     def decode_time_s(self, requests: int) -> float:
         """Returns the time of a pass that decodes one event of each request."""
@@ -52,14 +59,12 @@
         engines: number of engines, all alike.
         engine: parameters of each engine.
         delay_s: one-way delay between an entry and an engine.
-        slow_share: share of time for which an engine is slow.
     """
 
     entries: int = 15
     engines: int = 20
     engine: EngineParameters = EngineParameters()
     delay_s: float = 0.002
-    slow_share: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/damaskcroft/experiments/_simulation.py
+++ b/damaskcroft/experiments/_simulation.py
@@ -16,7 +16,6 @@
 )
 from damaskcroft.experiments._policies import Policy
 from damaskcroft.experiments._results import Attempt, Outcome, Results
-from damaskcroft.experiments._slow_phases import SlowPhases
 from damaskcroft.standins.virtual_time import VirtualTimeLoop
 from damaskcroft.tasks import cancel_all
 
@@ -61,11 +60,7 @@
         """Runs all callers to their end."""
         engines_by_id = {
             f"e{n}": ModelEngine(
-                self._fleet.engine,
-                SlowPhases(
-                    random.Random(f"{self._seed}/engine/{n}"),
-                    self._fleet.slow_share,
-                ),
+                self._fleet.engine, random.Random(f"{self._seed}/engine/{n}")
             )
             for n in range(self._fleet.engines)
         }
--- a/damaskcroft/experiments/tests/test_scarce_room.py
+++ b/damaskcroft/experiments/tests/test_scarce_room.py
@@ -10,6 +10,7 @@
 
 from damaskcroft.experiments import (
     POLICIES_BY_NAME,
+    EngineParameters,
     FleetParameters,
     LoadParameters,
     Outcome,
@@ -34,7 +35,9 @@
 
 def simulate_rise(load_factor, slow_share=0.0, kinds=KINDS):
     """Returns what was sent while the load was at `load_factor`."""
-    fleet = FleetParameters(entries=11, engines=26, slow_share=slow_share)
+    fleet = FleetParameters(
+        entries=11, engines=26, engine=EngineParameters(slow_share=slow_share)
+    )
     load = LoadParameters(
         kinds=kinds,
         steps=((0.0, LIGHT_LOAD), (RISES_AT_S, load_factor)),
--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -154,12 +154,7 @@
                 slow.job, slow.answer, slow.progress, allocated, slow.hedge
             ),
         )
-        self._relay = Relay(
-            wire,
-            self._queue.serve,
-            self._record_first_output,
-            self._record_gap,
-        )
+        self._relay = Relay(wire, self._queue.serve, self._record_first_output)
         self._wire = wire
         self._services = services
         self._placer = placer
@@ -548,10 +543,6 @@
             objective_s = job.route.latency_goal_ms / 1000
             self._placer.record_first_answer(took_s, objective_s)
 
-    def _record_gap(self, dispatch: Dispatch, gap_s: float) -> None:
-        """Records how long a target took between two events of a stream."""
-        self._placer.record_gap(dispatch.job.service, dispatch.target.id, gap_s)
-
     def _record_facts(
         self, target: Candidate, facts: AnswerFacts, sent_at: float
     ) -> None:
--- a/damaskcroft/forwarding/_relay.py
+++ b/damaskcroft/forwarding/_relay.py
@@ -65,8 +65,6 @@
             therefore has capacity for another one.
         on_first_output: called with the first output of an answer and the
             seconds that its target took to produce it.
-        on_gap: called with each further part of a stream and the seconds for
-            which it was waited for.
     """
 
     def __init__(
@@ -74,12 +72,10 @@
         wire: Wire,
         on_prompt_processed: Callable[[], None],
         on_first_output: Callable[[Dispatch, float], None],
-        on_gap: Callable[[Dispatch, float], None],
     ):
         """Stores the encoding and the callbacks."""
         self._wire = wire
         self._on_first_output = on_first_output
-        self._on_gap = on_gap
         self._on_prompt_processed = on_prompt_processed
 
     async def relay(
@@ -135,11 +131,8 @@
         """Relays each event as soon as it is complete."""
         answer, progress = dispatch.answer, dispatch.progress
         splitter = EventSplitter()
-        wait_began_at: float | None = None
         try:
             while part := await dispatch.attempt.read_part():
-                if wait_began_at is not None:
-                    self._on_gap(dispatch, now_s() - wait_began_at)
                 for event in splitter.feed(part):
                     if dispatch.attempt.abort_reason:
                         return dispatch.attempt.lost("stream_cut")
@@ -153,8 +146,6 @@
                     progress.events += 1
                     await answer.send_part(event.data)
                     self._record_output(dispatch)
-                # Time for which the caller blocks the stream doesn't count.
-                wait_began_at = now_s()
         except (CutShortError, ValueError) as error:
             return dispatch.attempt.lost(f"stream_cut: {error}")
         if dispatch.attempt.abort_reason:
--- a/damaskcroft/hosted/entry.py
+++ b/damaskcroft/hosted/entry.py
@@ -125,7 +125,6 @@
         is_assigned=PartitionedTargets(
             settings.name, view.entry_names.names
         ).is_assigned,
-        name=settings.name,
     )
     services = Services(
         view,
--- a/damaskcroft/observe/metrics.py
+++ b/damaskcroft/observe/metrics.py
@@ -41,8 +41,6 @@
     "QUARANTINE",
     "QUEUE_WAIT_S",
     "REFUSALS",
-    "REQUESTS_ACROSS_REGIONS",
-    "REQUESTS_AT_SLOW_TARGETS",
     "RETRIES",
     "ROLLOUT_WAITS_S",
     "SENDER_STANDINGS",
@@ -50,7 +48,6 @@
     "TARGETS_COLD",
     "TARGETS_FULL_TOGETHER",
     "TARGETS_LIMITED",
-    "TARGETS_SLOW_FOR_LONG",
     "TARGET_CRASHES",
     "TARGET_LIMIT_CHANGES",
     "TASK_FAILURES",
@@ -95,18 +92,6 @@
     "damask_targets_limited", "Targets that name a limit of requests a second, "
     "or did some seconds ago",
 )  # fmt: skip
-REQUESTS_ACROSS_REGIONS = Counter(
-    "damask_requests_across_regions", "Requests sent to targets of other "
-    "regions than the entry's",
-)  # fmt: skip
-REQUESTS_AT_SLOW_TARGETS = Counter(
-    "damask_requests_at_slow_targets", "Requests sent to targets that were "
-    "known to be slow",
-)  # fmt: skip
-TARGETS_SLOW_FOR_LONG = Counter(
-    "damask_targets_slow_for_long", "Times a target was slow, compared with "
-    "what is usual, for seconds without a break",
-)  # fmt: skip
 TARGET_LIMIT_CHANGES = Counter(
     "damask_target_limit_changes", "Limits that targets named or lifted",
     ["change"],
--- a/damaskcroft/routing/_placement.py
+++ b/damaskcroft/routing/_placement.py
@@ -15,8 +15,6 @@
 from damaskcroft.observe import metrics
 from damaskcroft.routing._outliers import Outliers
 from damaskcroft.routing._target_loads import TargetLoad, TargetLoads
-from damaskcroft.routing._target_paces import TargetPaces
-from damaskcroft.routing._target_subsets import TargetSubsets
 from damaskcroft.routing._unread_bound import UnreadBound
 
 __all__ = ["Candidate", "Placement", "Placer", "Slot"]
@@ -38,14 +36,6 @@
 # events are shorter than this, and so are the answer delays of a full engine.
 _SLOW_ANSWER_S = 0.5
 
-# A request at a slow target is delayed by the requests there, and by its own
-# work: this much is added to the fullness for the latter.
-_OWN_WORK = 0.5
-# How much fuller, in requests per slot, an empty preferred target may be than
-# others. The preference shrinks as the target fills: otherwise callers of a
-# region with more load than others would wait for its targets.
-_PREFERENCE = 0.2
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Candidate:
@@ -140,7 +130,6 @@
         is_probe_due: Callable[[str], bool] = lambda _: False,
         is_assigned: Callable[[str], bool] = lambda _: True,
         unread_bound: UnreadBound | None = None,
-        name: str = "",
     ):
         """Starts without requests at any target.
 
@@ -157,10 +146,7 @@
                 requests.
             unread_bound: bound on unread prompts; by default one that follows
                 the time to first event.
-            name: name of this entry; empty to prefer no targets.
         """
-        self._subsets = TargetSubsets(name) if name else None
-        self._paces = TargetPaces()
         self._is_deferred = is_deferred
         self._is_probe_due = is_probe_due
         self._is_assigned = is_assigned
@@ -201,10 +187,6 @@
         assumed = self._loads.assumed_fullness(
             ((each.id, each.slots) for each in candidates), now
         )
-        # Unless targets report their pace, all are taken to work as usual.
-        is_uneven = self._paces.is_active
-        preferred = self._preferred(candidates) if is_uneven else frozenset()
-        pace = 1.0
         best = None
         best_rank: tuple[float, ...] = ()
         best_fullness = readable_tokens = 0.0
@@ -214,19 +196,10 @@
                 continue
             load = self._loads.find(candidate.id) or _UNKNOWN_LOAD
             fullness = load.fullness(candidate.slots, assumed, now)
-            pressure = fullness
-            if is_uneven:
-                pace = self._paces.pace(candidate.id, now)
-                pressure += (pace - 1) * (fullness + _OWN_WORK)
             has_room = fullness < _FULL and self._has_room(
-                candidate, load, prompt_tokens, pace
+                candidate, load, prompt_tokens
             )
-            if preferred:
-                is_preferred = candidate.id in preferred
-                pressure += _PREFERENCE * (
-                    min(fullness, _FULL) if is_preferred else _FULL
-                )
-            rank = self._rank(candidate, load, pressure, has_room, is_suspect)
+            rank = self._rank(candidate, load, fullness, has_room, is_suspect)
             if best is None or rank < best_rank:
                 best, best_rank, best_fullness = candidate, rank, fullness
         if best is None:
@@ -251,14 +224,6 @@
         metrics.TARGETS_FULL_TOGETHER.inc()
         return False
 
-    def _preferred(self, candidates: Iterable[Candidate]) -> frozenset[str]:
-        """Returns the ids of the preferred targets, all of the own region."""
-        if self._subsets is None:
-            return frozenset()
-        return self._subsets.preferred(
-            [each.id for each in candidates if each.region == self._region]
-        )
-
     def _fits_share(self, readable_tokens: float, prompt_tokens: int) -> bool:
         """Whether a prompt fits into this entry's share of unread prompts.
 
@@ -297,10 +262,6 @@
             prompt_tokens: length of its prompt.
             is_suspect: whether the request ran on a target that crashed.
         """
-        if candidate.region != self._region:
-            metrics.REQUESTS_ACROSS_REGIONS.inc()
-        if self._paces.is_slow(candidate.id):
-            metrics.REQUESTS_AT_SLOW_TARGETS.inc()
         return Slot(
             self._loads.get_or_add(candidate.id), prompt_tokens, is_suspect
         )
@@ -315,24 +276,14 @@
         self, target_id: str, requests: int, pace: float = 1.0
     ) -> None:
         """Records the number of requests and the pace that a target reports."""
-        self._loads.record_report(target_id, requests)
-        self._paces.record_report(target_id, pace)
-
-    def record_gap(self, service: str, target_id: str, gap_s: float) -> None:
-        """Records the time between two events; see `TargetPaces.record_gap`."""
-        self._paces.record_gap(service, target_id, gap_s)
+        self._loads.record_report(target_id, requests, pace)
 
     def retain_only(self, target_ids: Collection[str]) -> None:
-        """Drops the loads and paces of targets that are gone."""
+        """Drops the loads of targets that are gone."""
         self._loads.retain_only(target_ids)
-        self._paces.retain_only(target_ids)
 
     def _has_room(
-        self,
-        candidate: Candidate,
-        load: TargetLoad,
-        prompt_tokens: int,
-        pace: float,
+        self, candidate: Candidate, load: TargetLoad, prompt_tokens: int
     ) -> bool:
         """Whether a target that isn't full may receive a prompt now."""
         if load.outstanding and self._is_half_open(candidate.id):
@@ -340,14 +291,14 @@
         if not load.unread_tokens:
             return True
         unread_tokens = load.unread_tokens + prompt_tokens
-        max_unread_tokens = candidate.prompt_tokens_s * _MAX_UNREAD_S / pace
+        max_unread_tokens = candidate.prompt_tokens_s * _MAX_UNREAD_S
         return unread_tokens <= max_unread_tokens / max(1, self.entries)
 
     def _rank(
         self,
         candidate: Candidate,
         load: TargetLoad,
-        pressure: float,
+        fullness: float,
         has_room: bool,
         is_suspect: bool,
     ) -> tuple[float, ...]:
@@ -360,7 +311,7 @@
             is_suspect and not self._is_assigned(candidate.id),
             self._answer_delay_s(candidate.id) > _SLOW_ANSWER_S,
             # Rounded to tenths, so that distance decides between near equals.
-            round(pressure, 1),
+            round(fullness, 1),
             self._distance(candidate),
             self._rng.random(),
         )
--- a/damaskcroft/routing/_target_loads.py
+++ b/damaskcroft/routing/_target_loads.py
@@ -40,6 +40,8 @@
         unread_tokens: length of this entry's prompts that it has not read.
         reported_others: number of other entries' requests, as last reported.
         reported_at: loop time of that report.
+        reported_pace: how long work took at the target at that time; 1 as
+            usual, 2 for twice as long.
         reported_requests: all requests there, as last reported.
         entry_outstanding: this entry's requests at all targets at that time.
     """
@@ -48,6 +50,7 @@
         "entry_outstanding",
         "reported_others",
         "reported_requests",
+        "reported_pace",
         "outstanding",
         "suspects",
         "reported_at",
@@ -60,6 +63,7 @@
         self.suspects = 0
         self.unread_tokens = 0
         self.reported_others = 0.0
+        self.reported_pace = 1.0
         self.reported_at = float("-inf")
         self.reported_requests = 0
         self.entry_outstanding = 0
@@ -150,9 +154,12 @@
             return 0.0
         return min(statistics.fmean(fullness_values), _MAX_ASSUMED_FULLNESS)
 
-    def record_report(self, target_id: str, requests: int) -> None:
-        """Records the number of requests that a target reports."""
+    def record_report(
+        self, target_id: str, requests: int, pace: float = 1.0
+    ) -> None:
+        """Records the number of requests and the pace that a target reports."""
         load = self.get_or_add(target_id)
+        load.reported_pace = pace
         load.reported_requests = requests
         load.entry_outstanding = self.outstanding
         load.reported_others = max(0, requests - load.outstanding)
