--- a/damaskcroft/forwarding/_allocator.py
+++ b/damaskcroft/forwarding/_allocator.py
@@ -188,7 +188,9 @@
         if has_candidates or not self._services.may_serve_soon(
             service, model, regions
         ):
-            reason = self.refine_reason("no_target", service, regions)
+            reason = "no_target"
+            if not has_candidates:
+                reason = self.refine_reason(reason, service, regions)
             return failed_ending(reason, progress)
         outcome = await self.queue.take_slot(self._ticket(job, progress))
         if isinstance(outcome, Overloaded):
