An entry's other servers end at once where their end was announced before

The unchanged test passed 4 of 4 with the server of metrics alone mended, 3 of 3 beside its whole file with both.

--- a/damaskcroft/hosted/entry.py
+++ b/damaskcroft/hosted/entry.py
@@ -189,7 +189,6 @@
             settings.ready_address,
             ReadyFace(is_ready),
             shutdown_notice_s=_READY_SHUTDOWN_S,
-            end_s=_READY_SHUTDOWN_S,
         ) as ready_server,
         serve_callers(settings.caller_address, gate) as caller_server,
         background(
--- a/damaskcroft/hosted/process.py
+++ b/damaskcroft/hosted/process.py
@@ -96,7 +96,12 @@
             await serve(settings, stop)
             return
         metrics_address = f"{settings.ip}:{metrics_port}"
-        async with serve_metrics(metrics_address, _METRICS_SHUTDOWN_S):
+        async with serve_metrics(
+            metrics_address, _METRICS_SHUTDOWN_S
+        ) as metrics_server:
+            stopping.add_done_callback(
+                lambda _: metrics_server.announce_shutdown()
+            )
             await serve(settings, stop)
 
 
--- a/damaskcroft/rpc/_metrics_server.py
+++ b/damaskcroft/rpc/_metrics_server.py
@@ -65,12 +65,17 @@
 ) -> AsyncIterator[CallerConnections]:
     """Serves /metrics at `address` until the block ends.
 
+    Scrapers' connections are closed at once if the end was announced before.
+
     Args:
         address: IP address and port.
-        end_s: longest time after the block for open connections to end.
+        end_s: time from the announcement, or the block's end, for open
+            connections to end.
 
     Raises:
         OSError: the address cannot be bound.
     """
-    async with serve_callers(address, _MetricsHandler(), end_s=end_s) as server:
+    async with serve_callers(
+        address, _MetricsHandler(), shutdown_notice_s=end_s
+    ) as server:
         yield server
