One handler for resources that a platform reads

Cause: readiness and metrics each had the same handler of callers: its path, methods, idle limit and Date. Change: http1.Endpoint has these; the two say what they answer. Result: same answers; the tests of both, of starts and of a stopping entry pass unchanged.

--- a/damaskcroft/http1/__init__.py
+++ b/damaskcroft/http1/__init__.py
@@ -18,6 +18,7 @@
         TargetConnection,
     )
     from damaskcroft.http1._closing import Lingering, closing_answer
+    from damaskcroft.http1._endpoint import Endpoint
     from damaskcroft.http1._exchange import (
         Answer,
         CallerHandler,
@@ -47,6 +48,7 @@
     "ChannelLostError",
     "ConnectionPool",
     "CutShortError",
+    "Endpoint",
     "GracefulServer",
     "Head",
     "Headers",
@@ -77,6 +79,7 @@
         "ChannelLostError": "_channel",
         "ConnectionPool": "_pool",
         "CutShortError": "_client",
+        "Endpoint": "_endpoint",
         "GracefulServer": "_shutdown",
         "Head": "_head",
         "Headers": "_head",
--- a/damaskcroft/rpc/_metrics_server.py
+++ b/damaskcroft/rpc/_metrics_server.py
@@ -5,17 +5,13 @@
 """
 
 import contextlib
-import email.utils
 from collections.abc import AsyncIterator
 
 import prometheus_client
 
 from damaskcroft.http1 import (
-    Answer,
     CallerConnections,
-    CallerHandler,
-    CallerLimits,
-    CallerRequest,
+    Endpoint,
     Headers,
     serve_callers,
 )
@@ -23,40 +19,15 @@
 __all__ = ["serve_metrics"]
 
 _PATH = b"/metrics"
-_READ_METHODS = (b"GET", b"HEAD")
-# Idle time after which a scraper's connection is closed.
-_IDLE_TIMEOUT_S = 5.0
 
 
-class _MetricsHandler(CallerHandler):
+class _Metrics(Endpoint):
     """Answers scrapes in the text format of prometheus_client."""
 
-    __slots__ = ("_limits",)
-
-    def __init__(self) -> None:
-        self._limits = CallerLimits(idle_timeout_s=_IDLE_TIMEOUT_S)
-
-    async def handle(self, request: CallerRequest, answer: Answer) -> None:
-        headers = [(b"date", email.utils.formatdate(usegmt=True).encode())]
-        if request.target.partition(b"?")[0] != _PATH:
-            await answer.send_whole(404, headers, b"")
-            return
-        if request.method not in _READ_METHODS:
-            await answer.send_whole(405, headers, b"")
-            return
+    def read(self) -> tuple[int, Headers, bytes]:
         content_type = prometheus_client.CONTENT_TYPE_LATEST.encode()
-        headers.append((b"content-type", content_type))
         body = prometheus_client.generate_latest()
-        await answer.send_whole(200, headers, body)
-
-    def limits(self) -> CallerLimits:
-        return self._limits
-
-    def is_stopping(self) -> bool:
-        return False
-
-    def refused(self, status: int, reason: str) -> Headers:
-        return []
+        return 200, [(b"content-type", content_type)], body
 
 
 @contextlib.asynccontextmanager
@@ -76,6 +47,6 @@
         OSError: the address cannot be bound.
     """
     async with serve_callers(
-        address, _MetricsHandler(), shutdown_notice_s=end_s
+        address, _Metrics(_PATH), shutdown_notice_s=end_s
     ) as server:
         yield server
