--- a/damaskcroft/routing/_customer_shares.py
+++ b/damaskcroft/routing/_customer_shares.py
@@ -6,16 +6,10 @@
 queueing (Demers, Keshav and Shenker, 1989) with requests as the unit.
 """
 
-import math
-
-from damaskcroft.clock import now_s
+from damaskcroft.routing._decay import Decay
 
 __all__ = ["CustomerShares"]
 
-# Counts halve in this time, as for the shares of priorities.
-_HALF_LIFE_S = 2.0
-# Counts are decayed in steps of this time.
-_DECAY_INTERVAL_S = _HALF_LIFE_S / 16
 # Customers whose count has fallen below this are forgotten.
 _MIN_COUNT = 0.05
 
@@ -23,16 +17,16 @@
 class CustomerShares:
     """Recent grants of one service at one entry, by customer."""
 
-    __slots__ = ("_decayed_at", "_grants_by_customer")
+    __slots__ = ("_decay", "_grants_by_customer")
 
     def __init__(self) -> None:
         """Starts without grants."""
         self._grants_by_customer: dict[str, float] = {}
-        self._decayed_at = -math.inf
+        self._decay = Decay()
 
     def record_grant(self, customer: str) -> None:
         """Counts a request that has got a slot."""
-        self._decay()
+        self._decay_counts()
         grants = self._grants_by_customer.get(customer, 0.0)
         self._grants_by_customer[customer] = grants + 1
 
@@ -40,13 +34,10 @@
         """Returns the decayed number of a customer's grants."""
         return self._grants_by_customer.get(customer, 0.0)
 
-    def _decay(self) -> None:
-        now = now_s()
-        elapsed_s = now - self._decayed_at
-        if elapsed_s < _DECAY_INTERVAL_S:
+    def _decay_counts(self) -> None:
+        factor = self._decay.take_factor()
+        if factor is None:
             return
-        self._decayed_at = now
-        factor = 0.5 ** (elapsed_s / _HALF_LIFE_S)
         self._grants_by_customer = {
             customer: grants * factor
             for customer, grants in self._grants_by_customer.items()
--- a/damaskcroft/routing/_priority_shares.py
+++ b/damaskcroft/routing/_priority_shares.py
@@ -16,14 +16,10 @@
 import math
 
 from damaskcroft.clock import now_s
+from damaskcroft.routing._decay import Decay
 
 __all__ = ["PriorityShares"]
 
-# Counts halve in this time: long enough for some requests of each priority at
-# one entry, and about as long as a burst takes to build up.
-_HALF_LIFE_S = 2.0
-# Counts are decayed in steps of this time.
-_DECAY_INTERVAL_S = _HALF_LIFE_S / 16
 # A priority lacks room for this time after one of its requests was too late or
 # refused, as for a standing queue.
 _PRESSED_S = 1.0
@@ -53,12 +49,12 @@
 class PriorityShares:
     """Requests and grants of one service at one entry, by priority."""
 
-    __slots__ = ("_decayed_at", "_levels_by_priority")
+    __slots__ = ("_decay", "_levels_by_priority")
 
     def __init__(self) -> None:
         """Starts without requests."""
         self._levels_by_priority: dict[int, _Level] = {}
-        self._decayed_at = -math.inf
+        self._decay = Decay()
 
     def record_arrival(self, priority: int) -> None:
         """Counts a request that has arrived."""
@@ -93,7 +89,7 @@
 
     def below_floor(self) -> frozenset[int]:
         """Returns the priorities that are granted less often than the floor."""
-        self._decay()
+        self._decay_counts()
         levels = self._levels_by_priority.values()
         asked = sum(level.asked for level in levels)
         if not asked:
@@ -106,19 +102,16 @@
         )
 
     def _level(self, priority: int) -> _Level:
-        self._decay()
+        self._decay_counts()
         level = self._levels_by_priority.get(priority)
         if level is None:
             level = self._levels_by_priority[priority] = _Level()
         return level
 
-    def _decay(self) -> None:
-        now = now_s()
-        elapsed_s = now - self._decayed_at
-        if elapsed_s < _DECAY_INTERVAL_S:
+    def _decay_counts(self) -> None:
+        factor = self._decay.take_factor()
+        if factor is None:
             return
-        self._decayed_at = now
-        factor = 0.5 ** (elapsed_s / _HALF_LIFE_S)
         for level in self._levels_by_priority.values():
             level.asked *= factor
             level.granted *= factor
