Ready targets are asked for in one way, with or without regions

Cause: has_ready_in repeated has_ready, and refine_reason asked it again where the answer was known. Change: has_ready takes the regions.

--- a/damaskcroft/forwarding/_allocator.py
+++ b/damaskcroft/forwarding/_allocator.py
@@ -138,10 +138,10 @@
             return reason
         if self._services.is_evacuated(service, allowed_regions):
             return "evacuated"
-        if not self._services.has_ready_in(service, allowed_regions):
-            is_elsewhere = self._services.has_ready(service)
-            return "not_in_allowed_regions" if is_elsewhere else reason
-        return "no_weights" if self._services.has_ready(service) else reason
+        if self._services.has_ready(service, allowed_regions):
+            return "no_weights"
+        is_elsewhere = self._services.has_ready(service)
+        return "not_in_allowed_regions" if is_elsewhere else reason
 
     async def _allocate_retry(
         self, job: Job, progress: Progress
--- a/damaskcroft/forwarding/_services.py
+++ b/damaskcroft/forwarding/_services.py
@@ -190,15 +190,15 @@
             return False
         return self._serves(state, model, 0) and not self._is_switching(state)
 
-    def has_ready(self, service: str) -> bool:
-        """Whether a service has ready targets, regardless of their weights."""
-        self._refresh()
-        return bool(self._states_by_service.get(service))
-
-    def has_ready_in(
-        self, service: str, allowed_regions: frozenset[str] | None
+    def has_ready(
+        self, service: str, allowed_regions: frozenset[str] | None = None
     ) -> bool:
-        """Whether a service has ready targets in some regions."""
+        """Whether a service has ready targets, regardless of their weights.
+
+        Args:
+            service: name of the service.
+            allowed_regions: regions of the targets; None for all.
+        """
         self._refresh()
         return bool(self._states_in(service, allowed_regions))
 
