Retries: a budget by service that adds up over entries and their restarts

Cause: each entry kept a sliding window in memory. (1) A new start had its part of the constant again, and used the ratio of what it received, while retries of its predecessor for earlier requests were still in the window. (2) It took itself for the only entry until told otherwise, and (3) the number reported by a control node that counts from zero was believed. (4) Requests of all services paid for retries of any.

Ruled out as the main cause: 2 and 3 alone.

Now: each request adds to a token bucket of its service, which starts empty and holds as much of the ratio as requests of the last window did not add; so all starts together stay within the ratio of one of two successive windows, whichever entries end. The constant is split by the shares that cold targets have, in whole retries, and used only by an entry that has been in touch with a majority for the window and the time to settle. A full bucket pays back what was taken from the constant. Hedges leave a part for failed attempts, those one for answers that have begun. What is given back is the request's own retry.

Figures of retries and refusals by service, and the share in force, are metrics and a log line.

--- a/damaskcroft/forwarding/__init__.py
+++ b/damaskcroft/forwarding/__init__.py
@@ -17,6 +17,7 @@
     Ran,
     Refused,
 )
+from damaskcroft.forwarding._retry_budget import follow_retry_budget
 from damaskcroft.forwarding._services import Services
 from damaskcroft.forwarding._suspects import Suspects
 
@@ -36,4 +37,5 @@
     "TargetLoad",
     "Wire",
     "follow_cold_targets",
+    "follow_retry_budget",
 ]
--- a/damaskcroft/forwarding/_allocator.py
+++ b/damaskcroft/forwarding/_allocator.py
@@ -20,12 +20,13 @@
 from damaskcroft.observe import metrics
 from damaskcroft.routing import (
     Candidate,
+    FleetRetryBudget,
     Overloaded,
     Placement,
     Placer,
     QueueTicket,
     RequestQueue,
-    RetryWindow,
+    RetryKind,
     Slot,
     SlotTaken,
 )
@@ -43,7 +44,7 @@
         limits: rate limits of targets.
         cold_targets: limits of cold targets.
         suspects: suspect requests.
-        retry_window: the retry budget.
+        retry_budget: the retry budget.
 
     Attributes:
         queue: jobs that wait for a slot.
@@ -57,7 +58,7 @@
         limits: RateLimits,
         cold_targets: ColdTargets,
         suspects: Suspects,
-        retry_window: RetryWindow,
+        retry_budget: FleetRetryBudget,
     ):
         """Creates the queue; nothing waits in it yet."""
         self._services = services
@@ -66,7 +67,7 @@
         self._limits = limits
         self._cold_targets = cold_targets
         self._suspects = suspects
-        self._retry_window = retry_window
+        self._retry_budget = retry_budget
         self.queue = RequestQueue(
             self._choose,
             lambda candidate, ticket: self._take(
@@ -158,7 +159,7 @@
         )
         if placed is None:
             return await self._wait_for_retry(job, progress)
-        if not self._spend_retry_budget(progress):
+        if not self._spend_retry_budget(job, progress):
             return failed_ending("no_retry_budget", progress)
         slot = self._take(
             placed.candidate, prompt_tokens, is_suspect=is_suspect
@@ -197,21 +198,32 @@
             reason = self.refine_reason(outcome.reason, service, regions)
             retry_after_s = spread_retry_after_s(outcome.retry_in_s)
             return failed_ending(reason, progress, retry_after_s)
-        if not self._spend_retry_budget(progress):
+        if not self._spend_retry_budget(job, progress):
             outcome.slot.give_back()
             return failed_ending("no_retry_budget", progress)
         return outcome
 
-    def _spend_retry_budget(self, progress: Progress) -> bool:
+    def _spend_retry_budget(
+        self,
+        job: Job,
+        progress: Progress,
+        kind: RetryKind = RetryKind.FAILED,
+    ) -> bool:
         """Spends the retry budget for a job that was sent before.
 
         Returns:
             Whether the job may be sent.
         """
-        if not progress.sent or self._retry_window.spend():
+        if not progress.sent:
             return True
-        metrics.RETRIES.labels("no_budget").inc()
-        return False
+        if progress.begun:
+            kind = RetryKind.RESUMED
+        spent = self._retry_budget.spend(job.service, kind)
+        if spent is None:
+            metrics.RETRIES.labels("no_budget").inc()
+            return False
+        progress.retries.append(spent)
+        return True
 
     def _take(
         self, candidate: Candidate, prompt_tokens: int, *, is_suspect: bool
@@ -250,7 +262,9 @@
             None if there is no suitable target or no retry budget.
         """
         return self._take_hedge_slot(
-            waiting, self.choose_hedge_target(waiting, silent_ids)
+            waiting,
+            self.choose_hedge_target(waiting, silent_ids),
+            RetryKind.FAILED,
         )
 
     def take_slow_hedge_slot(self, slow: Dispatch) -> SlotTaken | None:
@@ -259,7 +273,9 @@
         Returns:
             None if there is no suitable target or no retry budget.
         """
-        return self._take_hedge_slot(slow, self.choose_other_target(slow))
+        return self._take_hedge_slot(
+            slow, self.choose_other_target(slow), RetryKind.HEDGE
+        )
 
     def choose_other_target(self, slow: Dispatch) -> Placement | None:
         """Selects another target for a hedge; None if there is none."""
@@ -278,14 +294,15 @@
         return placed
 
     def _take_hedge_slot(
-        self, waiting: Dispatch, placed: Placement | None
+        self, waiting: Dispatch, placed: Placement | None, kind: RetryKind
     ) -> SlotTaken | None:
-        if placed is None or not self._retry_window.spend():
+        job, progress = waiting.job, waiting.progress
+        if placed is None or not self._spend_retry_budget(job, progress, kind):
             return None
         slot = self._take(
             placed.candidate,
-            waiting.job.call.prompt_tokens,
-            is_suspect=self._suspects.is_suspect(waiting.job, waiting.progress),
+            job.call.prompt_tokens,
+            is_suspect=self._suspects.is_suspect(job, progress),
         )
         return SlotTaken(placed.candidate, slot)
 
@@ -302,9 +319,9 @@
             # The caller may have disconnected or only closed its sending side;
             # only a write to it would show which.
             return None
-        if self._retry_window.left < 1:
-            return None
         job, progress = waiting.job, waiting.progress
+        if self._retry_budget.left(job.service) < 1:
+            return None
         candidates = self._availability.candidates(
             job.service, job.call.model, self._services.regions_now(job)
         )
--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -52,9 +52,9 @@
     AnswerDelays,
     BackPressure,
     Candidate,
+    FleetRetryBudget,
     Outliers,
     Placer,
-    RetryWindow,
     SilenceWatch,
     SlotTaken,
 )
@@ -92,7 +92,7 @@
         placer: Placer,
         outliers: Outliers,
         connections: ConnectionPool,
-        retry_window: RetryWindow,
+        retry_budget: FleetRetryBudget,
         silence: SilenceWatch,
         delays: AnswerDelays,
         back_pressure: BackPressure,
@@ -110,7 +110,7 @@
             placer: selects one of them.
             outliers: outlier ejection of targets that failed.
             connections: pool of connections to targets.
-            retry_window: the retry budget.
+            retry_budget: the retry budget.
             silence: detects silent targets.
             delays: response delays of targets.
             back_pressure: back-off and leaving that targets have announced.
@@ -140,7 +140,7 @@
             limits,
             cold_targets,
             suspects,
-            retry_window,
+            retry_budget,
         )
         self._queue = self._allocator.queue
         self._hedge_policy = HedgePolicy(hedge_share)
@@ -148,7 +148,7 @@
             self._hedge_policy,
             self._allocator,
             suspects,
-            retry_window,
+            retry_budget,
             lambda slow: self._final_ending(slow.job, slow.progress) is None,
             lambda slow, allocated: self._try_one(
                 slow.job, slow.answer, slow.progress, allocated, slow.hedge
@@ -160,8 +160,8 @@
         self._placer = placer
         self._outliers = outliers
         self._connections = connections
-        self._retry_window = retry_window
-        self._log = RequestLog(services, placer, delays, silence, retry_window)
+        self._retry_budget = retry_budget
+        self._log = RequestLog(services, placer, delays, silence, retry_budget)
 
     async def run(self) -> None:
         """Periodically checks silent targets, the queue and suspicions."""
@@ -202,7 +202,7 @@
         Raises:
             ChannelLostError: the caller has disconnected.
         """
-        self._retry_window.earn()
+        self._retry_budget.count_request(job.service)
         self._hedge_policy.count_request(job.service)
         progress = Progress(job.call)
         try:
@@ -486,8 +486,8 @@
         """Reverts the counters of an attempt that sent no byte."""
         progress.runs -= 1
         progress.sent -= 1
-        if progress.sent:
-            self._retry_window.give_back()
+        if progress.retries:
+            self._retry_budget.give_back(progress.retries.pop())
 
     # --- Decisions and records of one attempt --------------------------------
 
--- a/damaskcroft/forwarding/_hedge_policy.py
+++ b/damaskcroft/forwarding/_hedge_policy.py
@@ -36,7 +36,7 @@
         )
         self.delay_s: float | None = None
         self.delay_until = -math.inf
-        self.window = RetryWindow(share, 0.0, _LIMIT_WINDOW_S)
+        self.window = RetryWindow(share, _LIMIT_WINDOW_S)
 
 
 class HedgePolicy:
--- a/damaskcroft/forwarding/_job.py
+++ b/damaskcroft/forwarding/_job.py
@@ -8,6 +8,7 @@
 from damaskcroft.forwarding._attempt import Lost, NotRun, NotSent
 from damaskcroft.forwarding._call import Call
 from damaskcroft.quarantine import RequestTraits, fingerprint, part_key
+from damaskcroft.routing import SpentRetry
 
 __all__ = [
     "DEADLINE",
@@ -215,6 +216,7 @@
         unsent: number of targets to which connecting timed out, or that it
             was withheld from after connecting.
         refused: number of targets that refused its connection.
+        retries: what was taken from the retry budget for it.
         uncounted: number of attempts that don't count towards the route's
             maximum: at targets that crashed, are another target than the
             addressed one, or lack the weights.
@@ -252,6 +254,7 @@
         "last_event_id",
         "pace",
         "refused",
+        "retries",
         "runs",
         "sent",
         "target_id",
@@ -269,6 +272,7 @@
         self.sent = 0
         self.unsent = 0
         self.refused = 0
+        self.retries: list[SpentRetry] = []
         self.uncounted = 0
         self.excluded: set[str] = set()
         self.last_failure: NotSent | NotRun | Lost | None = None
--- a/damaskcroft/forwarding/_request_log.py
+++ b/damaskcroft/forwarding/_request_log.py
@@ -8,9 +8,9 @@
 from damaskcroft.routing import (
     AnswerDelays,
     Candidate,
+    FleetRetryBudget,
     LongWait,
     Placer,
-    RetryWindow,
     SilenceWatch,
 )
 
@@ -25,7 +25,7 @@
         placer: load of the targets.
         delays: response delays of the targets.
         silence: how long targets have been silent.
-        retry_window: the retry budget.
+        retry_budget: the retry budget.
     """
 
     def __init__(
@@ -34,11 +34,11 @@
         placer: Placer,
         delays: AnswerDelays,
         silence: SilenceWatch,
-        retry_window: RetryWindow,
+        retry_budget: FleetRetryBudget,
     ):
         """Stores the sources of the logged values."""
         self._silence = silence
-        self._retry_window = retry_window
+        self._retry_budget = retry_budget
         self._services = services
         self._placer = placer
         self._delays = delays
@@ -125,7 +125,7 @@
             attempts=progress.sent,
             uncounted=progress.uncounted,
             max_attempts=job.route.max_attempts,
-            budget=self._retry_window.left,
+            budget=self._retry_budget.left(job.service),
             silent_s=self._silence.silent_s(progress.target_id),
             state="stopping" if answer.is_last else "serving",
             configuration=job.configuration,
--- a/damaskcroft/forwarding/_slow_hedges.py
+++ b/damaskcroft/forwarding/_slow_hedges.py
@@ -12,7 +12,7 @@
 from damaskcroft.forwarding._relay import Dispatch
 from damaskcroft.forwarding._suspects import Suspects
 from damaskcroft.observe import log_event, metrics
-from damaskcroft.routing import RetryWindow, SlotTaken
+from damaskcroft.routing import FleetRetryBudget, RetryKind, SlotTaken
 
 __all__ = ["SlowHedges"]
 
@@ -24,7 +24,7 @@
         policy: their delay and limit.
         allocator: allocates the slots.
         suspects: suspect requests.
-        retry_window: the retry budget.
+        retry_budget: the retry budget.
         has_attempt_left: whether a request has attempts and time left.
         send: makes the hedged attempt; it returns None if the target has no
             usable answer.
@@ -34,7 +34,7 @@
         "_allocator",
         "_has_attempt_left",
         "_policy",
-        "_retry_window",
+        "_retry_budget",
         "_send",
         "_suspects",
     )
@@ -44,7 +44,7 @@
         policy: HedgePolicy,
         allocator: SlotAllocator,
         suspects: Suspects,
-        retry_window: RetryWindow,
+        retry_budget: FleetRetryBudget,
         has_attempt_left: Callable[[Dispatch], bool],
         send: Callable[[Dispatch, SlotTaken], Awaitable[Ending | None]],
     ):
@@ -52,7 +52,7 @@
         self._policy = policy
         self._allocator = allocator
         self._suspects = suspects
-        self._retry_window = retry_window
+        self._retry_budget = retry_budget
         self._has_attempt_left = has_attempt_left
         self._send = send
 
@@ -75,7 +75,7 @@
             return "no_attempt_left"
         if not self._policy.is_within_limit(job.service):
             return "limit"
-        if self._retry_window.left < 1:
+        if self._retry_budget.left(job.service, RetryKind.HEDGE) < 1:
             return "no_retry_budget"
         if self._allocator.queue.has_waiting(job.service):
             return "queue"
--- a/damaskcroft/hosted/entry.py
+++ b/damaskcroft/hosted/entry.py
@@ -19,6 +19,7 @@
     Services,
     Suspects,
     follow_cold_targets,
+    follow_retry_budget,
 )
 from damaskcroft.hosted.seeds import follow_new_seeds
 from damaskcroft.http1 import (
@@ -38,7 +39,6 @@
     Outliers,
     PartitionedTargets,
     Placer,
-    RetryWindow,
     SilenceWatch,
 )
 from damaskcroft.rpc import ChannelPool, Keys
@@ -133,9 +133,7 @@
         delays.expected_delay_s,
     )
     connections = ConnectionPool()
-    retry_window = RetryWindow(
-        bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_s
-    )
+    retry_budget = follow_retry_budget(view, settings.name, bounds)
     wire = PlatformWire()
     forwarder = Forwarder(
         wire,
@@ -143,7 +141,7 @@
         placer,
         outliers,
         connections,
-        retry_window,
+        retry_budget,
         SilenceWatch(),
         delays,
         back_pressure,
@@ -176,7 +174,8 @@
             cold_targets.retain_only(live_start_ids)
             view.limits.retain_only(live_start_ids)
             view.crashes.evict_expired()
-            retry_window.entries = placer.entries = view.entries
+            placer.entries = view.entries
+            retry_budget.report()
 
     async def follow_limits() -> None:
         last_count = view.desired_changed.count
--- a/damaskcroft/routing/__init__.py
+++ b/damaskcroft/routing/__init__.py
@@ -8,6 +8,11 @@
 from damaskcroft.routing._placement import Candidate, Placement, Placer, Slot
 from damaskcroft.routing._queue import RequestQueue
 from damaskcroft.routing._retry_after import draw_retry_after_s
+from damaskcroft.routing._retry_budget import (
+    FleetRetryBudget,
+    RetryKind,
+    SpentRetry,
+)
 from damaskcroft.routing._retry_window import RetryWindow
 from damaskcroft.routing._silence import SilenceWatch
 from damaskcroft.routing._tickets import (
@@ -24,6 +29,7 @@
     "AnswerDelays",
     "BackPressure",
     "Candidate",
+    "FleetRetryBudget",
     "Granted",
     "LongWait",
     "NotGranted",
@@ -37,10 +43,12 @@
     "QueueTicket",
     "RequestQueue",
     "RetryBudget",
+    "RetryKind",
     "RetryWindow",
     "SilenceWatch",
     "Slot",
     "SlotTaken",
+    "SpentRetry",
     "Target",
     "TargetChooser",
     "TargetsUnavailable",
