--- a/damaskcroft/hosted/tests/conftest.py
+++ b/damaskcroft/hosted/tests/conftest.py
@@ -16,19 +16,19 @@
     """Runs a coroutine function with a started fleet."""
 
     @contextlib.asynccontextmanager
-    async def started():
-        fleet = Fleet(tmp_path)
+    async def started(**options):
+        fleet = Fleet(tmp_path, **options)
         try:
             await fleet.start()
             yield fleet
         finally:
             await fleet.stop()
 
-    async def play(scenario):
-        async with asyncio.timeout(_TIMEOUT_S), started() as fleet:
+    async def play(scenario, options):
+        async with asyncio.timeout(_TIMEOUT_S), started(**options) as fleet:
             await scenario(fleet)
 
-    return lambda scenario: asyncio.run(play(scenario))
+    return lambda scenario, **options: asyncio.run(play(scenario, options))
 
 
 @pytest.fixture
--- a/damaskcroft/hosted/tests/deployment.py
+++ b/damaskcroft/hosted/tests/deployment.py
@@ -43,6 +43,7 @@
 max_fds = 1000
 [bounds]
 grace_s = 8
+retry_budget_extra = {retry_extra}
 """
 
 
@@ -52,10 +53,16 @@
 
 
 class Deployment:
-    """Processes of the hosted programs, by names such as control-11."""
+    """Processes of the hosted programs, by names such as control-11.
 
-    def __init__(self, folder):
+    Args:
+        folder: folder for settings, disks and logs.
+        retry_extra: retries allowed in a window beyond the ratio.
+    """
+
+    def __init__(self, folder, retry_extra=0):
         self.folder = folder
+        self.retry_extra = retry_extra
         self.rpc, self.control, self.front, self.ready, self.metrics = (
             free_port() for _ in range(5)
         )
@@ -84,6 +91,7 @@
             SETTINGS.format(
                 name=name, ip=ip, rpc=self.rpc, seeds=json.dumps(seeds),
                 first=str(first).lower(), listen=listen, data=data,
+                retry_extra=self.retry_extra,
             )
         )  # fmt: skip
         process = await asyncio.create_subprocess_exec(
--- a/damaskcroft/hosted/tests/fleet.py
+++ b/damaskcroft/hosted/tests/fleet.py
@@ -69,9 +69,9 @@
 class Fleet:
     """A deployment under test with its targets, callers and operators."""
 
-    def __init__(self, folder):
-        self.history = History()
-        self.deployment = Deployment(folder)
+    def __init__(self, folder, retry_extra=0):
+        self.history = History(retry_extra)
+        self.deployment = Deployment(folder, retry_extra)
         self.targets = [
             Target(f"t{n}", self.deployment, self.history, keeps_id=n % 2 == 0)
             for n in range(TARGETS)
@@ -169,6 +169,13 @@
             await self.deployment.start("control", ip, first=False)
         await self._wait_until_configured()
 
+    async def kill_entries(self):
+        """Kills all entries at once and starts them again."""
+        ends = (self.deployment.end("entry", ip) for ip in ENTRY_IPS)
+        await asyncio.gather(*ends)
+        for ip in ENTRY_IPS:
+            await self.deployment.start("entry", ip, first=False)
+
     async def restart_entries_in_turn(self):
         for ip in ENTRY_IPS:
             await self.deployment.end("entry", ip)
--- a/damaskcroft/hosted/tests/soak/_faults.py
+++ b/damaskcroft/hosted/tests/soak/_faults.py
@@ -57,6 +57,12 @@
 _PART_KINDS = ("crashing part",)
 _PART_GAP_S = (1.0, 6.0)
 _PART_INTERVALS_S = (0.15, 0.3, 0.6, 1.2)
+# From this seed on, all targets lose most answers while all entries are killed.
+LOST_ANSWERS_FROM_SEED = 7000
+_RETRY_KINDS = ("lose answers", "kill all entries", "kill all entries")
+_RETRY_GAP_S = (0.5, 3.0)
+_LOST_SHARE = 0.7
+_LOST_FOR_FACTOR = 3
 # Planned operations, during which callers must still be answered.
 _PLANNED_KINDS = ("stop control", "stop entry", "hup all", "leave target")
 _KINDS = (
@@ -103,6 +109,9 @@
     if has_parts(seed):
         rng = random.Random(f"{seed}/parts")
         faults += _draw_faults(rng, seconds, _PART_KINDS, _PART_GAP_S)
+    if has_lost_answers(seed):
+        rng = random.Random(f"{seed}/retries")
+        faults += _draw_faults(rng, seconds, _RETRY_KINDS, _RETRY_GAP_S)
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
@@ -121,6 +130,11 @@
     return seed >= PARTS_FROM_SEED
 
 
+def has_lost_answers(seed):
+    """Whether the schedule of a seed contains answers lost by all targets."""
+    return seed >= LOST_ANSWERS_FROM_SEED
+
+
 def _pause_faults(seed, seconds):
     """Pauses that don't overlap; later seeds mix in configuration changes."""
     if has_changes(seed):
@@ -209,6 +223,9 @@
         if fault.kind == "limit target":
             await self._announce_limits(fault)
             return
+        if fault.kind == "lose answers":
+            await self._lose_answers(fault)
+            return
         if fault.kind in _PAUSE_KINDS:
             await self._pause_targets(fault)
             return
@@ -224,6 +241,8 @@
             ips = [ADDED_ENTRY_IP]
         if fault.kind == "kill all control":
             role, affected = "control", CONTROL_IPS
+        elif fault.kind == "kill all entries":
+            role, affected = "entry", ENTRY_IPS
         elif fault.kind == "hup all":
             role, affected = "all", ["all"]
         elif ips:
@@ -252,7 +271,17 @@
         planned = fault.kind in _PLANNED_KINDS
         if role == "control":
             return self._history.control_disruption(affected, planned=planned)
-        return self._history.disruption(affected[0], planned=planned)
+        return self._disruptions(affected, planned=planned)
+
+    @contextlib.contextmanager
+    def _disruptions(self, parties, *, planned=False):
+        """Context in which several entries or targets are disrupted."""
+        with contextlib.ExitStack() as disruptions:
+            for party in parties:
+                disruptions.enter_context(
+                    self._history.disruption(party, planned=planned)
+                )
+            yield
 
     async def _send_copies(self, fault):
         """Sends copies of the crashing request, regardless of other faults."""
@@ -294,6 +323,15 @@
             await asyncio.sleep(fault.for_s)
         self._journal(f"over {fault.kind} {names}")
 
+    async def _lose_answers(self, fault):
+        """Targets lose most of their answers, regardless of other faults."""
+        with self._disruptions([target.name for target in self._targets]):
+            for target in self._targets:
+                target.lost_share = _LOST_SHARE
+            await asyncio.sleep(_LOST_FOR_FACTOR * fault.for_s)
+            for target in self._targets:
+                target.lost_share = 0.0
+
     async def _change_during_pause(self, fault):
         """All targets pause while a configuration lacks something."""
         async with asyncio.TaskGroup() as group:
--- a/damaskcroft/hosted/tests/soak/_history.py
+++ b/damaskcroft/hosted/tests/soak/_history.py
@@ -20,6 +20,7 @@
     ControlAnswerChecker,
 )
 from damaskcroft.hosted.tests.soak._limits import AnnouncedLimits
+from damaskcroft.hosted.tests.soak._retries import retry_overruns
 from damaskcroft.hosted.tests.soak._target import EVENTS
 
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -110,7 +111,8 @@
 class History:
     """Observations of one run, and the violations found in them."""
 
-    def __init__(self):
+    def __init__(self, retry_extra=0):
+        self._retry_extra = retry_extra
         self.requests_by_id = {}
         self.executions_by_id = collections.defaultdict(list)
         self.acknowledged = 0
@@ -261,6 +263,16 @@
             and not self._is_disrupted(arrival)
         ]
 
+    def retry_overruns(self):
+        """Windows with more retries of all entries than their budget."""
+        return list(
+            retry_overruns(
+                [r.sent_at for r in self.requests_by_id.values()],
+                [(a.at, a.request_id) for a in self.arrivals],
+                self._retry_extra,
+            )
+        )
+
     def overruns(self):
         """Windows in which a target received more than its rate limit."""
         counted = [
@@ -295,7 +307,7 @@
                     f"{start} was draining, arrivals: {len(found)}"
                 )
 
-        for overrun in self.overruns():
+        for overrun in (*self.overruns(), *self.retry_overruns()[:1]):
             self._add_violation(str(overrun))
         for description in self.answer_checker.find_violations(
             self.requests_by_id, self.executions_by_id
--- a/damaskcroft/hosted/tests/soak/_run.py
+++ b/damaskcroft/hosted/tests/soak/_run.py
@@ -20,6 +20,7 @@
 from damaskcroft.hosted.tests.soak._faults import (
     Injector,
     has_changes,
+    has_lost_answers,
     has_parts,
     has_pauses,
     schedule,
@@ -62,6 +63,8 @@
 # Time after the last fault within which all nodes must serve, with the newest
 # configuration.
 _RECOVERY_S = 12.0
+# Retries allowed in a window beyond the ratio, for seeds with lost answers.
+_RETRY_EXTRA = 20
 _MAX_REQUESTS_PER_CONNECTION = 20
 # Number of crashes by which the crashing request is certainly quarantined, even
 # if targets also crashed for other reasons and some crashes were not observed.
@@ -81,11 +84,12 @@
     def __init__(self, seed, folder):
         self.seed = seed
         self.folder = folder
-        self.history = History()
+        retry_extra = _RETRY_EXTRA if has_lost_answers(seed) else 0
+        self.history = History(retry_extra)
         self._deadline_ms = (
             _DEADLINE_WITH_PAUSES_MS if has_pauses(seed) else _DEADLINE_MS
         )
-        self.deployment = Deployment(folder)
+        self.deployment = Deployment(folder, retry_extra)
         self.targets = [
             Target(
                 f"t{n}",
--- a/damaskcroft/hosted/tests/soak/_target.py
+++ b/damaskcroft/hosted/tests/soak/_target.py
@@ -75,6 +75,9 @@
         self._resumed.set()
         # Back-off that its refusals ask for; None while it serves.
         self.back_off_s = None
+        # Share of its answers that are lost after the request has run.
+        self.lost_share = 0.0
+        self._answers = 0
         # Whether its answers announce that it is draining.
         self.announces_leaving = False
         # Rate limit that its answers announce, in requests a second; None to
@@ -255,10 +258,19 @@
             if CRASH_MARKER in request_body or CRASHING_PART in shared_parts:
                 await self._crash_during(head, request_id, writer)
                 return False
+            if self._loses_answer():
+                await asyncio.sleep(_SERVICE_TIME_S)
+                return False
             if "/stream/" in lines[0]:
                 return await self._stream(head, request_id, writer, limit_line)
             return await self._answer_whole(request_id, writer, limit_line)
 
+    def _loses_answer(self):
+        """Whether the next answer is lost; evenly spread by the share."""
+        before = self._answers * self.lost_share
+        self._answers += 1
+        return int(before + self.lost_share) > int(before)
+
     async def _answer_whole(self, request_id, writer, limit_line):
         await asyncio.sleep(_SERVICE_TIME_S)
         await self._resumed.wait()
--- a/damaskcroft/hosted/tests/test_soak.py
+++ b/damaskcroft/hosted/tests/test_soak.py
@@ -52,6 +52,8 @@
     (5120, 15.0),
     # Never failed; a failure domain is evacuated beside all other faults.
     (6000, 10.0),
+    # Never failed; all entries are killed while targets lose most answers.
+    (7000, 15.0),
 ]
 
 
@@ -283,6 +285,23 @@
     assert history.violations == []
 
 
+@pytest.mark.parametrize(("retries", "is_found"), [(5, False), (6, True)])
+def test_retries_beyond_the_budget_are_found(retries, is_found):
+    history = History(retry_extra=3)
+    for number in range(10):
+        arrival(history, f"r{number}", 30.0, sent_at=30.0 + number)
+    for number in range(retries):
+        arrival(history, f"r{number}", 35.0, sent_at=30.0 + number)
+    assert bool(history.retry_overruns()) == is_found
+
+
+@pytest.mark.parametrize("seed", [2, 801, 3001, 5001, 6000, 6999])
+def test_earlier_seeds_lose_no_answers(seed):
+    # Guards against a change of the schedule of an old seed.
+    kinds = {fault.kind for fault in schedule(seed, 60)}
+    assert not kinds & {"lose answers", "kill all entries"}
+
+
 @pytest.mark.parametrize(("arrivals", "overruns"), [(11, 0), (12, 1)])
 def test_arrivals_above_a_limit_are_found(arrivals, overruns):
     limits = AnnouncedLimits(CONTACT_S)
