--- a/damaskcroft/routing/_retry_budget.py
+++ b/damaskcroft/routing/_retry_budget.py
@@ -14,7 +14,8 @@
   retry of its earlier start is in the window. What a full bucket can't hold
   pays for retries that were taken from the constant.
 
-This holds for load at which targets fail for seconds while entries start.
+For load where targets fail for some seconds while entries restart. See
+docs/design/031.
 """
 
 import collections
