Tests: the rule on retries is counted in one place

The soak and the simulation of a fleet each counted requests and retries of a window and what the rule allows. The simulation calls the soak's functions now; bounds, windows and assertions are the same. A docstring in the tests of hedges says what it counts.

Run: format, lint, types, the tests of the budget, of hedges' state and of the soak's schedules, none failed. No code of the product changes.

--- a/damaskcroft/forwarding/tests/test_hedged_requests.py
+++ b/damaskcroft/forwarding/tests/test_hedged_requests.py
@@ -297,7 +297,7 @@
 
 
 def retries_spent(entry):
-    """Retries in the budget's window, whatever paid for them."""
+    """Retries taken from the budget and not given back."""
     budgets = entry.gate._forwarder._retry_budget._budgets_by_service
     return sum(budget.sent for budget in budgets.values())
 
--- a/damaskcroft/hosted/tests/soak/_retries.py
+++ b/damaskcroft/hosted/tests/soak/_retries.py
@@ -38,17 +38,31 @@
         if seen[request_id] > 1:
             retries.append(at)
     for begin in retries:
-        # The rule takes the highest of three counts of requests.
-        count = max(
-            _count(requests, begin - before_s)
-            for before_s in (0, WINDOW_S / 2, WINDOW_S)
-        )
-        allowed = RATIO * count + extra
-        got = _count(retries, begin)
+        allowed = allowed_retries(requests, begin, extra)
+        got = count_in_window(retries, begin)
         if got > allowed:
             yield RetryOverrun(begin, got, allowed)
 
 
-def _count(times, begin):
+def allowed_retries(requests, begin, extra):
+    """Retries that the rule allows in the window that begins then.
+
+    Of the requests in that window, in the one before it and in the one half a
+    window before it, the most count.
+
+    Args:
+        requests: times of the requests of a service, in ascending order.
+        begin: start of the window.
+        extra: retries allowed in a window beyond the ratio.
+    """
+    most = max(
+        count_in_window(requests, begin - before_s)
+        for before_s in (0, WINDOW_S / 2, WINDOW_S)
+    )
+    return RATIO * most + extra
+
+
+def count_in_window(times, begin):
+    """Number of ascending times in the window that begins then."""
     end = bisect.bisect_left(times, begin + WINDOW_S)
     return end - bisect.bisect_left(times, begin)
--- a/damaskcroft/routing/tests/retry_simulation.py
+++ b/damaskcroft/routing/tests/retry_simulation.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import bisect
 import collections
 import dataclasses
 import random
@@ -14,10 +13,14 @@
 from damaskcroft.clock import now_s
 from damaskcroft.fleet import Bounds, FleetView
 from damaskcroft.forwarding import follow_retry_budget
+from damaskcroft.hosted.tests.soak._retries import (
+    RATIO,
+    WINDOW_S,
+    allowed_retries,
+    count_in_window,
+)
 
-RATIO = 0.2
 EXTRA = 104
-WINDOW_S = 10.0
 _BOUNDS = Bounds(
     drain_s=2.0,
     grace_s=8.0,
@@ -176,7 +179,7 @@
         retries = [at for at in self.retries[service] if at >= since]
         return max(
             (
-                _count(retries, at) / self.allowed(service, at)
+                count_in_window(retries, at) / self.allowed(service, at)
                 for at in dict.fromkeys(retries)
             ),
             default=0.0,
@@ -184,21 +187,12 @@
 
     def allowed(self, service, begin):
         """Retries that the rule allows in the window that begins then."""
-        requests = self.requests[service]
-        most = max(
-            _count(requests, begin - before_s)
-            for before_s in (0, WINDOW_S / 2, WINDOW_S)
+        return allowed_retries(
+            self.requests[service], begin, self._bounds.retry_extra
         )
-        return RATIO * most + self._bounds.retry_extra
 
     def used_share(self, service, begin):
         """Retries in one window as a share of what the rule allows."""
-        return _count(self.retries[service], begin) / self.allowed(
+        return count_in_window(self.retries[service], begin) / self.allowed(
             service, begin
         )
-
-
-def _count(times, begin):
-    """Number of times in the window that begins then."""
-    end = bisect.bisect_left(times, begin + WINDOW_S)
-    return end - bisect.bisect_left(times, begin)
--- a/damaskcroft/routing/tests/test_retry_budget_of_a_fleet.py
+++ b/damaskcroft/routing/tests/test_retry_budget_of_a_fleet.py
@@ -4,7 +4,8 @@
 import pytest
 from hypothesis import strategies as st
 
-from damaskcroft.routing.tests.retry_simulation import EXTRA, WINDOW_S, Fleet
+from damaskcroft.hosted.tests.soak._retries import WINDOW_S
+from damaskcroft.routing.tests.retry_simulation import EXTRA, Fleet
 from damaskcroft.standins.virtual_time import VirtualTimeLoop
 
 RATES_S = {"models": 222.0, "store": 26.0}
