--- /dev/null
+++ b/review/stand/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and process control for the cases; standard library only."""
