Show the refusal of a whole service after three crashes

Three model servers crash in turn for 4.5 s each. With the third crash both entries blame the instructions that all prompts share and refuse every request with them for over two minutes, while all servers are back and idle (rule Starved).

What follows: three crashes count against a part of prompts that every request has.

The cases share one runner now, which also ends their processes after SIGTERM.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,7 +1,6 @@
 """A held-up copy of an order to end an evacuation undoes a later one."""
 
 import asyncio
-import os
 import pathlib
 import signal
 import sys
@@ -9,6 +8,7 @@
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
+from stand.case import run_case  # noqa: E402
 from stand.deployment import Deployment, Record  # noqa: E402
 from stand.http1 import read_message, request, send  # noqa: E402
 from stand.server import Run, Server  # noqa: E402
@@ -162,21 +162,5 @@
         await deployment.stop()
 
 
-def main() -> int:
-    """Runs the case; returns the exit status."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
-
-    async def bounded() -> int:
-        record = Record(HERE / "record.txt")
-        try:
-            async with asyncio.timeout(110):
-                return await _run(trouble, record)
-        except (TimeoutError, OSError) as error:
-            record(f"the case did not run: {error!r}")
-            return 2
-
-    return asyncio.run(bounded())
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_case(_run, HERE))
--- a/review/stand/weights.py
+++ b/review/stand/weights.py
@@ -30,6 +30,8 @@
 _ORIGIN_BYTES_S = 7.3e6 / 8
 _LOAD_S = 0.3
 _TOKEN_S = 0.04
+# A step takes 6.73 ms and more, and an event holds 6 tokens.
+_EVENT_S = 0.07
 
 
 def piece(version: int, index: int) -> bytes:
@@ -127,6 +129,7 @@
     Attributes:
         part: the layers in memory; None for none.
         on_read: called with the index of each staged piece that is read.
+        events: number of events of each answer.
         broken: tokens that were made with pieces that were wrong for too long.
     """
 
@@ -150,6 +153,9 @@
         self._active = 0
         self.on_read: Callable[[int], None] = lambda _: None
         self.broken: list[str] = []
+        self.events = 1
+        self._starts = 1
+        self._writers: set[asyncio.StreamWriter] = set()
 
     def staged_version(self, index: int) -> int:
         """Returns the version of a staged piece; 0 for a spoilt one."""
@@ -164,6 +170,36 @@
         self._changed_at[index] = asyncio.get_running_loop().time()
         self._record(f"{self.id}: staged piece {index} turns bad")
 
+    async def crash(self) -> None:
+        """Ends without notice; the staged pieces survive."""
+        self._record(f"{self.id} crashes")
+        for task in self._tasks:
+            task.cancel()
+        self._tasks.clear()
+        self._listening.close()
+        for writer in self._writers:
+            writer.transport.abort()
+        self.part, self._busy, self._orders = None, False, 0
+
+    async def restart(self) -> None:
+        """Starts again at the same address, with another id and no layers."""
+        self._starts += 1
+        self.id = f"{self.id.partition('.')[0]}.{self._starts}"
+        self._sequence = self._active = 0
+        host, _, port = self.address.rpartition(":")
+        self._listening = await asyncio.start_server(self._serve, host, port)
+        self._tasks.add(asyncio.create_task(self._announce_forever()))
+        self._record(f"{self.id} starts")
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        try:
+            await super()._serve(reader, writer)
+        finally:
+            self._writers.discard(writer)
+
     def announcement(self) -> dict:
         """Returns the fields of the next heartbeat."""
         values = super().announcement()
@@ -250,7 +286,7 @@
 
     async def _load(self, part: Part) -> None:
         self.part = None
-        while self._active:
+        while self._active > 0:
             await asyncio.sleep(0.01)
         await asyncio.sleep(_LOAD_S)
         self.part = part
@@ -282,13 +318,20 @@
         self._active += 1
         try:
             await asyncio.sleep(_TOKEN_S)
-            event = b"id: 1\ndata: %s\n\n" % request_id.encode()
             writer.write(
                 b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: s\r\n"
                 b"Weight-Versions: %d\r\nContent-Type: text/event-stream\r\n"
-                b"Content-Length: %d\r\n\r\n%s"
-                % (request_id.encode(), part.version, len(event), event)
+                b"Transfer-Encoding: chunked\r\n\r\n"
+                % (request_id.encode(), part.version)
             )
+            first = int(message.headers.get("last-event-id", "0")) + 1
+            for number in range(first, self.events + 1):
+                event = b"id: %d\ndata: %s\n\n" % (number, request_id.encode())
+                writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+                await writer.drain()
+                if number < self.events:
+                    await asyncio.sleep(_EVENT_S)
+            writer.write(b"0\r\n\r\n")
         finally:
             self._active -= 1
 
