Control: access to the replicated log has a module of its own

FleetControl held three subjects in 423 lines: operators, targets and the log. The third moves, unchanged, to CommandLog; the outcomes move to _answers.

--- a/damaskcroft/control/__init__.py
+++ b/damaskcroft/control/__init__.py
@@ -1,11 +1,7 @@
 """Control nodes: replicated state machines and their gRPC services."""
 
-from damaskcroft.control._fleet_control import (
-    Accepted,
-    FleetControl,
-    Invalid,
-    Unavailable,
-)
+from damaskcroft.control._answers import Accepted, Invalid, Unavailable
+from damaskcroft.control._fleet_control import FleetControl
 from damaskcroft.control._fleet_service import FleetService
 from damaskcroft.control._fleet_state import FleetState
 from damaskcroft.control._limits_service import LimitsService
--- a/damaskcroft/control/_fleet_service.py
+++ b/damaskcroft/control/_fleet_service.py
@@ -10,11 +10,8 @@
 from damaskcroft._generated import fleet_grpc, fleet_pb2, quarantine_pb2
 from damaskcroft.clock import now_s
 from damaskcroft.consensus import Replica
-from damaskcroft.control._fleet_control import (
-    Accepted,
-    FleetControl,
-    Unavailable,
-)
+from damaskcroft.control._answers import Accepted, Unavailable
+from damaskcroft.control._fleet_control import FleetControl
 from damaskcroft.control._fleet_state import FleetState
 from damaskcroft.control._prompt_nodes import prompt_nodes
 from damaskcroft.fleet import (
@@ -374,7 +371,7 @@
     async def Forward(self, stream: Any) -> None:  # noqa: N802
         """Commits a command on behalf of a node that does not lead."""
         request = await stream.recv_message()
-        outcome = await self._control.commit_here(request.command)
+        outcome = await self._control.log.commit_here(request.command)
         reply = fleet_pb2.ForwardReply()
         if isinstance(outcome, Accepted):
             reply.committed = True
@@ -386,7 +383,7 @@
     async def ReadIndex(self, stream: Any) -> None:  # noqa: N802
         """Confirms the leadership; sends the index that a reader must apply."""
         await stream.recv_message()
-        index = await self._control.confirmed_index()
+        index = await self._control.log.confirmed_index()
         reply = fleet_pb2.ReadIndexReply(
             confirmed=index is not None, index=index or 0
         )
--- a/damaskcroft/control/_service_recorder.py
+++ b/damaskcroft/control/_service_recorder.py
@@ -11,7 +11,8 @@
 from damaskcroft._generated import fleet_pb2
 from damaskcroft.clock import now_s
 from damaskcroft.consensus import Replica
-from damaskcroft.control._fleet_control import Accepted, FleetControl
+from damaskcroft.control._answers import Accepted
+from damaskcroft.control._command_log import CommandLog
 from damaskcroft.control._fleet_state import FleetState
 from damaskcroft.fleet import FleetView, version_in_service
 from damaskcroft.observe import log_event
@@ -51,7 +52,7 @@
         replica: the replica of this node.
         state: the state built from the log.
         view: announcements of targets and agents.
-        control: commits the records.
+        log: commits the records.
         stable_s: how long a majority must hold the same version before it is
             recorded. A new leader has received few announcements at first.
     """
@@ -61,14 +62,14 @@
         replica: Replica,
         state: FleetState,
         view: FleetView,
-        control: FleetControl,
+        log: CommandLog,
         stable_s: float,
     ):
         """Starts without observations of any model."""
         self._replica = replica
         self._state = state
         self._view = view
-        self._control = control
+        self._log = log
         self._stable_s = stable_s
         self._observation_by_model: dict[str, _Observation] = {}
 
@@ -119,7 +120,7 @@
     async def _record(self, model: str, version: int) -> bool:
         served = fleet_pb2.ServedVersion(model=model, version=version)
         command = fleet_pb2.FleetCommand(record_served=served)
-        outcome = await self._control.commit(command)
+        outcome = await self._log.commit(command)
         log_event(
             "service_recorded",
             model=model,
--- a/damaskcroft/control/tests/test_fleet_control.py
+++ b/damaskcroft/control/tests/test_fleet_control.py
@@ -23,7 +23,7 @@
     FleetState,
     Invalid,
     Unavailable,
-    _fleet_control,
+    _command_log,
 )
 from damaskcroft.fleet import FleetView, Watcher
 from damaskcroft.rpc import ChannelPool, Keys, serve_grpc
@@ -365,7 +365,7 @@
     async def scenario():
         async with three_nodes(tmp_path) as nodes:
             served = await retry_while_unavailable(
-                nodes[0].control.commit, record_served(1)
+                nodes[0].control.log.commit, record_served(1)
             )
             assert served == Accepted(1)
             goal = fleet_pb2.WeightGoal(model="m", version=1)
@@ -387,7 +387,7 @@
     async def scenario():
         async with three_nodes(tmp_path) as nodes:
             served = await retry_while_unavailable(
-                nodes[0].control.commit, record_served(1)
+                nodes[0].control.log.commit, record_served(1)
             )
             assert isinstance(served, Accepted)
             # Enough entries for snapshots, so that the record is not only in
@@ -452,9 +452,9 @@
 @pytest.fixture
 def long_timeouts(monkeypatch):
     """Timeouts long enough for an election on a busy machine."""
-    monkeypatch.setattr(_fleet_control, "_COMMIT_TIMEOUT_S", LONG_TIMEOUT_S)
-    monkeypatch.setattr(_fleet_control, "_READ_TIMEOUT_S", LONG_TIMEOUT_S)
-    monkeypatch.setattr(_fleet_control, "_MAX_LEADERLESS_S", LONG_TIMEOUT_S)
+    monkeypatch.setattr(_command_log, "COMMIT_TIMEOUT_S", LONG_TIMEOUT_S)
+    monkeypatch.setattr(_command_log, "_READ_TIMEOUT_S", LONG_TIMEOUT_S)
+    monkeypatch.setattr(_command_log, "_MAX_LEADERLESS_S", LONG_TIMEOUT_S)
 
 
 @pytest.mark.usefixtures("long_timeouts")
--- a/damaskcroft/control/tests/test_fleet_service.py
+++ b/damaskcroft/control/tests/test_fleet_service.py
@@ -77,7 +77,7 @@
 
     async def accept_weights(self, version):
         goal = fleet_pb2.WeightGoal(model="m", version=version)
-        await self.control.commit_here(
+        await self.control.log.commit_here(
             fleet_pb2.FleetCommand(name_weights=goal)
         )
 
--- a/damaskcroft/hosted/control.py
+++ b/damaskcroft/hosted/control.py
@@ -105,7 +105,7 @@
         replica,
         state,
         view,
-        control,
+        control.log,
         _ANNOUNCEMENTS_TO_SETTLE * settings.announce_every_s,
     )
     watcher = Watcher(
