Control: an order is carried out while its operator waits, or never

Operators saw an acknowledged evacuation undone (or a domain evacuated that had been given back) with no word: a control node that had been suspended read an order that its operator had abandoned, and committed it after later ones.

Cause: nothing tells a delayed order from a new one. The end of the connection was looked for once, by a call that took the request's own first event; the revision to compare with was read after catching up, so the newest was compared with itself. Wherever the leader was suspended it mostly held by a race: it refuses at once because it has heard no leader for over 2 s by its own clock (leader_cut_off, then control_refused), unless the new leader's heartbeat is read first.

Change: the event loop knows the earliest time at which a request can have arrived (polls of the kernel). An order is appended within 0.9 s of it; the forwarded order carries the leader's term and a time by the leader's clock, and the replica compares both in the step of the append. No clocks of two machines are compared. The end of the connection is looked for once more after the round trip. Refusals have a line and a counter with their reason.

--- a/damaskcroft/clock.py
+++ b/damaskcroft/clock.py
@@ -1,12 +1,13 @@
 """Event loop with the clock on which all decisions are based."""
 
 import asyncio
+import collections
 import selectors
 import time
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
-__all__ = ["now_s", "run"]
+__all__ = ["arrived_after_s", "now_s", "run"]
 
 _T = TypeVar("_T")
 
@@ -14,6 +15,14 @@
 # Maximum rounds of callbacks between two polls of the sockets: enough to pass a
 # message through a few tasks, and well under a millisecond in total.
 _MAX_ROUNDS_PER_POLL = 8
+# A request on a new connection is read by the poll after the one that reports
+# the connection, or the second after it if more connections waited than are
+# accepted in one step. It arrived after the poll before those.
+_POLLS_FOR_A_REQUEST = 4
+
+
+def _boottime_s() -> float:
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 class _ThrottledSelector(selectors.DefaultSelector):
@@ -27,6 +36,14 @@
     def __init__(self) -> None:
         super().__init__()
         self._rounds = 0
+        self._polled_at = collections.deque(
+            [_boottime_s()], maxlen=_POLLS_FOR_A_REQUEST
+        )
+
+    @property
+    def arrived_after_s(self) -> float:
+        """See the function of that name."""
+        return self._polled_at[0]
 
     def select(self, timeout=None):
         """Skips up to `_MAX_ROUNDS_PER_POLL` polls that would not block."""
@@ -35,6 +52,7 @@
             self._rounds += 1
             return []
         self._rounds = 0
+        self._polled_at.append(_boottime_s())
         return super().select(timeout)
 
 
@@ -48,11 +66,17 @@
     """
 
     def __init__(self) -> None:
-        super().__init__(_ThrottledSelector())
+        self._polls = _ThrottledSelector()
+        super().__init__(self._polls)
+
+    @property
+    def arrived_after_s(self) -> float:
+        """See the function of that name."""
+        return self._polls.arrived_after_s
 
     def time(self) -> float:
         """Returns seconds since the machine's boot, including suspensions."""
-        return time.clock_gettime(time.CLOCK_BOOTTIME)
+        return _boottime_s()
 
 
 def now_s() -> float:
@@ -64,6 +88,20 @@
     return asyncio.get_running_loop().time()
 
 
+def arrived_after_s() -> float:
+    """Returns the earliest time at which a request just read can have arrived.
+
+    A request that waits in the kernel while the process is suspended is read at
+    once when the process continues, like one that arrives then; the polls
+    before tell how long it may have waited. On another loop than that of `run`
+    it is the present time.
+    """
+    loop = asyncio.get_running_loop()
+    if not isinstance(loop, _BoottimeLoop):
+        return loop.time()
+    return loop.arrived_after_s
+
+
 def run(work: Coroutine[Any, Any, _T]) -> _T:
     """Runs a coroutine to its end, on a clock that includes suspensions."""
     with asyncio.Runner(loop_factory=_BoottimeLoop) as runner:
--- a/damaskcroft/consensus/__init__.py
+++ b/damaskcroft/consensus/__init__.py
@@ -15,8 +15,10 @@
 )
 from damaskcroft.consensus._log import DurableLog
 from damaskcroft.consensus._outcomes import (
+    AppendCondition,
     Committed,
     DiskFailed,
+    Expired,
     NotLeader,
     Outcome,
     Undecided,
@@ -35,11 +37,13 @@
 )
 
 __all__ = [
+    "AppendCondition",
     "Committed",
     "ConsensusError",
     "Disk",
     "DiskFailed",
     "DurableLog",
+    "Expired",
     "FolderDisk",
     "GrpcTransport",
     "LogDamagedError",
--- a/damaskcroft/consensus/_outcomes.py
+++ b/damaskcroft/consensus/_outcomes.py
@@ -40,4 +40,26 @@
     reason: str
 
 
-Outcome = Committed | NotLeader | Undecided | DiskFailed
+@dataclasses.dataclass(frozen=True, slots=True)
+class Expired:
+    """Nothing was appended because the command was proposed too late."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AppendCondition:
+    """When a command may be appended, checked in the same step.
+
+    A fencing token for commands without a number of their own: it does not
+    outlast the leadership, nor the wait of the caller, however long the command
+    or any process that handles it is delayed.
+
+    Attributes:
+        term: the term in which the replica must be the leader.
+        before_s: latest time at the clock of that leader.
+    """
+
+    term: int
+    before_s: float
+
+
+Outcome = Committed | NotLeader | Undecided | DiskFailed | Expired
--- a/damaskcroft/consensus/_replica.py
+++ b/damaskcroft/consensus/_replica.py
@@ -30,8 +30,10 @@
     without_member,
 )
 from damaskcroft.consensus._outcomes import (
+    AppendCondition,
     Committed,
     DiskFailed,
+    Expired,
     NotLeader,
     Outcome,
 )
@@ -233,11 +235,23 @@
         await cancel_all(self._tasks | self._leader_tasks)
         self._applier.resolve_as_undecided()
 
-    async def propose(self, command: bytes) -> Outcome:
-        """Appends a command and waits until it is committed and applied."""
+    async def propose(
+        self, command: bytes, condition: AppendCondition | None = None
+    ) -> Outcome:
+        """Appends a command and waits until it is committed and applied.
+
+        Args:
+            command: the command.
+            condition: when it may be appended; None for always.
+        """
         await self._leadership_transfer.wait_until_finished()
         if not self.is_leader:
             return NotLeader(self.leader_address)
+        if condition is not None:
+            if condition.term != self.term:
+                return NotLeader(self.leader_address)
+            if now_s() > condition.before_s:
+                return Expired()
         try:
             return await self._append_and_wait(
                 consensus_pb2.LogEntry(command=command)
--- a/damaskcroft/consensus/tests/fakes.py
+++ b/damaskcroft/consensus/tests/fakes.py
@@ -194,13 +194,16 @@
     def empty_disk(self, member):
         return FakeDisk(self.rng)
 
+    def make_machine(self):
+        return ListMachine()
+
     def add(self, member):
         """Starts a replica on a new machine, with an empty disk."""
         self.disks[member] = self.empty_disk(member)
         self.start(member)
 
     def start(self, member):
-        machine = ListMachine()
+        machine = self.make_machine()
         address = address_of(member)
         options = ReplicaOptions(
             id=member,
--- a/damaskcroft/control/_answers.py
+++ b/damaskcroft/control/_answers.py
@@ -1,8 +1,11 @@
 """Answers of a control node to operators and other nodes."""
 
 import dataclasses
+from typing import Any
 
-__all__ = ["Accepted", "Invalid", "Unavailable"]
+from damaskcroft.observe import log_event, metrics
+
+__all__ = ["EXPIRED", "Accepted", "Invalid", "Unavailable", "record_refusal"]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,3 +41,19 @@
     reason: str
     detail: str = ""
     is_not_committed: bool = False
+
+
+# The caller of an order no longer waits for it, or may no longer do so.
+EXPIRED = Unavailable("the order is too old")
+
+
+def record_refusal(call: str, refusal: Unavailable, **details: Any) -> None:
+    """Counts and logs a call that a control node could not answer."""
+    metrics.CONTROL_REFUSALS.labels(call, refusal.reason).inc()
+    log_event(
+        "control_refused",
+        call=call,
+        reason=refusal.reason,
+        detail=refusal.detail,
+        **details,
+    )
--- a/damaskcroft/control/_fleet_control.py
+++ b/damaskcroft/control/_fleet_control.py
@@ -5,8 +5,9 @@
 from collections.abc import Collection
 
 from damaskcroft._generated import fleet_pb2
+from damaskcroft.clock import now_s
 from damaskcroft.consensus import Replica
-from damaskcroft.control._answers import Accepted, Invalid, Unavailable
+from damaskcroft.control._answers import EXPIRED, Accepted, Invalid, Unavailable
 from damaskcroft.control._command_log import COMMIT_TIMEOUT_S, CommandLog
 from damaskcroft.control._fleet_state import FleetState
 from damaskcroft.fleet import (
@@ -18,7 +19,7 @@
     relay,
 )
 from damaskcroft.observe import log_event, metrics
-from damaskcroft.rpc import ChannelPool
+from damaskcroft.rpc import Caller, ChannelPool
 
 __all__ = ["FleetControl"]
 
@@ -109,21 +110,30 @@
         return outcome
 
     async def evacuate(
-        self, failure_domain: str, *, evacuated: bool
+        self, failure_domain: str, *, evacuated: bool, caller: Caller
     ) -> Accepted | Invalid | Unavailable:
         """Evacuates a failure domain, or ends its evacuation.
 
         Every order passes through the log, also one that changes nothing: what
         this node has applied may be older than an order accepted elsewhere.
+
+        An order has no number of its own that would tell it from a later one.
+        It is therefore appended only while its caller certainly waits for the
+        answer, and has ordered nothing else since.
         """
-        outcome: Accepted | Invalid | Unavailable
+        expires_at = caller.arrived_after_s + COMMIT_TIMEOUT_S
+        outcome: Accepted | Invalid | Unavailable = EXPIRED
         try:
-            async with asyncio.timeout(COMMIT_TIMEOUT_S):
-                outcome = await self._evacuate(
-                    failure_domain, evacuated=evacuated
-                )
+            async with asyncio.timeout_at(expires_at):
+                while now_s() < expires_at:
+                    outcome = await self._evacuate(
+                        failure_domain, evacuated, caller, expires_at
+                    )
+                    if not await self.log.finds_other_leader(outcome):
+                        break
         except TimeoutError:
             outcome = Unavailable("not committed in time")
+        if isinstance(outcome, Unavailable):
             self.log.record_refusal("evacuate", outcome)
         order = "start" if evacuated else "end"
         metrics.EVACUATION_ORDERS.labels(order, type(outcome).__name__).inc()
@@ -136,21 +146,28 @@
         return outcome
 
     async def _evacuate(
-        self, failure_domain: str, *, evacuated: bool
+        self,
+        failure_domain: str,
+        evacuated: bool,
+        caller: Caller,
+        expires_at: float,
     ) -> Accepted | Invalid | Unavailable:
-        refusal = await self.log.catch_up()
-        if refusal is not None:
-            self.log.record_refusal("evacuate", refusal)
-            return refusal
+        point = await self.log.catch_up()
+        if isinstance(point, Unavailable):
+            return point
         if not self._knows_domain(failure_domain):
             return Invalid("no such failure domain")
+        if await caller.has_left():
+            return Unavailable("the caller has left")
         known_revision = self._state.evacuations.revision(failure_domain)
         order = fleet_pb2.EvacuationOrder(
             failure_domain=failure_domain,
             evacuated=evacuated,
             known_revision=known_revision,
         )
-        return await self.log.commit(fleet_pb2.FleetCommand(evacuate=order))
+        return await self.log.commit_once(
+            fleet_pb2.FleetCommand(evacuate=order), point.condition(expires_at)
+        )
 
     def _knows_domain(self, failure_domain: str) -> bool:
         if failure_domain in self._failure_domains:
@@ -170,9 +187,9 @@
         return outcome
 
     async def _read(self) -> bytes | Unavailable:
-        refusal = await self.log.catch_up()
-        if refusal is not None:
-            return refusal
+        point = await self.log.catch_up()
+        if isinstance(point, Unavailable):
+            return point
         configuration = self._state.configuration
         if configuration is None:
             return Unavailable("no configuration yet")
--- a/damaskcroft/control/_fleet_service.py
+++ b/damaskcroft/control/_fleet_service.py
@@ -9,8 +9,8 @@
 
 from damaskcroft._generated import fleet_grpc, fleet_pb2, quarantine_pb2
 from damaskcroft.clock import now_s
-from damaskcroft.consensus import Replica
-from damaskcroft.control._answers import Accepted, Unavailable
+from damaskcroft.consensus import AppendCondition, Replica
+from damaskcroft.control._answers import EXPIRED, Accepted, Unavailable
 from damaskcroft.control._fleet_control import FleetControl
 from damaskcroft.control._fleet_state import FleetState
 from damaskcroft.control._prompt_nodes import prompt_nodes
@@ -371,22 +371,31 @@
     async def Forward(self, stream: Any) -> None:  # noqa: N802
         """Commits a command on behalf of a node that does not lead."""
         request = await stream.recv_message()
-        outcome = await self._control.log.commit_here(request.command)
+        condition = None
+        if request.term:
+            condition = AppendCondition(request.term, request.before_s)
+        outcome = await self._control.log.commit_here(
+            request.command, condition
+        )
         reply = fleet_pb2.ForwardReply()
         if isinstance(outcome, Accepted):
             reply.committed = True
             reply.version = outcome.version
         elif isinstance(outcome, Unavailable):
             reply.not_taken = outcome.is_not_committed
+            reply.expired = outcome == EXPIRED
         await stream.send_message(reply)
 
     async def ReadIndex(self, stream: Any) -> None:  # noqa: N802
         """Confirms the leadership; sends the index that a reader must apply."""
         await stream.recv_message()
-        index = await self._control.log.confirmed_index()
-        reply = fleet_pb2.ReadIndexReply(
-            confirmed=index is not None, index=index or 0
-        )
+        point = await self._control.log.confirm_here()
+        reply = fleet_pb2.ReadIndexReply()
+        if point is not None:
+            reply.confirmed = True
+            reply.index = point.index
+            reply.term = point.term
+            reply.clock_s = point.clock_s
         await stream.send_message(reply)
 
 
--- a/damaskcroft/control/tests/test_evacuations.py
+++ b/damaskcroft/control/tests/test_evacuations.py
@@ -6,6 +6,7 @@
 
 from damaskcroft._generated import fleet_pb2
 from damaskcroft.control import Accepted, FleetState, Invalid
+from damaskcroft.control.tests.fake_caller import FakeCaller
 from damaskcroft.control.tests.test_fleet_control import (
     KEYS,
     followers,
@@ -42,7 +43,9 @@
     """Gives an order like an operator, who resends it until it is accepted."""
 
     def evacuate():
-        return node.control.evacuate(domain, evacuated=evacuated)
+        return node.control.evacuate(
+            domain, evacuated=evacuated, caller=FakeCaller()
+        )
 
     outcome = await retry_while_unavailable(evacuate)
     assert isinstance(outcome, Accepted)
@@ -108,7 +111,9 @@
     async def scenario():
         async with three_nodes(tmp_path) as nodes:
             add_domains(nodes)
-            outcome = await nodes[0].control.evacuate("d9", evacuated=True)
+            outcome = await nodes[0].control.evacuate(
+                "d9", evacuated=True, caller=FakeCaller()
+            )
             assert isinstance(outcome, Invalid)
             assert not any(evacuated_at(node) for node in nodes)
 
--- a/damaskcroft/control/tests/test_fleet_service.py
+++ b/damaskcroft/control/tests/test_fleet_service.py
@@ -54,7 +54,8 @@
     def member_addresses(self):
         return []
 
-    async def propose(self, command):
+    async def propose(self, command, condition=None):
+        assert condition is None
         return Committed(1, self._state.apply(1, command))
 
 
--- a/damaskcroft/hosted/tests/deployment.py
+++ b/damaskcroft/hosted/tests/deployment.py
@@ -146,9 +146,9 @@
             connection.close()
         return head.status, head, answer
 
-    async def operator(self, method, path, values=None):
+    async def operator(self, method, path, values=None, ips=CONTROL_IPS):
         body = json.dumps(values).encode() if values is not None else b""
-        for ip in CONTROL_IPS:
+        for ip in ips:
             status, _, answer = await self.call(
                 ip, self.control, method, path, body
             )
--- a/damaskcroft/platform/control_face.py
+++ b/damaskcroft/platform/control_face.py
@@ -17,6 +17,7 @@
     decode_configuration,
     decode_desired_version,
 )
+from damaskcroft.rpc import HttpCaller
 
 __all__ = ["control_routes"]
 
@@ -87,13 +88,14 @@
         return await self._evacuate(request, evacuated=False)
 
     async def _evacuate(self, request: Request, *, evacuated: bool) -> Response:
-        failure_domain = request.path_params["failure_domain"]
-        if await request.is_disconnected():
-            # The operator has sent the order to another node meanwhile, and
-            # perhaps the opposite one since.
-            return _response(Unavailable("the operator has left"))
+        # The body is ignored, but the end of the connection comes behind it.
+        await request.body()
         return _response(
-            await self._control.evacuate(failure_domain, evacuated=evacuated)
+            await self._control.evacuate(
+                request.path_params["failure_domain"],
+                evacuated=evacuated,
+                caller=HttpCaller(request),
+            )
         )
 
     async def receive_announcement(self, request: Request) -> Response:
--- a/damaskcroft/platform/tests/test_evacuation_calls.py
+++ b/damaskcroft/platform/tests/test_evacuation_calls.py
@@ -16,7 +16,8 @@
         self.orders = []
         self._outcome = outcome
 
-    async def evacuate(self, failure_domain, *, evacuated):
+    async def evacuate(self, failure_domain, *, evacuated, caller):
+        assert not await caller.has_left()
         self.orders.append((failure_domain, evacuated))
         return self._outcome
 
@@ -57,7 +58,7 @@
 
 
 @pytest.mark.parametrize("body", [b"", b"{}", b"\xff" * 1000, b"[" * 9999])
-def test_the_body_of_an_order_is_not_read(body):
+def test_the_body_of_an_order_is_ignored(body):
     control = RecordingControl(Accepted(1))
     assert call(control, "/api/evacuate/d1/start", body=body) == 200
 
--- a/damaskcroft/rpc/__init__.py
+++ b/damaskcroft/rpc/__init__.py
@@ -19,6 +19,7 @@
 from damaskcroft.rpc._server import serve_grpc
 
 if typing.TYPE_CHECKING:
+    from damaskcroft.rpc._callers import Caller, HttpCaller
     from damaskcroft.rpc._http import (
         CallerDisconnected,
         run_unless_disconnected,
@@ -28,8 +29,10 @@
 __all__ = [
     "CALL_ERRORS",
     "HTTP_ERRORS",
+    "Caller",
     "CallerDisconnected",
     "ChannelPool",
+    "HttpCaller",
     "Keys",
     "KeysError",
     "called",
@@ -49,8 +52,10 @@
 __getattr__ = lazy_imports(
     __name__,
     {
+        "Caller": "_callers",
         "CallerDisconnected": "_http",
         "HTTP_ERRORS": "_http_client",
+        "HttpCaller": "_callers",
         "make_http_client": "_http_client",
         "run_daemon": "_daemon",
         "run_unless_disconnected": "_http",
--- a/damaskcroft/rpc/_kept_connections.py
+++ b/damaskcroft/rpc/_kept_connections.py
@@ -18,8 +18,10 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 from uvicorn.server import ServerState
 
+from damaskcroft.clock import arrived_after_s
 from damaskcroft.http1 import Lingering, closing_answer
 from damaskcroft.observe import log_event, metrics
+from damaskcroft.rpc._callers import ARRIVED_AFTER_S
 
 __all__ = ["KeepAliveConnection", "SharedState"]
 
@@ -158,6 +160,11 @@
             self._is_closing_answer_sent = False
             metrics.IDLE_CONNECTIONS_CLOSED.labels("crossed").inc()
 
+    def on_message_begin(self) -> None:
+        """Begins to read a request; records when it can have arrived."""
+        super().on_message_begin()
+        self.scope["state"][ARRIVED_AFTER_S] = arrived_after_s()
+
     def on_headers_complete(self) -> None:
         """Begins to answer a request; the last one during a shutdown."""
         super().on_headers_complete()
--- a/damaskcroft/tests/test_clock.py
+++ b/damaskcroft/tests/test_clock.py
@@ -1,11 +1,16 @@
-"""How often a program's event loop polls the kernel for I/O."""
+"""Polls of a program's event loop, and what they tell of arrivals."""
 
 import asyncio
+import contextlib
 import socket
+import time
 
-from damaskcroft.clock import run
+import pytest
+
+from damaskcroft.clock import arrived_after_s, now_s, run
 
 QUEUE_COUNT = 6
+BLOCKED_S = 0.3
 
 
 async def pass_through(queues):
@@ -59,3 +64,67 @@
             await asyncio.sleep(0)
 
     assert run(scenario()) == b"x"
+
+
+class Recorder(asyncio.Protocol):
+    """Records the earliest time at which each message can have arrived."""
+
+    def __init__(self, arrivals):
+        self._arrivals = arrivals
+
+    def data_received(self, data):
+        del data
+        self._arrivals.put_nowait(arrived_after_s())
+
+
+@contextlib.asynccontextmanager
+async def recording_server():
+    """Yields the queue of arrivals, and a function that makes a client."""
+    arrivals = asyncio.Queue()
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(
+        lambda: Recorder(arrivals), "127.0.0.1", 0, backlog=1
+    )
+    address = server.sockets[0].getsockname()
+    async with server:
+        yield arrivals, lambda: socket.create_connection(address)
+
+
+@pytest.mark.parametrize("is_connected_before", [False, True])
+def test_a_message_that_waits_for_the_loop_is_known_to_be_old(
+    is_connected_before,
+):
+    """Guards against a suspended process that takes old messages for new."""
+
+    async def scenario():
+        async with recording_server() as (arrivals, connect):
+            with contextlib.ExitStack() as clients:
+                if is_connected_before:
+                    client = clients.enter_context(connect())
+                    client.sendall(b"x")
+                    await arrivals.get()
+                else:
+                    client = clients.enter_context(connect())
+                    clients.enter_context(connect())
+                client.sendall(b"x")
+                sent_at = now_s()
+                # Like a suspension, this stops all tasks of the process.
+                time.sleep(BLOCKED_S)  # noqa: ASYNC251
+                return sent_at, await arrivals.get()
+
+    sent_at, arrived_after = run(scenario())
+    assert arrived_after <= sent_at
+
+
+def test_a_message_in_a_calm_process_is_known_to_be_new():
+    async def scenario():
+        async with recording_server() as (arrivals, connect):
+            for _ in range(20):
+                await asyncio.sleep(0.02)
+            with connect() as client:
+                client.sendall(b"x")
+                sent_at = now_s()
+                return sent_at, await arrivals.get()
+
+    sent_at, arrived_after = run(scenario())
+    assert arrived_after > sent_at - BLOCKED_S
