Control: lifts and leaves that no longer tell what they mean are refused

A lift of a quarantine that a suspended node reads after damaskctl has asked the next node (6 s) could release a request that was quarantined anew since: refused after 5 s. A leave that names its start, and a list without a lift, are answered as before.

Found by reading; no deployment showed either. With the two comparisons switched off both new tests fail, with them they pass.

--- a/damaskcroft/control/_fleet_control.py
+++ b/damaskcroft/control/_fleet_control.py
@@ -7,7 +7,13 @@
 from damaskcroft._generated import fleet_pb2
 from damaskcroft.clock import now_s
 from damaskcroft.consensus import Replica
-from damaskcroft.control._answers import EXPIRED, Accepted, Invalid, Unavailable
+from damaskcroft.control._answers import (
+    EXPIRED,
+    Accepted,
+    Invalid,
+    Unavailable,
+    record_refusal,
+)
 from damaskcroft.control._command_log import COMMIT_TIMEOUT_S, CommandLog
 from damaskcroft.control._fleet_state import FleetState
 from damaskcroft.fleet import (
@@ -229,19 +235,27 @@
         return is_majority_informed
 
     async def leave(
-        self, target_id: str, start: fleet_pb2.TargetState | InvalidAnnouncement
+        self,
+        target_id: str,
+        start: fleet_pb2.TargetState | InvalidAnnouncement,
+        caller: Caller,
     ) -> bool | InvalidAnnouncement:
         """Processes the last announcement of a target; see `announce`.
 
         Args:
             target_id: the id of the target.
             start: the start that ends. Without a time of birth it is taken to
-                be the newest start known to this node.
+                be the newest start known to this node, unless the target may
+                have started again since it sent this.
+            caller: the target.
         """
         if isinstance(start, InvalidAnnouncement):
             record_invalid_announcement("leave", target_id, start)
             return start
         if not start.born_ms:
+            if now_s() > caller.arrived_after_s + COMMIT_TIMEOUT_S:
+                record_refusal("leave", EXPIRED)
+                return False
             start.born_ms = self._view.targets.newest_born_ms(target_id)
         return await self.announce(target_id, start)
 
--- a/damaskcroft/control/_quarantine_service.py
+++ b/damaskcroft/control/_quarantine_service.py
@@ -6,10 +6,15 @@
 from grpclib import GRPCError, Status
 
 from damaskcroft._generated import quarantine_grpc, quarantine_pb2
+from damaskcroft.clock import arrived_after_s, now_s
+from damaskcroft.control._answers import EXPIRED, record_refusal
 from damaskcroft.quarantine import CrashRegistry
 
 __all__ = ["QuarantineService"]
 
+# Operators ask another node after six seconds without an answer.
+_LIFT_VALID_S = 5.0
+
 
 class QuarantineService(quarantine_grpc.QuarantineBase):
     """Lists quarantined requests and lifts the quarantine of some.
@@ -34,10 +39,18 @@
         self._is_authoritative = is_authoritative
 
     async def Review(self, stream: Any) -> None:  # noqa: N802
-        """Lifts the requested quarantines, then lists the remaining ones."""
+        """Lifts the requested quarantines, then lists the remaining ones.
+
+        A lift that its caller may have given up is refused: the request may
+        have been quarantined anew since.
+        """
+        valid_until = arrived_after_s() + _LIFT_VALID_S
         request = await stream.recv_message()
         if not self._is_authoritative():
             raise GRPCError(Status.UNAVAILABLE, "not the leader")
+        if request.lift and now_s() > valid_until:
+            record_refusal("lift", EXPIRED)
+            raise GRPCError(Status.UNAVAILABLE, EXPIRED.reason)
         reply = quarantine_pb2.QuarantineReply()
         for suspect in request.lift:
             cleared = self._registry.lift(suspect)
--- a/damaskcroft/control/tests/test_crashes.py
+++ b/damaskcroft/control/tests/test_crashes.py
@@ -3,12 +3,17 @@
 import asyncio
 
 import pytest
+from grpclib import GRPCError
 
 from damaskcroft._generated import fleet_pb2, quarantine_pb2
-from damaskcroft.control import QuarantineService
+from damaskcroft.clock import now_s
+from damaskcroft.control import QuarantineService, _quarantine_service
 from damaskcroft.control.tests.test_fleet_service import Node, WatchStream
 from damaskcroft.fleet import FleetView
 
+# After this time an operator asks another node.
+OPERATOR_TIMEOUT_S = 6.0
+
 
 class RequestStream(WatchStream):
     """A stream of any call, which sends one request and keeps the reply."""
@@ -128,3 +133,30 @@
         watching.cancel()
 
     run_scenario(scenario)
+
+
+def test_a_lift_that_its_operator_gave_up_releases_nothing(
+    run_scenario, monkeypatch
+):
+    """Guards against a lift that a suspended node reads much later."""
+    monkeypatch.setattr(
+        _quarantine_service,
+        "arrived_after_s",
+        lambda: now_s() - OPERATOR_TIMEOUT_S,
+    )
+
+    async def scenario(node):
+        await relay_crashes(node, *(crash(f"t{n}", b"bad") for n in range(3)))
+        lift = quarantine_pb2.QuarantineRequest(lift=[b"bad"])
+        service = QuarantineService(
+            node.view.crashes, node.service.publish_crashes
+        )
+        with pytest.raises(GRPCError):
+            await service.Review(RequestStream(None, lift))
+        assert node.view.crashes.quarantined_s(b"bad")
+        # Without a lift, the list is as good as any.
+        listing = RequestStream(None, quarantine_pb2.QuarantineRequest())
+        await service.Review(listing)
+        assert len(listing.reply.requests) == 1
+
+    run_scenario(scenario)
--- a/damaskcroft/control/tests/test_fleet_control.py
+++ b/damaskcroft/control/tests/test_fleet_control.py
@@ -25,6 +25,7 @@
     Unavailable,
     _command_log,
 )
+from damaskcroft.control.tests.fake_caller import FakeCaller
 from damaskcroft.fleet import FleetView, Watcher
 from damaskcroft.rpc import ChannelPool, Keys, serve_grpc
 from damaskcroft.standins.loopback import free_address
@@ -265,7 +266,7 @@
             await wait_until(lambda: "t" in view.targets.targets_by_id)
             # The last announcement does not state which start it ends.
             ended = fleet_pb2.TargetState(id="t", phase=fleet_pb2.TARGET_GONE)
-            assert await nodes[1].control.leave("t", ended) is True
+            assert await nodes[1].control.leave("t", ended, FakeCaller())
             await wait_until(lambda: "t" not in view.targets.targets_by_id)
             await retry_while_unavailable(
                 nodes[0].control.name_weights,
--- a/damaskcroft/platform/control_face.py
+++ b/damaskcroft/platform/control_face.py
@@ -108,7 +108,9 @@
     async def receive_leave(self, request: Request) -> Response:
         target_id = request.path_params["target_id"]
         start = decode_leave(target_id, await request.body())
-        return _acknowledge(await self._control.leave(target_id, start))
+        return _acknowledge(
+            await self._control.leave(target_id, start, HttpCaller(request))
+        )
 
 
 def _response(outcome: Accepted | Invalid | Unavailable) -> Response:
--- a/damaskcroft/platform/tests/test_targets_over_http.py
+++ b/damaskcroft/platform/tests/test_targets_over_http.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 
 import pytest
 from starlette.applications import Starlette
@@ -10,6 +11,7 @@
 from damaskcroft.control import FleetControl, FleetState
 from damaskcroft.fleet import FleetView
 from damaskcroft.platform.control_face import control_routes
+from damaskcroft.rpc._callers import ARRIVED_AFTER_S
 
 BORN_MS = 1_764_000_000_000
 ANNOUNCEMENT = {
@@ -51,10 +53,10 @@
         }
         return self.post(target_id, "heartbeat", json.dumps(values).encode())
 
-    def leave(self, target_id, body=b""):
-        return self.post(target_id, "leave", body)
+    def leave(self, target_id, body=b"", arrived_after_s=math.inf):
+        return self.post(target_id, "leave", body, arrived_after_s)
 
-    def post(self, target_id, call, body):
+    def post(self, target_id, call, body, arrived_after_s=math.inf):
         statuses = []
 
         async def receive():
@@ -69,6 +71,7 @@
             "path": f"/api/instances/{target_id}/{call}",
             "query_string": b"", "raw_path": b"", "root_path": "",
             "http_version": "1.1", "scheme": "http",
+            "state": {ARRIVED_AFTER_S: arrived_after_s},
         }  # fmt: skip
         asyncio.run(self._app(scope, receive, send))
         return statuses[0]
@@ -99,6 +102,20 @@
     assert node.list_targets() == [TARGET]
 
 
+def test_an_old_leave_without_its_start_does_not_end_the_next_start(node):
+    """Guards against a leave that a suspended node reads after a restart."""
+    node.announce("i", sequence=1, born=BORN_MS + 5000)
+    assert node.leave("i", arrived_after_s=-math.inf) == 503
+    assert node.list_targets() == [TARGET]
+
+
+def test_an_old_leave_that_names_its_start_takes_effect(node):
+    node.announce("i", sequence=1, born=BORN_MS)
+    body = json.dumps({"born": BORN_MS}).encode()
+    assert node.leave("i", body, arrived_after_s=-math.inf) == 200
+    assert node.list_targets() == []
+
+
 @pytest.mark.parametrize("states_start", [True, False])
 def test_target_that_left_may_restart_with_same_id(node, states_start):
     """The leave message states the start, or comes from an older sender."""
