Agents: a load relies on checks of pieces that are recent when it is ordered

Callers got sealed answers from weights with a wrong piece: an agent that was suspended inside its check of the staged pieces, or between the check and the order, ordered the load of a piece that had been bad for over 4 s.

Cause: a check had the time of its end, and nothing compared it after the turn in the rolling update, the announcement, the wait and the target's report.

Change: each piece has the time at which it was asked for. The order has a time before which it must be written, 2.5 s after the oldest of these; the connection compares it in the step in which it writes, after any wait for a connection. An order that is too late is not sent (OrderExpired): the target goes back into service, its place is free, and only what is too old is checked again. The last order of an agent that ends does the same, or drops the old weights.

--- a/damaskcroft/agent/_fleet_stager.py
+++ b/damaskcroft/agent/_fleet_stager.py
@@ -14,6 +14,7 @@
 from damaskcroft._generated import fleet_pb2
 from damaskcroft.agent._fleet_agent import FleetAgent
 from damaskcroft.agent._manifest_reader import ManifestReader
+from damaskcroft.agent._piece_checks import PieceChecks
 from damaskcroft.agent._version_choice import (
     ModelVersion,
     VersionChoice,
@@ -50,9 +51,16 @@
 # Chunks that could not be put are retried after this time, or when the next one
 # is received.
 _PUT_RETRY_S = 0.5
-# Pieces verified at the target within this time need no second check before an
-# order.
-_CHECK_VALID_S = 1.0
+# While an agent waits for its place in the rolling update, pieces are checked
+# again at this age.
+_RECHECK_AGE_S = 1.0
+# The same directly before the order, when the target is already out of service:
+# only pieces whose check the agent could not use in time are checked again.
+_RECHECK_AGE_BEFORE_ORDER_S = 1.75
+# No order is sent that covers a piece checked longer ago. A target that takes
+# its order half a second later still takes pieces that were correct three
+# seconds before, as the platform requires.
+_MAX_CHECK_AGE_S = 2.5
 
 
 class FleetStager:
@@ -110,8 +118,8 @@
         # Version that is complete and verified in the store and put at the
         # target.
         self.staged: ModelVersion | None = None
-        self._checked_at = float("-inf")
         self.staged_version: StagedVersion | None = None
+        self._checks = PieceChecks(0)
 
     def version_to_stage(self) -> ModelVersion | None:
         """Returns the version to stage; see `VersionChoice`."""
@@ -192,34 +200,50 @@
             return partial.content, reader
         return await reader.read_first(), reader
 
-    async def restage(self) -> bool:
-        """Reads all staged pieces back and puts corrupt ones again.
+    async def restage(self, *, before_order: bool = False) -> bool:
+        """Reads staged pieces back and puts corrupt ones again.
 
-        The check is skipped if it was made just before. An agent checks while
-        it waits for its place in the rolling update, so that its target is out
-        of service only while loading.
+        Pieces checked just before are skipped. An agent checks while it waits
+        for its place in the rolling update, so that its target is out of
+        service only while loading.
+
+        Args:
+            before_order: whether the target is out of service already.
 
         Returns:
-            Whether every piece at the target is correct now.
+            Whether each piece was correct when it was checked; see
+            `order_before_s` for how long that counts.
         """
-        version = self.staged_version
+        version, checks = self.staged_version, self._checks
         if version is None or self.staged is None:
             return False
-        if now_s() - self._checked_at < _CHECK_VALID_S:
-            return True
-        for index in range(len(version.held)):
-            digest = version.manifest.chunks[index].digest
-            data = await self._engine.fetch_staged_piece(
-                version.manifest.model, index
-            )
-            if data is not None and hashlib.sha256(data).digest() == digest:
-                continue
-            log_event("staged_piece_spoilt", index=index, lost=data is None)
-            if not await self._stage_piece(version, index):
-                return False
-        self._checked_at = now_s()
+        age_s = _RECHECK_AGE_BEFORE_ORDER_S if before_order else _RECHECK_AGE_S
+        for index in checks.older_than(age_s):
+            asked_at = now_s()
+            if not await self._is_staged_piece_correct(version, index):
+                asked_at = now_s()
+                if not await self._stage_piece(version, index):
+                    return False
+            checks.record(index, asked_at)
         return True
 
+    async def _is_staged_piece_correct(
+        self, version: StagedVersion, index: int
+    ) -> bool:
+        data = await self._engine.fetch_staged_piece(
+            version.manifest.model, index
+        )
+        digest = version.manifest.chunks[index].digest
+        if data is not None and hashlib.sha256(data).digest() == digest:
+            return True
+        log_event("staged_piece_spoilt", index=index, lost=data is None)
+        return False
+
+    @property
+    def order_before_s(self) -> float:
+        """Loop time until which an order may rely on all checks."""
+        return self._checks.oldest_at + _MAX_CHECK_AGE_S
+
     def record_start(self, born_ms: int) -> None:
         """Records the start of the target that sent a report.
 
@@ -323,7 +347,7 @@
     ) -> None:
         # Nothing is left to be put, unless the target has restarted.
         await self._put_as_received(version)
-        self._checked_at = float("-inf")
+        self._checks = PieceChecks(len(version.held))
         self.staged = chosen
         self.staged_version = version
         log_event(
--- a/damaskcroft/agent/_fleet_switcher.py
+++ b/damaskcroft/agent/_fleet_switcher.py
@@ -159,12 +159,8 @@
             return
         if not self._guard.is_due_during_restart(report):
             return
-        staged = self._stager.staged
-        if staged is not None and await self._stager.restage():
-            # The order to load removes the old weights as well.
-            await self._announce(fleet_pb2.AGENT_SWITCHING, report)
-            await self._order(report, staged)
-        else:
+        # The order to load removes the old weights as well.
+        if not await self._load_before_leaving(report):
             await self._guard.drop_old_weights(report)
         report = await self._engine.report()
         if isinstance(report, EngineReport):
@@ -172,6 +168,14 @@
             # the agent does.
             await self._announce(fleet_pb2.AGENT_SERVING, report)
 
+    async def _load_before_leaving(self, report: EngineReport) -> bool:
+        """Orders the load of a staged version; returns whether it begins."""
+        staged = self._stager.staged
+        if staged is None or not await self._stager.restage():
+            return False
+        await self._announce(fleet_pb2.AGENT_SWITCHING, report)
+        return await self._order(report, staged)
+
     async def _switch(self, report: EngineReport, staged: ModelVersion) -> None:
         log_event(
             "switching",
@@ -190,8 +194,11 @@
 
         A target that has restarted since its pieces were verified may have
         lost some of them, and its order sequence may be the same as before, so
-        its start is checked once more.
+        its start is checked once more. Pieces may also have become corrupt
+        since, so the order is sent only while their checks are recent.
         """
+        if not await self._stager.restage(before_order=True):
+            return False
         async with self._stager.pieces_lock:
             now = await self._engine.report()
             if not isinstance(now, EngineReport):
@@ -205,6 +212,7 @@
                 staged.version,
                 report.sequence,
                 abort_running=self._may_interrupt(),
+                before_s=self._stager.order_before_s,
             )
         metrics.ORDERS.labels("start", type(order).__name__).inc()
         log_event("ordered", path=staged.path, outcome=order)
--- a/damaskcroft/agent/tests/test_fleet_switcher.py
+++ b/damaskcroft/agent/tests/test_fleet_switcher.py
@@ -1,6 +1,7 @@
 """Order of targets in a rolling update, and the orders sent to a target."""
 
 import asyncio
+import math
 
 import pytest
 
@@ -45,7 +46,7 @@
     async def report(self):
         return EngineReport(self.held, False, len(self.orders), 3)
 
-    async def start(self, model, version, sequence, *, abort_running):
+    async def start(self, model, version, sequence, *, abort_running, before_s):
         assert sequence == len(self.orders)
         self.orders.append((model, version))
         self.cut = abort_running
@@ -65,6 +66,7 @@
 class FakeStager:
     restages = True
     may_find_version = True
+    order_before_s = math.inf
 
     def __init__(self):
         self.staged = STAGED
@@ -80,7 +82,7 @@
     def version_to_stage(self):
         return STAGED
 
-    async def restage(self):
+    async def restage(self, *, before_order=False):
         return self.restages
 
 
@@ -274,7 +276,7 @@
     """A version is announced between the decision to switch and the order."""
 
     class Overtaken(FakeStager):
-        async def restage(self):
+        async def restage(self, *, before_order=False):
             loop.call_later(0.01, setattr, self, "staged", None)
             return True
 
--- a/damaskcroft/agent/tests/test_guard_in_time.py
+++ b/damaskcroft/agent/tests/test_guard_in_time.py
@@ -115,7 +115,7 @@
     """The agent reads 96 pieces at 10 ms each while it waits to switch."""
 
     class SlowToRead(NothingStaged):
-        async def restage(self):
+        async def restage(self, *, before_order=False):
             await asyncio.sleep(0.96)
             return True
 
--- a/damaskcroft/engines/__init__.py
+++ b/damaskcroft/engines/__init__.py
@@ -6,6 +6,7 @@
 from damaskcroft.engines._orders import (
     EngineUnreachable,
     OrderAccepted,
+    OrderExpired,
     OrderFailed,
     OrderOutcome,
     OrderRefused,
@@ -34,6 +35,7 @@
     "FencingEngine",
     "LoadOrder",
     "OrderAccepted",
+    "OrderExpired",
     "OrderFailed",
     "OrderOutcome",
     "OrderRefused",
--- a/damaskcroft/engines/_orders.py
+++ b/damaskcroft/engines/_orders.py
@@ -26,6 +26,11 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderExpired:
+    """The order was not sent: its time had passed before it could be."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EngineUnreachable:
     """The target does not answer."""
--- a/damaskcroft/engines/_staged.py
+++ b/damaskcroft/engines/_staged.py
@@ -4,7 +4,11 @@
 import dataclasses
 
 from damaskcroft._generated import fleet_pb2
-from damaskcroft.engines._orders import EngineUnreachable, OrderOutcome
+from damaskcroft.engines._orders import (
+    EngineUnreachable,
+    OrderExpired,
+    OrderOutcome,
+)
 
 __all__ = ["EngineReport", "StagedEngine"]
 
@@ -47,8 +51,14 @@
 
     @abc.abstractmethod
     async def start(
-        self, model: str, version: int, sequence: int, *, abort_running: bool
-    ) -> OrderOutcome:
+        self,
+        model: str,
+        version: int,
+        sequence: int,
+        *,
+        abort_running: bool,
+        before_s: float,
+    ) -> OrderOutcome | OrderExpired:
         """Orders the target to load the staged pieces as a version.
 
         Args:
@@ -57,6 +67,8 @@
             sequence: number of orders begun so far; the target runs the order
                 only if its own count is the same.
             abort_running: abort running requests instead of waiting for them.
+            before_s: loop time after which the order must not be sent, because
+                the check of the staged pieces is too old by then.
         """
 
     @abc.abstractmethod
--- a/damaskcroft/platform/engine.py
+++ b/damaskcroft/platform/engine.py
@@ -8,6 +8,7 @@
     EngineReport,
     EngineUnreachable,
     OrderAccepted,
+    OrderExpired,
     OrderFailed,
     OrderOutcome,
     OrderRefused,
@@ -16,7 +17,12 @@
 from damaskcroft.fleet import InvalidAnnouncement, record_invalid_announcement
 from damaskcroft.observe import log_event
 from damaskcroft.platform.announcements import decode_report
-from damaskcroft.rpc import HTTP_ERRORS, make_http_client
+from damaskcroft.rpc import (
+    HTTP_ERRORS,
+    SendExpiredError,
+    make_http_client,
+    sending_before,
+)
 
 __all__ = ["PlatformEngine"]
 
@@ -70,11 +76,21 @@
         return outcome[1]
 
     async def start(
-        self, model: str, version: int, sequence: int, *, abort_running: bool
-    ) -> OrderOutcome:
+        self,
+        model: str,
+        version: int,
+        sequence: int,
+        *,
+        abort_running: bool,
+        before_s: float,
+    ) -> OrderOutcome | OrderExpired:
         """Orders the server to load and serve a version of a model."""
         order = _encode_start_order(model, version, sequence, abort_running)
-        return await self._send_order(order)
+        try:
+            with sending_before(before_s):
+                return await self._send_order(order)
+        except SendExpiredError:
+            return OrderExpired()
 
     async def keep_only(
         self,
--- a/damaskcroft/platform/tests/test_engine.py
+++ b/damaskcroft/platform/tests/test_engine.py
@@ -1,13 +1,14 @@
 """Orders as a model server of the platform receives them."""
 
 import asyncio
+import math
 
 import pytest
 from starlette.responses import Response
 from starlette.routing import Route
 
 from damaskcroft._generated import fleet_pb2
-from damaskcroft.engines import OrderAccepted, OrderRefused
+from damaskcroft.engines import OrderAccepted, OrderExpired, OrderRefused
 from damaskcroft.platform.engine import PlatformEngine
 from damaskcroft.rpc import serve_http
 from damaskcroft.standins.loopback import free_address
@@ -38,10 +39,26 @@
     return received, outcome
 
 
+def start_before(before_s):
+    """Returns an order to load version 2, to be sent before a loop time."""
+
+    async def order(engine):
+        return await engine.start(
+            "m", 2, 5, abort_running=True, before_s=before_s
+        )
+
+    return order
+
+
+def test_order_is_not_sent_after_its_time(address):
+    """Guards against a load of pieces that were verified too long ago."""
+    received, outcome = send_order(address, start_before(0.0))
+    assert outcome == OrderExpired()
+    assert not received
+
+
 def test_order_of_a_complete_version_has_no_layer_range(address):
-    received, outcome = send_order(
-        address, lambda engine: engine.start("m", 2, 5, abort_running=True)
-    )
+    received, outcome = send_order(address, start_before(math.inf))
     assert outcome == OrderAccepted()
     assert received == [
         {
--- a/damaskcroft/rpc/_http_client.py
+++ b/damaskcroft/rpc/_http_client.py
@@ -1,6 +1,10 @@
 """HTTP clients that close the connection of a cancelled call."""
 
+import contextlib
+import contextvars
+import math
 import time
+from collections.abc import Iterator
 from urllib.parse import ParseResult
 
 import aiosonic
@@ -10,11 +14,35 @@
 from aiosonic.pools import PoolConfig
 from aiosonic.timeout import Timeouts
 
+from damaskcroft.clock import now_s
+
 # Raised by an HTTP call whose server is unreachable, slow or sends invalid
 # responses.
 HTTP_ERRORS = (OSError, EOFError, ValueError, AiosonicError)
 
 
+_send_before_s = contextvars.ContextVar("send_before_s", default=math.inf)
+
+
+class SendExpiredError(Exception):
+    """A request was not sent, because its time had passed."""
+
+
+@contextlib.contextmanager
+def sending_before(before_s: float) -> Iterator[None]:
+    """Context in which requests are sent until a loop time, or not at all.
+
+    The time is compared in the same step in which a request is written, after
+    any wait for a connection. A call that comes too late raises
+    SendExpiredError.
+    """
+    token = _send_before_s.set(before_s)
+    try:
+        yield
+    finally:
+        _send_before_s.reset(token)
+
+
 class _CloseOnErrorConnection(Connection):
     """Closes when its call is cancelled or fails.
 
@@ -22,6 +50,12 @@
     continue to work on a request whose response is no longer read.
     """
 
+    def write(self, data: bytes) -> None:
+        """Writes a part of a request, unless it is too late to send it."""
+        if now_s() > _send_before_s.get():
+            raise SendExpiredError
+        super().write(data)
+
     async def __aexit__(self, exc_type, exc, tb) -> None:
         if exc is not None:
             exc.add_note(f"idle_s={self._idle_s()}")
