Soak: an operator who leaves suspended nodes, and weights beside a suspended agent

The operator of evacuations leaves a node after a second without an answer, ends the connection in one of three ways, asks another one, and sends the order before once more before the next: its revision tells whether a stale order came between. A model server loads version after version; its agent is suspended when it reads a piece back, while others turn bad.

--- a/damaskcroft/hosted/tests/deployment.py
+++ b/damaskcroft/hosted/tests/deployment.py
@@ -71,15 +71,15 @@
     def address(self, ip, port):
         return f"{ip}:{port}"
 
-    async def start(self, role, ip, *, first=True, target=""):
-        """Starts a program; `target` is the address that an agent serves."""
+    async def start(self, role, ip, *, first=True, target="", service="s"):
+        """Starts a program; an agent serves the target of a service."""
         name = f"{role}-{ip.rpartition('.')[2]}"
         listen, data = "", ""
         if role == "control":
             listen = f'control = "{ip}:{self.control}"'
             data = f'data_dir = "{self.folder / name}"'
         if role == "agent":
-            data = f'app = "{target}"\nservice = "s"'
+            data = f'app = "{target}"\nservice = "{service}"'
         if role == "entry":
             listen = (
                 f'front = "{ip}:{self.front}"\n'
--- a/damaskcroft/hosted/tests/model_server.py
+++ b/damaskcroft/hosted/tests/model_server.py
@@ -14,7 +14,7 @@
 
 __all__ = ["LAYERS", "MODEL", "PIECES", "ModelServer", "engine_values"]
 
-MODEL = "m"
+MODEL = "w"
 PIECES, PIECE_BYTES, LAYERS = 24, 64, 4
 _LOAD_S = 0.2
 _ANNOUNCE_INTERVAL_S = 0.5
@@ -40,13 +40,14 @@
         on_read: called with the index of each piece that is read back.
     """
 
-    def __init__(self, deployment, name, address):
+    def __init__(self, deployment, name, address, service="s"):
         self.version = 1
         self.taken = []
         self.on_read = lambda index: None
         self._deployment = deployment
         self._name = name
         self._address = address
+        self._service = service
         self._sequence = 0
         self._born_ms = int(time.time() * 1000)
         self._busy = False
@@ -84,7 +85,7 @@
     async def _announce(self):
         for number in range(1, 10**6):
             values = {
-                "service": "s", "address": self._address, "zone": "z0",
+                "service": self._service, "address": self._address,
                 "state": "ready", "slots": 4, "sequence": number,
                 "born": self._born_ms, **self._held(),
             }  # fmt: skip
--- a/damaskcroft/hosted/tests/soak/_evacuations.py
+++ b/damaskcroft/hosted/tests/soak/_evacuations.py
@@ -3,6 +3,11 @@
 import asyncio
 import time
 
+from damaskcroft.hosted.tests.abandoned_orders import (
+    ConnectionEnd,
+    abandon_order,
+)
+from damaskcroft.hosted.tests.deployment import CONTROL_IPS
 from damaskcroft.hosted.tests.soak._history import CONTACT_S
 
 # From this seed on, the failure domain of one target is evacuated and taken
@@ -17,6 +22,8 @@
 _IN_EFFECT_S = 2.0
 _RETURN_TIMEOUT_S = 6.0
 _REQUESTS_AT_END = 40
+# Time after an abandoned order at which its connection is closed, if late.
+_LATE_END_S = (1.0, 6.0)
 
 
 def has_evacuations(seed):
@@ -90,15 +97,20 @@
         ]
 
     async def _order(self, order):
+        """Sends an order until it is acknowledged; returns whether it was."""
         path = f"/api/evacuate/{EVACUATED_DOMAIN}/{order}"
         gives_up_at = time.monotonic() + _ACKNOWLEDGE_TIMEOUT_S
-        while (await self._deployment.operator(b"POST", path))[0] != 200:
+        while not await self._is_acknowledged(path):
             if time.monotonic() > gives_up_at:
                 self._history.violations.append(f"{path} is not acknowledged")
                 self.end()
-                return
+                return False
             await asyncio.sleep(_RETRY_INTERVAL_S)
         self._journal(f"acknowledged {path}")
+        return True
+
+    async def _is_acknowledged(self, path):
+        return (await self._deployment.operator(b"POST", path))[0] == 200
 
     async def _wait_unless_ending(self):
         try:
@@ -106,3 +118,49 @@
                 await self._ending.wait()
         except TimeoutError:
             return
+
+
+class AbandoningOperator(EvacuatingOperator):
+    """Leaves each node that does not answer in time, and asks another one.
+
+    Before an order, the one before is sent again. It changes nothing and is
+    answered with the revision of its acknowledgement, unless something else
+    has changed the state since.
+    """
+
+    def __init__(self, rng, deployment, history, journal):
+        super().__init__(rng, deployment, history, journal)
+        self._in_force = ""
+        self._revision = 0
+        self._closing = set()
+
+    async def _order(self, order):
+        before, revision = self._in_force, self._revision
+        if before and await super()._order(before):
+            if self._revision != revision:
+                self._history.violations.append(
+                    f"{before} was undone by a stale order: revision"
+                    f" {revision} became {self._revision}"
+                )
+        self._in_force = order
+        return await super()._order(order)
+
+    async def _is_acknowledged(self, path):
+        for ip in self._rng.sample(CONTROL_IPS, len(CONTROL_IPS)):
+            end = self._rng.choice(list(ConnectionEnd))
+            closed_at = asyncio.get_running_loop().time() + self._rng.uniform(
+                *_LATE_END_S
+            )
+            try:
+                answer, closing = await abandon_order(
+                    f"{ip}:{self._deployment.control}", path, end, closed_at
+                )
+            except OSError:
+                continue
+            if closing is not None:
+                self._closing.add(closing)
+                closing.add_done_callback(self._closing.discard)
+            if answer is not None and answer.status == 200:
+                self._revision = answer.revision
+                return True
+        return False
--- a/damaskcroft/hosted/tests/soak/_faults.py
+++ b/damaskcroft/hosted/tests/soak/_faults.py
@@ -63,6 +63,11 @@
 _RETRY_GAP_S = (0.5, 3.0)
 _LOST_SHARE = 0.7
 _LOST_FOR_FACTOR = 3
+# From this seed on, control nodes are suspended beside all other faults, long
+# enough for operators to leave them, and so are agents.
+SUSPENSIONS_FROM_SEED = 8000
+_SUSPENSION_KINDS = ("pause control",)
+_SUSPENSION_GAP_S = (1.0, 4.0)
 # Planned operations, during which callers must still be answered.
 _PLANNED_KINDS = ("stop control", "stop entry", "hup all", "leave target")
 _KINDS = (
@@ -112,6 +117,13 @@
     if has_lost_answers(seed):
         rng = random.Random(f"{seed}/retries")
         faults += _draw_faults(rng, seconds, _RETRY_KINDS, _RETRY_GAP_S)
+    if has_suspensions(seed):
+        faults += _draw_faults(
+            random.Random(f"{seed}/suspensions"),
+            seconds,
+            _SUSPENSION_KINDS,
+            _SUSPENSION_GAP_S,
+        )
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
@@ -135,6 +147,11 @@
     return seed >= LOST_ANSWERS_FROM_SEED
 
 
+def has_suspensions(seed):
+    """Whether the operator of evacuations and an agent meet suspensions."""
+    return seed >= SUSPENSIONS_FROM_SEED
+
+
 def _pause_faults(seed, seconds):
     """Pauses that don't overlap; later seeds mix in configuration changes."""
     if has_changes(seed):
--- a/damaskcroft/hosted/tests/soak/_operator.py
+++ b/damaskcroft/hosted/tests/soak/_operator.py
@@ -37,13 +37,15 @@
     Args:
         timeout_ms: timeout of every route.
         with_key: whether requests need an API key.
+        more_services: services beside the one that requests use.
 
     Attributes:
         newest: newest version that any operator has put; 0 before the first.
     """
 
-    def __init__(self, timeout_ms, *, with_key):
+    def __init__(self, timeout_ms, *, with_key, more_services=()):
         self._timeout_ms = timeout_ms
+        self._more_services = more_services
         self._with_key = with_key
         self._lacks_by_version = {}
         self._unlocked = asyncio.Event()
@@ -100,7 +102,7 @@
         values = {
             "version": version,
             "routes": routes,
-            "services": [{"name": service}],
+            "services": [{"name": service}, *self._more_services],
         }
         if self._with_key:
             key = _OTHER_KEY if lacks == "key" else _KEY
--- a/damaskcroft/hosted/tests/soak/_run.py
+++ b/damaskcroft/hosted/tests/soak/_run.py
@@ -14,6 +14,7 @@
 from damaskcroft.hosted.tests.soak._evacuations import (
     EVACUATED_DOMAIN,
     OTHER_DOMAIN,
+    AbandoningOperator,
     EvacuatingOperator,
     has_evacuations,
 )
@@ -23,6 +24,7 @@
     has_lost_answers,
     has_parts,
     has_pauses,
+    has_suspensions,
     schedule,
 )
 from damaskcroft.hosted.tests.soak._history import (
@@ -38,6 +40,7 @@
     CrashEnding,
     Target,
 )
+from damaskcroft.hosted.tests.soak._weights import WeightsUnderFaults
 from damaskcroft.http1 import (
     CutShortError,
     NoAnswerError,
@@ -100,7 +103,10 @@
             )
             for n in range(_TARGETS)
         ]
-        self._evacuating = EvacuatingOperator(
+        operator_type = (
+            AbandoningOperator if has_suspensions(seed) else EvacuatingOperator
+        )
+        self._evacuating = operator_type(
             random.Random(f"{seed}/evacuations"),
             self.deployment,
             self.history,
@@ -115,7 +121,19 @@
             self._send_crashing_part,
             self._configuration_lacking,
         )
-        self._versions = Versions(self._deadline_ms, with_key=has_changes(seed))
+        self._weights = WeightsUnderFaults(
+            random.Random(f"{seed}/weights"),
+            self.deployment,
+            self.history,
+            self.write_journal,
+        )
+        self._versions = Versions(
+            self._deadline_ms,
+            with_key=has_changes(seed),
+            more_services=(
+                self._weights.services() if has_suspensions(seed) else ()
+            ),
+        )
         self._operators = [
             Operator(
                 random.Random(f"{seed}/operator{number}"),
@@ -168,10 +186,13 @@
                 operator_tasks.append(
                     asyncio.create_task(self._evacuating.run())
                 )
+            if has_suspensions(self.seed):
+                operator_tasks.append(asyncio.create_task(self._weights.run()))
             await self.injector.play(schedule(self.seed, seconds))
             self.write_journal("healed")
             self._ending = True
             self._evacuating.end()
+            self._weights.end()
             for operator in self._operators:
                 operator.end()
             await asyncio.gather(*caller_tasks, *operator_tasks)
--- a/damaskcroft/hosted/tests/test_old_checks.py
+++ b/damaskcroft/hosted/tests/test_old_checks.py
@@ -13,6 +13,7 @@
     free_port,
 )
 from damaskcroft.hosted.tests.model_server import (
+    MODEL,
     PIECES,
     ModelServer,
     engine_values,
@@ -22,7 +23,7 @@
 # How long a piece may have been bad when it is loaded.
 MAX_BAD_S = 3.0
 CALM_S = 2.0
-VERSION_2 = {"model": "m", "version": 2}
+VERSION_2 = {"model": MODEL, "version": 2}
 
 
 def configuration(origin):
--- a/damaskcroft/hosted/tests/test_soak.py
+++ b/damaskcroft/hosted/tests/test_soak.py
@@ -3,10 +3,12 @@
 import asyncio
 import hashlib
 import itertools
+import random
 import time
 
 import pytest
 
+from damaskcroft.hosted.tests.soak._evacuations import AbandoningOperator
 from damaskcroft.hosted.tests.soak._faults import (
     CHANGES_FROM_SEED,
     PARTS_FROM_SEED,
@@ -14,6 +16,7 @@
     has_changes,
     has_lost_answers,
     has_pauses,
+    has_suspensions,
     schedule,
 )
 from damaskcroft.hosted.tests.soak._history import (
@@ -55,6 +58,9 @@
     (6000, 10.0),
     # Never failed; all entries are killed while targets lose most answers.
     (7001, 15.0),
+    # An order that its operator had abandoned undid a later one, and an agent
+    # that had been suspended loaded pieces checked before.
+    (8003, 15.0),
 ]
 
 
@@ -303,6 +309,37 @@
     assert not kinds & {"lose answers", "kill all entries"}
 
 
+@pytest.mark.parametrize("seed", [2, 801, 3001, 5001, 6000, 7001])
+def test_earlier_seeds_have_no_more_suspensions(seed):
+    # Guards against a change of the schedule of an old seed.
+    assert not has_suspensions(seed)
+
+
+@pytest.mark.parametrize(
+    ("revisions", "is_found"),
+    [
+        ((5, 5, 8), False),
+        ((5, 9, 12), True),
+    ],
+)
+def test_an_order_that_was_undone_is_found(revisions, is_found):
+    answers = iter(revisions)
+
+    class Operator(AbandoningOperator):
+        async def _is_acknowledged(self, path):
+            self._revision = next(answers)
+            return True
+
+    async def order():
+        history = History()
+        operator = Operator(random.Random(0), None, history, print)
+        await operator._order("start")
+        await operator._order("end")
+        return history.violations
+
+    assert bool(asyncio.run(order())) == is_found
+
+
 @pytest.mark.parametrize(("arrivals", "overruns"), [(11, 0), (12, 1)])
 def test_arrivals_above_a_limit_are_found(arrivals, overruns):
     limits = AnnouncedLimits(CONTACT_S)
