Forwarding: a cut stream is not sent on for a caller that has closed its side

Cause: a caller that closes its side may still read (RFC 9112, 9.6). Interim answers find that out before an answer begins, nothing does afterwards; hedges already leave such callers out, repeats did not. Now neither is sent: it is looked at before a target is waited for and once more when the request is about to be written. A caller that closes only its side and whose stream is cut loses the rest; that is rarer than one that has left.

Test red before (2 of 2: 2 requests at targets, 1 allowed), green after.

--- a/damaskcroft/forwarding/_forwarder.py
+++ b/damaskcroft/forwarding/_forwarder.py
@@ -80,6 +80,7 @@
 _COLD = "cold"
 _EVACUATED = "evacuated"
 _NOT_ALLOWED_THERE = "not_allowed_in_region"
+_CALLER_LEFT = "caller_left"
 
 
 class Forwarder:
@@ -264,6 +265,8 @@
         self, job: Job, answer: Answer, progress: Progress
     ) -> Ending | None:
         """Makes the next attempt; None if another one may follow."""
+        if _must_assume_caller_left(answer):
+            raise ChannelLostError("the caller has closed its side")
         ending = self._final_ending(job, progress)
         if ending is not None:
             return ending
@@ -378,7 +381,13 @@
                 passing,
                 lambda: self._silence.record_data(target.id),
                 lambda connect_s: self._why_not_send(
-                    job, progress, target, allocated_at, connect_s, hedge
+                    job,
+                    answer,
+                    progress,
+                    target,
+                    allocated_at,
+                    connect_s,
+                    hedge,
                 ),
                 known_end=lambda: self._suspects.known_end(job, target),
                 new_connection=hedge.needs_new_connection,
@@ -494,6 +503,7 @@
     def _why_not_send(
         self,
         job: Job,
+        answer: Answer,
         progress: Progress,
         target: Candidate,
         allocated_at: float,
@@ -501,6 +511,8 @@
         hedge: Hedge,
     ) -> str | None:
         """Why a request must not be sent after connecting; None if it may."""
+        if _must_assume_caller_left(answer):
+            return _CALLER_LEFT
         if self._suspects.quarantined_s(job, progress):
             return QUARANTINED
         if not self._back_pressure.accepts_requests(target.id):
@@ -562,3 +574,13 @@
         if facts.load is not None:
             requests = facts.load.running + facts.load.waiting
             self._placer.record_load(target.id, requests, facts.load.pace)
+
+
+def _must_assume_caller_left(answer: Answer) -> bool:
+    """Whether an answer that has begun can't be shown to have a reader.
+
+    A caller that has closed its side may still read. Before an answer begins,
+    interim answers show whether it does; afterwards only a part of the answer
+    would, and a target would have to work for it first.
+    """
+    return answer.begun and answer.caller_has_half_closed
--- a/damaskcroft/forwarding/tests/fakes.py
+++ b/damaskcroft/forwarding/tests/fakes.py
@@ -288,6 +288,11 @@
         self.pause_s = 0.2
         return await self.stream_dies_late(head, reader, writer)
 
+    async def stream_cut_soon(self, head, reader, writer):
+        await self.stream(head, reader, writer, up_to=3)
+        await asyncio.sleep(0.2)
+        return False
+
     async def cut_body_soon(self, head, reader, writer):
         await asyncio.sleep(0.2)
         return await self.cut_body(head, reader, writer)
--- a/damaskcroft/forwarding/tests/test_forwarding.py
+++ b/damaskcroft/forwarding/tests/test_forwarding.py
@@ -260,6 +260,45 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("leaves_after_s", [0.0, 0.3])
+def test_a_begun_stream_is_not_sent_again_for_a_caller_that_left(
+    monkeypatch, leaves_after_s
+):
+    """Guards against work for callers who can't be asked whether they read.
+
+    The stream is cut after 0.2 s, and then waits 0.2 s for another target.
+    """
+
+    async def scenario():
+        targets = two_targets(["stream_cut_soon"], "stream")
+        async with running_entry(*targets, config=STREAM) as entry:
+            delay_allocation(monkeypatch, entry, 0.2)
+            reader, writer = await entry.connect()
+            writer.write(b"POST /a HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n\r\n")
+            async with asyncio.timeout(10):
+                await reader.readuntil(b"data: 3\n\n")
+                await asyncio.sleep(leaves_after_s)
+                writer.close()
+                await asyncio.sleep(1.0)
+            assert request_count(*targets) == 1
+
+    asyncio.run(scenario())
+
+
+def delay_allocation(monkeypatch, entry, delay_s):
+    """Makes all requests wait before they get a target."""
+    allocator = entry.gate._forwarder._allocator
+    allocate = allocator.allocate
+
+    async def allocate_later(job, progress):
+        await asyncio.sleep(delay_s)
+        return await allocate(job, progress)
+
+    monkeypatch.setattr(
+        type(allocator), "allocate", lambda _, *a: allocate_later(*a)
+    )
+
+
 def test_event_without_end_is_left_for_another_target():
     """Guards against reading such an event until the caller's deadline."""
 
