--- a/damaskcroft/hosted/tests/deployment.py
+++ b/damaskcroft/hosted/tests/deployment.py
@@ -19,6 +19,8 @@
 ADDED_ENTRY_IP = f"{_PREFIX}.17"
 TARGET_IP = f"{_PREFIX}.15"
 _PORTS = ports()
+_ACCEPTED_TIMEOUT_S = 30
+_RETRY_INTERVAL_S = 0.05
 ROUTE = {
     "name": "r", "host": "h", "path_prefix": "/a/", "kind": "unsafe",
     "timeout_ms": 5000, "service": "s", "max_attempts": 1,
@@ -156,6 +158,15 @@
                 return status, answer
         return 0, b""
 
+    async def order_until_accepted(self, path, values=None, ips=CONTROL_IPS):
+        """Posts an operator's call until a node answers 200."""
+        async with asyncio.timeout(_ACCEPTED_TIMEOUT_S):
+            while True:
+                status, _ = await self.operator(b"POST", path, values, ips)
+                if status == 200:
+                    return
+                await asyncio.sleep(_RETRY_INTERVAL_S)
+
     async def stop(self):
         for process in self.processes.values():
             if process.returncode is None:
--- a/damaskcroft/hosted/tests/test_old_checks.py
+++ b/damaskcroft/hosted/tests/test_old_checks.py
@@ -34,15 +34,6 @@
     return {"version": 1, "routes": [ROUTE], "services": services}
 
 
-async def put(deployment, path, values):
-    async with asyncio.timeout(30):
-        while True:
-            status, _ = await deployment.operator(b"POST", path, values)
-            if status == 200:
-                return
-            await asyncio.sleep(0.05)
-
-
 class Suspender:
     """Suspends an agent when it has read a piece back; spoils some pieces."""
 
@@ -79,7 +70,9 @@
         try:
             for ip in CONTROL_IPS:
                 await deployment.start("control", ip)
-            await put(deployment, "/api/config/put", configuration(address))
+            await deployment.order_until_accepted(
+                "/api/config/put", configuration(address)
+            )
             async with server.running():
                 process = await deployment.start(
                     "agent", TARGET_IP, target=address
@@ -87,7 +80,9 @@
                 await asyncio.sleep(CALM_S)
                 suspender = Suspender(server, process, at_piece, spoilt)
                 server.on_read = suspender.on_read
-                await put(deployment, "/api/version-put", VERSION_2)
+                await deployment.order_until_accepted(
+                    "/api/version-put", VERSION_2
+                )
                 async with asyncio.timeout(20):
                     await suspender.suspended.wait()
                 await asyncio.sleep(SUSPENDED_S)
--- a/damaskcroft/hosted/tests/test_power_loss.py
+++ b/damaskcroft/hosted/tests/test_power_loss.py
@@ -59,15 +59,6 @@
     return {"version": 3, "routes": [ROUTE], "services": services}
 
 
-async def wait_until_accepted(deployment, path, values):
-    async with asyncio.timeout(30):
-        while True:
-            status, _ = await deployment.operator(b"POST", path, values)
-            if status == 200:
-                return
-            await asyncio.sleep(0.05)
-
-
 async def announce(deployment, generation, fields):
     """Announces three targets periodically, with ids of their generation."""
     sequence = 0
@@ -126,8 +117,8 @@
             try:
                 for ip in CONTROL_IPS:
                     await deployment.start("control", ip)
-                await wait_until_accepted(
-                    deployment, "/api/config/put", configuration(port)
+                await deployment.order_until_accepted(
+                    "/api/config/put", configuration(port)
                 )
                 async with announcing(deployment, "first", serving):
                     await asyncio.sleep(SETTLE_S)
--- a/damaskcroft/hosted/tests/test_stale_orders.py
+++ b/damaskcroft/hosted/tests/test_stale_orders.py
@@ -31,8 +31,8 @@
         try:
             for ip in CONTROL_IPS:
                 await deployment.start("control", ip)
-            await order_until_acknowledged(
-                deployment, CONTROL_IPS, "/api/config/put", CONFIGURATION
+            await deployment.order_until_accepted(
+                "/api/config/put", CONFIGURATION
             )
             await asyncio.sleep(SETTLE_S)
             return await scenario(deployment)
@@ -42,12 +42,6 @@
     return lambda scenario: asyncio.run(asyncio.wait_for(within(scenario), 90))
 
 
-async def order_until_acknowledged(deployment, ips, path, values=None):
-    async with asyncio.timeout(30):
-        while (await deployment.operator(b"POST", path, values, ips))[0] != 200:
-            await asyncio.sleep(0.1)
-
-
 def suspended_node(deployment, role):
     leader = leader_ip(deployment)
     if role == "leader":
@@ -76,14 +70,14 @@
     process = deployment.processes[f"control-{suspended.rpartition('.')[2]}"]
     loop = asyncio.get_running_loop()
     if stale == END:
-        await order_until_acknowledged(deployment, others, START)
+        await deployment.order_until_accepted(START, ips=others)
     process.send_signal(signal.SIGSTOP)
     wakes_at = loop.time() + SUSPENDED_S
     _, closing = await abandon_order(
         f"{suspended}:{deployment.control}", stale, end, wakes_at + LATE_END_S
     )
     for path in later:
-        await order_until_acknowledged(deployment, others, path)
+        await deployment.order_until_accepted(path, ips=others)
     await asyncio.sleep(max(0.0, wakes_at - loop.time()))
     process.send_signal(signal.SIGCONT)
     await asyncio.sleep(SETTLE_S)
