Control: orders that a node of the build before forwards are accepted

They were refused by a leader of this build, since they carry no time limit. They are accepted as before, compared by revision only; what the limit guards against needs a suspension within the roll.

--- a/damaskcroft/control/_command_log.py
+++ b/damaskcroft/control/_command_log.py
@@ -142,8 +142,6 @@
         condition: AppendCondition | None = None,
     ) -> Accepted | Unavailable:
         """Proposes a command to the replica of this node, which must lead."""
-        if condition is None and command.HasField("evacuate"):
-            return Unavailable("an order of unknown age")
         outcome = await self._replica.propose(
             command.SerializeToString(), condition
         )
