--- a/damaskcroft/control/tests/test_stale_orders.py
+++ b/damaskcroft/control/tests/test_stale_orders.py
@@ -18,6 +18,7 @@
 )
 from damaskcroft.control._command_log import ReadPoint
 from damaskcroft.control.tests.fake_caller import FakeCaller
+from damaskcroft.control.tests.test_crashes import RequestStream
 from damaskcroft.fleet import FleetView
 from damaskcroft.tests.suspension import suspended_at
 
@@ -37,20 +38,6 @@
 ]
 
 
-class Stream:
-    """A call's request, and the reply to it."""
-
-    def __init__(self, request):
-        self._request = request
-        self.reply = None
-
-    async def recv_message(self):
-        return self._request
-
-    async def send_message(self, reply):
-        self.reply = reply
-
-
 class FakeChannels:
     """Leads to the other nodes by their addresses."""
 
@@ -98,7 +85,7 @@
         return FleetState()
 
     async def call(self, address, name, request):
-        stream = Stream(request)
+        stream = RequestStream(None, request)
         await asyncio.sleep(self.network.latency_s)
         handler = getattr(self.services[address], name)
         # A node that was suspended may handle a call that was cancelled.
--- a/damaskcroft/hosted/tests/deployment.py
+++ b/damaskcroft/hosted/tests/deployment.py
@@ -54,6 +54,11 @@
     return next(_PORTS)
 
 
+def node_name(role, ip):
+    """Returns the name of a node, such as control-11."""
+    return f"{role}-{ip.rpartition('.')[2]}"
+
+
 class Deployment:
     """Processes of the hosted programs, by names such as control-11.
 
@@ -75,7 +80,7 @@
 
     async def start(self, role, ip, *, first=True, target="", service="s"):
         """Starts a program; an agent serves the target of a service."""
-        name = f"{role}-{ip.rpartition('.')[2]}"
+        name = node_name(role, ip)
         listen, data = "", ""
         if role == "control":
             listen = f'control = "{ip}:{self.control}"'
@@ -108,7 +113,7 @@
 
     async def end(self, role, ip, how=signal.SIGKILL):
         """Ends a process by a signal and returns its exit status."""
-        process = self.processes[f"{role}-{ip.rpartition('.')[2]}"]
+        process = self.processes[node_name(role, ip)]
         if process.returncode is None:
             with contextlib.suppress(ProcessLookupError):
                 process.send_signal(how)
@@ -117,12 +122,11 @@
 
     def log(self, role, ip):
         """Returns the log of a node, over all its starts."""
-        name = f"{role}-{ip.rpartition('.')[2]}.log"
-        return (self.folder / name).read_text()
+        return (self.folder / f"{node_name(role, ip)}.log").read_text()
 
     def wipe(self, ip):
         """Erases the disk of a control node; its process must have ended."""
-        folder = self.folder / f"control-{ip.rpartition('.')[2]}"
+        folder = self.folder / node_name("control", ip)
         shutil.rmtree(folder, ignore_errors=True)
 
     async def call(self, ip, port, method, path, body=b"", **headers):
@@ -158,9 +162,15 @@
                 return status, answer
         return 0, b""
 
-    async def order_until_accepted(self, path, values=None, ips=CONTROL_IPS):
-        """Posts an operator's call until a node answers 200."""
-        async with asyncio.timeout(_ACCEPTED_TIMEOUT_S):
+    async def order_until_accepted(
+        self, path, values=None, ips=CONTROL_IPS, within_s=_ACCEPTED_TIMEOUT_S
+    ):
+        """Posts an operator's call until a node answers 200.
+
+        Raises:
+            TimeoutError: none did within that time.
+        """
+        async with asyncio.timeout(within_s):
             while True:
                 status, _ = await self.operator(b"POST", path, values, ips)
                 if status == 200:
--- a/damaskcroft/hosted/tests/model_server.py
+++ b/damaskcroft/hosted/tests/model_server.py
@@ -4,6 +4,7 @@
 import contextlib
 import hashlib
 import json
+import signal
 import time
 
 from starlette.requests import Request
@@ -12,7 +13,13 @@
 
 from damaskcroft.rpc import serve_http
 
-__all__ = ["LAYERS", "MODEL", "PIECES", "ModelServer", "engine_values"]
+__all__ = [
+    "MODEL",
+    "PIECES",
+    "AgentSuspender",
+    "ModelServer",
+    "engine_values",
+]
 
 MODEL = "w"
 PIECES, PIECE_BYTES, LAYERS = 24, 64, 4
@@ -143,6 +150,7 @@
         )
         task = asyncio.create_task(self._load(order["version"]))
         self._loading.add(task)
+        task.add_done_callback(self._loading.discard)
         return JSONResponse({}, 202)
 
     async def _load(self, version):
@@ -151,6 +159,48 @@
         self.version, self._busy = version, False
 
 
+class AgentSuspender:
+    """Suspends an agent once, when it has read a piece of a version back.
+
+    Args:
+        server: the agent's server; its `on_read` is to be that of this object.
+        process: the agent's process.
+        version: the version; all of its pieces must be staged by then.
+        at_piece: the piece that is read.
+        spoilt: pieces that turn bad at that moment.
+
+    Attributes:
+        suspended: set when the agent is suspended.
+    """
+
+    def __init__(self, server, process, version, at_piece, spoilt):
+        self._server = server
+        self._process = process
+        self._version = version
+        self._at_piece = at_piece
+        self._spoilt = spoilt
+        self.suspended = asyncio.Event()
+
+    def on_read(self, index):
+        """Suspends the agent if this is the piece, for the first time."""
+        if self.suspended.is_set() or index != self._at_piece:
+            return
+        if not self._server.is_staged(self._version):
+            return
+        for spoilt in self._spoilt:
+            self._server.spoil(spoilt)
+        self._send(signal.SIGSTOP)
+        self.suspended.set()
+
+    def resume(self):
+        """Lets the agent continue."""
+        self._send(signal.SIGCONT)
+
+    def _send(self, number):
+        with contextlib.suppress(ProcessLookupError):
+            self._process.send_signal(number)
+
+
 async def _manifest(request: Request):
     version = int(request.query_params["version"])
     return JSONResponse(
--- a/damaskcroft/hosted/tests/soak/_evacuations.py
+++ b/damaskcroft/hosted/tests/soak/_evacuations.py
@@ -136,12 +136,12 @@
 
     async def _order(self, order):
         before, revision = self._in_force, self._revision
-        if before and await super()._order(before):
-            if self._revision != revision:
-                self._history.violations.append(
-                    f"{before} was undone by a stale order: revision"
-                    f" {revision} became {self._revision}"
-                )
+        is_sent_again = before and await super()._order(before)
+        if is_sent_again and self._revision != revision:
+            self._history.violations.append(
+                f"{before} was undone by a stale order: revision"
+                f" {revision} became {self._revision}"
+            )
         self._in_force = order
         return await super()._order(order)
 
--- a/damaskcroft/hosted/tests/soak/_faults.py
+++ b/damaskcroft/hosted/tests/soak/_faults.py
@@ -14,6 +14,7 @@
     ADDED_ENTRY_IP,
     CONTROL_IPS,
     ENTRY_IPS,
+    node_name,
 )
 
 # Gap between the starts of two faults. Faults last longer, so they overlap.
@@ -411,7 +412,7 @@
         SIGHUP ends a process whose interpreter has not reached the first line
         of the program. No other exit without an injected fault is allowed.
         """
-        process = self._deployment.processes[f"{role}-{ip[-2:]}"]
+        process = self._deployment.processes[node_name(role, ip)]
         if process.returncode is None:
             return process
         assert process.returncode == -signal.SIGHUP, process.returncode
@@ -444,7 +445,7 @@
 
     def _tear_log(self, ip, which):
         """Appends garbage after the last synced entry, like a torn write."""
-        folder = self._deployment.folder / f"control-{ip[-2:]}"
+        folder = self._deployment.folder / node_name("control", ip)
         logs = sorted(folder.rglob("*log*"))
         for path in logs[-1:]:
             if path.is_file():
--- a/damaskcroft/hosted/tests/soak/_weights.py
+++ b/damaskcroft/hosted/tests/soak/_weights.py
@@ -1,14 +1,12 @@
 """A model server whose staged pieces turn bad beside a suspended agent."""
 
 import asyncio
-import contextlib
-import signal
-import time
 
-from damaskcroft.hosted.tests.deployment import TARGET_IP, free_port
+from damaskcroft.hosted.tests.deployment import TARGET_IP, free_port, node_name
 from damaskcroft.hosted.tests.model_server import (
     MODEL,
     PIECES,
+    AgentSuspender,
     ModelServer,
     engine_values,
 )
@@ -84,7 +82,7 @@
 
     async def _ensure_agent(self):
         """Returns the agent's process, started again if SIGHUP ended it."""
-        process = self._deployment.processes.get("agent-15")
+        process = self._deployment.processes.get(node_name("agent", TARGET_IP))
         if process is not None and process.returncode is None:
             return process
         return await self._deployment.start(
@@ -93,18 +91,14 @@
 
     async def _put(self, version):
         values = {"model": MODEL, "version": version}
-        gives_up_at = time.monotonic() + _PUT_TIMEOUT_S
-        status = 0
-        while status != 200:
-            status, _ = await self._deployment.operator(
-                b"POST", "/api/version-put", values
+        try:
+            await self._deployment.order_until_accepted(
+                "/api/version-put", values, within_s=_PUT_TIMEOUT_S
+            )
+        except TimeoutError:
+            self._history.violations.append(
+                f"version {version} of weights is not acknowledged"
             )
-            if time.monotonic() > gives_up_at:
-                self._history.violations.append(
-                    f"version {version} of weights is not acknowledged"
-                )
-                return
-            await asyncio.sleep(_POLL_S)
 
     async def _wait_until_loaded(self, version, *, is_calm):
         try:
@@ -126,23 +120,13 @@
             range(PIECES), self._rng.randint(1, _MAX_SPOILT)
         )
         for_s = self._rng.uniform(*_SUSPENDED_S)
-        is_read = asyncio.Event()
-
-        def on_read(index):
-            if is_read.is_set() or index != at_piece:
-                return
-            if self._server.is_staged(version):
-                is_read.set()
-                for piece in spoilt:
-                    self._server.spoil(piece)
-                with contextlib.suppress(ProcessLookupError):
-                    process.send_signal(signal.SIGSTOP)
-
-        self._server.on_read = on_read
-        await is_read.wait()
-        self._journal(f"suspends the agent for {for_s:.1f} s; bad: {spoilt}")
+        suspender = AgentSuspender(
+            self._server, process, version, at_piece, spoilt
+        )
+        self._server.on_read = suspender.on_read
         try:
+            await suspender.suspended.wait()
+            self._journal(f"suspends the agent {for_s:.1f} s; bad: {spoilt}")
             await asyncio.sleep(for_s)
         finally:
-            with contextlib.suppress(ProcessLookupError):
-                process.send_signal(signal.SIGCONT)
+            suspender.resume()
--- a/damaskcroft/hosted/tests/test_control_end.py
+++ b/damaskcroft/hosted/tests/test_control_end.py
@@ -28,16 +28,11 @@
     return {"version": version, "routes": [ROUTE], "services": [{"name": "s"}]}
 
 
-def log_of(deployment, ip):
-    name = f"control-{ip.rpartition('.')[2]}.log"
-    return (deployment.folder / name).read_text()
-
-
 def leader_ip(deployment):
     """Returns the address of the last elected leader, by the logs."""
     terms = {}
     for ip in CONTROL_IPS:
-        text = log_of(deployment, ip)
+        text = deployment.log("control", ip)
         found = re.findall(r"event=leader_elected term=(\d+)", text)
         terms[ip] = max(map(int, found), default=-1)
     return max(terms, key=terms.get)
@@ -84,16 +79,9 @@
 
 
 async def wait_until_in_service(deployment):
-    async with asyncio.timeout(30):
-        for ip in CONTROL_IPS:
-            await deployment.start("control", ip)
-        while True:
-            status, _ = await deployment.operator(
-                b"POST", "/api/config/put", configuration(3)
-            )
-            if status == 200:
-                return
-            await asyncio.sleep(0.05)
+    for ip in CONTROL_IPS:
+        await deployment.start("control", ip)
+    await deployment.order_until_accepted("/api/config/put", configuration(3))
 
 
 def test_changes_go_on_while_the_leader_ends(deployment):
@@ -121,7 +109,7 @@
             await asyncio.gather(*tasks, return_exceptions=True)
         finally:
             await deployment.stop()
-        return operators, log_of(deployment, ending)
+        return operators, deployment.log("control", ending)
 
     operators, log = asyncio.run(asyncio.wait_for(scenario(), 90))
     assert "event=stopping role=control leader=True" in log
--- a/damaskcroft/hosted/tests/test_old_checks.py
+++ b/damaskcroft/hosted/tests/test_old_checks.py
@@ -1,7 +1,6 @@
 """Agents that are suspended beside pieces that turn bad, as processes."""
 
 import asyncio
-import signal
 
 import pytest
 
@@ -15,6 +14,7 @@
 from damaskcroft.hosted.tests.model_server import (
     MODEL,
     PIECES,
+    AgentSuspender,
     ModelServer,
     engine_values,
 )
@@ -34,27 +34,6 @@
     return {"version": 1, "routes": [ROUTE], "services": services}
 
 
-class Suspender:
-    """Suspends an agent when it has read a piece back; spoils some pieces."""
-
-    def __init__(self, server, process, at_piece, spoilt):
-        self._server = server
-        self._process = process
-        self._at_piece = at_piece
-        self._spoilt = spoilt
-        self.suspended = asyncio.Event()
-
-    def on_read(self, index):
-        if self.suspended.is_set() or not self._server.is_staged(2):
-            return
-        if index != self._at_piece:
-            return
-        for spoilt in self._spoilt:
-            self._server.spoil(spoilt)
-        self._process.send_signal(signal.SIGSTOP)
-        self.suspended.set()
-
-
 @pytest.mark.parametrize(
     ("at_piece", "spoilt"), [(PIECES // 2, (1,)), (PIECES - 1, (0, 20))]
 )
@@ -78,7 +57,7 @@
                     "agent", TARGET_IP, target=address
                 )
                 await asyncio.sleep(CALM_S)
-                suspender = Suspender(server, process, at_piece, spoilt)
+                suspender = AgentSuspender(server, process, 2, at_piece, spoilt)
                 server.on_read = suspender.on_read
                 await deployment.order_until_accepted(
                     "/api/version-put", VERSION_2
@@ -86,7 +65,7 @@
                 async with asyncio.timeout(20):
                     await suspender.suspended.wait()
                 await asyncio.sleep(SUSPENDED_S)
-                process.send_signal(signal.SIGCONT)
+                suspender.resume()
                 async with asyncio.timeout(10):
                     while server.version != 2:
                         await asyncio.sleep(0.05)
--- a/damaskcroft/hosted/tests/test_stale_orders.py
+++ b/damaskcroft/hosted/tests/test_stale_orders.py
@@ -10,7 +10,12 @@
     ConnectionEnd,
     abandon_order,
 )
-from damaskcroft.hosted.tests.deployment import CONTROL_IPS, ROUTE, Deployment
+from damaskcroft.hosted.tests.deployment import (
+    CONTROL_IPS,
+    ROUTE,
+    Deployment,
+    node_name,
+)
 from damaskcroft.hosted.tests.test_control_end import leader_ip
 
 DOMAIN = "z0"
@@ -67,7 +72,7 @@
     """
     suspended = suspended_node(deployment, role)
     others = [ip for ip in CONTROL_IPS if ip != suspended]
-    process = deployment.processes[f"control-{suspended.rpartition('.')[2]}"]
+    process = deployment.processes[node_name("control", suspended)]
     loop = asyncio.get_running_loop()
     if stale == END:
         await deployment.order_until_accepted(START, ips=others)
--- a/damaskcroft/tests/test_clock.py
+++ b/damaskcroft/tests/test_clock.py
@@ -99,12 +99,12 @@
     async def scenario():
         async with recording_server() as (arrivals, connect):
             with contextlib.ExitStack() as clients:
+                client = clients.enter_context(connect())
                 if is_connected_before:
-                    client = clients.enter_context(connect())
                     client.sendall(b"x")
                     await arrivals.get()
                 else:
-                    client = clients.enter_context(connect())
+                    # More connections wait than are accepted in one step.
                     clients.enter_context(connect())
                 client.sendall(b"x")
                 sent_at = now_s()
